--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# make demo   installs the packages, builds, and serves two requests through the whole path
+# make test   builds and runs every test
+# make check  formatter and linter
+# make soak SEED=... MINUTES=...  randomised run over real processes
+BUILD ?= build
+JOBS ?= 10
+
+.PHONY: all packages configure build test check format demo soak
+
+all: build
+
+packages:
+	@scripts/install_packages.sh
+
+configure: packages
+	@test -f $(BUILD)/build.ninja || cmake -S . -B $(BUILD) -G Ninja > /dev/null
+
+build: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@scripts/run_tests.sh $(BUILD)
+
+format: packages
+	@scripts/format.sh --fix
+
+check: configure
+	@scripts/format.sh
+	@BUILD=$(BUILD) scripts/lint.sh
--- /dev/null
+++ b/include/hyssoprail/connection/http_message.hpp
@@ -0,0 +1,47 @@
+#ifndef HYSSOPRAIL_CONNECTION_HTTP_MESSAGE_HPP
+#define HYSSOPRAIL_CONNECTION_HTTP_MESSAGE_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssoprail {
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// Returns the value of the first header called \p Name (any case), or "".
+std::string_view headerValue(const HttpHeaders &Headers, std::string_view Name);
+
+/// A complete request.
+struct HttpRequest {
+  std::string Method; ///< "GET", "POST", ...
+  std::string Target; ///< path and query as sent
+  HttpHeaders Headers;
+  std::string Body;
+
+  /// Target without the query.
+  std::string_view path() const;
+};
+
+/// A complete response.
+struct HttpResponse {
+  unsigned Status = 200;
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+/// Returns a response with a JSON body.
+///
+/// \code
+///   Exchange->respond(jsonResponse(200, R"({"ok":true})"));
+/// \endcode
+HttpResponse jsonResponse(unsigned Status, std::string Body);
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_CONNECTION_HTTP_MESSAGE_HPP
--- /dev/null
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -0,0 +1,100 @@
+#ifndef HYSSOPRAIL_CONNECTION_HTTP_SERVER_HPP
+#define HYSSOPRAIL_CONNECTION_HTTP_SERVER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "hyssoprail/connection/http_message.hpp"
+#include "hyssoprail/core/result.hpp"
+
+namespace hyssoprail {
+
+/// One request and its answer. The answering functions may be called from any
+/// thread; calls after the answer is complete have no effect.
+class HttpExchange {
+public:
+  virtual ~HttpExchange() = default;
+
+  virtual const HttpRequest &request() const = 0;
+
+  /// Sends a whole answer.
+  virtual void respond(HttpResponse Response) = 0;
+
+  /// Begins a streamed answer.
+  virtual void begin(unsigned Status, HttpHeaders Headers) = 0;
+
+  /// Adds \p Data to a streamed answer.
+  virtual void write(std::string Data) = 0;
+
+  /// Completes a streamed answer.
+  virtual void finish() = 0;
+
+  /// Breaks the connection, so that the caller sees an incomplete answer.
+  virtual void abort() = 0;
+
+  /// Sets the function called once on the connection's thread if the caller
+  /// disconnects before the answer is complete.
+  virtual void onDisconnect(std::function<void()> Callback) = 0;
+
+  /// Bytes of the answer that the connection has not taken yet.
+  virtual std::size_t unsentBytes() const = 0;
+};
+
+using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+/// Settings of an HTTP server.
+struct HttpServerOptions {
+  std::string Address = "127.0.0.1";
+  std::uint16_t Port = 0; ///< 0: any free port
+  unsigned Threads = 1;
+  std::uint32_t MaxHeaderBytes = 16 * 1024;
+  std::uint64_t MaxBodyBytes = 8 * 1024 * 1024;
+  std::chrono::milliseconds ReadTimeout{10'000};  ///< from first byte to last
+  std::chrono::milliseconds IdleTimeout{60'000};  ///< between requests
+  std::chrono::milliseconds WriteTimeout{30'000}; ///< for one write
+  /// Makes the answer to a request that could not be read.
+  std::function<HttpResponse(const Error &)> ErrorResponse;
+};
+
+/// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
+/// one thread.
+///
+/// \code
+///   auto Server = makeHttpServer(Options, [](auto Exchange) {
+///     Exchange->respond(jsonResponse(200, "{}"));
+///   });
+///   if (const Error *E = errorOf(Server->start())) ...
+/// \endcode
+class HttpServer {
+public:
+  virtual ~HttpServer() = default;
+
+  /// Binds and starts the threads. Fails with Unavailable if the address is in
+  /// use.
+  virtual Status start() = 0;
+
+  /// Stops accepting connections and closes idle ones; requests in progress go
+  /// on, and their answers carry "Connection: close".
+  virtual void drain() = 0;
+
+  /// Closes everything and joins the threads.
+  virtual void stop() = 0;
+
+  /// Port that was bound.
+  virtual std::uint16_t port() const = 0;
+
+  /// Number of requests whose answer is not complete.
+  virtual std::size_t openExchanges() const = 0;
+};
+
+/// Makes a server that calls \p Handler for each request, on the thread of the
+/// connection.
+std::unique_ptr<HttpServer> makeHttpServer(HttpServerOptions Options,
+                                           HttpHandler Handler);
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_CONNECTION_HTTP_SERVER_HPP
--- /dev/null
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -0,0 +1,280 @@
+#include "hyssoprail/connection/http_client.hpp"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace hyssoprail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxIdlePerAuthority = 64;
+constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+
+Error unavailable(const std::string &Authority, const std::string &Reason) {
+  return {ErrorKind::Unavailable,
+          "cannot reach " + Authority + ": " + Reason,
+          "check that the address is right and the process runs",
+          "",
+          {}};
+}
+
+Error lost(const std::string &Authority, const beast::error_code &Code) {
+  if (Code == beast::error::timeout)
+    return {ErrorKind::DeadlineExceeded,
+            Authority + " gave no complete answer in time",
+            "raise the timeout or check the load of that process",
+            "",
+            {}};
+  return {ErrorKind::UpstreamFailed,
+          "the connection to " + Authority + " broke: " + Code.message(),
+          "check whether that process restarted",
+          "",
+          {}};
+}
+
+Result<tcp::endpoint> parseAuthority(const std::string &Authority) {
+  const auto Colon = Authority.rfind(':');
+  beast::error_code Code;
+  if (Colon == std::string::npos)
+    return unavailable(Authority, "no port given");
+  auto Address = asio::ip::make_address(Authority.substr(0, Colon), Code);
+  const int Port = std::atoi(Authority.c_str() + Colon + 1);
+  if (Code || Port <= 0 || Port > 65535)
+    return unavailable(Authority, "not an IP number and port");
+  return tcp::endpoint(Address, static_cast<std::uint16_t>(Port));
+}
+
+http::request<http::string_body> makeMessage(HttpCall &Call) {
+  http::request<http::string_body> Message;
+  Message.version(11);
+  Message.method_string(Call.Request.Method);
+  Message.target(Call.Request.Target);
+  Message.set(http::field::host, Call.Authority);
+  for (const HttpHeader &H : Call.Request.Headers)
+    Message.insert(H.Name, H.Value);
+  Message.body() = std::move(Call.Request.Body);
+  Message.keep_alive(!Call.FreshConnection);
+  Message.prepare_payload();
+  return Message;
+}
+
+struct Connection {
+  explicit Connection(asio::io_context &Context) : Stream(Context) {}
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/// Kept connections by authority.
+class Pool {
+public:
+  explicit Pool(asio::io_context &Context) : Context(Context) {}
+
+  ConnectionPtr take(const std::string &Authority) {
+    auto &Kept = Idle[Authority];
+    while (!Kept.empty()) {
+      ConnectionPtr C = std::move(Kept.back());
+      Kept.pop_back();
+      if (usable(*C))
+        return C;
+    }
+    return nullptr;
+  }
+
+  ConnectionPtr make() { return std::make_shared<Connection>(Context); }
+
+  void keep(const std::string &Authority, ConnectionPtr C) {
+    auto &Kept = Idle[Authority];
+    if (Kept.size() < MaxIdlePerAuthority && C->Buffer.size() == 0) {
+      C->Stream.expires_never();
+      Kept.push_back(std::move(C));
+    }
+  }
+
+private:
+  /// False if the peer closed the connection while it was idle.
+  static bool usable(Connection &C) {
+    char Byte = 0;
+    beast::error_code Code;
+    C.Stream.socket().non_blocking(true, Code);
+    C.Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                              Code);
+    return Code == asio::error::would_block;
+  }
+
+  asio::io_context &Context;
+  std::map<std::string, std::vector<ConnectionPtr>> Idle;
+};
+
+asio::awaitable<Result<ConnectionPtr>> connect(std::shared_ptr<Pool> Kept,
+                                               const HttpCall &Call) {
+  if (!Call.FreshConnection)
+    if (ConnectionPtr C = Kept->take(Call.Authority))
+      co_return C;
+  Result<tcp::endpoint> Endpoint = parseAuthority(Call.Authority);
+  if (const Error *E = errorOf(Endpoint))
+    co_return *E;
+  ConnectionPtr C = Kept->make();
+  C->Stream.expires_after(Call.Timeout);
+  auto [Code] = co_await C->Stream.async_connect(valueOf(Endpoint), NoThrow);
+  if (Code)
+    co_return unavailable(Call.Authority, Code.message());
+  beast::error_code Ignored;
+  C->Stream.socket().set_option(tcp::no_delay(true), Ignored);
+  co_return C;
+}
+
+asio::awaitable<Result<HttpResponse>> runCall(std::shared_ptr<Pool> Kept,
+                                              HttpCall Call) {
+  Result<ConnectionPtr> Connected = co_await connect(Kept, Call);
+  if (const Error *E = errorOf(Connected))
+    co_return *E;
+  ConnectionPtr C = valueOf(Connected);
+  C->Stream.expires_after(Call.Timeout);
+  auto Message = makeMessage(Call);
+  auto [WriteCode, Written] =
+      co_await http::async_write(C->Stream, Message, NoThrow);
+  if (WriteCode)
+    co_return lost(Call.Authority, WriteCode);
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  auto [ReadCode, Read] =
+      co_await http::async_read(C->Stream, C->Buffer, Parser, NoThrow);
+  if (ReadCode)
+    co_return lost(Call.Authority, ReadCode);
+  HttpResponse Response;
+  Response.Status = Parser.get().result_int();
+  for (const auto &Field : Parser.get())
+    Response.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Response.Body = std::move(Parser.get().body());
+  if (Parser.keep_alive())
+    Kept->keep(Call.Authority, std::move(C));
+  co_return Response;
+}
+
+class ClientStream : public HttpStream,
+                     public std::enable_shared_from_this<ClientStream> {
+public:
+  ClientStream(std::shared_ptr<Pool> Kept, HttpCall Call,
+               HttpStreamHandlers Handlers)
+      : Kept(std::move(Kept)), Call(std::move(Call)),
+        Handlers(std::move(Handlers)) {}
+
+  void cancel() override {
+    Cancelled = true;
+    Handlers = {};
+    if (Active) {
+      Active->Stream.cancel();
+      Active->Stream.close();
+    }
+  }
+
+  asio::awaitable<void> run() {
+    auto Self = shared_from_this();
+    Status End = co_await transfer();
+    Active.reset();
+    if (!Cancelled && Handlers.OnEnd)
+      Handlers.OnEnd(std::move(End));
+    Handlers = {};
+  }
+
+private:
+  asio::awaitable<Status> transfer() {
+    Result<ConnectionPtr> Connected = co_await connect(Kept, Call);
+    if (const Error *E = errorOf(Connected))
+      co_return *E;
+    if (Cancelled)
+      co_return std::monostate{};
+    Active = valueOf(Connected);
+    ConnectionPtr C = Active;
+    C->Stream.expires_after(Call.Timeout);
+    auto Message = makeMessage(Call);
+    auto [WriteCode, Written] =
+        co_await http::async_write(C->Stream, Message, NoThrow);
+    if (WriteCode)
+      co_return lost(Call.Authority, WriteCode);
+    http::response_parser<http::buffer_body> Parser;
+    Parser.body_limit(boost::none);
+    auto [HeadCode, Head] =
+        co_await http::async_read_header(C->Stream, C->Buffer, Parser, NoThrow);
+    if (HeadCode)
+      co_return lost(Call.Authority, HeadCode);
+    if (!Cancelled && Handlers.OnHeader)
+      Handlers.OnHeader(Parser.get().result_int());
+    std::array<char, 4096> Data{};
+    while (!Parser.is_done() && !Cancelled) {
+      Parser.get().body().data = Data.data();
+      Parser.get().body().size = Data.size();
+      C->Stream.expires_after(Call.Timeout);
+      auto [Code, Size] =
+          co_await http::async_read_some(C->Stream, C->Buffer, Parser, NoThrow);
+      if (Code && Code != http::error::need_buffer)
+        co_return lost(Call.Authority, Code);
+      const std::size_t Got = Data.size() - Parser.get().body().size;
+      if (Got > 0 && !Cancelled && Handlers.OnData)
+        Handlers.OnData(std::string_view(Data.data(), Got));
+    }
+    if (!Cancelled && Parser.keep_alive())
+      Kept->keep(Call.Authority, std::move(C));
+    co_return std::monostate{};
+  }
+
+  std::shared_ptr<Pool> Kept;
+  HttpCall Call;
+  HttpStreamHandlers Handlers;
+  ConnectionPtr Active;
+  bool Cancelled = false;
+};
+
+asio::awaitable<void> callAndReport(std::shared_ptr<Pool> Kept, HttpCall Call,
+                                    HttpClient::Callback OnDone) {
+  Result<HttpResponse> Response =
+      co_await runCall(std::move(Kept), std::move(Call));
+  OnDone(std::move(Response));
+}
+
+class BeastHttpClient : public HttpClient {
+public:
+  explicit BeastHttpClient(asio::io_context &Context)
+      : Context(Context), Kept(std::make_shared<Pool>(Context)) {}
+
+  void call(HttpCall Call, Callback OnDone) override {
+    asio::co_spawn(Context,
+                   callAndReport(Kept, std::move(Call), std::move(OnDone)),
+                   asio::detached);
+  }
+
+  std::shared_ptr<HttpStream> stream(HttpCall Call,
+                                     HttpStreamHandlers Handlers) override {
+    auto Stream = std::make_shared<ClientStream>(Kept, std::move(Call),
+                                                 std::move(Handlers));
+    asio::co_spawn(
+        Context, [Stream] { return Stream->run(); }, asio::detached);
+    return Stream;
+  }
+
+private:
+  asio::io_context &Context;
+  std::shared_ptr<Pool> Kept;
+};
+
+} // namespace
+
+std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Context) {
+  return std::make_unique<BeastHttpClient>(Context);
+}
+
+} // namespace hyssoprail
