--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 
 check: configure
 	@scripts/format.sh
-	@BUILD=$(BUILD) scripts/lint.sh
+	@BUILD=$(BUILD) scripts/lint.py
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -77,15 +77,14 @@
   }
 
   void onDisconnect(std::function<void()> Callback) override {
-    bool CallNow = false;
     {
       std::lock_guard Lock(Mutex);
-      CallNow = Disconnected;
-      if (!CallNow)
+      if (!Disconnected) {
         DisconnectCallback = std::move(Callback);
+        return;
+      }
     }
-    if (CallNow)
-      Callback();
+    Callback();
   }
 
   std::size_t unsentBytes() const override {
@@ -441,7 +440,7 @@
         });
   }
 
-  static constexpr std::size_t MaxDrainBytes = 1024 * 1024;
+  static constexpr std::size_t MaxDrainBytes = std::size_t{1024} * 1024;
 
   beast::tcp_stream Stream;
   std::shared_ptr<ServerState> State;
