Configuration reducer, store, selectors and key digests

Cause: every process needs the same configuration, claims, limit owners, members and agent leases from the platform's log.

Object maps are copied only when an object of their kind changes.

--- a/include/hyssoprail/version/config_state.hpp
+++ b/include/hyssoprail/version/config_state.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hyssoprail/version/selector.hpp"
 #include "hyssoprail/wire/hyssoprail.pb.h"
 
 namespace hyssoprail {
@@ -69,18 +70,80 @@
   std::shared_ptr<const ConfigState> at(std::uint64_t Version) const;
 
 private:
-  using ObjectMap = std::map<std::string, wire::Object, std::less<>>;
+  friend class ConfigBuilder;
+
+  using ObjectPtr = std::shared_ptr<const wire::Object>;
+  using ObjectMap = std::map<std::string, ObjectPtr, std::less<>>;
+  using NameMap = std::map<std::string, std::string, std::less<>>;
+
+  /// Endpoints of one pool by role, in name order.
+  using EndpointsByRole =
+      std::map<wire::EndpointRole, std::vector<const wire::Endpoint *>>;
+  using PoolIndex = std::map<std::string, EndpointsByRole, std::less<>>;
+
+  struct ParsedSelector {
+    wire::Selector Source;
+    LabelSelector Terms;
+  };
 
   const ObjectMap *map(wire::ObjectKind Kind) const;
 
+  /// Labels of a VM: those of its zone, its own, and "vm", "zone", "region".
+  Labels labelsOf(std::string_view VmName) const;
+
+  /// Rebuilds what is derived from the objects of \p Kind.
+  void index(wire::ObjectKind Kind);
+  void indexKeys();
+  void indexEndpoints();
+  void indexSelectors();
+  void indexRoutes();
+
   std::uint64_t Version = 0;
   std::map<wire::ObjectKind, std::shared_ptr<const ObjectMap>> Kinds;
-  std::shared_ptr<const std::map<std::string, std::string, std::less<>>>
-      KeyNamesByDigest;
+  std::shared_ptr<const NameMap> KeyNamesByDigest;
+  std::shared_ptr<const NameMap> RouteNamesByModel;
+  std::shared_ptr<const PoolIndex> EndpointsByPool;
+  std::shared_ptr<const std::vector<ParsedSelector>> Selectors;
 };
 
 using ConfigPtr = std::shared_ptr<const ConfigState>;
 
+/// Collects changes to a state before it is published. Each map is copied at
+/// most once per published state, so a long series of records costs one copy.
+///
+/// \code
+///   ConfigBuilder B(Base);
+///   B.put(Object, 7);
+///   ConfigPtr Next = B.publish();
+/// \endcode
+class ConfigBuilder {
+public:
+  explicit ConfigBuilder(const ConfigState &Base) : Draft(Base) {}
+
+  /// Stores \p Object at \p Version.
+  void put(const wire::Object &Object, std::uint64_t Version);
+
+  /// Removes an object at \p Version.
+  void remove(wire::ObjectKind Kind, std::string_view Name,
+              std::uint64_t Version);
+
+  /// Raises the version only.
+  void advance(std::uint64_t Version) { Draft.Version = Version; }
+
+  /// The state so far, for reading. Lookups that need an index (keys by
+  /// digest, routes, endpoints of a pool, selectors) may be outdated.
+  const ConfigState &draft() const { return Draft; }
+
+  /// Returns the state and starts the next one from it.
+  ConfigPtr publish();
+
+private:
+  ConfigState::ObjectMap &owned(wire::ObjectKind Kind);
+
+  ConfigState Draft;
+  std::map<wire::ObjectKind, std::shared_ptr<ConfigState::ObjectMap>> Owned;
+};
+
 } // namespace hyssoprail
 
 #endif // HYSSOPRAIL_VERSION_CONFIG_STATE_HPP
