--- a/src/hyssoprail/process/invariants.cpp
+++ b/src/hyssoprail/process/invariants.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdlib>
 
-#include <spdlog/spdlog.h>
+#include "hyssoprail/process/log.hpp"
 
 namespace hyssoprail {
 namespace {
@@ -41,10 +41,10 @@
   E.RequestId = RequestId;
   E.Detail = std::string(invariantName(Which)) + ": " + std::string(Detail);
   Events.record(E);
-  spdlog::error("[invariants] {} is violated: {}.", invariantName(Which),
-                Detail);
+  const auto Log = logger("invariants");
+  Log->error("{} is violated: {}.", invariantName(Which), Detail);
   if (Fatal) {
-    spdlog::default_logger()->flush();
+    Log->flush();
     std::abort();
   }
   return false;
--- /dev/null
+++ b/src/hyssoprail/process/log.cpp
@@ -0,0 +1,146 @@
+#include "hyssoprail/process/log.hpp"
+
+#include <array>
+#include <mutex>
+
+#include <fmt/chrono.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include "hyssoprail/core/enum_names.hpp"
+
+namespace hyssoprail {
+namespace {
+
+constexpr std::array<EnumName<LogFormat>, 2> LogFormatNames{{
+    {LogFormat::Text, "text"},
+    {LogFormat::Json, "json"},
+}};
+
+constexpr std::array<EnumName<spdlog::level::level_enum>, 6> LevelNames{{
+    {spdlog::level::trace, "trace"},
+    {spdlog::level::debug, "debug"},
+    {spdlog::level::info, "info"},
+    {spdlog::level::warn, "warn"},
+    {spdlog::level::err, "error"},
+    {spdlog::level::off, "off"},
+}};
+
+std::string utcTime(spdlog::log_clock::time_point Time) {
+  const auto Millis =
+      std::chrono::floor<std::chrono::milliseconds>(Time).time_since_epoch();
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(spdlog::log_clock::to_time_t(Time)),
+                     Millis.count() % 1000);
+}
+
+std::string_view view(spdlog::string_view_t Text) {
+  return {Text.data(), Text.size()};
+}
+
+void append(spdlog::memory_buf_t &Out, std::string_view Text) {
+  Out.append(Text.data(), Text.data() + Text.size());
+}
+
+class TextFormatter : public spdlog::formatter {
+public:
+  void format(const spdlog::details::log_msg &Line,
+              spdlog::memory_buf_t &Out) override {
+    append(Out, utcTime(Line.time));
+    append(Out, " ");
+    append(Out, enumName(LevelNames, Line.level));
+    append(Out, " ");
+    if (Line.logger_name.size() != 0) {
+      append(Out, "[");
+      append(Out, view(Line.logger_name));
+      append(Out, "] ");
+    }
+    appendOneLine(Out, view(Line.payload));
+    append(Out, "\n");
+  }
+
+  std::unique_ptr<spdlog::formatter> clone() const override {
+    return std::make_unique<TextFormatter>();
+  }
+
+private:
+  /// Replaces control characters, so that text taken from a request cannot
+  /// begin a line of its own.
+  static void appendOneLine(spdlog::memory_buf_t &Out, std::string_view Text) {
+    for (const char C : Text)
+      Out.push_back(static_cast<unsigned char>(C) < ' ' ? ' ' : C);
+  }
+};
+
+class JsonFormatter : public spdlog::formatter {
+public:
+  void format(const spdlog::details::log_msg &Line,
+              spdlog::memory_buf_t &Out) override {
+    const nlohmann::ordered_json Object{
+        {"time", utcTime(Line.time)},
+        {"level", enumName(LevelNames, Line.level)},
+        {"part", view(Line.logger_name)},
+        {"message", view(Line.payload)}};
+    append(Out, Object.dump(-1, ' ', false,
+                            nlohmann::json::error_handler_t::replace));
+    append(Out, "\n");
+  }
+
+  std::unique_ptr<spdlog::formatter> clone() const override {
+    return std::make_unique<JsonFormatter>();
+  }
+};
+
+/// The sink that all loggers share, so that set-up reaches every logger.
+const std::shared_ptr<spdlog::sinks::sink> &sharedSink() {
+  static const std::shared_ptr<spdlog::sinks::sink> Sink = [] {
+    auto Made = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    Made->set_formatter(makeLogFormatter(LogFormat::Text));
+    return Made;
+  }();
+  return Sink;
+}
+
+} // namespace
+
+Result<LogFormat> logFormat(std::string_view Name) {
+  if (const auto Found = enumFromName(LogFormatNames, Name))
+    return *Found;
+  return Error{ErrorKind::InvalidSettings,
+               fmt::format("log format \"{}\" does not exist", Name),
+               "use \"text\" or \"json\"", "log.format"};
+}
+
+Status setUpLog(const LogOptions &Options) {
+  const auto Level = enumFromName(LevelNames, Options.Level);
+  if (!Level)
+    return Error{ErrorKind::InvalidSettings,
+                 fmt::format("log level \"{}\" does not exist", Options.Level),
+                 "use trace, debug, info, warn, error or off", "log.level"};
+  sharedSink()->set_formatter(makeLogFormatter(Options.Format));
+  spdlog::set_default_logger(logger("process"));
+  spdlog::set_level(*Level);
+  spdlog::flush_on(spdlog::level::warn);
+  return {};
+}
+
+std::shared_ptr<spdlog::logger> logger(const std::string &Prefix) {
+  static std::mutex Mutex;
+  std::lock_guard Lock(Mutex);
+  if (auto Found = spdlog::get(Prefix))
+    return Found;
+  auto Made = std::make_shared<spdlog::logger>(Prefix, sharedSink());
+  // Sets the registry's level on the logger without replacing its formatter.
+  Made->set_level(spdlog::get_level());
+  Made->flush_on(spdlog::level::warn);
+  spdlog::register_logger(Made);
+  return Made;
+}
+
+std::unique_ptr<spdlog::formatter> makeLogFormatter(LogFormat Format) {
+  if (Format == LogFormat::Json)
+    return std::make_unique<JsonFormatter>();
+  return std::make_unique<TextFormatter>();
+}
+
+} // namespace hyssoprail
