--- /dev/null
+++ b/cmake/hyssoprail_schemas.cmake
@@ -0,0 +1,17 @@
+# hyssoprail_schemas(target file...)
+# Compiles JSON schemas into a target. schemas/<name>.schema.json becomes the string constant
+# hyssoprail::schemas::<name> with '-' replaced by '_'.
+function(hyssoprail_schemas Target)
+  set(Code "#include \"hyssoprail/process/schemas.hpp\"\n\nnamespace hyssoprail::schemas {\n")
+  foreach(File ${ARGN})
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${File})
+    get_filename_component(Name ${File} NAME_WE)
+    string(REPLACE "-" "_" Name ${Name})
+    file(READ ${File} Text)
+    string(APPEND Code "const std::string_view ${Name} = R\"schema(${Text})schema\";\n")
+  endforeach()
+  string(APPEND Code "} // namespace hyssoprail::schemas\n")
+  set(Output ${PROJECT_BINARY_DIR}/schemas.cpp)
+  file(GENERATE OUTPUT ${Output} CONTENT "${Code}")
+  target_sources(${Target} PRIVATE ${Output})
+endfunction()
--- /dev/null
+++ b/include/hyssoprail/process/schemas.hpp
@@ -0,0 +1,15 @@
+#ifndef HYSSOPRAIL_PROCESS_SCHEMAS_HPP
+#define HYSSOPRAIL_PROCESS_SCHEMAS_HPP
+
+#include <string_view>
+
+/// JSON schemas of the settings files, compiled in from schemas/ by
+/// cmake/hyssoprail_schemas.cmake. The names are those of the files.
+namespace hyssoprail::schemas {
+
+extern const std::string_view hyssoprail_entry; // NOLINT
+extern const std::string_view hyssoprail_agent; // NOLINT
+
+} // namespace hyssoprail::schemas
+
+#endif // HYSSOPRAIL_PROCESS_SCHEMAS_HPP
