Agent core and hyssoprail-agent: admission, leases, cold start, calls

Cause: endpoints had no agent, so nothing admitted, leased or cancelled work on an engine or service. Change: AgentCore without I/O (messages of entries, engine results and ticks in, actions out): reservations with predicted releases, prefill queue in fairness order, leases released by heartbeat lists, silence, cancellation and timeouts, stale and repeated messages, chunk buffer with ResendRequest, cold-start ramp, list of held work after a restart, calls at most once with OutcomeQuery. hyssoprail-agent connects it to HTTP, the bus and timers.

--- /dev/null
+++ b/include/hyssoprail/process/cold_start_ramp.hpp
@@ -0,0 +1,75 @@
+#ifndef HYSSOPRAIL_PROCESS_COLD_START_RAMP_HPP
+#define HYSSOPRAIL_PROCESS_COLD_START_RAMP_HPP
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail {
+
+struct RampOptions {
+  /// Latency that allows an increase before a warm baseline is known, in the
+  /// unit of the samples.
+  double FirstBound = 1.0;
+  /// Bound as a multiple of the warm baseline.
+  double BoundFactor = 2.0;
+  /// Latency that means a new cold start, as a multiple of the baseline.
+  double ColdFactor = 4.0;
+  /// Consecutive samples over ColdFactor that mean a new cold start.
+  unsigned ColdSamples = 8;
+  /// Time between two increases while the engine reports that it is cold.
+  /// 20 slots are reached in 4 s, within the recovery target of 5 s.
+  milliseconds ColdInterval{200};
+  /// Time between two increases when the engine reports that it is warm.
+  milliseconds WarmInterval{50};
+};
+
+/// Limit on concurrent work of an engine that has just started: one request
+/// first, one more per interval while latency at the limit stays under the
+/// bound, half of it when latency is above.
+///
+/// \code
+///   Ramp.restart(Now);
+///   Ramp.sample(Latency, Running, Now);
+///   if (Running < Ramp.limit()) ...
+/// \endcode
+class ColdStartRamp {
+public:
+  explicit ColdStartRamp(RampOptions Options) : Options(Options) {}
+
+  /// Begins a cold start: the limit falls to 1.
+  void restart(TimePoint Now);
+
+  /// Sets the largest useful limit.
+  void setMax(unsigned Max);
+
+  /// Notes whether the engine itself reports that it is cold. A warm engine
+  /// that reports cold begins a cold start.
+  void engineReports(bool IsCold, TimePoint Now);
+
+  /// Adds a latency sample taken while \p Running units of work were on the
+  /// engine. Returns true if it makes out a new cold start.
+  bool sample(double Latency, unsigned Running, TimePoint Now);
+
+  /// The engine was overloaded or failed: halves the limit while cold.
+  void failure(TimePoint Now);
+
+  unsigned limit() const;
+  bool cold() const { return Cold; }
+
+private:
+  double bound() const;
+  void halve(TimePoint Now);
+  void increase(TimePoint Now);
+
+  RampOptions Options;
+  bool Cold = true;
+  bool EngineCold = false;
+  unsigned Max = 1;
+  unsigned Limit = 1;
+  unsigned SlowSamples = 0;
+  double Baseline = 0; ///< 0: not known yet
+  TimePoint LastChange{};
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_COLD_START_RAMP_HPP
--- /dev/null
+++ b/src/hyssoprail/process/agent_core_test.cpp
@@ -0,0 +1,217 @@
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/process/agent_test_support.hpp"
+
+namespace hyssoprail::agent_test {
+
+namespace {
+
+DecodeTokens tokens(CallId Call, std::uint32_t Index,
+                    std::vector<std::string> Words) {
+  return {Call, Index, std::move(Words)};
+}
+
+/// Brings request \p Name to a running decode and returns its call.
+CallId runDecode(Harness &H, TestEntry &From, const std::string &Name) {
+  H.deliver(From, H.reserve(From, Name));
+  H.deliver(From, H.decode(From, Name));
+  return H.last<DecodeCall>()->Call;
+}
+
+} // namespace
+
+// Guards against a decode that loses its tokens, its end or its grant.
+TEST_CASE("a decode streams chunks and releases its grant at the end") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  const CallId Call = runDecode(H, Entry, "r1");
+  REQUIRE(H.sent(wire::Envelope::kReserveReply)->reserve_reply().granted());
+  CHECK(H.Core.stats().SlotsUsed == 1);
+  H.result(tokens(Call, 0, {"x", "y"}));
+  CHECK(H.sent(wire::Envelope::kChunk)->chunk().tokens_size() == 2);
+  H.result(DecodeEnd{Call, CallEnd::Ok, "stop", 2});
+  CHECK(H.sent(wire::Envelope::kFinished)->finished().output_tokens() == 2);
+  CHECK(H.Core.stats().SlotsUsed == 0);
+  CHECK(H.Core.stats().PiecesUsed == 0);
+}
+
+// Guards against KV caches that stay on a prefill engine after their import.
+TEST_CASE("a KV cache is cancelled when the entry no longer lists it") {
+  Harness H;
+  H.bringUp("prefill");
+  TestEntry Entry{1, "p1"};
+  H.deliver(Entry, H.prefill(Entry, "r1"));
+  PrefillResult Done;
+  Done.Call = H.last<PrefillCall>()->Call;
+  Done.KvHandle = "h";
+  Done.PromptTokens = 3;
+  Done.KvTtl = milliseconds(5'000);
+  H.result(Done);
+  CHECK(H.sent(wire::Envelope::kPrefillDone)->prefill_done().kv_handle() ==
+        "h");
+  H.heartbeat(Entry, {key("r1", wire::LEG_PREFILL)});
+  CHECK(H.count<CancelCall>() == 0);
+  H.heartbeat(Entry);
+  REQUIRE(H.count<CancelCall>() == 1);
+  H.result(CancelResult{H.last<CancelCall>()->Call, CallEnd::Ok});
+  CHECK(H.Core.stats().PiecesUsed == 0);
+}
+
+// Guards against memory that a dead entry's request keeps.
+TEST_CASE("work of a silent entry is cancelled after the lease time") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  runDecode(H, Entry, "r1");
+  for (int I = 0; I < 39; ++I)
+    H.tick();
+  CHECK(H.count<CancelCall>() == 0);
+  H.tick();
+  REQUIRE(H.count<CancelCall>() == 1);
+  CHECK(H.count<AbandonCall>() == 1);
+  // A cancellation that fails is repeated until the engine confirms it.
+  H.result(CancelResult{H.last<CancelCall>()->Call, CallEnd::Timeout});
+  CHECK(H.Core.stats().SlotsUsed == 1);
+  H.tick();
+  H.tick();
+  CHECK(H.count<CancelCall>() == 2);
+  H.result(CancelResult{H.last<CancelCall>()->Call, CallEnd::Ok});
+  CHECK(H.Core.stats().SlotsUsed == 0);
+}
+
+// Guards against a delayed start that runs after its request has ended.
+TEST_CASE("a start older than a heartbeat that did not list it is refused") {
+  Harness H;
+  H.bringUp("prefill");
+  TestEntry Entry{1, "p1"};
+  const wire::Envelope Delayed = H.prefill(Entry, "r1");
+  H.heartbeat(Entry);
+  H.deliver(Entry, Delayed);
+  CHECK(H.count<PrefillCall>() == 0);
+  const wire::Failed &F = H.sent(wire::Envelope::kFailed)->failed();
+  CHECK(F.reason() == wire::REFUSAL_REASON_STALE);
+  CHECK(F.not_run());
+}
+
+// Guards against work that runs although its Cancel came first.
+TEST_CASE("a start that arrives after its cancellation is refused") {
+  Harness H;
+  H.bringUp("prefill");
+  TestEntry Entry{1, "p1"};
+  const wire::Envelope Start = H.prefill(Entry, "r1");
+  wire::Envelope Cancel = Entry.envelope();
+  *Cancel.mutable_cancel()->mutable_work() =
+      workRef(key("r1", wire::LEG_PREFILL));
+  H.deliver(Entry, Cancel);
+  H.deliver(Entry, Start);
+  CHECK(H.count<PrefillCall>() == 0);
+  CHECK(H.sent(wire::Envelope::kFailed)->failed().not_run());
+}
+
+// Guards against a repeated start that runs the same work a second time.
+TEST_CASE("a repeated start is answered with the first result") {
+  Harness H;
+  H.bringUp("prefill");
+  TestEntry Entry{1, "p1"};
+  const wire::Envelope Start = H.prefill(Entry, "r1");
+  H.deliver(Entry, Start);
+  H.deliver(Entry, Start);
+  PrefillResult Done;
+  Done.Call = H.last<PrefillCall>()->Call;
+  Done.KvHandle = "h";
+  H.result(Done);
+  H.Sent.clear();
+  H.deliver(Entry, Start);
+  CHECK(H.count<PrefillCall>() == 1);
+  CHECK(H.sent(wire::Envelope::kPrefillDone) != nullptr);
+}
+
+// Guards against starts that were meant for an earlier process.
+TEST_CASE("work for another incarnation of the agent is refused") {
+  Harness H;
+  H.bringUp("prefill");
+  TestEntry Entry{1, "p1"};
+  wire::Envelope Start = H.prefill(Entry, "r1");
+  Start.set_to_incarnation(5);
+  H.deliver(Entry, Start);
+  CHECK(H.count<PrefillCall>() == 0);
+  CHECK(H.sent(wire::Envelope::kFailed)->failed().reason() ==
+        wire::REFUSAL_REASON_WRONG_ENDPOINT);
+}
+
+// Guards against tokens that are lost with a link.
+TEST_CASE("chunks and the end are sent again over a replaced link") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  const CallId Call = runDecode(H, Entry, "r1");
+  H.result(tokens(Call, 0, {"x", "y", "z"}));
+  H.result(DecodeEnd{Call, CallEnd::Ok, "stop", 3});
+  Entry.Peer = "p2";
+  H.heartbeat(Entry, {key("r1", wire::LEG_DECODE)});
+  CHECK(H.sent(wire::Envelope::kFinished, "p2") != nullptr);
+  wire::Envelope Ask = Entry.envelope();
+  *Ask.mutable_resend_request()->mutable_work() =
+      workRef(key("r1", wire::LEG_DECODE));
+  Ask.mutable_resend_request()->set_from_index(1);
+  H.deliver(Entry, Ask);
+  const wire::Chunk &Chunk = H.sent(wire::Envelope::kChunk, "p2")->chunk();
+  CHECK(Chunk.index() == 1);
+  REQUIRE(Chunk.tokens_size() == 2);
+  CHECK(Chunk.tokens(0) == "y");
+}
+
+// Guards against a stalled transfer that holds its grant for the whole leg.
+TEST_CASE("a decode without a first token fails after the transfer timeout") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  runDecode(H, Entry, "r1");
+  for (int I = 0; I < 24; ++I) {
+    H.tick(milliseconds(200));
+    H.heartbeat(Entry, {key("r1", wire::LEG_DECODE)});
+  }
+  CHECK(H.sent(wire::Envelope::kFailed) == nullptr);
+  H.tick(milliseconds(250));
+  CHECK(H.sent(wire::Envelope::kFailed)->failed().reason() ==
+        wire::REFUSAL_REASON_TIMEOUT);
+}
+
+// Guards against a shutdown that breaks live requests or takes new ones.
+TEST_CASE("a draining agent finishes its work and refuses new work") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  const CallId Call = runDecode(H, Entry, "r1");
+  H.Core.drain(H.now());
+  H.collect();
+  H.deliver(Entry, H.reserve(Entry, "r2"));
+  CHECK(H.sent(wire::Envelope::kReserveReply)->reserve_reply().reason() ==
+        wire::REFUSAL_REASON_LEAVING);
+  H.heartbeat(Entry, {key("r1", wire::LEG_DECODE)});
+  CHECK(H.sent(wire::Envelope::kHeartbeatAck)->heartbeat_ack().leaving());
+  CHECK_FALSE(H.Core.drained(H.now()));
+  H.result(tokens(Call, 0, {"x"}));
+  H.result(DecodeEnd{Call, CallEnd::Ok, "stop", 1});
+  H.tick(milliseconds(400));
+  CHECK(H.Core.drained(H.now()));
+}
+
+// Guards against an agent that keeps following an old configuration.
+TEST_CASE("records are requested when an entry has a newer version") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  wire::Envelope Beat = Entry.envelope();
+  Beat.mutable_heartbeat()->set_version(9);
+  H.deliver(Entry, Beat);
+  REQUIRE(H.sent(wire::Envelope::kConfigRequest) != nullptr);
+  wire::Envelope Records = Entry.envelope();
+  Records.mutable_config_records()->add_records()->set_offset(9);
+  H.deliver(Entry, Records);
+  H.heartbeat(Entry);
+  CHECK(H.sent(wire::Envelope::kHeartbeatAck)->heartbeat_ack().version() == 9);
+}
+
+} // namespace hyssoprail::agent_test
--- /dev/null
+++ b/src/hyssoprail/process/cold_start_ramp.cpp
@@ -0,0 +1,84 @@
+#include "hyssoprail/process/cold_start_ramp.hpp"
+
+#include <algorithm>
+
+namespace hyssoprail {
+namespace {
+
+/// Weight of a new sample in the warm baseline.
+constexpr double BaselineShare = 0.02;
+
+} // namespace
+
+void ColdStartRamp::restart(TimePoint Now) {
+  Cold = true;
+  Limit = 1;
+  SlowSamples = 0;
+  LastChange = Now;
+}
+
+void ColdStartRamp::setMax(unsigned NewMax) {
+  Max = std::max(1U, NewMax);
+  Limit = std::min(Limit, Max);
+  if (!Cold)
+    Limit = Max;
+}
+
+void ColdStartRamp::engineReports(bool IsCold, TimePoint Now) {
+  EngineCold = IsCold;
+  if (IsCold && !Cold)
+    restart(Now);
+}
+
+bool ColdStartRamp::sample(double Latency, unsigned Running, TimePoint Now) {
+  if (Cold) {
+    if (Latency > bound())
+      halve(Now);
+    else if (Running >= Limit)
+      increase(Now);
+    return false;
+  }
+  if (Baseline > 0 && Latency > Baseline * Options.ColdFactor) {
+    if (++SlowSamples < Options.ColdSamples)
+      return false;
+    restart(Now);
+    return true;
+  }
+  SlowSamples = 0;
+  Baseline =
+      Baseline == 0 ? Latency : Baseline + (Latency - Baseline) * BaselineShare;
+  return false;
+}
+
+void ColdStartRamp::failure(TimePoint Now) {
+  if (Cold)
+    halve(Now);
+}
+
+unsigned ColdStartRamp::limit() const { return Cold ? Limit : Max; }
+
+double ColdStartRamp::bound() const {
+  return Baseline == 0 ? Options.FirstBound : Baseline * Options.BoundFactor;
+}
+
+void ColdStartRamp::halve(TimePoint Now) {
+  // Samples of work admitted before the last change do not halve it again.
+  if (Now - LastChange < Options.ColdInterval)
+    return;
+  Limit = std::max(1U, Limit / 2);
+  LastChange = Now;
+}
+
+void ColdStartRamp::increase(TimePoint Now) {
+  const milliseconds Interval =
+      EngineCold ? Options.ColdInterval : Options.WarmInterval;
+  if (Now - LastChange < Interval)
+    return;
+  LastChange = Now;
+  if (Limit < Max)
+    ++Limit;
+  if (Limit >= Max && !EngineCold)
+    Cold = false;
+}
+
+} // namespace hyssoprail
