Request validation, request flow and scheduler without I/O

Cause: entries need the decisions of one request and of the choice of endpoints before sockets exist. Change: parsing of completions with errors that name the field, refusals, response shapes, flows of completions and plain calls, per-account queues in three classes, endpoint views with local correction, policies none, early and predicted, two_choices and least_loaded. PrefillStart has a new field resumed_tokens. The request library links the process library for Invariants.

--- /dev/null
+++ b/src/hyssoprail/request/completion_flow.cpp
@@ -0,0 +1,428 @@
+#include "hyssoprail/request/request_flow.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace hyssoprail {
+namespace {
+
+enum class Phase {
+  Admission,  ///< waits for the debit
+  Queued,     ///< waits for endpoints
+  Pausing,    ///< waits before it asks for endpoints again
+  Reserving,  ///< waits for the decode slot
+  Prefilling, ///< waits for the KV cache
+  Decoding,   ///< waits for tokens
+  Over,
+};
+
+std::uint32_t millisecondsLeft(TimePoint Until, TimePoint Now) {
+  if (Until == TimePoint::max())
+    return 0;
+  const auto Left =
+      std::chrono::duration_cast<milliseconds>(Until - Now).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Left, 1, 3'600'000));
+}
+
+/// A reason that says the endpoint had no room, not that it failed.
+bool isRefusal(wire::RefusalReason Reason) {
+  return Reason != wire::REFUSAL_REASON_ENGINE &&
+         Reason != wire::REFUSAL_REASON_UNSPECIFIED;
+}
+
+class CompletionFlow : public RequestFlow {
+public:
+  CompletionFlow(FlowSpec Spec, FlowContext &Context)
+      : RequestFlow(std::move(Spec), Context) {}
+
+  void start(TimePoint Now, FlowActions &Out) override {
+    record(EventKind::RequestAccepted, "");
+    if (Spec.DebitTokens == 0)
+      return admitted(Now, Out);
+    askDebit(Out);
+  }
+
+  void placed(const Placement &Where, TimePoint Now,
+              FlowActions &Out) override {
+    if (Done || State != Phase::Queued)
+      return;
+    if (!mayDispatch(Out))
+      return;
+    Chosen = Where;
+    ++Attempt;
+    record(EventKind::AttemptStarted, Where.Decode, "prefill " + Where.Prefill);
+    if (Where.ReserveFirst)
+      return reserve(Now, Out);
+    startPrefill(Now, Out);
+  }
+
+  void notPlaced(const Error &Why, TimePoint /*Now*/,
+                 FlowActions &Out) override {
+    if (!Done && State == Phase::Queued)
+      end(Why, Out);
+  }
+
+  void received(std::string_view Endpoint, const wire::Envelope &Message,
+                TimePoint Now, FlowActions &Out) override {
+    switch (Message.body_case()) {
+    case wire::Envelope::kReserveReply:
+      if (concerns(Message.reserve_reply().work(), Endpoint))
+        onReserveReply(Message.reserve_reply(), Now, Out);
+      return;
+    case wire::Envelope::kPrefillDone:
+      if (concerns(Message.prefill_done().work(), Endpoint))
+        onPrefillDone(Message.prefill_done(), Now, Out);
+      return;
+    case wire::Envelope::kChunk:
+      if (concerns(Message.chunk().work(), Endpoint))
+        onChunk(Message.chunk(), Now, Out);
+      return;
+    case wire::Envelope::kFinished:
+      if (concerns(Message.finished().work(), Endpoint))
+        onFinished(Message.finished(), Now, Out);
+      return;
+    case wire::Envelope::kFailed:
+      if (concerns(Message.failed().work(), Endpoint))
+        onFailed(Message.failed(), Endpoint, Now, Out);
+      return;
+    default:
+      return;
+    }
+  }
+
+  void endpointLost(std::string_view Endpoint, TimePoint Now,
+                    FlowActions &Out) override {
+    const bool Used =
+        std::any_of(live().begin(), live().end(),
+                    [&](const LiveLeg &L) { return L.Endpoint == Endpoint; });
+    // After the transfer the prefill endpoint is not needed any more; its leg
+    // has ended by then.
+    if (!Done && Used)
+      attemptFailed(std::string(Endpoint), "endpoint lost", Now, Out);
+  }
+
+  void linkReplaced(std::string_view Endpoint, TimePoint Now,
+                    FlowActions &Out) override {
+    const LiveLeg *Decode = findLeg(wire::LEG_DECODE);
+    if (Done || State != Phase::Decoding || Decode == nullptr ||
+        Decode->Endpoint != Endpoint)
+      return;
+    askAgain(Now, Out);
+  }
+
+  void tick(TimePoint Now, FlowActions &Out) override {
+    if (Done)
+      return;
+    if (Now >= Spec.Deadline)
+      return end({ErrorKind::DeadlineExceeded,
+                  "the request did not finish before its deadline",
+                  "send it again later or ask for fewer tokens", "",
+                  milliseconds(1'000)},
+                 Out);
+    if (State == Phase::Decoding && Now >= ResendAt)
+      askAgain(Now, Out);
+    if (Now < PhaseUntil)
+      return;
+    if (State == Phase::Pausing)
+      return enqueue(Out);
+    if (State == Phase::Reserving || State == Phase::Prefilling ||
+        State == Phase::Decoding)
+      attemptFailed(State == Phase::Prefilling ? Chosen.Prefill : Chosen.Decode,
+                    "no answer in time", Now, Out);
+  }
+
+  TimePoint wakeAt() const override {
+    if (Done)
+      return TimePoint::max();
+    TimePoint At = std::min(PhaseUntil, Spec.Deadline);
+    if (State == Phase::Decoding)
+      At = std::min(At, ResendAt);
+    return At;
+  }
+
+protected:
+  void admitted(TimePoint /*Now*/, FlowActions &Out) override { enqueue(Out); }
+
+  bool waiting() const override {
+    return State == Phase::Admission || State == Phase::Queued ||
+           State == Phase::Pausing;
+  }
+
+  std::uint64_t usedTokens() const override {
+    if (!Ran)
+      return 0;
+    return std::uint64_t{Spec.Completion.PromptTokens} + EmittedTokens;
+  }
+
+private:
+  void end(Error Cause, FlowActions &Out) {
+    State = Phase::Over;
+    refuse(std::move(Cause), Out);
+  }
+
+  void enter(Phase Next, TimePoint Until) {
+    State = Next;
+    PhaseUntil = Until;
+  }
+
+  void enqueue(FlowActions &Out) {
+    enter(Phase::Queued, TimePoint::max());
+    Out.emplace_back(
+        AskPlacement{Attempt + 1, EmittedTokens, EmittedTokens > 0, Avoid});
+  }
+
+  /// The key is checked again before anything of the request leaves.
+  bool mayDispatch(FlowActions &Out) {
+    if (Spec.KeyDigest.empty() ||
+        Context.KeyValid(Spec.KeyDigest, Spec.Account))
+      return true;
+    end({ErrorKind::Unauthenticated,
+         "the key was withdrawn while the request waited",
+         "use a current key",
+         "",
+         {}},
+        Out);
+    return false;
+  }
+
+  void reserve(TimePoint Now, FlowActions &Out) {
+    addLeg(Chosen.Decode, wire::LEG_DECODE);
+    SendMessage Send{Chosen.Decode, {}};
+    wire::ReserveRequest &R = *Send.Message.mutable_reserve_request();
+    *R.mutable_work() = work(wire::LEG_DECODE);
+    R.set_account(Spec.Account);
+    R.set_route_class(Spec.Class);
+    R.set_prompt_tokens(Spec.Completion.PromptTokens + EmittedTokens);
+    R.set_max_tokens(Spec.Completion.MaxTokens - EmittedTokens);
+    R.set_version(Chosen.Version);
+    R.set_needed_in_ms(static_cast<std::uint32_t>(Chosen.NeededIn.count()));
+    R.set_wait_ms(static_cast<std::uint32_t>(Chosen.ReserveWait.count()));
+    R.set_weight(Spec.Weight);
+    Out.emplace_back(std::move(Send));
+    enter(Phase::Reserving,
+          Now + Chosen.ReserveWait + Context.Timing.ReserveSlack);
+  }
+
+  void startPrefill(TimePoint Now, FlowActions &Out) {
+    addLeg(Chosen.Prefill, wire::LEG_PREFILL);
+    SendMessage Send{Chosen.Prefill, {}};
+    wire::PrefillStart &P = *Send.Message.mutable_prefill_start();
+    *P.mutable_work() = work(wire::LEG_PREFILL);
+    P.set_account(Spec.Account);
+    P.set_route_class(Spec.Class);
+    P.set_model(Spec.Completion.Model);
+    P.set_prompt(resumedPrompt());
+    P.set_prompt_tokens(Spec.Completion.PromptTokens + EmittedTokens);
+    P.set_resumed_tokens(EmittedTokens);
+    P.set_deadline_ms(
+        millisecondsLeft(std::min(Spec.Deadline, Now + prefillLimit()), Now));
+    P.set_weight(Spec.Weight);
+    P.set_version(Chosen.Version);
+    startSent();
+    record(EventKind::PrefillStarted, Chosen.Prefill);
+    Out.emplace_back(std::move(Send));
+    enter(Phase::Prefilling, Now + prefillLimit());
+  }
+
+  Duration prefillLimit() const {
+    return 4 * Chosen.PrefillEstimate + Context.Timing.PrefillSlack;
+  }
+
+  /// The prompt followed by the tokens that were already emitted.
+  std::string resumedPrompt() const {
+    std::string Prompt = Spec.Completion.Prompt;
+    for (const std::string &Token : Emitted) {
+      Prompt += ' ';
+      Prompt += Token;
+    }
+    return Prompt;
+  }
+
+  void onReserveReply(const wire::ReserveReply &Reply, TimePoint Now,
+                      FlowActions &Out) {
+    if (State != Phase::Reserving)
+      return;
+    if (!Reply.granted()) {
+      record(EventKind::ReserveRefused, Chosen.Decode,
+             wire::RefusalReason_Name(Reply.reason()));
+      return attemptRefused(Chosen.Decode, Reply.retry_ms(), Now, Out);
+    }
+    record(EventKind::Reserved, Chosen.Decode);
+    if (Chosen.ReserveFirst)
+      return startPrefill(Now, Out);
+    startDecode(Now, Out);
+  }
+
+  void onPrefillDone(const wire::PrefillDone &Result, TimePoint Now,
+                     FlowActions &Out) {
+    if (State != Phase::Prefilling)
+      return;
+    Ran = true;
+    Cache = Result;
+    record(EventKind::PrefillDone, Chosen.Prefill);
+    if (Chosen.ReserveFirst)
+      return startDecode(Now, Out);
+    reserve(Now, Out);
+  }
+
+  void startDecode(TimePoint Now, FlowActions &Out) {
+    SendMessage Send{Chosen.Decode, {}};
+    wire::DecodeStart &D = *Send.Message.mutable_decode_start();
+    *D.mutable_work() = work(wire::LEG_DECODE);
+    D.set_account(Spec.Account);
+    D.set_model(Spec.Completion.Model);
+    D.set_prompt(Spec.Completion.Prompt);
+    D.set_kv_handle(Cache.kv_handle());
+    D.set_kv_source(Cache.kv_source());
+    D.set_max_tokens(Spec.Completion.MaxTokens);
+    D.set_first_index(EmittedTokens);
+    D.set_route_class(Spec.Class);
+    D.set_deadline_ms(millisecondsLeft(Spec.Deadline, Now));
+    D.set_version(Chosen.Version);
+    startSent();
+    record(EventKind::DecodeStarted, Chosen.Decode);
+    Out.emplace_back(std::move(Send));
+    const Duration TransferLimit =
+        4 * Chosen.TransferEstimate + Context.Timing.TransferSlack;
+    enter(Phase::Decoding, Now + TransferLimit + Context.Timing.StallAfter);
+    ResendAt = Now + TransferLimit;
+    FinishedAt.reset();
+  }
+
+  void onChunk(const wire::Chunk &Chunk, TimePoint Now, FlowActions &Out) {
+    if (State != Phase::Decoding)
+      return;
+    const std::uint64_t First = Chunk.index();
+    const std::uint64_t End = First + Chunk.tokens().size();
+    if (First > EmittedTokens)
+      return askAgain(Now, Out);
+    // Tokens before the next index were emitted already.
+    if (End <= EmittedTokens)
+      return;
+    endLeg(wire::LEG_PREFILL, WorkEnd::Completed, true, Out);
+    EmitTokens Emit{EmittedTokens, {}};
+    for (std::uint64_t I = EmittedTokens; I < End; ++I)
+      Emit.Tokens.push_back(Chunk.tokens(static_cast<int>(I - First)));
+    Context.Checks.check(
+        Invariant::WholeAnswer,
+        Emit.FirstIndex == Emitted.size() &&
+            Emitted.size() + Emit.Tokens.size() <= Spec.Completion.MaxTokens,
+        "a chunk does not continue the answer", Spec.RequestId);
+    Emitted.insert(Emitted.end(), Emit.Tokens.begin(), Emit.Tokens.end());
+    EmittedTokens = static_cast<std::uint32_t>(End);
+    Ran = true;
+    Out.emplace_back(std::move(Emit));
+    PhaseUntil = Now + Context.Timing.StallAfter;
+    ResendAt = Now + Context.Timing.ResendAfter;
+    completeIfWhole(Out);
+  }
+
+  void onFinished(const wire::Finished &Message, TimePoint Now,
+                  FlowActions &Out) {
+    if (State != Phase::Decoding)
+      return;
+    FinishedAt = Message.output_tokens();
+    FinishReason = Message.finish_reason();
+    completeIfWhole(Out);
+    if (!Done)
+      askAgain(Now, Out);
+  }
+
+  void completeIfWhole(FlowActions &Out) {
+    if (Done || !FinishedAt || EmittedTokens < *FinishedAt)
+      return;
+    Context.Checks.check(
+        Invariant::WholeAnswer,
+        EmittedTokens == *FinishedAt && Emitted.size() == EmittedTokens,
+        "the answer ends at another index than the engine's", Spec.RequestId);
+    Ran = true;
+    record(EventKind::DecodeFinished, Chosen.Decode);
+    endLeg(wire::LEG_PREFILL, WorkEnd::Completed, true, Out);
+    endLeg(wire::LEG_DECODE, WorkEnd::Completed, false, Out);
+    record(EventKind::RequestFinished, "");
+    State = Phase::Over;
+    finish(FinishAnswer{FinishReason, EmittedTokens}, Out);
+  }
+
+  void askAgain(TimePoint Now, FlowActions &Out) {
+    SendMessage Send{Chosen.Decode, {}};
+    wire::ResendRequest &R = *Send.Message.mutable_resend_request();
+    *R.mutable_work() = work(wire::LEG_DECODE);
+    R.set_from_index(EmittedTokens);
+    Out.emplace_back(std::move(Send));
+    ResendAt = Now + Context.Timing.ResendAfter;
+  }
+
+  void onFailed(const wire::Failed &Message, std::string_view Endpoint,
+                TimePoint Now, FlowActions &Out) {
+    if (Message.work().leg() == wire::LEG_DECODE && State == Phase::Reserving)
+      return attemptRefused(std::string(Endpoint), Message.retry_ms(), Now,
+                            Out);
+    const bool WasStarted =
+        Message.work().leg() == wire::LEG_PREFILL || State == Phase::Decoding;
+    if (Message.not_run() && WasStarted)
+      startConfirmedNotRun();
+    else if (WasStarted)
+      Ran = true;
+    if (Message.not_run() && isRefusal(Message.reason()) && !Ran)
+      return attemptRefused(std::string(Endpoint), Message.retry_ms(), Now,
+                            Out);
+    attemptFailed(std::string(Endpoint), Message.message(), Now, Out);
+  }
+
+  /// Nothing ran: asks for other endpoints without taking from a budget.
+  void attemptRefused(const std::string &Endpoint, std::uint32_t RetryMs,
+                      TimePoint Now, FlowActions &Out) {
+    Avoid = Endpoint;
+    const wire::Leg Refusing =
+        Endpoint == Chosen.Decode ? wire::LEG_DECODE : wire::LEG_PREFILL;
+    endLeg(Refusing, WorkEnd::Refused, false, Out);
+    endAllLegs(WorkEnd::Cancelled, Out);
+    ++Refusals;
+    const milliseconds Longest = Context.Timing.RefusedPause * 20;
+    const milliseconds Shortest =
+        std::min(Context.Timing.RefusedPause * Refusals, Longest);
+    enter(Phase::Pausing,
+          Now + std::clamp(milliseconds(RetryMs), Shortest, Longest));
+  }
+
+  void attemptFailed(const std::string &Endpoint, std::string_view Why,
+                     TimePoint Now, FlowActions &Out) {
+    record(EventKind::AttemptFailed, Endpoint, std::string(Why));
+    Avoid = Endpoint;
+    for (const LiveLeg &Leg : std::vector<LiveLeg>(live()))
+      endLeg(Leg.Work.leg(),
+             Leg.Endpoint == Endpoint ? WorkEnd::Failed : WorkEnd::Cancelled,
+             true, Out);
+    const std::optional<Duration> Pause = Context.TakeRetry(Spec, Attempt, Now);
+    if (Pause) {
+      enter(Phase::Pausing, Now + *Pause);
+      return;
+    }
+    end({ErrorKind::UpstreamFailed,
+         "the endpoints failed and the retry budget is used up",
+         "send the request again later", "", milliseconds(1'000)},
+        Out);
+  }
+
+  Phase State = Phase::Admission;
+  TimePoint PhaseUntil = TimePoint::max();
+  TimePoint ResendAt = TimePoint::max();
+  Placement Chosen;
+  std::string Avoid;
+  wire::PrefillDone Cache;
+  std::vector<std::string> Emitted;
+  std::optional<std::uint32_t> FinishedAt;
+  std::string FinishReason;
+  int Refusals = 0;
+};
+
+} // namespace
+
+std::unique_ptr<RequestFlow> makeCompletionFlow(FlowSpec Spec,
+                                                FlowContext &Context) {
+  return std::make_unique<CompletionFlow>(std::move(Spec), Context);
+}
+
+} // namespace hyssoprail
