--- a/include/hyssoprail/process/endpoint_view.hpp
+++ b/include/hyssoprail/process/endpoint_view.hpp
@@ -2,7 +2,7 @@
 #define HYSSOPRAIL_PROCESS_ENDPOINT_VIEW_HPP
 
 #include <cstdint>
-#include <string>
+#include <unordered_set>
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/process/scheduling_policy.hpp"
@@ -60,10 +60,12 @@
   milliseconds transferTime(std::uint64_t Bytes) const;
 
   /// True if the endpoint's cache is said to hold the prefix.
-  bool holdsPrefix(std::uint64_t Hash) const;
+  bool holdsPrefix(std::uint64_t Hash) const { return Held.contains(Hash); }
+  bool holdsPrefixes() const { return !Held.empty(); }
 
 private:
   wire::LoadReport Load;
+  std::unordered_set<std::uint64_t> Held;
   bool Reported = false;
   bool Reachable = false;
   bool Leaving = false;
--- a/include/hyssoprail/process/scheduler.hpp
+++ b/include/hyssoprail/process/scheduler.hpp
@@ -30,8 +30,8 @@
   double Weight = 1;              ///< the account's rate, tokens per second
   std::uint32_t PromptTokens = 0; ///< with the tokens that were emitted
   std::uint32_t MaxTokens = 0;    ///< that may still come
-  std::vector<std::uint64_t> Prefixes; ///< hashes, longest first
-  std::vector<std::uint32_t> PrefixTokens;
+  std::vector<std::uint64_t> Prefixes; ///< hashes of 1, 2, ... whole blocks
+  std::uint32_t PrefixBlockTokens = 64;
   TimePoint FirstTokenBy = TimePoint::max();
   bool PlainCall = false;
   bool Resumed = false; ///< an earlier attempt was dispatched
--- a/src/hyssoprail/process/endpoint_view.cpp
+++ b/src/hyssoprail/process/endpoint_view.cpp
@@ -16,6 +16,7 @@
 void EndpointView::report(const wire::LoadReport &Report, bool IsLeaving,
                           TimePoint Now) {
   Load = Report;
+  Held = {Report.cached_prefixes().begin(), Report.cached_prefixes().end()};
   Leaving = IsLeaving;
   Reported = true;
   ReportedAt = Now;
@@ -85,9 +86,4 @@
   return milliseconds(Bytes * 1000 / Rate * Sharing);
 }
 
-bool EndpointView::holdsPrefix(std::uint64_t Hash) const {
-  const auto &Held = Load.cached_prefixes();
-  return std::find(Held.begin(), Held.end(), Hash) != Held.end();
-}
-
 } // namespace hyssoprail
--- a/src/hyssoprail/process/scheduler.cpp
+++ b/src/hyssoprail/process/scheduler.cpp
@@ -346,10 +346,13 @@
 
 std::uint32_t Scheduler::uncached(const Endpoint &Where,
                                   const ScheduleRequest &Request) const {
-  for (std::size_t I = 0; I < Request.Prefixes.size(); ++I)
-    if (Where.View.holdsPrefix(Request.Prefixes[I]))
+  if (!Where.View.holdsPrefixes())
+    return Request.PromptTokens;
+  for (std::size_t Blocks = Request.Prefixes.size(); Blocks > 0; --Blocks)
+    if (Where.View.holdsPrefix(Request.Prefixes[Blocks - 1]))
       return Request.PromptTokens -
-             std::min(Request.PromptTokens, Request.PrefixTokens[I]);
+             std::min(Request.PromptTokens, static_cast<std::uint32_t>(Blocks) *
+                                                Request.PrefixBlockTokens);
   return Request.PromptTokens;
 }
 
--- a/src/hyssoprail/request/completion_request.cpp
+++ b/src/hyssoprail/request/completion_request.cpp
@@ -5,23 +5,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "hyssoprail/request/reference_answer.hpp"
+
 namespace hyssoprail {
 namespace {
 
 using Json = nlohmann::json;
 
-std::uint64_t countWords(std::string_view Text) {
-  std::uint64_t Words = 0;
-  bool InWord = false;
-  for (const char C : Text) {
-    const bool Space = C == ' ' || (C >= '\t' && C <= '\r');
-    if (!Space && !InWord)
-      ++Words;
-    InWord = !Space;
-  }
-  return Words;
-}
-
 Error fieldError(std::string Field, std::string Problem, std::string Remedy) {
   return {ErrorKind::InvalidRequest,
           Field.empty() ? std::move(Problem)
@@ -112,7 +102,7 @@
   if (const Error *E = errorOf(Prompt))
     return *E;
   Out.Prompt = std::move(valueOf(Prompt));
-  const std::uint64_t Tokens = countWords(Out.Prompt);
+  const std::uint64_t Tokens = countTokens(Out.Prompt);
   const char *Field = Chat ? "messages" : "prompt";
   if (Tokens == 0)
     return fieldError(Field, "has no tokens", "send at least one word");
