Soak run with random faults over real processes

Cause: the invariants must be proved on real processes under random faults. Change: fault table, randomised run and its checks in hyssoprail-load.

--- a/include/hyssoprail/testbed/child_process.hpp
+++ b/include/hyssoprail/testbed/child_process.hpp
@@ -38,6 +38,9 @@
   /// Fields of the ready line, for example {"http": "8080"}.
   const std::map<std::string, std::string> &ready() const { return Ready; }
 
+  /// Replaces an argument for the next start.
+  void replaceArgument(const std::string &Old, const std::string &New);
+
   /// Sends \p Signal if the program runs.
   void signal(int Signal) const;
 
--- a/src/hyssoprail/load/caller.cpp
+++ b/src/hyssoprail/load/caller.cpp
@@ -206,6 +206,15 @@
                                     : Outcome::Wrong;
   }
 
+  static void readCallAnswer(Sample &S, const HttpResponse &Answer) {
+    S.RequestId = headerValue(Answer.Headers, "X-Request-Id");
+    S.HttpStatus = Answer.Status;
+    if (Answer.Status < 300)
+      S.End = Outcome::Complete;
+    else
+      readRefusal(S, Answer.Status, Answer.Body);
+  }
+
   static void readRefusal(Sample &S, unsigned Status, const std::string &Body) {
     S.HttpStatus = Status;
     S.End = Outcome::Failed;
@@ -213,6 +222,7 @@
     if (!Parsed.is_object() || !Parsed.contains("error"))
       return;
     S.ErrorCode = Parsed["error"].value("code", "unknown");
+    S.RequestId = Parsed["error"].value("request_id", S.RequestId);
     if (Parsed["error"].value("not_run", false))
       S.End = Outcome::Refused;
   }
--- a/src/hyssoprail/load/main.cpp
+++ b/src/hyssoprail/load/main.cpp
@@ -8,6 +8,7 @@
 #include "hyssoprail/load/experiment.hpp"
 #include "hyssoprail/load/overhead.hpp"
 #include "hyssoprail/load/report.hpp"
+#include "hyssoprail/load/soak.hpp"
 
 DEFINE_string(profile, "tayyara", "workload: tayyara or randstein");
 DEFINE_string(policies, "baseline,early",
@@ -21,6 +22,7 @@
 DEFINE_bool(zone_change, false, "one availability zone leaves and returns");
 DEFINE_bool(overload, true, "one account sends several times its rate");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_string(faults, "", "faults of soak, separated by commas; all if empty");
 DEFINE_string(binaries, "build", "folder of the programs");
 DEFINE_string(run_directory, "run/load", "folder for settings and logs");
 DEFINE_string(output, "text", "text or json");
@@ -41,8 +43,9 @@
     "Usage: hyssoprail-load COMMAND [flags]\n\n"
     "  compare   runs a workload on a fresh fleet for each policy set and\n"
     "            reports the measures side by side\n"
-    "  overhead  compares calls through an entry with direct calls\n\n"
-    "Exit codes: 0 done, 1 a fleet or a call failed, 2 wrong usage.\n"
+    "  overhead  compares calls through an entry with direct calls\n"
+    "  soak      sends requests while random faults come and go\n\n"
+    "Exit codes: 0 done, 1 a fleet, a call or a check failed, 2 wrong usage.\n"
     "--help lists the flags.";
 
 std::vector<std::string> splitList(const std::string &List) {
@@ -112,6 +115,29 @@
   return ExitOk;
 }
 
+int soak() {
+  SoakOptions Options;
+  Options.BinaryDirectory = FLAGS_binaries;
+  Options.RunDirectory = FLAGS_run_directory + "/soak";
+  Options.Length = std::chrono::seconds(FLAGS_seconds);
+  Options.RequestsPerSecond = FLAGS_rate;
+  Options.Seed = FLAGS_seed;
+  Options.Faults = splitList(FLAGS_faults);
+  auto Report = runSoak(Options);
+  if (const Error *E = errorOf(Report))
+    return fail(*E);
+  const SoakReport &R = valueOf(Report);
+  fmt::print("seed {}, {} s, faults: {}\n", FLAGS_seed, FLAGS_seconds,
+             fmt::join(R.Injected, ", "));
+  for (const auto &[Name, Count] : R.Outcomes)
+    fmt::print("  {} {}\n", Name, Count);
+  fmt::print("recovery: {}\n", fmt::join(R.Recoveries, ", "));
+  fmt::print("worst recovery {:.2f} s\n", R.WorstRecoverySeconds);
+  for (const std::string &Failure : R.Failures)
+    fmt::print("FAILED: {}\n", Failure);
+  return R.Failures.empty() ? ExitOk : ExitFailed;
+}
+
 } // namespace
 
 int main(int ArgCount, char **Args) {
@@ -122,6 +148,8 @@
     return compare();
   if (Command == "overhead")
     return overhead();
+  if (Command == "soak")
+    return soak();
   fmt::print(stderr, "{}\n", Usage);
   return ExitUsage;
 }
--- a/src/hyssoprail/load/sample.hpp
+++ b/src/hyssoprail/load/sample.hpp
@@ -36,7 +36,8 @@
   Outcome End = Outcome::Unanswered;
   unsigned HttpStatus = 0;
   std::string ErrorCode;
-  std::chrono::microseconds FirstToken{0};    ///< after sending
+  std::string RequestId;                   ///< from the answer, if it had one
+  std::chrono::microseconds FirstToken{0}; ///< after sending
   std::chrono::microseconds BetweenTokens{0}; ///< mean of this stream
   std::chrono::microseconds Total{0};         ///< after sending
   unsigned OutputTokens = 0;
--- a/src/hyssoprail/testbed/child_process.cpp
+++ b/src/hyssoprail/testbed/child_process.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/testbed/child_process.hpp"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <sstream>
@@ -108,6 +109,11 @@
   return std::monostate{};
 }
 
+void ChildProcess::replaceArgument(const std::string &Old,
+                                   const std::string &New) {
+  std::replace(Arguments.begin(), Arguments.end(), Old, New);
+}
+
 void ChildProcess::signal(int Signal) const {
   if (Pid > 0 && !EndStatus)
     ::kill(Pid, Signal);
--- a/src/hyssoprail/testbed/fleet.cpp
+++ b/src/hyssoprail/testbed/fleet.cpp
@@ -79,6 +79,10 @@
       Options.BinaryDirectory + "/" + Program, std::move(Arguments),
       Options.RunDirectory + "/" + Name + ".log");
   Status Started = Process->start();
+  // A restarted stand-in must listen where its agent or the entries expect it.
+  if (succeeded(Started) && Process->ready().contains("http"))
+    Process->replaceArgument("--port=0",
+                             "--port=" + Process->ready().at("http"));
   Processes[Name] = std::move(Process);
   return Started;
 }
