--- a/src/hyssoprail/load/arrivals.cpp
+++ b/src/hyssoprail/load/arrivals.cpp
@@ -45,6 +45,7 @@
 void markWithinRate(std::vector<Arrival> &Plan,
                     const std::vector<AccountLimit> &Limits) {
   std::vector<double> Level;
+  Level.reserve(Limits.size());
   std::vector<double> Last(Limits.size(), 0);
   for (const AccountLimit &L : Limits)
     Level.push_back(L.Burst);
--- a/src/hyssoprail/load/experiment.cpp
+++ b/src/hyssoprail/load/experiment.cpp
@@ -128,8 +128,8 @@
   const Status Stopped = Fleet.stop();
   if (const Error *E = errorOf(Stopped))
     fmt::print(stderr, "[load] {}: {}\n", Policy.Name, E->Message);
-  return summarize(std::string(Policy.Name), P, Limits, Options.Length, Samples,
-                   {}, Counters);
+  return summarize(std::string(Policy.Name), P, Options.Length, Samples, {},
+                   Counters);
 }
 
 } // namespace
--- a/src/hyssoprail/load/report.cpp
+++ b/src/hyssoprail/load/report.cpp
@@ -204,11 +204,12 @@
                     "stroke-width=\"1\" stroke-dasharray=\"4\"");
     Out += Offered;
   }
+  constexpr std::size_t BarsPerRow = 4;
   constexpr std::array<std::size_t, 8> BarFigures{0, 2, 3, 4, 6, 7, 9, 11};
   for (std::size_t I = 0; I < BarFigures.size(); ++I)
     Out += bars(Runs, Figures[BarFigures[I]],
-                50 + 180 * static_cast<double>(I % 4),
-                300 + 130 * static_cast<double>(I / 4));
+                50 + 180 * static_cast<double>(I % BarsPerRow),
+                I < BarsPerRow ? 300 : 430);
   return Out + "</svg>\n";
 }
 
--- a/src/hyssoprail/load/summary.cpp
+++ b/src/hyssoprail/load/summary.cpp
@@ -21,13 +21,14 @@
 }
 
 std::vector<AccountSummary>
-summarizeAccounts(const Profile &P, const std::vector<AccountLimit> &Limits,
-                  double Seconds, const std::vector<Sample> &Samples) {
+summarizeAccounts(const Profile &P, const std::vector<Sample> &Samples) {
   std::vector<AccountSummary> Accounts(P.Accounts.size());
   for (const Sample &S : Samples) {
     AccountSummary &A = Accounts[S.Planned.Account];
     ++A.Offered;
     A.OfferedTokens += S.Planned.Tokens;
+    if (S.Planned.WithinRate)
+      A.EntitledTokens += S.Planned.Tokens;
     if (S.End == Outcome::Complete) {
       ++A.Complete;
       A.ServedTokens += S.Planned.Tokens;
@@ -36,8 +37,6 @@
   for (std::size_t I = 0; I < Accounts.size(); ++I) {
     AccountSummary &A = Accounts[I];
     A.Name = P.Accounts[I].Name;
-    A.EntitledTokens =
-        std::min(A.OfferedTokens, Limits[I].Burst + Limits[I].Rate * Seconds);
     if (A.EntitledTokens > 0)
       A.Share = std::min(1.0, A.ServedTokens / A.EntitledTokens);
   }
@@ -106,7 +105,6 @@
 }
 
 Summary summarize(std::string Label, const Profile &P,
-                  const std::vector<AccountLimit> &Limits,
                   std::chrono::milliseconds Length,
                   const std::vector<Sample> &Samples, const Targets &T,
                   const PrefillCounters &Prefill) {
@@ -114,7 +112,7 @@
   Out.Label = std::move(Label);
   Out.Seconds = static_cast<double>(Length.count()) / 1e3;
   Out.Requests = Samples.size();
-  Out.Accounts = summarizeAccounts(P, Limits, Out.Seconds, Samples);
+  Out.Accounts = summarizeAccounts(P, Samples);
   const std::vector<bool> Kept = keptToRate(P.Accounts.size(), Samples);
   std::size_t Good = 0;
   std::size_t Complete = 0;
--- a/src/hyssoprail/load/summary.hpp
+++ b/src/hyssoprail/load/summary.hpp
@@ -31,7 +31,7 @@
   std::size_t Complete = 0;
   double OfferedTokens = 0;
   double ServedTokens = 0;
-  double EntitledTokens = 0;
+  double EntitledTokens = 0; ///< that a single ideal bucket would admit
   /// Served over entitled, at most 1.
   double Share = 1;
 };
@@ -67,7 +67,6 @@
 /// sends more, which of its requests are within the rate depends on the order
 /// of arrival at the limit.
 Summary summarize(std::string Label, const Profile &P,
-                  const std::vector<AccountLimit> &Limits,
                   std::chrono::milliseconds Length,
                   const std::vector<Sample> &Samples, const Targets &T,
                   const PrefillCounters &Prefill);
--- a/src/hyssoprail/load/summary_test.cpp
+++ b/src/hyssoprail/load/summary_test.cpp
@@ -57,8 +57,7 @@
       S.End = Outcome::Refused;
     Samples.push_back(S);
   }
-  const Summary Out =
-      summarize("test", P, Limits, Length, Samples, {}, {1000, 990, 0});
+  const Summary Out = summarize("test", P, Length, Samples, {}, {1000, 990, 0});
   CHECK(Out.WorstServed > 0.95);
   CHECK(Out.WithinRateRefused == 0);
   CHECK(Out.WastedPrefill == Approx(0.01));
@@ -97,7 +96,7 @@
   std::vector<Sample> Samples;
   for (const Arrival &A : makePlan(P, 20, Length, Limits, 3))
     Samples.push_back(completeSample(A));
-  const Summary S = summarize("a", P, Limits, Length, Samples, {}, {});
+  const Summary S = summarize("a", P, Length, Samples, {}, {});
   const std::string Svg = svgReport({S, S}, "title");
   CHECK(Svg.starts_with("<svg"));
   CHECK(Svg.find("</svg>") == Svg.size() - 7);
--- a/src/hyssoprail/testbed/fleet.cpp
+++ b/src/hyssoprail/testbed/fleet.cpp
@@ -204,7 +204,7 @@
 }
 
 std::string Fleet::writeSettings(const std::string &Name, const json &Config) {
-  const std::string Path = Options.RunDirectory + "/" + Name + ".json";
+  std::string Path = Options.RunDirectory + "/" + Name + ".json";
   std::ofstream(Path) << Config.dump(2) << "\n";
   return Path;
 }
