--- a/include/hyssoprail/process/endpoint_view.hpp
+++ b/include/hyssoprail/process/endpoint_view.hpp
@@ -5,7 +5,7 @@
 #include <unordered_set>
 
 #include "hyssoprail/core/clock.hpp"
-#include "hyssoprail/process/scheduling_policy.hpp"
+#include "hyssoprail/process/scheduling_strategy.hpp"
 #include "hyssoprail/wire/hyssoprail.pb.h"
 
 namespace hyssoprail {
--- a/include/hyssoprail/process/scheduler.hpp
+++ b/include/hyssoprail/process/scheduler.hpp
@@ -15,7 +15,7 @@
 #include "hyssoprail/process/endpoint_view.hpp"
 #include "hyssoprail/process/fair_queue.hpp"
 #include "hyssoprail/process/invariants.hpp"
-#include "hyssoprail/process/scheduling_policy.hpp"
+#include "hyssoprail/process/scheduling_strategy.hpp"
 #include "hyssoprail/version/config_state.hpp"
 
 namespace hyssoprail {
@@ -65,8 +65,8 @@
 struct SchedulerOptions {
   std::string EntryName; ///< draws this entry's subset of the endpoints
   std::string Zone;
-  std::shared_ptr<const SchedulingPolicy> Scheduling;
-  std::shared_ptr<const PlacementPolicy> Placement;
+  std::shared_ptr<const SchedulingStrategy> Scheduling;
+  std::shared_ptr<const PlacementStrategy> Placement;
   std::size_t SubsetSize = 16; ///< endpoints of a role used per pool
   std::size_t MaxQueuedPerAccount = 4'000;
   milliseconds MaxWait{30'000}; ///< in the queue, if the route has no target
--- a/include/hyssoprail/process/scheduling_policy.hpp
+++ b/include/hyssoprail/process/scheduling_strategy.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_PROCESS_SCHEDULING_POLICY_HPP
-#define HYSSOPRAIL_PROCESS_SCHEDULING_POLICY_HPP
+#ifndef HYSSOPRAIL_PROCESS_SCHEDULING_STRATEGY_HPP
+#define HYSSOPRAIL_PROCESS_SCHEDULING_STRATEGY_HPP
 
 #include <cstddef>
 #include <functional>
@@ -23,9 +23,9 @@
 };
 
 /// When a prefill may start relative to its decode slot.
-class SchedulingPolicy {
+class SchedulingStrategy {
 public:
-  virtual ~SchedulingPolicy() = default;
+  virtual ~SchedulingStrategy() = default;
 
   virtual std::string_view name() const = 0;
 
@@ -40,14 +40,14 @@
 };
 
 /// How one endpoint is drawn from candidates with a cost each.
-class PlacementPolicy {
+class PlacementStrategy {
 public:
   /// Cost of a candidate; negative if it cannot be used.
   using Cost = std::function<double(std::size_t Candidate)>;
 
   static constexpr std::size_t None = static_cast<std::size_t>(-1);
 
-  virtual ~PlacementPolicy() = default;
+  virtual ~PlacementStrategy() = default;
 
   virtual std::string_view name() const = 0;
 
@@ -58,14 +58,14 @@
 
 /// Makes the policy called "none", "early" or "predicted".
 /// Errors: InvalidSettings for another name.
-Result<std::shared_ptr<const SchedulingPolicy>>
-makeSchedulingPolicy(std::string_view Name);
+Result<std::shared_ptr<const SchedulingStrategy>>
+makeSchedulingStrategy(std::string_view Name);
 
 /// Makes the policy called "two_choices" or "least_loaded".
 /// Errors: InvalidSettings for another name.
-Result<std::shared_ptr<const PlacementPolicy>>
-makePlacementPolicy(std::string_view Name);
+Result<std::shared_ptr<const PlacementStrategy>>
+makePlacementStrategy(std::string_view Name);
 
 } // namespace hyssoprail
 
-#endif // HYSSOPRAIL_PROCESS_SCHEDULING_POLICY_HPP
+#endif // HYSSOPRAIL_PROCESS_SCHEDULING_STRATEGY_HPP
--- /dev/null
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -0,0 +1,298 @@
+#include "hyssoprail/entry/entry_runtime.hpp"
+
+#include <boost/asio/post.hpp>
+#include <spdlog/spdlog.h>
+
+#include "hyssoprail/process/scheduling_strategy.hpp"
+
+namespace hyssoprail::entry {
+namespace {
+
+/// Interval of link heartbeats, request timers and the scheduler's clock.
+constexpr milliseconds TickInterval{10};
+
+/// Interval at which a drain looks for the end of the live requests.
+constexpr milliseconds DrainPoll{20};
+
+SchedulerOptions schedulerOptions(const EntrySettings &Settings) {
+  SchedulerOptions Options;
+  Options.EntryName = Settings.Process.Name;
+  Options.Zone = Settings.Process.Zone;
+  // The settings hold valid names only.
+  Options.Scheduling =
+      valueOf(makeSchedulingStrategy(policyName(Settings.Scheduling)));
+  Options.Placement =
+      valueOf(makePlacementStrategy(policyName(Settings.Placement)));
+  return Options;
+}
+
+FreshnessOptions freshnessOptions(const EntrySettings &Settings) {
+  return {Settings.KeyStaleness, Settings.OutageGrace, Settings.Suspect};
+}
+
+std::string peerAddress(const EntrySettings &Settings) {
+  if (!Settings.Process.PeerAddress.empty())
+    return Settings.Process.PeerAddress;
+  return "tcp://" + Settings.Process.Address + ":0";
+}
+
+} // namespace
+
+EntryRuntime::EntryRuntime(EntrySettings Given, const Clock &Time)
+    : Settings(std::move(Given)), Time(Time),
+      Incarnation(RandomSource(systemSeed()).identifier()),
+      Events(Settings.Process.TimelineEvents, Time), Checks(Events, false),
+      Random(systemSeed()), Freshness(freshnessOptions(Settings)),
+      Flows(flowContext()),
+      Desk(schedulerOptions(Settings), Checks, systemSeed(), Time),
+      Requests(*this, Live, Time), Exchange(Store), Callers(callerContext()),
+      Ticker(Control), Http(makeHttpClient(Control)),
+      Platform(*Http, Settings.Platform),
+      Log(Control, Platform, Store, Time, Settings.Process.Name, systemSeed(),
+          [this](TimePoint Began) {
+            std::lock_guard Lock(FreshnessMutex);
+            Freshness.logRead(Began);
+          }),
+      Claims(Control, Platform, Store, Time, Settings.Process.Name) {}
+
+EntryRuntime::~EntryRuntime() { stop(); }
+
+FlowContext EntryRuntime::flowContext() {
+  return {Checks,
+          Events,
+          {},
+          [this](std::string_view Digest, std::string_view Account) {
+            return keyValid(Digest, Account);
+          },
+          [this](const FlowSpec &Spec, std::uint32_t Attempt, TimePoint) {
+            return takeRetry(Spec, Attempt);
+          }};
+}
+
+CallerApiContext EntryRuntime::callerContext() {
+  return {Settings.KeySecret,
+          Incarnation,
+          Time,
+          Requests,
+          Flows,
+          [this] { return Store.current(); },
+          [this](std::string_view Id) { return Store.claim(Id); },
+          [this] { return whyClosed(); },
+          [this] { return whyKeysUnchecked(); },
+          [this] { return metricsText(); },
+          [this](const FlowSpec &Spec) {
+            Retries.firstAttempt(Spec.Account, Spec.Pool);
+          },
+          [this] { Desk.pump(Requests, false); }};
+}
+
+Status EntryRuntime::start() {
+  BusOptions Options;
+  Options.Name = Settings.Process.Name;
+  Options.Incarnation = Incarnation;
+  Options.BindAddress = peerAddress(Settings);
+  Sockets = makeZmqBus(Options, Time);
+  PeerLinkOptions LinkOptions;
+  LinkOptions.HeartbeatInterval = Settings.Heartbeat;
+  LinkOptions.SuspectAfter = Settings.Suspect;
+  PeerLinksCallbacks Callbacks;
+  Callbacks.MakeHeartbeat = [this](const std::string &Address) {
+    return makeHeartbeat(Address);
+  };
+  Callbacks.OnMessage = [this](const std::string &Address,
+                               wire::Envelope Message) {
+    onLinkMessage(Address, std::move(Message));
+  };
+  Callbacks.OnReplaced = [this](const std::string &Address) {
+    onReplaced(Address);
+  };
+  Callbacks.OnIncarnation = [this](const std::string &Address,
+                                   std::uint64_t Old, std::uint64_t) {
+    onIncarnation(Address, Old);
+  };
+  Links = std::make_unique<PeerLinks>(*Sockets, Time, LinkOptions,
+                                      std::move(Callbacks));
+  const Status Bound =
+      Sockets->start([this](const BusSource &Source, wire::Envelope Message) {
+        onBusMessage(Source, std::move(Message));
+      });
+  if (errorOf(Bound) != nullptr)
+    return Bound;
+  const Status Listening = startServers();
+  if (errorOf(Listening) != nullptr)
+    return Listening;
+  startLinks();
+  return std::monostate{};
+}
+
+Status EntryRuntime::startServers() {
+  HttpServerOptions Options;
+  Options.Address = Settings.Process.Address;
+  Options.Port = Settings.Process.HttpPort;
+  Options.Threads = Settings.Threads;
+  Options.ErrorResponse = [](const Error &E) {
+    return refusalResponse({E, true, ""});
+  };
+  CallerServer = makeHttpServer(
+      Options, [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        Callers.handle(Exchange);
+      });
+  Options.Port = Settings.AdminPort;
+  Options.Threads = 1;
+  AdminServer = makeHttpServer(
+      Options, [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        Callers.handle(Exchange);
+      });
+  for (HttpServer *Server : {CallerServer.get(), AdminServer.get()}) {
+    const Status Started = Server->start();
+    if (errorOf(Started) != nullptr)
+      return Started;
+  }
+  return std::monostate{};
+}
+
+void EntryRuntime::startLinks() {
+  Store.subscribe([this](const ConfigUpdate &Update) { onConfig(Update); });
+  for (const std::string &Address : Settings.Entries)
+    Links->ensure(Address);
+  boost::asio::post(Control, [this] {
+    Log.start();
+    scheduleTick();
+  });
+  ControlThread = std::thread([this] { Control.run(); });
+}
+
+std::string EntryRuntime::readyLine() const {
+  return "ready http=" + std::to_string(CallerServer->port()) +
+         " peer=" + Sockets->boundAddress() +
+         " admin=" + std::to_string(AdminServer->port());
+}
+
+void EntryRuntime::drain() {
+  Draining = true;
+  // The load balancer reads /readyz on new connections, so the server stays
+  // open until the live requests have ended.
+  while (Requests.size() > 0 || CallerServer->openExchanges() > 0)
+    std::this_thread::sleep_for(DrainPoll);
+  CallerServer->drain();
+}
+
+void EntryRuntime::stop() {
+  if (!ControlThread.joinable())
+    return;
+  CallerServer->stop();
+  AdminServer->stop();
+  boost::asio::post(Control, [this] { Log.stop(); });
+  Control.stop();
+  ControlThread.join();
+  Sockets->stop();
+}
+
+void EntryRuntime::sendTo(const std::string &Endpoint, wire::Envelope Message) {
+  Links->send(Directory.addressOf(Endpoint), std::move(Message));
+}
+
+void EntryRuntime::schedule(const FlowSpec &Spec, const AskPlacement &Ask) {
+  Desk.submit(Spec, Ask);
+}
+
+void EntryRuntime::workEnded(const FlowSpec &Spec, const EndWork &End) {
+  Desk.workEnded(Spec, End);
+}
+
+void EntryRuntime::requestEnded(const FlowSpec &Spec, std::uint32_t Tokens) {
+  Desk.requestEnded(Spec, Tokens);
+}
+
+std::optional<Status> EntryRuntime::debit(const FlowSpec & /*Spec*/,
+                                          std::uint64_t /*Tokens*/) {
+  return Status{std::monostate{}};
+}
+
+void EntryRuntime::refund(const FlowSpec & /*Spec*/, std::uint64_t /*Tokens*/) {
+}
+
+void EntryRuntime::claim(const FlowSpec &Spec, const wire::Claim &Claim) {
+  Claims.claim(Claim, [this, Id = Spec.RequestId](
+                          const Result<wire::ClaimState> &Winner) {
+    Requests.post(Id, [&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
+      F.claimed(Winner, Now, Out);
+    });
+    Desk.pump(Requests, false);
+  });
+}
+
+void EntryRuntime::recordOutcome(const wire::ClaimOutcome &Outcome) {
+  Claims.record(Outcome);
+}
+
+void EntryRuntime::scheduleTick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](const boost::system::error_code &Code) {
+    if (Code)
+      return;
+    tick();
+    scheduleTick();
+  });
+}
+
+void EntryRuntime::tick() {
+  Links->tick();
+  for (const std::string &Address : Directory.addresses())
+    if (!Links->reachable(Address))
+      Desk.reachable(Directory.endpointAt(Address), false);
+  Requests.tick();
+  Desk.pump(Requests, true);
+}
+
+std::optional<Error> EntryRuntime::whyClosed() const {
+  if (!Draining)
+    return std::nullopt;
+  return Error{ErrorKind::Unavailable, "the entry is shutting down",
+               "send the request to another entry", "", milliseconds(1'000)};
+}
+
+std::optional<Error> EntryRuntime::whyKeysUnchecked() {
+  std::vector<std::uint64_t> Others;
+  for (const wire::MemberState &M : Store.members())
+    if (M.member().incarnation() != Incarnation && !M.member().gone())
+      Others.push_back(M.member().incarnation());
+  std::lock_guard Lock(FreshnessMutex);
+  return Freshness.whyStale(Time.now(), Store.current()->version(), Others);
+}
+
+std::string EntryRuntime::metricsText() {
+  Measures.gauge("hyssoprail_requests_in_flight")
+      .set(static_cast<double>(Requests.size()));
+  Measures.gauge("hyssoprail_requests_queued")
+      .set(static_cast<double>(Desk.queued()));
+  Measures.gauge("hyssoprail_violations_total")
+      .set(static_cast<double>(Checks.violations()));
+  Measures.gauge("hyssoprail_configuration_version")
+      .set(static_cast<double>(Store.current()->version()));
+  {
+    std::lock_guard Lock(FreshnessMutex);
+    Measures.gauge("hyssoprail_log_age_seconds")
+        .set(static_cast<double>(Freshness.logAge(Time.now()).count()) /
+             1000.0);
+  }
+  return Measures.prometheusText();
+}
+
+bool EntryRuntime::keyValid(std::string_view Digest,
+                            std::string_view Account) const {
+  const ConfigPtr Config = Store.current();
+  const wire::Key *Key = Config->keyByDigest(Digest);
+  return Key != nullptr && Key->account() == Account &&
+         Config->account(Account) != nullptr;
+}
+
+std::optional<Duration> EntryRuntime::takeRetry(const FlowSpec &Spec,
+                                                std::uint32_t Attempt) {
+  if (!Retries.takeRetry(Spec.Account, Spec.Pool))
+    return std::nullopt;
+  std::lock_guard Lock(RandomMutex);
+  return Retries.backoff(Attempt, Random);
+}
+
+} // namespace hyssoprail::entry
--- a/src/hyssoprail/process/scheduler.cpp
+++ b/src/hyssoprail/process/scheduler.cpp
@@ -247,7 +247,7 @@
   };
   const std::size_t Choice =
       Options.Placement->choose(From.size(), CostOf, Random);
-  if (Choice == PlacementPolicy::None)
+  if (Choice == PlacementStrategy::None)
     return false;
   Endpoint &Chosen = *From[Choice];
   checkChoice(Chosen, Request, Now);
@@ -321,7 +321,7 @@
   };
   const std::size_t Choice =
       Options.Placement->choose(From.Prefill.size(), CostOf, Random);
-  return Choice == PlacementPolicy::None ? nullptr : From.Prefill[Choice];
+  return Choice == PlacementStrategy::None ? nullptr : From.Prefill[Choice];
 }
 
 Scheduler::Endpoint *Scheduler::chooseDecode(const Candidates &From,
@@ -341,7 +341,7 @@
   };
   const std::size_t Choice =
       Options.Placement->choose(From.Decode.size(), CostOf, Random);
-  return Choice == PlacementPolicy::None ? nullptr : From.Decode[Choice];
+  return Choice == PlacementStrategy::None ? nullptr : From.Decode[Choice];
 }
 
 std::uint32_t Scheduler::uncached(const Endpoint &Where,
--- a/src/hyssoprail/process/scheduler_test.cpp
+++ b/src/hyssoprail/process/scheduler_test.cpp
@@ -86,8 +86,8 @@
                 std::uint64_t Seed = 1)
       : Events(1000, Time), Checks(Events, true),
         Requests({"entry-" + std::to_string(Seed), "a",
-                  policy(makeSchedulingPolicy(Scheduling)),
-                  policy(makePlacementPolicy(Placement))},
+                  policy(makeSchedulingStrategy(Scheduling)),
+                  policy(makePlacementStrategy(Placement))},
                  Checks, Seed) {}
 
   void configure(const Site &S) { Requests.configure(S.Config, Time.now()); }
--- a/src/hyssoprail/process/scheduling_policy.cpp
+++ b/src/hyssoprail/process/scheduling_strategy.cpp
@@ -1,10 +1,10 @@
-#include "hyssoprail/process/scheduling_policy.hpp"
+#include "hyssoprail/process/scheduling_strategy.hpp"
 
 namespace hyssoprail {
 namespace {
 
 /// Baseline: neither a check nor a reservation before the prefill.
-class NoReservation : public SchedulingPolicy {
+class NoReservation : public SchedulingStrategy {
 public:
   std::string_view name() const override { return "none"; }
   bool hasRoom(const DecodeRoom & /*Room*/,
@@ -18,7 +18,7 @@
 };
 
 /// Reserves a free slot, which stays empty during the prefill.
-class EarlyReservation : public SchedulingPolicy {
+class EarlyReservation : public SchedulingStrategy {
 public:
   std::string_view name() const override { return "early"; }
   bool hasRoom(const DecodeRoom &Room,
@@ -32,7 +32,7 @@
 };
 
 /// Reserves a slot that is free or predicted to be free when it is needed.
-class PredictedReservation : public SchedulingPolicy {
+class PredictedReservation : public SchedulingStrategy {
 public:
   std::string_view name() const override { return "predicted"; }
   bool hasRoom(const DecodeRoom &Room, milliseconds NeededIn) const override {
@@ -49,7 +49,7 @@
 
 /// The better of two random candidates, so that entries with the same late
 /// information do not all choose the same endpoint.
-class TwoChoices : public PlacementPolicy {
+class TwoChoices : public PlacementStrategy {
 public:
   std::string_view name() const override { return "two_choices"; }
 
@@ -84,7 +84,7 @@
 };
 
 /// The candidate with the lowest cost; the baseline.
-class LeastLoaded : public PlacementPolicy {
+class LeastLoaded : public PlacementStrategy {
 public:
   std::string_view name() const override { return "least_loaded"; }
 
@@ -105,8 +105,8 @@
 
 } // namespace
 
-Result<std::shared_ptr<const SchedulingPolicy>>
-makeSchedulingPolicy(std::string_view Name) {
+Result<std::shared_ptr<const SchedulingStrategy>>
+makeSchedulingStrategy(std::string_view Name) {
   if (Name == "none")
     return std::make_shared<const NoReservation>();
   if (Name == "early")
@@ -120,8 +120,8 @@
                {}};
 }
 
-Result<std::shared_ptr<const PlacementPolicy>>
-makePlacementPolicy(std::string_view Name) {
+Result<std::shared_ptr<const PlacementStrategy>>
+makePlacementStrategy(std::string_view Name) {
   if (Name == "two_choices")
     return std::make_shared<const TwoChoices>();
   if (Name == "least_loaded")
