--- /dev/null
+++ b/include/hyssoprail/connection/platform_client.hpp
@@ -0,0 +1,75 @@
+#ifndef HYSSOPRAIL_CONNECTION_PLATFORM_CLIENT_HPP
+#define HYSSOPRAIL_CONNECTION_PLATFORM_CLIENT_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hyssoprail/connection/http_client.hpp"
+#include "hyssoprail/core/result.hpp"
+
+namespace hyssoprail {
+
+/// A record of the platform's log as it was appended.
+struct LogEntry {
+  std::uint64_t Offset = 0;
+  std::string Data;
+};
+
+/// Result of one read of the log.
+struct LogBatch {
+  std::uint64_t First = 0; ///< oldest offset that is kept
+  std::uint64_t End = 0;   ///< newest offset; 0 if the log is empty
+  std::vector<LogEntry> Records;
+  bool Dropped = false; ///< retention passed the position; only First is set
+};
+
+/// One VM of the platform's lagging list.
+struct VmInfo {
+  std::string Name;
+  std::string Zone;
+  std::string Role; ///< "entry" or "agent"
+  std::string PeerAddress;
+  bool Leaving = false;
+};
+
+/// Client of the platform's log and VM list. Used on the thread of the HTTP
+/// client, which must outlive it; callbacks run there too.
+///
+/// Errors: Unavailable if the platform did not take the request,
+/// OutcomeUnknown if an append may have taken effect, DeadlineExceeded or
+/// UpstreamFailed if a read got no answer or a malformed one.
+class PlatformClient {
+public:
+  /// \p Authority is "IP:PORT".
+  PlatformClient(HttpClient &Client, std::string Authority);
+
+  /// Appends a record; yields its offset.
+  void append(std::string_view Record,
+              std::function<void(Result<std::uint64_t>)> OnDone,
+              std::chrono::milliseconds Timeout = std::chrono::seconds(2));
+
+  /// Reads up to \p Max records after offset \p After, and waits up to \p Wait
+  /// for the first one.
+  void read(std::uint64_t After, std::uint64_t Max,
+            std::chrono::milliseconds Wait,
+            std::function<void(Result<LogBatch>)> OnDone,
+            std::chrono::milliseconds Timeout = std::chrono::seconds(2));
+
+  /// Reads the VM list.
+  void vms(std::function<void(Result<std::vector<VmInfo>>)> OnDone);
+
+private:
+  HttpCall makeCall(std::string Method, std::string Target,
+                    std::chrono::milliseconds Timeout) const;
+
+  HttpClient &Client;
+  std::string Authority;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_CONNECTION_PLATFORM_CLIENT_HPP
