Admin API without I/O

Cause: operators change the configuration through any entry; an append whose answer is lost must neither lose the change nor make it twice.

Change: AdminApi checks the operator token (constant time), turns a change into one log record and answers when that record was reduced. An append without answer is repeated with the same operation id; a repeated operation id gets the first result, also at another entry. Whether a change fits the configuration is decided by the reducer only, because the entry may be behind the log. A key is derived from the key secret and the operation id, so that a repeated request shows it again although no key is stored. A log outage is a 503 with a retry time; "not_run" is true only if no append was sent.

--- /dev/null
+++ b/src/hyssoprail/process/admin_api.cpp
@@ -0,0 +1,398 @@
+#include "hyssoprail/process/admin_api.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+#include "hyssoprail/core/hash.hpp"
+#include "hyssoprail/process/object_json.hpp"
+#include "hyssoprail/process/query.hpp"
+#include "hyssoprail/process/schema_check.hpp"
+#include "hyssoprail/version/change_rules.hpp"
+#include "hyssoprail/version/key_digest.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t MaxOperationIdLength = 128;
+constexpr std::chrono::milliseconds OutageRetry{1'000};
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view PathPrefix = "/admin/v1/";
+
+Error fault(ErrorKind Kind, std::string Field, std::string Message,
+            std::string Remedy) {
+  return Error{.Kind = Kind,
+               .Message = std::move(Message),
+               .Remedy = std::move(Remedy),
+               .Field = std::move(Field)};
+}
+
+AdminResponse refusal(const Error &E, bool NotRun = true,
+                      std::uint64_t ConflictingVersion = 0) {
+  return {.Status = httpStatus(E.Kind),
+          .Body = adminErrorBody(E, NotRun, ConflictingVersion),
+          .RetryAfter = E.RetryAfter};
+}
+
+/// Name of the call in a target, for example "changes".
+std::string_view callName(std::string_view Target) {
+  const std::string_view Path = Target.substr(0, Target.find('?'));
+  return Path.starts_with(PathPrefix) ? Path.substr(PathPrefix.size())
+                                      : std::string_view();
+}
+
+bool isOperationId(const std::string &Id) {
+  return !Id.empty() && Id.size() <= MaxOperationIdLength &&
+         std::all_of(Id.begin(), Id.end(),
+                     [](char C) { return C > ' ' && C <= '~'; });
+}
+
+Json processJson(const ProcessStatus &P) {
+  const wire::MemberStatus &M = P.Member;
+  Json Out{{"name", M.name()},
+           {"role", M.role()},
+           {"zone", M.zone()},
+           {"incarnation", fmt::format("{:016x}", M.incarnation())},
+           {"version", M.version()},
+           {"age_ms", M.age_ms()},
+           {"leaving", M.leaving()}};
+  if (P.Load)
+    Out["load"] = Json{
+        {"slots", P.Load->slots()},   {"slots_used", P.Load->slots_used()},
+        {"pieces", P.Load->pieces()}, {"pieces_used", P.Load->pieces_used()},
+        {"queued", P.Load->queued()}, {"step_us", P.Load->step_us()},
+        {"cold", P.Load->cold()}};
+  return Out;
+}
+
+/// Checks the fields of a change request that have no type of their own.
+Status checkFields(const Json &Body) {
+  const auto Wrong = [](const char *Field, const char *Remedy) {
+    return fault(ErrorKind::InvalidRequest, Field,
+                 fmt::format("the field \"{}\" is missing or has the wrong "
+                             "type",
+                             Field),
+                 Remedy);
+  };
+  if (!Body.is_object())
+    return Wrong("(document)", "send a JSON object");
+  if (!Body.contains("operation_id") || !Body["operation_id"].is_string() ||
+      !isOperationId(Body["operation_id"].get<std::string>()))
+    return Wrong("operation_id", "send a new random id of up to 128 visible "
+                                 "ASCII characters with each change");
+  for (const char *Field : {"kind", "name"})
+    if (!Body.contains(Field) || !Body[Field].is_string())
+      return Wrong(Field, "send a text");
+  if (!Body.contains("base_version") ||
+      !Body["base_version"].is_number_integer() ||
+      (!Body["base_version"].is_number_unsigned() &&
+       Body["base_version"].get<std::int64_t>() < -1))
+    return Wrong("base_version", "send the version that the change is based "
+                                 "on, 0 to create, or -1 for the current one");
+  if (Body.contains("remove") && !Body["remove"].is_boolean())
+    return Wrong("remove", "send true or false");
+  if (Body.contains("value") && !Body["value"].is_object())
+    return Wrong("value", "send an object");
+  return {};
+}
+
+} // namespace
+
+AdminApi::AdminApi(AdminOptions Settings, const ConfigStore &Config,
+                   const Timeline &Line, std::function<FleetStatus()> Report)
+    : Options(std::move(Settings)), Store(Config), Events(Line),
+      Fleet(std::move(Report)) {}
+
+AdminActions AdminApi::request(AdminTicket Ticket, const AdminRequest &Request,
+                               TimePoint Now, std::int64_t UnixMs) {
+  if (!authorized(Request.Authorization))
+    return {AdminAnswer{
+        Ticket,
+        refusal(fault(ErrorKind::Unauthenticated, "Authorization",
+                      "the operator token is missing or wrong",
+                      "send Authorization: Bearer TOKEN with the "
+                      "token of the settings' operator_token_digest"))}};
+  const std::string_view Call = callName(Request.Target);
+  if (Call == "changes" && Request.Method == "POST")
+    return change(Ticket, Request, Now, UnixMs);
+  if (Call == "timeline" && Request.Method == "GET")
+    return {
+        AdminAnswer{Ticket,
+                    {.Body = timelineBody(Events, Options.ProcessName,
+                                          Request.Target, UnixMs * 1'000)}}};
+  return {AdminAnswer{Ticket, read(Request)}};
+}
+
+bool AdminApi::authorized(std::string_view Authorization) const {
+  if (!Authorization.starts_with(BearerPrefix))
+    return false;
+  const std::string Seen = sha256(Authorization.substr(BearerPrefix.size()));
+  return Seen.size() == Options.OperatorTokenDigest.size() &&
+         CRYPTO_memcmp(Seen.data(), Options.OperatorTokenDigest.data(),
+                       Seen.size()) == 0;
+}
+
+AdminResponse AdminApi::read(const AdminRequest &Request) const {
+  const std::string_view Call = callName(Request.Target);
+  if (Call == "objects" && Request.Method == "GET")
+    return objects(Request);
+  if (Call == "status" && Request.Method == "GET")
+    return status();
+  const bool Known = Call == "changes" || Call == "objects" ||
+                     Call == "status" || Call == "timeline";
+  if (Known)
+    return refusal(fault(ErrorKind::MethodNotAllowed, "method",
+                         fmt::format("{} is not possible here", Request.Method),
+                         Call == "changes" ? "use POST" : "use GET"));
+  return refusal(fault(ErrorKind::NotFound, "path", "there is no such call",
+                       "use changes, objects, status or timeline under "
+                       "/admin/v1"));
+}
+
+AdminResponse AdminApi::objects(const AdminRequest &Request) const {
+  const Query Of = parseQuery(Request.Target);
+  const std::string KindName = queryValue(Of, "kind");
+  const std::string Name = queryValue(Of, "name");
+  if (!KindName.empty())
+    if (auto Kind = parseObjectKind(KindName); !succeeded(Kind))
+      return refusal(*errorOf(Kind));
+  const ConfigPtr Config = Store.current();
+  Json Found = Json::array();
+  for (const auto &[Kind, Text] : ObjectKindNames) {
+    if (!KindName.empty() && KindName != Text)
+      continue;
+    for (const wire::Object *O : Config->objects(Kind))
+      if (Name.empty() || Name == O->name())
+        Found.push_back(objectToJson(*O));
+  }
+  const Json Body{{"version", Config->version()}, {"objects", Found}};
+  return {.Body = Body.dump()};
+}
+
+AdminResponse AdminApi::status() const {
+  const FleetStatus Now = Fleet();
+  Json Processes = Json::array();
+  for (const ProcessStatus &P : Now.Processes)
+    Processes.push_back(processJson(P));
+  const Json Body{{"version", Store.current()->version()},
+                  {"processes", Processes},
+                  {"log_age_ms", Now.LogAge.count()},
+                  {"violations", Now.Violations}};
+  return {.Body = Body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+AdminActions AdminApi::change(AdminTicket Ticket, const AdminRequest &Request,
+                              TimePoint Now, std::int64_t UnixMs) {
+  Result<Json> Body = parseJson(Request.Body);
+  if (const Error *E = errorOf(Body)) {
+    Error Invalid = *E;
+    Invalid.Kind = ErrorKind::InvalidRequest;
+    return {AdminAnswer{Ticket, refusal(Invalid)}};
+  }
+  const Result<wire::LogRecord> Record = changeRecord(valueOf(Body), UnixMs);
+  if (const Error *E = errorOf(Record))
+    return {AdminAnswer{Ticket, refusal(*E)}};
+  const std::string &Id = valueOf(Record).operation_id();
+  if (const auto Known = Store.operation(Id))
+    return {AdminAnswer{Ticket, resultOf(valueOf(Record), *Known)}};
+  const auto Open = Pending.find(Id);
+  if (Open != Pending.end()) {
+    Open->second.Tickets.push_back(Ticket);
+    return {};
+  }
+  Pending[Id] = {.Record = valueOf(Record),
+                 .Tickets = {Ticket},
+                 .Deadline = Now + Options.AnswerTimeout,
+                 .RepeatAt = std::nullopt};
+  return {AdminAppend{Id, valueOf(Record)}};
+}
+
+Result<wire::LogRecord> AdminApi::changeRecord(const nlohmann::json &Body,
+                                               std::int64_t UnixMs) const {
+  if (Status S = checkFields(Body); !succeeded(S))
+    return *errorOf(S);
+  Result<wire::Object> Object = changeObject(Body);
+  if (const Error *E = errorOf(Object))
+    return *E;
+  wire::Object &O = valueOf(Object);
+  wire::LogRecord Out;
+  Out.set_operation_id(Body["operation_id"].get<std::string>());
+  Out.set_author(Options.ProcessName);
+  Out.set_unix_ms(UnixMs);
+  wire::Change &Change = *Out.mutable_change();
+  Change.set_remove(Body.value("remove", false));
+  // Whether the change fits the configuration is decided by the reducer: this
+  // entry may not have read the record yet that the change is based on.
+  if (Body["base_version"].is_number_unsigned())
+    Change.set_base_version(Body["base_version"].get<std::uint64_t>());
+  else
+    Change.set_base_version(
+        currentVersion(*Store.current(), O.kind(), O.name()));
+  issueKey(Out.operation_id(), O);
+  *Change.mutable_object() = std::move(O);
+  return Out;
+}
+
+Result<wire::Object> AdminApi::changeObject(const nlohmann::json &Body) const {
+  const auto Kind = parseObjectKind(Body["kind"].get<std::string>());
+  if (const Error *E = errorOf(Kind))
+    return *E;
+  return objectFromJson(valueOf(Kind), Body["name"].get<std::string>(),
+                        Body.value("value", Json::object()));
+}
+
+/// Fills in the digest of a key that is to be issued here.
+void AdminApi::issueKey(const std::string &OperationId,
+                        wire::Object &Object) const {
+  if (Object.kind() != wire::OBJECT_KIND_KEY || !Object.key().digest().empty())
+    return;
+  const std::string Key = issuedKey(Options.KeySecret, OperationId);
+  Object.mutable_key()->set_digest(keyDigest(Options.KeySecret, Key));
+}
+
+AdminResponse AdminApi::resultOf(const wire::LogRecord &Record,
+                                 const wire::OperationResult &Result) const {
+  if (!Result.accepted())
+    return refusal(fault(Result.conflict() ? ErrorKind::Conflict
+                                           : ErrorKind::InvalidRequest,
+                         Result.conflict() ? "base_version" : "value",
+                         Result.message(), Result.remedy()),
+                   true, Result.conflicting_version());
+  Json Body{{"version", Result.offset()}};
+  const wire::Change &Change = Record.change();
+  const wire::Object &O = Change.object();
+  const std::string Key = issuedKey(Options.KeySecret, Record.operation_id());
+  // The digest differs if the key came with the request, or if the operation
+  // id was used before for another change.
+  const wire::Key *Stored = Store.current()->keyByDigest(O.key().digest());
+  if (!Change.remove() && Stored != nullptr && Stored->id() == O.name() &&
+      O.key().digest() == keyDigest(Options.KeySecret, Key))
+    Body["key"] = Key;
+  return {.Body = Body.dump()};
+}
+
+AdminActions AdminApi::appended(const std::string &OperationId,
+                                const Result<std::uint64_t> &Offset,
+                                TimePoint Now) {
+  const auto Found = Pending.find(OperationId);
+  if (Found == Pending.end())
+    return {};
+  PendingChange &Change = Found->second;
+  const Error *E = errorOf(Offset);
+  if (E == nullptr) {
+    Change.MayHaveRun = true;
+    Change.RepeatAt.reset();
+    return reduced();
+  }
+  const bool Sent = E->Kind != ErrorKind::Unavailable;
+  Change.MayHaveRun = Change.MayHaveRun || Sent;
+  if (!Change.MayHaveRun)
+    return finish(OperationId, givenUp(Change));
+  Change.RepeatAt = Now + Options.AppendRetry;
+  return {};
+}
+
+AdminActions AdminApi::reduced() {
+  AdminActions Out;
+  std::vector<std::pair<std::string, AdminResponse>> Done;
+  for (const auto &[Id, Change] : Pending)
+    if (const auto Result = Store.operation(Id))
+      Done.emplace_back(Id, resultOf(Change.Record, *Result));
+  for (const auto &[Id, Response] : Done)
+    for (AdminAction &Action : finish(Id, Response))
+      Out.push_back(std::move(Action));
+  return Out;
+}
+
+AdminActions AdminApi::tick(TimePoint Now) {
+  AdminActions Out = reduced();
+  std::vector<std::pair<std::string, AdminResponse>> Late;
+  for (auto &[Id, Change] : Pending) {
+    if (Now >= Change.Deadline) {
+      Late.emplace_back(Id, givenUp(Change));
+    } else if (Change.RepeatAt && Now >= *Change.RepeatAt) {
+      Change.RepeatAt.reset();
+      Out.push_back(AdminAppend{Id, Change.Record});
+    }
+  }
+  for (const auto &[Id, Response] : Late)
+    for (AdminAction &Action : finish(Id, Response))
+      Out.push_back(std::move(Action));
+  return Out;
+}
+
+void AdminApi::abandoned(AdminTicket Ticket) {
+  for (auto &[Id, Change] : Pending)
+    std::erase(Change.Tickets, Ticket);
+}
+
+AdminActions AdminApi::finish(const std::string &OperationId,
+                              const AdminResponse &Response) {
+  AdminActions Out;
+  const auto Found = Pending.find(OperationId);
+  if (Found == Pending.end())
+    return Out;
+  for (const AdminTicket Ticket : Found->second.Tickets)
+    Out.push_back(AdminAnswer{Ticket, Response});
+  Pending.erase(Found);
+  return Out;
+}
+
+AdminResponse AdminApi::givenUp(const PendingChange &Change) const {
+  Error E = fault(ErrorKind::Unavailable, "",
+                  Change.MayHaveRun
+                      ? "the log did not confirm the change in time; it may "
+                        "have taken effect"
+                      : "the log cannot be reached; nothing was changed",
+                  "send the change again with the same operation_id, which "
+                  "has no second effect");
+  E.RetryAfter = OutageRetry;
+  return refusal(E, !Change.MayHaveRun);
+}
+
+std::string adminErrorBody(const Error &E, bool NotRun,
+                           std::uint64_t ConflictingVersion) {
+  Json Out{{"code", errorCode(E.Kind)},
+           {"message", E.Message},
+           {"remedy", E.Remedy},
+           {"not_run", NotRun}};
+  if (!E.Field.empty())
+    Out["field"] = E.Field;
+  if (E.RetryAfter.count() > 0)
+    Out["retry_after_ms"] = E.RetryAfter.count();
+  if (E.Kind == ErrorKind::Conflict)
+    Out["conflicting_version"] = ConflictingVersion;
+  return Json{{"error", Out}}.dump(-1, ' ', false,
+                                   Json::error_handler_t::replace);
+}
+
+std::string timelineBody(const Timeline &Events, std::string_view ProcessName,
+                         std::string_view Target, std::int64_t NowUnixMicros) {
+  const Query Of = parseQuery(Target);
+  EventFilter Filter{.RequestId = queryValue(Of, "request"),
+                     .Account = queryValue(Of, "account"),
+                     .Endpoint = queryValue(Of, "endpoint")};
+  const std::string Limit = queryValue(Of, "limit");
+  if (!Limit.empty())
+    Filter.Limit = std::strtoul(Limit.c_str(), nullptr, 10);
+  Json Selected = Json::array();
+  for (const Event &E : Events.select(Filter))
+    Selected.push_back(Json{{"unix_us", E.UnixMicros},
+                            {"kind", eventKindName(E.Kind)},
+                            {"request_id", E.RequestId},
+                            {"attempt", E.Attempt},
+                            {"account", E.Account},
+                            {"endpoint", E.Endpoint},
+                            {"version", E.Version},
+                            {"detail", E.Detail}});
+  const Json Body{{"process", ProcessName},
+                  {"now_unix_us", NowUnixMicros},
+                  {"events", Selected}};
+  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace hyssoprail
