--- a/include/hyssoprail/process/settings.hpp
+++ b/include/hyssoprail/process/settings.hpp
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "hyssoprail/core/result.hpp"
+#include "hyssoprail/process/log.hpp"
 
 namespace hyssoprail {
 
-enum class LogFormat { Text, Json };
 enum class SchedulingPolicy { None, Early, Predicted };
 enum class LimitsPolicy { Owner, Fixed };
 enum class PlacementPolicy { TwoChoices, LeastLoaded };
@@ -34,6 +34,7 @@
   std::string LogLevel = "info";
   LogFormat Format = LogFormat::Text;
   std::size_t TimelineEvents = 20'000;
+  bool FatalViolations = false; ///< a violated invariant ends the process
 };
 
 /// Settings of hyssoprail-entry.
--- /dev/null
+++ b/src/hyssoprail/entry/admin_desk.cpp
@@ -0,0 +1,105 @@
+#include "hyssoprail/entry/admin_desk.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include "hyssoprail/version/record_codec.hpp"
+
+namespace hyssoprail::entry {
+
+AdminDesk::AdminDesk(AdminOptions Options, const ConfigStore &Store,
+                     const Timeline &Events,
+                     std::function<FleetStatus()> Fleet,
+                     boost::asio::io_context &Context,
+                     PlatformClient &Platform, const Clock &Time)
+    : Api(std::move(Options), Store, Events, std::move(Fleet)),
+      Context(Context), Platform(Platform), Time(Time) {}
+
+void AdminDesk::handle(const std::shared_ptr<HttpExchange> &Exchange) {
+  const HttpRequest &R = Exchange->request();
+  AdminRequest Request;
+  Request.Method = R.Method;
+  Request.Target = R.Target;
+  Request.Authorization = headerValue(R.Headers, "Authorization");
+  Request.Body = R.Body;
+  AdminTicket Ticket = 0;
+  AdminActions Actions;
+  {
+    std::lock_guard Lock(Mutex);
+    Ticket = ++LastTicket;
+    Open.emplace(Ticket, Exchange);
+    Actions = Api.request(Ticket, Request, Time.now(),
+                          Time.unixMicros() / 1000);
+  }
+  carryOut(std::move(Actions));
+  Exchange->onDisconnect([this, Ticket] {
+    if (!take(Ticket))
+      return;
+    std::lock_guard Lock(Mutex);
+    Api.abandoned(Ticket);
+  });
+}
+
+void AdminDesk::reduced() {
+  AdminActions Actions;
+  {
+    std::lock_guard Lock(Mutex);
+    Actions = Api.reduced();
+  }
+  carryOut(std::move(Actions));
+}
+
+void AdminDesk::tick() {
+  AdminActions Actions;
+  {
+    std::lock_guard Lock(Mutex);
+    Actions = Api.tick(Time.now());
+  }
+  carryOut(std::move(Actions));
+}
+
+void AdminDesk::carryOut(AdminActions Actions) {
+  for (AdminAction &Action : Actions) {
+    if (const auto *Append = std::get_if<AdminAppend>(&Action)) {
+      append(*Append);
+      continue;
+    }
+    auto &Answer = std::get<AdminAnswer>(Action);
+    const std::shared_ptr<HttpExchange> Exchange = take(Answer.Ticket);
+    if (!Exchange)
+      continue;
+    HttpResponse Response =
+        jsonResponse(Answer.Response.Status, std::move(Answer.Response.Body));
+    const auto Pause = Answer.Response.RetryAfter.count();
+    if (Pause > 0)
+      Response.Headers.push_back(
+          {"Retry-After", std::to_string((Pause + 999) / 1000)});
+    Exchange->respond(std::move(Response));
+  }
+}
+
+void AdminDesk::append(const AdminAppend &Append) {
+  boost::asio::post(
+      Context, [this, Id = Append.OperationId,
+                Data = encodeStable(Append.Record)] {
+        Platform.append(Data, [this, Id](const Result<std::uint64_t> &Offset) {
+          AdminActions Actions;
+          {
+            std::lock_guard Lock(Mutex);
+            Actions = Api.appended(Id, Offset, Time.now());
+          }
+          carryOut(std::move(Actions));
+        });
+      });
+}
+
+std::shared_ptr<HttpExchange> AdminDesk::take(AdminTicket Ticket) {
+  std::lock_guard Lock(Mutex);
+  const auto It = Open.find(Ticket);
+  if (It == Open.end())
+    return nullptr;
+  std::shared_ptr<HttpExchange> Exchange = std::move(It->second);
+  Open.erase(It);
+  return Exchange;
+}
+
+} // namespace hyssoprail::entry
--- a/src/hyssoprail/entry/caller_api.cpp
+++ b/src/hyssoprail/entry/caller_api.cpp
@@ -73,6 +73,14 @@
          newSpec({}).RequestId);
 }
 
+void CallerApi::handleOwn(const std::shared_ptr<HttpExchange> &Exchange) {
+  if (!answerOwn(*Exchange))
+    refuse(*Exchange,
+           {ErrorKind::NotFound, "this port does not serve the path",
+            "use the port for callers", "", {}},
+           newSpec({}).RequestId);
+}
+
 /// Answers the paths that the entry serves itself.
 bool CallerApi::answerOwn(HttpExchange &Exchange) const {
   const HttpRequest &Request = Exchange.request();
--- a/src/hyssoprail/entry/caller_api.hpp
+++ b/src/hyssoprail/entry/caller_api.hpp
@@ -41,6 +41,10 @@
   /// Handles one exchange; the answer may come later.
   void handle(const std::shared_ptr<HttpExchange> &Exchange);
 
+  /// Handles only the paths that the entry serves itself (/healthz, /readyz,
+  /// /metrics, /version).
+  void handleOwn(const std::shared_ptr<HttpExchange> &Exchange);
+
 private:
   void complete(CompletionShape Shape,
                 const std::shared_ptr<HttpExchange> &Exchange);
--- a/src/hyssoprail/entry/claim_writer.hpp
+++ b/src/hyssoprail/entry/claim_writer.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "hyssoprail/connection/platform_client.hpp"
+#include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/version/config_store.hpp"
 
 namespace hyssoprail::entry {
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -133,6 +133,7 @@
     Requests.postAll([](RequestFlow &F, TimePoint Now, FlowActions &Out) {
       F.recheckKey(Now, Out);
     });
+  Admin.reduced();
   Event E;
   E.Kind = EventKind::ConfigApplied;
   E.Version = Update.Config->version();
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -30,6 +30,14 @@
   return {Settings.KeyStaleness, Settings.OutageGrace, Settings.Suspect};
 }
 
+AdminOptions adminOptions(const EntrySettings &Settings) {
+  AdminOptions Options;
+  Options.ProcessName = Settings.Process.Name;
+  Options.OperatorTokenDigest = Settings.OperatorTokenDigest;
+  Options.KeySecret = Settings.KeySecret;
+  return Options;
+}
+
 std::string peerAddress(const EntrySettings &Settings) {
   if (!Settings.Process.PeerAddress.empty())
     return Settings.Process.PeerAddress;
@@ -41,7 +49,7 @@
 EntryRuntime::EntryRuntime(EntrySettings Given, const Clock &Time)
     : Settings(std::move(Given)), Time(Time),
       Incarnation(RandomSource(systemSeed()).identifier()),
-      Events(Settings.Process.TimelineEvents, Time), Checks(Events, false),
+      Events(Settings.Process.TimelineEvents, Time), Checks(Events, Settings.Process.FatalViolations),
       Random(systemSeed()), Freshness(freshnessOptions(Settings)),
       Flows(flowContext()),
       Desk(schedulerOptions(Settings), Checks, systemSeed(), Time),
@@ -53,7 +61,9 @@
             std::lock_guard Lock(FreshnessMutex);
             Freshness.logRead(Began);
           }),
-      Claims(Control, Platform, Store, Time, Settings.Process.Name) {}
+      Claims(Control, Platform, Store, Time, Settings.Process.Name),
+      Admin(adminOptions(Settings), Store, Events,
+            [this] { return fleetStatus(); }, Control, Platform, Time) {}
 
 EntryRuntime::~EntryRuntime() { stop(); }
 
@@ -141,7 +151,9 @@
   Options.Threads = 1;
   AdminServer = makeHttpServer(
       Options, [this](const std::shared_ptr<HttpExchange> &Exchange) {
-        Callers.handle(Exchange);
+        if (Exchange->request().path().starts_with("/admin/v1/"))
+          return Admin.handle(Exchange);
+        Callers.handleOwn(Exchange);
       });
   for (HttpServer *Server : {CallerServer.get(), AdminServer.get()}) {
     const Status Started = Server->start();
@@ -243,6 +255,7 @@
       Desk.reachable(Directory.endpointAt(Address), false);
   Requests.tick();
   Desk.pump(Requests, true);
+  Admin.tick();
 }
 
 std::optional<Error> EntryRuntime::whyClosed() const {
@@ -279,6 +292,22 @@
   return Measures.prometheusText();
 }
 
+FleetStatus EntryRuntime::fleetStatus() {
+  FleetStatus Status;
+  Status.Violations = Checks.violations();
+  ProcessStatus &Own = Status.Processes.emplace_back();
+  Own.Member.set_name(Settings.Process.Name);
+  Own.Member.set_role("entry");
+  Own.Member.set_zone(Settings.Process.Zone);
+  Own.Member.set_incarnation(Incarnation);
+  Own.Member.set_version(Store.current()->version());
+  Own.Member.set_leaving(Draining);
+  Own.Member.set_peer_address(Sockets->boundAddress());
+  std::lock_guard Lock(FreshnessMutex);
+  Status.LogAge = Freshness.logAge(Time.now());
+  return Status;
+}
+
 bool EntryRuntime::keyValid(std::string_view Digest,
                             std::string_view Account) const {
   const ConfigPtr Config = Store.current();
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -15,6 +15,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/peer_links.hpp"
 #include "hyssoprail/connection/platform_client.hpp"
+#include "hyssoprail/entry/admin_desk.hpp"
 #include "hyssoprail/entry/caller_api.hpp"
 #include "hyssoprail/entry/claim_writer.hpp"
 #include "hyssoprail/entry/config_exchange.hpp"
@@ -82,6 +83,7 @@
   std::optional<Error> whyClosed() const;
   std::optional<Error> whyKeysUnchecked();
   std::string metricsText();
+  FleetStatus fleetStatus();
   bool keyValid(std::string_view Digest, std::string_view Account) const;
   std::optional<Duration> takeRetry(const FlowSpec &Spec,
                                     std::uint32_t Attempt);
@@ -112,6 +114,7 @@
   PlatformClient Platform;
   LogFollower Log;
   ClaimWriter Claims;
+  AdminDesk Admin;
   std::unique_ptr<Bus> Sockets;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<HttpServer> CallerServer;
--- a/src/hyssoprail/entry/log_follower.hpp
+++ b/src/hyssoprail/entry/log_follower.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "hyssoprail/connection/platform_client.hpp"
+#include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/core/random.hpp"
 #include "hyssoprail/version/config_store.hpp"
 
