Limits across the fleet: owner per account shard, and fixed shares

OwnerLimits keeps a read-confirmed lease, promises for log outages, take-over proposals and one ledger per owned shard; FixedLimits is the baseline behind the same interface.

--- /dev/null
+++ b/include/hyssoprail/process/fixed_limits.hpp
@@ -0,0 +1,40 @@
+#ifndef HYSSOPRAIL_PROCESS_FIXED_LIMITS_HPP
+#define HYSSOPRAIL_PROCESS_FIXED_LIMITS_HPP
+
+#include "hyssoprail/process/limit_service.hpp"
+#include "hyssoprail/process/shard_ledger.hpp"
+
+namespace hyssoprail {
+
+/// Baseline: rate and burst of each account divided by the number of members.
+/// Needs no messages and no log; rejects callers whose load is uneven over the
+/// entries, and exceeds the bound while members come and go.
+class FixedLimits : public LimitService {
+public:
+  FixedLimits(LimitOptions Options, std::uint64_t Self, LimitParts Parts);
+
+  void viewApplied(TimePoint Now, LimitViewPtr View,
+                   LimitActions &Out) override;
+  void livePeers(TimePoint, std::vector<LivePeer>) override {}
+  void readFinished(TimePoint, std::uint64_t, bool, LimitActions &) override {}
+  void debit(TimePoint Now, LimitDebit Debit, LimitActions &Out) override;
+  void refund(TimePoint Now, const LimitRefund &Refund,
+              LimitActions &Out) override;
+  void message(TimePoint, std::uint64_t, const wire::Envelope &,
+               LimitActions &) override {}
+  void tick(TimePoint Now, LimitActions &Out) override;
+  LimitStatus status(TimePoint Now) const override;
+
+private:
+  const LimitOptions Options;
+  const std::uint64_t Self;
+  LimitParts Parts;
+  LimitViewPtr View = std::make_shared<LimitView>();
+  ShardLedger Ledger;
+  Counter &Granted;
+  Counter &OverRate;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_FIXED_LIMITS_HPP
--- /dev/null
+++ b/include/hyssoprail/process/limit_log_model.hpp
@@ -0,0 +1,44 @@
+#ifndef HYSSOPRAIL_PROCESS_LIMIT_LOG_MODEL_HPP
+#define HYSSOPRAIL_PROCESS_LIMIT_LOG_MODEL_HPP
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "hyssoprail/process/limit_view.hpp"
+#include "hyssoprail/wire/hyssoprail.pb.h"
+
+namespace hyssoprail {
+
+/// Change of one account's limit; nullopt removes the account.
+struct AccountChange {
+  std::string Account;
+  std::optional<AccountLimit> Limit;
+};
+
+/// Append-only log with the reduced state at every offset, for tests and
+/// benchmarks of limits. Effects are immediate; LimitFleetModel adds delays,
+/// outages and lost answers.
+class LimitLogModel {
+public:
+  using Record = std::variant<AccountChange, wire::Member, wire::TakeOver>;
+
+  LimitLogModel() : Views{std::make_shared<LimitView>()} {}
+
+  /// Appends and returns the new end. A repeated operation id has no effect on
+  /// the state.
+  std::uint64_t append(const std::string &OperationId, const Record &Body);
+
+  std::uint64_t end() const { return Views.size() - 1; }
+  const LimitViewPtr &view(std::uint64_t Offset) const { return Views[Offset]; }
+
+private:
+  std::vector<LimitViewPtr> Views;
+  std::set<std::string> Operations;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_LIMIT_LOG_MODEL_HPP
--- /dev/null
+++ b/include/hyssoprail/process/owner_limits.hpp
@@ -0,0 +1,93 @@
+#ifndef HYSSOPRAIL_PROCESS_OWNER_LIMITS_HPP
+#define HYSSOPRAIL_PROCESS_OWNER_LIMITS_HPP
+
+#include <array>
+#include <memory>
+
+#include "hyssoprail/process/debit_client.hpp"
+#include "hyssoprail/process/limit_service.hpp"
+#include "hyssoprail/process/promise_round.hpp"
+#include "hyssoprail/process/promise_table.hpp"
+#include "hyssoprail/process/read_lease.hpp"
+#include "hyssoprail/process/shard_ledger.hpp"
+#include "hyssoprail/process/take_over_planner.hpp"
+
+namespace hyssoprail {
+
+/// One owner per account shard; see docs/limits.md.
+class OwnerLimits : public LimitService {
+public:
+  OwnerLimits(LimitOptions Options, std::uint64_t Self, LimitParts Parts);
+
+  void viewApplied(TimePoint Now, LimitViewPtr View,
+                   LimitActions &Out) override;
+  void livePeers(TimePoint Now, std::vector<LivePeer> Peers) override;
+  void readFinished(TimePoint Now, std::uint64_t ReadId, bool Succeeded,
+                    LimitActions &Out) override;
+  void debit(TimePoint Now, LimitDebit Debit, LimitActions &Out) override;
+  void refund(TimePoint Now, const LimitRefund &Refund,
+              LimitActions &Out) override;
+  void message(TimePoint Now, std::uint64_t From, const wire::Envelope &Message,
+               LimitActions &Out) override;
+  void tick(TimePoint Now, LimitActions &Out) override;
+  LimitStatus status(TimePoint Now) const override;
+
+private:
+  struct OwnedShard {
+    std::uint64_t Epoch;
+    TimePoint ActiveFrom;
+    ShardLedger Ledger;
+  };
+
+  /// Result of a debit in this process.
+  struct Decision {
+    wire::DebitResult Result = wire::DEBIT_RESULT_NOT_OWNER;
+    Duration RetryAfter{0};
+    std::uint64_t Epoch = 0;
+  };
+
+  void updateOwnership(TimePoint Now);
+  void beginEpoch(std::uint32_t Shard, std::uint64_t Epoch, TimePoint Now);
+  void updateAccounts(TimePoint Now, bool AllShards);
+  Decision decide(TimePoint Now, const std::string &DebitId,
+                  const std::string &Account, std::uint64_t Tokens);
+  void credit(TimePoint Now, const LimitRefund &Refund);
+  void sendPending(TimePoint Now, PendingDebit &Debit, LimitActions &Out);
+  void answer(const std::string &DebitId, Decision D, LimitActions &Out);
+  void giveUp(const PendingDebit &Debit, LimitActions &Out);
+  void debitAsked(TimePoint Now, std::uint64_t From,
+                  const wire::DebitRequest &Request, LimitActions &Out);
+  void debitAnswered(TimePoint Now, std::uint64_t From,
+                     const wire::DebitReply &Reply, LimitActions &Out);
+  void promiseAsked(TimePoint Now, std::uint64_t From,
+                    const wire::PromiseRequest &Request, LimitActions &Out);
+  void askForPromises(TimePoint Now, LimitActions &Out);
+  void send(std::uint64_t To, wire::Envelope Message, LimitActions &Out) const;
+  bool ownsAny() const { return OwnedCount != 0; }
+  Duration waitUntilActive(const OwnedShard &Owned, TimePoint Now) const;
+
+  const LimitOptions Options;
+  const std::uint64_t Self;
+  LimitParts Parts;
+  LimitViewPtr View = std::make_shared<LimitView>();
+  ReadLease Lease;
+  PromiseTable Promises;
+  PromiseRound Round;
+  TakeOverPlanner Planner;
+  DebitClient Client;
+  std::array<std::unique_ptr<OwnedShard>, LimitShardCount> Owned;
+  std::size_t OwnedCount = 0;
+  bool OnPromises = false;
+
+  Counter &Granted;
+  Counter &OverRate;
+  Counter &NoOwner;
+  Counter &Credited;
+  Counter &RefundsIgnored;
+  Counter &TakeOvers;
+  Gauge &ShardsOwned;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_OWNER_LIMITS_HPP
--- /dev/null
+++ b/include/hyssoprail/process/promise_round.hpp
@@ -0,0 +1,39 @@
+#ifndef HYSSOPRAIL_PROCESS_PROMISE_ROUND_HPP
+#define HYSSOPRAIL_PROCESS_PROMISE_ROUND_HPP
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail {
+
+/// Promises that this process has asked all other members for. Only answers to
+/// the newest round count.
+class PromiseRound {
+public:
+  /// Starts a round; an unfinished one is given up.
+  void start(std::uint64_t Id, const std::set<std::uint64_t> &Members,
+             TimePoint Now);
+
+  /// True if no round was started within \p Length.
+  bool due(TimePoint Now, Duration Length) const;
+
+  /// Notes an answer. Returns the time the round was started if this was the
+  /// last promise missing.
+  std::optional<TimePoint> answered(std::uint64_t Id, std::uint64_t Member,
+                                    bool Granted);
+
+  std::uint64_t id() const { return Id; }
+
+private:
+  std::uint64_t Id = 0;
+  std::optional<TimePoint> Started;
+  std::set<std::uint64_t> Missing;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_PROMISE_ROUND_HPP
--- /dev/null
+++ b/include/hyssoprail/process/take_over_planner.hpp
@@ -0,0 +1,81 @@
+#ifndef HYSSOPRAIL_PROCESS_TAKE_OVER_PLANNER_HPP
+#define HYSSOPRAIL_PROCESS_TAKE_OVER_PLANNER_HPP
+
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hyssoprail/core/random.hpp"
+#include "hyssoprail/process/limit_options.hpp"
+#include "hyssoprail/process/limit_view.hpp"
+#include "hyssoprail/process/promise_table.hpp"
+
+namespace hyssoprail {
+
+/// A take-over record to append. Sent again with the same operation id until
+/// each of its shards has another epoch, as an append without an answer may
+/// still take effect.
+struct TakeOverProposal {
+  std::string OperationId;
+  std::vector<std::uint32_t> Shards;
+  std::vector<std::uint64_t> Replaces; ///< epoch of each shard
+  TimePoint NextSend;
+};
+
+/// Decides which shards this process tries to take over, and keeps the
+/// proposals whose outcome is open.
+class TakeOverPlanner {
+public:
+  TakeOverPlanner(const LimitOptions &Options, std::uint64_t Self);
+
+  /// Applies a newer state: closes decided proposals.
+  void viewApplied(const LimitView &View, TimePoint Now);
+
+  /// Applies what is known of the other entries.
+  void livePeers(std::vector<LivePeer> Peers);
+
+  /// Returns the proposals to append now.
+  std::vector<TakeOverProposal> plan(const LimitView &View,
+                                     const PromiseTable &Promises,
+                                     RandomSource &Random, TimePoint Now);
+
+  /// True if a proposal against \p Owner in \p View is open.
+  bool openAgainst(std::uint64_t Owner, const LimitView &View) const;
+
+  /// True if this process is a member that may act on its take-over at
+  /// \p Epoch: it joined before and was not removed since.
+  bool memberSince(const LimitView &View, std::uint64_t Epoch) const;
+
+  /// True if every proposal for \p Shard so far replaced no epoch, so that
+  /// nobody owned the shard before.
+  bool onlyProposedFirst(std::uint32_t Shard) const {
+    return !ProposedReplacing.test(Shard);
+  }
+
+private:
+  bool mayTakeFrom(const LimitView &View, const LimitShardOwner &From,
+                   TimePoint Now) const;
+  bool ownerGone(const LimitView &View, const LimitShardOwner &Of) const;
+  std::optional<std::size_t> rank(const LimitView &View,
+                                  std::uint32_t Shard) const;
+
+  LimitOptions Options;
+  std::uint64_t Self;
+  std::map<std::uint64_t, LivePeer> Live;
+  std::map<std::uint64_t, std::uint64_t> HeardVersions;
+  std::optional<TimePoint> Joined; ///< when this process saw itself joined
+  std::uint64_t JoinedOffset = 0;
+  std::array<std::optional<TimePoint>, LimitShardCount> GoneSince;
+  std::array<std::uint64_t, LimitShardCount> OpenReplaces{};
+  std::bitset<LimitShardCount> Open;
+  std::bitset<LimitShardCount> ProposedReplacing;
+  std::vector<TakeOverProposal> Proposals;
+};
+
+} // namespace hyssoprail
+
+#endif // HYSSOPRAIL_PROCESS_TAKE_OVER_PLANNER_HPP
--- /dev/null
+++ b/src/hyssoprail/process/limit_audit.cpp
@@ -0,0 +1,115 @@
+#include "hyssoprail/process/limit_audit.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include <fmt/format.h>
+
+namespace hyssoprail {
+namespace {
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
+/// Allowance for rounding in sums of doubles.
+constexpr double RoundingTokens = 1e-2;
+
+} // namespace
+
+std::string BoundViolation::describe() const {
+  return fmt::format("account {}: {:.3f} tokens in a window of {:.6f} s from "
+                     "{:.6f} s, allowed {:.3f}",
+                     Account, Tokens, seconds(To - From),
+                     seconds(From.time_since_epoch()), Allowed);
+}
+
+void LimitAudit::limit(const std::string &Account, TimePoint From,
+                       AccountLimit Limit) {
+  Accounts[Account].Steps.push_back({From, Limit});
+}
+
+void LimitAudit::granted(const std::string &Account, const std::string &DebitId,
+                         double Tokens, TimePoint At) {
+  Record &Of = Accounts[Account];
+  Of.ByDebit[DebitId] = Of.Grants.size();
+  Of.Grants.push_back({At, Tokens});
+}
+
+void LimitAudit::credited(const std::string &Account,
+                          const std::string &DebitId, double Tokens) {
+  Record &Of = Accounts[Account];
+  const auto It = Of.ByDebit.find(DebitId);
+  if (It != Of.ByDebit.end())
+    Of.Grants[It->second].Tokens -= Tokens;
+}
+
+std::optional<BoundViolation> LimitAudit::firstViolation() const {
+  for (const auto &[Name, Of] : Accounts)
+    if (auto Found = check(Name, Of))
+      return Found;
+  return std::nullopt;
+}
+
+/// For each step of the limit, keeps the largest excess of tokens over rate x
+/// length among the windows that start during the step, and compares it with
+/// the burst at each grant. This covers every pair of grants in O(steps x
+/// grants).
+std::optional<BoundViolation> LimitAudit::check(const std::string &Account,
+                                                const Record &Of) {
+  std::vector<Grant> Sorted = Of.Grants;
+  std::stable_sort(Sorted.begin(), Sorted.end(),
+                   [](const Grant &A, const Grant &B) { return A.At < B.At; });
+  const std::size_t Count = Of.Steps.size();
+  auto StepEnd = [&](std::size_t S) {
+    return S + 1 < Count ? Of.Steps[S + 1].From : TimePoint::max();
+  };
+  // Grants before the first limit have no allowance.
+  if (!Sorted.empty() && (Count == 0 || Sorted.front().At < Of.Steps[0].From))
+    return BoundViolation{Account, Sorted.front().At, Sorted.front().At,
+                          Sorted.front().Tokens, 0};
+  for (std::size_t First = 0; First < Count; ++First) {
+    constexpr double None = -std::numeric_limits<double>::infinity();
+    double Excess = None;
+    TimePoint From;
+    double Tokens = 0;
+    double MaxBurst = Of.Steps[First].Limit.Burst;
+    std::size_t Current = First;
+    TimePoint Last = Of.Steps[First].From;
+    for (const Grant &G : Sorted) {
+      if (G.At < Of.Steps[First].From)
+        continue;
+      while (G.At >= StepEnd(Current)) {
+        Excess -=
+            Of.Steps[Current].Limit.Rate * seconds(StepEnd(Current) - Last);
+        Last = StepEnd(Current);
+        ++Current;
+        MaxBurst = std::max(MaxBurst, Of.Steps[Current].Limit.Burst);
+      }
+      Excess -= Of.Steps[Current].Limit.Rate * seconds(G.At - Last);
+      Last = G.At;
+      if (Current == First && Excess <= 0) {
+        Excess = 0;
+        From = G.At;
+        Tokens = 0;
+      }
+      if (Excess == None)
+        break;
+      Excess += G.Tokens;
+      Tokens += G.Tokens;
+      if (Excess > MaxBurst + RoundingTokens)
+        return BoundViolation{Account, From, G.At, Tokens,
+                              Tokens - Excess + MaxBurst};
+    }
+  }
+  return std::nullopt;
+}
+
+double LimitAudit::total(const std::string &Account) const {
+  const auto It = Accounts.find(Account);
+  double Sum = 0;
+  if (It != Accounts.end())
+    for (const Grant &G : It->second.Grants)
+      Sum += G.Tokens;
+  return Sum;
+}
+
+} // namespace hyssoprail
--- /dev/null
+++ b/src/hyssoprail/process/owner_limits.cpp
@@ -0,0 +1,484 @@
+#include "hyssoprail/process/owner_limits.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace hyssoprail {
+namespace {
+
+/// Wait proposed to a caller when the owner cannot be reached or waits.
+constexpr milliseconds RetryWithoutOwner{1'000};
+
+std::uint32_t retryMillis(Duration Wait) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(Wait > Duration::zero() ? 1 : 0,
+                             std::chrono::ceil<milliseconds>(Wait).count()));
+}
+
+Event shardEvent(EventKind Kind, std::uint64_t Epoch, std::uint32_t Shard) {
+  Event E;
+  E.Kind = Kind;
+  E.Version = Epoch;
+  E.Detail = fmt::format("shard {}", Shard);
+  return E;
+}
+
+/// Request id of a debit "REQUEST/ATTEMPT".
+std::string requestOf(const std::string &DebitId) {
+  return DebitId.substr(0, DebitId.find('/'));
+}
+
+Event debitEvent(EventKind Kind, const std::string &DebitId,
+                 const std::string &Account, std::uint64_t Epoch,
+                 std::string Detail) {
+  Event E;
+  E.Kind = Kind;
+  E.RequestId = requestOf(DebitId);
+  E.Account = Account;
+  E.Version = Epoch;
+  E.Detail = std::move(Detail);
+  return E;
+}
+
+wire::DebitResult resultOf(LedgerAnswer::Kind Kind) {
+  switch (Kind) {
+  case LedgerAnswer::Kind::Granted:
+    return wire::DEBIT_RESULT_GRANTED;
+  case LedgerAnswer::Kind::OverRate:
+  case LedgerAnswer::Kind::OverBurst:
+    return wire::DEBIT_RESULT_OVER_RATE;
+  case LedgerAnswer::Kind::UnknownAccount:
+    return wire::DEBIT_RESULT_UNKNOWN_ACCOUNT;
+  }
+  return wire::DEBIT_RESULT_UNSPECIFIED;
+}
+
+/// True for refusals that another attempt within the timeout may avoid.
+bool passing(wire::DebitResult Result) {
+  return Result == wire::DEBIT_RESULT_NOT_OWNER ||
+         Result == wire::DEBIT_RESULT_LEASE_LAPSED;
+}
+
+} // namespace
+
+OwnerLimits::OwnerLimits(LimitOptions Options, std::uint64_t Self,
+                         LimitParts Parts)
+    : Options(Options), Self(Self), Parts(Parts), Lease(Options),
+      Planner(Options, Self),
+      Granted(Parts.Numbers.counter("limit_debits", {{"result", "granted"}})),
+      OverRate(
+          Parts.Numbers.counter("limit_debits", {{"result", "over_rate"}})),
+      NoOwner(Parts.Numbers.counter("limit_debits", {{"result", "no_owner"}})),
+      Credited(
+          Parts.Numbers.counter("limit_refunds", {{"result", "credited"}})),
+      RefundsIgnored(
+          Parts.Numbers.counter("limit_refunds", {{"result", "ignored"}})),
+      TakeOvers(Parts.Numbers.counter("limit_take_overs")),
+      ShardsOwned(Parts.Numbers.gauge("limit_shards_owned")) {}
+
+void OwnerLimits::viewApplied(TimePoint Now, LimitViewPtr Newer,
+                              LimitActions &Out) {
+  if (Newer->Version <= View->Version)
+    return;
+  const bool NewLimits = Newer->Accounts != View->Accounts;
+  View = std::move(Newer);
+  updateOwnership(Now);
+  if (NewLimits)
+    updateAccounts(Now, true);
+  Planner.viewApplied(*View, Now);
+  for (PendingDebit *Debit : Client.due(TimePoint::max()))
+    if (Debit->SentTo != View->Owners[limitShard(Debit->Account)].Owner)
+      Debit->NextSend = Now;
+  (void)Out;
+}
+
+void OwnerLimits::updateOwnership(TimePoint Now) {
+  bool Began = false;
+  for (std::uint32_t Shard = 0; Shard < LimitShardCount; ++Shard) {
+    const LimitShardOwner &Of = View->Owners[Shard];
+    std::unique_ptr<OwnedShard> &Mine = Owned[Shard];
+    // The epoch is compared, not only the owner: another process may have
+    // owned the shard between two states that both name this one.
+    const bool Own = Of.Owner == Self && Planner.memberSince(*View, Of.Epoch);
+    if (Mine && (!Own || Mine->Epoch != Of.Epoch)) {
+      Parts.Events.record(
+          shardEvent(EventKind::OwnershipLapsed, Mine->Epoch, Shard));
+      Mine.reset();
+      --OwnedCount;
+    }
+    if (Own && !Mine) {
+      beginEpoch(Shard, Of.Epoch, Now);
+      Began = true;
+    }
+  }
+  ShardsOwned.set(static_cast<double>(OwnedCount));
+  if (Began)
+    updateAccounts(Now, false);
+}
+
+/// The successor waits until every lease of its predecessor has ended and
+/// starts with empty buckets. An owner without predecessor does neither.
+void OwnerLimits::beginEpoch(std::uint32_t Shard, std::uint64_t Epoch,
+                             TimePoint Now) {
+  const bool First = Planner.onlyProposedFirst(Shard);
+  const TimePoint ActiveFrom =
+      First ? Now : Now + Options.outlasting(Options.Lease);
+  Owned[Shard] = std::make_unique<OwnedShard>(
+      OwnedShard{.Epoch = Epoch,
+                 .ActiveFrom = ActiveFrom,
+                 .Ledger = ShardLedger({.Start = ActiveFrom,
+                                        .StartFull = First,
+                                        .RateFactor = Options.rateFactor()},
+                                       Parts.Checks)});
+  ++OwnedCount;
+  TakeOvers.add();
+  Parts.Events.record(shardEvent(EventKind::OwnershipTaken, Epoch, Shard));
+}
+
+/// Applies the accounts' limits to all owned shards, or to those whose epoch
+/// has just begun.
+void OwnerLimits::updateAccounts(TimePoint Now, bool AllShards) {
+  for (const auto &[Name, Limit] : *View->Accounts) {
+    OwnedShard *Mine = Owned[limitShard(Name)].get();
+    if (Mine)
+      Mine->Ledger.setAccount(Name, Limit, Now);
+  }
+  if (!AllShards)
+    return;
+  for (const auto &Mine : Owned)
+    if (Mine)
+      Mine->Ledger.removeMissing(*View->Accounts, Now);
+}
+
+void OwnerLimits::livePeers(TimePoint, std::vector<LivePeer> Peers) {
+  Planner.livePeers(std::move(Peers));
+}
+
+void OwnerLimits::readFinished(TimePoint, std::uint64_t ReadId, bool Succeeded,
+                               LimitActions &) {
+  if (!Succeeded) {
+    Lease.failRead(ReadId);
+    return;
+  }
+  Lease.finishRead(ReadId);
+  OnPromises = false;
+}
+
+void OwnerLimits::debit(TimePoint Now, LimitDebit Debit, LimitActions &Out) {
+  PendingDebit Pending{.Id = std::move(Debit.DebitId),
+                       .Account = std::move(Debit.Account),
+                       .Tokens = Debit.Tokens,
+                       .Deadline = Now + Options.DebitTimeout,
+                       .NextSend = Now};
+  if (View->Owners[limitShard(Pending.Account)].Owner == Self) {
+    const Decision D = decide(Now, Pending.Id, Pending.Account, Pending.Tokens);
+    if (!passing(D.Result)) {
+      answer(Pending.Id, D, Out);
+      return;
+    }
+    Pending.LastResult = D.Result;
+    Pending.NextSend = Now + Options.ResendInterval;
+    Client.add(std::move(Pending));
+    return;
+  }
+  sendPending(Now, Pending, Out);
+  Client.add(std::move(Pending));
+}
+
+OwnerLimits::Decision OwnerLimits::decide(TimePoint Now,
+                                          const std::string &DebitId,
+                                          const std::string &Account,
+                                          std::uint64_t Tokens) {
+  OwnedShard *Mine = Owned[limitShard(Account)].get();
+  if (!Mine)
+    return {.Result = wire::DEBIT_RESULT_NOT_OWNER,
+            .RetryAfter = RetryWithoutOwner};
+  if (Now < Mine->ActiveFrom || !Lease.heldAt(Now))
+    return {.Result = wire::DEBIT_RESULT_LEASE_LAPSED,
+            .RetryAfter = waitUntilActive(*Mine, Now),
+            .Epoch = Mine->Epoch};
+  const LedgerAnswer Answer = Mine->Ledger.debit(DebitId, Account, Tokens, Now);
+  const wire::DebitResult Result = resultOf(Answer.Result);
+  const bool IsGrant = Result == wire::DEBIT_RESULT_GRANTED;
+  if (!Answer.Repeated) {
+    Parts.Events.record(debitEvent(
+        IsGrant ? EventKind::LimitGranted : EventKind::LimitRefused, DebitId,
+        Account, Mine->Epoch, fmt::format("{} tokens", Tokens)));
+    (IsGrant ? Granted : OverRate).add();
+    if (IsGrant && Parts.Observer)
+      Parts.Observer->granted(DebitId, Account, Tokens);
+  }
+  return {
+      .Result = Result, .RetryAfter = Answer.RetryAfter, .Epoch = Mine->Epoch};
+}
+
+Duration OwnerLimits::waitUntilActive(const OwnedShard &Mine,
+                                      TimePoint Now) const {
+  return std::max<Duration>(Mine.ActiveFrom - Now, RetryWithoutOwner);
+}
+
+void OwnerLimits::refund(TimePoint Now, const LimitRefund &Refund,
+                         LimitActions &Out) {
+  const LimitShardOwner &Of = View->Owners[limitShard(Refund.Account)];
+  if (Refund.Tokens == 0)
+    return;
+  if (Of.Epoch != Refund.Epoch) {
+    RefundsIgnored.add();
+    return;
+  }
+  if (Of.Owner == Self) {
+    credit(Now, Refund);
+    return;
+  }
+  wire::Envelope E;
+  wire::Refund *Message = E.mutable_refund();
+  Message->set_debit_id(Refund.DebitId);
+  Message->set_account(Refund.Account);
+  Message->set_tokens(Refund.Tokens);
+  Message->set_epoch(Refund.Epoch);
+  send(Of.Owner, std::move(E), Out);
+}
+
+/// Credits a refund of the running epoch. A refund of an earlier epoch is
+/// dropped: its debit is not part of this epoch's debt.
+void OwnerLimits::credit(TimePoint Now, const LimitRefund &Refund) {
+  OwnedShard *Mine = Owned[limitShard(Refund.Account)].get();
+  std::optional<double> Tokens;
+  if (Mine && Mine->Epoch == Refund.Epoch)
+    Tokens = Mine->Ledger.refund(Refund.DebitId, Refund.Tokens, Now);
+  if (!Tokens) {
+    RefundsIgnored.add();
+    return;
+  }
+  Credited.add();
+  Parts.Events.record(debitEvent(
+      EventKind::LimitRefunded, Refund.DebitId, Refund.Account, Refund.Epoch,
+      fmt::format("{} of {} tokens", *Tokens, Refund.Tokens)));
+  if (Parts.Observer)
+    Parts.Observer->credited(Refund.DebitId, Refund.Account, *Tokens);
+}
+
+/// Sends a waiting debit to the owner, or decides it here.
+void OwnerLimits::sendPending(TimePoint Now, PendingDebit &Debit,
+                              LimitActions &Out) {
+  Debit.NextSend = Now + Options.ResendInterval;
+  const LimitShardOwner &Of = View->Owners[limitShard(Debit.Account)];
+  if (Of.Owner == 0 || Of.Owner == Self)
+    return;
+  Debit.SentTo = Of.Owner;
+  Debit.SentEpoch = Of.Epoch;
+  wire::Envelope E;
+  wire::DebitRequest *Request = E.mutable_debit_request();
+  Request->set_debit_id(Debit.Id);
+  Request->set_account(Debit.Account);
+  Request->set_tokens(Debit.Tokens);
+  Request->set_epoch(Of.Epoch);
+  send(Of.Owner, std::move(E), Out);
+}
+
+void OwnerLimits::answer(const std::string &DebitId, Decision D,
+                         LimitActions &Out) {
+  Out.push_back(AnswerDebit{.DebitId = DebitId,
+                            .Result = D.Result,
+                            .Epoch = D.Epoch,
+                            .RetryAfter = D.RetryAfter});
+}
+
+/// Answers a debit whose time is up. The owner may have granted it, so it is
+/// told to take it back.
+void OwnerLimits::giveUp(const PendingDebit &Debit, LimitActions &Out) {
+  NoOwner.add();
+  answer(Debit.Id,
+         {.Result = Debit.LastResult, .RetryAfter = RetryWithoutOwner}, Out);
+  if (Debit.SentTo == 0)
+    return;
+  wire::Envelope E;
+  wire::Refund *Message = E.mutable_refund();
+  Message->set_debit_id(Debit.Id);
+  Message->set_account(Debit.Account);
+  Message->set_tokens(Debit.Tokens);
+  Message->set_epoch(Debit.SentEpoch);
+  send(Debit.SentTo, std::move(E), Out);
+}
+
+void OwnerLimits::message(TimePoint Now, std::uint64_t From,
+                          const wire::Envelope &Message, LimitActions &Out) {
+  switch (Message.body_case()) {
+  case wire::Envelope::kDebitRequest:
+    debitAsked(Now, From, Message.debit_request(), Out);
+    return;
+  case wire::Envelope::kDebitReply:
+    debitAnswered(Now, From, Message.debit_reply(), Out);
+    return;
+  case wire::Envelope::kRefund:
+    credit(Now, {.DebitId = Message.refund().debit_id(),
+                 .Account = Message.refund().account(),
+                 .Tokens = Message.refund().tokens(),
+                 .Epoch = Message.refund().epoch()});
+    return;
+  case wire::Envelope::kPromiseRequest:
+    promiseAsked(Now, From, Message.promise_request(), Out);
+    return;
+  case wire::Envelope::kPromiseReply: {
+    const wire::PromiseReply &Reply = Message.promise_reply();
+    const auto Asked =
+        Round.answered(Reply.promise_id(), From, Reply.granted());
+    if (Asked) {
+      Lease.extendByPromises(*Asked);
+      OnPromises = true;
+    }
+    return;
+  }
+  default:
+    return;
+  }
+}
+
+void OwnerLimits::debitAsked(TimePoint Now, std::uint64_t From,
+                             const wire::DebitRequest &Request,
+                             LimitActions &Out) {
+  Decision D;
+  const LimitShardOwner &Of = View->Owners[limitShard(Request.account())];
+  // A sender that knows a newer epoch has seen a take-over that this process
+  // has not applied yet.
+  if (Request.epoch() <= Of.Epoch)
+    D = decide(Now, Request.debit_id(), Request.account(), Request.tokens());
+  wire::Envelope E;
+  wire::DebitReply *Reply = E.mutable_debit_reply();
+  Reply->set_debit_id(Request.debit_id());
+  Reply->set_result(D.Result);
+  Reply->set_retry_ms(retryMillis(D.RetryAfter));
+  Reply->set_epoch(D.Epoch);
+  send(From, std::move(E), Out);
+}
+
+void OwnerLimits::debitAnswered(TimePoint Now, std::uint64_t From,
+                                const wire::DebitReply &Reply,
+                                LimitActions &Out) {
+  PendingDebit *Debit = Client.find(Reply.debit_id());
+  // Also drops answers of an owner that the debit is no longer waiting for.
+  if (!Debit || Debit->SentTo != From || Debit->Deadline <= Now)
+    return;
+  Debit->LastResult = Reply.result();
+  if (passing(Reply.result()))
+    return;
+  answer(Debit->Id,
+         {.Result = Reply.result(),
+          .RetryAfter = milliseconds(Reply.retry_ms()),
+          .Epoch = Reply.epoch()},
+         Out);
+  Client.erase(Reply.debit_id());
+}
+
+/// A promise says that this process will append no take-over of the asker's
+/// shards for as long as the asker's lease may run, and that it knows of none
+/// that the asker has not applied.
+void OwnerLimits::promiseAsked(TimePoint Now, std::uint64_t From,
+                               const wire::PromiseRequest &Request,
+                               LimitActions &Out) {
+  const bool Free = From == Request.owner() &&
+                    View->newestEpoch() <= Request.version() &&
+                    !Planner.openAgainst(From, *View);
+  if (Free)
+    Promises.promise(From, Now + Options.outlasting(Options.Lease));
+  wire::Envelope E;
+  wire::PromiseReply *Reply = E.mutable_promise_reply();
+  Reply->set_promise_id(Request.promise_id());
+  Reply->set_granted(Free);
+  Reply->set_version(View->Version);
+  send(From, std::move(E), Out);
+}
+
+void OwnerLimits::askForPromises(TimePoint Now, LimitActions &Out) {
+  if (!Lease.lastRead() || *Lease.lastRead() + Options.OutageGrace <= Now ||
+      !Round.due(Now, Options.PromiseRound))
+    return;
+  std::set<std::uint64_t> Others;
+  for (const LimitMember &M : View->Members)
+    if (M.Incarnation != Self)
+      Others.insert(M.Incarnation);
+  Round.start(Parts.Random.identifier(), Others, Now);
+  if (Others.empty()) {
+    Lease.extendByPromises(Now);
+    OnPromises = true;
+  }
+  for (const std::uint64_t To : Others) {
+    wire::Envelope E;
+    wire::PromiseRequest *Request = E.mutable_promise_request();
+    Request->set_promise_id(Round.id());
+    Request->set_owner(Self);
+    Request->set_version(View->Version);
+    send(To, std::move(E), Out);
+  }
+}
+
+void OwnerLimits::tick(TimePoint Now, LimitActions &Out) {
+  Promises.tick(Now);
+  for (const PendingDebit &Expired : Client.takeExpired(Now))
+    giveUp(Expired, Out);
+  std::vector<std::string> Decided;
+  for (PendingDebit *Debit : Client.due(Now)) {
+    if (View->Owners[limitShard(Debit->Account)].Owner != Self) {
+      sendPending(Now, *Debit, Out);
+      continue;
+    }
+    Debit->NextSend = Now + Options.ResendInterval;
+    const Decision D = decide(Now, Debit->Id, Debit->Account, Debit->Tokens);
+    Debit->LastResult = D.Result;
+    if (passing(D.Result))
+      continue;
+    answer(Debit->Id, D, Out);
+    Decided.push_back(Debit->Id);
+  }
+  for (const std::string &Id : Decided)
+    Client.erase(Id);
+  for (const TakeOverProposal &P :
+       Planner.plan(*View, Promises, Parts.Random, Now)) {
+    AppendTakeOver Append;
+    Append.OperationId = P.OperationId;
+    Append.Record.set_owner(Self);
+    for (const std::uint32_t Shard : P.Shards)
+      Append.Record.add_shards(Shard);
+    for (const std::uint64_t Epoch : P.Replaces)
+      Append.Record.add_replaces(Epoch);
+    Out.push_back(std::move(Append));
+  }
+  if (!ownsAny())
+    return;
+  if (const auto ReadId = Lease.startRead(Now))
+    Out.push_back(StartLogRead{*ReadId});
+  if (Lease.end() - Now < Options.PromiseMargin)
+    askForPromises(Now, Out);
+  for (const auto &Mine : Owned)
+    if (Mine)
+      Mine->Ledger.tick(Now);
+}
+
+LimitStatus OwnerLimits::status(TimePoint Now) const {
+  LimitStatus S;
+  S.ShardsOwned = OwnedCount;
+  for (const auto &Mine : Owned)
+    if (Mine && Now >= Mine->ActiveFrom && Lease.heldAt(Now))
+      ++S.ShardsActive;
+  S.LeaseLeft = std::max<Duration>(Lease.end() - Now, Duration::zero());
+  S.OnPromises = OnPromises;
+  S.PendingDebits = Client.size();
+  return S;
+}
+
+void OwnerLimits::send(std::uint64_t To, wire::Envelope Message,
+                       LimitActions &Out) const {
+  const LimitMember *M = View->member(To);
+  Message.set_to_incarnation(To);
+  Out.push_back(SendToEntry{.Incarnation = To,
+                            .Address = M ? M->Address : std::string(),
+                            .Message = std::move(Message)});
+}
+
+std::unique_ptr<LimitService>
+makeOwnerLimits(LimitOptions Options, std::uint64_t Self, LimitParts Parts) {
+  return std::make_unique<OwnerLimits>(Options, Self, Parts);
+}
+
+} // namespace hyssoprail
--- /dev/null
+++ b/src/hyssoprail/process/owner_limits_test.cpp
@@ -0,0 +1,129 @@
+#include "hyssoprail/process/owner_limits.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/process/limit_fleet_model.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using std::chrono::seconds;
+
+/// Fleet with one account, whose entries have joined and own the shards.
+struct Scene {
+  explicit Scene(std::size_t Entries, LimitFleetOptions Options = {})
+      : Fleet(Options) {
+    Fleet.setAccount("a", AccountLimit{.Rate = 1'000, .Burst = 1'000});
+    for (std::size_t I = 0; I < Entries; ++I)
+      Fleet.addEntry();
+    run(seconds(3));
+    Owner = Fleet.ownerEntry("a");
+    Other = Owner == 0 ? 1 : 0;
+  }
+
+  void run(Duration Length) { Fleet.run(Fleet.now() + Length); }
+
+  /// Asks entry \p Index for \p Tokens and returns the outcome.
+  LimitOutcome ask(std::size_t Index, std::uint64_t Tokens) {
+    const std::size_t Number = Fleet.outcomes().size();
+    Fleet.request(Index, "a", Tokens, 0, seconds(1));
+    run(milliseconds(700));
+    return Fleet.outcomes()[Number];
+  }
+
+  LimitFleetModel Fleet;
+  std::size_t Owner = 0;
+  std::size_t Other = 0;
+};
+
+} // namespace
+
+// Guards against entries that cannot reach the owner's bucket, and against
+// each entry granting the burst on its own.
+TEST_CASE("entries share one bucket through its owner") {
+  Scene S(3);
+  CHECK(S.ask(S.Owner, 800).Granted);
+  CHECK(S.ask(S.Other, 1'000).Granted == false);
+  CHECK(S.ask(S.Other, 600).Granted);
+  CHECK(S.Fleet.outcomes().back().Waited <= milliseconds(10));
+  CHECK_FALSE(S.Fleet.audit().firstViolation());
+}
+
+// Guards against limits that stay unavailable after an owner's death.
+TEST_CASE("another entry takes over from a dead owner") {
+  Scene S(3);
+  S.Fleet.kill(S.Owner);
+  CHECK_FALSE(S.ask(S.Other, 10).Granted);
+  S.run(seconds(6));
+  CHECK(S.ask(S.Other, 10).Granted);
+  CHECK(S.Fleet.ownerEntry("a") != S.Owner);
+  CHECK_FALSE(S.Fleet.audit().firstViolation());
+}
+
+// Guards against an owner that grants on a lease which ended while it was
+// paused.
+TEST_CASE("an owner paused past its lease reads the log before it grants") {
+  Scene S(1);
+  S.Fleet.cutLog(0, true);
+  S.Fleet.pause(0, seconds(130));
+  S.run(seconds(130) - milliseconds(1));
+  CHECK_FALSE(S.ask(0, 10).Granted);
+  S.Fleet.cutLog(0, false);
+  S.run(seconds(1));
+  CHECK(S.ask(0, 10).Granted);
+}
+
+// Guards against refusals in an outage of the log while all entries live, and
+// against serving for ever without the log.
+TEST_CASE("an owner serves on promises for two minutes of a log outage") {
+  Scene S(3);
+  S.Fleet.setLogDown(true);
+  S.run(seconds(100));
+  CHECK(S.ask(S.Other, 10).Granted);
+  CHECK(S.Fleet.status(S.Owner).OnPromises);
+  S.run(seconds(30));
+  CHECK_FALSE(S.ask(S.Other, 10).Granted);
+  S.Fleet.setLogDown(false);
+  S.run(seconds(1));
+  CHECK(S.ask(S.Other, 10).Granted);
+}
+
+// Guards against an owner that serves on promises although an entry which may
+// take over is missing.
+TEST_CASE("an owner without a member's promise stops when its lease ends") {
+  Scene S(3);
+  S.Fleet.setLogDown(true);
+  S.Fleet.kill(S.Other);
+  S.run(seconds(4));
+  CHECK_FALSE(S.ask(S.Owner, 10).Granted);
+}
+
+// Guards against a changed limit that is not applied, and against an account
+// that gets a new burst by being removed and created again.
+TEST_CASE("changed, removed and unknown accounts") {
+  Scene S(2);
+  CHECK_FALSE(S.ask(S.Owner, 1'500).Granted);
+  S.Fleet.setAccount("a", AccountLimit{.Rate = 1'000, .Burst = 2'000});
+  S.run(seconds(1));
+  CHECK(S.ask(S.Other, 1'900).Granted);
+  S.Fleet.setAccount("a", std::nullopt);
+  S.run(seconds(1));
+  CHECK_FALSE(S.ask(S.Owner, 1).Granted);
+  S.Fleet.setAccount("a", AccountLimit{.Rate = 1, .Burst = 2'000});
+  S.run(seconds(1));
+  CHECK_FALSE(S.ask(S.Owner, 1'990).Granted);
+  CHECK_FALSE(S.Fleet.audit().firstViolation());
+}
+
+// Guards against a baseline that depends on other entries.
+TEST_CASE("the fixed policy grants each entry its share") {
+  LimitFleetOptions Options;
+  Options.Fixed = true;
+  Scene S(2, Options);
+  CHECK(S.ask(0, 500).Granted);
+  CHECK(S.ask(1, 500).Granted);
+  CHECK_FALSE(S.ask(0, 501).Granted);
+  CHECK_FALSE(S.Fleet.audit().firstViolation());
+}
+
+} // namespace hyssoprail
