Stand-in engine counts computed and used prefill tokens

Cause: wasted prefill must be measured at the engines, not by the router. Change: GET /stats with computed and exported prefill tokens and crashes caused by load above the cold limit.

--- a/src/hyssoprail/standin/engine/engine.cpp
+++ b/src/hyssoprail/standin/engine/engine.cpp
@@ -78,6 +78,8 @@
     return answer(*Exchange, 200, ReportedLoad);
   if (Call == "GET /held")
     return held(*Exchange);
+  if (Call == "GET /stats")
+    return stats(*Exchange);
   if (Call == "GET /cache_events")
     return answer(
         *Exchange, 200,
@@ -138,6 +140,13 @@
   answer(Exchange, 200, {{"work", std::move(List)}});
 }
 
+void Engine::stats(HttpExchange &Exchange) {
+  answer(Exchange, 200,
+         {{"prefill_tokens", ComputedTokens},
+          {"used_prefill_tokens", UsedTokens},
+          {"crashes", Crashes}});
+}
+
 bool Engine::refuse(HttpExchange &Exchange, const Json &Body) {
   const std::string Id = textField(Body, "id");
   if (Id.empty() || textField(Body, "prompt").empty())
@@ -224,6 +233,7 @@
     return;
   }
   Cache.store(W->Prompt, Steady::now());
+  ComputedTokens += W->PromptTokens - W->CachedTokens;
   W->State = WorkState::Kv;
   W->KvHandle = hexId(Random.identifier(), W->Number);
   W->KvExpiry = Steady::now() + Options.KvTtl;
@@ -242,9 +252,12 @@
 void Engine::exportKv(const ExchangePtr &Exchange) {
   const std::string_view Handle = Exchange->request().path().substr(4);
   for (const auto &[Id, W] : Works)
-    if (W->State == WorkState::Kv && W->KvHandle == Handle)
+    if (W->State == WorkState::Kv && W->KvHandle == Handle) {
+      if (!std::exchange(W->Exported, true))
+        UsedTokens += W->PromptTokens - W->CachedTokens;
       return Link.send(Exchange, kvHead(W->Prompt),
                        W->PromptTokens * Options.KvBytesPerToken);
+    }
   answerError(*Exchange, 404, "no such KV cache");
 }
 
@@ -442,8 +455,10 @@
 
 void Engine::checkColdLimit() {
   const std::uint64_t Active = Works.size() - countState(WorkState::Kv);
-  if (cold() && Active > Options.ColdLimit)
+  if (cold() && Active > Options.ColdLimit) {
+    ++Crashes;
     restartCold();
+  }
 }
 
 void Engine::tick() {
--- a/src/hyssoprail/standin/engine/engine.hpp
+++ b/src/hyssoprail/standin/engine/engine.hpp
@@ -49,7 +49,8 @@
     ExchangePtr Exchange;
     std::string KvHandle; ///< prefill: once done
     Time KvExpiry;
-    std::string KvHead; ///< decode: first bytes of the imported KV cache
+    bool Exported = false; ///< prefill: its KV cache was asked for
+    std::string KvHead;    ///< decode: first bytes of the imported KV cache
     std::shared_ptr<HttpStream> Import;
     std::uint32_t NextIndex = 0; ///< decode
     std::uint32_t EndIndex = 0;
@@ -60,6 +61,7 @@
   void serve(const ExchangePtr &Exchange);
   void status(HttpExchange &Exchange);
   void held(HttpExchange &Exchange);
+  void stats(HttpExchange &Exchange);
   void prefill(const ExchangePtr &Exchange);
   void exportKv(const ExchangePtr &Exchange);
   void decode(const ExchangePtr &Exchange);
@@ -112,6 +114,9 @@
   Time LoadTaken;
   std::uint64_t LastNumber = 0;
   std::uint64_t NewestFencing = 0;
+  std::uint64_t ComputedTokens = 0; ///< by finished prefills
+  std::uint64_t UsedTokens = 0;     ///< of KV caches that were exported
+  std::uint64_t Crashes = 0;        ///< caused by load above the cold limit
   bool Stepping = false;
   bool Loading = false;
 };
