--- a/src/hyssoprail/version/change_rules.cpp
+++ b/src/hyssoprail/version/change_rules.cpp
@@ -172,11 +172,14 @@
                    "ROUTE_CLASS_BATCH");
   const wire::Pool &Pool = *Config.pool(R.pool());
   if (Pool.kind() == wire::POOL_KIND_ENGINE &&
-      (R.model() != Pool.model() || !R.path_prefix().empty()))
+      (R.model().empty() || !R.path_prefix().empty()))
+    // The name may differ from the pool's model, so that a model can be
+    // offered in several latency classes.
     return invalid("route.model",
-                   fmt::format("pool \"{}\" serves the model \"{}\"",
+                   fmt::format("a route to the engine pool \"{}\" needs the "
+                               "name that callers use for its model \"{}\"",
                                Pool.name(), Pool.model()),
-                   "set that model and no path_prefix");
+                   "set model and no path_prefix");
   if (Pool.kind() == wire::POOL_KIND_SERVICE &&
       (!R.path_prefix().starts_with('/') || !R.model().empty()))
     return invalid("route.path_prefix",
