--- /dev/null
+++ b/src/hyssoprail/entry/member_keeper.cpp
@@ -0,0 +1,61 @@
+#include "hyssoprail/entry/member_keeper.hpp"
+
+#include <algorithm>
+
+namespace hyssoprail::entry {
+namespace {
+
+/// An entry is removed after it was silent for this long with a healthy log.
+constexpr milliseconds GoneAfter{10'000};
+
+/// An entry that others do not hear for this long does not count as live.
+constexpr milliseconds LiveWithin{1'000};
+
+/// Between two appends of the same record.
+constexpr milliseconds AppendPause{1'000};
+
+} // namespace
+
+std::optional<wire::Member> MemberKeeper::next(
+    TimePoint Now, const std::vector<wire::MemberState> &Members,
+    const std::function<milliseconds(std::uint64_t)> &Silence,
+    bool LogHealthy) {
+  if (!LogHealthy)
+    HealthySince.reset();
+  else if (!HealthySince)
+    HealthySince = Now;
+  if (!LogHealthy || Now < NotBefore)
+    return std::nullopt;
+  const auto IsSelf = [this](const wire::MemberState &M) {
+    return M.member().incarnation() == Self.incarnation();
+  };
+  if (std::none_of(Members.begin(), Members.end(), IsSelf)) {
+    NotBefore = Now + AppendPause;
+    return Self;
+  }
+  // Silence counts only while the log was healthy all the time.
+  if (Now - *HealthySince < GoneAfter || !isFirstLive(Members, Silence))
+    return std::nullopt;
+  for (const wire::MemberState &M : Members) {
+    if (IsSelf(M) || Silence(M.member().incarnation()) < GoneAfter)
+      continue;
+    NotBefore = Now + AppendPause;
+    wire::Member Gone = M.member();
+    Gone.set_gone(true);
+    return Gone;
+  }
+  return std::nullopt;
+}
+
+/// One live member removes the others, so that they do not all append.
+bool MemberKeeper::isFirstLive(
+    const std::vector<wire::MemberState> &Members,
+    const std::function<milliseconds(std::uint64_t)> &Silence) const {
+  return std::none_of(
+      Members.begin(), Members.end(), [&](const wire::MemberState &M) {
+        return M.member().incarnation() < Self.incarnation() &&
+               Silence(M.member().incarnation()) <= LiveWithin;
+      });
+}
+
+} // namespace hyssoprail::entry
--- /dev/null
+++ b/src/hyssoprail/entry/member_keeper.hpp
@@ -0,0 +1,39 @@
+#ifndef HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
+#define HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/wire/hyssoprail.pb.h"
+
+namespace hyssoprail::entry {
+
+/// Decides which Member records this entry appends: its own, and the removal
+/// of entries that are gone. Without I/O.
+class MemberKeeper {
+public:
+  explicit MemberKeeper(wire::Member Self) : Self(std::move(Self)) {}
+
+  /// Returns the record to append now, if any. \p Silence tells how long an
+  /// incarnation was not heard of; \p LogHealthy that the log was read lately.
+  std::optional<wire::Member>
+  next(TimePoint Now, const std::vector<wire::MemberState> &Members,
+       const std::function<milliseconds(std::uint64_t)> &Silence,
+       bool LogHealthy);
+
+private:
+  bool isFirstLive(const std::vector<wire::MemberState> &Members,
+                   const std::function<milliseconds(std::uint64_t)> &Silence)
+      const;
+
+  wire::Member Self;
+  TimePoint NotBefore;
+  std::optional<TimePoint> HealthySince;
+};
+
+} // namespace hyssoprail::entry
+
+#endif // HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
