--- a/include/hyssoprail/process/settings.hpp
+++ b/include/hyssoprail/process/settings.hpp
@@ -34,6 +34,7 @@
   std::string LogLevel = "info";
   LogFormat Format = LogFormat::Text;
   std::size_t TimelineEvents = 20'000;
+  bool FatalViolations = false; ///< a violated invariant ends the process
 };
 
 /// Settings of hyssoprail-entry.
--- a/src/hyssoprail/load/experiment.cpp
+++ b/src/hyssoprail/load/experiment.cpp
@@ -50,7 +50,7 @@
   F.Services = P.Services;
   F.PrefillFlags = F.DecodeFlags = EngineScale;
   F.FatalViolations = false;
-  F.LogLevel = "warn";
+  F.LogLevel = "warning";
   F.Policy = {Policy.Scheduling, Policy.Limits, Policy.Placement};
   F.Accounts.clear();
   for (std::size_t I = 0; I < Limits.size(); ++I)
--- a/src/hyssoprail/load/overhead.cpp
+++ b/src/hyssoprail/load/overhead.cpp
@@ -169,7 +169,7 @@
   F.PrefillEngines = 1;
   F.DecodeEngines = 1;
   F.Services = 2;
-  F.LogLevel = "warn";
+  F.LogLevel = "warning";
   F.FatalViolations = false;
   F.Accounts = {{"acme", 1e9, 1e9}};
   Flags.push_back("--model=m1");
--- a/src/hyssoprail/process/settings.cpp
+++ b/src/hyssoprail/process/settings.cpp
@@ -75,6 +75,7 @@
   read(Log, "level", Out.LogLevel);
   read(Log, "format", FormatNames, Out.Format);
   read(In, "timeline_events", Out.TimelineEvents);
+  read(In, "fatal_violations", Out.FatalViolations);
   return Out;
 }
 
--- a/src/hyssoprail/testbed/fleet.cpp
+++ b/src/hyssoprail/testbed/fleet.cpp
@@ -18,7 +18,7 @@
 using nlohmann::json;
 
 constexpr const char *Loopback = "127.0.0.1";
-constexpr const char *KeySecret = "fleet-secret";
+constexpr const char *KeySecret = "fleet-secret-of-tests";
 constexpr std::chrono::milliseconds PollInterval{5};
 
 /// Time in which a fresh fleet becomes ready; generous, since ten programs
