--- a/include/hyssoprail/process/settings.hpp
+++ b/include/hyssoprail/process/settings.hpp
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "hyssoprail/core/result.hpp"
+#include "hyssoprail/process/log.hpp"
 
 namespace hyssoprail {
 
-enum class LogFormat { Text, Json };
 enum class SchedulingPolicy { None, Early, Predicted };
 enum class LimitsPolicy { Owner, Fixed };
 enum class PlacementPolicy { TwoChoices, LeastLoaded };
