--- a/src/hyssoprail/standin/engine/main.cpp
+++ b/src/hyssoprail/standin/engine/main.cpp
@@ -6,7 +6,7 @@
 DEFINE_uint32(port, 0, "port to listen on; 0 for any free port");
 DEFINE_string(role, "decode", "prefill or decode");
 DEFINE_string(model, "m", "name of the loaded model");
-DEFINE_string(version, "1", "version of the loaded model");
+DEFINE_string(model_version, "1", "version of the loaded model");
 DEFINE_uint64(slots, 20, "streams decoded at the same time");
 DEFINE_uint64(pieces, 64, "memory pieces of 2,048 tokens");
 DEFINE_uint64(max_waiting, 64, "prefills that wait before 503");
@@ -38,7 +38,7 @@
   hyssoprail::standin::EngineOptions O;
   O.Role = FLAGS_role;
   O.Model = FLAGS_model;
-  O.Version = FLAGS_version;
+  O.Version = FLAGS_model_version;
   O.Slots = FLAGS_slots;
   O.Pieces = FLAGS_pieces;
   O.MaxWaiting = FLAGS_max_waiting;
