--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -35,7 +35,7 @@
   milliseconds Lease{2'000};     ///< an entry silent for this long is gone
   milliseconds Heartbeat{250};   ///< interval of the entries' heartbeats
   milliseconds GrantUse{15'000}; ///< an unused grant is released after this
-  milliseconds StatusInterval{250};
+  milliseconds StatusInterval{100};
   milliseconds HeldInterval{1'000};
   milliseconds CancelRetry{100};
   milliseconds EndedKeep{60'000};      ///< results, refusals and cancellations
@@ -300,7 +300,8 @@
   bool EngineUp = false;
   bool HeldKnown = false;
   bool Leaving = false;
-  bool Evidence = false; ///< sign of life since the engine was last idle
+  bool Suspected = false; ///< no starts until the status is known
+  bool Evidence = false;  ///< sign of life since the engine was last idle
   TimePoint IdleSince{};
   TimePoint LastResult{};
   TimePoint LastTick{};
@@ -316,6 +317,7 @@
   unsigned SlotsUsed = 0;
   unsigned PiecesUsed = 0;
   unsigned Running = 0;
+  unsigned RunningPeak = 0; ///< since the last status
   double StepMicros = 30'000;
   double PrefillMicros = 500;
   double TransferMicrosPerPiece = 0; ///< 0: not measured yet
--- a/include/hyssoprail/process/cold_start_ramp.hpp
+++ b/include/hyssoprail/process/cold_start_ramp.hpp
@@ -11,17 +11,28 @@
   double FirstBound = 1.0;
   /// Bound as a multiple of the warm baseline.
   double BoundFactor = 2.0;
-  /// Latency that means a new cold start, as a multiple of the baseline.
-  double ColdFactor = 4.0;
-  /// Consecutive samples over ColdFactor that mean a new cold start.
-  unsigned ColdSamples = 8;
-  /// Time between two increases while the engine reports that it is cold.
-  /// 20 slots are reached in 4 s, within the recovery target of 5 s.
-  milliseconds ColdInterval{200};
+  /// Latency that is far above the warm baseline, as a multiple of it.
+  double SlowFactor = 2.0;
+  /// Consecutive slow samples after which the engine should be asked.
+  unsigned SuspectSamples = 4;
+  /// Consecutive slow samples that mean a new cold start by themselves, for
+  /// engines that do not report it.
+  unsigned ColdSamples = 256;
+  /// Time between two increases while the engine reports that it is cold. The
+  /// load it bears then may show no sign in its latency before it fails, so
+  /// the limit stays low for the whole of a cold start of a few seconds.
+  milliseconds ColdInterval{1'000};
   /// Time between two increases when the engine reports that it is warm.
   milliseconds WarmInterval{50};
 };
 
+/// What a latency sample means.
+enum class RampSignal {
+  None,
+  Suspect,   ///< latency is far above the baseline: ask the engine
+  ColdStart, ///< a new cold start has begun
+};
+
 /// Limit on concurrent work of an engine that has just started: one request
 /// first, one more per interval while latency at the limit stays under the
 /// bound, half of it when latency is above.
@@ -46,12 +57,16 @@
   void engineReports(bool IsCold, TimePoint Now);
 
   /// Adds a latency sample taken while \p Running units of work were on the
-  /// engine. Returns true if it makes out a new cold start.
-  bool sample(double Latency, unsigned Running, TimePoint Now);
+  /// engine.
+  RampSignal sample(double Latency, unsigned Running, TimePoint Now);
 
   /// The engine was overloaded or failed: halves the limit while cold.
   void failure(TimePoint Now);
 
+  /// The engine crashed with \p Running units of work while it reported cold:
+  /// later cold starts stay below that load.
+  void crashed(unsigned Running);
+
   unsigned limit() const;
   bool cold() const { return Cold; }
 
@@ -65,6 +80,7 @@
   bool EngineCold = false;
   unsigned Max = 1;
   unsigned Limit = 1;
+  unsigned Ceiling = 0; ///< load that crashed the cold engine; 0: not known
   unsigned SlowSamples = 0;
   double Baseline = 0; ///< 0: not known yet
   TimePoint LastChange{};
--- a/src/hyssoprail/process/agent_admission.cpp
+++ b/src/hyssoprail/process/agent_admission.cpp
@@ -262,6 +262,8 @@
 unsigned AgentCore::runLimit() const {
   // An idle engine may have restarted unnoticed: one start until it shows a
   // sign of life.
+  if (Suspected)
+    return 0;
   if (!Evidence)
     return 1;
   return std::min(slotMax(), Ramp.limit());
@@ -297,12 +299,10 @@
   for (const Work *W : Holders) {
     if (W->HeldSlots == 0)
       continue;
-    const double Left =
-        W->Phase == State::Cancelling
-            ? 0.0
-            : static_cast<double>(W->MaxTokens) -
-                  std::min<double>(W->MaxTokens,
-                                   static_cast<double>(W->Tokens.size()));
+    const std::size_t Emitted = W->FirstIndex + W->Tokens.size();
+    const double Left = W->Phase == State::Cancelling || Emitted >= W->MaxTokens
+                            ? 0.0
+                            : static_cast<double>(W->MaxTokens - Emitted);
     const auto After = std::chrono::microseconds(
         static_cast<std::int64_t>(std::max(1.0, Left) * StepMicros));
     Found.push_back({Now + After, W->HeldPieces});
@@ -453,6 +453,7 @@
       query(EngineQuery::Status, Now);
   }
   ++Running;
+  RunningPeak = std::max(RunningPeak, Running);
   W.OnEngine = true;
   Checks.check(Invariant::ColdStartBound, Running <= runLimit(),
                "more work was started than the cold-start limit allows",
--- a/src/hyssoprail/process/agent_release.cpp
+++ b/src/hyssoprail/process/agent_release.cpp
@@ -9,6 +9,9 @@
 /// entries' messages of that time have not been read yet.
 constexpr milliseconds PauseGap{500};
 
+/// A status call without any result by then is repeated.
+constexpr milliseconds StatusPatience{1'500};
+
 /// Sessions of silent entries are kept for this long, so that their delayed
 /// messages are still recognised as stale.
 constexpr milliseconds SessionKeep{60'000};
@@ -203,7 +206,8 @@
   const bool Paused = Now - LastTick > PauseGap;
   LastTick = Now;
   if (Options.Kind == AgentKind::Engine) {
-    if (Now - StatusAsked >= Options.StatusInterval)
+    const bool Waits = StatusCall != 0 && Now - StatusAsked < StatusPatience;
+    if (!Waits && Now - StatusAsked >= Options.StatusInterval)
       query(EngineQuery::Status, Now);
     if (EngineUp && Now - HeldAsked >= Options.HeldInterval)
       query(EngineQuery::Held, Now);
--- a/src/hyssoprail/process/agent_results.cpp
+++ b/src/hyssoprail/process/agent_results.cpp
@@ -76,10 +76,22 @@
 void AgentCore::sampleLatency(double Ratio, TimePoint Now) {
   Evidence = true;
   Dirty = true;
-  if (!Ramp.sample(Ratio, Running, Now))
+  switch (Ramp.sample(Ratio, Running, Now)) {
+  case RampSignal::None:
     return;
-  ++Counts.ColdStarts;
-  note(EventKind::ColdStart, {}, {}, "latency is far above the warm baseline");
+  case RampSignal::Suspect:
+    if (Options.Kind == AgentKind::Service)
+      return;
+    // No further start until the engine says whether it is cold.
+    if (!std::exchange(Suspected, true))
+      query(EngineQuery::Status, Now);
+    return;
+  case RampSignal::ColdStart:
+    ++Counts.ColdStarts;
+    note(EventKind::ColdStart, {}, {},
+         "latency is far above the warm baseline");
+    return;
+  }
 }
 
 void AgentCore::on(const PrefillResult &R, TimePoint Now) {
@@ -183,8 +195,9 @@
   const bool Decode = W.Phase == State::Decoding;
   if (End == CallEnd::Busy || End == CallEnd::Broken)
     Ramp.failure(Now);
-  if (End == CallEnd::Broken || End == CallEnd::NotSent) {
-    Evidence = false;
+  if (End != CallEnd::Gone && End != CallEnd::Conflict) {
+    // It may have restarted: no further start until its status is known.
+    Suspected = true;
     query(EngineQuery::Status, Now);
   }
   wire::Envelope Result;
@@ -241,12 +254,16 @@
     return;
   }
   StatusFailures = 0;
+  Suspected = false;
   const bool Restarted =
       EngineUp && (R.Incarnation != Engine.Incarnation ||
                    R.Uptime < Engine.Uptime || R.Role != Engine.Role);
+  if (Restarted)
+    Ramp.crashed(RunningPeak);
   if (Restarted)
     engineLost("the engine restarted", Now);
   Engine = R;
+  RunningPeak = Running;
   Ramp.setMax(slotMax());
   if (!EngineUp)
     engineBack(Now);
--- a/src/hyssoprail/process/cold_start_ramp.cpp
+++ b/src/hyssoprail/process/cold_start_ramp.cpp
@@ -30,24 +30,28 @@
     restart(Now);
 }
 
-bool ColdStartRamp::sample(double Latency, unsigned Running, TimePoint Now) {
+RampSignal ColdStartRamp::sample(double Latency, unsigned Running,
+                                 TimePoint Now) {
   if (Cold) {
     if (Latency > bound())
       halve(Now);
     else if (Running >= Limit)
       increase(Now);
-    return false;
+    return RampSignal::None;
   }
-  if (Baseline > 0 && Latency > Baseline * Options.ColdFactor) {
-    if (++SlowSamples < Options.ColdSamples)
-      return false;
-    restart(Now);
-    return true;
+  if (Baseline > 0 && Latency > Baseline * Options.SlowFactor) {
+    ++SlowSamples;
+    if (SlowSamples >= Options.ColdSamples) {
+      restart(Now);
+      return RampSignal::ColdStart;
+    }
+    return SlowSamples % Options.SuspectSamples == 0 ? RampSignal::Suspect
+                                                     : RampSignal::None;
   }
   SlowSamples = 0;
   Baseline =
       Baseline == 0 ? Latency : Baseline + (Latency - Baseline) * BaselineShare;
-  return false;
+  return RampSignal::None;
 }
 
 void ColdStartRamp::failure(TimePoint Now) {
@@ -55,6 +59,11 @@
     halve(Now);
 }
 
+void ColdStartRamp::crashed(unsigned Running) {
+  if (EngineCold && Running > 1)
+    Ceiling = Ceiling == 0 ? Running : std::min(Ceiling, Running);
+}
+
 unsigned ColdStartRamp::limit() const { return Cold ? Limit : Max; }
 
 double ColdStartRamp::bound() const {
@@ -75,7 +84,8 @@
   if (Now - LastChange < Interval)
     return;
   LastChange = Now;
-  if (Limit < Max)
+  const bool AtCeiling = EngineCold && Ceiling != 0 && Limit + 1 >= Ceiling;
+  if (Limit < Max && !AtCeiling)
     ++Limit;
   if (Limit >= Max && !EngineCold)
     Cold = false;
