First whole path: completions and orders through real processes

Cause: the parts had not met. The log library and the settings schema named the warning level differently, and the reducer refused a second model name for a pool, which batch summaries need. Change: one name for the level; a route names the model that callers send and engines get the model of their pool. Conclusion: the path from caller to engine and back works.

--- a/src/hyssoprail/agent/process_test_support.hpp
+++ b/src/hyssoprail/agent/process_test_support.hpp
@@ -105,15 +105,12 @@
     std::string Path =
         (std::filesystem::temp_directory_path() / "agent-XXXXXX").string();
     close(mkstemp(Path.data()));
-    const nlohmann::json Body{{"name", "agent"},
-                              {"vm", "vm-1"},
-                              {"zone", "zone-1"},
-                              {"endpoint", "endpoint-1"},
-                              {"engine", Engine},
-                              {"kind", Kind},
-                              {"address", "127.0.0.1"},
-                              {"peer_address", "tcp://127.0.0.1:0"},
-                              {"http_port", 0}};
+    const nlohmann::json Body{
+        {"name", "agent"},        {"vm", "vm-1"},
+        {"zone", "zone-1"},       {"endpoint", "endpoint-1"},
+        {"engine", Engine},       {"kind", Kind},
+        {"address", "127.0.0.1"}, {"peer_address", "tcp://127.0.0.1:0"},
+        {"http_port", 0}};
     std::ofstream(Path) << Body;
     return Path;
   }
--- a/src/hyssoprail/entry/admin_desk.cpp
+++ b/src/hyssoprail/entry/admin_desk.cpp
@@ -7,10 +7,9 @@
 namespace hyssoprail::entry {
 
 AdminDesk::AdminDesk(AdminOptions Options, const ConfigStore &Store,
-                     const Timeline &Events,
-                     std::function<FleetStatus()> Fleet,
-                     boost::asio::io_context &Context,
-                     PlatformClient &Platform, const Clock &Time)
+                     const Timeline &Events, std::function<FleetStatus()> Fleet,
+                     boost::asio::io_context &Context, PlatformClient &Platform,
+                     const Clock &Time)
     : Api(std::move(Options), Store, Events, std::move(Fleet)),
       Context(Context), Platform(Platform), Time(Time) {}
 
@@ -27,8 +26,8 @@
     std::lock_guard Lock(Mutex);
     Ticket = ++LastTicket;
     Open.emplace(Ticket, Exchange);
-    Actions = Api.request(Ticket, Request, Time.now(),
-                          Time.unixMicros() / 1000);
+    Actions =
+        Api.request(Ticket, Request, Time.now(), Time.unixMicros() / 1000);
   }
   carryOut(std::move(Actions));
   Exchange->onDisconnect([this, Ticket] {
@@ -78,18 +77,17 @@
 }
 
 void AdminDesk::append(const AdminAppend &Append) {
-  boost::asio::post(
-      Context, [this, Id = Append.OperationId,
-                Data = encodeStable(Append.Record)] {
-        Platform.append(Data, [this, Id](const Result<std::uint64_t> &Offset) {
-          AdminActions Actions;
-          {
-            std::lock_guard Lock(Mutex);
-            Actions = Api.appended(Id, Offset, Time.now());
-          }
-          carryOut(std::move(Actions));
-        });
-      });
+  boost::asio::post(Context, [this, Id = Append.OperationId,
+                              Data = encodeStable(Append.Record)] {
+    Platform.append(Data, [this, Id](const Result<std::uint64_t> &Offset) {
+      AdminActions Actions;
+      {
+        std::lock_guard Lock(Mutex);
+        Actions = Api.appended(Id, Offset, Time.now());
+      }
+      carryOut(std::move(Actions));
+    });
+  });
 }
 
 std::shared_ptr<HttpExchange> AdminDesk::take(AdminTicket Ticket) {
--- a/src/hyssoprail/entry/caller_api.cpp
+++ b/src/hyssoprail/entry/caller_api.cpp
@@ -76,8 +76,11 @@
 void CallerApi::handleOwn(const std::shared_ptr<HttpExchange> &Exchange) {
   if (!answerOwn(*Exchange))
     refuse(*Exchange,
-           {ErrorKind::NotFound, "this port does not serve the path",
-            "use the port for callers", "", {}},
+           {ErrorKind::NotFound,
+            "this port does not serve the path",
+            "use the port for callers",
+            "",
+            {}},
            newSpec({}).RequestId);
 }
 
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -49,9 +49,9 @@
 EntryRuntime::EntryRuntime(EntrySettings Given, const Clock &Time)
     : Settings(std::move(Given)), Time(Time),
       Incarnation(RandomSource(systemSeed()).identifier()),
-      Events(Settings.Process.TimelineEvents, Time), Checks(Events, Settings.Process.FatalViolations),
-      Random(systemSeed()), Freshness(freshnessOptions(Settings)),
-      Flows(flowContext()),
+      Events(Settings.Process.TimelineEvents, Time),
+      Checks(Events, Settings.Process.FatalViolations), Random(systemSeed()),
+      Freshness(freshnessOptions(Settings)), Flows(flowContext()),
       Desk(schedulerOptions(Settings), Checks, systemSeed(), Time),
       Requests(*this, Live, Time), Exchange(Store), Callers(callerContext()),
       Ticker(Control), Http(makeHttpClient(Control)),
@@ -62,8 +62,9 @@
             Freshness.logRead(Began);
           }),
       Claims(Control, Platform, Store, Time, Settings.Process.Name),
-      Admin(adminOptions(Settings), Store, Events,
-            [this] { return fleetStatus(); }, Control, Platform, Time) {}
+      Admin(
+          adminOptions(Settings), Store, Events,
+          [this] { return fleetStatus(); }, Control, Platform, Time) {}
 
 EntryRuntime::~EntryRuntime() { stop(); }
 
--- a/src/hyssoprail/process/log.cpp
+++ b/src/hyssoprail/process/log.cpp
@@ -21,7 +21,7 @@
     {spdlog::level::trace, "trace"},
     {spdlog::level::debug, "debug"},
     {spdlog::level::info, "info"},
-    {spdlog::level::warn, "warn"},
+    {spdlog::level::warn, "warning"},
     {spdlog::level::err, "error"},
     {spdlog::level::off, "off"},
 }};
@@ -116,7 +116,7 @@
   if (!Level)
     return Error{ErrorKind::InvalidSettings,
                  fmt::format("log level \"{}\" does not exist", Options.Level),
-                 "use trace, debug, info, warn, error or off", "log.level"};
+                 "use trace, debug, info, warning, error or off", "log.level"};
   sharedSink()->set_formatter(makeLogFormatter(Options.Format));
   spdlog::set_default_logger(logger("process"));
   spdlog::set_level(*Level);
--- a/src/hyssoprail/version/change_rules.cpp
+++ b/src/hyssoprail/version/change_rules.cpp
@@ -172,11 +172,11 @@
                    "ROUTE_CLASS_BATCH");
   const wire::Pool &Pool = *Config.pool(R.pool());
   if (Pool.kind() == wire::POOL_KIND_ENGINE &&
-      (R.model() != Pool.model() || !R.path_prefix().empty()))
+      (R.model().empty() || !R.path_prefix().empty()))
     return invalid("route.model",
-                   fmt::format("pool \"{}\" serves the model \"{}\"",
-                               Pool.name(), Pool.model()),
-                   "set that model and no path_prefix");
+                   "a route to an engine pool needs a model and no path prefix",
+                   "set the model name that callers send; engines get the "
+                   "model of the pool");
   if (Pool.kind() == wire::POOL_KIND_SERVICE &&
       (!R.path_prefix().starts_with('/') || !R.model().empty()))
     return invalid("route.path_prefix",
