--- a/src/hyssoprail/version/change_rules.cpp
+++ b/src/hyssoprail/version/change_rules.cpp
@@ -173,13 +173,10 @@
   const wire::Pool &Pool = *Config.pool(R.pool());
   if (Pool.kind() == wire::POOL_KIND_ENGINE &&
       (R.model().empty() || !R.path_prefix().empty()))
-    // The name may differ from the pool's model, so that a model can be
-    // offered in several latency classes.
     return invalid("route.model",
-                   fmt::format("a route to the engine pool \"{}\" needs the "
-                               "name that callers use for its model \"{}\"",
-                               Pool.name(), Pool.model()),
-                   "set model and no path_prefix");
+                   "a route to an engine pool needs a model and no path prefix",
+                   "set the model name that callers send; engines get the "
+                   "model of the pool");
   if (Pool.kind() == wire::POOL_KIND_SERVICE &&
       (!R.path_prefix().starts_with('/') || !R.model().empty()))
     return invalid("route.path_prefix",
