--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -25,6 +25,24 @@
   }
 }
 
+/// Only processes heard of within this time are passed on.
+constexpr milliseconds GossipAge{2'000};
+
+/// What a heartbeat or an ack says of its sender.
+template <typename Beat>
+wire::MemberStatus statusOf(const wire::Envelope &Message, const Beat &B) {
+  wire::MemberStatus Status;
+  Status.set_name(Message.sender());
+  Status.set_incarnation(Message.incarnation());
+  Status.set_role(B.role());
+  Status.set_zone(B.zone());
+  Status.set_version(B.version());
+  Status.set_leaving(B.leaving());
+  if constexpr (requires { B.peer_address(); })
+    Status.set_peer_address(B.peer_address());
+  return Status;
+}
+
 bool changesKeys(const ConfigUpdate &Update) {
   if (Update.Restored)
     return true;
@@ -53,9 +71,11 @@
     return onAck(Address, Message);
   if (workOf(Message) != nullptr)
     return onWorkMessage(Directory.endpointAt(Address), Message);
-  Exchange.receive(Message, [&](wire::Envelope Out) {
+  const bool Configuration = Exchange.receive(Message, [&](wire::Envelope Out) {
     Links->send(Address, std::move(Out));
   });
+  if (!Configuration)
+    Limits.message(Message);
 }
 
 /// A message of another entry over a link that it opened.
@@ -66,11 +86,15 @@
     Sockets->answer(Source, std::move(Out));
   };
   if (!Message.has_heartbeat()) {
-    Exchange.receive(Message, Answer);
+    if (!Exchange.receive(Message, Answer))
+      Limits.message(Message);
     return;
   }
   const wire::Heartbeat &Beat = Message.heartbeat();
   notePeerLog(Message, Beat.version(), Beat.log_age_ms());
+  Processes.heard(statusOf(Message, Beat));
+  for (const wire::MemberStatus &Other : Beat.members())
+    Processes.gossip(Other);
   wire::Envelope Out;
   wire::HeartbeatAck &Ack = *Out.mutable_heartbeat_ack();
   Ack.set_acked_seq(Message.seq());
@@ -78,11 +102,7 @@
   Ack.set_leaving(Draining);
   Ack.set_role("entry");
   Ack.set_zone(Settings.Process.Zone);
-  {
-    std::lock_guard Lock(FreshnessMutex);
-    Ack.set_log_age_ms(
-        static_cast<std::uint32_t>(Freshness.logAge(Time.now()).count()));
-  }
+  Ack.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
   Answer(std::move(Out));
   Exchange.compare(Beat.version(), Answer);
 }
@@ -92,6 +112,7 @@
   const wire::HeartbeatAck &Ack = Message.heartbeat_ack();
   if (Ack.role() == "entry") {
     notePeerLog(Message, Ack.version(), Ack.log_age_ms());
+    Processes.heard(statusOf(Message, Ack));
     Exchange.compare(Ack.version(), [&](wire::Envelope Out) {
       Links->send(Address, std::move(Out));
     });
@@ -100,6 +121,7 @@
   const std::string Endpoint = Directory.endpointAt(Address);
   if (Endpoint.empty())
     return;
+  Processes.heard(statusOf(Message, Ack), &Ack.load());
   Desk.report(Endpoint, Ack);
   Desk.pump(Requests, false);
 }
@@ -133,6 +155,8 @@
     Requests.postAll([](RequestFlow &F, TimePoint Now, FlowActions &Out) {
       F.recheckKey(Now, Out);
     });
+  Limits.configChanged(Update);
+  linkMembers();
   Admin.reduced();
   Event E;
   E.Kind = EventKind::ConfigApplied;
@@ -173,9 +197,10 @@
   Beat.set_role("entry");
   Beat.set_zone(Settings.Process.Zone);
   Beat.set_peer_address(Sockets->boundAddress());
-  std::lock_guard Lock(FreshnessMutex);
-  Beat.set_log_age_ms(
-      static_cast<std::uint32_t>(Freshness.logAge(Time.now()).count()));
+  Beat.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
+  if (Directory.endpointAt(Address).empty())
+    for (ProcessStatus &Known : Processes.list(GossipAge))
+      *Beat.add_members() = std::move(Known.Member);
   return Beat;
 }
 
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -8,9 +8,6 @@
 namespace hyssoprail::entry {
 namespace {
 
-/// Interval of link heartbeats, request timers and the scheduler's clock.
-constexpr milliseconds TickInterval{10};
-
 /// Interval at which a drain looks for the end of the live requests.
 constexpr milliseconds DrainPoll{20};
 
@@ -38,6 +35,16 @@
   return Options;
 }
 
+std::unique_ptr<LimitService> makeLimits(const EntrySettings &Settings,
+                                         std::uint64_t Self, LimitParts Parts) {
+  LimitOptions Options;
+  Options.Lease = Settings.Lease;
+  Options.OutageGrace = Settings.OutageGrace;
+  return Settings.Limits == LimitsPolicy::Fixed
+             ? makeFixedLimits(Options, Self, Parts)
+             : makeOwnerLimits(Options, Self, Parts);
+}
+
 std::string peerAddress(const EntrySettings &Settings) {
   if (!Settings.Process.PeerAddress.empty())
     return Settings.Process.PeerAddress;
@@ -64,7 +71,12 @@
       Claims(Control, Platform, Store, Time, Settings.Process.Name),
       Admin(
           adminOptions(Settings), Store, Events,
-          [this] { return fleetStatus(); }, Control, Platform, Time) {}
+          [this] { return fleetStatus(); }, Control, Platform, Time),
+      Processes(Time), LimitRandom(systemSeed()),
+      Limits(makeLimits(Settings, Incarnation,
+                        {Events, Checks, Measures, LimitRandom}),
+             Store, Control, Platform, Time, Settings.Process.Name,
+             limitPorts()) {}
 
 EntryRuntime::~EntryRuntime() { stop(); }
 
@@ -132,6 +144,12 @@
   const Status Listening = startServers();
   if (errorOf(Listening) != nullptr)
     return Listening;
+  wire::Member Self;
+  Self.set_incarnation(Incarnation);
+  Self.set_name(Settings.Process.Name);
+  Self.set_peer_address(Sockets->boundAddress());
+  Self.set_zone(Settings.Process.Zone);
+  Members = std::make_unique<MemberKeeper>(Self);
   startLinks();
   return std::monostate{};
 }
@@ -215,14 +233,16 @@
 
 void EntryRuntime::requestEnded(const FlowSpec &Spec, std::uint32_t Tokens) {
   Desk.requestEnded(Spec, Tokens);
+  Limits.forget(Spec.RequestId);
 }
 
-std::optional<Status> EntryRuntime::debit(const FlowSpec & /*Spec*/,
-                                          std::uint64_t /*Tokens*/) {
-  return Status{std::monostate{}};
+std::optional<Status> EntryRuntime::debit(const FlowSpec &Spec,
+                                          std::uint64_t Tokens) {
+  return Limits.debit(Spec.RequestId, Spec.Account, Tokens);
 }
 
-void EntryRuntime::refund(const FlowSpec & /*Spec*/, std::uint64_t /*Tokens*/) {
+void EntryRuntime::refund(const FlowSpec &Spec, std::uint64_t Tokens) {
+  Limits.refund(Spec.RequestId, Spec.Account, Tokens);
 }
 
 void EntryRuntime::claim(const FlowSpec &Spec, const wire::Claim &Claim) {
@@ -239,26 +259,6 @@
   Claims.record(Outcome);
 }
 
-void EntryRuntime::scheduleTick() {
-  Ticker.expires_after(TickInterval);
-  Ticker.async_wait([this](const boost::system::error_code &Code) {
-    if (Code)
-      return;
-    tick();
-    scheduleTick();
-  });
-}
-
-void EntryRuntime::tick() {
-  Links->tick();
-  for (const std::string &Address : Directory.addresses())
-    if (!Links->reachable(Address))
-      Desk.reachable(Directory.endpointAt(Address), false);
-  Requests.tick();
-  Desk.pump(Requests, true);
-  Admin.tick();
-}
-
 std::optional<Error> EntryRuntime::whyClosed() const {
   if (!Draining)
     return std::nullopt;
@@ -284,31 +284,11 @@
       .set(static_cast<double>(Checks.violations()));
   Measures.gauge("hyssoprail_configuration_version")
       .set(static_cast<double>(Store.current()->version()));
-  {
-    std::lock_guard Lock(FreshnessMutex);
-    Measures.gauge("hyssoprail_log_age_seconds")
-        .set(static_cast<double>(Freshness.logAge(Time.now()).count()) /
-             1000.0);
-  }
+  Measures.gauge("hyssoprail_log_age_seconds")
+      .set(static_cast<double>(logAge().count()) / 1000.0);
   return Measures.prometheusText();
 }
 
-FleetStatus EntryRuntime::fleetStatus() {
-  FleetStatus Status;
-  Status.Violations = Checks.violations();
-  ProcessStatus &Own = Status.Processes.emplace_back();
-  Own.Member.set_name(Settings.Process.Name);
-  Own.Member.set_role("entry");
-  Own.Member.set_zone(Settings.Process.Zone);
-  Own.Member.set_incarnation(Incarnation);
-  Own.Member.set_version(Store.current()->version());
-  Own.Member.set_leaving(Draining);
-  Own.Member.set_peer_address(Sockets->boundAddress());
-  std::lock_guard Lock(FreshnessMutex);
-  Status.LogAge = Freshness.logAge(Time.now());
-  return Status;
-}
-
 bool EntryRuntime::keyValid(std::string_view Digest,
                             std::string_view Account) const {
   const ConfigPtr Config = Store.current();
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -21,8 +21,11 @@
 #include "hyssoprail/entry/config_exchange.hpp"
 #include "hyssoprail/entry/config_freshness.hpp"
 #include "hyssoprail/entry/endpoint_directory.hpp"
+#include "hyssoprail/entry/limit_desk.hpp"
 #include "hyssoprail/entry/live_work.hpp"
 #include "hyssoprail/entry/log_follower.hpp"
+#include "hyssoprail/entry/member_keeper.hpp"
+#include "hyssoprail/entry/process_table.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
 #include "hyssoprail/entry/scheduling_desk.hpp"
 #include "hyssoprail/process/metrics.hpp"
@@ -80,6 +83,13 @@
   wire::Heartbeat makeHeartbeat(const std::string &Address);
   void scheduleTick();
   void tick();
+  void tickLimits();
+  void tickMembers();
+  void appendMember(const wire::Member &Member);
+  void linkMembers();
+  LimitPorts limitPorts();
+  wire::MemberStatus ownStatus();
+  milliseconds logAge();
   std::optional<Error> whyClosed() const;
   std::optional<Error> whyKeysUnchecked();
   std::string metricsText();
@@ -115,12 +125,17 @@
   LogFollower Log;
   ClaimWriter Claims;
   AdminDesk Admin;
+  ProcessTable Processes;
+  RandomSource LimitRandom;
+  LimitDesk Limits;
+  std::unique_ptr<MemberKeeper> Members;
   std::unique_ptr<Bus> Sockets;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> AdminServer;
   std::thread ControlThread;
   std::atomic<std::uint64_t> ReplySeq{0};
+  std::uint64_t Ticks = 0;
   std::atomic<bool> Draining{false};
 };
 
--- /dev/null
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -0,0 +1,136 @@
+#include <boost/asio/post.hpp>
+
+#include "hyssoprail/entry/entry_runtime.hpp"
+#include "hyssoprail/version/record_codec.hpp"
+
+namespace hyssoprail::entry {
+namespace {
+
+/// Interval of link heartbeats, request timers and the scheduler's clock.
+constexpr milliseconds TickInterval{10};
+
+/// Ticks between two rounds of the limits and of the members.
+constexpr std::uint64_t LimitTicks = 4;
+constexpr std::uint64_t MemberTicks = 25;
+
+/// Age up to which a process is listed in the status.
+constexpr milliseconds StatusAge{30'000};
+
+/// The log counts as healthy while its end was read within this time.
+constexpr milliseconds HealthyLogAge{2'000};
+
+} // namespace
+
+void EntryRuntime::scheduleTick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](const boost::system::error_code &Code) {
+    if (Code)
+      return;
+    tick();
+    scheduleTick();
+  });
+}
+
+void EntryRuntime::tick() {
+  Links->tick();
+  for (const std::string &Address : Directory.addresses())
+    if (!Links->reachable(Address))
+      Desk.reachable(Directory.endpointAt(Address), false);
+  Requests.tick();
+  Desk.pump(Requests, true);
+  Admin.tick();
+  ++Ticks;
+  if (Ticks % LimitTicks == 0)
+    tickLimits();
+  if (Ticks % MemberTicks == 0)
+    tickMembers();
+}
+
+void EntryRuntime::tickLimits() {
+  std::vector<LivePeer> Peers;
+  for (const ProcessStatus &P : Processes.list(Settings.Suspect))
+    if (P.Member.role() == "entry")
+      Peers.push_back(
+          {P.Member.incarnation(), P.Member.version(), P.Member.leaving()});
+  Limits.tick(std::move(Peers));
+}
+
+void EntryRuntime::tickMembers() {
+  const auto Silence = [this](std::uint64_t Other) {
+    return Processes.silence(Other);
+  };
+  const std::optional<wire::Member> Record = Members->next(
+      Time.now(), Store.members(), Silence, logAge() <= HealthyLogAge);
+  if (Record && !Draining)
+    appendMember(*Record);
+}
+
+void EntryRuntime::appendMember(const wire::Member &Member) {
+  wire::LogRecord Record;
+  Record.set_operation_id((Member.gone() ? "gone-" : "member-") +
+                          hexId(Member.incarnation(), 0));
+  Record.set_author(Settings.Process.Name);
+  Record.set_unix_ms(Time.unixMicros() / 1000);
+  *Record.mutable_member() = Member;
+  // It is appended again if it does not show up in the state.
+  Platform.append(encodeStable(Record), [](const Result<std::uint64_t> &) {});
+}
+
+/// Keeps links to all member entries.
+void EntryRuntime::linkMembers() {
+  const std::string Own = Sockets->boundAddress();
+  for (const wire::MemberState &M : Store.members()) {
+    const std::string &Address = M.member().peer_address();
+    if (!M.member().gone() && Address != Own && !Address.empty())
+      Links->ensure(Address);
+  }
+}
+
+LimitPorts EntryRuntime::limitPorts() {
+  LimitPorts Ports;
+  Ports.Send = [this](const SendToEntry &Send) {
+    wire::Envelope Message = Send.Message;
+    Message.set_to_incarnation(Send.Incarnation);
+    Links->send(Send.Address, std::move(Message));
+  };
+  Ports.Answer = [this](const std::string &RequestId, const Status &Answer) {
+    Requests.post(RequestId,
+                  [&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
+                    F.debited(Answer, Now, Out);
+                  });
+    Desk.pump(Requests, false);
+  };
+  Ports.LogRead = [this](TimePoint Began) {
+    std::lock_guard Lock(FreshnessMutex);
+    Freshness.logRead(Began);
+  };
+  return Ports;
+}
+
+wire::MemberStatus EntryRuntime::ownStatus() {
+  wire::MemberStatus Own;
+  Own.set_name(Settings.Process.Name);
+  Own.set_role("entry");
+  Own.set_zone(Settings.Process.Zone);
+  Own.set_incarnation(Incarnation);
+  Own.set_version(Store.current()->version());
+  Own.set_leaving(Draining);
+  Own.set_peer_address(Sockets->boundAddress());
+  return Own;
+}
+
+FleetStatus EntryRuntime::fleetStatus() {
+  FleetStatus Status;
+  Status.Processes = Processes.list(StatusAge);
+  Status.Processes.push_back({ownStatus(), std::nullopt});
+  Status.LogAge = logAge();
+  Status.Violations = Checks.violations();
+  return Status;
+}
+
+milliseconds EntryRuntime::logAge() {
+  std::lock_guard Lock(FreshnessMutex);
+  return Freshness.logAge(Time.now());
+}
+
+} // namespace hyssoprail::entry
--- a/src/hyssoprail/entry/limit_desk.cpp
+++ b/src/hyssoprail/entry/limit_desk.cpp
@@ -21,13 +21,18 @@
   if (Answer.Result == wire::DEBIT_RESULT_OVER_RATE && Pause.count() == 0)
     return {ErrorKind::RateLimited,
             "the request needs more tokens than the account's burst",
-            "ask for fewer tokens", "max_tokens", {}};
+            "ask for fewer tokens",
+            "max_tokens",
+            {}};
   if (Answer.Result == wire::DEBIT_RESULT_OVER_RATE)
     return {ErrorKind::RateLimited, "the account is over its rate",
             "send the request again after the pause", "", Pause};
   if (Answer.Result == wire::DEBIT_RESULT_UNKNOWN_ACCOUNT)
-    return {ErrorKind::Unauthenticated, "the account was removed",
-            "use a key of another account", "Authorization", {}};
+    return {ErrorKind::Unauthenticated,
+            "the account was removed",
+            "use a key of another account",
+            "Authorization",
+            {}};
   return {ErrorKind::Unavailable,
           "the owner of the account's limit does not answer",
           "send the request again after the pause", "",
@@ -78,9 +83,8 @@
 };
 
 LimitDesk::LimitDesk(std::unique_ptr<LimitService> Service, ConfigStore &Store,
-                     boost::asio::io_context &Context,
-                     PlatformClient &Platform, const Clock &Time,
-                     std::string Author, LimitPorts Ports)
+                     boost::asio::io_context &Context, PlatformClient &Platform,
+                     const Clock &Time, std::string Author, LimitPorts Ports)
     : Service(std::move(Service)),
       Accounts(std::make_shared<const AccountLimits>()), Store(Store),
       Context(Context), Platform(Platform), Time(Time),
@@ -97,8 +101,8 @@
   return carryOut(std::move(Actions), RequestId);
 }
 
-void LimitDesk::refund(const std::string &RequestId,
-                       const std::string &Account, std::uint64_t Tokens) {
+void LimitDesk::refund(const std::string &RequestId, const std::string &Account,
+                       std::uint64_t Tokens) {
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
--- a/src/hyssoprail/entry/limit_desk.hpp
+++ b/src/hyssoprail/entry/limit_desk.hpp
@@ -37,8 +37,7 @@
 
   /// Debits tokens; returns the answer if it is known at once.
   std::optional<Status> debit(const std::string &RequestId,
-                              const std::string &Account,
-                              std::uint64_t Tokens);
+                              const std::string &Account, std::uint64_t Tokens);
 
   /// Returns unused tokens of the request's debit.
   void refund(const std::string &RequestId, const std::string &Account,
--- a/src/hyssoprail/entry/member_keeper.cpp
+++ b/src/hyssoprail/entry/member_keeper.cpp
@@ -16,10 +16,10 @@
 
 } // namespace
 
-std::optional<wire::Member> MemberKeeper::next(
-    TimePoint Now, const std::vector<wire::MemberState> &Members,
-    const std::function<milliseconds(std::uint64_t)> &Silence,
-    bool LogHealthy) {
+std::optional<wire::Member>
+MemberKeeper::next(TimePoint Now, const std::vector<wire::MemberState> &Members,
+                   const std::function<milliseconds(std::uint64_t)> &Silence,
+                   bool LogHealthy) {
   if (!LogHealthy)
     HealthySince.reset();
   else if (!HealthySince)
@@ -51,11 +51,11 @@
 bool MemberKeeper::isFirstLive(
     const std::vector<wire::MemberState> &Members,
     const std::function<milliseconds(std::uint64_t)> &Silence) const {
-  return std::none_of(
-      Members.begin(), Members.end(), [&](const wire::MemberState &M) {
-        return M.member().incarnation() < Self.incarnation() &&
-               Silence(M.member().incarnation()) <= LiveWithin;
-      });
+  return std::none_of(Members.begin(), Members.end(),
+                      [&](const wire::MemberState &M) {
+                        return M.member().incarnation() < Self.incarnation() &&
+                               Silence(M.member().incarnation()) <= LiveWithin;
+                      });
 }
 
 } // namespace hyssoprail::entry
--- a/src/hyssoprail/entry/member_keeper.hpp
+++ b/src/hyssoprail/entry/member_keeper.hpp
@@ -25,9 +25,9 @@
        bool LogHealthy);
 
 private:
-  bool isFirstLive(const std::vector<wire::MemberState> &Members,
-                   const std::function<milliseconds(std::uint64_t)> &Silence)
-      const;
+  bool
+  isFirstLive(const std::vector<wire::MemberState> &Members,
+              const std::function<milliseconds(std::uint64_t)> &Silence) const;
 
   wire::Member Self;
   TimePoint NotBefore;
