--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -66,7 +66,7 @@
 
 /// A message over a link that this entry opened.
 void EntryRuntime::onLinkMessage(const std::string &Address,
-                                 wire::Envelope Message) {
+                                 const wire::Envelope &Message) {
   if (Message.has_heartbeat_ack())
     return onAck(Address, Message);
   if (workOf(Message) != nullptr)
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -123,8 +123,8 @@
     return makeHeartbeat(Address);
   };
   Callbacks.OnMessage = [this](const std::string &Address,
-                               wire::Envelope Message) {
-    onLinkMessage(Address, std::move(Message));
+                               const wire::Envelope &Message) {
+    onLinkMessage(Address, Message);
   };
   Callbacks.OnReplaced = [this](const std::string &Address) {
     onReplaced(Address);
@@ -135,13 +135,13 @@
   };
   Links = std::make_unique<PeerLinks>(*Sockets, Time, LinkOptions,
                                       std::move(Callbacks));
-  const Status Bound =
+  Status Bound =
       Sockets->start([this](const BusSource &Source, wire::Envelope Message) {
         onBusMessage(Source, std::move(Message));
       });
   if (errorOf(Bound) != nullptr)
     return Bound;
-  const Status Listening = startServers();
+  Status Listening = startServers();
   if (errorOf(Listening) != nullptr)
     return Listening;
   wire::Member Self;
@@ -175,7 +175,7 @@
         Callers.handleOwn(Exchange);
       });
   for (HttpServer *Server : {CallerServer.get(), AdminServer.get()}) {
-    const Status Started = Server->start();
+    Status Started = Server->start();
     if (errorOf(Started) != nullptr)
       return Started;
   }
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -70,7 +70,7 @@
   Status startServers();
   void startLinks();
   void onBusMessage(const BusSource &Source, wire::Envelope Message);
-  void onLinkMessage(const std::string &Address, wire::Envelope Message);
+  void onLinkMessage(const std::string &Address, const wire::Envelope &Message);
   void onPeerMessage(const BusSource &Source, const wire::Envelope &Message);
   void onAck(const std::string &Address, const wire::Envelope &Message);
   void onWorkMessage(const std::string &Endpoint,
