--- a/src/hyssoprail/version/config_store.cpp
+++ b/src/hyssoprail/version/config_store.cpp
@@ -54,12 +54,14 @@
 
 void ConfigStore::applyLocked(const std::vector<wire::OffsetRecord> &Records,
                               ConfigUpdate &Update, BatchResult &Result) {
+  bool Searched = false;
   for (const wire::OffsetRecord &R : Records) {
     ApplyResult One = State.apply(R.offset(), R.record());
-    if (One.Outcome == ApplyOutcome::Gap && !Result.Restored &&
-        restoreFrom(Records)) {
-      Result.Restored = Update.Restored = true;
-      One = State.apply(R.offset(), R.record());
+    if (One.Outcome == ApplyOutcome::Gap && !Searched) {
+      Searched = true;
+      Result.Restored = Update.Restored = restoreFrom(Records);
+      if (Result.Restored)
+        One = State.apply(R.offset(), R.record());
     }
     Result.Gap = Result.Gap || One.Outcome == ApplyOutcome::Gap;
     if (!One.counted())
