Test links, HTTP server and client over sockets; fix the faults found

The HTTP layer and the links had no tests.

Faults found and fixed: - A request that came in late got no 408: the stream's own timer closed the socket first. A session now has one deadline timer that cancels the read. - A drain that began right after a keep-alive answer closed the connection under a request on its way. The promise made in the answer is now kept, and idle connections stay readable for DrainGrace (250 ms). - A caller that did not read could hold any amount of memory and was not cut off until the write timeout. A call could take twice its timeout. Targets and headers could smuggle a second request. - Further parts of a ZeroMQ message were read as the next message's sender. Messages over 64 MiB are now refused. - Padding inside base64 was accepted.

--- a/include/hyssoprail/connection/http_message.hpp
+++ b/include/hyssoprail/connection/http_message.hpp
@@ -17,6 +17,11 @@
 /// Returns the value of the first header called \p Name (any case), or "".
 std::string_view headerValue(const HttpHeaders &Headers, std::string_view Name);
 
+/// False for headers that belong to one connection (Connection, Keep-Alive,
+/// TE, Trailer, Transfer-Encoding, Upgrade, Content-Length, Proxy-Connection),
+/// and for names or values that would break the framing of a message.
+bool mayForwardHeader(const HttpHeader &Header);
+
 /// A complete request.
 struct HttpRequest {
   std::string Method; ///< "GET", "POST", ...
--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -52,15 +52,22 @@
   unsigned Threads = 1;
   std::uint32_t MaxHeaderBytes = 16 * 1024;
   std::uint64_t MaxBodyBytes = 8 * 1024 * 1024;
+  /// A streamed answer whose caller is this far behind is broken off.
+  std::size_t MaxUnsentBytes = 16 * 1024 * 1024;
   std::chrono::milliseconds ReadTimeout{10'000};  ///< from first byte to last
   std::chrono::milliseconds IdleTimeout{60'000};  ///< between requests
   std::chrono::milliseconds WriteTimeout{30'000}; ///< for one write
+  /// How long a draining server still reads requests that were on their way
+  /// on idle connections.
+  std::chrono::milliseconds DrainGrace{250};
   /// Makes the answer to a request that could not be read.
   std::function<HttpResponse(const Error &)> ErrorResponse;
 };
 
 /// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
-/// one thread.
+/// one thread. Exchanges may outlive the server; their calls then have no
+/// effect. The server writes the headers that frame a message itself and drops
+/// those of the handler (see mayForwardHeader).
 ///
 /// \code
 ///   auto Server = makeHttpServer(Options, [](auto Exchange) {
@@ -76,8 +83,8 @@
   /// use.
   virtual Status start() = 0;
 
-  /// Stops accepting connections and closes idle ones; requests in progress go
-  /// on, and their answers carry "Connection: close".
+  /// Stops accepting connections and closes idle ones after DrainGrace.
+  /// Requests in progress go on, and answers carry "Connection: close".
   virtual void drain() = 0;
 
   /// Closes everything and joins the threads.
--- a/src/hyssoprail/connection/base64.cpp
+++ b/src/hyssoprail/connection/base64.cpp
@@ -27,9 +27,11 @@
 std::optional<std::string> decodeBase64(std::string_view Text) {
   if (Text.empty())
     return std::string();
-  // EVP_DecodeBlock accepts surrounding whitespace, which is no base64 here.
+  // EVP_DecodeBlock accepts surrounding whitespace and padding anywhere, which
+  // are no base64 here.
   if (Text.size() % 4 != 0 ||
-      Text.find_first_of(" \t\r\n") != std::string_view::npos)
+      Text.find_first_of(" \t\r\n") != std::string_view::npos ||
+      Text.find('=') < Text.size() - 2)
     return std::nullopt;
   std::string Out(Text.size() / 4 * 3, '\0');
   const int Size =
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/connection/http_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -19,6 +20,10 @@
 
 constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxIdlePerAuthority = 64;
+
+/// Shorter than the idle timeout of servers, so that a kept connection is not
+/// closed by the server while a request is on its way.
+constexpr std::chrono::seconds MaxIdleTime{20};
 constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
 
 Error unavailable(const std::string &Authority, const std::string &Reason) {
@@ -62,7 +67,8 @@
   Message.target(Call.Request.Target);
   Message.set(http::field::host, Call.Authority);
   for (const HttpHeader &H : Call.Request.Headers)
-    Message.insert(H.Name, H.Value);
+    if (mayForwardHeader(H))
+      Message.insert(H.Name, H.Value);
   Message.body() = std::move(Call.Request.Body);
   Message.keep_alive(!Call.FreshConnection);
   Message.prepare_payload();
@@ -73,6 +79,7 @@
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
+  std::chrono::steady_clock::time_point IdleSince;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -99,13 +106,16 @@
     auto &Kept = Idle[Authority];
     if (Kept.size() < MaxIdlePerAuthority && C->Buffer.size() == 0) {
       C->Stream.expires_never();
+      C->IdleSince = std::chrono::steady_clock::now();
       Kept.push_back(std::move(C));
     }
   }
 
 private:
-  /// False if the peer closed the connection while it was idle.
+  /// False if the connection is old or the peer closed it while it was idle.
   static bool usable(Connection &C) {
+    if (std::chrono::steady_clock::now() - C.IdleSince > MaxIdleTime)
+      return false;
     char Byte = 0;
     beast::error_code Code;
     C.Stream.socket().non_blocking(true, Code);
@@ -118,8 +128,28 @@
   std::map<std::string, std::vector<ConnectionPtr>> Idle;
 };
 
+/// Rejects what would break the framing of the request.
+std::optional<Error> checkCall(const HttpCall &Call) {
+  const auto Unsafe = [](char C) {
+    return static_cast<unsigned char>(C) <= ' ' || C == 0x7f;
+  };
+  const std::string &Method = Call.Request.Method;
+  const std::string &Target = Call.Request.Target;
+  if (!Method.empty() && !Target.empty() &&
+      std::none_of(Method.begin(), Method.end(), Unsafe) &&
+      std::none_of(Target.begin(), Target.end(), Unsafe))
+    return std::nullopt;
+  return Error{ErrorKind::InvalidRequest,
+               "method or target is empty or contains whitespace",
+               "encode the target as RFC 3986 describes",
+               "target",
+               {}};
+}
+
 asio::awaitable<Result<ConnectionPtr>> connect(std::shared_ptr<Pool> Kept,
                                                const HttpCall &Call) {
+  if (auto E = checkCall(Call))
+    co_return *E;
   if (!Call.FreshConnection)
     if (ConnectionPtr C = Kept->take(Call.Authority))
       co_return C;
@@ -138,11 +168,12 @@
 
 asio::awaitable<Result<HttpResponse>> runCall(std::shared_ptr<Pool> Kept,
                                               HttpCall Call) {
+  const auto Deadline = std::chrono::steady_clock::now() + Call.Timeout;
   Result<ConnectionPtr> Connected = co_await connect(Kept, Call);
   if (const Error *E = errorOf(Connected))
     co_return *E;
   ConnectionPtr C = valueOf(Connected);
-  C->Stream.expires_after(Call.Timeout);
+  C->Stream.expires_at(Deadline);
   auto Message = makeMessage(Call);
   auto [WriteCode, Written] =
       co_await http::async_write(C->Stream, Message, NoThrow);
@@ -150,6 +181,7 @@
     co_return lost(Call.Authority, WriteCode);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxAnswerBytes);
+  Parser.skip(Call.Request.Method == "HEAD");
   auto [ReadCode, Read] =
       co_await http::async_read(C->Stream, C->Buffer, Parser, NoThrow);
   if (ReadCode)
@@ -173,9 +205,10 @@
       : Kept(std::move(Kept)), Call(std::move(Call)),
         Handlers(std::move(Handlers)) {}
 
+  /// May be called from one of the handlers, so they are kept until the end of
+  /// run().
   void cancel() override {
     Cancelled = true;
-    Handlers = {};
     if (Active) {
       Active->Stream.cancel();
       Active->Stream.close();
--- /dev/null
+++ b/src/hyssoprail/connection/http_client_test.cpp
@@ -0,0 +1,206 @@
+#include "hyssoprail/connection/http_client.hpp"
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/testing/http_fixture.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using boost::asio::ip::tcp;
+using testing::waitUntil;
+
+/// Accepts connections, waits for the first bytes, answers with fixed bytes,
+/// and closes if told to.
+class ScriptedServer {
+public:
+  ScriptedServer(std::string Answer, bool Close)
+      : Answer(std::move(Answer)), Close(Close),
+        Acceptor(Loop.context(), {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  ~ScriptedServer() { Loop.stop(); }
+
+  std::string authority() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  unsigned connections() const { return Connections; }
+
+private:
+  struct Peer {
+    explicit Peer(tcp::socket S) : Socket(std::move(S)) {}
+    tcp::socket Socket;
+    std::array<char, 4096> Data{};
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](const auto &Code, tcp::socket Socket) {
+      if (Code)
+        return;
+      ++Connections;
+      serve(std::make_shared<Peer>(std::move(Socket)));
+      accept();
+    });
+  }
+
+  void serve(const std::shared_ptr<Peer> &P) {
+    P->Socket.async_read_some(
+        boost::asio::buffer(P->Data), [this, P](const auto &Code, std::size_t) {
+          boost::system::error_code Ignored;
+          if (Code)
+            return;
+          boost::asio::write(P->Socket, boost::asio::buffer(Answer), Ignored);
+          if (!Close)
+            serve(P);
+        });
+  }
+
+  testing::LoopThread Loop;
+  std::string Answer;
+  bool Close;
+  tcp::acceptor Acceptor;
+  std::atomic<unsigned> Connections{0};
+};
+
+HttpCall callTo(const std::string &Authority) {
+  HttpCall Call;
+  Call.Authority = Authority;
+  Call.Request = {"GET", "/", {}, ""};
+  Call.Timeout = std::chrono::milliseconds(5'000);
+  return Call;
+}
+
+ErrorKind failureOf(const HttpCall &Call) {
+  testing::TestClient Client;
+  const Result<HttpResponse> R = Client.begin(Call).get();
+  REQUIRE_FALSE(succeeded(R));
+  return errorOf(R)->Kind;
+}
+
+constexpr const char *Plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against "not run" for a request that was sent: only a failed
+// connection may be reported as Unavailable.
+TEST_CASE("errors of a call say whether anything was sent") {
+  std::string Unused;
+  {
+    ScriptedServer Gone(Plain, true);
+    Unused = Gone.authority();
+  }
+  CHECK(failureOf(callTo(Unused)) == ErrorKind::Unavailable);
+  CHECK(failureOf(callTo("no-address")) == ErrorKind::Unavailable);
+  CHECK(failureOf(callTo("127.0.0.1:99999")) == ErrorKind::Unavailable);
+  for (const char *Broken :
+       {"", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab"}) {
+    ScriptedServer S(Broken, true);
+    CHECK(failureOf(callTo(S.authority())) == ErrorKind::UpstreamFailed);
+  }
+  ScriptedServer Silent("", false);
+  HttpCall Call = callTo(Silent.authority());
+  Call.Timeout = std::chrono::milliseconds(50);
+  CHECK(failureOf(Call) == ErrorKind::DeadlineExceeded);
+}
+
+// Guards against a second request that is smuggled in through a target or a
+// header value.
+TEST_CASE("targets and headers cannot break the framing of a request") {
+  std::atomic<std::size_t> Headers{0};
+  testing::EmulatorServer S([&](const auto &Exchange) {
+    Headers = Exchange->request().Headers.size();
+    Exchange->respond({200, {}, ""});
+  });
+  REQUIRE(S.start());
+  HttpCall Call = callTo(S.authority());
+  Call.Request.Target = "/a HTTP/1.1\r\n\r\nGET /b";
+  CHECK(failureOf(Call) == ErrorKind::InvalidRequest);
+  Call.Request.Target = "/a";
+  testing::TestClient Client;
+  REQUIRE(succeeded(Client.begin(Call).get()));
+  const std::size_t Without = Headers;
+  Call.Request.Headers = {{"X", "a\r\nY: b"},
+                          {"Z\r\nQ", "b"},
+                          {"Content-Length", "7"},
+                          {"Transfer-Encoding", "chunked"},
+                          {"Good", "yes"}};
+  REQUIRE(succeeded(Client.begin(Call).get()));
+  CHECK(Headers == Without + 1);
+}
+
+// Guards against a new connection for each call, and against the use of a
+// connection that the server closed.
+TEST_CASE("connections are kept and closed ones are replaced") {
+  testing::TestClient Client;
+  ScriptedServer Keeping(Plain, false);
+  for (int I = 0; I < 3; ++I)
+    CHECK(valueOf(Client.begin(callTo(Keeping.authority())).get()).Body ==
+          "ok");
+  CHECK(Keeping.connections() == 1);
+  HttpCall Fresh = callTo(Keeping.authority());
+  Fresh.FreshConnection = true;
+  CHECK(succeeded(Client.begin(Fresh).get()));
+  CHECK(Keeping.connections() == 2);
+}
+
+// Guards against functions called after cancel(), and against a crash when
+// cancel() is called from one of them.
+TEST_CASE("a stream may be cancelled from its own handlers") {
+  std::atomic<unsigned> Disconnects{0};
+  testing::EmulatorServer S([&](const auto &Exchange) {
+    Exchange->onDisconnect([&] { ++Disconnects; });
+    Exchange->begin(200, {});
+    Exchange->write("a");
+  });
+  REQUIRE(S.start());
+  testing::TestClient Client;
+  std::atomic<unsigned> Data{0};
+  std::atomic<unsigned> Ends{0};
+  std::shared_ptr<HttpStream> Stream;
+  boost::asio::post(Client.context(), [&] {
+    HttpStreamHandlers Handlers;
+    Handlers.OnData = [&](std::string_view) {
+      ++Data;
+      Stream->cancel();
+    };
+    Handlers.OnEnd = [&](const Status &) { ++Ends; };
+    Stream = Client.client().stream(callTo(S.authority()), Handlers);
+  });
+  CHECK(waitUntil([&] { return Disconnects == 1; }));
+  CHECK(Data == 1);
+  CHECK(Ends == 0);
+}
+
+// Guards against a truncated stream that is reported as complete.
+TEST_CASE("a stream reports its end once, with an error if truncated") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const bool Whole : {true, false}) {
+    ScriptedServer S(Head + "2\r\nab\r\n" + (Whole ? "0\r\n\r\n" : ""), true);
+    testing::TestClient Client;
+    std::promise<Status> End;
+    std::string Data;
+    boost::asio::post(Client.context(), [&] {
+      HttpStreamHandlers Handlers;
+      Handlers.OnData = [&](std::string_view D) { Data += D; };
+      Handlers.OnEnd = [&](Status E) { End.set_value(std::move(E)); };
+      Client.client().stream(callTo(S.authority()), Handlers);
+    });
+    CHECK(succeeded(End.get_future().get()) == Whole);
+    CHECK(Data == "ab");
+  }
+}
+
+} // namespace hyssoprail
--- a/src/hyssoprail/connection/http_message.cpp
+++ b/src/hyssoprail/connection/http_message.cpp
@@ -1,8 +1,43 @@
 #include "hyssoprail/connection/http_message.hpp"
 
+#include <algorithm>
+#include <array>
+
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace hyssoprail {
+namespace {
+
+constexpr std::array<std::string_view, 8> ConnectionHeaders{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",
+};
+
+/// Characters of a token in RFC 9110 besides letters and digits.
+constexpr std::string_view TokenMarks = "!#$%&'*+-.^_`|~";
+
+bool isTokenChar(char C) {
+  const bool Alphanumeric = (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+                            (C >= 'A' && C <= 'Z');
+  return Alphanumeric || TokenMarks.find(C) != std::string_view::npos;
+}
+
+bool isControl(char C) {
+  return (C >= 0 && C < 0x20 && C != '\t') || C == 0x7f;
+}
+
+} // namespace
+
+bool mayForwardHeader(const HttpHeader &Header) {
+  if (Header.Name.empty() ||
+      !std::all_of(Header.Name.begin(), Header.Name.end(), isTokenChar) ||
+      std::any_of(Header.Value.begin(), Header.Value.end(), isControl))
+    return false;
+  return std::none_of(ConnectionHeaders.begin(), ConnectionHeaders.end(),
+                      [&](std::string_view Name) {
+                        return boost::algorithm::iequals(Name, Header.Name);
+                      });
+}
 
 std::string_view headerValue(const HttpHeaders &Headers,
                              std::string_view Name) {
--- /dev/null
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -0,0 +1,403 @@
+#include "hyssoprail/connection/http_session.hpp"
+
+#include <array>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <spdlog/spdlog.h>
+
+namespace hyssoprail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
+
+/// Size of the first read of a request; small, because idle keep-alive
+/// connections keep their buffer.
+constexpr std::size_t ReadChunkBytes = 2048;
+
+/// Bounds of what is read after the last answer.
+constexpr std::size_t MaxLingerBytes = std::size_t{1024} * 1024;
+constexpr std::chrono::milliseconds LingerTime{1'000};
+
+HttpRequest takeRequest(http::request<http::string_body> &&Message) {
+  HttpRequest Out;
+  Out.Method = std::string(Message.method_string());
+  Out.Target = std::string(Message.target());
+  for (const auto &Field : Message)
+    Out.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Out.Body = std::move(Message.body());
+  return Out;
+}
+
+Error readError(const beast::error_code &Code) {
+  if (Code == http::error::body_limit)
+    return {ErrorKind::TooLarge,
+            "the request body is too large",
+            "send a smaller body",
+            "body",
+            {}};
+  if (Code == http::error::header_limit || Code == http::error::buffer_overflow)
+    return {ErrorKind::TooLarge,
+            "the request headers are too large",
+            "send fewer or smaller headers",
+            "headers",
+            {}};
+  if (Code == beast::error::timeout)
+    return {ErrorKind::RequestTimeout,
+            "the request took too long to arrive",
+            "send the request without pauses",
+            "",
+            {}};
+  return {ErrorKind::InvalidRequest,
+          "the request is not valid HTTP/1.1",
+          "send a request line, headers and a body as RFC 9112 describes",
+          "",
+          {}};
+}
+
+/// True if the connection is gone, so that no answer can be sent.
+bool connectionEnded(const beast::error_code &Code) {
+  return Code == http::error::end_of_stream ||
+         Code == http::error::partial_message || Code == asio::error::eof ||
+         Code == asio::error::operation_aborted ||
+         Code == asio::error::connection_reset;
+}
+
+template <typename Message>
+void addHeaders(Message &Out, const HttpHeaders &Headers) {
+  for (const HttpHeader &H : Headers)
+    if (mayForwardHeader(H))
+      Out.insert(H.Name, H.Value);
+}
+
+} // namespace
+
+HttpSession::HttpSession(tcp::socket Socket, std::shared_ptr<ServerState> State)
+    : Socket(std::move(Socket)), State(std::move(State)),
+      Signal(this->Socket.get_executor(), Clock::time_point::max()),
+      Timer(this->Socket.get_executor()) {}
+
+HttpSession::~HttpSession() {
+  if (Current)
+    Current->complete();
+}
+
+void HttpSession::start() {
+  asio::co_spawn(
+      Socket.get_executor(),
+      [Self = shared_from_this()] { return Self->run(); }, asio::detached);
+}
+
+void HttpSession::drain() {
+  if (Idle)
+    setDeadline(State->Options.DrainGrace);
+}
+
+void HttpSession::close() {
+  Code Ignored;
+  Socket.close(Ignored);
+  Signal.cancel();
+  Timer.cancel();
+}
+
+asio::awaitable<void> HttpSession::run() {
+  Code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  bool KeepOpen = true;
+  while (KeepOpen)
+    KeepOpen = co_await serveOne();
+  if (Linger)
+    co_await linger();
+  close();
+}
+
+/// Reads what the caller still sends, so that closing does not reset the
+/// connection before the answer arrives.
+asio::awaitable<void> HttpSession::linger() {
+  Code Ignored;
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  setDeadline(LingerTime);
+  std::size_t Drained = 0;
+  while (Drained < MaxLingerBytes) {
+    Buffer.clear();
+    auto [Failure, Size] = co_await Socket.async_read_some(
+        Buffer.prepare(ReadChunkBytes), NoThrow);
+    if (Failure)
+      break;
+    Drained += Size;
+  }
+}
+
+/// Reads and answers one request; returns false if the connection ends.
+asio::awaitable<bool> HttpSession::serveOne() {
+  if (!co_await waitForFirstByte())
+    co_return false;
+  std::optional<Parser> P(std::in_place);
+  const Code Failure = co_await readRequest(*P);
+  if (Failure) {
+    co_await answerReadError(Failure);
+    co_return false;
+  }
+  const bool KeepAlive = P->keep_alive();
+  const unsigned Version = P->get().version();
+  const auto Exchange = makeExchange(takeRequest(P->release()));
+  P.reset(); // frees its memory while the answer is made
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  Current = Exchange;
+  ++State->Open;
+  watchForDisconnect();
+  callHandler(Exchange);
+  const bool Sent = co_await answer(*Exchange, KeepAlive, Version);
+  --State->Open;
+  if (!Sent && !Linger)
+    Exchange->disconnect();
+  Exchange->complete();
+  Current.reset();
+  Linger = Linger || Sent;
+  co_return Sent &&PromisedKeepAlive;
+}
+
+asio::awaitable<bool> HttpSession::waitForFirstByte() {
+  if (Buffer.size() > 0)
+    co_return true;
+  Buffer.shrink_to_fit();
+  Idle = true;
+  setDeadline(State->Draining ? State->Options.DrainGrace
+                              : State->Options.IdleTimeout);
+  Linger = false;
+  auto [Failure, Size] =
+      co_await Socket.async_read_some(Buffer.prepare(ReadChunkBytes), NoThrow);
+  Idle = false;
+  if (Failure)
+    co_return false;
+  Buffer.commit(Size);
+  co_return true;
+}
+
+asio::awaitable<HttpSession::Code> HttpSession::readRequest(Parser &P) {
+  P.header_limit(State->Options.MaxHeaderBytes);
+  P.body_limit(State->Options.MaxBodyBytes);
+  setDeadline(State->Options.ReadTimeout);
+  auto [Failure, HeaderBytes] =
+      co_await http::async_read_header(Socket, Buffer, P, NoThrow);
+  if (!Failure && !P.is_done()) {
+    if (beast::iequals(P.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> Continue{http::status::continue_, 11};
+      co_await http::async_write(Socket, Continue, NoThrow);
+    }
+    auto [BodyFailure, BodyBytes] =
+        co_await http::async_read(Socket, Buffer, P, NoThrow);
+    Failure = BodyFailure;
+  }
+  clearDeadline();
+  co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
+}
+
+asio::awaitable<void> HttpSession::answerReadError(Code Failure) {
+  if (connectionEnded(Failure))
+    co_return;
+  TimedOut = false;
+  const Error E = readError(Failure);
+  HttpResponse Response = State->Options.ErrorResponse
+                              ? State->Options.ErrorResponse(E)
+                              : HttpResponse{httpStatus(E.Kind), {}, E.Message};
+  Linger = co_await writeWhole(Response, false, 11, false);
+}
+
+asio::awaitable<bool> HttpSession::answer(ServerExchange &Exchange,
+                                          bool KeepAlive, unsigned Version) {
+  bool HeadSent = false;
+  const bool Chunked = Version >= 11;
+  const bool HeadOnly = Exchange.request().Method == "HEAD";
+  for (;;) {
+    ServerExchange::Step Step = Exchange.takeStep();
+    if (Step.Aborted || Step.Disconnected)
+      co_return false;
+    if (Step.Whole)
+      co_return co_await writeWhole(Exchange.head(), KeepAlive, Version,
+                                    HeadOnly);
+    if (Step.Started && !HeadSent) {
+      HeadSent = true;
+      if (!co_await writeHead(Exchange.head(), KeepAlive && Chunked, Version))
+        co_return false;
+    }
+    const bool HasData = !Step.Data.empty() || (Step.Finished && Chunked);
+    if (HasData && !HeadOnly &&
+        !co_await writeData(std::move(Step.Data), Chunked, Step.Finished))
+      co_return false;
+    if (Step.Finished) {
+      Linger = true;
+      co_return Chunked;
+    }
+    if (!Exchange.woken())
+      co_await Signal.async_wait(NoThrow);
+  }
+}
+
+asio::awaitable<bool> HttpSession::writeWhole(HttpResponse &Response,
+                                              bool KeepAlive, unsigned Version,
+                                              bool HeadOnly) {
+  http::response<http::string_body> Message{
+      static_cast<http::status>(Response.Status), Version};
+  addHeaders(Message, Response.Headers);
+  Message.body() = std::move(Response.Body);
+  Message.keep_alive(promiseKeepAlive(KeepAlive));
+  Message.prepare_payload();
+  setDeadline(State->Options.WriteTimeout);
+  http::response_serializer<http::string_body> Serializer{Message};
+  if (HeadOnly) {
+    auto [Failure, Size] =
+        co_await http::async_write_header(Socket, Serializer, NoThrow);
+    clearDeadline();
+    co_return !Failure;
+  }
+  auto [Failure, Size] =
+      co_await http::async_write(Socket, Serializer, NoThrow);
+  clearDeadline();
+  co_return !Failure;
+}
+
+asio::awaitable<bool> HttpSession::writeHead(HttpResponse &Head, bool KeepAlive,
+                                             unsigned Version) {
+  http::response<http::empty_body> Message{
+      static_cast<http::status>(Head.Status), Version};
+  addHeaders(Message, Head.Headers);
+  Message.keep_alive(promiseKeepAlive(KeepAlive));
+  if (Version >= 11)
+    Message.chunked(true);
+  http::response_serializer<http::empty_body> Serializer{Message};
+  setDeadline(State->Options.WriteTimeout);
+  auto [Failure, Size] =
+      co_await http::async_write_header(Socket, Serializer, NoThrow);
+  clearDeadline();
+  co_return !Failure;
+}
+
+/// Writes \p Data, and the end of the answer if it is the last part.
+asio::awaitable<bool> HttpSession::writeData(std::string Data, bool Chunked,
+                                             bool Last) {
+  if (Chunked) {
+    std::string Framed;
+    if (!Data.empty()) {
+      std::array<char, 20> Size{};
+      std::snprintf(Size.data(), Size.size(), "%zx\r\n", Data.size());
+      Framed.reserve(Data.size() + Size.size() + 8);
+      Framed.append(Size.data()).append(Data).append("\r\n");
+    }
+    if (Last)
+      Framed.append("0\r\n\r\n");
+    Data.swap(Framed);
+  }
+  setDeadline(State->Options.WriteTimeout);
+  auto [Failure, Size] =
+      co_await asio::async_write(Socket, asio::buffer(Data), NoThrow);
+  clearDeadline();
+  co_return !Failure;
+}
+
+/// Decides whether the connection stays open. The caller is told, so a drain
+/// that begins later must not change it.
+bool HttpSession::promiseKeepAlive(bool Wanted) {
+  PromisedKeepAlive = Wanted && !State->Draining;
+  return PromisedKeepAlive;
+}
+
+void HttpSession::callHandler(const std::shared_ptr<ServerExchange> &Exchange) {
+  try {
+    State->Handler(Exchange);
+  } catch (const std::exception &E) {
+    spdlog::error("[http] A handler failed: {}.", E.what());
+    const Error Defect{ErrorKind::Internal,
+                       "the request failed",
+                       "report the request id to the operator",
+                       "",
+                       {}};
+    Exchange->respond(State->Options.ErrorResponse
+                          ? State->Options.ErrorResponse(Defect)
+                          : HttpResponse{500, {}, Defect.Message});
+  }
+}
+
+std::shared_ptr<ServerExchange> HttpSession::makeExchange(HttpRequest Request) {
+  auto Wake = [Executor = Socket.get_executor(), Weak = weak_from_this()] {
+    asio::post(Executor, [Weak] {
+      if (const auto Self = Weak.lock())
+        Self->wakeAnswer();
+    });
+  };
+  return std::make_shared<ServerExchange>(
+      std::move(Request), State->Options.MaxUnsentBytes, std::move(Wake));
+}
+
+void HttpSession::wakeAnswer() {
+  Signal.cancel();
+  Code Ignored;
+  if (Current && Current->broken())
+    Socket.cancel(Ignored); // ends a write that the caller does not take
+}
+
+/// Notices a caller that disconnects while its answer is being made. Bytes of
+/// a pipelined request end the watch: they hide a later end of stream, which
+/// the next write then reports.
+void HttpSession::watchForDisconnect() {
+  if (Watching)
+    return;
+  Watching = true;
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Weak = weak_from_this()](const Code &Failure) {
+                      const auto Self = Weak.lock();
+                      if (!Self)
+                        return;
+                      Self->Watching = false;
+                      if (Failure || !Self->Current)
+                        return;
+                      char Byte = 0;
+                      Code PeekCode;
+                      Self->Socket.non_blocking(true, PeekCode);
+                      Self->Socket.receive(asio::buffer(&Byte, 1),
+                                           tcp::socket::message_peek, PeekCode);
+                      if (PeekCode == asio::error::would_block)
+                        Self->watchForDisconnect();
+                      else if (PeekCode)
+                        Self->Current->disconnect();
+                    });
+}
+
+/// Sets the time at which pending reads and writes are cancelled. The timer is
+/// rescheduled only if it would fire too late, because most deadlines move on
+/// before they are reached.
+void HttpSession::setDeadline(std::chrono::milliseconds After) {
+  TimedOut = false;
+  Deadline = Clock::now() + After;
+  if (Deadline < TimerAt)
+    scheduleTimer();
+}
+
+void HttpSession::scheduleTimer() {
+  TimerAt = Deadline;
+  Timer.expires_at(TimerAt);
+  Timer.async_wait([Weak = weak_from_this()](const Code &Failure) {
+    const auto Self = Weak.lock();
+    if (Failure || !Self || !Self->Socket.is_open())
+      return;
+    Self->TimerAt = Clock::time_point::max();
+    if (Self->Deadline > Clock::now()) {
+      if (Self->Deadline != Clock::time_point::max())
+        Self->scheduleTimer();
+      return;
+    }
+    Code Ignored;
+    Self->TimedOut = true;
+    Self->Socket.cancel(Ignored);
+  });
+}
+
+} // namespace hyssoprail
--- a/src/hyssoprail/connection/zmq_bus.cpp
+++ b/src/hyssoprail/connection/zmq_bus.cpp
@@ -18,6 +18,9 @@
 /// Messages that one socket keeps for a peer before it drops.
 constexpr int HighWaterMark = 100'000;
 
+/// Larger messages end the connection they came over.
+constexpr std::int64_t MaxMessageBytes = std::int64_t{64} * 1024 * 1024;
+
 /// Messages taken from one socket before the others get their turn.
 constexpr int ReceiveBatch = 64;
 
@@ -34,10 +37,23 @@
   Socket.set(zmq::sockopt::linger, 0);
   Socket.set(zmq::sockopt::sndhwm, HighWaterMark);
   Socket.set(zmq::sockopt::rcvhwm, HighWaterMark);
+  Socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
   Socket.set(zmq::sockopt::reconnect_ivl, 50);
   Socket.set(zmq::sockopt::reconnect_ivl_max, 500);
 }
 
+/// Reads the parts that follow \p Last. A message of this project has one
+/// part; further ones must not be taken for the next message's sender. Returns
+/// true if there were any.
+bool skipParts(zmq::socket_t &Socket, const zmq::message_t &Last) {
+  if (!Last.more())
+    return false;
+  zmq::message_t Part;
+  while (Socket.recv(Part, zmq::recv_flags::dontwait) && Part.more()) {
+  }
+  return true;
+}
+
 class ZmqBus : public Bus {
 public:
   ZmqBus(BusOptions Options, const Clock &Time)
@@ -206,6 +222,8 @@
         return;
       if (!Identity.more() || !Server.recv(Data, zmq::recv_flags::dontwait))
         continue;
+      if (skipParts(Server, Data))
+        continue;
       deliver({0, Identity.to_string()}, Data);
     }
   }
@@ -217,6 +235,8 @@
       if (It == Links.end() ||
           !It->second.recv(Data, zmq::recv_flags::dontwait))
         return;
+      if (skipParts(It->second, Data))
+        continue;
       deliver({Link, {}}, Data);
     }
   }
