--- a/src/hyssoprail/agent/agent_process_test.cpp
+++ b/src/hyssoprail/agent/agent_process_test.cpp
@@ -1,4 +1,6 @@
-#include <set>
+#include <atomic>
+#include <map>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -102,30 +104,61 @@
 }
 
 // Guards against a cold engine that is given more than it bears: the stand-in
-// restarts with a new incarnation when more than four run while it is cold.
+// restarts and fails its work when more than four run while it is cold.
 TEST_CASE("a burst does not crash a cold engine") {
-  const ChildProcess Engine("standin-engine",
-                            {"--role=prefill", "--prefill_base_us=20000"});
-  const AgentProcess Agent(Engine.http(), "engine");
-  EntryLink Link(Agent.value("peer"));
-  REQUIRE(awaitReady(Link).has_heartbeat_ack());
-  std::vector<wire::WorkRef> Live;
-  for (int I = 0; I < 30; ++I) {
+  const ChildProcess PrefillEngine("standin-engine",
+                                   {"--role=prefill", "--kv_ttl_ms=30000"});
+  const ChildProcess DecodeEngine("standin-engine", {"--role=decode"});
+  const AgentProcess PrefillAgent(PrefillEngine.http(), "engine");
+  const AgentProcess DecodeAgent(DecodeEngine.http(), "engine");
+  EntryLink ToPrefill(PrefillAgent.value("peer"));
+  EntryLink ToDecode(DecodeAgent.value("peer"));
+  REQUIRE(awaitReady(ToPrefill).has_heartbeat_ack());
+  REQUIRE(awaitReady(ToDecode).has_heartbeat_ack());
+  constexpr std::size_t Burst = 12;
+  std::vector<wire::WorkRef> Prefills;
+  std::vector<wire::WorkRef> Decodes;
+  for (std::size_t I = 0; I < Burst; ++I) {
     const std::string Request = "burst-" + std::to_string(I);
-    Live.push_back(ref(Request, wire::LEG_PREFILL));
-    Link.send(startPrefill(Request, "word " + Request));
+    Prefills.push_back(ref(Request, wire::LEG_PREFILL));
+    Decodes.push_back(ref(Request, wire::LEG_DECODE));
+    wire::Envelope Ask;
+    *Ask.mutable_reserve_request()->mutable_work() = Decodes.back();
+    Ask.mutable_reserve_request()->set_prompt_tokens(2);
+    Ask.mutable_reserve_request()->set_max_tokens(20);
+    Ask.mutable_reserve_request()->set_wait_ms(15'000);
+    ToDecode.send(Ask);
+    ToPrefill.send(startPrefill(Request, "word " + Request));
   }
-  std::set<std::string> Done;
-  const wire::Envelope Last = Link.await(
+  std::map<std::string, wire::PrefillDone> Kv;
+  ToPrefill.await(
       [&](const wire::Envelope &E) {
         if (E.has_prefill_done())
-          Done.insert(E.prefill_done().work().request_id());
-        return E.has_failed() || Done.size() == Live.size();
+          Kv[E.prefill_done().work().request_id()] = E.prefill_done();
+        return Kv.size() == Burst;
       },
-      Live);
+      Prefills);
+  REQUIRE(Kv.size() == Burst);
+  std::size_t Finished = 0;
+  const auto Step = [&](const wire::Envelope &E) {
+    const std::string &Granted = E.reserve_reply().work().request_id();
+    if (E.reserve_reply().granted())
+      ToDecode.send(startDecode(Granted, "word " + Granted, Kv[Granted]));
+    Finished += E.has_finished() ? 1 : 0;
+    return E.has_failed() || Finished == Burst;
+  };
+  // The KV caches are kept by heartbeats to the prefill agent.
+  std::atomic<bool> Stop{false};
+  std::thread Keeper([&] {
+    while (!Stop)
+      ToPrefill.await([&](const auto &) { return Stop.load(); }, Prefills);
+  });
+  const wire::Envelope Last = ToDecode.await(Step, Decodes);
+  Stop = true;
+  Keeper.join();
   INFO(Last.ShortDebugString());
   CHECK_FALSE(Last.has_failed());
-  CHECK(Done.size() == Live.size());
+  CHECK(Finished == Burst);
 }
 
 // Guards against a service call that is lost or stripped of its answer.
--- a/src/hyssoprail/agent/agent_runtime.cpp
+++ b/src/hyssoprail/agent/agent_runtime.cpp
@@ -38,20 +38,15 @@
       200, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(Body)};
 }
 
-void gauge(std::string &Out, std::string_view Name, double Value) {
-  Out += fmt::format("hyssoprail_agent_{} {}\n", Name, Value);
-}
-
 } // namespace
 
 AgentRuntime::AgentRuntime(AgentSettings Settings, const Clock &Time,
                            AgentConfig &Config)
     : Settings(std::move(Settings)), Time(Time), Log(logger("agent")),
       Incarnation(RandomSource(systemSeed()).identifier()),
-      Events(this->Settings.TimelineEvents, Time),
-      Checks(Events, std::getenv("HYSSOPRAIL_FATAL_INVARIANTS") != nullptr),
-      Ticker(Context), Signals(Context, SIGTERM, SIGINT),
-      Client(makeHttpClient(Context)),
+      Events(this->Settings.Process.TimelineEvents, Time),
+      Checks(Events, this->Settings.Process.FatalViolations), Ticker(Context),
+      Signals(Context, SIGTERM, SIGINT), Client(makeHttpClient(Context)),
       Gateway(*Client, this->Settings.Engine,
               [this](const AgentResult &Result) {
                 Core.onResult(Result, this->Time.now());
@@ -63,19 +58,20 @@
 
 AgentOptions AgentRuntime::coreOptions() const {
   AgentOptions O;
-  O.Name = Settings.Name;
-  O.Zone = Settings.Zone;
+  O.Name = Settings.Process.Name;
+  O.Zone = Settings.Process.Zone;
   O.Endpoint = Settings.Endpoint;
   O.Incarnation = Incarnation;
-  O.Kind = Settings.Kind;
+  O.Kind = Settings.Kind == EndpointKind::Engine ? AgentKind::Engine
+                                                 : AgentKind::Service;
   O.EngineAddress = Settings.Engine;
   O.Lease = Settings.Lease;
   return O;
 }
 
 Status AgentRuntime::start() {
-  Messages =
-      makeZmqBus({Settings.Name, Incarnation, Settings.PeerAddress}, Time);
+  Messages = makeZmqBus(
+      {Settings.Process.Name, Incarnation, Settings.Process.PeerAddress}, Time);
   Status Bound =
       Messages->start([this](const BusSource &Source, wire::Envelope Message) {
         boost::asio::post(Context, [this, Peer = Source.Identity,
@@ -87,8 +83,8 @@
   if (errorOf(Bound) != nullptr)
     return Bound;
   HttpServerOptions Http;
-  Http.Address = Settings.Address;
-  Http.Port = Settings.HttpPort;
+  Http.Address = Settings.Process.Address;
+  Http.Port = Settings.Process.HttpPort;
   Server = makeHttpServer(
       Http, [this](const std::shared_ptr<HttpExchange> &E) { serve(E); });
   return Server->start();
@@ -178,6 +174,32 @@
   }
 }
 
+void AgentRuntime::answerTimeline(const BusSource &To,
+                                  const wire::TimelineQuery &Query) {
+  EventFilter Filter;
+  Filter.RequestId = Query.request_id();
+  Filter.Account = Query.account();
+  Filter.Endpoint = Query.endpoint();
+  if (Query.limit() != 0)
+    Filter.Limit = Query.limit();
+  wire::Envelope Answer;
+  wire::TimelineReply &Reply = *Answer.mutable_timeline_reply();
+  for (const Event &E : Events.select(Filter)) {
+    wire::TimelineEvent &Out = *Reply.add_events();
+    Out.set_unix_us(E.UnixMicros);
+    Out.set_process(Settings.Process.Name);
+    Out.set_kind(std::string(eventKindName(E.Kind)));
+    Out.set_request_id(E.RequestId);
+    Out.set_attempt(E.Attempt);
+    Out.set_account(E.Account);
+    Out.set_endpoint(E.Endpoint);
+    Out.set_version(E.Version);
+    Out.set_detail(E.Detail);
+  }
+  Reply.set_now_unix_us(Time.unixMicros());
+  Messages->answer(To, std::move(Answer));
+}
+
 void AgentRuntime::serveTimeline(HttpExchange &Exchange) const {
   const std::string &Target = Exchange.request().Target;
   EventFilter Filter;
@@ -190,7 +212,7 @@
   nlohmann::json List = nlohmann::json::array();
   for (const Event &E : Events.select(Filter))
     List.push_back({{"unix_us", E.UnixMicros},
-                    {"process", Settings.Name},
+                    {"process", Settings.Process.Name},
                     {"kind", eventKindName(E.Kind)},
                     {"request_id", E.RequestId},
                     {"attempt", E.Attempt},
@@ -203,39 +225,40 @@
   Exchange.respond(jsonResponse(200, Body.dump()));
 }
 
-std::string AgentRuntime::metricsText() const {
+std::string AgentRuntime::metricsText() {
   const AgentStats S = Core.stats();
-  std::string Out;
-  gauge(Out, "engine_up", S.EngineUp ? 1 : 0);
-  gauge(Out, "cold", S.Cold ? 1 : 0);
-  gauge(Out, "leaving", S.Leaving ? 1 : 0);
-  gauge(Out, "slots", S.Slots);
-  gauge(Out, "slots_admitted", S.Limit);
-  gauge(Out, "slots_used", S.SlotsUsed);
-  gauge(Out, "running", S.Running);
-  gauge(Out, "pieces", S.Pieces);
-  gauge(Out, "pieces_used", S.PiecesUsed);
-  gauge(Out, "queued", static_cast<double>(S.Queued));
-  gauge(Out, "live", static_cast<double>(S.Live));
-  gauge(Out, "entries", static_cast<double>(S.Entries));
-  gauge(Out, "outcomes", static_cast<double>(S.Outcomes));
-  gauge(Out, "config_version", static_cast<double>(S.Version));
-  gauge(Out, "granted_total", static_cast<double>(S.Granted));
-  gauge(Out, "refused_total", static_cast<double>(S.Refused));
-  gauge(Out, "stale_total", static_cast<double>(S.Stale));
-  gauge(Out, "leases_expired_total", static_cast<double>(S.LeasesExpired));
-  gauge(Out, "cold_starts_total", static_cast<double>(S.ColdStarts));
-  gauge(Out, "orphans_cancelled_total",
-        static_cast<double>(S.OrphansCancelled));
-  gauge(Out, "bytes_sent_total", static_cast<double>(Messages->bytesSent()));
-  gauge(Out, "bytes_received_total",
-        static_cast<double>(Messages->bytesReceived()));
+  const auto Set = [this](std::string_view Name, auto Value) {
+    Numbers.gauge(Name).set(static_cast<double>(Value));
+  };
+  Set("agent_engine_up", S.EngineUp);
+  Set("agent_cold", S.Cold);
+  Set("agent_leaving", S.Leaving);
+  Set("agent_slots", S.Slots);
+  Set("agent_slots_admitted", S.Limit);
+  Set("agent_slots_used", S.SlotsUsed);
+  Set("agent_running", S.Running);
+  Set("agent_pieces", S.Pieces);
+  Set("agent_pieces_used", S.PiecesUsed);
+  Set("agent_queued", S.Queued);
+  Set("agent_live", S.Live);
+  Set("agent_entries", S.Entries);
+  Set("agent_outcomes", S.Outcomes);
+  Set("agent_config_version", S.Version);
+  Set("agent_granted", S.Granted);
+  Set("agent_refused", S.Refused);
+  Set("agent_stale", S.Stale);
+  Set("agent_leases_expired", S.LeasesExpired);
+  Set("agent_cold_starts", S.ColdStarts);
+  Set("agent_orphans_cancelled", S.OrphansCancelled);
+  Set("bus_bytes_sent", Messages->bytesSent());
+  Set("bus_bytes_received", Messages->bytesReceived());
   for (std::size_t I = 0; I < InvariantCount; ++I) {
     const auto Which = static_cast<Invariant>(I);
-    Out += fmt::format("hyssoprail_violations_total{{invariant=\"{}\"}} {}\n",
-                       invariantName(Which), Checks.violations(Which));
+    Numbers
+        .gauge("violations", {{"invariant", std::string(invariantName(Which))}})
+        .set(static_cast<double>(Checks.violations(Which)));
   }
-  return Out;
+  return Numbers.prometheusText();
 }
 
 } // namespace hyssoprail
--- a/src/hyssoprail/agent/agent_runtime.hpp
+++ b/src/hyssoprail/agent/agent_runtime.hpp
@@ -8,13 +8,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "hyssoprail/agent/agent_settings.hpp"
 #include "hyssoprail/agent/engine_gateway.hpp"
 #include "hyssoprail/connection/bus.hpp"
 #include "hyssoprail/connection/http_client.hpp"
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/process/agent_core.hpp"
 #include "hyssoprail/process/log.hpp"
+#include "hyssoprail/process/metrics.hpp"
+#include "hyssoprail/process/settings.hpp"
 
 namespace hyssoprail {
 
@@ -41,7 +42,8 @@
   void performActions();
   void serve(const std::shared_ptr<HttpExchange> &Exchange);
   void serveTimeline(HttpExchange &Exchange) const;
-  std::string metricsText() const;
+  void answerTimeline(const BusSource &To, const wire::TimelineQuery &Query);
+  std::string metricsText();
 
   AgentSettings Settings;
   const Clock &Time;
@@ -49,6 +51,7 @@
   const std::uint64_t Incarnation;
   Timeline Events;
   Invariants Checks;
+  Metrics Numbers;
   boost::asio::io_context Context;
   boost::asio::steady_timer Ticker;
   boost::asio::signal_set Signals;
--- a/src/hyssoprail/agent/process_test_support.hpp
+++ b/src/hyssoprail/agent/process_test_support.hpp
@@ -110,7 +110,7 @@
         {"zone", "zone-1"},       {"endpoint", "endpoint-1"},
         {"engine", Engine},       {"kind", Kind},
         {"address", "127.0.0.1"}, {"peer_address", "tcp://127.0.0.1:0"},
-        {"http_port", 0}};
+        {"http_port", 0},         {"fatal_violations", true}};
     std::ofstream(Path) << Body;
     return Path;
   }
@@ -156,17 +156,22 @@
         const std::vector<wire::WorkRef> &Live = {}, std::size_t From = 0) {
     const auto Deadline = Time.now() + std::chrono::seconds(20);
     std::size_t Next = From;
+    TimePoint NextBeat = Time.now();
     while (Time.now() < Deadline) {
-      heartbeat(Live);
+      if (Time.now() >= NextBeat) {
+        heartbeat(Live);
+        NextBeat = Time.now() + milliseconds(100);
+      }
       std::unique_lock Lock(Mutex);
-      const auto Look = [&] {
-        for (; Next < Received.size(); ++Next)
-          if (Matches(Received[Next]))
-            return true;
-        return false;
-      };
-      if (Arrived.wait_for(Lock, milliseconds(100), Look))
-        return Received[Next];
+      Arrived.wait_for(Lock, milliseconds(20),
+                       [&] { return Next < Received.size(); });
+      while (Next < Received.size()) {
+        const wire::Envelope Message = Received[Next++];
+        Lock.unlock(); // Matches may send
+        if (Matches(Message))
+          return Message;
+        Lock.lock();
+      }
     }
     return {};
   }
--- a/src/hyssoprail/process/agent_core.cpp
+++ b/src/hyssoprail/process/agent_core.cpp
@@ -99,6 +99,16 @@
   From.Listed.clear();
   for (const wire::WorkRef &Ref : Beat.live())
     From.Listed.insert(workKey(Ref));
+  for (const WorkKey &Key : From.Listed) {
+    // A KV cache found after a restart belongs to the entry that lists it.
+    auto It = Works.find(Key);
+    if (It == Works.end() || It->second.Entry != 0 ||
+        It->second.Phase != State::HoldingKv)
+      continue;
+    It->second.Entry = From.Incarnation;
+    It->second.Deadline = Now + Options.DefaultKvTtl;
+    From.Live.insert(Key);
+  }
   std::vector<WorkKey> Dropped;
   for (const WorkKey &Key : From.Live)
     if (!From.Listed.contains(Key) && Works.at(Key).Seq < Message.seq())
--- a/src/hyssoprail/process/agent_test_support.hpp
+++ b/src/hyssoprail/process/agent_test_support.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_PROCESS_AGENT_TEST_SUPPORT_HPP
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hyssoprail/process/agent_core.hpp"
@@ -130,6 +131,13 @@
         HeldResult{lastQuery(EngineQuery::Held), CallEnd::Ok, std::move(Work)});
   }
 
+  /// Confirms every cancellation that was asked for so far.
+  void confirmCancels() {
+    for (const AgentAction &A : std::exchange(Calls, {}))
+      if (auto *Cancel = std::get_if<CancelCall>(&A))
+        result(CancelResult{Cancel->Call, CallEnd::Ok});
+  }
+
   /// Brings up an engine that holds nothing.
   void bringUp(const std::string &Role, unsigned Slots = 4,
                unsigned Pieces = 16) {
