--- a/src/hyssoprail/process/scheduler_test.cpp
+++ b/src/hyssoprail/process/scheduler_test.cpp
@@ -319,7 +319,7 @@
 
 // Guards against work of ended or resumed requests that stays counted.
 TEST_CASE("local correction returns to zero") {
-  rc::check("every request that ends frees its slot", [] {
+  CHECK(rc::check("every request that ends frees its slot", [] {
     Desk D("early", "two_choices", *rc::gen::inRange(1, 1000));
     D.configure(onePair());
     D.report("p1", load(8, 0));
@@ -364,7 +364,7 @@
         Running.push_back(P.RequestId);
     }
     RC_ASSERT(D.Requests.queued() == 0U);
-  });
+  }));
 }
 
 } // namespace hyssoprail
--- a/src/hyssoprail/request/request_flow_property_test.cpp
+++ b/src/hyssoprail/request/request_flow_property_test.cpp
@@ -76,7 +76,7 @@
 // Guards against lost, repeated or foreign tokens, a second or missing
 // terminal answer, and a false "not run", under any mix of faults.
 TEST_CASE("a completion gives one whole answer under faults") {
-  rc::check("completion", [] {
+  CHECK(rc::check("completion", [] {
     FlowWorld W(anySeed(), anyFaults(), completionSpec(), false);
     W.run();
     checkEnd(W, 24);
@@ -85,13 +85,13 @@
       RC_ASSERT(W.Text.size() == W.Length);
       RC_ASSERT(W.FinishedTokens == W.Length);
     }
-  });
+  }));
 }
 
 // Guards against a request that ends for a fault which another endpoint could
 // have made good.
 TEST_CASE("a completion survives losses, repeats and crossings") {
-  rc::check("completion without failures", [] {
+  CHECK(rc::check("completion without failures", [] {
     FlowFaults F;
     F.Lose = probability(20);
     F.Duplicate = probability(30);
@@ -103,13 +103,13 @@
     RC_CLASSIFY(W.Finishes == 1, "finished");
     if (F.Lose < 0.02)
       RC_ASSERT(W.Finishes == 1U);
-  });
+  }));
 }
 
 // Guards against a non-repeatable call that runs twice or whose outcome is
 // misreported.
 TEST_CASE("a non-repeatable call runs at most once under faults") {
-  rc::check("call", [] {
+  CHECK(rc::check("call", [] {
     FlowWorld W(anySeed(), anyFaults(), callSpec(false), true);
     W.run();
     checkEnd(W, 10);
@@ -117,19 +117,19 @@
     RC_ASSERT(W.Answers == 0U || W.CallRuns == 1);
     for (const Refusal &R : W.Refusals)
       RC_ASSERT(R.NotRun || R.Cause.Kind == ErrorKind::OutcomeUnknown);
-  });
+  }));
 }
 
 // Guards against a repeatable call that is not retried.
 TEST_CASE("a repeatable call is retried under faults") {
-  rc::check("repeatable call", [] {
+  CHECK(rc::check("repeatable call", [] {
     FlowFaults F = anyFaults();
     FlowWorld W(anySeed(), F, callSpec(true), true);
     W.run();
     checkEnd(W, 10);
     for (const Refusal &R : W.Refusals)
       RC_ASSERT(R.Cause.Kind != ErrorKind::OutcomeUnknown);
-  });
+  }));
 }
 
 } // namespace hyssoprail
