Agent follows the configuration and gives engine orders with fencing

Cause: agents ignored configuration records, so zones out of service, leaving marks and wanted models did not reach them. Change: StoredAgentConfig over ConfigStore; EngineOrders: an order carries the offset of the agent's own AgentLease record, waits for live work, a turn by rank in the zone (two loads at a time) and one second after a pause; the state is read back and ordered again when it differs. HeartbeatAck gains needs_lease, by which an agent asks an entry for its AgentLease record. Conclusion: entries have to append AgentLease on needs_lease; turns are by time and rank, not by a permit, so the bound on loads is not strict.

--- a/include/hyssoprail/process/agent_config.hpp
+++ b/include/hyssoprail/process/agent_config.hpp
@@ -20,7 +20,9 @@
   std::string Role;         ///< "prefill", "decode" or "" = as it is
   std::uint64_t LeaseIncarnation = 0; ///< newest registered incarnation
   std::uint64_t LeaseOffset = 0;      ///< fencing number of that incarnation
-  std::uint32_t LoadRank = 0; ///< rank among the zone's endpoints, by name
+  std::uint64_t DesiredVersion = 0;   ///< record that wrote model and role last
+  /// Endpoints of the zone whose wanted state changed shortly before.
+  std::uint32_t LoadRank = 0;
 };
 
 /// Configuration as an agent receives it from entries.
--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -15,6 +15,7 @@
 #include "hyssoprail/process/agent_queue.hpp"
 #include "hyssoprail/process/call_outcomes.hpp"
 #include "hyssoprail/process/cold_start_ramp.hpp"
+#include "hyssoprail/process/engine_orders.hpp"
 #include "hyssoprail/process/invariants.hpp"
 #include "hyssoprail/process/timeline.hpp"
 #include "hyssoprail/process/work_key.hpp"
@@ -55,6 +56,7 @@
   std::size_t EndedLimit = 50'000;
   OutcomeLimits Outcomes;
   RampOptions Ramp;
+  OrderOptions Orders;
 };
 
 /// Counts for metrics and readiness.
@@ -80,6 +82,7 @@
   std::uint64_t LeasesExpired = 0;
   std::uint64_t ColdStarts = 0;
   std::uint64_t OrphansCancelled = 0;
+  std::uint64_t OrdersGiven = 0;
 };
 
 /// Decisions of one agent, without I/O: messages of entries, results of engine
@@ -266,6 +269,7 @@
   void failEngineCall(Work &W, CallEnd End, TimePoint Now);
   void sampleLatency(double Ratio, TimePoint Now);
   void query(EngineQuery Query, TimePoint Now);
+  void giveOrders(TimePoint Now);
 
   // Calls to plain services (agent_calls.cpp).
   void onCall(Entry &From, const wire::Envelope &Message, TimePoint Now);
@@ -295,6 +299,8 @@
   AgentQueue Queue;
   CallOutcomes Outcomes;
   ColdStartRamp Ramp;
+  EngineOrders Orders;
+  bool Switching = false; ///< an order is due: no new work until it is done
 
   StatusResult Engine;
   bool EngineUp = false;
--- a/src/hyssoprail/agent/agent_runtime.cpp
+++ b/src/hyssoprail/agent/agent_runtime.cpp
@@ -250,6 +250,7 @@
   Set("agent_leases_expired", S.LeasesExpired);
   Set("agent_cold_starts", S.ColdStarts);
   Set("agent_orphans_cancelled", S.OrphansCancelled);
+  Set("agent_orders", S.OrdersGiven);
   Set("bus_bytes_sent", Messages->bytesSent());
   Set("bus_bytes_received", Messages->bytesReceived());
   for (std::size_t I = 0; I < InvariantCount; ++I) {
--- a/src/hyssoprail/agent/main.cpp
+++ b/src/hyssoprail/agent/main.cpp
@@ -1,5 +1,5 @@
 #include "hyssoprail/agent/agent_runtime.hpp"
-#include "hyssoprail/agent/fixed_agent_config.hpp"
+#include "hyssoprail/process/stored_agent_config.hpp"
 
 int main(int Argc, char **Argv) {
   using namespace hyssoprail;
@@ -10,7 +10,7 @@
   if (errorOf(setUpLog({Settings.Process.LogLevel, Settings.Process.Format})))
     return 2;
   SteadyClock Time;
-  FixedAgentConfig Config;
+  StoredAgentConfig Config(Settings.Endpoint, Settings.Process.Zone);
   AgentRuntime Runtime(Settings, Time, Config);
   return Runtime.run();
 }
--- a/src/hyssoprail/agent/process_test_support.hpp
+++ b/src/hyssoprail/agent/process_test_support.hpp
@@ -32,6 +32,7 @@
         std::filesystem::read_symlink("/proc/self/exe").parent_path();
     Args.insert(Args.begin(), (Folder / Program).string());
     std::vector<char *> Pointers;
+    Pointers.reserve(Args.size() + 1);
     for (std::string &A : Args)
       Pointers.push_back(A.data());
     Pointers.push_back(nullptr);
@@ -166,7 +167,7 @@
       Arrived.wait_for(Lock, milliseconds(20),
                        [&] { return Next < Received.size(); });
       while (Next < Received.size()) {
-        const wire::Envelope Message = Received[Next++];
+        wire::Envelope Message = Received[Next++];
         Lock.unlock(); // Matches may send
         if (Matches(Message))
           return Message;
--- a/src/hyssoprail/process/agent_core.cpp
+++ b/src/hyssoprail/process/agent_core.cpp
@@ -17,9 +17,11 @@
                      Timeline &Events, Invariants &Checks, TimePoint Now)
     : Options(std::move(Options)), Config(Config), Events(Events),
       Checks(Checks), View(Config.view()), Outcomes(this->Options.Outcomes),
-      Ramp(this->Options.Ramp) {
+      Ramp(this->Options.Ramp),
+      Orders(this->Options.Orders, this->Options.Incarnation) {
   Ramp.restart(Now);
   IdleSince = Now;
+  LastTick = Now;
   if (this->Options.Kind == AgentKind::Service) {
     EngineUp = true;
     HeldKnown = true;
@@ -149,12 +151,13 @@
   Ack.set_role("agent");
   Ack.set_zone(Options.Zone);
   Ack.set_endpoint(Options.Endpoint);
+  Ack.set_needs_lease(Orders.needsLease(View));
   fillLoad(*Ack.mutable_load(), Now);
   send(From, std::move(Answer));
 }
 
 void AgentCore::fillLoad(wire::LoadReport &Load, TimePoint Now) const {
-  Load.set_slots(EngineUp ? slotLimit() : 0);
+  Load.set_slots(EngineUp && !Switching ? slotLimit() : 0);
   Load.set_slots_used(SlotsUsed);
   Load.set_pieces(Engine.Pieces);
   Load.set_pieces_used(PiecesUsed);
@@ -227,19 +230,19 @@
 void AgentCore::onConfig(Entry &From, const wire::Envelope &Message,
                          TimePoint Now) {
   const std::uint64_t Before = View.Version;
-  bool Complete = true;
   if (Message.has_config_records())
-    Complete = Config.apply(Message.config_records());
+    Config.apply(Message.config_records());
   else
     Config.restore(Message.config_snapshot().state());
   View = Config.view();
+  Orders.configured(View);
   Checks.check(Invariant::ConfigMonotonic, View.Version >= Before,
                "the configuration version went back");
   if (View.Version != Before)
     note(EventKind::ConfigApplied, {}, {}, {});
+  // Still behind: there is a gap, or the batch did not hold everything.
   From.VersionAsked = {};
-  if (!Complete)
-    askForConfig(From, Now);
+  askForConfig(From, Now);
 }
 
 void AgentCore::askForConfig(Entry &From, TimePoint Now) {
@@ -261,7 +264,7 @@
     return wire::REFUSAL_REASON_LEAVING;
   if (View.ZoneOut)
     return wire::REFUSAL_REASON_ZONE_OUT;
-  if (!EngineUp || !HeldKnown)
+  if (!EngineUp || !HeldKnown || Switching)
     return wire::REFUSAL_REASON_COLD;
   return wire::REFUSAL_REASON_UNSPECIFIED;
 }
--- a/src/hyssoprail/process/agent_release.cpp
+++ b/src/hyssoprail/process/agent_release.cpp
@@ -205,6 +205,8 @@
 void AgentCore::onTick(TimePoint Now) {
   const bool Paused = Now - LastTick > PauseGap;
   LastTick = Now;
+  if (Paused)
+    Orders.paused(Now);
   if (Options.Kind == AgentKind::Engine) {
     const bool Waits = StatusCall != 0 && Now - StatusAsked < StatusPatience;
     if (!Waits && Now - StatusAsked >= Options.StatusInterval)
@@ -219,6 +221,7 @@
     expireWork(Now);
   }
   expireEnded(Now);
+  giveOrders(Now);
   Dirty = true;
   settle(Now);
 }
--- a/src/hyssoprail/process/agent_results.cpp
+++ b/src/hyssoprail/process/agent_results.cpp
@@ -379,6 +379,25 @@
   cancelOnEngine(W, Now);
 }
 
-void AgentCore::on(const OrderResult &, TimePoint) {}
+void AgentCore::giveOrders(TimePoint Now) {
+  if (!EngineUp)
+    return;
+  const bool Due = Orders.due(View, Engine, Now);
+  Switching = Due || Orders.outstanding();
+  // Live work finishes first, so that an order interrupts no request.
+  if (!Due || !Works.empty())
+    return;
+  ++Counts.OrdersGiven;
+  OrderCall Order = Orders.order(View, Engine, ++LastCall);
+  note(EventKind::EngineOrder, {}, {},
+       Order.Model + " " + Order.Version + " " + Order.Role);
+  Actions.emplace_back(std::move(Order));
+}
+
+void AgentCore::on(const OrderResult &R, TimePoint Now) {
+  Orders.finished(R.Call, R.End, Now);
+  // The state is read back, whatever the engine answered.
+  query(EngineQuery::Status, Now);
+}
 
 } // namespace hyssoprail
