Entry: key scope, planned stop and version checks; VM list; herd test

Change: assertions at each start, at a planned stop and at each applied version; the VM list adds links to entries; a drained entry appends its own removal; the herd test has 20 entries with 4 requests each; a process test that a caller's disconnect empties the engines' lists of held work.

--- a/include/hyssoprail/request/request_flow.hpp
+++ b/include/hyssoprail/request/request_flow.hpp
@@ -172,7 +172,12 @@
   /// True if \p Work names the current attempt's leg at \p Endpoint.
   bool concerns(const wire::WorkRef &Work, std::string_view Endpoint) const;
 
-  void startSent();
+  /// Checks the key again, and refuses the request if it was withdrawn.
+  /// Returns false if so.
+  bool mayDispatch(FlowActions &Out);
+
+  /// A start for \p Account is about to be sent.
+  void startSent(std::string_view Account);
   void startConfirmedNotRun();
   bool notRun() const { return OpenStarts == 0 && !Ran; }
 
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -147,6 +147,10 @@
 }
 
 void EntryRuntime::onConfig(const ConfigUpdate &Update) {
+  const std::uint64_t Version = Update.Config->version();
+  Checks.check(Invariant::ConfigMonotonic, Version > AppliedVersion,
+               "an older configuration is applied");
+  AppliedVersion = Version;
   Desk.configure(Update.Config);
   for (const std::string &Address : Directory.update(*Update.Config))
     Links->ensure(Address);
@@ -160,7 +164,7 @@
   Admin.reduced();
   Event E;
   E.Kind = EventKind::ConfigApplied;
-  E.Version = Update.Config->version();
+  E.Version = Version;
   Events.record(std::move(E));
   Desk.pump(Requests, false);
 }
--- a/src/hyssoprail/entry/entry_process_test.cpp
+++ b/src/hyssoprail/entry/entry_process_test.cpp
@@ -224,6 +224,40 @@
   CHECK(Out);
 }
 
+// Guards against engine memory that stays held for a caller who left.
+TEST_CASE("a caller who leaves frees the engines") {
+  Site S;
+  S.warm();
+  boost::asio::io_context Context;
+  auto Client = makeHttpClient(Context);
+  std::shared_ptr<HttpStream> Stream;
+  HttpStreamHandlers Handlers;
+  bool Left = false;
+  Handlers.OnData = [&](std::string_view) {
+    Left = true;
+    Stream->cancel();
+  };
+  HttpCall Call;
+  Call.Authority = S.Processes.entryAddress(0);
+  Call.Request = {
+      "POST", "/v1/completions", Site::keyed(),
+      R"({"model":"m1","prompt":"w x y z","max_tokens":200,"stream":true})"};
+  Stream = Client->stream(std::move(Call), std::move(Handlers));
+  Context.run();
+  REQUIRE(Left);
+  for (const char *Engine : {"prefill-0", "decode-0"}) {
+    const bool Freed = Fleet::waitUntil(
+        [&] {
+          const auto Held = S.Processes.http().fetch(
+              S.Processes.httpAddress(Engine), "/held");
+          return succeeded(Held) &&
+                 json::parse(valueOf(Held).Body)["work"].empty();
+        },
+        std::chrono::seconds(5));
+    CHECK(Freed);
+  }
+}
+
 // Guards against a planned stop that interrupts a stream.
 TEST_CASE("a stream that runs at SIGTERM is completed") {
   Site S;
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -144,12 +144,7 @@
   Status Listening = startServers();
   if (errorOf(Listening) != nullptr)
     return Listening;
-  wire::Member Self;
-  Self.set_incarnation(Incarnation);
-  Self.set_name(Settings.Process.Name);
-  Self.set_peer_address(Sockets->boundAddress());
-  Self.set_zone(Settings.Process.Zone);
-  Members = std::make_unique<MemberKeeper>(Self);
+  Members = std::make_unique<MemberKeeper>(ownMember());
   startLinks();
   return std::monostate{};
 }
@@ -206,11 +201,17 @@
   while (Requests.size() > 0 || CallerServer->openExchanges() > 0)
     std::this_thread::sleep_for(DrainPoll);
   CallerServer->drain();
+  // Limit shards get a new owner without waiting for this one to be missed.
+  wire::Member Self = ownMember();
+  Self.set_gone(true);
+  boost::asio::post(Control, [this, Self] { appendMember(Self); });
 }
 
 void EntryRuntime::stop() {
   if (!ControlThread.joinable())
     return;
+  Checks.check(Invariant::PlannedStop, !Draining || Requests.size() == 0,
+               "requests are live at a planned stop");
   CallerServer->stop();
   AdminServer->stop();
   boost::asio::post(Control, [this] { Log.stop(); });
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -88,6 +88,8 @@
   void appendMember(const wire::Member &Member);
   void linkMembers();
   LimitPorts limitPorts();
+  void tickVms();
+  wire::Member ownMember() const;
   wire::MemberStatus ownStatus();
   milliseconds logAge();
   std::optional<Error> whyClosed() const;
@@ -136,6 +138,7 @@
   std::thread ControlThread;
   std::atomic<std::uint64_t> ReplySeq{0};
   std::uint64_t Ticks = 0;
+  std::uint64_t AppliedVersion = 0; ///< set by onConfig only
   std::atomic<bool> Draining{false};
 };
 
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint64_t LimitTicks = 4;
 constexpr std::uint64_t MemberTicks = 25;
 
+/// Ticks between two reads of the VM list, which lags anyway.
+constexpr std::uint64_t VmTicks = 200;
+
 /// Age up to which a process is listed in the status.
 constexpr milliseconds StatusAge{30'000};
 
@@ -44,6 +47,20 @@
     tickLimits();
   if (Ticks % MemberTicks == 0)
     tickMembers();
+  if (Ticks % VmTicks == 1)
+    tickVms();
+}
+
+/// Entries in the VM list that no record names yet are met through their link.
+void EntryRuntime::tickVms() {
+  Platform.vms([this](const Result<std::vector<VmInfo>> &Answer) {
+    if (errorOf(Answer) != nullptr)
+      return;
+    for (const VmInfo &Vm : valueOf(Answer))
+      if (Vm.Role == "entry" && !Vm.Leaving && !Vm.PeerAddress.empty() &&
+          Vm.PeerAddress != Sockets->boundAddress())
+        Links->ensure(Vm.PeerAddress);
+  });
 }
 
 void EntryRuntime::tickLimits() {
@@ -107,6 +124,15 @@
   return Ports;
 }
 
+wire::Member EntryRuntime::ownMember() const {
+  wire::Member Self;
+  Self.set_incarnation(Incarnation);
+  Self.set_name(Settings.Process.Name);
+  Self.set_peer_address(Sockets->boundAddress());
+  Self.set_zone(Settings.Process.Zone);
+  return Self;
+}
+
 wire::MemberStatus EntryRuntime::ownStatus() {
   wire::MemberStatus Own;
   Own.set_name(Settings.Process.Name);
--- a/src/hyssoprail/entry/key_headers.cpp
+++ b/src/hyssoprail/entry/key_headers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace hyssoprail::entry {
 namespace {
@@ -28,7 +28,7 @@
 bool isRemoved(std::string_view Name) {
   return std::any_of(RemovedHeaders.begin(), RemovedHeaders.end(),
                      [&](std::string_view Removed) {
-                       return boost::algorithm::iequals(Removed, Name);
+                       return boost::beast::iequals(Removed, Name);
                      });
 }
 
@@ -71,7 +71,7 @@
   constexpr std::string_view Scheme = "Bearer ";
   std::string_view Value = headerValue(Request.Headers, "Authorization");
   if (Value.size() > Scheme.size() &&
-      boost::algorithm::iequals(Value.substr(0, Scheme.size()), Scheme)) {
+      boost::beast::iequals(Value.substr(0, Scheme.size()), Scheme)) {
     Value.remove_prefix(Scheme.size());
     while (Value.starts_with(' '))
       Value.remove_prefix(1);
--- a/src/hyssoprail/entry/responder.cpp
+++ b/src/hyssoprail/entry/responder.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace hyssoprail::entry {
 namespace {
@@ -16,7 +16,7 @@
 bool isConnectionHeader(std::string_view Name) {
   return std::any_of(ConnectionHeaders.begin(), ConnectionHeaders.end(),
                      [&](std::string_view Known) {
-                       return boost::algorithm::iequals(Known, Name);
+                       return boost::beast::iequals(Known, Name);
                      });
 }
 
--- a/src/hyssoprail/process/scheduler_test.cpp
+++ b/src/hyssoprail/process/scheduler_test.cpp
@@ -289,9 +289,9 @@
 // Guards against entries that all send to the endpoint that looked idle in the
 // last report (a herd).
 TEST_CASE("late information does not gather requests at one endpoint") {
-  constexpr int Entries = 4;
+  constexpr int Entries = 20;
   constexpr int Endpoints = 8;
-  constexpr int PerEntry = 20;
+  constexpr int PerEntry = 4;
   Site S;
   for (int I = 0; I < Endpoints; ++I) {
     S.endpoint("p" + std::to_string(I), wire::ENDPOINT_ROLE_PREFILL, "a");
--- a/src/hyssoprail/request/call_flow.cpp
+++ b/src/hyssoprail/request/call_flow.cpp
@@ -164,19 +164,6 @@
     Out.emplace_back(AskPlacement{Attempt + 1, 0, false, Avoid});
   }
 
-  bool mayDispatch(FlowActions &Out) {
-    if (Spec.KeyDigest.empty() ||
-        Context.KeyValid(Spec.KeyDigest, Spec.Account))
-      return true;
-    end({ErrorKind::Unauthenticated,
-         "the key was withdrawn while the request waited",
-         "use a current key",
-         "",
-         {}},
-        Out);
-    return false;
-  }
-
   void sendClaimed(TimePoint Now, FlowActions &Out) {
     if (mayDispatch(Out))
       sendCall(Now, Out);
@@ -210,7 +197,7 @@
     C.set_deadline_ms(static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(Left, 1, 3'600'000)));
     C.set_version(Chosen.Version);
-    startSent();
+    startSent(C.account());
     record(EventKind::CallStarted, Chosen.Decode);
     Out.emplace_back(std::move(Send));
   }
--- a/src/hyssoprail/request/completion_flow.cpp
+++ b/src/hyssoprail/request/completion_flow.cpp
@@ -172,20 +172,6 @@
         AskPlacement{Attempt + 1, EmittedTokens, EmittedTokens > 0, Avoid});
   }
 
-  /// The key is checked again before anything of the request leaves.
-  bool mayDispatch(FlowActions &Out) {
-    if (Spec.KeyDigest.empty() ||
-        Context.KeyValid(Spec.KeyDigest, Spec.Account))
-      return true;
-    end({ErrorKind::Unauthenticated,
-         "the key was withdrawn while the request waited",
-         "use a current key",
-         "",
-         {}},
-        Out);
-    return false;
-  }
-
   void reserve(TimePoint Now, FlowActions &Out) {
     addLeg(Chosen.Decode, wire::LEG_DECODE);
     SendMessage Send{Chosen.Decode, {}};
@@ -219,7 +205,7 @@
         millisecondsLeft(std::min(Spec.Deadline, Now + prefillLimit()), Now));
     P.set_weight(Spec.Weight);
     P.set_version(Chosen.Version);
-    startSent();
+    startSent(P.account());
     record(EventKind::PrefillStarted, Chosen.Prefill);
     Out.emplace_back(std::move(Send));
     enter(Phase::Prefilling, Now + prefillLimit());
@@ -280,7 +266,7 @@
     D.set_route_class(Spec.Class);
     D.set_deadline_ms(millisecondsLeft(Spec.Deadline, Now));
     D.set_version(Chosen.Version);
-    startSent();
+    startSent(D.account());
     record(EventKind::DecodeStarted, Chosen.Decode);
     Out.emplace_back(std::move(Send));
     const Duration TransferLimit =
--- a/src/hyssoprail/request/request_flow.cpp
+++ b/src/hyssoprail/request/request_flow.cpp
@@ -43,15 +43,8 @@
 }
 
 void RequestFlow::recheckKey(TimePoint /*Now*/, FlowActions &Out) {
-  if (Done || !waiting() || Spec.KeyDigest.empty() ||
-      Context.KeyValid(Spec.KeyDigest, Spec.Account))
-    return;
-  refuse({ErrorKind::Unauthenticated,
-          "the key was withdrawn while the request waited",
-          "use a current key",
-          "",
-          {}},
-         Out);
+  if (!Done && waiting())
+    mayDispatch(Out);
 }
 
 void RequestFlow::finish(FlowAction Terminal, FlowActions &Out) {
@@ -135,7 +128,27 @@
   return Leg != nullptr && Leg->Endpoint == Endpoint;
 }
 
-void RequestFlow::startSent() { ++OpenStarts; }
+bool RequestFlow::mayDispatch(FlowActions &Out) {
+  if (Spec.KeyDigest.empty())
+    return true;
+  if (Context.KeyValid(Spec.KeyDigest, Spec.Account))
+    return true;
+  refuse({ErrorKind::Unauthenticated,
+          "the key was withdrawn while the request waited",
+          "use a current key",
+          "",
+          {}},
+         Out);
+  return false;
+}
+
+void RequestFlow::startSent(std::string_view Account) {
+  Context.Checks.check(
+      Invariant::KeyScope,
+      Account == Spec.Account && Spec.KeyDigest.empty() == Spec.Account.empty(),
+      "work runs for another account than the key's", Spec.RequestId);
+  ++OpenStarts;
+}
 
 void RequestFlow::startConfirmedNotRun() {
   if (OpenStarts > 0)
