--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,11 @@
 check: configure
 	@scripts/format.sh
 	@BUILD=$(BUILD) scripts/lint.py
+
+demo: build
+	@scripts/demo.sh $(BUILD)
+
+SEED ?= 1
+MINUTES ?= 1
+soak: build
+	@$(BUILD)/hyssoprail-load soak --binaries=$(BUILD) --seed=$(SEED) --seconds=$$(( $(MINUTES) * 60 )) --rate=20
