--- a/src/hyssoprail/load/answer_check.hpp
+++ b/include/hyssoprail/testbed/answer_check.hpp
@@ -1,11 +1,11 @@
-#ifndef HYSSOPRAIL_LOAD_ANSWER_CHECK_HPP
-#define HYSSOPRAIL_LOAD_ANSWER_CHECK_HPP
+#ifndef HYSSOPRAIL_TESTBED_ANSWER_CHECK_HPP
+#define HYSSOPRAIL_TESTBED_ANSWER_CHECK_HPP
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace hyssoprail::load {
+namespace hyssoprail::testbed {
 
 /// Reads the server-sent events of a completion as they arrive and compares
 /// the text with the reference answer of the stand-in engines.
@@ -39,6 +39,6 @@
   bool Done = false;
 };
 
-} // namespace hyssoprail::load
+} // namespace hyssoprail::testbed
 
-#endif // HYSSOPRAIL_LOAD_ANSWER_CHECK_HPP
+#endif // HYSSOPRAIL_TESTBED_ANSWER_CHECK_HPP
--- a/src/hyssoprail/load/caller.cpp
+++ b/src/hyssoprail/load/caller.cpp
@@ -3,8 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "hyssoprail/load/answer_check.hpp"
 #include "hyssoprail/load/prompt.hpp"
+#include "hyssoprail/testbed/answer_check.hpp"
 
 namespace hyssoprail::load {
 namespace {
@@ -146,7 +146,7 @@
   struct Streaming {
     explicit Streaming(const Arrival &A)
         : Check(makePrompt(A), std::max(1U, A.MaxTokens)) {}
-    AnswerCheck Check;
+    testbed::AnswerCheck Check;
     std::string ErrorBody;
     steady_clock::time_point Sent = steady_clock::now();
     microseconds Last{0};
--- a/src/hyssoprail/load/summary_test.cpp
+++ b/src/hyssoprail/load/summary_test.cpp
@@ -2,10 +2,10 @@
 
 #include <catch2/catch.hpp>
 
-#include "hyssoprail/load/answer_check.hpp"
 #include "hyssoprail/load/prompt.hpp"
 #include "hyssoprail/load/report.hpp"
 #include "hyssoprail/request/reference_answer.hpp"
+#include "hyssoprail/testbed/answer_check.hpp"
 
 namespace hyssoprail::load {
 namespace {
@@ -79,12 +79,12 @@
   A.PromptTokens = 5;
   A.Serial = 9;
   const std::string Prompt = makePrompt(A);
-  AnswerCheck Whole(Prompt, 6);
+  testbed::AnswerCheck Whole(Prompt, 6);
   for (char C : streamOf(Prompt, 6) + "data: [DONE]\n\n")
     Whole.add(std::string_view(&C, 1));
   CHECK(Whole.ended());
   CHECK(Whole.correct());
-  AnswerCheck Short(Prompt, 6);
+  testbed::AnswerCheck Short(Prompt, 6);
   Short.add(streamOf(Prompt, 5) + "data: [DONE]\n\n");
   CHECK_FALSE(Short.correct());
 }
--- a/src/hyssoprail/load/answer_check.cpp
+++ b/src/hyssoprail/testbed/answer_check.cpp
@@ -1,4 +1,4 @@
-#include "hyssoprail/load/answer_check.hpp"
+#include "hyssoprail/testbed/answer_check.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -7,7 +7,7 @@
 
 #include "hyssoprail/request/reference_answer.hpp"
 
-namespace hyssoprail::load {
+namespace hyssoprail::testbed {
 namespace {
 
 /// Tokens contain no whitespace, so the separators between them are left out
@@ -64,4 +64,4 @@
   return !Piece.empty();
 }
 
-} // namespace hyssoprail::load
+} // namespace hyssoprail::testbed
