--- a/include/hyssoprail/process/owner_limits.hpp
+++ b/include/hyssoprail/process/owner_limits.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_PROCESS_OWNER_LIMITS_HPP
 
 #include <array>
+#include <map>
 #include <memory>
 
 #include "hyssoprail/process/debit_client.hpp"
@@ -35,6 +36,7 @@
 private:
   struct OwnedShard {
     std::uint64_t Epoch;
+    std::uint64_t Replaced; ///< epoch before
     TimePoint ActiveFrom;
     ShardLedger Ledger;
   };
@@ -46,7 +48,10 @@
     std::uint64_t Epoch = 0;
   };
 
-  void updateOwnership(TimePoint Now);
+  void updateOwnership(TimePoint Now, LimitActions &Out);
+  void handOver(std::uint32_t Shard, const OwnedShard &Mine, TimePoint Now,
+                LimitActions &Out) const;
+  void adopt(const wire::LimitHandOver &HandOver, TimePoint Now);
   void beginEpoch(std::uint32_t Shard, std::uint64_t Epoch, TimePoint Now);
   void updateAccounts(TimePoint Now, bool AllShards);
   Decision decide(TimePoint Now, const std::string &DebitId,
@@ -77,6 +82,8 @@
   DebitClient Client;
   std::array<std::unique_ptr<OwnedShard>, LimitShardCount> Owned;
   std::size_t OwnedCount = 0;
+  /// Hand-overs that came before this process applied its own take-over.
+  std::map<std::uint32_t, wire::LimitHandOver> EarlyHandOvers;
   bool OnPromises = false;
 
   Counter &Granted;
@@ -85,6 +92,7 @@
   Counter &Credited;
   Counter &RefundsIgnored;
   Counter &TakeOvers;
+  Counter &HandOvers;
   Gauge &ShardsOwned;
 };
 
--- a/include/hyssoprail/process/take_over_planner.hpp
+++ b/include/hyssoprail/process/take_over_planner.hpp
@@ -47,6 +47,12 @@
   /// \p Epoch: it joined before and was not removed since.
   bool memberSince(const LimitView &View, std::uint64_t Epoch) const;
 
+  /// Epoch that this process's newest proposal for \p Shard replaces. If the
+  /// shard's owner is this process, that is the epoch before the present one.
+  std::uint64_t replacedEpoch(std::uint32_t Shard) const {
+    return OpenReplaces[Shard];
+  }
+
   /// True if every proposal for \p Shard so far replaced no epoch, so that
   /// nobody owned the shard before.
   bool onlyProposedFirst(std::uint32_t Shard) const {
--- a/src/hyssoprail/process/owner_limits.cpp
+++ b/src/hyssoprail/process/owner_limits.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/process/owner_limits.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -75,6 +76,7 @@
       RefundsIgnored(
           Parts.Numbers.counter("limit_refunds", {{"result", "ignored"}})),
       TakeOvers(Parts.Numbers.counter("limit_take_overs")),
+      HandOvers(Parts.Numbers.counter("limit_hand_overs")),
       ShardsOwned(Parts.Numbers.gauge("limit_shards_owned")) {}
 
 void OwnerLimits::viewApplied(TimePoint Now, LimitViewPtr Newer,
@@ -83,17 +85,16 @@
     return;
   const bool NewLimits = Newer->Accounts != View->Accounts;
   View = std::move(Newer);
-  updateOwnership(Now);
+  updateOwnership(Now, Out);
   if (NewLimits)
     updateAccounts(Now, true);
   Planner.viewApplied(*View, Now);
   for (PendingDebit *Debit : Client.due(TimePoint::max()))
     if (Debit->SentTo != View->Owners[limitShard(Debit->Account)].Owner)
       Debit->NextSend = Now;
-  (void)Out;
 }
 
-void OwnerLimits::updateOwnership(TimePoint Now) {
+void OwnerLimits::updateOwnership(TimePoint Now, LimitActions &Out) {
   bool Began = false;
   for (std::uint32_t Shard = 0; Shard < LimitShardCount; ++Shard) {
     const LimitShardOwner &Of = View->Owners[Shard];
@@ -104,6 +105,8 @@
     if (Mine && (!Own || Mine->Epoch != Of.Epoch)) {
       Parts.Events.record(
           shardEvent(EventKind::OwnershipLapsed, Mine->Epoch, Shard));
+      if (Of.Owner != Self)
+        handOver(Shard, *Mine, Now, Out);
       Mine.reset();
       --OwnedCount;
     }
@@ -113,8 +116,55 @@
     }
   }
   ShardsOwned.set(static_cast<double>(OwnedCount));
-  if (Began)
-    updateAccounts(Now, false);
+  if (!Began)
+    return;
+  updateAccounts(Now, false);
+  for (const auto &[Shard, HandOver] : std::exchange(EarlyHandOvers, {}))
+    adopt(HandOver, Now);
+}
+
+/// Tells the successor what the buckets owe. It may then start at once: this
+/// process has applied the take-over and grants nothing more in its epoch. An
+/// epoch that was still waiting cannot be handed over, as the owner before it
+/// may be granting.
+void OwnerLimits::handOver(std::uint32_t Shard, const OwnedShard &Mine,
+                           TimePoint Now, LimitActions &Out) const {
+  if (Now < Mine.ActiveFrom)
+    return;
+  const LimitShardOwner &Of = View->Owners[Shard];
+  wire::Envelope E;
+  wire::LimitHandOver *Message = E.mutable_limit_hand_over();
+  Message->set_shard(Shard);
+  Message->set_ended_epoch(Mine.Epoch);
+  Message->set_next_epoch(Of.Epoch);
+  for (const BucketDebt &Debt : Mine.Ledger.debts(Now)) {
+    wire::BucketDebt *To = Message->add_debts();
+    To->set_account(Debt.Account);
+    To->set_tokens(Debt.Tokens);
+  }
+  send(Of.Owner, std::move(E), Out);
+}
+
+/// Starts an epoch that waits for its predecessor's leases, from the debts of
+/// the predecessor. Repeated and stale hand-overs name other epochs, or come
+/// when the epoch has started.
+void OwnerLimits::adopt(const wire::LimitHandOver &HandOver, TimePoint Now) {
+  if (HandOver.shard() >= LimitShardCount)
+    return;
+  OwnedShard *Mine = Owned[HandOver.shard()].get();
+  if (!Mine || Mine->Epoch < HandOver.next_epoch()) {
+    EarlyHandOvers[HandOver.shard()] = HandOver;
+    return;
+  }
+  if (Mine->Epoch != HandOver.next_epoch() ||
+      Mine->Replaced != HandOver.ended_epoch() || Now >= Mine->ActiveFrom)
+    return;
+  std::vector<BucketDebt> Debts;
+  for (const wire::BucketDebt &Debt : HandOver.debts())
+    Debts.push_back({Debt.account(), Debt.tokens()});
+  Mine->ActiveFrom = Now;
+  Mine->Ledger.adopt(Debts, Now);
+  HandOvers.add();
 }
 
 /// The successor waits until every lease of its predecessor has ended and
@@ -126,6 +176,7 @@
       First ? Now : Now + Options.outlasting(Options.Lease);
   Owned[Shard] = std::make_unique<OwnedShard>(
       OwnedShard{.Epoch = Epoch,
+                 .Replaced = Planner.replacedEpoch(Shard),
                  .ActiveFrom = ActiveFrom,
                  .Ledger = ShardLedger({.Start = ActiveFrom,
                                         .StartFull = First,
@@ -330,6 +381,9 @@
     }
     return;
   }
+  case wire::Envelope::kLimitHandOver:
+    adopt(Message.limit_hand_over(), Now);
+    return;
   default:
     return;
   }
--- a/src/hyssoprail/process/owner_limits_test.cpp
+++ b/src/hyssoprail/process/owner_limits_test.cpp
@@ -69,6 +69,21 @@
   CHECK_FALSE(S.Fleet.audit().firstViolation());
 }
 
+// Guards against refusals for the length of a lease whenever an entry is
+// replaced, and against a burst granted once more by the successor.
+TEST_CASE("an owner that leaves hands its buckets to its successor") {
+  Scene S(3);
+  S.Fleet.setAccount("a", AccountLimit{.Rate = 100, .Burst = 1'000});
+  S.run(seconds(1));
+  CHECK(S.ask(S.Owner, 900).Granted);
+  S.Fleet.setLeaving(S.Owner);
+  S.run(milliseconds(800));
+  CHECK(S.Fleet.ownerEntry("a") != S.Owner);
+  CHECK_FALSE(S.ask(S.Other, 400).Granted);
+  CHECK(S.ask(S.Other, 200).Granted);
+  CHECK_FALSE(S.Fleet.audit().firstViolation());
+}
+
 // Guards against an owner that grants on a lease which ended while it was
 // paused.
 TEST_CASE("an owner paused past its lease reads the log before it grants") {
--- a/src/hyssoprail/process/take_over_planner.cpp
+++ b/src/hyssoprail/process/take_over_planner.cpp
@@ -120,9 +120,13 @@
     if (Open.test(Shard) || !Rank || !mayTakeFrom(View, From, Now) ||
         !Promises.freeOf(From.Owner, Now))
       continue;
-    const Duration First =
-        From.Epoch == 0 ? Duration::zero() : Options.TakeOverDelay;
-    if (Now - *Gone < First + static_cast<int>(*Rank) * Options.TakeOverStagger)
+    // An owner that leaves is alive and hands over, so nothing speaks for
+    // waiting.
+    const auto Of = Live.find(From.Owner);
+    const bool Leaves = Of != Live.end() && Of->second.Leaving;
+    const Duration Delay =
+        From.Epoch == 0 || Leaves ? Duration::zero() : Options.TakeOverDelay;
+    if (Now - *Gone < Delay + static_cast<int>(*Rank) * Options.TakeOverStagger)
       continue;
     New.Shards.push_back(Shard);
     New.Replaces.push_back(From.Epoch);
