--- a/bench/http_server_bench.cpp
+++ b/bench/http_server_bench.cpp
@@ -35,6 +35,10 @@
          static_cast<double>(Time.tv_nsec) * 1e-9;
 }
 
+double perStream(std::size_t Bytes, std::size_t Streams) {
+  return static_cast<double>(Bytes) / static_cast<double>(Streams);
+}
+
 /// Server with one thread that answers at once, or keeps the exchanges of
 /// streams.
 class BenchServer {
@@ -128,13 +132,11 @@
     const std::size_t Open = mallinfo2().uordblks;
     for (std::size_t I = 0; I < Count; ++I)
       Contexts.push_back(std::make_unique<boost::asio::io_context>());
-    const std::size_t PerContext = (mallinfo2().uordblks - Open) / Count;
+    const double PerContext = perStream(mallinfo2().uordblks - Open, Count);
     Run.counters["idle_connection_bytes"] =
-        static_cast<double>((WithCallers - Before) / Count) -
-        static_cast<double>(PerContext);
+        perStream(WithCallers - Before, Count) - PerContext;
     Run.counters["open_stream_bytes"] =
-        static_cast<double>((Open - Before) / Count) -
-        static_cast<double>(PerContext);
+        perStream(Open - Before, Count) - PerContext;
     Contexts.clear();
     const double CpuBefore = seconds(CLOCK_PROCESS_CPUTIME_ID);
     const double OwnBefore = seconds(CLOCK_THREAD_CPUTIME_ID);
--- a/src/hyssoprail/connection/zmq_bus.cpp
+++ b/src/hyssoprail/connection/zmq_bus.cpp
@@ -3,8 +3,10 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
+#include <google/protobuf/stubs/logging.h>
 #include <spdlog/spdlog.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -58,7 +60,11 @@
 public:
   ZmqBus(BusOptions Options, const Clock &Time)
       : Options(std::move(Options)), Time(Time), Wake(eventfd(0, EFD_NONBLOCK)),
-        Context(1) {}
+        Context(1) {
+    // Protobuf prints a line for each string that is not UTF-8; the bus reports
+    // messages that cannot be parsed itself.
+    google::protobuf::SetLogHandler(nullptr);
+  }
 
   ~ZmqBus() override {
     stop();
@@ -245,13 +251,24 @@
     Received += Data.size();
     wire::Envelope Message;
     if (!Message.ParseFromArray(Data.data(), static_cast<int>(Data.size()))) {
-      spdlog::warn("[bus] A message of {} bytes cannot be parsed.",
-                   Data.size());
+      noteMalformed(Data.size());
       return;
     }
     OnMessage(Source, std::move(Message));
   }
 
+  /// Logs at most once a second, so that a hostile peer cannot fill the log.
+  void noteMalformed(std::size_t Size) {
+    ++Malformed;
+    const TimePoint Now = Time.now();
+    if (Now < NextMalformedLog)
+      return;
+    NextMalformedLog = Now + std::chrono::seconds(1);
+    spdlog::warn("[bus] {} messages could not be parsed; the last one had {} "
+                 "bytes.",
+                 std::exchange(Malformed, 0), Size);
+  }
+
   BusOptions Options;
   const Clock &Time;
   Handler OnMessage;
@@ -262,6 +279,8 @@
   std::map<LinkId, zmq::socket_t> Links;
   std::mutex Mutex;
   std::deque<Command> Commands;
+  std::uint64_t Malformed = 0; ///< since the last log line about them
+  TimePoint NextMalformedLog;
   std::atomic<LinkId> NextLink{0};
   std::atomic<bool> Running{false};
   std::atomic<std::uint64_t> Sent{0};
