--- a/src/hyssoprail/connection/zmq_bus.cpp
+++ b/src/hyssoprail/connection/zmq_bus.cpp
@@ -23,6 +23,10 @@
 /// Larger messages end the connection they came over.
 constexpr std::int64_t MaxMessageBytes = std::int64_t{64} * 1024 * 1024;
 
+/// Sockets of a process. ZeroMQ's default of 1,023 is fewer than the links of
+/// one entry at the target size.
+constexpr int MaxSockets = 65'535;
+
 /// Messages taken from one socket before the others get their turn.
 constexpr int ReceiveBatch = 64;
 
@@ -61,6 +65,7 @@
   ZmqBus(BusOptions Options, const Clock &Time)
       : Options(std::move(Options)), Time(Time), Wake(eventfd(0, EFD_NONBLOCK)),
         Context(1) {
+    Context.set(zmq::ctxopt::max_sockets, MaxSockets);
     // Protobuf prints a line for each string that is not UTF-8; the bus reports
     // messages that cannot be parsed itself.
     google::protobuf::SetLogHandler(nullptr);
