--- a/src/hyssoprail/standin/engine/engine_test.cpp
+++ b/src/hyssoprail/standin/engine/engine_test.cpp
@@ -1,5 +1,10 @@
 #include "hyssoprail/standin/engine/engine.hpp"
 
+#include <chrono>
+#include <future>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/request/reference_answer.hpp"
@@ -177,4 +182,110 @@
         std::chrono::milliseconds(40));
 }
 
+// Guards against prefills that cost the same although their prefix is cached,
+// and against cache events that come at once or without gaps.
+TEST_CASE("a repeated prefix is cached and reported later, with gaps") {
+  EngineOptions Options = warm("prefill");
+  Options.CacheEventDelay = std::chrono::milliseconds(50);
+  Options.CacheEventLoss = 0.5;
+  TestEngine E(Options);
+  std::string Prompt;
+  for (unsigned I = 0; I < 20 * PrefixBlockTokens; ++I)
+    Prompt += "w" + std::to_string(I) + " ";
+  const auto First = std::chrono::steady_clock::now();
+  CHECK(E.call("POST", "/prefill", prefillBody("a", Prompt))["cached_tokens"] ==
+        0);
+  const Json Early = E.call("GET", "/cache_events?after=0");
+  if (std::chrono::steady_clock::now() - First < Options.CacheEventDelay)
+    CHECK(Early["events"].empty());
+  const Json Again =
+      E.call("POST", "/prefill", prefillBody("b", Prompt + "more"));
+  CHECK(Again["cached_tokens"] == 20 * PrefixBlockTokens);
+  Json Late;
+  CHECK(waitUntil([&] {
+    Late = E.call("GET", "/cache_events?after=0");
+    return !Late["events"].empty();
+  }));
+  CHECK(Late["events"].size() < 20);
+  CHECK(E.call("GET", "/cache_events?after=" + Late["next"].dump())["events"]
+            .empty());
+}
+
+// Guards against an emulator that ignores priorities.
+TEST_CASE("waiting prefills start in the order of their priority") {
+  EngineOptions Options = warm("prefill");
+  Options.PrefillBaseUs = 300'000;
+  TestEngine E(Options);
+  std::string Order; // written on the client's thread
+  std::promise<void> AllDone;
+  const auto Begin = [&](const std::string &Id, unsigned Priority) {
+    Json Body = prefillBody(Id, "x");
+    Body["priority"] = Priority;
+    HttpCall Call;
+    Call.Authority = E.Server.authority();
+    Call.Request = {"POST", "/prefill", {}, Body.dump()};
+    boost::asio::post(E.Client.context(), [&, Call, Id] {
+      E.Client.client().call(Call, [&, Id](const auto &) {
+        Order += Id;
+        if (Order.size() == 3)
+          AllDone.set_value();
+      });
+    });
+  };
+  Begin("a", 2);
+  REQUIRE(waitUntil([&] { return E.heldCount() == 1; }));
+  Begin("b", 2);
+  REQUIRE(waitUntil([&] { return E.heldCount() == 2; }));
+  Begin("c", 0);
+  AllDone.get_future().wait();
+  CHECK(Order == "acb");
+}
+
+// Guards against transfers that are faster than the link, alone or together.
+TEST_CASE("transfers share the rate of the link and can be stalled") {
+  EngineOptions Options = warm("prefill");
+  Options.KvTtl = std::chrono::seconds(60);
+  Options.KvBytesPerToken = 10'000;
+  Options.LinkBytesPerSecond = 500'000;
+  TestEngine E(Options);
+  std::vector<HttpCall> Exports(2);
+  for (unsigned I = 0; I < 2; ++I) {
+    const std::string Id(1, static_cast<char>('a' + I));
+    const Json Done = E.call("POST", "/prefill", prefillBody(Id, "1 2 3 4 5"));
+    Exports[I].Authority = E.Server.authority();
+    Exports[I].Request = {"GET", "/kv/" + textField(Done, "kv_handle"), {}, {}};
+  }
+  const auto Start = std::chrono::steady_clock::now();
+  auto First = E.Client.begin(Exports[0]);
+  auto Second = E.Client.begin(Exports[1]);
+  CHECK(valueOf(First.get()).Body.size() == 50'000);
+  CHECK(valueOf(Second.get()).Body.size() == 50'000);
+  // 100,000 bytes at 500,000 bytes a second.
+  CHECK(std::chrono::steady_clock::now() - Start >=
+        std::chrono::milliseconds(180));
+  E.call("POST", "/faults", {{"stall_transfers", true}});
+  Exports[0].Timeout = std::chrono::milliseconds(300);
+  const auto Stalled = E.Client.begin(Exports[0]).get();
+  REQUIRE_FALSE(succeeded(Stalled));
+  CHECK(errorOf(Stalled)->Kind == ErrorKind::DeadlineExceeded);
+}
+
+// Guards against a load report that is exact, which would hide decisions that
+// rely on fresh figures.
+TEST_CASE("the reported load lags") {
+  EngineOptions Options = warm("prefill");
+  Options.PrefillBaseUs = 10'000'000;
+  Options.LoadLag = std::chrono::milliseconds(100);
+  TestEngine E(Options);
+  HttpCall Call;
+  Call.Authority = E.Server.authority();
+  Call.Request = {"POST", "/prefill", {}, prefillBody("a", "x").dump()};
+  const auto Start = std::chrono::steady_clock::now();
+  auto Pending = E.Client.begin(Call);
+  REQUIRE(waitUntil([&] { return E.call("GET", "/load")["running"] == 1; }));
+  CHECK(std::chrono::steady_clock::now() - Start >= Options.LoadLag);
+  E.call("POST", "/cancel", {{"id", "a"}});
+  CHECK(valueOf(Pending.get()).Status == 409);
+}
+
 } // namespace hyssoprail::standin
