--- a/include/hyssoprail/process/fixed_limits.hpp
+++ b/include/hyssoprail/process/fixed_limits.hpp
@@ -16,7 +16,8 @@
   void viewApplied(TimePoint Now, LimitViewPtr View,
                    LimitActions &Out) override;
   void livePeers(TimePoint, std::vector<LivePeer>) override {}
-  void readFinished(TimePoint, std::uint64_t, bool, LimitActions &) override {}
+  void readFinished(TimePoint, std::uint64_t, std::optional<std::uint64_t>,
+                    LimitActions &) override {}
   void debit(TimePoint Now, LimitDebit Debit, LimitActions &Out) override;
   void refund(TimePoint Now, const LimitRefund &Refund,
               LimitActions &Out) override;
--- a/include/hyssoprail/process/limit_service.hpp
+++ b/include/hyssoprail/process/limit_service.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -106,8 +107,11 @@
   /// Replaces what is known of the other entries.
   virtual void livePeers(TimePoint Now, std::vector<LivePeer> Peers) = 0;
 
-  /// Ends a read that a StartLogRead action asked for.
-  virtual void readFinished(TimePoint Now, std::uint64_t ReadId, bool Succeeded,
+  /// Ends a read that a StartLogRead action asked for. \p End is the offset of
+  /// the log's end that it returned, or nullopt if it failed. A read whose
+  /// records have not all come in through viewApplied counts as failed.
+  virtual void readFinished(TimePoint Now, std::uint64_t ReadId,
+                            std::optional<std::uint64_t> End,
                             LimitActions &Out) = 0;
 
   /// Asks for a debit. Exactly one AnswerDebit follows, at once or within
--- a/include/hyssoprail/process/owner_limits.hpp
+++ b/include/hyssoprail/process/owner_limits.hpp
@@ -23,7 +23,8 @@
   void viewApplied(TimePoint Now, LimitViewPtr View,
                    LimitActions &Out) override;
   void livePeers(TimePoint Now, std::vector<LivePeer> Peers) override;
-  void readFinished(TimePoint Now, std::uint64_t ReadId, bool Succeeded,
+  void readFinished(TimePoint Now, std::uint64_t ReadId,
+                    std::optional<std::uint64_t> End,
                     LimitActions &Out) override;
   void debit(TimePoint Now, LimitDebit Debit, LimitActions &Out) override;
   void refund(TimePoint Now, const LimitRefund &Refund,
--- a/src/hyssoprail/entry/limit_desk.cpp
+++ b/src/hyssoprail/entry/limit_desk.cpp
@@ -230,7 +230,10 @@
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
-    Service->readFinished(Time.now(), R.Id, Succeeded, Actions);
+    Service->readFinished(Time.now(), R.Id,
+                          Succeeded ? std::optional<std::uint64_t>(R.Until)
+                                    : std::nullopt,
+                          Actions);
   }
   carryOut(std::move(Actions));
 }
--- a/src/hyssoprail/process/limit_fleet_model.cpp
+++ b/src/hyssoprail/process/limit_fleet_model.cpp
@@ -294,7 +294,7 @@
       if (!ReadId)
         return;
       LimitActions Actions;
-      Of.Service->readFinished(Of.local(), *ReadId, End.has_value(), Actions);
+      Of.Service->readFinished(Of.local(), *ReadId, End, Actions);
       perform(Of, Actions);
     });
   };
--- a/src/hyssoprail/process/owner_limits.cpp
+++ b/src/hyssoprail/process/owner_limits.cpp
@@ -206,9 +206,10 @@
   Planner.livePeers(std::move(Peers));
 }
 
-void OwnerLimits::readFinished(TimePoint, std::uint64_t ReadId, bool Succeeded,
+void OwnerLimits::readFinished(TimePoint, std::uint64_t ReadId,
+                               std::optional<std::uint64_t> End,
                                LimitActions &) {
-  if (!Succeeded) {
+  if (!End || View->Version < *End) {
     Lease.failRead(ReadId);
     return;
   }
