--- a/src/hyssoprail/agent/agent_runtime.cpp
+++ b/src/hyssoprail/agent/agent_runtime.cpp
@@ -9,6 +9,7 @@
 
 #include "hyssoprail/core/random.hpp"
 #include "hyssoprail/process/log.hpp"
+#include "hyssoprail/process/timeline_json.hpp"
 
 namespace hyssoprail {
 namespace {
@@ -209,20 +210,9 @@
   const std::string Limit = queryValue(Target, "limit");
   if (!Limit.empty())
     Filter.Limit = std::strtoul(Limit.c_str(), nullptr, 10);
-  nlohmann::json List = nlohmann::json::array();
-  for (const Event &E : Events.select(Filter))
-    List.push_back({{"unix_us", E.UnixMicros},
-                    {"process", Settings.Process.Name},
-                    {"kind", eventKindName(E.Kind)},
-                    {"request_id", E.RequestId},
-                    {"attempt", E.Attempt},
-                    {"account", E.Account},
-                    {"endpoint", E.Endpoint},
-                    {"version", E.Version},
-                    {"detail", E.Detail}});
-  const nlohmann::json Body{{"events", std::move(List)},
-                            {"now_unix_us", Time.unixMicros()}};
-  Exchange.respond(jsonResponse(200, Body.dump()));
+  Exchange.respond(
+      jsonResponse(200, encodeTimeline(Settings.Process.Name, Time.unixMicros(),
+                                       Events.select(Filter))));
 }
 
 std::string AgentRuntime::metricsText() {
--- a/src/hyssoprail/process/admin_api.cpp
+++ b/src/hyssoprail/process/admin_api.cpp
@@ -10,6 +10,7 @@
 #include "hyssoprail/process/object_json.hpp"
 #include "hyssoprail/process/query.hpp"
 #include "hyssoprail/process/schema_check.hpp"
+#include "hyssoprail/process/timeline_json.hpp"
 #include "hyssoprail/version/change_rules.hpp"
 #include "hyssoprail/version/key_digest.hpp"
 
@@ -380,20 +381,7 @@
   const std::string Limit = queryValue(Of, "limit");
   if (!Limit.empty())
     Filter.Limit = std::strtoul(Limit.c_str(), nullptr, 10);
-  Json Selected = Json::array();
-  for (const Event &E : Events.select(Filter))
-    Selected.push_back(Json{{"unix_us", E.UnixMicros},
-                            {"kind", eventKindName(E.Kind)},
-                            {"request_id", E.RequestId},
-                            {"attempt", E.Attempt},
-                            {"account", E.Account},
-                            {"endpoint", E.Endpoint},
-                            {"version", E.Version},
-                            {"detail", E.Detail}});
-  const Json Body{{"process", ProcessName},
-                  {"now_unix_us", NowUnixMicros},
-                  {"events", Selected}};
-  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return encodeTimeline(ProcessName, NowUnixMicros, Events.select(Filter));
 }
 
 } // namespace hyssoprail
