Replace a silent link also when ticks are rare

After a pause of this process a link gets another chance to be acked. A process that ticks less often than every 500 ms took each tick for the end of a pause, so a silent link was never replaced. The chance is now given once until an ack.

--- a/include/hyssoprail/connection/peer_link.hpp
+++ b/include/hyssoprail/connection/peer_link.hpp
@@ -112,7 +112,8 @@
   LinkSlot Replacement = 0; ///< 0 unless the link is suspected
   TimePoint NextHeartbeat;
   TimePoint LastTick;
-  TimePoint SilentSince;                ///< since when an ack has been due
+  TimePoint SilentSince;  ///< since when an ack has been due
+  bool GraceUsed = false; ///< after a pause of this process, until an ack
   std::optional<TimePoint> ConfirmedAt; ///< send time of the newest acked one
   TimePoint ReplaceAt; ///< when an unconfirmed replacement is given up
   milliseconds ReplaceInterval{0};
--- a/src/hyssoprail/connection/peer_link.cpp
+++ b/src/hyssoprail/connection/peer_link.cpp
@@ -25,10 +25,12 @@
 
 PeerLinkActions PeerLink::tick(TimePoint Now) {
   PeerLinkActions Actions;
-  // A process that was itself paused has not listened; its peers get another
+  // A process that was itself paused has not listened; its peers get one more
   // chance to ack before their links are replaced.
-  if (Now - LastTick > Options.SuspectAfter / 2)
+  if (!GraceUsed && Now - LastTick > Options.SuspectAfter / 2) {
     SilentSince = std::max(SilentSince, Now - Options.SuspectAfter / 2);
+    GraceUsed = true;
+  }
   LastTick = Now;
   if (Replacement == 0 && Now - SilentSince > Options.SuspectAfter) {
     Actions.push_back(LinkSuspected{});
@@ -94,6 +96,7 @@
                        TimePoint SentAt, TimePoint Now) {
   ConfirmedAt = std::max(ConfirmedAt.value_or(SentAt), SentAt);
   SilentSince = std::max(SilentSince, SentAt);
+  GraceUsed = false;
   if (Replacement == 0)
     return;
   if (Slot == Replacement) {
--- a/src/hyssoprail/connection/peer_link_test.cpp
+++ b/src/hyssoprail/connection/peer_link_test.cpp
@@ -132,6 +132,18 @@
   CHECK(C.Link.reachable(C.Clock.now()));
 }
 
+// Guards against a silent link that is never replaced because a busy process
+// ticks so rarely that each tick looks like the end of a pause.
+TEST_CASE("rare ticks do not hide a silent link") {
+  Confirmed C;
+  bool Opened = false;
+  for (int I = 0; I < 5 && !Opened; ++I) {
+    C.Clock.advance(milliseconds(600));
+    Opened = firstOf<OpenSlot>(C.Link.tick(C.Clock.now())) != nullptr;
+  }
+  CHECK(Opened);
+}
+
 // Guards against late messages of a dead incarnation that look like news.
 TEST_CASE("a new incarnation is reported once and the old one is dropped") {
   Confirmed C;
