Take over from an owner whose member record was replaced

The restarted process's Member record removed the dead incarnation, and the planner then forgot which version that owner had reported; a recent member has to wait for the grace of 120 s if it does not know that the owner knew it. Ruled out: the joiner rule itself (the version had been heard) and the log (healthy). Change: a reported version is kept while its process owns a shard. Conclusion: safe, because the owner reported that version itself.

--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -148,6 +148,10 @@
 FleetStatus EntryRuntime::fleetStatus() {
   FleetStatus Status;
   Status.Processes = Processes.list(StatusAge);
+  // Gossip returns this process's own row, which is older than its state.
+  std::erase_if(Status.Processes, [this](const ProcessStatus &P) {
+    return P.Member.incarnation() == Incarnation;
+  });
   Status.Processes.push_back({ownStatus(), std::nullopt});
   Status.LogAge = logAge();
   Status.Violations = Checks.violations();
--- a/src/hyssoprail/process/take_over_planner.cpp
+++ b/src/hyssoprail/process/take_over_planner.cpp
@@ -31,8 +31,14 @@
   for (std::uint32_t Shard = 0; Shard < LimitShardCount; ++Shard)
     if (Open.test(Shard) && View.Owners[Shard].Epoch != OpenReplaces[Shard])
       Open.reset(Shard);
+  // What an owner reported stays known while it owns a shard: its member record
+  // may be replaced by a restarted process before its shards are taken over.
   std::erase_if(HeardVersions, [&](const auto &Heard) {
-    return !View.member(Heard.first) && !Live.contains(Heard.first);
+    return !View.member(Heard.first) && !Live.contains(Heard.first) &&
+           std::none_of(View.Owners.begin(), View.Owners.end(),
+                        [&](const LimitShardOwner &Of) {
+                          return Of.Owner == Heard.first;
+                        });
   });
   std::erase_if(Proposals, [&](const TakeOverProposal &P) {
     return std::none_of(P.Shards.begin(), P.Shards.end(),
--- /dev/null
+++ b/src/hyssoprail/process/take_over_planner_test.cpp
@@ -0,0 +1,66 @@
+#include "hyssoprail/process/take_over_planner.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace hyssoprail {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint64_t Owner = 1;
+constexpr std::uint64_t Self = 2;
+constexpr std::uint64_t Restarted = 3;
+
+LimitView viewOf(std::uint64_t Version, std::vector<LimitMember> Members) {
+  LimitView View;
+  View.Version = Version;
+  View.Members = std::move(Members);
+  for (LimitShardOwner &Of : View.Owners)
+    Of = {Owner, 10};
+  return View;
+}
+
+} // namespace
+
+// Guards against limits that stay unavailable for the grace of two minutes when
+// a killed owner's replacement joins before its shards are taken over.
+TEST_CASE("a recent member takes over from an owner that was restarted") {
+  TakeOverPlanner Planner(LimitOptions{}, Self);
+  RandomSource Random(1);
+  const PromiseTable Promises;
+  const TimePoint Begin{seconds(1'000)};
+
+  LimitView View = viewOf(100, {{Owner, "a", 5}, {Self, "b", 100}});
+  Planner.viewApplied(View, Begin);
+  Planner.livePeers({{Owner, 100, false}, {Self, 100, false}});
+  CHECK(Planner.plan(View, Promises, Random, Begin).empty());
+
+  View = viewOf(101, {{Self, "b", 100}, {Restarted, "a", 101}});
+  Planner.livePeers({{Self, 101, false}, {Restarted, 101, false}});
+  Planner.viewApplied(View, Begin + seconds(1));
+  Planner.plan(View, Promises, Random, Begin + seconds(1));
+  const auto Proposals =
+      Planner.plan(View, Promises, Random, Begin + seconds(5));
+  REQUIRE(Proposals.size() == 1);
+  CHECK(Proposals.front().Shards.size() == LimitShardCount);
+}
+
+// Guards against a take-over from an owner that may serve on the promises of
+// members which do not include this process.
+TEST_CASE("a recent member waits for an owner that may not know it") {
+  TakeOverPlanner Planner(LimitOptions{}, Self);
+  RandomSource Random(1);
+  const PromiseTable Promises;
+  const TimePoint Begin{seconds(1'000)};
+
+  const LimitView View = viewOf(100, {{Self, "b", 100}});
+  Planner.viewApplied(View, Begin);
+  Planner.livePeers({{Owner, 99, false}, {Self, 100, false}});
+  Planner.livePeers({{Self, 100, false}});
+  Planner.plan(View, Promises, Random, Begin);
+  CHECK(Planner.plan(View, Promises, Random, Begin + seconds(100)).empty());
+  CHECK_FALSE(
+      Planner.plan(View, Promises, Random, Begin + seconds(130)).empty());
+}
+
+} // namespace hyssoprail
