Limits: test of a hand-over by an owner that still waits

A trial on a scratch copy without the check that a waiting epoch is not handed over passed all 97 cases. The new case has an owner cut off with its lease running, a successor that leaves while it waits, and a third entry; without the check it fails: "account a: 2880.000 tokens in a window of 1.870000 s, allowed 2870.000".

--- a/src/hyssoprail/process/owner_limits_test.cpp
+++ b/src/hyssoprail/process/owner_limits_test.cpp
@@ -84,6 +84,32 @@
   CHECK_FALSE(S.Fleet.audit().firstViolation());
 }
 
+// Guards against a hand-over by an owner that still waits for the lease of the
+// owner before it.
+TEST_CASE("an owner that leaves while it waits hands nothing over") {
+  Scene S(3);
+  const std::size_t First = S.Owner;
+  S.Fleet.cutLog(First, true);
+  for (std::size_t I = 0; I < 3; ++I)
+    if (I != First)
+      S.Fleet.cut(I, First, true);
+  bool Left = false;
+  for (int I = 0; I < 600; ++I) {
+    S.run(milliseconds(10));
+    for (std::size_t Entry = 0; Entry < 3; ++Entry)
+      S.Fleet.request(Entry, "a", 20, 0, seconds(1));
+    const std::size_t Second = S.Fleet.ownerEntry("a");
+    if (Second != First && !Left) {
+      S.Fleet.setLeaving(Second);
+      Left = true;
+    }
+  }
+  REQUIRE(Left);
+  const auto Violation = S.Fleet.audit().firstViolation();
+  INFO((Violation ? Violation->describe() : ""));
+  CHECK_FALSE(Violation);
+}
+
 // Guards against an owner that grants on a lease which ended while it was
 // paused.
 TEST_CASE("an owner paused past its lease reads the log before it grants") {
