--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -111,6 +111,10 @@
   /// Begins a graceful shutdown: no new work is accepted.
   void drain(TimePoint Now);
 
+  /// Sets the "IP:PORT" at which this process serves its time line, known
+  /// once the HTTP server listens.
+  void listening(std::string Address) { HttpAddress = std::move(Address); }
+
   /// True when a drained agent holds no work and its last results were sent.
   bool drained(TimePoint Now) const;
 
@@ -308,6 +312,7 @@
   StatusResult Engine;
   bool EngineUp = false;
   bool HeldKnown = false;
+  std::string HttpAddress;
   bool Leaving = false;
   bool Suspected = false; ///< no starts until the status is known
   bool Evidence = false;  ///< sign of life since a connection was last open
--- a/src/hyssoprail/agent/agent_runtime.cpp
+++ b/src/hyssoprail/agent/agent_runtime.cpp
@@ -88,7 +88,10 @@
   Http.Port = Settings.Process.HttpPort;
   Server = makeHttpServer(
       Http, [this](const std::shared_ptr<HttpExchange> &E) { serve(E); });
-  return Server->start();
+  Status Listening = Server->start();
+  Core.listening(Settings.Process.Address + ":" +
+                 std::to_string(Server->port()));
+  return Listening;
 }
 
 int AgentRuntime::run() {
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -38,6 +38,7 @@
   Status.set_zone(B.zone());
   Status.set_version(B.version());
   Status.set_leaving(B.leaving());
+  Status.set_http_address(B.http_address());
   if constexpr (requires { B.peer_address(); })
     Status.set_peer_address(B.peer_address());
   return Status;
@@ -101,6 +102,7 @@
   Ack.set_version(Store.current()->version());
   Ack.set_leaving(Draining);
   Ack.set_role("entry");
+  Ack.set_http_address(adminAddress());
   Ack.set_zone(Settings.Process.Zone);
   Ack.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
   Answer(std::move(Out));
@@ -199,6 +201,7 @@
     *Beat.add_live() = std::move(Work);
   Beat.set_leaving(Draining);
   Beat.set_role("entry");
+  Beat.set_http_address(adminAddress());
   Beat.set_zone(Settings.Process.Zone);
   Beat.set_peer_address(Sockets->boundAddress());
   Beat.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -90,6 +90,7 @@
   LimitPorts limitPorts();
   void tickVms();
   wire::Member ownMember() const;
+  std::string adminAddress() const;
   wire::MemberStatus ownStatus();
   milliseconds logAge();
   std::optional<Error> whyClosed() const;
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -133,6 +133,10 @@
   return Self;
 }
 
+std::string EntryRuntime::adminAddress() const {
+  return Settings.Process.Address + ":" + std::to_string(AdminServer->port());
+}
+
 wire::MemberStatus EntryRuntime::ownStatus() {
   wire::MemberStatus Own;
   Own.set_name(Settings.Process.Name);
@@ -142,6 +146,7 @@
   Own.set_version(Store.current()->version());
   Own.set_leaving(Draining);
   Own.set_peer_address(Sockets->boundAddress());
+  Own.set_http_address(adminAddress());
   return Own;
 }
 
--- a/src/hyssoprail/process/admin_api.cpp
+++ b/src/hyssoprail/process/admin_api.cpp
@@ -60,7 +60,8 @@
            {"incarnation", fmt::format("{:016x}", M.incarnation())},
            {"version", M.version()},
            {"age_ms", M.age_ms()},
-           {"leaving", M.leaving()}};
+           {"leaving", M.leaving()},
+           {"http_address", M.http_address()}};
   if (P.Load)
     Out["load"] = Json{
         {"slots", P.Load->slots()},   {"slots_used", P.Load->slots_used()},
--- a/src/hyssoprail/process/agent_core.cpp
+++ b/src/hyssoprail/process/agent_core.cpp
@@ -149,6 +149,7 @@
     *Ack.add_live() = workRef(Key);
   Ack.set_leaving(Leaving || View.Leaving);
   Ack.set_role("agent");
+  Ack.set_http_address(HttpAddress);
   Ack.set_zone(Options.Zone);
   Ack.set_endpoint(Options.Endpoint);
   Ack.set_needs_lease(Orders.needsLease(View));
