--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -163,6 +163,7 @@
     unsigned HeldSlots = 0;  ///< held now
     unsigned HeldPieces = 0; ///< held now
     bool OnEngine = false;   ///< counts towards the cold-start limit
+    bool Open = false;       ///< its connection would show a restart
     TimePoint Created{};
     TimePoint Due{};      ///< Promised: when the slot is needed
     TimePoint Deadline{}; ///< of the present phase
@@ -225,6 +226,7 @@
   void checkNewWork(const Work &W);
   bool fitsNow(const Work &W, TimePoint Now) const;
   bool feasible(const Work &Candidate, TimePoint Due, TimePoint Now) const;
+  TimePoint predictedRelease(const Work &W, TimePoint Now) const;
   std::vector<Release> predictedReleases(TimePoint Now) const;
   void hold(Work &W);
   void unhold(Work &W);
@@ -245,7 +247,8 @@
               bool Tell, TimePoint Now);
   void cancelOnEngine(Work &W, TimePoint Now);
   void detach(Work &W);
-  void leaveEngine(Work &W, TimePoint Now);
+  void leaveEngine(Work &W);
+  void closeCall(Work &W);
   void removeWork(Work &W);
   void remember(const WorkKey &Key, Ended Record, TimePoint Now);
   void expireLeases(TimePoint Now);
@@ -307,7 +310,7 @@
   bool HeldKnown = false;
   bool Leaving = false;
   bool Suspected = false; ///< no starts until the status is known
-  bool Evidence = false;  ///< sign of life since the engine was last idle
+  bool Evidence = false;  ///< sign of life since a connection was last open
   TimePoint IdleSince{};
   TimePoint LastResult{};
   TimePoint LastTick{};
@@ -324,6 +327,7 @@
   unsigned PiecesUsed = 0;
   unsigned Running = 0;
   unsigned RunningPeak = 0; ///< since the last status
+  unsigned OpenCalls = 0;   ///< work with an open connection
   double StepMicros = 30'000;
   double PrefillMicros = 500;
   double TransferMicrosPerPiece = 0; ///< 0: not measured yet
--- a/src/hyssoprail/process/agent_admission_test.cpp
+++ b/src/hyssoprail/process/agent_admission_test.cpp
@@ -153,6 +153,39 @@
   CHECK_FALSE(granted(H, "c"));
 }
 
+// Guards against a full load on an engine that restarted while it was idle.
+TEST_CASE("an idle engine gets one start until it shows a sign of life") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  warmUp(H, Entry);
+  for (const char *Name : {"a", "b"})
+    H.deliver(Entry, H.reserve(Entry, Name));
+  CHECK(start(H, Entry, "a") != 0);
+  CHECK(start(H, Entry, "b") == 0);
+  const std::size_t Before = H.count<DecodeCall>();
+  H.status("decode");
+  CHECK(H.count<DecodeCall>() == Before + 1);
+}
+
+// Guards against further load on an engine that has just failed.
+TEST_CASE("a failed call holds back starts until the status is known") {
+  Harness H;
+  H.bringUp("decode");
+  TestEntry Entry{1, "p1"};
+  warmUp(H, Entry);
+  for (const char *Name : {"a", "b", "c"})
+    H.deliver(Entry, H.reserve(Entry, Name));
+  const CallId Call = start(H, Entry, "a");
+  H.status("decode");
+  REQUIRE(start(H, Entry, "b") != 0);
+  H.result(DecodeEnd{Call, CallEnd::Busy, {}, 0});
+  CHECK(start(H, Entry, "c") == 0);
+  const std::size_t Before = H.count<DecodeCall>();
+  H.status("decode");
+  CHECK(H.count<DecodeCall>() == Before + 1);
+}
+
 // Guards against a restart that goes unnoticed: grants and limits of the
 // earlier engine process would be applied to the new one.
 TEST_CASE("an engine restart fails its work and begins a cold start") {
--- a/src/hyssoprail/process/agent_core.cpp
+++ b/src/hyssoprail/process/agent_core.cpp
@@ -168,11 +168,13 @@
   Load.set_cold(Ramp.cold());
   if (SlotsUsed < slotLimit())
     return;
-  const std::vector<Release> Soon = predictedReleases(Now);
-  if (!Soon.empty())
+  TimePoint Next = TimePoint::max();
+  for (const Work *W : Holders)
+    if (W->HeldSlots != 0)
+      Next = std::min(Next, predictedRelease(*W, Now));
+  if (Next != TimePoint::max())
     Load.set_next_release_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(Soon.front().At - Now)
-            .count()));
+        std::chrono::duration_cast<milliseconds>(Next - Now).count()));
 }
 
 void AgentCore::onCancel(Entry &From, const wire::Envelope &Message,
@@ -187,9 +189,9 @@
   }
   if (EndedWork.contains(Key))
     return;
-  // The start may still be on its way.
+  // The start may still be on its way. Only a start that is addressed to this
+  // incarnation is answered with it, so the record belongs to no entry.
   Ended Record;
-  Record.Entry = From.Incarnation;
   wire::Failed &Failure = *Record.Result.mutable_failed();
   *Failure.mutable_work() = Message.cancel().work();
   Failure.set_reason(wire::REFUSAL_REASON_STALE);
@@ -224,7 +226,9 @@
       Chunk.add_tokens((*Tokens)[I]);
     send(From, std::move(Answer));
   }
-  answerRepeated(From, Key);
+  if (auto It = EndedWork.find(Key);
+      It != EndedWork.end() && It->second.Entry == From.Incarnation)
+    answerRepeated(From, Key);
 }
 
 void AgentCore::onConfig(Entry &From, const wire::Envelope &Message,
--- a/src/hyssoprail/process/agent_release.cpp
+++ b/src/hyssoprail/process/agent_release.cpp
@@ -32,24 +32,23 @@
   W.Entry = 0;
 }
 
-void AgentCore::leaveEngine(Work &W, TimePoint Now) {
+void AgentCore::closeCall(Work &W) {
   if (W.Call != 0)
     Calls.erase(W.Call);
   W.Call = 0;
-  if (!W.OnEngine)
-    return;
+  OpenCalls -= W.Open ? 1 : 0;
+  W.Open = false;
+}
+
+void AgentCore::leaveEngine(Work &W) {
+  closeCall(W);
+  Running -= W.OnEngine ? 1 : 0;
   W.OnEngine = false;
-  --Running;
   Dirty = true;
-  if (Running == 0)
-    IdleSince = Now;
 }
 
 void AgentCore::removeWork(Work &W) {
-  if (W.Call != 0)
-    Calls.erase(W.Call);
-  if (W.OnEngine)
-    --Running;
+  leaveEngine(W);
   unhold(W);
   detach(W);
   Queue.remove(W.Key);
@@ -119,8 +118,7 @@
 
 void AgentCore::cancelOnEngine(Work &W, TimePoint Now) {
   detach(W);
-  if (W.Call != 0)
-    Calls.erase(W.Call);
+  closeCall(W);
   W.Phase = State::Cancelling;
   W.Call = ++LastCall;
   W.Deadline = Now + Options.CancelRetry;
--- a/src/hyssoprail/process/agent_results.cpp
+++ b/src/hyssoprail/process/agent_results.cpp
@@ -108,7 +108,7 @@
   addToMean(PrefillMicros, PerToken);
   sampleLatency(PerToken / Options.PrefillBound, Now);
   note(EventKind::PrefillDone, W->Key, W->Account, {});
-  leaveEngine(*W, Now);
+  leaveEngine(*W);
   // The KV cache keeps its pieces; the slot is free for the next prefill.
   SlotsUsed -= W->HeldSlots;
   W->HeldSlots = 0;
@@ -187,7 +187,7 @@
                          static_cast<std::uint32_t>(W->Tokens.size()));
   Done.set_finish_reason(R.FinishReason);
   note(EventKind::DecodeFinished, W->Key, W->Account, R.FinishReason);
-  leaveEngine(*W, Now);
+  leaveEngine(*W);
   endWork(*W, std::move(Result), Now);
 }
 
@@ -212,7 +212,7 @@
   const bool MayHold = End == CallEnd::Broken || End == CallEnd::Timeout ||
                        End == CallEnd::Refused;
   if (!MayHold) {
-    leaveEngine(W, Now);
+    leaveEngine(W);
     endWork(W, std::move(Result), Now);
     return;
   }
@@ -232,13 +232,13 @@
   cancelOnEngine(W, Now);
 }
 
-void AgentCore::on(const CancelResult &R, TimePoint Now) {
+void AgentCore::on(const CancelResult &R, TimePoint) {
   Work *W = workOf(R.Call);
   if (W == nullptr || W->Phase != State::Cancelling)
     return;
   if (R.End != CallEnd::Ok && R.End != CallEnd::Gone)
     return; // repeated when its time is over
-  leaveEngine(*W, Now);
+  leaveEngine(*W);
   removeWork(*W);
 }
 
