--- a/include/hyssoprail/testbed/fleet.hpp
+++ b/include/hyssoprail/testbed/fleet.hpp
@@ -43,7 +43,8 @@
 
   ChildProcess &process(const std::string &Name);
 
-  /// Starts a process that ended, on its former ports.
+  /// Starts a process that ended, on its former ports; no effect on one that
+  /// runs.
   Status restart(const std::string &Name);
 
   /// "IP:PORT" of the caller's or the admin side of an entry.
