Entry: append the AgentLease record that an agent asks for

Agents set HeartbeatAck.needs_lease and got no answer from any entry, so none of them could give orders to its engine. AgentLeasePlanner decides without I/O which entry appends the record: the one with the highest rendezvous weight among the live members at once, each next one a second later. It appends only for the configured agent of an endpoint, one append per incarnation at a time, and never one that the log already holds. All entries use the same operation id, so a duplicate has no effect.

The path through a running fleet is not covered by this commit.

--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -122,6 +122,10 @@
   if (Endpoint.empty())
     return;
   Processes.heard(statusOf(Message, Ack), &Ack.load());
+  {
+    std::lock_guard Lock(AgentLeasesMutex);
+    AgentLeases.heard(Address, Ack, Message.incarnation(), Time.now());
+  }
   Desk.report(Endpoint, Ack);
   Desk.pump(Requests, false);
 }
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -76,7 +76,8 @@
       Limits(makeLimits(Settings, Incarnation,
                         {Events, Checks, Measures, LimitRandom}),
              Store, Control, Platform, Time, Settings.Process.Name,
-             limitPorts()) {}
+             limitPorts()),
+      AgentLeases({}, Incarnation) {}
 
 EntryRuntime::~EntryRuntime() { stop(); }
 
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -28,6 +28,7 @@
 #include "hyssoprail/entry/process_table.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
 #include "hyssoprail/entry/scheduling_desk.hpp"
+#include "hyssoprail/process/agent_lease_planner.hpp"
 #include "hyssoprail/process/metrics.hpp"
 #include "hyssoprail/process/retry_budget.hpp"
 #include "hyssoprail/process/settings.hpp"
@@ -86,6 +87,8 @@
   void tickLimits();
   void tickMembers();
   void appendMember(const wire::Member &Member);
+  void tickAgentLeases();
+  std::vector<LivePeer> liveEntries() const;
   void linkMembers();
   LimitPorts limitPorts();
   void tickVms();
@@ -130,6 +133,8 @@
   ProcessTable Processes;
   RandomSource LimitRandom;
   LimitDesk Limits;
+  std::mutex AgentLeasesMutex;
+  AgentLeasePlanner AgentLeases;
   std::unique_ptr<MemberKeeper> Members;
   std::unique_ptr<Bus> Sockets;
   std::unique_ptr<PeerLinks> Links;
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/post.hpp>
+#include <spdlog/spdlog.h>
 
 #include "hyssoprail/entry/entry_runtime.hpp"
 #include "hyssoprail/version/record_codec.hpp"
@@ -9,9 +10,10 @@
 /// Interval of link heartbeats, request timers and the scheduler's clock.
 constexpr milliseconds TickInterval{10};
 
-/// Ticks between two rounds of the limits and of the members.
+/// Ticks between two rounds of the limits, the members and the agent leases.
 constexpr std::uint64_t LimitTicks = 4;
 constexpr std::uint64_t MemberTicks = 25;
+constexpr std::uint64_t AgentLeaseTicks = 10;
 
 /// Ticks between two reads of the VM list, which lags anyway.
 constexpr std::uint64_t VmTicks = 200;
@@ -47,6 +49,8 @@
     tickLimits();
   if (Ticks % MemberTicks == 0)
     tickMembers();
+  if (Ticks % AgentLeaseTicks == 0)
+    tickAgentLeases();
   if (Ticks % VmTicks == 1)
     tickVms();
 }
@@ -63,13 +67,37 @@
   });
 }
 
-void EntryRuntime::tickLimits() {
+std::vector<LivePeer> EntryRuntime::liveEntries() const {
   std::vector<LivePeer> Peers;
   for (const ProcessStatus &P : Processes.list(Settings.Suspect))
     if (P.Member.role() == "entry")
       Peers.push_back(
           {P.Member.incarnation(), P.Member.version(), P.Member.leaving()});
-  Limits.tick(std::move(Peers));
+  return Peers;
+}
+
+void EntryRuntime::tickLimits() { Limits.tick(liveEntries()); }
+
+void EntryRuntime::tickAgentLeases() {
+  std::vector<wire::LogRecord> Records;
+  {
+    std::lock_guard Lock(AgentLeasesMutex);
+    Records = AgentLeases.plan(Store, liveEntries(), Draining, Time.now());
+  }
+  for (wire::LogRecord &Record : Records) {
+    Record.set_author(Settings.Process.Name);
+    Record.set_unix_ms(Time.unixMicros() / 1000);
+    const std::string Data = encodeStable(Record);
+    Platform.append(Data, [this, Record = std::move(Record)](
+                              const Result<std::uint64_t> &Offset) {
+      if (const Error *E = errorOf(Offset))
+        spdlog::warn("[entry] The agent lease of endpoint {} was not "
+                     "appended: {}.",
+                     Record.agent_lease().endpoint(), E->Message);
+      std::lock_guard Lock(AgentLeasesMutex);
+      AgentLeases.appendEnded(Record, Time.now());
+    });
+  }
 }
 
 void EntryRuntime::tickMembers() {
