Entry: follow and spread the configuration with ConfigFeed

Every entry read the log and pushed each record to all its links.

ConfigFollower runs a ConfigFeed on the control thread and connects it to the log and the links; LogFollower and ConfigExchange are deleted. Two entries push to an agent, and entries below the readers of their zone take records from a parent. Records that LimitDesk reads for its lease go through the feed too; they went to the store directly, so the feed would not have pushed them.

New tests in hyssoprail-entry_test: agent leases of every agent and of a restarted one, and a checkpoint after 60 changes.

--- a/include/hyssoprail/version/config_feed.hpp
+++ b/include/hyssoprail/version/config_feed.hpp
@@ -114,6 +114,9 @@
 
   FeedActions request(const std::string &Peer,
                       const wire::ConfigRequest &Request);
+
+  /// Records arrived. \p Peer is "" if this process read them from the log for
+  /// another purpose.
   FeedActions records(const std::string &Peer,
                       const wire::ConfigRecords &Records, TimePoint Now);
   FeedActions snapshot(const std::string &Peer,
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -43,6 +43,15 @@
   return Status;
 }
 
+template <typename Beat>
+FeedPeer feedPeerOf(const wire::Envelope &Message, const Beat &B) {
+  return {.Name = Message.sender(),
+          .IsEntry = B.role() == "entry",
+          .Zone = B.zone(),
+          .Version = B.version(),
+          .LogAge = milliseconds(B.log_age_ms())};
+}
+
 bool changesKeys(const ConfigUpdate &Update) {
   if (Update.Restored)
     return true;
@@ -71,9 +80,10 @@
     return onAck(Address, Message);
   if (workOf(Message) != nullptr)
     return onWorkMessage(Directory.endpointAt(Address), Message);
-  const bool Configuration = Exchange.receive(Message, [&](wire::Envelope Out) {
-    Links->send(Address, std::move(Out));
-  });
+  const bool Configuration =
+      Follower.receive(Message, [this, Address](wire::Envelope Out) {
+        Links->send(Address, std::move(Out));
+      });
   if (!Configuration)
     Limits.message(Message);
 }
@@ -81,12 +91,12 @@
 /// A message of another entry over a link that it opened.
 void EntryRuntime::onPeerMessage(const BusSource &Source,
                                  const wire::Envelope &Message) {
-  const auto Answer = [&](wire::Envelope Out) {
+  const auto Answer = [this, Source](wire::Envelope Out) {
     Out.set_seq(++ReplySeq);
     Sockets->answer(Source, std::move(Out));
   };
   if (!Message.has_heartbeat()) {
-    if (!Exchange.receive(Message, Answer))
+    if (!Follower.receive(Message, Answer))
       Limits.message(Message);
     return;
   }
@@ -104,18 +114,18 @@
   Ack.set_zone(Settings.Process.Zone);
   Ack.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
   Answer(std::move(Out));
-  Exchange.compare(Beat.version(), Answer);
+  Follower.heard(feedPeerOf(Message, Beat), Answer);
 }
 
 void EntryRuntime::onAck(const std::string &Address,
                          const wire::Envelope &Message) {
   const wire::HeartbeatAck &Ack = Message.heartbeat_ack();
+  Follower.heard(feedPeerOf(Message, Ack), [this, Address](wire::Envelope Out) {
+    Links->send(Address, std::move(Out));
+  });
   if (Ack.role() == "entry") {
     notePeerLog(Message, Ack.version(), Ack.log_age_ms());
     Processes.heard(statusOf(Message, Ack));
-    Exchange.compare(Ack.version(), [&](wire::Envelope Out) {
-      Links->send(Address, std::move(Out));
-    });
     return;
   }
   const std::string Endpoint = Directory.endpointAt(Address);
@@ -158,7 +168,6 @@
   Desk.configure(Update.Config);
   for (const std::string &Address : Directory.update(*Update.Config))
     Links->ensure(Address);
-  Exchange.push(Update, *Links);
   if (changesKeys(Update))
     Requests.postAll([](RequestFlow &F, TimePoint Now, FlowActions &Out) {
       F.recheckKey(Now, Out);
--- a/src/hyssoprail/entry/entry_process_test.cpp
+++ b/src/hyssoprail/entry/entry_process_test.cpp
@@ -5,8 +5,10 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "hyssoprail/connection/base64.hpp"
 #include "hyssoprail/request/reference_answer.hpp"
 #include "hyssoprail/testbed/fleet.hpp"
+#include "hyssoprail/version/record_codec.hpp"
 
 namespace hyssoprail::entry {
 namespace {
@@ -64,6 +66,20 @@
     REQUIRE(Served);
   }
 
+  /// All records of the platform's log, in order.
+  std::vector<wire::LogRecord> log() {
+    const auto Read = Processes.http().fetch(Processes.httpAddress("platform"),
+                                             "/log/read?after=0&max=9999");
+    if (const Error *E = errorOf(Read))
+      FAIL(E->Message);
+    std::vector<wire::LogRecord> Out;
+    const json Body = json::parse(valueOf(Read).Body);
+    for (const json &R : Body.at("records"))
+      Out.push_back(decodeRecord(
+          decodeBase64(R["record"].get<std::string>()).value_or("")));
+    return Out;
+  }
+
   Fleet Processes;
 };
 
@@ -224,6 +240,63 @@
   CHECK(Out);
 }
 
+// Guards against agents that ask for a lease and get none, so that they can
+// give their engine no orders, and against a record from each entry.
+TEST_CASE("each agent incarnation is registered in the log") {
+  Site S;
+  const auto Leases = [&] {
+    std::map<std::string, std::vector<std::uint64_t>> Out;
+    for (const wire::LogRecord &R : S.log())
+      if (R.has_agent_lease())
+        Out[R.agent_lease().endpoint()].push_back(
+            R.agent_lease().incarnation());
+    return Out;
+  };
+  const std::size_t Agents = S.Processes.options().PrefillEngines +
+                             S.Processes.options().DecodeEngines +
+                             S.Processes.options().Services;
+  const bool Registered = Fleet::waitUntil(
+      [&] { return Leases().size() == Agents; }, std::chrono::seconds(10));
+  CHECK(Registered);
+  const auto Before = Leases();
+  REQUIRE(Before.contains("decode-0"));
+
+  testbed::ChildProcess &Agent = S.Processes.process("agent-decode-0");
+  Agent.signal(SIGKILL);
+  REQUIRE(Agent.wait(std::chrono::seconds(10)));
+  REQUIRE(succeeded(S.Processes.restart("agent-decode-0")));
+  const std::uint64_t Old = Before.at("decode-0").back();
+  const bool Again =
+      Fleet::waitUntil([&] { return Leases()["decode-0"].back() != Old; },
+                       std::chrono::seconds(10));
+  CHECK(Again);
+  for (const auto &[Endpoint, Incarnations] : Leases()) {
+    CAPTURE(Endpoint);
+    CHECK(Incarnations.size() == (Endpoint == "decode-0" ? 2 : 1));
+  }
+}
+
+// Guards against a log that outgrows its newest checkpoint.
+TEST_CASE("an entry appends a checkpoint when many records were added") {
+  Site S;
+  const auto Checkpoints = [&] {
+    std::vector<std::uint64_t> Out;
+    for (const wire::LogRecord &R : S.log())
+      if (R.has_checkpoint())
+        Out.push_back(R.checkpoint().covers());
+    return Out;
+  };
+  const std::size_t Before = Checkpoints().size();
+  for (int I = 0; I < 60; ++I) {
+    const std::string Name = "extra-" + std::to_string(I);
+    REQUIRE(succeeded(S.Processes.change(
+        "account", Name, {{"name", Name}, {"rate", 1}, {"burst", 1}})));
+  }
+  const bool Appended = Fleet::waitUntil(
+      [&] { return Checkpoints().size() > Before; }, std::chrono::seconds(10));
+  CHECK(Appended);
+}
+
 // Guards against engine memory that stays held for a caller who left.
 TEST_CASE("a caller who leaves frees the engines") {
   Site S;
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -27,6 +27,14 @@
   return {Settings.KeyStaleness, Settings.OutageGrace, Settings.Suspect};
 }
 
+FeedOptions feedOptions(const EntrySettings &Settings) {
+  FeedOptions Options;
+  Options.Name = Settings.Process.Name;
+  Options.Zone = Settings.Process.Zone;
+  Options.IsEntry = true;
+  return Options;
+}
+
 AdminOptions adminOptions(const EntrySettings &Settings) {
   AdminOptions Options;
   Options.ProcessName = Settings.Process.Name;
@@ -60,14 +68,13 @@
       Checks(Events, Settings.Process.FatalViolations), Random(systemSeed()),
       Freshness(freshnessOptions(Settings)), Flows(flowContext()),
       Desk(schedulerOptions(Settings), Checks, systemSeed(), Time),
-      Requests(*this, Live, Time), Exchange(Store), Callers(callerContext()),
-      Ticker(Control), Http(makeHttpClient(Control)),
-      Platform(*Http, Settings.Platform),
-      Log(Control, Platform, Store, Time, Settings.Process.Name, systemSeed(),
-          [this](TimePoint Began) {
-            std::lock_guard Lock(FreshnessMutex);
-            Freshness.logRead(Began);
-          }),
+      Requests(*this, Live, Time), Callers(callerContext()), Ticker(Control),
+      Http(makeHttpClient(Control)), Platform(*Http, Settings.Platform),
+      Follower(Control, Platform, Store, Time, feedOptions(Settings),
+               [this](TimePoint Began) {
+                 std::lock_guard Lock(FreshnessMutex);
+                 Freshness.logRead(Began);
+               }),
       Claims(Control, Platform, Store, Time, Settings.Process.Name),
       Admin(
           adminOptions(Settings), Store, Events,
@@ -182,10 +189,7 @@
   Store.subscribe([this](const ConfigUpdate &Update) { onConfig(Update); });
   for (const std::string &Address : Settings.Entries)
     Links->ensure(Address);
-  boost::asio::post(Control, [this] {
-    Log.start();
-    scheduleTick();
-  });
+  boost::asio::post(Control, [this] { scheduleTick(); });
   ControlThread = std::thread([this] { Control.run(); });
 }
 
@@ -215,7 +219,6 @@
                "requests are live at a planned stop");
   CallerServer->stop();
   AdminServer->stop();
-  boost::asio::post(Control, [this] { Log.stop(); });
   Control.stop();
   ControlThread.join();
   Sockets->stop();
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -18,12 +18,11 @@
 #include "hyssoprail/entry/admin_desk.hpp"
 #include "hyssoprail/entry/caller_api.hpp"
 #include "hyssoprail/entry/claim_writer.hpp"
-#include "hyssoprail/entry/config_exchange.hpp"
+#include "hyssoprail/entry/config_follower.hpp"
 #include "hyssoprail/entry/config_freshness.hpp"
 #include "hyssoprail/entry/endpoint_directory.hpp"
 #include "hyssoprail/entry/limit_desk.hpp"
 #include "hyssoprail/entry/live_work.hpp"
-#include "hyssoprail/entry/log_follower.hpp"
 #include "hyssoprail/entry/member_keeper.hpp"
 #include "hyssoprail/entry/process_table.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
@@ -120,14 +119,13 @@
   FlowContext Flows;
   SchedulingDesk Desk;
   RequestShards Requests;
-  ConfigExchange Exchange;
   CallerApi Callers;
 
   boost::asio::io_context Control;
   boost::asio::steady_timer Ticker;
   std::unique_ptr<HttpClient> Http;
   PlatformClient Platform;
-  LogFollower Log;
+  ConfigFollower Follower;
   ClaimWriter Claims;
   AdminDesk Admin;
   ProcessTable Processes;
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint64_t MemberTicks = 25;
 constexpr std::uint64_t AgentLeaseTicks = 10;
 
+/// Ticks between two rounds of the configuration feed.
+constexpr std::uint64_t FeedTicks = 5;
+
 /// Ticks between two reads of the VM list, which lags anyway.
 constexpr std::uint64_t VmTicks = 200;
 
@@ -45,6 +48,8 @@
   Desk.pump(Requests, true);
   Admin.tick();
   ++Ticks;
+  if (Ticks % FeedTicks == 0)
+    Follower.tick();
   if (Ticks % LimitTicks == 0)
     tickLimits();
   if (Ticks % MemberTicks == 0)
@@ -145,6 +150,9 @@
                   });
     Desk.pump(Requests, false);
   };
+  Ports.Apply = [this](const std::vector<wire::OffsetRecord> &Records) {
+    Follower.apply(Records);
+  };
   Ports.LogRead = [this](TimePoint Began) {
     std::lock_guard Lock(FreshnessMutex);
     Freshness.logRead(Began);
--- a/src/hyssoprail/entry/limit_desk.cpp
+++ b/src/hyssoprail/entry/limit_desk.cpp
@@ -213,7 +213,7 @@
           *Record.mutable_record() = decodeRecord(E.Data);
         }
         if (!Records.empty())
-          Store.apply(Records);
+          Ports.Apply(Records);
         R->Position = Store.current()->version();
         if (R->Position >= R->Until)
           return endRead(*R, true);
--- a/src/hyssoprail/entry/limit_desk.hpp
+++ b/src/hyssoprail/entry/limit_desk.hpp
@@ -23,6 +23,8 @@
   std::function<void(const SendToEntry &)> Send;
   /// Answers a debit that was not answered at once.
   std::function<void(const std::string &RequestId, const Status &)> Answer;
+  /// Applies records that were read from the log to the store.
+  std::function<void(const std::vector<wire::OffsetRecord> &)> Apply;
   /// The log's end was read; the read began at this time.
   std::function<void(TimePoint Began)> LogRead;
 };
