--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -18,16 +18,16 @@
 #include "hyssoprail/entry/admin_desk.hpp"
 #include "hyssoprail/entry/caller_api.hpp"
 #include "hyssoprail/entry/claim_writer.hpp"
-#include "hyssoprail/entry/config_exchange.hpp"
+#include "hyssoprail/entry/config_follower.hpp"
 #include "hyssoprail/entry/config_freshness.hpp"
 #include "hyssoprail/entry/endpoint_directory.hpp"
 #include "hyssoprail/entry/limit_desk.hpp"
 #include "hyssoprail/entry/live_work.hpp"
-#include "hyssoprail/entry/log_follower.hpp"
 #include "hyssoprail/entry/member_keeper.hpp"
 #include "hyssoprail/entry/process_table.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
 #include "hyssoprail/entry/scheduling_desk.hpp"
+#include "hyssoprail/process/agent_lease_planner.hpp"
 #include "hyssoprail/process/metrics.hpp"
 #include "hyssoprail/process/retry_budget.hpp"
 #include "hyssoprail/process/settings.hpp"
@@ -86,6 +86,8 @@
   void tickLimits();
   void tickMembers();
   void appendMember(const wire::Member &Member);
+  void tickAgentLeases();
+  std::vector<LivePeer> liveEntries() const;
   void linkMembers();
   LimitPorts limitPorts();
   void tickVms();
@@ -118,19 +120,20 @@
   FlowContext Flows;
   SchedulingDesk Desk;
   RequestShards Requests;
-  ConfigExchange Exchange;
   CallerApi Callers;
 
   boost::asio::io_context Control;
   boost::asio::steady_timer Ticker;
   std::unique_ptr<HttpClient> Http;
   PlatformClient Platform;
-  LogFollower Log;
+  ConfigFollower Follower;
   ClaimWriter Claims;
   AdminDesk Admin;
   ProcessTable Processes;
   RandomSource LimitRandom;
   LimitDesk Limits;
+  std::mutex AgentLeasesMutex;
+  AgentLeasePlanner AgentLeases;
   std::unique_ptr<MemberKeeper> Members;
   std::unique_ptr<Bus> Sockets;
   std::unique_ptr<PeerLinks> Links;
