--- a/src/hyssoprail/process/agent_world.hpp
+++ b/src/hyssoprail/process/agent_world.hpp
@@ -303,11 +303,7 @@
       std::visit([this](auto &Action) { on(Action); }, A);
   }
 
-<<<<<<< HEAD
-  void result(AgentResult R) {
-=======
   void result(const AgentResult &R) {
->>>>>>> agent
     const std::uint64_t Agent = LastAgent;
     after(milliseconds(1 + Random.below(15)), [this, R, Agent] {
       if (Agent != LastAgent)
