Load tool: run the context again after the first stream

Cause: the memory figure of 'overhead' opened 0 streams: the io_context had run out of work with the first stream and stayed stopped. Change: restart() before the streams are opened.

--- a/src/hyssoprail/load/overhead.cpp
+++ b/src/hyssoprail/load/overhead.cpp
@@ -243,6 +243,8 @@
   P.stream(post(Fleet.entryAddress(0), "/v1/completions", completionBody(0, 1)),
            steady_clock::now());
   const std::uint64_t Before = residentBytes(Entry);
+  // The first stream ran the context until it had no work, which stops it.
+  P.context().restart();
   std::vector<std::shared_ptr<HttpStream>> Streams;
   std::uint64_t Open = 0;
   for (unsigned I = 0; I < Options.Streams; ++I) {
