Entry: use Membership for the processes it hears of

The entry kept its own ProcessTable beside Membership, which was tested and used by no program. Membership now also keeps an agent's newest load report; the entry holds it under one lock, and ProcessTable is deleted.

The MemberKeeper test gives Liveness::Gone where it gave 60 s of silence, and also checks now that a suspected member is not removed.

--- a/include/hyssoprail/process/membership.hpp
+++ b/include/hyssoprail/process/membership.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,7 @@
 /// One process as seen from here.
 struct MemberView {
   wire::MemberStatus Status; ///< with the age at the time of the query
+  std::optional<wire::LoadReport> Load; ///< newest report of an agent
   Liveness State = Liveness::Live;
   bool Leaving = false; ///< it said so, or its VM is marked as leaving
 };
@@ -58,8 +60,10 @@
   explicit Membership(const MembershipOptions &Options) : Options(Options) {}
 
   /// A message of the process itself. Returns false if a later incarnation of
-  /// it is known, so that the message should be ignored.
-  bool heard(const wire::MemberStatus &Status, TimePoint Now);
+  /// it is known, so that the message should be ignored. \p Load is set for
+  /// agents.
+  bool heard(const wire::MemberStatus &Status, TimePoint Now,
+             const wire::LoadReport *Load = nullptr);
 
   /// What another process reports; Status.age_ms tells how old the news is.
   void gossip(const wire::MemberStatus &Status, TimePoint Now);
@@ -90,6 +94,7 @@
   struct Record {
     wire::MemberStatus Status;
     TimePoint HeardAt;
+    std::optional<wire::LoadReport> Load;
     bool Superseded = false; ///< another incarnation spoke after it
   };
   /// Name and incarnation.
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -25,9 +25,6 @@
   }
 }
 
-/// Only processes heard of within this time are passed on.
-constexpr milliseconds GossipAge{2'000};
-
 /// What a heartbeat or an ack says of its sender.
 template <typename Beat>
 wire::MemberStatus statusOf(const wire::Envelope &Message, const Beat &B) {
@@ -101,10 +98,15 @@
     return;
   }
   const wire::Heartbeat &Beat = Message.heartbeat();
+  {
+    const TimePoint Now = Time.now();
+    std::lock_guard Lock(ProcessesMutex);
+    if (!Processes.heard(statusOf(Message, Beat), Now))
+      return;
+    for (const wire::MemberStatus &Other : Beat.members())
+      Processes.gossip(Other, Now);
+  }
   notePeerLog(Message, Beat.version(), Beat.log_age_ms());
-  Processes.heard(statusOf(Message, Beat));
-  for (const wire::MemberStatus &Other : Beat.members())
-    Processes.gossip(Other);
   wire::Envelope Out;
   wire::HeartbeatAck &Ack = *Out.mutable_heartbeat_ack();
   Ack.set_acked_seq(Message.seq());
@@ -120,18 +122,22 @@
 void EntryRuntime::onAck(const std::string &Address,
                          const wire::Envelope &Message) {
   const wire::HeartbeatAck &Ack = Message.heartbeat_ack();
+  {
+    std::lock_guard Lock(ProcessesMutex);
+    if (!Processes.heard(statusOf(Message, Ack), Time.now(),
+                         Ack.role() == "agent" ? &Ack.load() : nullptr))
+      return;
+  }
   Follower.heard(feedPeerOf(Message, Ack), [this, Address](wire::Envelope Out) {
     Links->send(Address, std::move(Out));
   });
   if (Ack.role() == "entry") {
     notePeerLog(Message, Ack.version(), Ack.log_age_ms());
-    Processes.heard(statusOf(Message, Ack));
     return;
   }
   const std::string Endpoint = Directory.endpointAt(Address);
   if (Endpoint.empty())
     return;
-  Processes.heard(statusOf(Message, Ack), &Ack.load());
   {
     std::lock_guard Lock(AgentLeasesMutex);
     AgentLeases.heard(Address, Ack, Message.incarnation(), Time.now());
@@ -215,9 +221,11 @@
   Beat.set_zone(Settings.Process.Zone);
   Beat.set_peer_address(Sockets->boundAddress());
   Beat.set_log_age_ms(static_cast<std::uint32_t>(logAge().count()));
-  if (Directory.endpointAt(Address).empty())
-    for (ProcessStatus &Known : Processes.list(GossipAge))
-      *Beat.add_members() = std::move(Known.Member);
+  if (Directory.endpointAt(Address).empty()) {
+    std::lock_guard Lock(ProcessesMutex);
+    for (wire::MemberStatus &Known : Processes.newsToPass(Time.now()))
+      *Beat.add_members() = std::move(Known);
+  }
   return Beat;
 }
 
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -35,6 +35,12 @@
   return Options;
 }
 
+MembershipOptions membershipOptions(const EntrySettings &Settings) {
+  MembershipOptions Options;
+  Options.SuspectAfter = Settings.Suspect;
+  return Options;
+}
+
 AdminOptions adminOptions(const EntrySettings &Settings) {
   AdminOptions Options;
   Options.ProcessName = Settings.Process.Name;
@@ -79,7 +85,7 @@
       Admin(
           adminOptions(Settings), Store, Events,
           [this] { return fleetStatus(); }, Control, Platform, Time),
-      Processes(Time), LimitRandom(systemSeed()),
+      Processes(membershipOptions(Settings)), LimitRandom(systemSeed()),
       Limits(makeLimits(Settings, Incarnation,
                         {Events, Checks, Measures, LimitRandom}),
              Store, Control, Platform, Time, Settings.Process.Name,
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -24,10 +24,10 @@
 #include "hyssoprail/entry/limit_desk.hpp"
 #include "hyssoprail/entry/live_work.hpp"
 #include "hyssoprail/entry/member_keeper.hpp"
-#include "hyssoprail/entry/process_table.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
 #include "hyssoprail/entry/scheduling_desk.hpp"
 #include "hyssoprail/process/agent_lease_planner.hpp"
+#include "hyssoprail/process/membership.hpp"
 #include "hyssoprail/process/metrics.hpp"
 #include "hyssoprail/process/retry_budget.hpp"
 #include "hyssoprail/process/settings.hpp"
@@ -98,6 +98,7 @@
   std::optional<Error> whyKeysUnchecked();
   std::string metricsText();
   FleetStatus fleetStatus();
+  std::vector<MemberView> knownProcesses() const;
   bool keyValid(std::string_view Digest, std::string_view Account) const;
   std::optional<Duration> takeRetry(const FlowSpec &Spec,
                                     std::uint32_t Attempt);
@@ -128,7 +129,8 @@
   ConfigFollower Follower;
   ClaimWriter Claims;
   AdminDesk Admin;
-  ProcessTable Processes;
+  mutable std::mutex ProcessesMutex;
+  Membership Processes;
   RandomSource LimitRandom;
   LimitDesk Limits;
   std::mutex AgentLeasesMutex;
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -72,12 +72,17 @@
   });
 }
 
+std::vector<MemberView> EntryRuntime::knownProcesses() const {
+  std::lock_guard Lock(ProcessesMutex);
+  return Processes.members(Time.now());
+}
+
 std::vector<LivePeer> EntryRuntime::liveEntries() const {
   std::vector<LivePeer> Peers;
-  for (const ProcessStatus &P : Processes.list(Settings.Suspect))
-    if (P.Member.role() == "entry")
+  for (const MemberView &P : knownProcesses())
+    if (P.State == Liveness::Live && P.Status.role() == "entry")
       Peers.push_back(
-          {P.Member.incarnation(), P.Member.version(), P.Member.leaving()});
+          {P.Status.incarnation(), P.Status.version(), P.Status.leaving()});
   return Peers;
 }
 
@@ -106,13 +111,17 @@
 }
 
 void EntryRuntime::tickMembers() {
-  const auto Silence = [this](std::uint64_t Other) {
-    return Processes.silence(Other);
+  const TimePoint Now = Time.now();
+  const auto State = [this, Now](std::uint64_t Other) {
+    std::lock_guard Lock(ProcessesMutex);
+    return Processes.liveness(Other, Now);
   };
-  const std::optional<wire::Member> Record = Members->next(
-      Time.now(), Store.members(), Silence, logAge() <= HealthyLogAge);
+  const std::optional<wire::Member> Record =
+      Members->next(Now, Store.members(), State, logAge() <= HealthyLogAge);
   if (Record && !Draining)
     appendMember(*Record);
+  std::lock_guard Lock(ProcessesMutex);
+  Processes.forget(Now);
 }
 
 void EntryRuntime::appendMember(const wire::Member &Member) {
@@ -183,7 +192,9 @@
 
 FleetStatus EntryRuntime::fleetStatus() {
   FleetStatus Status;
-  Status.Processes = Processes.list(StatusAge);
+  for (MemberView &P : knownProcesses())
+    if (milliseconds(P.Status.age_ms()) <= StatusAge)
+      Status.Processes.push_back({std::move(P.Status), std::move(P.Load)});
   Status.Processes.push_back({ownStatus(), std::nullopt});
   Status.LogAge = logAge();
   Status.Violations = Checks.violations();
--- a/src/hyssoprail/entry/key_headers_test.cpp
+++ b/src/hyssoprail/entry/key_headers_test.cpp
@@ -74,7 +74,8 @@
   wire::Member Self;
   Self.set_incarnation(1);
   MemberKeeper Keeper(Self);
-  const auto Silent = [](std::uint64_t) { return milliseconds(60'000); };
+  const auto Silent = [](std::uint64_t) { return Liveness::Gone; };
+  const auto Suspected = [](std::uint64_t) { return Liveness::Suspected; };
   std::vector<wire::MemberState> Members;
   CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, false));
   const auto Own = Keeper.next(Time.now(), Members, Silent, true);
@@ -88,6 +89,7 @@
   Time.advance(milliseconds(9'000));
   CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, true));
   Time.advance(milliseconds(10'000));
+  CHECK_FALSE(Keeper.next(Time.now(), Members, Suspected, true));
   const auto Gone = Keeper.next(Time.now(), Members, Silent, true);
   REQUIRE(Gone);
   CHECK(Gone->incarnation() == 2);
--- a/src/hyssoprail/entry/member_keeper.cpp
+++ b/src/hyssoprail/entry/member_keeper.cpp
@@ -5,11 +5,9 @@
 namespace hyssoprail::entry {
 namespace {
 
-/// An entry is removed after it was silent for this long with a healthy log.
-constexpr milliseconds GoneAfter{10'000};
-
-/// An entry that others do not hear for this long does not count as live.
-constexpr milliseconds LiveWithin{1'000};
+/// An entry is removed only after the log was healthy for this long, the time
+/// of silence after which Membership calls it gone.
+constexpr milliseconds GoneAfter = MembershipOptions().GoneAfter;
 
 /// Between two appends of the same record.
 constexpr milliseconds AppendPause{1'000};
@@ -18,7 +16,7 @@
 
 std::optional<wire::Member>
 MemberKeeper::next(TimePoint Now, const std::vector<wire::MemberState> &Members,
-                   const std::function<milliseconds(std::uint64_t)> &Silence,
+                   const std::function<Liveness(std::uint64_t)> &State,
                    bool LogHealthy) {
   if (!LogHealthy)
     HealthySince.reset();
@@ -34,10 +32,10 @@
     return Self;
   }
   // Silence counts only while the log was healthy all the time.
-  if (Now - *HealthySince < GoneAfter || !isFirstLive(Members, Silence))
+  if (Now - *HealthySince < GoneAfter || !isFirstLive(Members, State))
     return std::nullopt;
   for (const wire::MemberState &M : Members) {
-    if (IsSelf(M) || Silence(M.member().incarnation()) < GoneAfter)
+    if (IsSelf(M) || State(M.member().incarnation()) != Liveness::Gone)
       continue;
     NotBefore = Now + AppendPause;
     wire::Member Gone = M.member();
@@ -50,12 +48,12 @@
 /// One live member removes the others, so that they do not all append.
 bool MemberKeeper::isFirstLive(
     const std::vector<wire::MemberState> &Members,
-    const std::function<milliseconds(std::uint64_t)> &Silence) const {
-  return std::none_of(Members.begin(), Members.end(),
-                      [&](const wire::MemberState &M) {
-                        return M.member().incarnation() < Self.incarnation() &&
-                               Silence(M.member().incarnation()) <= LiveWithin;
-                      });
+    const std::function<Liveness(std::uint64_t)> &State) const {
+  return std::none_of(
+      Members.begin(), Members.end(), [&](const wire::MemberState &M) {
+        return M.member().incarnation() < Self.incarnation() &&
+               State(M.member().incarnation()) == Liveness::Live;
+      });
 }
 
 } // namespace hyssoprail::entry
--- a/src/hyssoprail/entry/member_keeper.hpp
+++ b/src/hyssoprail/entry/member_keeper.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/process/membership.hpp"
 #include "hyssoprail/wire/hyssoprail.pb.h"
 
 namespace hyssoprail::entry {
@@ -17,17 +18,15 @@
 public:
   explicit MemberKeeper(wire::Member Self) : Self(std::move(Self)) {}
 
-  /// Returns the record to append now, if any. \p Silence tells how long an
-  /// incarnation was not heard of; \p LogHealthy that the log was read lately.
+  /// Returns the record to append now, if any. \p State tells whether an
+  /// incarnation runs; \p LogHealthy that the log was read lately.
   std::optional<wire::Member>
   next(TimePoint Now, const std::vector<wire::MemberState> &Members,
-       const std::function<milliseconds(std::uint64_t)> &Silence,
-       bool LogHealthy);
+       const std::function<Liveness(std::uint64_t)> &State, bool LogHealthy);
 
 private:
-  bool
-  isFirstLive(const std::vector<wire::MemberState> &Members,
-              const std::function<milliseconds(std::uint64_t)> &Silence) const;
+  bool isFirstLive(const std::vector<wire::MemberState> &Members,
+                   const std::function<Liveness(std::uint64_t)> &State) const;
 
   wire::Member Self;
   TimePoint NotBefore;
--- a/src/hyssoprail/process/membership.cpp
+++ b/src/hyssoprail/process/membership.cpp
@@ -27,9 +27,13 @@
   return enumName(LivenessNames, State);
 }
 
-bool Membership::heard(const wire::MemberStatus &Status, TimePoint Now) {
-  if (merge(Status, Now).Superseded)
+bool Membership::heard(const wire::MemberStatus &Status, TimePoint Now,
+                       const wire::LoadReport *Load) {
+  Record &R = merge(Status, Now);
+  if (R.Superseded)
     return false;
+  if (Load != nullptr)
+    R.Load = *Load;
   for (auto It = Known.lower_bound({Status.name(), 0});
        It != Known.end() && It->first.first == Status.name(); ++It)
     if (It->first.second != Status.incarnation())
@@ -45,8 +49,9 @@
 
 Membership::Record &Membership::merge(const wire::MemberStatus &Status,
                                       TimePoint HeardAt) {
-  const auto [It, Added] = Known.try_emplace(
-      {Status.name(), Status.incarnation()}, Record{Status, HeardAt, false});
+  const auto [It, Added] =
+      Known.try_emplace({Status.name(), Status.incarnation()},
+                        Record{Status, HeardAt, {}, false});
   Record &R = It->second;
   if (Added)
     return R;
@@ -92,8 +97,8 @@
 std::vector<MemberView> Membership::members(TimePoint Now) const {
   std::vector<MemberView> Out;
   for (const Record *R : current(Now)) {
-    MemberView &View =
-        Out.emplace_back(MemberView{R->Status, stateAt(*R, Now), false});
+    MemberView &View = Out.emplace_back(
+        MemberView{R->Status, R->Load, stateAt(*R, Now), false});
     View.Status.set_age_ms(ageMillis(R->HeardAt, Now));
     const auto Vm = Vms.find(R->Status.peer_address());
     View.Leaving =
--- a/src/hyssoprail/process/membership_test.cpp
+++ b/src/hyssoprail/process/membership_test.cpp
@@ -164,4 +164,20 @@
   }));
 }
 
+// Guards against a load report that is lost with a message without one, or that
+// outlives its process.
+TEST_CASE("the newest load report stays with its incarnation") {
+  Fleet F;
+  wire::LoadReport Load;
+  Load.set_slots(7);
+  F.Known.heard(statusOf("a", 1), F.Clock.now(), &Load);
+  F.Known.heard(statusOf("a", 1), F.Clock.now());
+  F.Known.gossip(statusOf("a", 1), F.Clock.now());
+  REQUIRE(F.only().Load);
+  CHECK(F.only().Load->slots() == 7);
+  F.Clock.advance(milliseconds(1));
+  F.Known.heard(statusOf("a", 2), F.Clock.now());
+  CHECK_FALSE(F.only().Load);
+}
+
 } // namespace hyssoprail
