--- a/include/hyssoprail/process/cold_start_ramp.hpp
+++ b/include/hyssoprail/process/cold_start_ramp.hpp
@@ -35,7 +35,8 @@
 
 /// Limit on concurrent work of an engine that has just started: one request
 /// first, one more per interval while latency at the limit stays under the
-/// bound, half of it when latency is above.
+/// bound and the engine reports that it is cold, twice as much if it reports
+/// warm or nothing, and half of it when latency is above.
 ///
 /// \code
 ///   Ramp.restart(Now);
--- a/src/hyssoprail/load/main.cpp
+++ b/src/hyssoprail/load/main.cpp
@@ -16,7 +16,7 @@
 DEFINE_double(rate, 100, "requests per second of all accounts together");
 DEFINE_uint32(seconds, 20, "length of each run");
 DEFINE_uint32(entries, 3, "number of entries");
-DEFINE_uint32(streams, 2000, "open streams for the memory figure of overhead");
+DEFINE_uint32(streams, 1000, "open streams for the memory figure of overhead");
 DEFINE_double(headroom, 1.05, "account rate over its share of the load");
 DEFINE_double(skew, 0, "share of the requests kept on the first entry");
 DEFINE_bool(zone_change, false, "one availability zone leaves and returns");
--- a/src/hyssoprail/load/overhead.cpp
+++ b/src/hyssoprail/load/overhead.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include "hyssoprail/load/process_usage.hpp"
+#include "hyssoprail/request/reference_answer.hpp"
 #include "hyssoprail/testbed/fleet.hpp"
 
 namespace hyssoprail::load {
@@ -22,6 +23,11 @@
 constexpr unsigned PromptTokens = 64;
 constexpr unsigned OutputTokens = 8;
 constexpr std::chrono::seconds CallTimeout{30};
+constexpr std::chrono::seconds WarmUp{4};
+
+/// Prompts whose answers are at least this long keep the streams of the memory
+/// measurement open.
+constexpr unsigned LongAnswer = 200;
 
 double millisSince(steady_clock::time_point Begin) {
   return std::chrono::duration<double, std::milli>(steady_clock::now() - Begin)
@@ -147,6 +153,13 @@
                   Begin);
 }
 
+/// Serial of the next prompt, from \p Serial on, whose answer is long.
+unsigned longSerial(unsigned Serial) {
+  while (referenceLength(prompt(Serial)) < LongAnswer)
+    ++Serial;
+  return Serial;
+}
+
 json completionBody(unsigned Serial, unsigned MaxTokens) {
   return {{"model", "m1"},
           {"prompt", prompt(Serial)},
@@ -172,6 +185,8 @@
   F.LogLevel = "warning";
   F.FatalViolations = false;
   F.Accounts = {{"acme", 1e9, 1e9}};
+  // Streams of the memory measurement open together and wait for each other.
+  F.FirstTokenMs = 60'000;
   Flags.push_back("--model=m1");
   Flags.push_back("--cold_ms=0");
   F.PrefillFlags = F.DecodeFlags = std::move(Flags);
@@ -206,14 +221,22 @@
                   OverheadReport &Report) {
   Probe P;
   std::uint64_t Done = 0;
-  const auto End =
-      steady_clock::now() + std::chrono::seconds(Options.CallSeconds);
   const pid_t Entry = Fleet.process("entry-0").pid();
-  const double CpuBefore = processorSeconds(Entry);
-  const auto Begin = steady_clock::now();
+  // The agents of the services end their cold-start ramp before the
+  // measurement.
+  auto Begin = steady_clock::now() + WarmUp;
+  const auto End = Begin + std::chrono::seconds(Options.CallSeconds);
+  double CpuBefore = 0;
+  bool Measuring = false;
   std::function<void()> Next = [&] {
-    if (steady_clock::now() >= End)
+    const auto Now = steady_clock::now();
+    if (Now >= End)
       return;
+    if (!Measuring && Now >= Begin) {
+      Measuring = true;
+      CpuBefore = processorSeconds(Entry);
+      Done = 0;
+    }
     HttpCall Call;
     Call.Authority = Fleet.entryAddress(0);
     Call.Request = {
@@ -247,12 +270,14 @@
   P.context().restart();
   std::vector<std::shared_ptr<HttpStream>> Streams;
   std::uint64_t Open = 0;
+  unsigned Serial = 0;
   for (unsigned I = 0; I < Options.Streams; ++I) {
+    Serial = longSerial(Serial + 1);
     HttpStreamHandlers Handlers;
     Handlers.OnHeader = [&](unsigned Status) { Open += Status == 200 ? 1 : 0; };
     Streams.push_back(
         P.client().stream(post(Fleet.entryAddress(0), "/v1/completions",
-                               completionBody(I + 1, 200)),
+                               completionBody(Serial, LongAnswer)),
                           std::move(Handlers)));
   }
   const auto Deadline = steady_clock::now() + CallTimeout;
--- a/src/hyssoprail/process/cold_start_ramp.cpp
+++ b/src/hyssoprail/process/cold_start_ramp.cpp
@@ -84,11 +84,16 @@
   if (Now - LastChange < Interval)
     return;
   LastChange = Now;
-  const bool AtCeiling = EngineCold && Ceiling != 0 && Limit + 1 >= Ceiling;
+  if (!EngineCold) {
+    // Doubling brings a warm endpoint of 64 slots into full service after six
+    // load reports; a latency above the bound still halves the limit.
+    Limit = std::min(Max, 2 * Limit);
+    Cold = Limit < Max;
+    return;
+  }
+  const bool AtCeiling = Ceiling != 0 && Limit + 1 >= Ceiling;
   if (Limit < Max && !AtCeiling)
     ++Limit;
-  if (Limit >= Max && !EngineCold)
-    Cold = false;
 }
 
 } // namespace hyssoprail
