Agent: a service that has just answered takes calls side by side

Cause: plain calls through one entry reached 367/s with 0.15 cores used. Each time a service had no open connection for a moment, the agent took it for one that may have restarted and allowed a single call until it answered; in a closed loop of callers that was always so. Ruled out: the ramp (it stayed at 2 because work never ran at the limit), the entry (0.15 cores) and the limits. Change: a sample within 100 ms counts as a sign of life for services; engines keep their status query. Without the change the new test sees 2 calls instead of 3.

--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -37,6 +37,9 @@
   milliseconds Heartbeat{250};   ///< interval of the entries' heartbeats
   milliseconds GrantUse{15'000}; ///< an unused grant is released after this
   milliseconds StatusInterval{100};
+  /// An idle service that answered within this time is not taken for one that
+  /// may have restarted.
+  milliseconds ServiceIdle{100};
   milliseconds HeldInterval{1'000};
   milliseconds CancelRetry{100};
   milliseconds EndedKeep{60'000};      ///< results, refusals and cancellations
@@ -317,6 +320,7 @@
   bool Suspected = false; ///< no starts until the status is known
   bool Evidence = false;  ///< sign of life since a connection was last open
   TimePoint IdleSince{};
+  TimePoint LastSample{}; ///< newest latency sample
   TimePoint LastResult{};
   TimePoint LastTick{};
   TimePoint LoadAsked{};
--- a/src/hyssoprail/load/overhead.cpp
+++ b/src/hyssoprail/load/overhead.cpp
@@ -317,7 +317,7 @@
   testbed::Fleet Fleet(
       fleetOptions(Options, {"--slots=10000", "--pieces=100000",
                              "--max_waiting=10000", "--kv_ttl_ms=20000",
-                             "--step_base_us=1000000", "--step_stream_us=0",
+                             "--step_base_us=90000", "--step_stream_us=0",
                              "--prefill_token_us=0", "--prefill_base_us=100"}));
   const Status S = Fleet.start();
   if (const Error *E = errorOf(S))
--- a/src/hyssoprail/process/agent_admission.cpp
+++ b/src/hyssoprail/process/agent_admission.cpp
@@ -452,7 +452,11 @@
 
 void AgentCore::markOnEngine(Work &W, TimePoint Now) {
   const unsigned Allowed = runLimit();
-  if (OpenCalls == 0) {
+  // An engine answers a status query at once; a service has none, so its last
+  // result counts for a while.
+  const bool Answered = Options.Kind == AgentKind::Service &&
+                        Now - LastSample < Options.ServiceIdle;
+  if (OpenCalls == 0 && !Answered) {
     Evidence = false;
     IdleSince = Now;
     if (Options.Kind == AgentKind::Engine)
--- a/src/hyssoprail/process/agent_calls_test.cpp
+++ b/src/hyssoprail/process/agent_calls_test.cpp
@@ -132,6 +132,33 @@
   CHECK(outcome(H, Other, "r1") == wire::CALL_OUTCOME_DONE);
 }
 
+// Guards against a service that is held to one call at a time because it was
+// idle for a moment between two calls.
+TEST_CASE("a service that has just answered takes calls side by side") {
+  Harness H(service());
+  TestEntry Entry{1, "p1"};
+  H.deliver(Entry, H.call(Entry, "r1"));
+  H.tick(milliseconds(60));
+  H.result(reply(H.last<ServiceCall>()->Call, "done"));
+  H.deliver(Entry, H.call(Entry, "r2"));
+  H.deliver(Entry, H.call(Entry, "r3"));
+  CHECK(H.count<ServiceCall>() == 3);
+}
+
+// Guards against calls that reach a service all at once after it was idle long
+// enough to have restarted.
+TEST_CASE("a service that was idle gets one call first") {
+  Harness H(service());
+  TestEntry Entry{1, "p1"};
+  H.deliver(Entry, H.call(Entry, "r1"));
+  H.tick(milliseconds(60));
+  H.result(reply(H.last<ServiceCall>()->Call, "done"));
+  H.tick(milliseconds(150));
+  H.deliver(Entry, H.call(Entry, "r2"));
+  H.deliver(Entry, H.call(Entry, "r3"));
+  CHECK(H.count<ServiceCall>() == 2);
+}
+
 // Guards against credentials that reach a service.
 TEST_CASE("credential headers are removed") {
   Harness H(service());
--- a/src/hyssoprail/process/agent_results.cpp
+++ b/src/hyssoprail/process/agent_results.cpp
@@ -75,6 +75,7 @@
 
 void AgentCore::sampleLatency(double Ratio, TimePoint Now) {
   Evidence = true;
+  LastSample = Now;
   Dirty = true;
   switch (Ramp.sample(Ratio, Running, Now)) {
   case RampSignal::None:
