--- a/src/hyssoprail/agent/agent_process_test.cpp
+++ b/src/hyssoprail/agent/agent_process_test.cpp
@@ -149,13 +149,13 @@
   };
   // The KV caches are kept by heartbeats to the prefill agent.
   std::atomic<bool> Stop{false};
-  std::thread Keeper([&] {
+  std::thread Heartbeats([&] {
     while (!Stop)
       ToPrefill.await([&](const auto &) { return Stop.load(); }, Prefills);
   });
   const wire::Envelope Last = ToDecode.await(Step, Decodes);
   Stop = true;
-  Keeper.join();
+  Heartbeats.join();
   INFO(Last.ShortDebugString());
   CHECK_FALSE(Last.has_failed());
   CHECK(Finished == Burst);
--- a/src/hyssoprail/entry/admin_desk.cpp
+++ b/src/hyssoprail/entry/admin_handler.cpp
@@ -1,4 +1,4 @@
-#include "hyssoprail/entry/admin_desk.hpp"
+#include "hyssoprail/entry/admin_handler.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -6,14 +6,15 @@
 
 namespace hyssoprail::entry {
 
-AdminDesk::AdminDesk(AdminOptions Options, const ConfigStore &Store,
-                     const Timeline &Events, std::function<FleetStatus()> Fleet,
-                     boost::asio::io_context &Context, PlatformClient &Platform,
-                     const Clock &Time)
+AdminHandler::AdminHandler(AdminOptions Options, const ConfigStore &Store,
+                           const Timeline &Events,
+                           std::function<FleetStatus()> Fleet,
+                           boost::asio::io_context &Context,
+                           PlatformClient &Platform, const Clock &Time)
     : Api(std::move(Options), Store, Events, std::move(Fleet)),
       Context(Context), Platform(Platform), Time(Time) {}
 
-void AdminDesk::handle(const std::shared_ptr<HttpExchange> &Exchange) {
+void AdminHandler::handle(const std::shared_ptr<HttpExchange> &Exchange) {
   const HttpRequest &R = Exchange->request();
   AdminRequest Request;
   Request.Method = R.Method;
@@ -38,7 +39,7 @@
   });
 }
 
-void AdminDesk::reduced() {
+void AdminHandler::reduced() {
   AdminActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -47,7 +48,7 @@
   carryOut(std::move(Actions));
 }
 
-void AdminDesk::tick() {
+void AdminHandler::tick() {
   AdminActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -56,7 +57,7 @@
   carryOut(std::move(Actions));
 }
 
-void AdminDesk::carryOut(AdminActions Actions) {
+void AdminHandler::carryOut(AdminActions Actions) {
   for (AdminAction &Action : Actions) {
     if (const auto *Append = std::get_if<AdminAppend>(&Action)) {
       append(*Append);
@@ -76,7 +77,7 @@
   }
 }
 
-void AdminDesk::append(const AdminAppend &Append) {
+void AdminHandler::append(const AdminAppend &Append) {
   boost::asio::post(Context, [this, Id = Append.OperationId,
                               Data = encodeStable(Append.Record)] {
     Platform.append(Data, [this, Id](const Result<std::uint64_t> &Offset) {
@@ -90,7 +91,7 @@
   });
 }
 
-std::shared_ptr<HttpExchange> AdminDesk::take(AdminTicket Ticket) {
+std::shared_ptr<HttpExchange> AdminHandler::take(AdminTicket Ticket) {
   std::lock_guard Lock(Mutex);
   const auto It = Open.find(Ticket);
   if (It == Open.end())
--- a/src/hyssoprail/entry/admin_desk.hpp
+++ b/src/hyssoprail/entry/admin_handler.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_ENTRY_ADMIN_DESK_HPP
-#define HYSSOPRAIL_ENTRY_ADMIN_DESK_HPP
+#ifndef HYSSOPRAIL_ENTRY_ADMIN_HANDLER_HPP
+#define HYSSOPRAIL_ENTRY_ADMIN_HANDLER_HPP
 
 #include <map>
 #include <memory>
@@ -14,12 +14,12 @@
 namespace hyssoprail::entry {
 
 /// The admin API of an entry under its own lock, with its open requests.
-class AdminDesk {
+class AdminHandler {
 public:
-  AdminDesk(AdminOptions Options, const ConfigStore &Store,
-            const Timeline &Events, std::function<FleetStatus()> Fleet,
-            boost::asio::io_context &Context, PlatformClient &Platform,
-            const Clock &Time);
+  AdminHandler(AdminOptions Options, const ConfigStore &Store,
+               const Timeline &Events, std::function<FleetStatus()> Fleet,
+               boost::asio::io_context &Context, PlatformClient &Platform,
+               const Clock &Time);
 
   /// Handles a request below /admin/v1/.
   void handle(const std::shared_ptr<HttpExchange> &Exchange);
@@ -46,4 +46,4 @@
 
 } // namespace hyssoprail::entry
 
-#endif // HYSSOPRAIL_ENTRY_ADMIN_DESK_HPP
+#endif // HYSSOPRAIL_ENTRY_ADMIN_HANDLER_HPP
--- a/src/hyssoprail/entry/entry_messages.cpp
+++ b/src/hyssoprail/entry/entry_messages.cpp
@@ -144,8 +144,8 @@
     std::lock_guard Lock(AgentLeasesMutex);
     AgentLeases.heard(Address, Ack, Message.incarnation(), Time.now());
   }
-  Desk.report(Endpoint, Ack);
-  Desk.pump(Requests, false);
+  Scheduling.report(Endpoint, Ack);
+  Scheduling.pump(Requests, false);
 }
 
 void EntryRuntime::onWorkMessage(const std::string &Endpoint,
@@ -153,11 +153,11 @@
   Requests.post(workOf(Message)->request_id(),
                 [&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
                   if (Message.has_prefill_done())
-                    Desk.learnCacheSize(Message.prefill_done(),
-                                        F.spec().Completion.PromptTokens);
+                    Scheduling.learnCacheSize(Message.prefill_done(),
+                                              F.spec().Completion.PromptTokens);
                   F.received(Endpoint, Message, Now, Out);
                 });
-  Desk.pump(Requests, false);
+  Scheduling.pump(Requests, false);
 }
 
 void EntryRuntime::notePeerLog(const wire::Envelope &Message,
@@ -173,7 +173,7 @@
   Checks.check(Invariant::ConfigMonotonic, Version > AppliedVersion,
                "an older configuration is applied");
   AppliedVersion = Version;
-  Desk.configure(Update.Config);
+  Scheduling.configure(Update.Config);
   for (const std::string &Address : Directory.update(*Update.Config))
     Links->ensure(Address);
   if (changesKeys(Update))
@@ -187,7 +187,7 @@
   E.Kind = EventKind::ConfigApplied;
   E.Version = Version;
   Events.record(std::move(E));
-  Desk.pump(Requests, false);
+  Scheduling.pump(Requests, false);
 }
 
 void EntryRuntime::onIncarnation(const std::string &Address,
@@ -198,7 +198,7 @@
   Requests.postAll([&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
     F.endpointLost(Endpoint, Now, Out);
   });
-  Desk.pump(Requests, false);
+  Scheduling.pump(Requests, false);
 }
 
 void EntryRuntime::onReplaced(const std::string &Address) {
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -73,7 +73,7 @@
       Events(Settings.Process.TimelineEvents, Time),
       Checks(Events, Settings.Process.FatalViolations), Random(systemSeed()),
       Freshness(freshnessOptions(Settings)), Flows(flowContext()),
-      Desk(schedulerOptions(Settings), Checks, systemSeed(), Time),
+      Scheduling(schedulerOptions(Settings), Checks, systemSeed(), Time),
       Requests(*this, Live, Time), Callers(callerContext()), Ticker(Control),
       Http(makeHttpClient(Control)), Platform(*Http, Settings.Platform),
       Follower(Control, Platform, Store, Time, feedOptions(Settings),
@@ -120,7 +120,7 @@
           [this](const FlowSpec &Spec) {
             Retries.firstAttempt(Spec.Account, Spec.Pool);
           },
-          [this] { Desk.pump(Requests, false); }};
+          [this] { Scheduling.pump(Requests, false); }};
 }
 
 Status EntryRuntime::start() {
@@ -158,7 +158,7 @@
   Status Listening = startServers();
   if (errorOf(Listening) != nullptr)
     return Listening;
-  Members = std::make_unique<MemberKeeper>(ownMember());
+  Members = std::make_unique<MembershipRecorder>(ownMember());
   startLinks();
   return std::monostate{};
 }
@@ -235,15 +235,15 @@
 }
 
 void EntryRuntime::schedule(const FlowSpec &Spec, const AskPlacement &Ask) {
-  Desk.submit(Spec, Ask);
+  Scheduling.submit(Spec, Ask);
 }
 
 void EntryRuntime::workEnded(const FlowSpec &Spec, const EndWork &End) {
-  Desk.workEnded(Spec, End);
+  Scheduling.workEnded(Spec, End);
 }
 
 void EntryRuntime::requestEnded(const FlowSpec &Spec, std::uint32_t Tokens) {
-  Desk.requestEnded(Spec, Tokens);
+  Scheduling.requestEnded(Spec, Tokens);
   Limits.forget(Spec.RequestId);
 }
 
@@ -262,7 +262,7 @@
     Requests.post(Id, [&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
       F.claimed(Winner, Now, Out);
     });
-    Desk.pump(Requests, false);
+    Scheduling.pump(Requests, false);
   });
 }
 
@@ -290,7 +290,7 @@
   Measures.gauge("hyssoprail_requests_in_flight")
       .set(static_cast<double>(Requests.size()));
   Measures.gauge("hyssoprail_requests_queued")
-      .set(static_cast<double>(Desk.queued()));
+      .set(static_cast<double>(Scheduling.queued()));
   Measures.gauge("hyssoprail_violations_total")
       .set(static_cast<double>(Checks.violations()));
   Measures.gauge("hyssoprail_configuration_version")
--- a/src/hyssoprail/entry/entry_runtime.hpp
+++ b/src/hyssoprail/entry/entry_runtime.hpp
@@ -15,17 +15,17 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/peer_links.hpp"
 #include "hyssoprail/connection/platform_client.hpp"
-#include "hyssoprail/entry/admin_desk.hpp"
+#include "hyssoprail/entry/admin_handler.hpp"
 #include "hyssoprail/entry/caller_api.hpp"
 #include "hyssoprail/entry/claim_writer.hpp"
 #include "hyssoprail/entry/config_follower.hpp"
 #include "hyssoprail/entry/config_freshness.hpp"
 #include "hyssoprail/entry/endpoint_directory.hpp"
-#include "hyssoprail/entry/limit_desk.hpp"
+#include "hyssoprail/entry/limit_runtime.hpp"
 #include "hyssoprail/entry/live_work.hpp"
-#include "hyssoprail/entry/member_keeper.hpp"
+#include "hyssoprail/entry/membership_recorder.hpp"
 #include "hyssoprail/entry/request_shards.hpp"
-#include "hyssoprail/entry/scheduling_desk.hpp"
+#include "hyssoprail/entry/scheduling_service.hpp"
 #include "hyssoprail/process/agent_lease_planner.hpp"
 #include "hyssoprail/process/membership.hpp"
 #include "hyssoprail/process/metrics.hpp"
@@ -119,7 +119,7 @@
   std::mutex FreshnessMutex;
   ConfigFreshness Freshness;
   FlowContext Flows;
-  SchedulingDesk Desk;
+  SchedulingService Scheduling;
   RequestShards Requests;
   CallerApi Callers;
 
@@ -129,14 +129,14 @@
   PlatformClient Platform;
   ConfigFollower Follower;
   ClaimWriter Claims;
-  AdminDesk Admin;
+  AdminHandler Admin;
   mutable std::mutex ProcessesMutex;
   Membership Processes;
   RandomSource LimitRandom;
-  LimitDesk Limits;
+  LimitRuntime Limits;
   std::mutex AgentLeasesMutex;
   AgentLeasePlanner AgentLeases;
-  std::unique_ptr<MemberKeeper> Members;
+  std::unique_ptr<MembershipRecorder> Members;
   std::unique_ptr<Bus> Sockets;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<HttpServer> CallerServer;
--- a/src/hyssoprail/entry/entry_ticks.cpp
+++ b/src/hyssoprail/entry/entry_ticks.cpp
@@ -43,9 +43,9 @@
   Links->tick();
   for (const std::string &Address : Directory.addresses())
     if (!Links->reachable(Address))
-      Desk.reachable(Directory.endpointAt(Address), false);
+      Scheduling.reachable(Directory.endpointAt(Address), false);
   Requests.tick();
-  Desk.pump(Requests, true);
+  Scheduling.pump(Requests, true);
   Admin.tick();
   ++Ticks;
   if (Ticks % FeedTicks == 0)
@@ -157,7 +157,7 @@
                   [&](RequestFlow &F, TimePoint Now, FlowActions &Out) {
                     F.debited(Answer, Now, Out);
                   });
-    Desk.pump(Requests, false);
+    Scheduling.pump(Requests, false);
   };
   Ports.Apply = [this](const std::vector<wire::OffsetRecord> &Records) {
     Follower.apply(Records);
--- a/src/hyssoprail/entry/key_headers_test.cpp
+++ b/src/hyssoprail/entry/key_headers_test.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/entry/config_freshness.hpp"
-#include "hyssoprail/entry/member_keeper.hpp"
+#include "hyssoprail/entry/membership_recorder.hpp"
 
 namespace hyssoprail::entry {
 
@@ -73,24 +73,24 @@
   ManualClock Time;
   wire::Member Self;
   Self.set_incarnation(1);
-  MemberKeeper Keeper(Self);
+  MembershipRecorder Recorder(Self);
   const auto Silent = [](std::uint64_t) { return Liveness::Gone; };
   const auto Suspected = [](std::uint64_t) { return Liveness::Suspected; };
   std::vector<wire::MemberState> Members;
-  CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, false));
-  const auto Own = Keeper.next(Time.now(), Members, Silent, true);
+  CHECK_FALSE(Recorder.next(Time.now(), Members, Silent, false));
+  const auto Own = Recorder.next(Time.now(), Members, Silent, true);
   REQUIRE(Own);
   CHECK(Own->incarnation() == 1);
   for (std::uint64_t Incarnation : {1, 2})
     Members.emplace_back().mutable_member()->set_incarnation(Incarnation);
   Time.advance(milliseconds(2'000));
-  CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, true));
-  CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, false));
+  CHECK_FALSE(Recorder.next(Time.now(), Members, Silent, true));
+  CHECK_FALSE(Recorder.next(Time.now(), Members, Silent, false));
   Time.advance(milliseconds(9'000));
-  CHECK_FALSE(Keeper.next(Time.now(), Members, Silent, true));
+  CHECK_FALSE(Recorder.next(Time.now(), Members, Silent, true));
   Time.advance(milliseconds(10'000));
-  CHECK_FALSE(Keeper.next(Time.now(), Members, Suspected, true));
-  const auto Gone = Keeper.next(Time.now(), Members, Silent, true);
+  CHECK_FALSE(Recorder.next(Time.now(), Members, Suspected, true));
+  const auto Gone = Recorder.next(Time.now(), Members, Silent, true);
   REQUIRE(Gone);
   CHECK(Gone->incarnation() == 2);
   CHECK(Gone->gone());
--- a/src/hyssoprail/entry/limit_desk.cpp
+++ b/src/hyssoprail/entry/limit_runtime.cpp
@@ -1,4 +1,4 @@
-#include "hyssoprail/entry/limit_desk.hpp"
+#include "hyssoprail/entry/limit_runtime.hpp"
 
 #include <algorithm>
 
@@ -75,24 +75,25 @@
 } // namespace
 
 /// One read of the log's end for the service.
-struct LimitDesk::LogRead {
+struct LimitRuntime::LogRead {
   std::uint64_t Id = 0;
   TimePoint Began;
   std::uint64_t Until = 0; ///< end of the log as the first read told it
   std::uint64_t Position = 0;
 };
 
-LimitDesk::LimitDesk(std::unique_ptr<LimitService> Service, ConfigStore &Store,
-                     boost::asio::io_context &Context, PlatformClient &Platform,
-                     const Clock &Time, std::string Author, LimitPorts Ports)
+LimitRuntime::LimitRuntime(std::unique_ptr<LimitService> Service,
+                           ConfigStore &Store, boost::asio::io_context &Context,
+                           PlatformClient &Platform, const Clock &Time,
+                           std::string Author, LimitPorts Ports)
     : Service(std::move(Service)),
       Accounts(std::make_shared<const AccountLimits>()), Store(Store),
       Context(Context), Platform(Platform), Time(Time),
       Author(std::move(Author)), Ports(std::move(Ports)) {}
 
-std::optional<Status> LimitDesk::debit(const std::string &RequestId,
-                                       const std::string &Account,
-                                       std::uint64_t Tokens) {
+std::optional<Status> LimitRuntime::debit(const std::string &RequestId,
+                                          const std::string &Account,
+                                          std::uint64_t Tokens) {
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -101,8 +102,8 @@
   return carryOut(std::move(Actions), RequestId);
 }
 
-void LimitDesk::refund(const std::string &RequestId, const std::string &Account,
-                       std::uint64_t Tokens) {
+void LimitRuntime::refund(const std::string &RequestId,
+                          const std::string &Account, std::uint64_t Tokens) {
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -116,12 +117,12 @@
   carryOut(std::move(Actions));
 }
 
-void LimitDesk::forget(const std::string &RequestId) {
+void LimitRuntime::forget(const std::string &RequestId) {
   std::lock_guard Lock(Mutex);
   Epochs.erase(RequestId);
 }
 
-void LimitDesk::message(const wire::Envelope &Message) {
+void LimitRuntime::message(const wire::Envelope &Message) {
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -130,7 +131,7 @@
   carryOut(std::move(Actions));
 }
 
-void LimitDesk::configChanged(const ConfigUpdate &Update) {
+void LimitRuntime::configChanged(const ConfigUpdate &Update) {
   if (changesAccounts(Update))
     Accounts = accountLimits(*Update.Config);
   const LimitViewPtr View = makeView(Store, Update.Config->version(), Accounts);
@@ -142,7 +143,7 @@
   carryOut(std::move(Actions));
 }
 
-void LimitDesk::tick(std::vector<LivePeer> Peers) {
+void LimitRuntime::tick(std::vector<LivePeer> Peers) {
   LimitActions Actions;
   {
     std::lock_guard Lock(Mutex);
@@ -152,13 +153,13 @@
   carryOut(std::move(Actions));
 }
 
-LimitStatus LimitDesk::status() const {
+LimitStatus LimitRuntime::status() const {
   std::lock_guard Lock(Mutex);
   return Service->status(Time.now());
 }
 
-std::optional<Status> LimitDesk::carryOut(LimitActions Actions,
-                                          const std::string &Own) {
+std::optional<Status> LimitRuntime::carryOut(LimitActions Actions,
+                                             const std::string &Own) {
   std::optional<Status> Answered;
   for (LimitAction &Action : Actions) {
     if (const auto *Answer = std::get_if<AnswerDebit>(&Action)) {
@@ -181,7 +182,7 @@
   return Answered;
 }
 
-Status LimitDesk::noteAnswer(const AnswerDebit &Answer) {
+Status LimitRuntime::noteAnswer(const AnswerDebit &Answer) {
   if (Answer.Result != wire::DEBIT_RESULT_GRANTED)
     return debitError(Answer);
   std::lock_guard Lock(Mutex);
@@ -189,7 +190,7 @@
   return std::monostate{};
 }
 
-void LimitDesk::startRead(std::uint64_t ReadId) {
+void LimitRuntime::startRead(std::uint64_t ReadId) {
   auto R = std::make_shared<LogRead>();
   R->Id = ReadId;
   R->Began = Time.now();
@@ -197,7 +198,7 @@
   readOn(R);
 }
 
-void LimitDesk::readOn(const std::shared_ptr<LogRead> &R) {
+void LimitRuntime::readOn(const std::shared_ptr<LogRead> &R) {
   Platform.read(
       R->Position, BatchRecords, milliseconds(0),
       [this, R](const Result<LogBatch> &Batch) {
@@ -224,7 +225,7 @@
       ReadTimeout);
 }
 
-void LimitDesk::endRead(const LogRead &R, bool Succeeded) {
+void LimitRuntime::endRead(const LogRead &R, bool Succeeded) {
   if (Succeeded)
     Ports.LogRead(R.Began);
   LimitActions Actions;
@@ -238,7 +239,7 @@
   carryOut(std::move(Actions));
 }
 
-void LimitDesk::append(const AppendTakeOver &Append) {
+void LimitRuntime::append(const AppendTakeOver &Append) {
   wire::LogRecord Record;
   Record.set_operation_id(Append.OperationId);
   Record.set_author(Author);
--- a/src/hyssoprail/entry/limit_desk.hpp
+++ b/src/hyssoprail/entry/limit_runtime.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_ENTRY_LIMIT_DESK_HPP
-#define HYSSOPRAIL_ENTRY_LIMIT_DESK_HPP
+#ifndef HYSSOPRAIL_ENTRY_LIMIT_RUNTIME_HPP
+#define HYSSOPRAIL_ENTRY_LIMIT_RUNTIME_HPP
 
 #include <functional>
 #include <map>
@@ -17,7 +17,7 @@
 
 namespace hyssoprail::entry {
 
-/// Functions that LimitDesk needs; all are called without its lock.
+/// Functions that LimitRuntime needs; all are called without its lock.
 struct LimitPorts {
   /// Sends to another entry.
   std::function<void(const SendToEntry &)> Send;
@@ -31,11 +31,11 @@
 
 /// The limit service of an entry under its own lock, with its log reads and
 /// appends. Debits are identified by the request id.
-class LimitDesk {
+class LimitRuntime {
 public:
-  LimitDesk(std::unique_ptr<LimitService> Service, ConfigStore &Store,
-            boost::asio::io_context &Context, PlatformClient &Platform,
-            const Clock &Time, std::string Author, LimitPorts Ports);
+  LimitRuntime(std::unique_ptr<LimitService> Service, ConfigStore &Store,
+               boost::asio::io_context &Context, PlatformClient &Platform,
+               const Clock &Time, std::string Author, LimitPorts Ports);
 
   /// Debits tokens; returns the answer if it is known at once.
   std::optional<Status> debit(const std::string &RequestId,
@@ -84,4 +84,4 @@
 
 } // namespace hyssoprail::entry
 
-#endif // HYSSOPRAIL_ENTRY_LIMIT_DESK_HPP
+#endif // HYSSOPRAIL_ENTRY_LIMIT_RUNTIME_HPP
--- a/src/hyssoprail/entry/member_keeper.cpp
+++ b/src/hyssoprail/entry/membership_recorder.cpp
@@ -1,4 +1,4 @@
-#include "hyssoprail/entry/member_keeper.hpp"
+#include "hyssoprail/entry/membership_recorder.hpp"
 
 #include <algorithm>
 
@@ -14,10 +14,9 @@
 
 } // namespace
 
-std::optional<wire::Member>
-MemberKeeper::next(TimePoint Now, const std::vector<wire::MemberState> &Members,
-                   const std::function<Liveness(std::uint64_t)> &State,
-                   bool LogHealthy) {
+std::optional<wire::Member> MembershipRecorder::next(
+    TimePoint Now, const std::vector<wire::MemberState> &Members,
+    const std::function<Liveness(std::uint64_t)> &State, bool LogHealthy) {
   if (!LogHealthy)
     HealthySince.reset();
   else if (!HealthySince)
@@ -46,7 +45,7 @@
 }
 
 /// One live member removes the others, so that they do not all append.
-bool MemberKeeper::isFirstLive(
+bool MembershipRecorder::isFirstLive(
     const std::vector<wire::MemberState> &Members,
     const std::function<Liveness(std::uint64_t)> &State) const {
   return std::none_of(
--- a/src/hyssoprail/entry/member_keeper.hpp
+++ b/src/hyssoprail/entry/membership_recorder.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
-#define HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
+#ifndef HYSSOPRAIL_ENTRY_MEMBERSHIP_RECORDER_HPP
+#define HYSSOPRAIL_ENTRY_MEMBERSHIP_RECORDER_HPP
 
 #include <functional>
 #include <optional>
@@ -14,9 +14,9 @@
 
 /// Decides which Member records this entry appends: its own, and the removal
 /// of entries that are gone. Without I/O.
-class MemberKeeper {
+class MembershipRecorder {
 public:
-  explicit MemberKeeper(wire::Member Self) : Self(std::move(Self)) {}
+  explicit MembershipRecorder(wire::Member Self) : Self(std::move(Self)) {}
 
   /// Returns the record to append now, if any. \p State tells whether an
   /// incarnation runs; \p LogHealthy that the log was read lately.
@@ -35,4 +35,4 @@
 
 } // namespace hyssoprail::entry
 
-#endif // HYSSOPRAIL_ENTRY_MEMBER_KEEPER_HPP
+#endif // HYSSOPRAIL_ENTRY_MEMBERSHIP_RECORDER_HPP
--- a/src/hyssoprail/entry/scheduling_desk.cpp
+++ b/src/hyssoprail/entry/scheduling_service.cpp
@@ -1,4 +1,4 @@
-#include "hyssoprail/entry/scheduling_desk.hpp"
+#include "hyssoprail/entry/scheduling_service.hpp"
 
 #include "hyssoprail/request/reference_answer.hpp"
 
@@ -47,53 +47,53 @@
 
 } // namespace
 
-void SchedulingDesk::configure(ConfigPtr Config) {
+void SchedulingService::configure(ConfigPtr Config) {
   std::lock_guard Lock(Mutex);
   Requests.configure(std::move(Config), Time.now());
   Changed = true;
 }
 
-void SchedulingDesk::report(std::string_view Endpoint,
-                            const wire::HeartbeatAck &Ack) {
+void SchedulingService::report(std::string_view Endpoint,
+                               const wire::HeartbeatAck &Ack) {
   std::lock_guard Lock(Mutex);
   Requests.report(Endpoint, Ack.load(), Ack.leaving(), Time.now());
   Changed = true;
 }
 
-void SchedulingDesk::reachable(std::string_view Endpoint, bool Value) {
+void SchedulingService::reachable(std::string_view Endpoint, bool Value) {
   std::lock_guard Lock(Mutex);
   Requests.reachable(Endpoint, Value);
 }
 
-void SchedulingDesk::learnCacheSize(const wire::PrefillDone &Done,
-                                    std::uint32_t Tokens) {
+void SchedulingService::learnCacheSize(const wire::PrefillDone &Done,
+                                       std::uint32_t Tokens) {
   std::lock_guard Lock(Mutex);
   Requests.learnCacheSize(Done.kv_bytes(), Tokens);
 }
 
-void SchedulingDesk::submit(const FlowSpec &Spec, const AskPlacement &Ask) {
+void SchedulingService::submit(const FlowSpec &Spec, const AskPlacement &Ask) {
   ScheduleRequest Request = scheduleRequest(Spec, Ask);
   std::lock_guard Lock(Mutex);
   Requests.submit(std::move(Request), Time.now());
   Changed = true;
 }
 
-void SchedulingDesk::workEnded(const FlowSpec &Spec, const EndWork &End) {
+void SchedulingService::workEnded(const FlowSpec &Spec, const EndWork &End) {
   std::lock_guard Lock(Mutex);
   Requests.ended(Spec.RequestId, End.Work.leg() != wire::LEG_PREFILL,
                  End.Endpoint, scheduledEnd(End.How), Time.now());
   Changed = true;
 }
 
-void SchedulingDesk::requestEnded(const FlowSpec &Spec,
-                                  std::uint32_t OutputTokens) {
+void SchedulingService::requestEnded(const FlowSpec &Spec,
+                                     std::uint32_t OutputTokens) {
   std::lock_guard Lock(Mutex);
   Requests.cancel(Spec.RequestId);
   Requests.completed(Spec.RequestId, OutputTokens);
   Changed = true;
 }
 
-void SchedulingDesk::pump(RequestShards &Shards, bool Always) {
+void SchedulingService::pump(RequestShards &Shards, bool Always) {
   while (Changed.exchange(false) || Always) {
     Always = false;
     std::vector<ScheduleDecision> Decisions;
@@ -118,7 +118,7 @@
   }
 }
 
-std::size_t SchedulingDesk::queued() const {
+std::size_t SchedulingService::queued() const {
   std::lock_guard Lock(Mutex);
   return Requests.queued();
 }
--- a/src/hyssoprail/entry/scheduling_desk.hpp
+++ b/src/hyssoprail/entry/scheduling_service.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_ENTRY_SCHEDULING_DESK_HPP
-#define HYSSOPRAIL_ENTRY_SCHEDULING_DESK_HPP
+#ifndef HYSSOPRAIL_ENTRY_SCHEDULING_SERVICE_HPP
+#define HYSSOPRAIL_ENTRY_SCHEDULING_SERVICE_HPP
 
 #include <atomic>
 #include <mutex>
@@ -12,10 +12,10 @@
 
 /// The scheduler of an entry under its own lock. Its decisions are given to the
 /// requests by pump(), outside of the lock.
-class SchedulingDesk {
+class SchedulingService {
 public:
-  SchedulingDesk(SchedulerOptions Options, Invariants &Checks,
-                 std::uint64_t Seed, const Clock &Time)
+  SchedulingService(SchedulerOptions Options, Invariants &Checks,
+                    std::uint64_t Seed, const Clock &Time)
       : Requests(std::move(Options), Checks, Seed), Time(Time) {}
 
   void configure(ConfigPtr Config);
@@ -43,4 +43,4 @@
 
 } // namespace hyssoprail::entry
 
-#endif // HYSSOPRAIL_ENTRY_SCHEDULING_DESK_HPP
+#endif // HYSSOPRAIL_ENTRY_SCHEDULING_SERVICE_HPP
--- a/src/hyssoprail/load/overhead.cpp
+++ b/src/hyssoprail/load/overhead.cpp
@@ -292,6 +292,58 @@
     Stream->cancel();
 }
 
+/// True if every process that entry 0 knows has reported \p Version.
+bool reportedByAll(testbed::Fleet &Fleet, std::uint64_t Version) {
+  HttpCall Call;
+  Call.Authority = Fleet.adminAddress(0);
+  Call.Request = {
+      "GET",
+      "/admin/v1/status",
+      {{"Authorization", std::string("Bearer ") + testbed::OperatorToken}},
+      {}};
+  auto Answer = Fleet.http().call(std::move(Call));
+  if (errorOf(Answer) != nullptr || valueOf(Answer).Status != 200)
+    return false;
+  const json Body = json::parse(valueOf(Answer).Body, nullptr, false);
+  const json &Processes = Body.at("processes");
+  return std::all_of(Processes.begin(), Processes.end(), [&](const json &P) {
+    return P.at("version").get<std::uint64_t>() >= Version;
+  });
+}
+
+Status measureConfiguration(const OverheadOptions &Options,
+                            OverheadReport &Report) {
+  constexpr std::chrono::seconds Longest{9};
+  testbed::FleetOptions Shape = fleetOptions(Options, {});
+  Shape.Entries = 3;
+  Shape.DecodeEngines = 2;
+  testbed::Fleet Fleet(Shape);
+  Status Started = Fleet.start();
+  if (errorOf(Started) != nullptr)
+    return Started;
+  std::vector<double> Times;
+  for (unsigned I = 0; I < Options.Changes; ++I) {
+    const auto Begin = steady_clock::now();
+    const auto Version = Fleet.change(
+        "account", "acme",
+        {{"name", "acme"}, {"rate", 1e9 + I}, {"burst", 1e9}}, false, I % 3);
+    if (const Error *E = errorOf(Version))
+      return *E;
+    if (!testbed::Fleet::waitUntil(
+            [&] { return reportedByAll(Fleet, valueOf(Version)); }, Longest))
+      return Error{ErrorKind::DeadlineExceeded,
+                   "a change was not in force within 9 s",
+                   "read the logs in " + Options.RunDirectory,
+                   "",
+                   {}};
+    Times.push_back(millisSince(Begin));
+  }
+  std::sort(Times.begin(), Times.end());
+  Report.InForceP50Ms = Times[Times.size() / 2];
+  Report.InForceP99Ms = Times[Times.size() * 99 / 100];
+  return std::monostate{};
+}
+
 json pathJson(const PathFigures &F) {
   return {{"first_token_p50_ms", F.FirstTokenP50Ms},
           {"first_token_p99_ms", F.FirstTokenP99Ms},
@@ -323,6 +375,9 @@
   if (const Error *E = errorOf(S))
     return *E;
   measureMemory(Options, Fleet, Report);
+  const Status Configured = measureConfiguration(Options, Report);
+  if (const Error *E = errorOf(Configured))
+    return *E;
   return Report;
 }
 
@@ -348,6 +403,9 @@
                                           : 0);
   Out += fmt::format("memory per open stream: {:.0f} bytes over {} streams\n",
                      R.BytesPerOpenStream, R.OpenStreams);
+  Out += fmt::format("configuration change reported by every process: p50 "
+                     "{:.0f} ms, p99 {:.0f} ms\n",
+                     R.InForceP50Ms, R.InForceP99Ms);
   return Out;
 }
 
@@ -357,7 +415,9 @@
           {"calls_per_second", R.CallsPerSecond},
           {"entry_cores_used", R.EntryCoresUsed},
           {"bytes_per_open_stream", R.BytesPerOpenStream},
-          {"open_streams", R.OpenStreams}};
+          {"open_streams", R.OpenStreams},
+          {"in_force_p50_ms", R.InForceP50Ms},
+          {"in_force_p99_ms", R.InForceP99Ms}};
 }
 
 } // namespace hyssoprail::load
--- a/src/hyssoprail/load/overhead.hpp
+++ b/src/hyssoprail/load/overhead.hpp
@@ -18,6 +18,7 @@
   unsigned Streams = 2000;  ///< open streams for the memory figure
   unsigned CallSeconds = 5; ///< length of the throughput run
   unsigned CallConnections = 32;
+  unsigned Changes = 100; ///< configuration changes timed
 };
 
 /// Figures of one way to reach the engines.
@@ -28,7 +29,8 @@
   double BetweenTokensP99Ms = 0;
 };
 
-/// Added latency, throughput and memory of an entry.
+/// Added latency, throughput and memory of an entry, and the time until a
+/// configuration change is in force.
 struct OverheadReport {
   PathFigures Direct;
   PathFigures Routed;
@@ -36,6 +38,8 @@
   double EntryCoresUsed = 0;     ///< processor time of the entry per second
   double BytesPerOpenStream = 0; ///< growth of the entry's resident memory
   std::uint64_t OpenStreams = 0;
+  double InForceP50Ms = 0; ///< change sent until all processes report it
+  double InForceP99Ms = 0;
 };
 
 /// Starts a small fleet and measures, in the same run, streams sent straight
--- a/src/hyssoprail/process/agent_property_test.cpp
+++ b/src/hyssoprail/process/agent_property_test.cpp
@@ -1,13 +1,13 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include "hyssoprail/process/agent_world.hpp"
+#include "hyssoprail/process/agent_simulation.hpp"
 
 namespace hyssoprail::agent_test {
 namespace {
 
-WorldOptions anyWorld() {
-  WorldOptions O;
+SimulationOptions anyWorld() {
+  SimulationOptions O;
   O.Seed = *rc::gen::arbitrary<std::uint64_t>();
   O.Entries = *rc::gen::inRange(1U, 5U);
   O.Slots = *rc::gen::inRange(1U, 12U);
@@ -23,7 +23,7 @@
 TEST_CASE("an agent keeps its engine's bounds in a hostile world") {
   std::size_t Completed = 0;
   const bool Passed = rc::check("agent and engine", [&] {
-    World W(anyWorld(), AgentKind::Engine);
+    Simulation W(anyWorld(), AgentKind::Engine);
     W.run(milliseconds(15'000), false);
     RC_ASSERT(W.Fault == "");
     W.killEntries();
@@ -42,9 +42,9 @@
 TEST_CASE("a service's calls run at most once in a hostile world") {
   std::size_t Completed = 0;
   const bool Passed = rc::check("agent and service", [&] {
-    WorldOptions Options = anyWorld();
+    SimulationOptions Options = anyWorld();
     Options.AgentFault = 0.003;
-    World W(Options, AgentKind::Service);
+    Simulation W(Options, AgentKind::Service);
     W.run(milliseconds(10'000), false);
     RC_ASSERT(W.Fault == "");
     W.killEntries();
--- a/src/hyssoprail/process/agent_world.hpp
+++ b/src/hyssoprail/process/agent_simulation.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_PROCESS_AGENT_WORLD_HPP
-#define HYSSOPRAIL_PROCESS_AGENT_WORLD_HPP
+#ifndef HYSSOPRAIL_PROCESS_AGENT_SIMULATION_HPP
+#define HYSSOPRAIL_PROCESS_AGENT_SIMULATION_HPP
 
 #include <algorithm>
 #include <functional>
@@ -16,7 +16,7 @@
 namespace hyssoprail::agent_test {
 
 /// How hostile a simulated run is; probabilities per message or per step.
-struct WorldOptions {
+struct SimulationOptions {
   std::uint64_t Seed = 1;
   unsigned Entries = 3;
   unsigned Slots = 8;
@@ -46,13 +46,13 @@
 
 /// One AgentCore among entries, a network and an engine that all misbehave at
 /// random. Time advances in steps of 10 ms.
-class World {
+class Simulation {
 public:
   static constexpr milliseconds Step{10};
   static constexpr milliseconds ColdTime{2'000};
   static constexpr unsigned ColdLimit = 2;
 
-  World(WorldOptions Options, AgentKind Kind)
+  Simulation(SimulationOptions Options, AgentKind Kind)
       : Options(Options), Kind(Kind), Random(Options.Seed),
         Events(1'000, Clock), Checks(Events, false) {
     Model.Start = Clock.now();
@@ -449,7 +449,7 @@
     }
   }
 
-  WorldOptions Options;
+  SimulationOptions Options;
   AgentKind Kind;
   RandomSource Random;
   ManualClock Clock;
@@ -476,4 +476,4 @@
 
 } // namespace hyssoprail::agent_test
 
-#endif // HYSSOPRAIL_PROCESS_AGENT_WORLD_HPP
+#endif // HYSSOPRAIL_PROCESS_AGENT_SIMULATION_HPP
--- a/src/hyssoprail/process/scheduler_test.cpp
+++ b/src/hyssoprail/process/scheduler_test.cpp
@@ -79,11 +79,11 @@
 
 template <typename P> auto policy(P Made) { return valueOf(Made); }
 
-class Desk {
+class SchedulerFixture {
 public:
-  explicit Desk(std::string_view Scheduling = "early",
-                std::string_view Placement = "two_choices",
-                std::uint64_t Seed = 1)
+  explicit SchedulerFixture(std::string_view Scheduling = "early",
+                            std::string_view Placement = "two_choices",
+                            std::uint64_t Seed = 1)
       : Events(1000, Time), Checks(Events, true),
         Requests({"entry-" + std::to_string(Seed), "a",
                   policy(makeSchedulingStrategy(Scheduling)),
@@ -146,7 +146,7 @@
 
 // Guards against prefills that start without a decode slot.
 TEST_CASE("a request waits until a decode slot is free") {
-  Desk D;
+  SchedulerFixture D;
   D.configure(onePair());
   D.report("p1", load(8, 0));
   D.report("d1", load(2, 1));
@@ -160,7 +160,7 @@
 
 // Guards against an idle prefill pool while a slot is about to be released.
 TEST_CASE("predicted reservation uses a release in time") {
-  Desk D("predicted");
+  SchedulerFixture D("predicted");
   D.configure(onePair());
   wire::LoadReport Full = load(2, 2);
   Full.set_next_release_ms(4);
@@ -176,7 +176,7 @@
 // Guards against work in a zone that is out of service or at a leaving
 // endpoint.
 TEST_CASE("endpoints out of service, leaving or unreachable are not chosen") {
-  Desk D;
+  SchedulerFixture D;
   Site S = onePair();
   S.endpoint("p2", wire::ENDPOINT_ROLE_PREFILL, "b");
   S.endpoint("d2", wire::ENDPOINT_ROLE_DECODE, "b");
@@ -212,7 +212,7 @@
 
 // Guards against prefill work for a request that is late already.
 TEST_CASE("a request that cannot meet its target is refused") {
-  Desk D;
+  SchedulerFixture D;
   D.configure(onePair());
   D.report("p1", load(8, 0));
   D.report("d1", load(1, 1));
@@ -231,7 +231,7 @@
 // Guards against an account that takes the slots of the others by sending
 // more.
 TEST_CASE("accounts are served in proportion to their weights") {
-  Desk D;
+  SchedulerFixture D;
   D.configure(onePair());
   D.report("p1", load(8, 0));
   D.report("d1", load(1, 0));
@@ -261,7 +261,7 @@
 
 // Guards against batch work that starves behind chat and orders.
 TEST_CASE("batch gets its minimum share") {
-  Desk D;
+  SchedulerFixture D;
   D.configure(onePair());
   D.report("p1", load(8, 0));
   D.report("d1", load(1, 0));
@@ -299,7 +299,7 @@
   }
   std::map<std::string, int> Load;
   for (int E = 0; E < Entries; ++E) {
-    Desk D("early", "two_choices", 100 + E);
+    SchedulerFixture D("early", "two_choices", 100 + E);
     D.configure(S);
     for (int I = 0; I < Endpoints; ++I) {
       // One endpoint looks idle to everybody.
@@ -320,7 +320,7 @@
 // Guards against work of ended or resumed requests that stays counted.
 TEST_CASE("local correction returns to zero") {
   CHECK(rc::check("every request that ends frees its slot", [] {
-    Desk D("early", "two_choices", *rc::gen::inRange(1, 1000));
+    SchedulerFixture D("early", "two_choices", *rc::gen::inRange(1, 1000));
     D.configure(onePair());
     D.report("p1", load(8, 0));
     D.report("d1", load(4, 0));
--- a/src/hyssoprail/request/flow_world.hpp
+++ b/src/hyssoprail/request/flow_simulation.hpp
@@ -1,5 +1,5 @@
-#ifndef HYSSOPRAIL_REQUEST_FLOW_WORLD_HPP
-#define HYSSOPRAIL_REQUEST_FLOW_WORLD_HPP
+#ifndef HYSSOPRAIL_REQUEST_FLOW_SIMULATION_HPP
+#define HYSSOPRAIL_REQUEST_FLOW_SIMULATION_HPP
 
 #include <algorithm>
 #include <map>
@@ -26,9 +26,10 @@
 
 /// A flow among simulated agents, links that lose, repeat and reorder, and a
 /// scheduler that places at random. Everything follows from the seed.
-class FlowWorld {
+class FlowSimulation {
 public:
-  FlowWorld(std::uint64_t Seed, FlowFaults Faults, FlowSpec Given, bool Call)
+  FlowSimulation(std::uint64_t Seed, FlowFaults Faults, FlowSpec Given,
+                 bool Call)
       : Random(Seed), Faults(Faults), Events(64, Time), Checks(Events, false),
         Context{Checks,
                 Events,
@@ -347,4 +348,4 @@
 
 } // namespace hyssoprail::testing
 
-#endif // HYSSOPRAIL_REQUEST_FLOW_WORLD_HPP
+#endif // HYSSOPRAIL_REQUEST_FLOW_SIMULATION_HPP
--- a/src/hyssoprail/request/request_flow_property_test.cpp
+++ b/src/hyssoprail/request/request_flow_property_test.cpp
@@ -1,13 +1,13 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include "hyssoprail/request/flow_world.hpp"
+#include "hyssoprail/request/flow_simulation.hpp"
 
 namespace hyssoprail {
 namespace {
 
 using testing::FlowFaults;
-using testing::FlowWorld;
+using testing::FlowSimulation;
 
 FlowSpec completionSpec() {
   FlowSpec Spec;
@@ -51,7 +51,7 @@
 
 std::uint64_t anySeed() { return *rc::gen::inRange<std::uint64_t>(1, 1 << 30); }
 
-int runs(const FlowWorld &W) {
+int runs(const FlowSimulation &W) {
   int Sum = 0;
   for (const auto &[Endpoint, Count] : W.Runs)
     Sum += Count;
@@ -59,7 +59,7 @@
 }
 
 /// What holds for every request, however it ends.
-void checkEnd(const FlowWorld &W, std::uint64_t Debit) {
+void checkEnd(const FlowSimulation &W, std::uint64_t Debit) {
   RC_ASSERT(W.Flow->finished());
   RC_ASSERT(W.Flow->live().empty());
   RC_ASSERT(W.terminals() == (W.Left ? 0U : 1U));
@@ -77,7 +77,7 @@
 // terminal answer, and a false "not run", under any mix of faults.
 TEST_CASE("a completion gives one whole answer under faults") {
   CHECK(rc::check("completion", [] {
-    FlowWorld W(anySeed(), anyFaults(), completionSpec(), false);
+    FlowSimulation W(anySeed(), anyFaults(), completionSpec(), false);
     W.run();
     checkEnd(W, 24);
     RC_ASSERT(W.textIsPrefix());
@@ -96,7 +96,7 @@
     F.Lose = probability(20);
     F.Duplicate = probability(30);
     F.Replace = probability(5);
-    FlowWorld W(anySeed(), F, completionSpec(), false);
+    FlowSimulation W(anySeed(), F, completionSpec(), false);
     W.run();
     checkEnd(W, 24);
     RC_ASSERT(W.textIsPrefix());
@@ -110,7 +110,7 @@
 // misreported.
 TEST_CASE("a non-repeatable call runs at most once under faults") {
   CHECK(rc::check("call", [] {
-    FlowWorld W(anySeed(), anyFaults(), callSpec(false), true);
+    FlowSimulation W(anySeed(), anyFaults(), callSpec(false), true);
     W.run();
     checkEnd(W, 10);
     RC_ASSERT(W.CallRuns <= 1);
@@ -124,7 +124,7 @@
 TEST_CASE("a repeatable call is retried under faults") {
   CHECK(rc::check("repeatable call", [] {
     FlowFaults F = anyFaults();
-    FlowWorld W(anySeed(), F, callSpec(true), true);
+    FlowSimulation W(anySeed(), F, callSpec(true), true);
     W.run();
     checkEnd(W, 10);
     for (const Refusal &R : W.Refusals)
--- a/src/hyssoprail/testbed/fleet_failure_test.cpp
+++ b/src/hyssoprail/testbed/fleet_failure_test.cpp
@@ -4,7 +4,7 @@
 #include <sys/wait.h>
 
 #include "hyssoprail/testbed/background_stream.hpp"
-#include "hyssoprail/testbed/fleet_probe.hpp"
+#include "hyssoprail/testbed/started_fleet.hpp"
 
 namespace hyssoprail::testbed {
 namespace {
@@ -25,21 +25,6 @@
 constexpr const char *Prompt = "which kerb stones are in stock at the depot";
 constexpr unsigned MaxTokens = 100;
 
-/// A started fleet whose limits have an owner.
-class Started {
-public:
-  explicit Started(const FleetOptions &Options) : F(Options), Probe(F) {
-    const Status S = F.start();
-    if (const Error *E = errorOf(S))
-      FAIL(E->Message + "; " + E->Remedy);
-    for (unsigned I = 0; I < Options.Entries; ++I)
-      REQUIRE(Probe.waitServing(seconds(20), I));
-  }
-
-  Fleet F;
-  FleetProbe Probe;
-};
-
 FleetOptions slowFleet(const std::string &Name) {
   FleetOptions Options = testFleet(Name);
   Options.DecodeFlags.push_back("--step_base_us=20000");
@@ -72,7 +57,7 @@
 
 // Guards against lost or repeated tokens when a decode endpoint's agent dies.
 TEST_CASE("a stream resumes elsewhere after its agent was killed") {
-  Started Site(slowFleet("kill_agent"));
+  StartedFleet Site(slowFleet("kill_agent"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
   const std::string Engine = decodingEngine(Site.Probe);
@@ -87,7 +72,7 @@
 
 // Guards against lost or repeated tokens when a decode engine crashes.
 TEST_CASE("a stream resumes elsewhere after its engine crashed") {
-  Started Site(slowFleet("crash_engine"));
+  StartedFleet Site(slowFleet("crash_engine"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
   const std::string Engine = decodingEngine(Site.Probe);
@@ -100,7 +85,7 @@
 // Guards against an agent that goes on with work that was resumed elsewhere
 // while it was paused past every lease.
 TEST_CASE("a stream is answered once when its agent is paused and wakes") {
-  Started Site(slowFleet("pause_agent"));
+  StartedFleet Site(slowFleet("pause_agent"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
   const std::string Engine = decodingEngine(Site.Probe);
@@ -115,7 +100,7 @@
 // Guards against a transfer that stalls and holds its decode slot for ever.
 TEST_CASE("a stalled transfer is given up and its memory freed") {
   FleetOptions Options = slowFleet("stall_transfer");
-  Started Site(Options);
+  StartedFleet Site(Options);
   for (unsigned I = 0; I < Options.PrefillEngines; ++I)
     Site.F.http().post(Site.F.httpAddress("prefill-" + std::to_string(I)),
                        "/faults", R"({"stall_transfers":true})");
@@ -134,7 +119,7 @@
 
 // Guards against engine memory held for a caller that went away.
 TEST_CASE("a caller that disconnects frees the engine's memory") {
-  Started Site(slowFleet("cancel"));
+  StartedFleet Site(slowFleet("cancel"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
   Stream.cancel();
@@ -145,7 +130,7 @@
 // Guards against engine memory held for requests of an entry that died or was
 // paused past the lease.
 TEST_CASE("an entry that dies or pauses loses its grants after the lease") {
-  Started Site(slowFleet("lose_entry"));
+  StartedFleet Site(slowFleet("lose_entry"));
   const int Signal = GENERATE(SIGKILL, SIGSTOP);
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
@@ -161,7 +146,7 @@
 
 // Guards against a planned stop that cuts off a stream.
 TEST_CASE("entries and agents finish their streams before they stop") {
-  Started Site(slowFleet("planned_stop"));
+  StartedFleet Site(slowFleet("planned_stop"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
   const std::string Engine = decodingEngine(Site.Probe);
@@ -181,7 +166,7 @@
 TEST_CASE("a burst at engines in cold start crashes none of them") {
   FleetOptions Options = testFleet("cold_start");
   Options.PrefillFlags = Options.DecodeFlags = {"--model=m1", "--cold_ms=5000"};
-  Started Site(Options);
+  StartedFleet Site(Options);
   for (const char *Engine : {"prefill-0", "prefill-1", "decode-0", "decode-1"})
     Site.F.http().post(Site.F.httpAddress(Engine), "/faults",
                        R"({"crash":true})");
@@ -198,7 +183,7 @@
 // called "not run".
 TEST_CASE(
     "an order whose answer is lost is reported as unknown and runs once") {
-  Started Site(testFleet("order_unknown"));
+  StartedFleet Site(testFleet("order_unknown"));
   Site.F.http().post(Site.F.httpAddress("service-0"), "/faults",
                      R"({"drop_rate":1.0})");
   // Stock checks of the start-up were executed before.
--- a/src/hyssoprail/testbed/fleet_operation_test.cpp
+++ b/src/hyssoprail/testbed/fleet_operation_test.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 
 #include "hyssoprail/testbed/background_stream.hpp"
-#include "hyssoprail/testbed/fleet_probe.hpp"
+#include "hyssoprail/testbed/started_fleet.hpp"
 
 namespace hyssoprail::testbed {
 namespace {
@@ -20,20 +20,6 @@
 constexpr seconds InForce{2};
 constexpr seconds RecoveryTarget{5};
 
-class Started {
-public:
-  explicit Started(const FleetOptions &Options) : F(Options), Probe(F) {
-    const Status S = F.start();
-    if (const Error *E = errorOf(S))
-      FAIL(E->Message + "; " + E->Remedy);
-    for (unsigned I = 0; I < Options.Entries; ++I)
-      REQUIRE(Probe.waitServing(seconds(20), I));
-  }
-
-  Fleet F;
-  FleetProbe Probe;
-};
-
 unsigned stockStatus(FleetProbe &Probe, unsigned Entry) {
   auto Answer = Probe.call("GET", "/stock/item-1", "", {}, Entry);
   return errorOf(Answer) != nullptr ? 0 : valueOf(Answer).Status;
@@ -58,7 +44,7 @@
 // Guards against a withdrawn key that goes on working, also for a caller that
 // stays connected.
 TEST_CASE("a withdrawn key stops working at every entry") {
-  Started Site(testFleet("key_withdrawn"));
+  StartedFleet Site(testFleet("key_withdrawn"));
   CHECK(stockStatus(Site.Probe, 0) == 200);
   CHECK(stockStatus(Site.Probe, 1) == 200);
   auto Version = Site.F.change("key", "key-of-acme", json::object(), true);
@@ -72,7 +58,7 @@
 TEST_CASE("a zone that was taken out gets no new work") {
   FleetOptions Options = testFleet("zone_out");
   Options.Services = 3;
-  Started Site(Options);
+  StartedFleet Site(Options);
   auto Version = Site.F.change(
       "zone", "zone-1",
       {{"name", "zone-1"}, {"region", "region-0"}, {"out", true}});
@@ -102,7 +88,7 @@
 // Guards against a refusal of within-rate requests in an outage of the log
 // that outlasts the limit leases.
 TEST_CASE("requests are served while the platform's log is down") {
-  Started Site(testFleet("log_down"));
+  StartedFleet Site(testFleet("log_down"));
   REQUIRE(succeeded(Site.F.faults({{"down", true}})));
   const Served Result = serveFor(Site.Probe, seconds(8), 2);
   CHECK(Result.Complete > 0);
@@ -124,7 +110,7 @@
 // Guards against a change that takes effect twice or is lost when the log
 // loses its answers.
 TEST_CASE("a change takes effect once although the log loses answers") {
-  Started Site(testFleet("log_loses"));
+  StartedFleet Site(testFleet("log_loses"));
   Site.F.faults({{"lose_answers", 0.7}});
   for (unsigned I = 0; I < 5; ++I) {
     const std::string Name = fmt::format("zone-x{}", I);
@@ -149,7 +135,7 @@
 
 // Guards against two operators who both believe that their change is in force.
 TEST_CASE("one of two racing operators wins") {
-  Started Site(testFleet("operators_race"));
+  StartedFleet Site(testFleet("operators_race"));
   const HttpHeaders Token = {
       {"Authorization", std::string("Bearer ") + OperatorToken}};
   const auto Body = [](unsigned Entry) {
@@ -183,7 +169,7 @@
 TEST_CASE("an account receives no more than its burst and rate") {
   FleetOptions Options = testFleet("limit_bound");
   Options.Entries = 3;
-  Started Site(Options);
+  StartedFleet Site(Options);
   constexpr double Rate = 100;
   constexpr double Burst = 200;
   // One stock check is debited 1 token.
@@ -211,7 +197,7 @@
 // Guards against a newer configuration that is never learned by a process for
 // which the log has dropped the records in between.
 TEST_CASE("an entry that was paused past the log's retention catches up") {
-  Started Site(testFleet("retention"));
+  StartedFleet Site(testFleet("retention"));
   Site.F.process("entry-1").signal(SIGSTOP);
   Site.F.faults({{"retention_records", 20}});
   std::uint64_t Newest = 0;
