--- a/include/hyssoprail/process/agent_core.hpp
+++ b/include/hyssoprail/process/agent_core.hpp
@@ -330,7 +330,7 @@
   CallId LoadCall = 0;
   TimePoint StatusAsked{};
   TimePoint HeldAsked{};
-  std::unordered_set<std::string> Strangers; ///< unknown work in the last list
+  std::unordered_set<std::string> Unclaimed; ///< unknown work in the last list
 
   unsigned SlotsUsed = 0;
   unsigned PiecesUsed = 0;
--- a/include/hyssoprail/process/settings.hpp
+++ b/include/hyssoprail/process/settings.hpp
@@ -46,7 +46,7 @@
   std::vector<std::string> Entries; ///< peer addresses of other entries
   std::string KeySecret;
   std::string OperatorTokenDigest; ///< SHA-256, hexadecimal
-  SchedulingPolicy Scheduling = SchedulingPolicy::Predicted;
+  SchedulingPolicy Scheduling = SchedulingPolicy::Early;
   LimitsPolicy Limits = LimitsPolicy::Owner;
   PlacementPolicy Placement = PlacementPolicy::TwoChoices;
   std::chrono::milliseconds Heartbeat{250};
--- a/src/hyssoprail/agent/agent_runtime.cpp
+++ b/src/hyssoprail/agent/agent_runtime.cpp
@@ -223,33 +223,34 @@
   const auto Set = [this](std::string_view Name, auto Value) {
     Numbers.gauge(Name).set(static_cast<double>(Value));
   };
-  Set("agent_engine_up", S.EngineUp);
-  Set("agent_cold", S.Cold);
-  Set("agent_leaving", S.Leaving);
-  Set("agent_slots", S.Slots);
-  Set("agent_slots_admitted", S.Limit);
-  Set("agent_slots_used", S.SlotsUsed);
-  Set("agent_running", S.Running);
-  Set("agent_pieces", S.Pieces);
-  Set("agent_pieces_used", S.PiecesUsed);
-  Set("agent_queued", S.Queued);
-  Set("agent_live", S.Live);
-  Set("agent_entries", S.Entries);
-  Set("agent_outcomes", S.Outcomes);
-  Set("agent_config_version", S.Version);
-  Set("agent_granted", S.Granted);
-  Set("agent_refused", S.Refused);
-  Set("agent_stale", S.Stale);
-  Set("agent_leases_expired", S.LeasesExpired);
-  Set("agent_cold_starts", S.ColdStarts);
-  Set("agent_orphans_cancelled", S.OrphansCancelled);
-  Set("agent_orders", S.OrdersGiven);
-  Set("bus_bytes_sent", Messages->bytesSent());
-  Set("bus_bytes_received", Messages->bytesReceived());
+  Set("hyssoprail_agent_engine_up", S.EngineUp);
+  Set("hyssoprail_agent_cold", S.Cold);
+  Set("hyssoprail_agent_leaving", S.Leaving);
+  Set("hyssoprail_agent_slots", S.Slots);
+  Set("hyssoprail_agent_slots_admitted", S.Limit);
+  Set("hyssoprail_agent_slots_used", S.SlotsUsed);
+  Set("hyssoprail_agent_running", S.Running);
+  Set("hyssoprail_agent_pieces", S.Pieces);
+  Set("hyssoprail_agent_pieces_used", S.PiecesUsed);
+  Set("hyssoprail_agent_queued", S.Queued);
+  Set("hyssoprail_agent_live", S.Live);
+  Set("hyssoprail_agent_entries", S.Entries);
+  Set("hyssoprail_agent_outcomes", S.Outcomes);
+  Set("hyssoprail_agent_config_version", S.Version);
+  Set("hyssoprail_agent_granted", S.Granted);
+  Set("hyssoprail_agent_refused", S.Refused);
+  Set("hyssoprail_agent_stale", S.Stale);
+  Set("hyssoprail_agent_leases_expired", S.LeasesExpired);
+  Set("hyssoprail_agent_cold_starts", S.ColdStarts);
+  Set("hyssoprail_agent_orphans_cancelled", S.OrphansCancelled);
+  Set("hyssoprail_agent_orders", S.OrdersGiven);
+  Set("hyssoprail_bus_bytes_sent", Messages->bytesSent());
+  Set("hyssoprail_bus_bytes_received", Messages->bytesReceived());
   for (std::size_t I = 0; I < InvariantCount; ++I) {
     const auto Which = static_cast<Invariant>(I);
     Numbers
-        .gauge("violations", {{"invariant", std::string(invariantName(Which))}})
+        .gauge("hyssoprail_violations_total",
+               {{"invariant", std::string(invariantName(Which))}})
         .set(static_cast<double>(Checks.violations(Which)));
   }
   return Numbers.prometheusText();
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -243,6 +243,11 @@
 }
 
 void EntryRuntime::requestEnded(const FlowSpec &Spec, std::uint32_t Tokens) {
+  Measures
+      .counter("hyssoprail_requests_total",
+               {{"class", wire::RouteClass_Name(Spec.Class)}})
+      .add();
+  Measures.counter("hyssoprail_output_tokens_total").add(Tokens);
   Scheduling.requestEnded(Spec, Tokens);
   Limits.forget(Spec.RequestId);
 }
--- a/src/hyssoprail/process/agent_results.cpp
+++ b/src/hyssoprail/process/agent_results.cpp
@@ -280,7 +280,7 @@
   Evidence = false;
   ++Counts.ColdStarts;
   Ramp.restart(Now);
-  Strangers.clear();
+  Unclaimed.clear();
   note(EventKind::ColdStart, {}, {}, "the engine started or was found");
   query(EngineQuery::Held, Now);
 }
@@ -342,7 +342,7 @@
     if (Key && Works.contains(*Key))
       continue;
     // Work that ended between two lists is still in the first of them.
-    if (HeldKnown && !Strangers.contains(Held.Id)) {
+    if (HeldKnown && !Unclaimed.contains(Held.Id)) {
       Unknown.insert(Held.Id);
       continue;
     }
@@ -351,7 +351,7 @@
     else
       Actions.emplace_back(CancelCall{++LastCall, Held.Id});
   }
-  Strangers = std::move(Unknown);
+  Unclaimed = std::move(Unknown);
   HeldKnown = true;
   Dirty = true;
 }
--- a/src/hyssoprail/process/owner_limits.cpp
+++ b/src/hyssoprail/process/owner_limits.cpp
@@ -67,17 +67,19 @@
                          LimitParts Parts)
     : Options(Options), Self(Self), Parts(Parts), Lease(Options),
       Planner(Options, Self),
-      Granted(Parts.Numbers.counter("limit_debits", {{"result", "granted"}})),
-      OverRate(
-          Parts.Numbers.counter("limit_debits", {{"result", "over_rate"}})),
-      NoOwner(Parts.Numbers.counter("limit_debits", {{"result", "no_owner"}})),
-      Credited(
-          Parts.Numbers.counter("limit_refunds", {{"result", "credited"}})),
-      RefundsIgnored(
-          Parts.Numbers.counter("limit_refunds", {{"result", "ignored"}})),
-      TakeOvers(Parts.Numbers.counter("limit_take_overs")),
-      HandOvers(Parts.Numbers.counter("limit_hand_overs")),
-      ShardsOwned(Parts.Numbers.gauge("limit_shards_owned")) {}
+      Granted(Parts.Numbers.counter("hyssoprail_limit_debits",
+                                    {{"result", "granted"}})),
+      OverRate(Parts.Numbers.counter("hyssoprail_limit_debits",
+                                     {{"result", "over_rate"}})),
+      NoOwner(Parts.Numbers.counter("hyssoprail_limit_debits",
+                                    {{"result", "no_owner"}})),
+      Credited(Parts.Numbers.counter("hyssoprail_limit_refunds",
+                                     {{"result", "credited"}})),
+      RefundsIgnored(Parts.Numbers.counter("hyssoprail_limit_refunds",
+                                           {{"result", "ignored"}})),
+      TakeOvers(Parts.Numbers.counter("hyssoprail_limit_take_overs")),
+      HandOvers(Parts.Numbers.counter("hyssoprail_limit_hand_overs")),
+      ShardsOwned(Parts.Numbers.gauge("hyssoprail_limit_shards_owned")) {}
 
 void OwnerLimits::viewApplied(TimePoint Now, LimitViewPtr Newer,
                               LimitActions &Out) {
