--- a/src/hyssoprail/process/fixed_limits.cpp
+++ b/src/hyssoprail/process/fixed_limits.cpp
@@ -11,9 +11,10 @@
               .StartFull = true,
               .RateFactor = Options.rateFactor()},
              Parts.Checks),
-      Granted(Parts.Numbers.counter("hyssoprail_limit_debits", {{"result", "granted"}})),
-      OverRate(
-          Parts.Numbers.counter("hyssoprail_limit_debits", {{"result", "over_rate"}})) {}
+      Granted(Parts.Numbers.counter("hyssoprail_limit_debits",
+                                    {{"result", "granted"}})),
+      OverRate(Parts.Numbers.counter("hyssoprail_limit_debits",
+                                     {{"result", "over_rate"}})) {}
 
 void FixedLimits::viewApplied(TimePoint Now, LimitViewPtr Newer,
                               LimitActions &) {
