A stream that outlasts the lease in the test of lost entries

Cause: with the expiry of leases removed from the agent in a trial, the test 'an entry that dies or pauses loses its grants after the lease' still passed: its stream of about two seconds ended by itself within the bound. Change: the engine's step is 90 ms in this test, and the test requires that the stream outlasts twice the bound. The bound is unchanged.

--- a/src/hyssoprail/testbed/fleet_failure_test.cpp
+++ b/src/hyssoprail/testbed/fleet_failure_test.cpp
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <csignal>
 
 #include <catch2/catch.hpp>
 #include <sys/wait.h>
 
+#include "hyssoprail/request/reference_answer.hpp"
 #include "hyssoprail/testbed/background_stream.hpp"
 #include "hyssoprail/testbed/started_fleet.hpp"
 
@@ -25,9 +27,11 @@
 constexpr const char *Prompt = "which kerb stones are in stock at the depot";
 constexpr unsigned MaxTokens = 100;
 
-FleetOptions slowFleet(const std::string &Name) {
+FleetOptions slowFleet(const std::string &Name,
+                       milliseconds Step = milliseconds(20)) {
   FleetOptions Options = testFleet(Name);
-  Options.DecodeFlags.push_back("--step_base_us=20000");
+  Options.DecodeFlags.push_back("--step_base_us=" +
+                                std::to_string(Step.count() * 1'000));
   return Options;
 }
 
@@ -130,7 +134,12 @@
 // Guards against engine memory held for requests of an entry that died or was
 // paused past the lease.
 TEST_CASE("an entry that dies or pauses loses its grants after the lease") {
-  StartedFleet Site(slowFleet("lose_entry"));
+  // The stream must outlast the bound: an engine frees the memory of a stream
+  // that ends by itself.
+  constexpr milliseconds Step{90};
+  REQUIRE(std::min(MaxTokens, referenceLength(Prompt)) * Step >
+          2 * (LeaseAndHeartbeat + Observation));
+  StartedFleet Site(slowFleet("lose_entry", Step));
   const int Signal = GENERATE(SIGKILL, SIGSTOP);
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
   REQUIRE(Stream.waitForTokens(3, seconds(10)));
