Distribution of request times in the entry's metrics

Cause: /metrics of the entry had no distribution, so operators could not see latency by class. Conclusion: the time to the first token is still only in the time line.

--- a/src/hyssoprail/entry/entry_process_test.cpp
+++ b/src/hyssoprail/entry/entry_process_test.cpp
@@ -201,6 +201,11 @@
   CHECK(List.find(Id) != std::string::npos);
   const auto Retry = std::string(headerValue(Second.Headers, "X-Request-Id"));
   CHECK(List.find(Retry) == std::string::npos);
+  const std::string Metrics = S.send("GET", "/metrics", "", {}).Body;
+  CHECK(
+      Metrics.find("hyssoprail_requests_total{class=\"ROUTE_CLASS_ORDER\"}") !=
+      std::string::npos);
+  CHECK(Metrics.find("hyssoprail_request_seconds") != std::string::npos);
 
   // The log is down: the key cannot be claimed, and nothing runs.
   REQUIRE(succeeded(S.Processes.faults({{"down", true}})));
--- a/src/hyssoprail/entry/entry_runtime.cpp
+++ b/src/hyssoprail/entry/entry_runtime.cpp
@@ -243,10 +243,11 @@
 }
 
 void EntryRuntime::requestEnded(const FlowSpec &Spec, std::uint32_t Tokens) {
-  Measures
-      .counter("hyssoprail_requests_total",
-               {{"class", wire::RouteClass_Name(Spec.Class)}})
-      .add();
+  const MetricLabels Class = {{"class", wire::RouteClass_Name(Spec.Class)}};
+  Measures.counter("hyssoprail_requests_total", Class).add();
+  Measures.distribution("hyssoprail_request_seconds", Class)
+      .record(
+          std::chrono::duration<double>(Time.now() - Spec.Accepted).count());
   Measures.counter("hyssoprail_output_tokens_total").add(Tokens);
   Scheduling.requestEnded(Spec, Tokens);
   Limits.forget(Spec.RequestId);
