Audit of limits at the instant of a change, and a wait that is never zero

The trace is a grant of 11 at an instant under a burst of 50 and a change to a burst of 10 at the same instant, after it. The audit counted the grant against the later limit only, although its rule is the largest burst in force in the window. Change: a window that starts at the instant of a change contains both limits; waitFor rounds up. Two new tests fail without the changes. Conclusion: the bound held; the audit and the wait were wrong.

--- a/include/hyssoprail/process/limit_audit.hpp
+++ b/include/hyssoprail/process/limit_audit.hpp
@@ -69,6 +69,8 @@
     std::map<std::string, std::size_t> ByDebit;
   };
 
+  static double burstAt(const std::vector<Step> &Steps, std::size_t Index,
+                        TimePoint At);
   static std::optional<BoundViolation> check(const std::string &Account,
                                              const Record &Of);
 
--- a/src/hyssoprail/process/limit_audit.cpp
+++ b/src/hyssoprail/process/limit_audit.cpp
@@ -49,6 +49,17 @@
   return std::nullopt;
 }
 
+/// Largest burst in force at \p At during step \p Index. A window that starts
+/// at the instant of a change also contains the limit before it, under which
+/// grants of the same instant were made.
+double LimitAudit::burstAt(const std::vector<Step> &Steps, std::size_t Index,
+                           TimePoint At) {
+  double Burst = Steps[Index].Limit.Burst;
+  for (; Index > 0 && Steps[Index].From == At; --Index)
+    Burst = std::max(Burst, Steps[Index - 1].Limit.Burst);
+  return Burst;
+}
+
 /// For each step of the limit, keeps the largest excess of tokens over rate x
 /// length among the windows that start during the step, and compares it with
 /// the burst at each grant. This covers every pair of grants in O(steps x
@@ -71,7 +82,7 @@
     double Excess = None;
     TimePoint From;
     double Tokens = 0;
-    double MaxBurst = Of.Steps[First].Limit.Burst;
+    double MaxBurst = 0;
     std::size_t Current = First;
     TimePoint Last = Of.Steps[First].From;
     for (const Grant &G : Sorted) {
@@ -90,6 +101,7 @@
         Excess = 0;
         From = G.At;
         Tokens = 0;
+        MaxBurst = burstAt(Of.Steps, First, G.At);
       }
       if (Excess == None)
         break;
--- a/src/hyssoprail/process/token_bucket.cpp
+++ b/src/hyssoprail/process/token_bucket.cpp
@@ -47,9 +47,10 @@
   const double Excess = debt(Now) + Tokens - Limit.Burst;
   const double Wait =
       std::clamp(Excess / refillRate(), 0.0, LongestWaitSeconds);
+  // Rounded up: an excess below the clock's resolution still means a wait.
   return std::chrono::duration_cast<Duration>(
              std::chrono::duration<double>(Wait)) +
-         std::max(Settled - Now, Duration::zero());
+         Duration(1) + std::max(Settled - Now, Duration::zero());
 }
 
 double TokenBucket::debt(TimePoint Now) const {
--- a/src/hyssoprail/process/token_bucket_test.cpp
+++ b/src/hyssoprail/process/token_bucket_test.cpp
@@ -67,6 +67,27 @@
   CHECK_FALSE(Audit.firstViolation());
 }
 
+// Guards against an audit that counts a grant against a limit which was
+// lowered at the same instant, after the grant.
+TEST_CASE("the audit applies both limits at the instant of a change") {
+  LimitAudit Audit;
+  Audit.limit("a", Start, {.Rate = 100, .Burst = 50});
+  Audit.granted("a", "1", 11, Start);
+  Audit.limit("a", Start, {.Rate = 300, .Burst = 10});
+  CHECK_FALSE(Audit.firstViolation());
+  Audit.granted("a", "2", 40, Start);
+  CHECK(Audit.firstViolation());
+}
+
+// Guards against a refusal that tells the caller to come back at once.
+TEST_CASE("a refused debit has a wait also for an excess by rounding") {
+  TokenBucket Bucket({.Rate = 1e9, .Burst = 1}, 0, 1, Start);
+  REQUIRE(Bucket.take(1, Start));
+  const auto Wait = Bucket.waitFor(1e-12, Start);
+  REQUIRE(Wait);
+  CHECK(*Wait > Duration::zero());
+}
+
 // Guards against a bucket that exceeds the bound under any order of debits,
 // refunds and changes of the limit. A refund credited in full after the bucket
 // was full again fails here.
