--- a/src/hyssoprail/testbed/fleet_failure_test.cpp
+++ b/src/hyssoprail/testbed/fleet_failure_test.cpp
@@ -43,6 +43,14 @@
   return "";
 }
 
+/// Waits until the stream is being decoded and returns its endpoint.
+std::string engineOf(BackgroundStream &Stream, FleetProbe &Probe) {
+  REQUIRE(Stream.waitForTokens(3, seconds(10)));
+  std::string Engine = decodingEngine(Probe);
+  REQUIRE_FALSE(Engine.empty());
+  return Engine;
+}
+
 std::uint64_t totalExecutions(FleetProbe &Probe) {
   std::uint64_t Sum = 0;
   for (const auto &[Id, Count] : Probe.executions())
@@ -63,9 +71,7 @@
 TEST_CASE("a stream resumes elsewhere after its agent was killed") {
   StartedFleet Site(slowFleet("kill_agent"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
-  REQUIRE(Stream.waitForTokens(3, seconds(10)));
-  const std::string Engine = decodingEngine(Site.Probe);
-  REQUIRE_FALSE(Engine.empty());
+  const std::string Engine = engineOf(Stream, Site.Probe);
   Site.F.process("agent-" + Engine).kill();
   checkWhole(Stream);
   REQUIRE(succeeded(Site.F.restart("agent-" + Engine)));
@@ -78,9 +84,7 @@
 TEST_CASE("a stream resumes elsewhere after its engine crashed") {
   StartedFleet Site(slowFleet("crash_engine"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
-  REQUIRE(Stream.waitForTokens(3, seconds(10)));
-  const std::string Engine = decodingEngine(Site.Probe);
-  REQUIRE_FALSE(Engine.empty());
+  const std::string Engine = engineOf(Stream, Site.Probe);
   Site.F.http().post(Site.F.httpAddress(Engine), "/faults",
                      R"({"crash":true})");
   checkWhole(Stream);
@@ -91,9 +95,7 @@
 TEST_CASE("a stream is answered once when its agent is paused and wakes") {
   StartedFleet Site(slowFleet("pause_agent"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
-  REQUIRE(Stream.waitForTokens(3, seconds(10)));
-  const std::string Engine = decodingEngine(Site.Probe);
-  REQUIRE_FALSE(Engine.empty());
+  const std::string Engine = engineOf(Stream, Site.Probe);
   Site.F.process("agent-" + Engine).signal(SIGSTOP);
   checkWhole(Stream);
   Site.F.process("agent-" + Engine).signal(SIGCONT);
@@ -157,9 +159,7 @@
 TEST_CASE("entries and agents finish their streams before they stop") {
   StartedFleet Site(slowFleet("planned_stop"));
   BackgroundStream Stream(Site.Probe.completion(Prompt, MaxTokens));
-  REQUIRE(Stream.waitForTokens(3, seconds(10)));
-  const std::string Engine = decodingEngine(Site.Probe);
-  REQUIRE_FALSE(Engine.empty());
+  const std::string Engine = engineOf(Stream, Site.Probe);
   Site.F.process("agent-" + Engine).signal(SIGTERM);
   Site.F.process("entry-0").signal(SIGTERM);
   checkWhole(Stream);
