--- a/cmake/hyssoprail_targets.cmake
+++ b/cmake/hyssoprail_targets.cmake
@@ -3,7 +3,9 @@
 set(HYSSOPRAIL_WARNINGS -Wall -Wextra -Wpedantic -Wshadow=compatible-local)
 
 # Catch2's main is compiled once and linked into every test program.
-add_library(hyssoprail_catch_main OBJECT ${PROJECT_SOURCE_DIR}/tests/catch_main.cpp)
+if(NOT HYSSOPRAIL_GATEWAY_ONLY)
+  add_library(hyssoprail_catch_main OBJECT ${PROJECT_SOURCE_DIR}/tests/catch_main.cpp)
+endif()
 
 # Boost.Asio and Beast settings shared by all targets.
 add_library(hyssoprail_common INTERFACE)
@@ -15,12 +17,17 @@
   Boost::headers OpenSSL::Crypto nlohmann_json::nlohmann_json
   spdlog::spdlog fmt gflags zmq xxhash Threads::Threads)
 
-# hyssoprail_library(name [DEPENDS lib...])
-# Builds src/hyssoprail/<name>/*.cpp into a library, and every *_test.cpp there into <name>_test.
+# hyssoprail_library(name [DIRECTORY dir] [DEPENDS lib...])
+# Builds src/hyssoprail/<name>/*.cpp (or dir/*.cpp) into a library, and every *_test.cpp there into
+# <name>_test.
 function(hyssoprail_library Name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "DIRECTORY" "DEPENDS" ${ARGN})
   set(Dir ${PROJECT_SOURCE_DIR}/src/hyssoprail/${Name})
+  if(ARG_DIRECTORY)
+    set(Dir ${ARG_DIRECTORY})
+  endif()
   file(GLOB Sources CONFIGURE_DEPENDS ${Dir}/*.cpp)
+  list(REMOVE_ITEM Sources ${Dir}/main.cpp)
   set(Tests ${Sources})
   list(FILTER Sources EXCLUDE REGEX "_test\\.cpp$")
   list(FILTER Tests INCLUDE REGEX "_test\\.cpp$")
@@ -33,7 +40,7 @@
     add_library(hyssoprail_${Name} INTERFACE)
     target_link_libraries(hyssoprail_${Name} INTERFACE hyssoprail_common ${ARG_DEPENDS})
   endif()
-  if(Tests)
+  if(Tests AND NOT HYSSOPRAIL_GATEWAY_ONLY)
     add_executable(${Name}_test ${Tests} $<TARGET_OBJECTS:hyssoprail_catch_main>)
     target_link_libraries(${Name}_test PRIVATE hyssoprail_${Name} rapidcheck)
     target_compile_options(${Name}_test PRIVATE ${HYSSOPRAIL_WARNINGS})
--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/io_context.hpp>
+
 #include "hyssoprail/connection/http_message.hpp"
 #include "hyssoprail/core/result.hpp"
 
@@ -83,6 +85,16 @@
   /// use.
   virtual Status start() = 0;
 
+  /// Replaces the bounds of what callers may send, for later requests.
+  virtual void setLimits(std::uint32_t MaxHeaderBytes,
+                         std::uint64_t MaxBodyBytes,
+                         std::chrono::milliseconds ReadTimeout,
+                         std::chrono::milliseconds IdleTimeout) = 0;
+
+  /// From now on every answer asks the caller to close the connection; new
+  /// connections are still accepted.
+  virtual void discourage() = 0;
+
   /// Stops accepting connections and closes idle ones after DrainGrace.
   /// Requests in progress go on, and answers carry "Connection: close".
   virtual void drain() = 0;
@@ -102,6 +114,12 @@
 std::unique_ptr<HttpServer> makeHttpServer(HttpServerOptions Options,
                                            HttpHandler Handler);
 
+/// Makes a server that runs on the event loop of \p Context, which must outlive
+/// it; Options.Threads is not used.
+std::unique_ptr<HttpServer> makeHttpServer(boost::asio::io_context &Context,
+                                           HttpServerOptions Options,
+                                           HttpHandler Handler);
+
 } // namespace hyssoprail
 
 #endif // HYSSOPRAIL_CONNECTION_HTTP_SERVER_HPP
--- a/include/hyssoprail/process/schemas.hpp
+++ b/include/hyssoprail/process/schemas.hpp
@@ -9,6 +9,7 @@
 
 extern const std::string_view hyssoprail_entry; // NOLINT
 extern const std::string_view hyssoprail_agent; // NOLINT
+extern const std::string_view hyssoprail_gateway; // NOLINT
 
 } // namespace hyssoprail::schemas
 
--- /dev/null
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -0,0 +1,46 @@
+#ifndef HYSSOPRAIL_ROUTING_ENDPOINT_HEALTH_HPP
+#define HYSSOPRAIL_ROUTING_ENDPOINT_HEALTH_HPP
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail::routing {
+
+/// How a request at an endpoint ended, as evidence of the endpoint's health.
+enum class Evidence {
+  Success,
+  AppError,    ///< a signed failure of the service itself
+  Refused,     ///< not run: full, draining or cold
+  Unreachable, ///< no connection
+  Broken,      ///< the answer was cut, spoiled or did not come in time
+  WrongOwner,  ///< another endpoint answers at the address
+};
+
+/// Belief about one endpoint, from the results of its requests alone. Load
+/// pattern: endpoints that fail part of their requests, hang, or crash while
+/// their registration still reads healthy.
+class EndpointHealth {
+public:
+  void record(Evidence What, TimePoint Now);
+
+  /// False while the endpoint is avoided.
+  bool usable(TimePoint Now) const { return Now >= AvoidUntil; }
+
+  /// True if the next request serves as a trial after an avoidance.
+  bool onTrial() const { return Failures > 0; }
+
+  /// Smoothed share of failed requests, 0 to 1.
+  double failureShare() const { return FailureShare; }
+
+  TimePoint avoidedUntil() const { return AvoidUntil; }
+
+private:
+  void avoid(Duration For, TimePoint Now);
+
+  unsigned Failures = 0; ///< in a row
+  double FailureShare = 0;
+  TimePoint AvoidUntil{};
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_ENDPOINT_HEALTH_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -0,0 +1,114 @@
+#ifndef HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
+#define HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/endpoint_health.hpp"
+#include "hyssoprail/routing/endpoint_record.hpp"
+#include "hyssoprail/routing/fleet_config.hpp"
+#include "hyssoprail/routing/start_rate_limiter.hpp"
+
+namespace hyssoprail::routing {
+
+/// Work placed on one endpoint.
+struct EndpointLoad {
+  std::int32_t Runs = 0;          ///< requests
+  std::int64_t Tokens = 0;        ///< engine memory reserved for them
+  std::int64_t PrefillTokens = 0; ///< prompt tokens still to be read
+
+  EndpointLoad &operator+=(const EndpointLoad &O);
+  EndpointLoad &operator-=(const EndpointLoad &O);
+  bool operator==(const EndpointLoad &) const = default;
+};
+
+/// What this entry believes of one endpoint.
+struct Endpoint {
+  EndpointRecord Record;
+  EndpointHealth Health;
+  StartRateLimiter Starts;
+  EndpointLoad Own;   ///< work of this entry
+  EndpointLoad Peers; ///< work of the other entries, from their reports
+  TimePoint ColdUntil{};
+  bool Listed = true; ///< false: registration gone, work may still run
+
+  EndpointLoad total() const;
+};
+
+/// Loads by endpoint id.
+using LoadMap = std::map<std::string, EndpointLoad, std::less<>>;
+
+/// Endpoints of the fleet with their load and health. Keeps an endpoint whose
+/// registration is gone until its own work has ended.
+class EndpointTable {
+public:
+  /// Takes a registration. Older reports than the known one are ignored; the
+  /// result tells whether anything but the sequence changed.
+  bool apply(const EndpointRecord &Record, TimePoint Now);
+
+  /// The registration was removed.
+  void remove(std::string_view Id);
+
+  /// Zones that must receive nothing.
+  void setZonesOut(std::set<std::string, std::less<>> Zones);
+
+  /// Replaces the loads that \p Peer reported.
+  void setPeerLoad(const std::string &Peer, LoadMap Loads);
+
+  /// Requests this entry may start on one endpoint in a second, by service.
+  void setStartsPerSecond(std::string_view Service, std::size_t Starts);
+
+  Endpoint *find(std::string_view Id);
+
+  /// Endpoints of \p Service that may receive new work now.
+  std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now);
+
+  /// True if \p E may receive new work now.
+  bool mayStart(Endpoint &E, TimePoint Now) const;
+
+  /// True unless the endpoint leaves, is gone, or its zone is out.
+  bool inService(const Endpoint &E) const;
+
+  /// Calls \p Visit for every endpoint.
+  void forEach(const std::function<void(Endpoint &)> &Visit);
+
+  /// Adds work of this entry to an endpoint's load.
+  void reserve(std::string_view Id, const EndpointLoad &Load);
+
+  /// Removes it.
+  void release(std::string_view Id, const EndpointLoad &Load);
+
+  /// A request is sent to the endpoint now.
+  void sent(std::string_view Id, TimePoint Now);
+
+  /// This entry's load by endpoint.
+  LoadMap ownLoads() const;
+
+  std::size_t size() const { return ById.size(); }
+
+private:
+  void forgetIfIdle(const std::string &Id);
+
+  std::map<std::string, Endpoint, std::less<>> ById;
+  std::map<std::string, LoadMap, std::less<>> PeerLoads;
+  std::set<std::string, std::less<>> ZonesOut;
+  std::map<std::string, std::size_t, std::less<>> StartsPerSecond;
+};
+
+/// Chooses an endpoint for a plain call: the least loaded one for its slots,
+/// with preference for the own zone and against endpoints that fail. Returns
+/// null if none may be used. \p Tried are not chosen.
+Endpoint *chooseForCall(EndpointTable &Table, std::string_view Service,
+                        std::string_view Zone,
+                        const std::set<std::string, std::less<>> &Tried,
+                        TimePoint Now);
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/flow.hpp
@@ -0,0 +1,80 @@
+#ifndef HYSSOPRAIL_ROUTING_FLOW_HPP
+#define HYSSOPRAIL_ROUTING_FLOW_HPP
+
+#include <memory>
+#include <string>
+
+#include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/flow_io.hpp"
+#include "hyssoprail/routing/request_info.hpp"
+#include "hyssoprail/routing/retry_window.hpp"
+#include "hyssoprail/routing/stream_scheduler.hpp"
+
+namespace hyssoprail::routing {
+
+/// State shared by the flows of an entry.
+struct FlowShared {
+  EndpointTable &Table;
+  StreamScheduler &Scheduler;
+  RetryWindow &Retries;
+  std::string Zone; ///< of this entry
+};
+
+/// A request that was admitted, with what the configuration says of it.
+struct FlowRequest {
+  std::string Key; ///< unique in this entry
+  RequestInfo Info;
+  RoutePolicy Route;
+  std::string Service;
+  std::string Account; ///< empty: none
+  int Priority = 0;
+  TimePoint Arrival{};
+  milliseconds HandleRetention{500}; ///< life of a KV cache nobody fetched
+  TimePoint AnswerBy{}; ///< the route's timeout or the caller's deadline
+};
+
+/// Course of one request from admission to its final answer, without I/O. Each
+/// flow gives exactly one final answer, unless the caller leaves first.
+class Flow {
+public:
+  virtual ~Flow() = default;
+
+  virtual void start(TimePoint Now) = 0;
+
+  /// A leg ended without a stream, or before its stream began.
+  virtual void onAnswer(FlowIo::LegId Leg, LegAnswer Answer, TimePoint Now) = 0;
+
+  /// A leg's stream began, continued or ended.
+  virtual void onStreamHead(FlowIo::LegId Leg, HttpResponse Head,
+                            TimePoint Now);
+  virtual void onStreamData(FlowIo::LegId Leg, std::string_view Data,
+                            TimePoint Now);
+  virtual void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now);
+
+  /// The scheduler decided.
+  virtual void onPlaced(const StreamPlace &Place, TimePoint Now);
+  virtual void onRefused(const StreamRefusal &Refusal, TimePoint Now);
+
+  /// nextDeadline() has come.
+  virtual void onTimer(TimePoint Now) = 0;
+
+  /// The caller left. Cancels all work.
+  virtual void onCallerGone(TimePoint Now) = 0;
+
+  virtual TimePoint nextDeadline() const = 0;
+
+  /// True after the final answer.
+  virtual bool done() const = 0;
+
+  /// True if an endpoint may have run the request.
+  virtual bool mayHaveRun() const = 0;
+};
+
+std::unique_ptr<Flow> makeCallFlow(FlowShared Shared, FlowRequest Request,
+                                   FlowIo &Io);
+std::unique_ptr<Flow> makeStreamFlow(FlowShared Shared, FlowRequest Request,
+                                     FlowIo &Io);
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_FLOW_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/request_info.hpp
@@ -0,0 +1,33 @@
+#ifndef HYSSOPRAIL_ROUTING_REQUEST_INFO_HPP
+#define HYSSOPRAIL_ROUTING_REQUEST_INFO_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail::routing {
+
+/// Token counts that a caller announces for a generation.
+struct TokenCounts {
+  std::uint32_t Prompt = 0;
+  std::uint32_t MaxOutput = 0;
+};
+
+/// What routing needs to know of a caller's request.
+struct RequestInfo {
+  std::string Id; ///< of this attempt of the caller
+  std::string Host;
+  std::string Path;             ///< without the query
+  std::string Key;              ///< empty: none sent
+  milliseconds Deadline{0};     ///< time the caller waits; 0: not stated
+  std::optional<TokenCounts> Tokens;
+  std::uint32_t OutputHint = 0; ///< the caller's estimate; 0: none
+  std::uint64_t LastEvent = 0;  ///< of a stream that the caller resumes
+  bool Resumes = false;         ///< LastEvent was sent
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_REQUEST_INFO_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/retry_window.hpp
@@ -0,0 +1,61 @@
+#ifndef HYSSOPRAIL_ROUTING_RETRY_WINDOW_HPP
+#define HYSSOPRAIL_ROUTING_RETRY_WINDOW_HPP
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail::routing {
+
+struct RetryWindowOptions {
+  double Ratio = 0.2; ///< further sends over requests, in any window
+  double Slack = 0;   ///< further sends allowed besides, over all entries
+  milliseconds Window{10'000};
+};
+
+/// Limits the sends beyond the first of a request, for each service, in a
+/// sliding window. Each entry uses its own requests and an equal part of the
+/// slack, so no entry needs to hear the others. Load pattern: endpoints that
+/// refuse or break many requests at once, when retries would add to the load.
+class RetryWindow {
+public:
+  explicit RetryWindow(RetryWindowOptions Options) : Options(Options) {}
+
+  /// Number of entries that share the slack, this one included.
+  void setEntries(unsigned Count) { Entries = Count; }
+
+  /// Counts a request for \p Service.
+  void request(std::string_view Service, TimePoint Now);
+
+  /// Takes one further send, or returns false.
+  bool take(std::string_view Service, TimePoint Now);
+
+  /// Records a further send that was not avoidable.
+  void forced(std::string_view Service, TimePoint Now);
+
+private:
+  static constexpr std::size_t SlotCount = 20;
+
+  struct Slot {
+    std::int64_t Index = -1;
+    std::uint32_t Requests = 0;
+    std::uint32_t Retries = 0;
+  };
+
+  using Slots = std::array<Slot, SlotCount>;
+
+  Slot &slot(std::string_view Service, TimePoint Now);
+  std::int64_t slotIndex(TimePoint Now) const;
+
+  RetryWindowOptions Options;
+  unsigned Entries = 1;
+  std::map<std::string, Slots, std::less<>> Services;
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_RETRY_WINDOW_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -0,0 +1,76 @@
+#ifndef HYSSOPRAIL_ROUTING_SHARED_QUOTA_HPP
+#define HYSSOPRAIL_ROUTING_SHARED_QUOTA_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/fleet_config.hpp"
+
+namespace hyssoprail::routing {
+
+/// Result of a debit.
+struct QuotaDecision {
+  bool Granted = false;
+  double Debt = 0;      ///< tokens granted and not yet refilled, over all entries
+  double Burst = 0;     ///< largest debt that is allowed
+  Duration RetryAfter{}; ///< time until the tokens could be granted
+};
+
+/// Token quota of each account over all entries. Every entry keeps the whole
+/// debt of an account: its own grants at once, those of other entries when
+/// their usage reports arrive. An entry that does not hear some of its peers
+/// refills at its share of the rate only. Load pattern: one account sends
+/// several times its quota through all entries.
+class SharedQuota {
+public:
+  /// \p Slack tokens above the burst are granted, as reports are late and
+  /// refusals below the quota harm callers.
+  explicit SharedQuota(double Slack) : Slack(Slack) {}
+
+  void configure(const FleetConfig &Config, TimePoint Now);
+
+  /// Share of the fleet that this entry hears, itself included: 0 to 1.
+  void setAudibleShare(double Share, TimePoint Now);
+
+  /// Takes \p Tokens of \p Account, or refuses.
+  QuotaDecision take(std::string_view Account, double Tokens, TimePoint Now);
+
+  /// Returns the tokens of a request that did not run.
+  void giveBack(std::string_view Account, double Tokens, TimePoint Now);
+
+  /// Tokens this entry has granted since its start, less those given back.
+  std::map<std::string, double, std::less<>> granted() const;
+
+  /// A peer's granted(); \p Incarnation tells a restart from a decrease.
+  void peerGranted(std::string_view Peer, std::uint64_t Incarnation,
+                   std::string_view Account, double Total, TimePoint Now);
+
+private:
+  struct Bucket {
+    double Rate = 0;
+    double Burst = 0;
+    double Debt = 0;
+    double Granted = 0;
+    TimePoint Settled{};
+  };
+
+  struct PeerTotal {
+    std::uint64_t Incarnation = 0;
+    double Total = 0;
+  };
+
+  void settle(Bucket &B, TimePoint Now) const;
+
+  double Slack;
+  double AudibleShare = 1;
+  std::map<std::string, Bucket, std::less<>> Buckets;
+  std::map<std::pair<std::string, std::string>, PeerTotal> PeerTotals;
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_SHARED_QUOTA_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/start_rate_limiter.hpp
@@ -0,0 +1,28 @@
+#ifndef HYSSOPRAIL_ROUTING_START_RATE_LIMITER_HPP
+#define HYSSOPRAIL_ROUTING_START_RATE_LIMITER_HPP
+
+#include <cstddef>
+#include <deque>
+
+#include "hyssoprail/core/clock.hpp"
+
+namespace hyssoprail::routing {
+
+/// Bounds the requests sent to one endpoint in any sliding second, so that all
+/// entries together stay below what a cold endpoint bears. Load pattern: an
+/// endpoint that turns cold without notice while a burst arrives.
+class StartRateLimiter {
+public:
+  /// True if another request may start now under \p PerSecond.
+  bool allows(std::size_t PerSecond, TimePoint Now);
+
+  /// Records a start.
+  void started(TimePoint Now) { Starts.push_back(Now); }
+
+private:
+  std::deque<TimePoint> Starts;
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_START_RATE_LIMITER_HPP
--- /dev/null
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -0,0 +1,153 @@
+#ifndef HYSSOPRAIL_ROUTING_STREAM_SCHEDULER_HPP
+#define HYSSOPRAIL_ROUTING_STREAM_SCHEDULER_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/endpoint_table.hpp"
+
+namespace hyssoprail::routing {
+
+/// A generation that needs engines.
+struct StreamNeed {
+  std::string Id;
+  std::string Service;
+  std::string Account;
+  int Priority = 0;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t OutputTokens = 0; ///< expected
+  TimePoint Arrival{};
+  TimePoint OnTimeUntil{}; ///< the first event is late after this
+  TimePoint GiveUpAt{};    ///< the caller leaves without a first event
+  milliseconds TimeLeft{0}; ///< the caller's whole patience, at arrival
+  bool Returning = false;  ///< came back after an earlier rejection
+  std::string Avoid;       ///< endpoint that just failed the request
+  bool DecodeOnly = false; ///< continues a stream; no prefill engine
+};
+
+/// Engines for a generation.
+struct StreamPlace {
+  std::string Id;
+  std::string Decode;
+  std::string Prefill; ///< empty: the decode engine reads the prompt
+  Duration Waited{};
+  std::size_t QueueLength = 0; ///< that still waits in this entry
+};
+
+/// Why a generation was turned away.
+enum class StreamRefusalReason {
+  NoEngine,     ///< no engine of the service is usable
+  TooLarge,     ///< needs more memory than an engine has
+  QueueTooLong, ///< those before it use up its time
+  WaitedTooLong,
+};
+
+std::string_view streamRefusalName(StreamRefusalReason Reason);
+
+struct StreamRefusal {
+  std::string Id;
+  StreamRefusalReason Reason = StreamRefusalReason::NoEngine;
+  milliseconds RetryAfter{0};
+  Duration ExpectedWait{};
+  std::size_t QueueLength = 0;
+};
+
+using StreamDecision = std::variant<StreamPlace, StreamRefusal>;
+
+struct StreamSchedulerOptions {
+  std::string Zone; ///< of this entry
+  bool UsePrefillEngines = true;
+  /// Part of an engine's memory that is reserved; the rest covers answers that
+  /// are longer than expected.
+  double MemoryShare = 0.92;
+  /// Prompt tokens that may wait at one prefill engine.
+  std::int64_t PrefillBacklog = 9'000;
+};
+
+/// Queue, admission and placement of the generations of one entry, without
+/// I/O. A generation is placed only when a decode engine has room for its whole
+/// expected size, so no prompt is read in vain. Load pattern: bursts of twice
+/// the usual load, when decode memory runs out for some seconds.
+class StreamScheduler {
+public:
+  StreamScheduler(StreamSchedulerOptions Options, EndpointTable &Table)
+      : Options(std::move(Options)), Table(Table) {}
+
+  void configure(FleetConfigPtr Next) { Config = std::move(Next); }
+
+  /// Number of entries that use the engines, and the memory for which their
+  /// requests wait.
+  void setPeers(std::size_t Entries, std::int64_t WaitingTokens);
+
+  void submit(StreamNeed Need);
+
+  /// Forgets a request that waits.
+  void cancel(std::string_view Id);
+
+  /// Returns the placements and refusals that are due. A placement reserves
+  /// the memory until release().
+  std::vector<StreamDecision> poll(TimePoint Now);
+
+  /// Frees what a placement reserved at the decode engine.
+  void release(std::string_view Id, TimePoint Now);
+
+  /// Frees the prefill engine of a placement.
+  void prefillEnded(std::string_view Id);
+
+  /// Moves the prefill part of a placement to another engine; empty if none
+  /// can take it.
+  std::string replacePrefill(std::string_view Id, TimePoint Now);
+
+  /// Moves the decode part of a placement to another engine; empty if none
+  /// has room.
+  std::string replaceDecode(std::string_view Id, TimePoint Now);
+
+  std::size_t queued() const { return Waiting.size(); }
+
+  /// Memory for which requests wait, in tokens.
+  std::int64_t waitingTokens() const;
+
+  /// Next time at which poll() may have a decision without another event.
+  TimePoint nextDeadline() const;
+
+private:
+  struct Placed {
+    StreamNeed Need;
+    std::string Decode;
+    std::string Prefill;
+    TimePoint Since{};
+  };
+
+  enum class Verdict { Placed, Refused, Waits };
+
+  std::vector<std::size_t> serviceOrder(TimePoint Now) const;
+  Verdict consider(const StreamNeed &Need, TimePoint Now,
+                   std::vector<StreamDecision> &Out);
+  StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
+                        Duration ExpectedWait, TimePoint Now) const;
+  Endpoint *chooseDecode(const StreamNeed &Need, TimePoint Now);
+  Endpoint *choosePrefill(const StreamNeed &Need, std::string_view Zone,
+                          TimePoint Now);
+  Duration expectedWait(const StreamNeed &Need, TimePoint Now);
+  double accountLoad(const std::string &Account) const;
+  std::int64_t memoryBound(const StreamNeed &Need) const;
+
+  StreamSchedulerOptions Options;
+  EndpointTable &Table;
+  FleetConfigPtr Config;
+  std::vector<StreamNeed> Waiting;
+  std::map<std::string, Placed, std::less<>> Running;
+  std::size_t Entries = 1;
+  std::int64_t PeersWaiting = 0;
+  double MeanRunSeconds = 3; ///< smoothed time that a placement lasts
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_STREAM_SCHEDULER_HPP
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -19,17 +19,20 @@
 
 constexpr std::chrono::milliseconds AcceptRetryTime{50};
 
-/// One thread with its event loop and its connections.
+/// An event loop with its connections: a thread of its own, or the loop of the
+/// program.
 class Worker {
 public:
-  Worker() : Work(asio::make_work_guard(Context)) {}
+  Worker() : Own(1), Context(&*Own), Work(asio::make_work_guard(*Context)) {}
+  explicit Worker(asio::io_context &Context) : Context(&Context) {}
 
   void start() {
-    Thread = std::thread([this] { Context.run(); });
+    if (Own)
+      Thread = std::thread([this] { Context->run(); });
   }
 
   void adopt(tcp::socket Socket, const std::shared_ptr<ServerState> &State) {
-    asio::post(Context, [this, S = std::move(Socket), State]() mutable {
+    asio::dispatch(*Context, [this, S = std::move(Socket), State]() mutable {
       forgetClosed();
       auto NewSession = std::make_shared<HttpSession>(std::move(S), State);
       Sessions.push_back(NewSession);
@@ -38,7 +41,7 @@
   }
 
   void drain() {
-    asio::post(Context, [this] {
+    asio::post(*Context, [this] {
       for (const auto &Weak : Sessions)
         if (auto S = Weak.lock())
           S->drain();
@@ -46,20 +49,26 @@
   }
 
   void stop() {
-    asio::post(Context, [this] {
-      for (const auto &Weak : Sessions)
-        if (auto S = Weak.lock())
-          S->close();
+    if (!Own)
+      return closeAll();
+    asio::post(*Context, [this] {
+      closeAll();
       Work.reset();
-      asio::post(Context, [this] { Context.stop(); });
+      asio::post(*Context, [this] { Context->stop(); });
     });
     if (Thread.joinable())
       Thread.join();
   }
 
-  asio::io_context &context() { return Context; }
+  asio::io_context &context() { return *Context; }
 
 private:
+  void closeAll() {
+    for (const auto &Weak : Sessions)
+      if (auto S = Weak.lock())
+        S->close();
+  }
+
   /// Runs only when the list has doubled, so that its cost per connection is
   /// constant.
   void forgetClosed() {
@@ -69,8 +78,10 @@
     ForgetAt = std::max<std::size_t>(64, Sessions.size() * 2);
   }
 
-  asio::io_context Context{1};
-  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  std::optional<asio::io_context> Own;
+  asio::io_context *Context;
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
+      Work;
   std::vector<std::weak_ptr<HttpSession>> Sessions;
   std::size_t ForgetAt = 64;
   std::thread Thread;
@@ -84,8 +95,16 @@
     State->Handler = std::move(Handler);
     for (unsigned I = 0; I < std::max(1U, State->Options.Threads); ++I)
       Workers.push_back(std::make_unique<Worker>());
-    Acceptor.emplace(Workers.front()->context());
-    AcceptTimer.emplace(Workers.front()->context());
+    openOn(Workers.front()->context());
+  }
+
+  BeastHttpServer(asio::io_context &Context, HttpServerOptions Options,
+                  HttpHandler Handler)
+      : State(std::make_shared<ServerState>()) {
+    State->Options = std::move(Options);
+    State->Handler = std::move(Handler);
+    Workers.push_back(std::make_unique<Worker>(Context));
+    openOn(Context);
   }
 
   ~BeastHttpServer() override { stop(); }
@@ -118,6 +137,17 @@
     return std::monostate{};
   }
 
+  void setLimits(std::uint32_t MaxHeaderBytes, std::uint64_t MaxBodyBytes,
+                 std::chrono::milliseconds ReadTimeout,
+                 std::chrono::milliseconds IdleTimeout) override {
+    State->Options.MaxHeaderBytes = MaxHeaderBytes;
+    State->Options.MaxBodyBytes = MaxBodyBytes;
+    State->Options.ReadTimeout = ReadTimeout;
+    State->Options.IdleTimeout = IdleTimeout;
+  }
+
+  void discourage() override { State->Discouraging = true; }
+
   void drain() override {
     State->Draining = true;
     asio::post(Acceptor->get_executor(), [this] {
@@ -141,6 +171,11 @@
   std::size_t openExchanges() const override { return State->Open; }
 
 private:
+  void openOn(asio::io_context &Context) {
+    Acceptor.emplace(Context);
+    AcceptTimer.emplace(Context);
+  }
+
   void accept() {
     Acceptor->async_accept(
         [this](const beast::error_code &Code, tcp::socket Socket) {
@@ -192,4 +227,11 @@
                                            std::move(Handler));
 }
 
+std::unique_ptr<HttpServer> makeHttpServer(asio::io_context &Context,
+                                           HttpServerOptions Options,
+                                           HttpHandler Handler) {
+  return std::make_unique<BeastHttpServer>(Context, std::move(Options),
+                                           std::move(Handler));
+}
+
 } // namespace hyssoprail
--- /dev/null
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -0,0 +1,53 @@
+#ifndef HYSSOPRAIL_GATEWAY_FLEET_FEED_HPP
+#define HYSSOPRAIL_GATEWAY_FLEET_FEED_HPP
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hyssoprail/routing/endpoint_record.hpp"
+#include "hyssoprail/routing/fleet_config.hpp"
+
+namespace hyssoprail::gateway {
+
+/// Receives what the platform's store says of the fleet.
+class FleetListener {
+public:
+  virtual ~FleetListener() = default;
+
+  virtual void onConfig(routing::FleetConfigPtr Config) = 0;
+  virtual void onZonesOut(std::set<std::string, std::less<>> Zones) = 0;
+  virtual void onEndpoint(const routing::EndpointRecord &Record) = 0;
+  virtual void onEndpointGone(std::string_view Id) = 0;
+
+  /// The first whole list of endpoints has been delivered.
+  virtual void onEndpointsComplete() = 0;
+
+  /// Addresses at which entries have announced themselves.
+  virtual void onEntries(const std::vector<std::string> &Addresses) = 0;
+
+  /// A record was rejected; \p Field names what was wrong in it.
+  virtual void onBadRecord(std::string_view Key, std::string_view Field) = 0;
+
+  /// The store stopped or began to answer calls on \p Topic.
+  virtual void onStoreLost(std::string_view Topic, std::string_view Why) = 0;
+  virtual void onStoreRegained(std::string_view Topic) = 0;
+};
+
+/// Source of configuration, endpoints and addresses of entries.
+class FleetFeed {
+public:
+  virtual ~FleetFeed() = default;
+
+  /// Begins to follow the store; \p Address is announced as this entry's.
+  virtual void start(FleetListener &Listener, const std::string &Name,
+                     const std::string &Address) = 0;
+
+  /// Store calls made since the start.
+  virtual std::uint64_t calls() const = 0;
+};
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_FLEET_FEED_HPP
--- /dev/null
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -0,0 +1,530 @@
+#include "hyssoprail/gateway/gateway_runtime.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "hyssoprail/core/hash.hpp"
+
+namespace hyssoprail::gateway {
+namespace {
+
+using routing::AccountPolicy;
+using routing::FlowRequest;
+using routing::RejectReason;
+using routing::RequestInfo;
+using routing::RouteKind;
+using routing::RoutePolicy;
+
+constexpr milliseconds TickInterval{80};
+
+/// Reports that say nothing new are sent this often.
+constexpr milliseconds IdleReportInterval{400};
+
+/// A stopping entry still accepts connections for this time, until the load
+/// balancer has seen that it is not ready.
+constexpr milliseconds StopAcceptsFor{2'500};
+
+/// Time kept of the grace for the end of the process.
+constexpr milliseconds StopMargin{400};
+
+/// Entries that were announced but not heard count among those that share a
+/// bound for this time after a start.
+constexpr milliseconds StartUpTime{6'000};
+
+/// Part of the bound of a cold endpoint that is used.
+constexpr double ColdBoundShare = 0.9;
+
+/// Part of the quota's slack that is granted: other entries' grants are seen
+/// late.
+constexpr double QuotaSlackShare = 0.2;
+
+constexpr milliseconds NoConfigurationReturn{400};
+constexpr milliseconds ShortestQuotaReturn{100};
+
+/// A streamed answer whose caller is this far behind is broken off.
+constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
+
+} // namespace
+
+GatewayRuntime::GatewayRuntime(boost::asio::io_context &Context,
+                               GatewaySettings Settings, const Clock &Time,
+                               const EndpointProtocol &Protocol,
+                               FleetFeed &Feed, DecisionLog &Log)
+    : Context(Context), Settings(std::move(Settings)), Time(Time),
+      Protocol(Protocol), Feed(Feed), Log(Log), Random(systemSeed()),
+      Incarnation(Random.identifier()), StartedAt(Time.now()),
+      Quota(this->Settings.QuotaSlackTokens * QuotaSlackShare),
+      Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
+               this->Settings.RetryWindow}),
+      Scheduler({.Zone = this->Settings.Zone,
+                 .UsePrefillEngines = this->Settings.UsePrefillEngines},
+                Table),
+      Peers(this->Settings.Name, Table, Quota),
+      Endpoints(makeUpstreamClient(Context)),
+      Socket(Context,
+             [this](const wire::UsageReport &Report) {
+               if (Peers.hear(Report, this->Time.now()))
+                 this->Log.write(LogUrgency::Outcome, "peer_heard", "",
+                                 {{"peer", Report.sender()},
+                                  {"address", Report.address()}});
+               pollSoon();
+             }),
+      TickTimer(Context), PollTimer(Context) {}
+
+GatewayRuntime::~GatewayRuntime() = default;
+
+std::unique_ptr<HttpServer>
+GatewayRuntime::makeServer(const std::string &Address, HttpHandler Handler) {
+  const SplitAddress At = splitAddress(Address);
+  HttpServerOptions Options;
+  Options.Address = At.Ip;
+  Options.Port = At.Port;
+  Options.MaxUnsentBytes = MaxUnsentBytes;
+  return makeHttpServer(Context, std::move(Options), std::move(Handler));
+}
+
+Status GatewayRuntime::start() {
+  CallerServer = makeServer(Settings.CallerAddress,
+                            [this](Exchange E) { handle(E); });
+  ReadyServer = makeServer(Settings.ReadyAddress,
+                           [this](Exchange E) { handleReadiness(E); });
+  if (!Settings.MetricsAddress.empty())
+    MetricsServer = makeServer(Settings.MetricsAddress,
+                               [this](Exchange E) { handleMetrics(E); });
+  for (HttpServer *Server :
+       {CallerServer.get(), ReadyServer.get(), MetricsServer.get()}) {
+    if (!Server)
+      continue;
+    if (Status S = Server->start(); !succeeded(S))
+      return S;
+  }
+  if (Status S = Socket.start(Settings.PeerAddress); !succeeded(S))
+    return S;
+  Log.write(LogUrgency::Outcome, "start", "",
+            {{"zone", Settings.Zone},
+             {"callers", Settings.CallerAddress},
+             {"peers", Settings.PeerAddress},
+             {"store", Settings.Store}});
+  Feed.start(*this, Settings.Name, Settings.PeerAddress);
+  tick();
+  return std::monostate{};
+}
+
+void GatewayRuntime::stop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StopBegan = Time.now();
+  CallerServer->discourage();
+  Log.write(LogUrgency::Outcome, "stop", "", {{"open", Sessions.size()}});
+}
+
+// ---- What the store says --------------------------------------------------
+
+void GatewayRuntime::onConfig(routing::FleetConfigPtr Next) {
+  if (Config && Next->Version <= Config->Version)
+    return;
+  Config = std::move(Next);
+  ConfigSince = Time.now();
+  const routing::CallerLimits &L = Config->Limits;
+  CallerServer->setLimits(L.HeaderBytes, L.BodyBytes, L.HeaderTimeout,
+                          L.IdleTimeout);
+  Quota.configure(*Config, ConfigSince);
+  Scheduler.configure(Config);
+  updateStartBounds(ConfigSince);
+  Log.write(LogUrgency::Outcome, "configuration", "",
+            {{"version", Config->Version},
+             {"routes", Config->Routes.size()},
+             {"accounts", Config->Accounts.size()}});
+  pollSoon();
+}
+
+void GatewayRuntime::onZonesOut(std::set<std::string, std::less<>> Zones) {
+  std::string Names;
+  for (const std::string &Zone : Zones)
+    Names += (Names.empty() ? "" : ",") + Zone;
+  Log.write(LogUrgency::Outcome, "zones_out", "", {{"zones", Names}});
+  Table.setZonesOut(std::move(Zones));
+  pollSoon();
+}
+
+void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
+  if (!Table.apply(Record, Time.now()))
+    return;
+  Log.write(LogUrgency::Outcome, "endpoint", "",
+            {{"endpoint", Record.Id},
+             {"service", Record.Service},
+             {"zone", Record.Zone},
+             {"address", Record.Address},
+             {"draining", Record.Draining},
+             {"cold_ms", Record.ColdFor},
+             {"prefill", Record.Stage == routing::EngineStage::Prefill},
+             {"sequence", Record.Sequence}});
+  pollSoon();
+}
+
+void GatewayRuntime::onEndpointGone(std::string_view Id) {
+  Log.write(LogUrgency::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
+  Table.remove(Id);
+  pollSoon();
+}
+
+void GatewayRuntime::onEndpointsComplete() { EndpointsComplete = true; }
+
+void GatewayRuntime::onEntries(const std::vector<std::string> &Addresses) {
+  AnnouncedEntries = std::max<std::size_t>(1, Addresses.size());
+  for (const std::string &Address : Addresses)
+    if (Address != Settings.PeerAddress)
+      Peers.addCandidate(Address, Time.now());
+}
+
+void GatewayRuntime::onBadRecord(std::string_view Key,
+                                 std::string_view Field) {
+  Log.write(LogUrgency::Outcome, "bad_record", "",
+            {{"key", Key}, {"field", Field}});
+  Counters.counter("store_bad_records").add();
+}
+
+void GatewayRuntime::onStoreLost(std::string_view Topic, std::string_view Why) {
+  Log.write(LogUrgency::Outcome, "store_lost", "",
+            {{"topic", Topic}, {"why", Why}});
+}
+
+void GatewayRuntime::onStoreRegained(std::string_view Topic) {
+  Log.write(LogUrgency::Outcome, "store_regained", "", {{"topic", Topic}});
+}
+
+// ---- Requests -------------------------------------------------------------
+
+void GatewayRuntime::handle(const Exchange &Caller) {
+  Result<RequestInfo> Decoded = Protocol.decode(Caller->request());
+  if (const Error *E = errorOf(Decoded)) {
+    Log.write(LogUrgency::Outcome, "bad_request", "", {{"field", E->Field}});
+    return Caller->respond(jsonResponse(400, "{\"error\":\"bad request\"}"));
+  }
+  RequestInfo &Info = valueOf(Decoded);
+  if (!Config)
+    return rejectAtOnce(Caller, Info, RejectReason::NoConfiguration,
+                        NoConfigurationReturn);
+  const RoutePolicy *Route = Config->route(Info.Host, Info.Path);
+  if (!Route)
+    return rejectAtOnce(Caller, Info, RejectReason::NoRoute, {});
+  admit(Caller, std::move(Info), *Route);
+}
+
+void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
+                           const RoutePolicy &Route) {
+  const AccountPolicy *Account =
+      Info.Key.empty() ? nullptr : Config->accountOfKey(Info.Key);
+  if (!Account && Config->requiresKeys() && !Route.Anonymous)
+    return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
+  double Tokens = 0;
+  if (Account) {
+    Tokens = Info.Tokens ? double(Info.Tokens->Prompt) + Info.Tokens->MaxOutput
+                         : Account->PlainTokens;
+    const routing::QuotaDecision D =
+        Quota.take(Account->Name, Tokens, Time.now());
+    if (!D.Granted) {
+      Log.write(LogUrgency::Outcome, "over_quota", Info.Id,
+                {{"account", Account->Name},
+                 {"tokens", Tokens},
+                 {"debt", D.Debt},
+                 {"burst", D.Burst},
+                 {"version", Config->Version}});
+      return rejectAtOnce(
+          Caller, Info, RejectReason::OverQuota,
+          std::max(ShortestQuotaReturn,
+                   std::chrono::duration_cast<milliseconds>(D.RetryAfter)));
+    }
+  }
+  startSession(Caller, flowRequest(std::move(Info), Route, Account), Tokens);
+}
+
+FlowRequest GatewayRuntime::flowRequest(RequestInfo Info,
+                                        const RoutePolicy &Route,
+                                        const AccountPolicy *Account) const {
+  FlowRequest R;
+  R.Key = std::to_string(NextKey);
+  R.Route = Route;
+  R.Service = chooseService(Route, stableHash(Info.Id));
+  if (Account)
+    R.Account = Account->Name;
+  R.Priority = Account && Account->Priority ? *Account->Priority
+                                            : Route.Priority;
+  R.Arrival = Time.now();
+  const milliseconds Patience = Info.Deadline > milliseconds(0)
+                                    ? std::min(Info.Deadline, Route.Timeout)
+                                    : Route.Timeout;
+  R.AnswerBy = R.Arrival + Patience;
+  const routing::ServicePolicy *Service = Config->service(R.Service);
+  if (Service && Service->Engine)
+    R.HandleRetention = Service->Engine->HandleRetention;
+  R.Info = std::move(Info);
+  return R;
+}
+
+void GatewayRuntime::startSession(const Exchange &Caller, FlowRequest Request,
+                                  double QuotaTokens) {
+  ++NextKey;
+  Log.write(LogUrgency::Routine, "admit", Request.Info.Id,
+            {{"route", Request.Route.Name},
+             {"account", Request.Account},
+             {"service", Request.Service},
+             {"deadline_ms", Request.Info.Deadline},
+             {"tokens", QuotaTokens},
+             {"version", Config->Version},
+             {"version_age_ms", Time.now() - ConfigSince}});
+  Retries.request(Request.Service, Time.now());
+  const std::string Key = Request.Key;
+  const bool IsStream = Request.Route.Kind == RouteKind::Stream;
+  auto Session = std::make_shared<RequestSession>(
+      SessionServices{Context, Time, *Endpoints, Protocol, Log},
+      sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
+  Sessions.emplace(Key, Session);
+  Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
+    const routing::FlowShared Shared{Table, Scheduler, Retries, Settings.Zone};
+    return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
+                    : makeCallFlow(Shared, std::move(R), Io);
+  });
+}
+
+SessionHooks GatewayRuntime::sessionHooks(const std::string &Key,
+                                          double QuotaTokens) {
+  SessionHooks Hooks;
+  Hooks.StillAllowed = [this, Key] { return stillAllowed(Key); };
+  Hooks.PollScheduler = [this] { pollSoon(); };
+  Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
+    sessionEnded(Key, QuotaTokens, R);
+  };
+  return Hooks;
+}
+
+/// Checks the key of a request that has waited against the configuration that
+/// is in force now.
+bool GatewayRuntime::stillAllowed(const std::string &Key) const {
+  const auto It = Sessions.find(Key);
+  if (It == Sessions.end())
+    return false;
+  const FlowRequest &R = It->second->request();
+  if (R.Account.empty())
+    return true;
+  const AccountPolicy *Account = Config->accountOfKey(R.Info.Key);
+  return Account && Account->Name == R.Account;
+}
+
+void GatewayRuntime::sessionEnded(const std::string &Key, double QuotaTokens,
+                                  const SessionResult &Result) {
+  const auto It = Sessions.find(Key);
+  if (It == Sessions.end())
+    return;
+  const FlowRequest &R = It->second->request();
+  if (!Result.MayHaveRun && !R.Account.empty())
+    Quota.giveBack(R.Account, QuotaTokens, Time.now());
+  Log.write(Result.Outcome == "answered" ? LogUrgency::Routine
+                                         : LogUrgency::Outcome,
+            "end", R.Info.Id,
+            {{"outcome", Result.Outcome},
+             {"reason", Result.Reason},
+             {"status", Result.Status},
+             {"first_event_ms", Result.FirstEvent},
+             {"total_ms", Result.Total}});
+  const MetricLabels Labels{{"route", R.Route.Name},
+                            {"outcome", std::string(Result.Outcome)},
+                            {"reason", std::string(Result.Reason)}};
+  Counters.counter("requests", Labels).add();
+  Counters.distribution("request_ms", {{"route", R.Route.Name}})
+      .record(std::chrono::duration<double, std::milli>(Result.Total).count());
+  Sessions.erase(It);
+  if (Stopping)
+    checkStopped();
+}
+
+void GatewayRuntime::rejectAtOnce(const Exchange &Caller,
+                                  const RequestInfo &Info, RejectReason Reason,
+                                  milliseconds RetryAfter) {
+  Log.write(LogUrgency::Outcome, "reject", Info.Id,
+            {{"reason", rejectReasonName(Reason)},
+             {"retry_after_ms", RetryAfter},
+             {"version", Config ? Config->Version : 0}});
+  Counters
+      .counter("rejections", {{"reason", std::string(rejectReasonName(Reason))}})
+      .add();
+  Caller->respond(Protocol.rejection(Reason, RetryAfter, Info.Id));
+}
+
+// ---- Scheduler ------------------------------------------------------------
+
+void GatewayRuntime::pollSoon() {
+  if (PollPending)
+    return;
+  PollPending = true;
+  boost::asio::post(Context, [this] { pollScheduler(); });
+}
+
+void GatewayRuntime::pollScheduler() {
+  PollPending = false;
+  if (Scheduler.queued() == 0)
+    return;
+  for (const routing::StreamDecision &D : Scheduler.poll(Time.now())) {
+    const auto *Place = std::get_if<routing::StreamPlace>(&D);
+    const auto *Refusal = std::get_if<routing::StreamRefusal>(&D);
+    const auto It = Sessions.find(Place ? Place->Id : Refusal->Id);
+    if (It == Sessions.end())
+      continue;
+    const auto Session = It->second;
+    if (Place)
+      Session->onPlaced(*Place);
+    else
+      Session->onRefused(*Refusal);
+  }
+  armPollTimer();
+}
+
+void GatewayRuntime::armPollTimer() {
+  const TimePoint Next = Scheduler.nextDeadline();
+  if (Next == TimePoint::max())
+    return;
+  PollTimer.expires_at(Next);
+  PollTimer.async_wait([this](boost::system::error_code Code) {
+    if (!Code)
+      pollSoon();
+  });
+}
+
+// ---- Readiness and metrics ------------------------------------------------
+
+bool GatewayRuntime::ready() const {
+  return !Stopping && Config && EndpointsComplete;
+}
+
+void GatewayRuntime::handleReadiness(const Exchange &Caller) {
+  Caller->respond(jsonResponse(ready() ? 200 : 503, "{}"));
+}
+
+void GatewayRuntime::handleMetrics(const Exchange &Caller) {
+  updateGauges();
+  HttpResponse Response;
+  Response.Headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Response.Body = Counters.prometheusText();
+  Caller->respond(std::move(Response));
+}
+
+void GatewayRuntime::updateGauges() {
+  const TimePoint Now = Time.now();
+  Counters.gauge("requests_open").set(double(Sessions.size()));
+  Counters.gauge("streams_waiting").set(double(Scheduler.queued()));
+  Counters.gauge("streams_waiting_tokens")
+      .set(double(Scheduler.waitingTokens()));
+  Counters.gauge("peers_audible").set(double(Peers.audible(Now)));
+  Counters.gauge("config_version").set(Config ? double(Config->Version) : 0);
+  Counters.gauge("store_calls").set(double(Feed.calls()));
+  Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
+  const UpstreamCounters &U = Endpoints->counters();
+  Counters.gauge("endpoint_connects").set(double(U.Connects));
+  Counters.gauge("endpoint_reuses").set(double(U.Reuses));
+  Counters.gauge("endpoint_stale_answers").set(double(U.StaleAnswers));
+  Table.forEach([&](routing::Endpoint &E) {
+    const MetricLabels Label{{"endpoint", E.Record.Id}};
+    Counters.gauge("endpoint_runs", Label).set(E.total().Runs);
+    Counters.gauge("endpoint_tokens", Label).set(double(E.total().Tokens));
+    Counters.gauge("endpoint_failure_share", Label)
+        .set(E.Health.failureShare());
+    Counters.gauge("endpoint_usable", Label)
+        .set(E.Health.usable(Now) ? 1 : 0);
+  });
+}
+
+// ---- Periodic work --------------------------------------------------------
+
+void GatewayRuntime::tick() {
+  const TimePoint Now = Time.now();
+  Peers.age(Now);
+  Retries.setEntries(static_cast<unsigned>(Peers.known(Now)));
+  Scheduler.setPeers(Peers.audible(Now), Peers.waitingTokens(Now));
+  updateStartBounds(Now);
+  reportUsage();
+  if (Scheduler.queued() > 0)
+    pollSoon();
+  if (Stopping)
+    checkStopped();
+  TickTimer.expires_after(TickInterval);
+  TickTimer.async_wait([this](boost::system::error_code Code) {
+    if (!Code)
+      tick();
+  });
+}
+
+/// Entries share what a cold endpoint bears; an endpoint may turn cold at any
+/// moment, so the bound always holds.
+void GatewayRuntime::updateStartBounds(TimePoint Now) {
+  if (!Config)
+    return;
+  std::size_t Sharing = Peers.known(Now);
+  if (Now - StartedAt < StartUpTime)
+    Sharing = std::max(Sharing, AnnouncedEntries);
+  for (const auto &[Name, Service] : Config->Services) {
+    if (Service.ColdPerSecond <= 0)
+      continue;
+    const double Bound =
+        Service.ColdPerSecond * Settings.ColdOverage + Settings.ColdSlack;
+    const double Share = Bound * ColdBoundShare / double(Sharing);
+    Table.setStartsPerSecond(
+        Name, std::max<std::size_t>(1, static_cast<std::size_t>(Share)));
+  }
+}
+
+wire::UsageReport GatewayRuntime::usageReport() {
+  wire::UsageReport Report;
+  Report.set_sender(Settings.Name);
+  Report.set_incarnation(Incarnation);
+  Report.set_address(Settings.PeerAddress);
+  for (const auto &[Id, Load] : Table.ownLoads()) {
+    wire::EndpointUse *Use = Report.add_endpoints();
+    Use->set_endpoint(Id);
+    Use->set_runs(static_cast<std::uint32_t>(Load.Runs));
+    Use->set_tokens(static_cast<std::uint64_t>(Load.Tokens));
+    Use->set_prefill_tokens(static_cast<std::uint64_t>(Load.PrefillTokens));
+  }
+  for (const auto &[Name, Tokens] : Quota.granted()) {
+    wire::AccountUse *Use = Report.add_accounts();
+    Use->set_account(Name);
+    Use->set_tokens(Tokens);
+  }
+  Report.set_waiting_tokens(
+      static_cast<std::uint64_t>(Scheduler.waitingTokens()));
+  Report.set_config_version(Config ? Config->Version : 0);
+  Report.set_leaving(Stopping);
+  return Report;
+}
+
+void GatewayRuntime::reportUsage() {
+  const TimePoint Now = Time.now();
+  wire::UsageReport Report = usageReport();
+  std::string Content = Report.SerializeAsString();
+  if (Content == LastReport && Now - ReportedAt < IdleReportInterval)
+    return;
+  LastReport = std::move(Content);
+  ReportedAt = Now;
+  Report.set_sequence(++ReportSequence);
+  for (const std::string &Address : Peers.addresses(Now))
+    Socket.send(Report, Address);
+}
+
+void GatewayRuntime::checkStopped() {
+  const TimePoint Now = Time.now();
+  if (!Draining && Now - StopBegan >= StopAcceptsFor) {
+    Draining = true;
+    CallerServer->drain();
+  }
+  const bool Idle = Draining && Sessions.empty() &&
+                    CallerServer->openExchanges() == 0 &&
+                    Now - StopBegan >= StopAcceptsFor + milliseconds(600);
+  if (!Idle && Now - StopBegan < Settings.StopGrace - StopMargin)
+    return;
+  Log.write(LogUrgency::Outcome, "stopped", "", {{"open", Sessions.size()}});
+  Context.stop();
+}
+
+} // namespace hyssoprail::gateway
--- /dev/null
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -0,0 +1,127 @@
+#ifndef HYSSOPRAIL_GATEWAY_GATEWAY_RUNTIME_HPP
+#define HYSSOPRAIL_GATEWAY_GATEWAY_RUNTIME_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "hyssoprail/connection/http_server.hpp"
+#include "hyssoprail/core/random.hpp"
+#include "hyssoprail/gateway/fleet_feed.hpp"
+#include "hyssoprail/gateway/gateway_settings.hpp"
+#include "hyssoprail/gateway/peer_socket.hpp"
+#include "hyssoprail/gateway/request_session.hpp"
+#include "hyssoprail/process/metrics.hpp"
+#include "hyssoprail/routing/peer_board.hpp"
+
+namespace hyssoprail::gateway {
+
+/// An entry that calls endpoints directly: servers for callers, readiness and
+/// metrics; the decisions of the routing library; reports to the other entries.
+/// Runs on one event loop, as its VM has a fraction of one core.
+class GatewayRuntime : public FleetListener {
+public:
+  GatewayRuntime(boost::asio::io_context &Context, GatewaySettings Settings,
+                 const Clock &Time, const EndpointProtocol &Protocol,
+                 FleetFeed &Feed, DecisionLog &Log);
+  ~GatewayRuntime() override;
+
+  /// Binds all addresses and begins to follow the store.
+  Status start();
+
+  /// Begins a planned stop: callers are sent elsewhere, and the event loop ends
+  /// when no request is left or the grace is over.
+  void stop();
+
+  // FleetListener
+  void onConfig(routing::FleetConfigPtr Config) override;
+  void onZonesOut(std::set<std::string, std::less<>> Zones) override;
+  void onEndpoint(const routing::EndpointRecord &Record) override;
+  void onEndpointGone(std::string_view Id) override;
+  void onEndpointsComplete() override;
+  void onEntries(const std::vector<std::string> &Addresses) override;
+  void onBadRecord(std::string_view Key, std::string_view Field) override;
+  void onStoreLost(std::string_view Topic, std::string_view Why) override;
+  void onStoreRegained(std::string_view Topic) override;
+
+private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+
+  void handle(const Exchange &Caller);
+  void admit(const Exchange &Caller, routing::RequestInfo Info,
+             const routing::RoutePolicy &Route);
+  routing::FlowRequest flowRequest(routing::RequestInfo Info,
+                                   const routing::RoutePolicy &Route,
+                                   const routing::AccountPolicy *Account) const;
+  void startSession(const Exchange &Caller, routing::FlowRequest Request,
+                    double QuotaTokens);
+  SessionHooks sessionHooks(const std::string &Key, double QuotaTokens);
+  bool stillAllowed(const std::string &Key) const;
+  void sessionEnded(const std::string &Key, double QuotaTokens,
+                    const SessionResult &Result);
+  void rejectAtOnce(const Exchange &Caller, const routing::RequestInfo &Info,
+                    routing::RejectReason Reason, milliseconds RetryAfter);
+
+  void pollSoon();
+  void pollScheduler();
+  void armPollTimer();
+
+  bool ready() const;
+  void handleReadiness(const Exchange &Caller);
+  void handleMetrics(const Exchange &Caller);
+  std::unique_ptr<HttpServer> makeServer(const std::string &Address,
+                                         HttpHandler Handler);
+
+  void tick();
+  void reportUsage();
+  wire::UsageReport usageReport();
+  void updateStartBounds(TimePoint Now);
+  void updateGauges();
+  void checkStopped();
+
+  boost::asio::io_context &Context;
+  const GatewaySettings Settings;
+  const Clock &Time;
+  const EndpointProtocol &Protocol;
+  FleetFeed &Feed;
+  DecisionLog &Log;
+  RandomSource Random;
+  const std::uint64_t Incarnation;
+  const TimePoint StartedAt;
+
+  routing::EndpointTable Table;
+  routing::SharedQuota Quota;
+  routing::RetryWindow Retries;
+  routing::StreamScheduler Scheduler;
+  routing::PeerBoard Peers;
+  routing::FleetConfigPtr Config;
+  TimePoint ConfigSince{};
+  bool EndpointsComplete = false;
+  std::size_t AnnouncedEntries = 1;
+
+  Metrics Counters;
+  std::unique_ptr<UpstreamClient> Endpoints;
+  PeerSocket Socket;
+  std::unique_ptr<HttpServer> CallerServer;
+  std::unique_ptr<HttpServer> ReadyServer;
+  std::unique_ptr<HttpServer> MetricsServer;
+  std::map<std::string, std::shared_ptr<RequestSession>> Sessions;
+  std::uint64_t NextKey = 1;
+
+  boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer PollTimer;
+  bool PollPending = false;
+  std::uint64_t ReportSequence = 0;
+  std::string LastReport; ///< without its sequence
+  TimePoint ReportedAt{};
+  bool Stopping = false;
+  bool Draining = false;
+  TimePoint StopBegan{};
+};
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_GATEWAY_RUNTIME_HPP
--- /dev/null
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -0,0 +1,79 @@
+#include "hyssoprail/gateway/peer_socket.hpp"
+
+#include <charconv>
+#include <optional>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace hyssoprail::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+std::optional<udp::endpoint> parseEndpoint(const std::string &Address) {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  boost::system::error_code Code;
+  const auto Ip = asio::ip::make_address(Address.substr(0, Colon), Code);
+  std::uint16_t Port = 0;
+  const char *End = Address.data() + Address.size();
+  const auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
+  if (Code || Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return udp::endpoint(Ip, Port);
+}
+
+} // namespace
+
+PeerSocket::PeerSocket(asio::io_context &Context, Handler OnReport)
+    : Socket(Context), OnReport(std::move(OnReport)) {}
+
+Status PeerSocket::start(const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  boost::system::error_code Code = asio::error::invalid_argument;
+  if (Endpoint) {
+    Socket.open(Endpoint->protocol(), Code);
+    if (!Code)
+      Socket.bind(*Endpoint, Code);
+    if (!Code)
+      Socket.non_blocking(true, Code);
+  }
+  if (Code)
+    return Error{ErrorKind::Unavailable,
+                 "cannot receive datagrams on " + Address + ": " +
+                     Code.message(),
+                 "choose an address of this VM and a free port",
+                 "peer_address",
+                 {}};
+  receive();
+  return std::monostate{};
+}
+
+void PeerSocket::send(const wire::UsageReport &Report,
+                      const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return;
+  boost::system::error_code Ignored;
+  Socket.send_to(asio::buffer(Report.SerializeAsString()), *Endpoint, 0,
+                 Ignored);
+}
+
+void PeerSocket::receive() {
+  Socket.async_receive_from(
+      asio::buffer(Buffer), Sender,
+      [this](boost::system::error_code Code, std::size_t Size) {
+        if (Code == asio::error::operation_aborted || !Socket.is_open())
+          return;
+        wire::UsageReport Report;
+        if (!Code && Report.ParseFromArray(Buffer.data(),
+                                           static_cast<int>(Size)))
+          OnReport(Report);
+        receive();
+      });
+}
+
+} // namespace hyssoprail::gateway
--- /dev/null
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -0,0 +1,41 @@
+#ifndef HYSSOPRAIL_GATEWAY_PEER_SOCKET_HPP
+#define HYSSOPRAIL_GATEWAY_PEER_SOCKET_HPP
+
+#include <array>
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "hyssoprail/core/result.hpp"
+#include "hyssoprail/wire/usage.pb.h"
+
+namespace hyssoprail::gateway {
+
+/// Sends and receives usage reports as datagrams. A report is a whole state, so
+/// loss is harmless and no connection can fall silent.
+class PeerSocket {
+public:
+  using Handler = std::function<void(const wire::UsageReport &)>;
+
+  PeerSocket(boost::asio::io_context &Context, Handler OnReport);
+
+  /// Binds to "IP:PORT". Fails with Unavailable.
+  Status start(const std::string &Address);
+
+  /// Sends \p Report to "IP:PORT"; a failure is not reported.
+  void send(const wire::UsageReport &Report, const std::string &Address);
+
+private:
+  void receive();
+
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::ip::udp::endpoint Sender;
+  Handler OnReport;
+  std::array<char, 65'536> Buffer{};
+};
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_PEER_SOCKET_HPP
--- /dev/null
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -0,0 +1,280 @@
+#include "hyssoprail/gateway/request_session.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace hyssoprail::gateway {
+namespace {
+
+using routing::LegAnswer;
+using routing::LegKind;
+using routing::LegOutcome;
+
+/// Whole answers are kept in memory until they are complete.
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
+
+constexpr milliseconds CallConnectTimeout{150};
+constexpr milliseconds EngineConnectTimeout{250};
+constexpr milliseconds DropTimeout{1'000};
+
+} // namespace
+
+RequestSession::RequestSession(SessionServices Services, SessionHooks Hooks,
+                               std::shared_ptr<HttpExchange> Caller,
+                               routing::FlowRequest Request)
+    : Services(Services), Hooks(std::move(Hooks)), Caller(std::move(Caller)),
+      Request(std::move(Request)), Timer(Services.Context) {}
+
+void RequestSession::start(const FlowFactory &MakeFlow) {
+  Course = MakeFlow(Request, *this);
+  Caller->onDisconnect([Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (!Self || Self->Ended)
+      return;
+    Self->Result.Outcome = "left";
+    Self->Course->onCallerGone(Self->Services.Time.now());
+    Self->afterEvent();
+  });
+  Course->start(Services.Time.now());
+  afterEvent();
+}
+
+void RequestSession::onPlaced(const routing::StreamPlace &Place) {
+  Course->onPlaced(Place, Services.Time.now());
+  afterEvent();
+}
+
+void RequestSession::onRefused(const routing::StreamRefusal &Refusal) {
+  Course->onRefused(Refusal, Services.Time.now());
+  afterEvent();
+}
+
+routing::FlowIo::LegId
+RequestSession::startLeg(const routing::LegRequest &Asked) {
+  const LegId Id = NextLeg++;
+  Leg &L = Legs[Id];
+  L.Kind = Asked.Kind;
+  L.EndpointId = Asked.EndpointId;
+  L.Since = Services.Time.now();
+  UpstreamCall Call;
+  Call.Authority = Asked.Address;
+  Call.Request =
+      Services.Protocol.encode(Caller->request(), Asked, Request.Account);
+  Call.ConnectTimeout = Asked.Kind == LegKind::Call ? CallConnectTimeout
+                                                    : EngineConnectTimeout;
+  Call.HeadTimeout = Asked.Deadline;
+  note("send", {{"kind", legKindName(Asked.Kind)},
+                {"endpoint", Asked.EndpointId},
+                {"address", Asked.Address},
+                {"deadline_ms", Asked.Deadline},
+                {"has_cache", Asked.Source.has_value()},
+                {"repeat", Asked.Repeat}});
+  L.Exchange = Services.Endpoints.send(std::move(Call), legHandlers(Id));
+  return Id;
+}
+
+UpstreamHandlers RequestSession::legHandlers(LegId Id) {
+  UpstreamHandlers H;
+  const auto Self = shared_from_this();
+  H.IsOurs = [Self](const HttpResponse &Head) {
+    return Self->Services.Protocol.answers(Head, Self->Request.Info.Id);
+  };
+  H.OnHead = [Self, Id](HttpResponse Head) {
+    Self->onLegHead(Id, std::move(Head));
+  };
+  H.OnData = [Self, Id](std::string_view Data) { Self->onLegData(Id, Data); };
+  H.OnEnd = [Self, Id](UpstreamEnd End, const std::string &Detail) {
+    Self->onLegEnd(Id, End, Detail);
+  };
+  return H;
+}
+
+void RequestSession::onLegHead(LegId Id, HttpResponse Head) {
+  const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  Leg &L = It->second;
+  L.Streaming =
+      L.Kind == LegKind::Decode && Services.Protocol.beginsStream(Head);
+  if (!L.Streaming) {
+    L.Answer = std::move(Head);
+    return;
+  }
+  Course->onStreamHead(Id, std::move(Head), Services.Time.now());
+  afterEvent();
+}
+
+void RequestSession::onLegData(LegId Id, std::string_view Data) {
+  const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  if (It->second.Streaming) {
+    Course->onStreamData(Id, Data, Services.Time.now());
+    return afterEvent();
+  }
+  It->second.Answer.Body.append(Data);
+  if (It->second.Answer.Body.size() <= MaxAnswerBytes)
+    return;
+  It->second.Exchange->cancel();
+  onLegEnd(Id, UpstreamEnd::Broken, "answer too large");
+}
+
+void RequestSession::onLegEnd(LegId Id, UpstreamEnd End,
+                              const std::string &Detail) {
+  const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  Leg L = std::move(It->second);
+  Legs.erase(It);
+  if (L.Streaming) {
+    const bool Complete = End == UpstreamEnd::Complete;
+    logLegEnd(L, Complete ? "complete" : "broken", 200, Detail);
+    Course->onStreamEnd(Id, Complete, Services.Time.now());
+    return afterEvent();
+  }
+  LegAnswer Answer = legAnswer(L, End, Detail);
+  logLegEnd(L, legOutcomeName(Answer.Outcome), Answer.Response.Status,
+            Answer.Detail);
+  Course->onAnswer(Id, std::move(Answer), Services.Time.now());
+  afterEvent();
+}
+
+LegAnswer RequestSession::legAnswer(Leg &L, UpstreamEnd End,
+                                    const std::string &Detail) const {
+  LegAnswer Out;
+  Out.Detail = Detail;
+  Out.Response.Status = 0;
+  switch (End) {
+  case UpstreamEnd::Complete:
+    return Services.Protocol.interpret(L.Kind, std::move(L.Answer));
+  case UpstreamEnd::NotSent:
+    Out.Outcome = LegOutcome::NotSent;
+    return Out;
+  case UpstreamEnd::TimedOut:
+    Out.Outcome = LegOutcome::TimedOut;
+    return Out;
+  case UpstreamEnd::Broken:
+    break;
+  }
+  Out.Outcome = LegOutcome::Broken;
+  return Out;
+}
+
+void RequestSession::logLegEnd(const Leg &L, std::string_view Outcome,
+                               unsigned Status, std::string_view Detail) {
+  const bool Good = Outcome == "complete" || (Outcome == "answered" && Status < 500);
+  Services.Log.write(Good ? LogUrgency::Routine : LogUrgency::Outcome,
+                     "send_ended", Request.Info.Id,
+                     {{"kind", legKindName(L.Kind)},
+                      {"endpoint", L.EndpointId},
+                      {"outcome", Outcome},
+                      {"status", Status},
+                      {"detail", Detail},
+                      {"took_ms", Services.Time.now() - L.Since}});
+}
+
+void RequestSession::cancelLeg(LegId Id) {
+  const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  logLegEnd(It->second, "cancelled", 0, "");
+  It->second.Exchange->cancel();
+  Legs.erase(It);
+}
+
+void RequestSession::dropHandle(const routing::KvSource &Source) {
+  UpstreamCall Call;
+  Call.Authority = Source.Address;
+  Call.Request = Services.Protocol.dropHandle(Source);
+  Call.HeadTimeout = DropTimeout;
+  Services.Endpoints.send(std::move(Call), {});
+}
+
+void RequestSession::respond(const HttpResponse &Response) {
+  Result.Outcome = "answered";
+  Result.Status = Response.Status;
+  Caller->respond(Response);
+}
+
+void RequestSession::reject(routing::RejectReason Reason,
+                            milliseconds RetryAfter) {
+  HttpResponse Response =
+      Services.Protocol.rejection(Reason, RetryAfter, Request.Info.Id);
+  Result.Outcome = "rejected";
+  Result.Reason = rejectReasonName(Reason);
+  Result.Status = Response.Status;
+  Services.Log.write(LogUrgency::Outcome, "reject", Request.Info.Id,
+                     {{"reason", Result.Reason},
+                      {"status", Response.Status},
+                      {"retry_after_ms", RetryAfter},
+                      {"age_ms", Services.Time.now() - Request.Arrival},
+                      {"account", Request.Account},
+                      {"route", Request.Route.Name}});
+  Caller->respond(std::move(Response));
+}
+
+void RequestSession::beginStream(const HttpResponse &Head) {
+  Result.FirstEvent = Services.Time.now() - Request.Arrival;
+  Result.Status = Head.Status;
+  Caller->begin(Head.Status, Head.Headers);
+}
+
+void RequestSession::forward(std::string_view Events) {
+  Caller->write(std::string(Events));
+}
+
+void RequestSession::finishStream() {
+  Result.Outcome = "answered";
+  Caller->finish();
+}
+
+void RequestSession::abort() {
+  Result.Outcome = "broken_off";
+  Services.Log.write(LogUrgency::Outcome, "break_off", Request.Info.Id,
+                     {{"age_ms", Services.Time.now() - Request.Arrival}});
+  Caller->abort();
+}
+
+void RequestSession::note(std::string_view What, LogFields Fields) {
+  Services.Log.write(LogUrgency::Routine, What, Request.Info.Id, Fields);
+}
+
+void RequestSession::afterEvent() {
+  if (Ended)
+    return;
+  if (Course->done())
+    return finish();
+  armTimer();
+  Hooks.PollScheduler();
+}
+
+/// The timer is set again only if it would fire too late: most deadlines move
+/// on before they are reached.
+void RequestSession::armTimer() {
+  const TimePoint Next = Course->nextDeadline();
+  if (Next >= TimerAt)
+    return;
+  TimerAt = Next;
+  Timer.expires_at(Next);
+  Timer.async_wait([Weak = weak_from_this()](boost::system::error_code Code) {
+    const auto Self = Weak.lock();
+    if (Code || !Self || Self->Ended)
+      return;
+    Self->TimerAt = TimePoint::max();
+    Self->Course->onTimer(Self->Services.Time.now());
+    Self->afterEvent();
+  });
+}
+
+void RequestSession::finish() {
+  Ended = true;
+  Timer.cancel();
+  Result.Total = Services.Time.now() - Request.Arrival;
+  Result.MayHaveRun = Course->mayHaveRun();
+  const auto Self = shared_from_this();
+  Hooks.OnEnd(Result);
+  Hooks.PollScheduler();
+}
+
+} // namespace hyssoprail::gateway
--- /dev/null
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -0,0 +1,58 @@
+#include "hyssoprail/routing/endpoint_health.hpp"
+
+#include <algorithm>
+
+namespace hyssoprail::routing {
+namespace {
+
+constexpr double Smoothing = 0.15; ///< weight of the newest result
+constexpr milliseconds FirstAvoidance{500};
+constexpr milliseconds LongestAvoidance{4'000};
+constexpr milliseconds RefusalPause{60};
+constexpr unsigned MaxDoublings = 3;
+
+/// One answer cut in isolation says little; two in a row, or a high share,
+/// suggest that the endpoint is at fault.
+constexpr unsigned BrokenBeforeAvoidance = 2;
+
+/// Plain services fail one request in seven by themselves.
+constexpr double GreyShare = 0.4;
+
+} // namespace
+
+void EndpointHealth::avoid(Duration For, TimePoint Now) {
+  AvoidUntil = std::max(AvoidUntil, Now + For);
+}
+
+void EndpointHealth::record(Evidence What, TimePoint Now) {
+  const bool Failed = What != Evidence::Success && What != Evidence::Refused;
+  if (What != Evidence::Refused)
+    FailureShare += Smoothing * ((Failed ? 1.0 : 0.0) - FailureShare);
+  const Duration Backoff = std::min<Duration>(
+      FirstAvoidance * (1U << std::min(Failures, MaxDoublings)),
+      LongestAvoidance);
+  switch (What) {
+  case Evidence::Success:
+    Failures = 0;
+    return;
+  case Evidence::AppError:
+    if (FailureShare > GreyShare)
+      avoid(FirstAvoidance, Now);
+    return;
+  case Evidence::Refused:
+    return avoid(RefusalPause, Now);
+  case Evidence::Unreachable:
+    ++Failures;
+    return avoid(Backoff, Now);
+  case Evidence::WrongOwner:
+    ++Failures;
+    return avoid(LongestAvoidance, Now);
+  case Evidence::Broken:
+    ++Failures;
+    if (Failures >= BrokenBeforeAvoidance || FailureShare > GreyShare)
+      avoid(Backoff, Now);
+    return;
+  }
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/fleet_config.cpp
@@ -0,0 +1,60 @@
+#include "hyssoprail/routing/fleet_config.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace hyssoprail::routing {
+namespace {
+
+std::string normalisedHost(std::string_view Host) {
+  const std::size_t Port = Host.rfind(':');
+  std::string Out(Host.substr(0, Port));
+  std::transform(Out.begin(), Out.end(), Out.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Out;
+}
+
+} // namespace
+
+const RoutePolicy *FleetConfig::route(std::string_view Host,
+                                      std::string_view Path) const {
+  const std::string Wanted = normalisedHost(Host);
+  const RoutePolicy *Best = nullptr;
+  for (const RoutePolicy &R : Routes) {
+    if (R.Host != Wanted || !Path.starts_with(R.PathPrefix))
+      continue;
+    if (!Best || R.PathPrefix.size() > Best->PathPrefix.size())
+      Best = &R;
+  }
+  return Best;
+}
+
+const AccountPolicy *FleetConfig::accountOfKey(std::string_view Key) const {
+  const auto Name = AccountOfKey.find(Key);
+  if (Name == AccountOfKey.end())
+    return nullptr;
+  const auto Account = Accounts.find(Name->second);
+  return Account == Accounts.end() ? nullptr : &Account->second;
+}
+
+const ServicePolicy *FleetConfig::service(std::string_view Name) const {
+  const auto Found = Services.find(Name);
+  return Found == Services.end() ? nullptr : &Found->second;
+}
+
+const std::string &chooseService(const RoutePolicy &Route, std::uint64_t Hash) {
+  double Total = 0;
+  for (const ServiceShare &S : Route.Services)
+    Total += S.Weight;
+  constexpr double HashRange = 18446744073709551616.0; // 2^64
+  double Point = static_cast<double>(Hash) / HashRange * Total;
+  for (const ServiceShare &S : Route.Services) {
+    if (Point < S.Weight)
+      return S.Service;
+    Point -= S.Weight;
+  }
+  return Route.Services.back().Service;
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -0,0 +1,103 @@
+#include "hyssoprail/routing/peer_board.hpp"
+
+#include <algorithm>
+
+namespace hyssoprail::routing {
+namespace {
+
+/// A peer that is silent for longer is cut off, paused or dead. Its work may
+/// go on, so its loads are kept for longer than that.
+constexpr milliseconds SilentAfter{1'200};
+constexpr milliseconds LoadsKept{2'500};
+
+/// A silent peer may still grant quota on its own; after this time it is taken
+/// to be gone.
+constexpr milliseconds ForgottenAfter{14'000};
+
+constexpr milliseconds CandidateTime{6'000};
+
+} // namespace
+
+bool PeerBoard::hear(const wire::UsageReport &Report, TimePoint Now) {
+  if (Report.sender() == OwnName)
+    return false;
+  Peer &P = Peers[Report.sender()];
+  const bool New = P.Incarnation != Report.incarnation();
+  if (!New && Report.sequence() <= P.Sequence)
+    return false;
+  P = {Report.incarnation(),
+       Report.sequence(),
+       Report.address(),
+       Now,
+       static_cast<std::int64_t>(Report.waiting_tokens()),
+       Report.leaving(),
+       false};
+  LoadMap Loads;
+  for (const wire::EndpointUse &Use : Report.endpoints())
+    Loads[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()),
+                             static_cast<std::int64_t>(Use.tokens()),
+                             static_cast<std::int64_t>(Use.prefill_tokens())};
+  Table.setPeerLoad(Report.sender(), std::move(Loads));
+  for (const wire::AccountUse &Use : Report.accounts())
+    Quota.peerGranted(Report.sender(), Report.incarnation(), Use.account(),
+                      Use.tokens(), Now);
+  return New;
+}
+
+void PeerBoard::age(TimePoint Now) {
+  for (auto &[Name, P] : Peers) {
+    if (P.LoadsDropped || Now - P.Heard < LoadsKept)
+      continue;
+    Table.setPeerLoad(Name, {});
+    P.LoadsDropped = true;
+  }
+  std::erase_if(Peers, [&](const auto &Item) {
+    const Peer &P = Item.second;
+    return Now - P.Heard > (P.Leaving ? LoadsKept : ForgottenAfter);
+  });
+  std::erase_if(Candidates, [&](const auto &Item) {
+    return Now - Item.second > CandidateTime;
+  });
+  Quota.setAudibleShare(static_cast<double>(audible(Now)) /
+                            static_cast<double>(known(Now)),
+                        Now);
+}
+
+void PeerBoard::addCandidate(const std::string &Address, TimePoint Now) {
+  Candidates[Address] = Now;
+}
+
+std::vector<std::string> PeerBoard::addresses(TimePoint Now) const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, P] : Peers)
+    Out.push_back(P.Address);
+  for (const auto &[Address, Since] : Candidates)
+    if (Now - Since <= CandidateTime &&
+        std::find(Out.begin(), Out.end(), Address) == Out.end())
+      Out.push_back(Address);
+  return Out;
+}
+
+std::size_t PeerBoard::audible(TimePoint Now) const {
+  std::size_t Count = 1;
+  for (const auto &[Name, P] : Peers)
+    Count += Now - P.Heard < SilentAfter ? 1 : 0;
+  return Count;
+}
+
+std::size_t PeerBoard::known(TimePoint Now) const {
+  std::size_t Count = 1;
+  for (const auto &[Name, P] : Peers)
+    Count += P.Leaving && Now - P.Heard >= SilentAfter ? 0 : 1;
+  return Count;
+}
+
+std::int64_t PeerBoard::waitingTokens(TimePoint Now) const {
+  std::int64_t Sum = 0;
+  for (const auto &[Name, P] : Peers)
+    if (Now - P.Heard < SilentAfter)
+      Sum += P.WaitingTokens;
+  return Sum;
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/retry_window.cpp
@@ -0,0 +1,56 @@
+#include "hyssoprail/routing/retry_window.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Part of the bound that is used; the window that is judged may begin at any
+/// moment and arrivals are later than sends.
+constexpr double Margin = 0.8;
+
+} // namespace
+
+std::int64_t RetryWindow::slotIndex(TimePoint Now) const {
+  const Duration SlotLength = Options.Window / static_cast<int>(SlotCount - 1);
+  return Now.time_since_epoch() / SlotLength;
+}
+
+RetryWindow::Slot &RetryWindow::slot(std::string_view Service, TimePoint Now) {
+  auto Found = Services.find(Service);
+  if (Found == Services.end())
+    Found = Services.emplace(std::string(Service), Slots{}).first;
+  const std::int64_t Index = slotIndex(Now);
+  Slot &S = Found->second[static_cast<std::size_t>(Index) % SlotCount];
+  if (S.Index != Index)
+    S = {Index, 0, 0};
+  return S;
+}
+
+void RetryWindow::request(std::string_view Service, TimePoint Now) {
+  ++slot(Service, Now).Requests;
+}
+
+void RetryWindow::forced(std::string_view Service, TimePoint Now) {
+  ++slot(Service, Now).Retries;
+}
+
+bool RetryWindow::take(std::string_view Service, TimePoint Now) {
+  Slot &Current = slot(Service, Now);
+  const std::int64_t Oldest =
+      slotIndex(Now) - static_cast<std::int64_t>(SlotCount) + 1;
+  double Requests = 0;
+  double Retries = 0;
+  for (const Slot &S : Services.find(Service)->second) {
+    if (S.Index < Oldest)
+      continue;
+    Requests += S.Requests;
+    Retries += S.Retries;
+  }
+  const double Allowed =
+      Margin * (Options.Ratio * Requests + Options.Slack / Entries);
+  if (Retries + 1 > Allowed)
+    return false;
+  ++Current.Retries;
+  return true;
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -0,0 +1,502 @@
+#include "hyssoprail/routing/flow.hpp"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+#include "hyssoprail/core/enum_names.hpp"
+#include "hyssoprail/routing/event_splitter.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// A prefill takes a tenth of a second; after this the engine is taken to hang.
+constexpr milliseconds PrefillPatience{900};
+
+/// Time to the first event after which a stream that may be repeated is taken
+/// elsewhere.
+constexpr milliseconds FirstEventPatience{1'500};
+
+/// Pause after which a stream that may be resumed continues elsewhere. Callers
+/// leave after a gap of two seconds or more.
+constexpr milliseconds EventPatience{1'100};
+
+/// Part of a handle's life that may pass before its use; a send may take the
+/// rest.
+constexpr double HandleUse = 0.9;
+
+constexpr unsigned MaxPrefillSends = 2;
+constexpr unsigned MaxDecodeSends = 4;
+constexpr milliseconds AnswerMargin{20};
+constexpr milliseconds RefusedReturn{400};
+
+/// Shortest patience of a caller without an event, whatever the objectives.
+constexpr milliseconds CallerPatience{2'000};
+constexpr int PatienceInObjectives = 4;
+constexpr int PatienceInGaps = 8;
+
+/// A deadline this much below the route's timeout shows that the caller has
+/// been here before.
+constexpr milliseconds FreshDeadlineSlack{250};
+
+/// Expected length of an answer as a part of the largest, when the caller gave
+/// no estimate.
+constexpr double ExpectedLengthShare = 0.6;
+
+enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
+
+constexpr std::array<EnumName<Phase>, 5> PhaseNames{{
+    {Phase::Waiting, "waiting"},
+    {Phase::Prefilling, "prefilling"},
+    {Phase::Starting, "starting"},
+    {Phase::Streaming, "streaming"},
+    {Phase::Done, "done"},
+}};
+
+/// Course of a generation: wait for engines, prefill, decode, and if the route
+/// allows it, continue at another engine after a failure.
+class StreamFlow : public Flow {
+public:
+  StreamFlow(FlowShared Shared, FlowRequest Request, FlowIo &Io)
+      : Shared(Shared), Request(std::move(Request)), Io(Io) {
+    if (this->Request.Info.Resumes)
+      LastEvent = this->Request.Info.LastEvent;
+  }
+
+  void start(TimePoint Now) override {
+    Shared.Scheduler.submit(need(Now));
+  }
+
+  void onPlaced(const StreamPlace &Place, TimePoint Now) override {
+    HasPlace = true;
+    DecodeEndpoint = Place.Decode;
+    Io.note("place", {{"decode", Place.Decode},
+                      {"prefill", Place.Prefill},
+                      {"waited_ms", Place.Waited},
+                      {"queued", Place.QueueLength}});
+    if (!Io.stillAllowed())
+      return finish(RejectReason::NoKey, {}, Now);
+    if (Place.Prefill.empty())
+      return sendDecode(Now);
+    sendPrefill(Place.Prefill, Now);
+  }
+
+  void onRefused(const StreamRefusal &Refusal, TimePoint Now) override {
+    Io.note("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
+                       {"expected_wait_ms", Refusal.ExpectedWait},
+                       {"queued", Refusal.QueueLength}});
+    if (Started)
+      return breakOff(Now);
+    finish(Ran ? RejectReason::Unknown : RejectReason::NoCapacity,
+           Refusal.RetryAfter, Now);
+  }
+
+  void onAnswer(FlowIo::LegId Leg, LegAnswer Answer, TimePoint Now) override {
+    if (Current == Phase::Done || Leg != Active)
+      return;
+    Active.reset();
+    recordEvidence(Answer, Now);
+    if (Current == Phase::Prefilling)
+      return onPrefillAnswer(std::move(Answer), Now);
+    onDecodeAnswer(std::move(Answer), Now);
+  }
+
+  void onStreamHead(FlowIo::LegId Leg, HttpResponse Head,
+                    TimePoint Now) override {
+    if (Leg != Active || Current != Phase::Starting)
+      return;
+    Ran = true;
+    Source.reset(); // fetched by the engine
+    LastProgress = Now;
+    Current = Phase::Streaming;
+    if (Started)
+      return;
+    Started = true;
+    Io.beginStream(Head);
+  }
+
+  void onStreamData(FlowIo::LegId Leg, std::string_view Data,
+                    TimePoint Now) override {
+    if (Leg != Active || Current != Phase::Streaming)
+      return;
+    Splitter.feed(Data);
+    std::string Ready;
+    while (auto Event = Splitter.next())
+      if (isNew(*Event))
+        Ready += Event->Bytes;
+    if (Ready.empty())
+      return;
+    LastProgress = Now;
+    GotEvent = true;
+    Io.forward(Ready);
+  }
+
+  void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) override {
+    if (Leg != Active || Current != Phase::Streaming)
+      return;
+    Active.reset();
+    const bool Whole = Complete && Splitter.atBoundary() && GotEvent;
+    if (Endpoint *E = Shared.Table.find(DecodeEndpoint))
+      E->Health.record(Whole ? Evidence::Success : Evidence::Broken, Now);
+    if (Whole) {
+      Io.finishStream();
+      return end(Now);
+    }
+    continueElsewhere("broken", Now);
+  }
+
+  void onTimer(TimePoint Now) override {
+    if (Current == Phase::Done)
+      return;
+    if (Now >= lastMoment())
+      return timeIsOver(Now);
+    if (!Active || Now < patienceEnd())
+      return;
+    Io.note("impatient", {{"phase", enumName(PhaseNames, Current)},
+                          {"endpoint", currentEndpoint()}});
+    if (Endpoint *E = Shared.Table.find(currentEndpoint()))
+      E->Health.record(Evidence::Broken, Now);
+    stopLeg();
+    if (Current == Phase::Prefilling)
+      return prefillElsewhere(true, Now);
+    continueElsewhere("silent", Now);
+  }
+
+  void onCallerGone(TimePoint Now) override {
+    if (Current == Phase::Done)
+      return;
+    Shared.Scheduler.cancel(Request.Key);
+    stopLeg();
+    end(Now);
+  }
+
+  TimePoint nextDeadline() const override {
+    return Active ? std::min(lastMoment(), patienceEnd()) : lastMoment();
+  }
+
+  bool done() const override { return Current == Phase::Done; }
+  bool mayHaveRun() const override { return Ran; }
+
+private:
+  bool mayRepeat() const { return Request.Route.Resumable; }
+
+  TimePoint lastMoment() const { return Request.AnswerBy - AnswerMargin; }
+
+  StreamNeed need(TimePoint Now) const {
+    StreamNeed N;
+    N.Id = Request.Key;
+    N.Service = Request.Service;
+    N.Account = Request.Account;
+    N.Priority = Request.Priority;
+    const TokenCounts Tokens = Request.Info.Tokens.value_or(TokenCounts{});
+    N.PromptTokens = Tokens.Prompt;
+    N.OutputTokens = expectedOutput(Tokens);
+    N.Arrival = Request.Arrival;
+    N.OnTimeUntil = Request.Arrival + Request.Route.Objective;
+    N.TimeLeft = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
+                                                          Request.Arrival);
+    N.Returning = Request.Info.Deadline > milliseconds(0) &&
+                  Request.Info.Deadline + FreshDeadlineSlack <
+                      Request.Route.Timeout;
+    const milliseconds Patience =
+        std::max({CallerPatience,
+                  Request.Route.Objective * PatienceInObjectives,
+                  Request.Route.GapObjective * PatienceInGaps});
+    N.GiveUpAt = std::min(Now + Patience, lastMoment());
+    return N;
+  }
+
+  std::uint32_t expectedOutput(const TokenCounts &Tokens) const {
+    if (Request.Info.OutputHint > 0)
+      return std::min(Tokens.MaxOutput, Request.Info.OutputHint);
+    return static_cast<std::uint32_t>(Tokens.MaxOutput * ExpectedLengthShare);
+  }
+
+  bool isNew(const StreamEvent &Event) {
+    if (!Event.Id)
+      return true;
+    if (LastEvent && *Event.Id <= *LastEvent)
+      return false;
+    LastEvent = Event.Id;
+    return true;
+  }
+
+  LegRequest leg(LegKind Kind, const Endpoint &E, TimePoint Now) const {
+    LegRequest Out;
+    Out.Kind = Kind;
+    Out.EndpointId = E.Record.Id;
+    Out.Address = E.Record.Address;
+    Out.Deadline =
+        std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
+    return Out;
+  }
+
+  void sendPrefill(const std::string &EndpointId, TimePoint Now) {
+    Endpoint *E = Shared.Table.find(EndpointId);
+    if (!E)
+      return prefillElsewhere(false, Now);
+    Current = Phase::Prefilling;
+    PrefillEndpoint = EndpointId;
+    LastProgress = Now;
+    LegRequest Leg = leg(LegKind::Prefill, *E, Now);
+    Leg.Repeat = PrefillSends++ > 0;
+    Shared.Table.sent(EndpointId, Now);
+    Active = Io.startLeg(Leg);
+  }
+
+  void onPrefillAnswer(LegAnswer Answer, TimePoint Now) {
+    if (Answer.Outcome == LegOutcome::Answered && !Answer.Handle.empty()) {
+      if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
+        Source = KvSource{E->Record.Address, Answer.Handle};
+      SourceSince = Now;
+      Shared.Scheduler.prefillEnded(Request.Key);
+      return sendDecode(Now);
+    }
+    prefillElsewhere(Answer.Outcome != LegOutcome::NotSent, Now);
+  }
+
+  /// The prompt could not be read at one engine: another one, or the decode
+  /// engine itself.
+  void prefillElsewhere(bool Counts, TimePoint Now) {
+    const std::string Next =
+        PrefillSends < MaxPrefillSends &&
+                (!Counts || Shared.Retries.take(Request.Service, Now))
+            ? Shared.Scheduler.replacePrefill(Request.Key, Now)
+            : "";
+    if (!Next.empty())
+      return sendPrefill(Next, Now);
+    Shared.Scheduler.prefillEnded(Request.Key);
+    sendDecode(Now);
+  }
+
+  void sendDecode(TimePoint Now) {
+    if (!Io.stillAllowed())
+      return finish(RejectReason::NoKey, {}, Now);
+    Endpoint *E = Shared.Table.find(DecodeEndpoint);
+    if (!E || !Shared.Table.mayStart(*E, Now)) {
+      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+      E = Shared.Table.find(DecodeEndpoint);
+    }
+    if (!E)
+      return noDecodeEngine(Now);
+    Current = Phase::Starting;
+    Splitter = {};
+    GotEvent = false;
+    LastProgress = Now;
+    LegRequest Leg = leg(LegKind::Decode, *E, Now);
+    if (Source && Now < sourceExpiry())
+      Leg.Source = Source;
+    if (LastEvent)
+      Leg.ResumeAfter = LastEvent;
+    Leg.Repeat = DecodeSends++ > 0;
+    Shared.Table.sent(DecodeEndpoint, Now);
+    Active = Io.startLeg(Leg);
+  }
+
+  TimePoint sourceExpiry() const {
+    return SourceSince + std::chrono::duration_cast<Duration>(
+                             Request.HandleRetention * HandleUse);
+  }
+
+  /// The reserved engine is gone and no other has room: back to the queue.
+  void noDecodeEngine(TimePoint Now) {
+    if (DecodeSends >= MaxDecodeSends) {
+      if (Started)
+        return breakOff(Now);
+      return finish(Ran ? RejectReason::Unknown : RejectReason::NotRun,
+                    RefusedReturn, Now);
+    }
+    Io.note("requeue", {{"reason", "no_decode_engine"}});
+    releasePlace(Now);
+    Current = Phase::Waiting;
+    StreamNeed N = need(Request.Arrival);
+    N.DecodeOnly = Started;
+    N.Returning = true;
+    if (Started)
+      N.GiveUpAt = std::min(LastProgress + CallerPatience, lastMoment());
+    Shared.Scheduler.submit(N);
+  }
+
+  void onDecodeAnswer(LegAnswer Answer, TimePoint Now) {
+    switch (Answer.Outcome) {
+    case LegOutcome::NotSent:
+      return decodeAgain(true, false, Now);
+    case LegOutcome::NotRun:
+      return onDecodeRefused(Now);
+    case LegOutcome::Answered:
+      Ran = true;
+      if (mayRepeat() && Answer.Response.Status >= 500)
+        return continueElsewhere("failed", Now);
+      if (Started)
+        return breakOff(Now);
+      Io.respond(Answer.Response);
+      return end(Now);
+    case LegOutcome::Broken:
+    case LegOutcome::TimedOut:
+      Ran = true;
+      return continueElsewhere(legOutcomeName(Answer.Outcome), Now);
+    }
+  }
+
+  /// Not run: the engine is full, or the KV cache is gone. With a cache the
+  /// same engine can still read the prompt itself.
+  void onDecodeRefused(TimePoint Now) {
+    const bool HadSource = Source.has_value();
+    dropSource();
+    decodeAgain(!HadSource, true, Now);
+  }
+
+  void decodeAgain(bool OtherEngine, bool Counts, TimePoint Now) {
+    if (DecodeSends >= MaxDecodeSends ||
+        (Counts && !Shared.Retries.take(Request.Service, Now))) {
+      if (Started)
+        return breakOff(Now);
+      return finish(Ran ? RejectReason::Unknown : RejectReason::NotRun,
+                    RefusedReturn, Now);
+    }
+    if (OtherEngine)
+      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+    sendDecode(Now);
+  }
+
+  /// The run ended without its last event. Only a stream that may be resumed
+  /// goes on, after the last event the caller has.
+  void continueElsewhere(std::string_view Why, TimePoint Now) {
+    ++Runs;
+    const bool Allowed = mayRepeat() && Runs < Request.Route.MaxAttempts &&
+                         DecodeSends < MaxDecodeSends &&
+                         Shared.Retries.take(Request.Service, Now);
+    Io.note("continue", {{"why", Why},
+                         {"allowed", Allowed},
+                         {"last_event", LastEvent.value_or(0)},
+                         {"runs", Runs}});
+    if (!Allowed) {
+      if (Started)
+        return breakOff(Now);
+      return finish(RejectReason::Unknown, {}, Now);
+    }
+    dropSource();
+    DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+    sendDecode(Now);
+  }
+
+  void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
+    Endpoint *E = Shared.Table.find(currentEndpoint());
+    if (!E)
+      return;
+    switch (Answer.Outcome) {
+    case LegOutcome::NotSent:
+      return E->Health.record(Evidence::Unreachable, Now);
+    case LegOutcome::NotRun:
+      // A refused KV cache says nothing about the decode engine.
+      if (Answer.OtherOwner)
+        return E->Health.record(Evidence::WrongOwner, Now);
+      if (!Source)
+        E->Health.record(Evidence::Refused, Now);
+      return;
+    case LegOutcome::Answered:
+      return E->Health.record(Answer.Response.Status >= 500
+                                  ? Evidence::AppError
+                                  : Evidence::Success,
+                              Now);
+    case LegOutcome::Broken:
+    case LegOutcome::TimedOut:
+      return E->Health.record(Evidence::Broken, Now);
+    }
+  }
+
+  const std::string &currentEndpoint() const {
+    return Current == Phase::Prefilling ? PrefillEndpoint : DecodeEndpoint;
+  }
+
+  TimePoint patienceEnd() const {
+    switch (Current) {
+    case Phase::Prefilling:
+      return LastProgress + PrefillPatience;
+    case Phase::Starting:
+      return mayRepeat() ? LastProgress + FirstEventPatience : TimePoint::max();
+    case Phase::Streaming:
+      return mayRepeat()
+                 ? LastProgress + (GotEvent ? EventPatience : FirstEventPatience)
+                 : TimePoint::max();
+    case Phase::Waiting:
+    case Phase::Done:
+      break;
+    }
+    return TimePoint::max();
+  }
+
+  void timeIsOver(TimePoint Now) {
+    const bool Unsure = Ran || Current == Phase::Starting;
+    stopLeg();
+    Shared.Scheduler.cancel(Request.Key);
+    if (Started)
+      return breakOff(Now);
+    finish(Unsure ? RejectReason::TimedOut : RejectReason::NotRunInTime, {},
+           Now);
+  }
+
+  void stopLeg() {
+    if (Active)
+      Io.cancelLeg(*Active);
+    Active.reset();
+  }
+
+  void dropSource() {
+    if (Source)
+      Io.dropHandle(*Source);
+    Source.reset();
+  }
+
+  void releasePlace(TimePoint Now) {
+    if (HasPlace)
+      Shared.Scheduler.release(Request.Key, Now);
+    HasPlace = false;
+  }
+
+  void end(TimePoint Now) {
+    dropSource();
+    releasePlace(Now);
+    Current = Phase::Done;
+  }
+
+  void breakOff(TimePoint Now) {
+    end(Now);
+    Io.abort();
+  }
+
+  void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
+    end(Now);
+    Io.reject(Reason, RetryAfter);
+  }
+
+  FlowShared Shared;
+  FlowRequest Request;
+  FlowIo &Io;
+  Phase Current = Phase::Waiting;
+  std::optional<FlowIo::LegId> Active;
+  std::string PrefillEndpoint;
+  std::string DecodeEndpoint;
+  bool HasPlace = false;
+  std::optional<KvSource> Source;
+  TimePoint SourceSince{};
+  EventSplitter Splitter;
+  std::optional<std::uint64_t> LastEvent;
+  TimePoint LastProgress{};
+  unsigned PrefillSends = 0;
+  unsigned DecodeSends = 0;
+  unsigned Runs = 0; ///< engines that ran it, or may have, and stopped
+  bool GotEvent = false;
+  bool Started = false; ///< the caller has the head of the answer
+  bool Ran = false;
+};
+
+} // namespace
+
+std::unique_ptr<Flow> makeStreamFlow(FlowShared Shared, FlowRequest Request,
+                                     FlowIo &Io) {
+  return std::make_unique<StreamFlow>(std::move(Shared), std::move(Request),
+                                      Io);
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -0,0 +1,323 @@
+#include "hyssoprail/routing/stream_scheduler.hpp"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <numeric>
+#include <tuple>
+
+#include "hyssoprail/core/enum_names.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+constexpr std::uint32_t BlockTokens = 16;
+
+/// From placement to the first event: prefill, transfer and the first step.
+constexpr milliseconds TimeToFirstEvent{250};
+
+/// A request whose caller leaves sooner than this cannot be served any more.
+constexpr milliseconds LatestStart{400};
+
+/// Callers honour a time to return up to this part of the time they have left.
+constexpr double HonouredPart = 1.0 / 3;
+constexpr milliseconds ShortestReturn{250};
+
+constexpr double RunTimeSmoothing = 0.1;
+
+/// Extra cost of a decode engine in another zone, as a part of its memory.
+constexpr double OtherZoneCost = 0.12;
+constexpr double FailureCost = 1.0;
+
+/// Prompt tokens that the shorter way to a decode engine in the same zone is
+/// worth; between zones a KV cache takes twice as long.
+constexpr std::int64_t OtherZonePrefillCost = 2'500;
+
+constexpr std::array<EnumName<StreamRefusalReason>, 4> RefusalNames{{
+    {StreamRefusalReason::NoEngine, "no_engine"},
+    {StreamRefusalReason::TooLarge, "too_large"},
+    {StreamRefusalReason::QueueTooLong, "queue_too_long"},
+    {StreamRefusalReason::WaitedTooLong, "waited_too_long"},
+}};
+
+std::int64_t memoryNeed(const StreamNeed &Need) {
+  const std::int64_t Tokens =
+      std::int64_t{Need.PromptTokens} + Need.OutputTokens;
+  return (Tokens + BlockTokens - 1) / BlockTokens * BlockTokens;
+}
+
+EndpointLoad decodeLoad(const StreamNeed &Need) {
+  return {1, memoryNeed(Need), 0};
+}
+
+EndpointLoad prefillLoad(const StreamNeed &Need) {
+  return {1, 0, Need.PromptTokens};
+}
+
+double seconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+Duration fromSeconds(double S) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(S));
+}
+
+} // namespace
+
+std::string_view streamRefusalName(StreamRefusalReason Reason) {
+  return enumName(RefusalNames, Reason);
+}
+
+void StreamScheduler::setPeers(std::size_t Count, std::int64_t WaitingTokens) {
+  Entries = std::max<std::size_t>(1, Count);
+  PeersWaiting = WaitingTokens;
+}
+
+void StreamScheduler::submit(StreamNeed Need) {
+  Waiting.push_back(std::move(Need));
+}
+
+void StreamScheduler::cancel(std::string_view Id) {
+  std::erase_if(Waiting, [&](const StreamNeed &N) { return N.Id == Id; });
+}
+
+std::int64_t StreamScheduler::waitingTokens() const {
+  std::int64_t Sum = 0;
+  for (const StreamNeed &N : Waiting)
+    Sum += memoryNeed(N);
+  return Sum;
+}
+
+TimePoint StreamScheduler::nextDeadline() const {
+  TimePoint Next = TimePoint::max();
+  for (const StreamNeed &N : Waiting)
+    Next = std::min(Next, N.GiveUpAt - LatestStart);
+  return Next;
+}
+
+double StreamScheduler::accountLoad(const std::string &Account) const {
+  std::int64_t Tokens = 0;
+  for (const auto &[Id, P] : Running)
+    if (P.Need.Account == Account)
+      Tokens += memoryNeed(P.Need);
+  const auto Policy = Config->Accounts.find(Account);
+  const double Rate =
+      Policy == Config->Accounts.end() ? 0 : Policy->second.RatePerSecond;
+  return static_cast<double>(Tokens) / std::max(1.0, Rate);
+}
+
+/// Order of service: urgent ranks first; within a rank those who came back,
+/// then those that can still be on time, then the account with the least
+/// running work for its rate, then the earliest.
+std::vector<std::size_t> StreamScheduler::serviceOrder(TimePoint Now) const {
+  using Key = std::tuple<int, bool, bool, double, TimePoint>;
+  std::map<std::string, double> AccountLoads;
+  std::vector<Key> Keys;
+  Keys.reserve(Waiting.size());
+  for (const StreamNeed &N : Waiting) {
+    const auto [Load, New] = AccountLoads.try_emplace(N.Account, 0);
+    if (New)
+      Load->second = accountLoad(N.Account);
+    const bool Late = Now + TimeToFirstEvent > N.OnTimeUntil;
+    Keys.emplace_back(N.Priority, !N.Returning, Late, Load->second, N.Arrival);
+  }
+  std::vector<std::size_t> Order(Waiting.size());
+  std::iota(Order.begin(), Order.end(), 0U);
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return Keys[A] < Keys[B];
+  });
+  return Order;
+}
+
+std::vector<StreamDecision> StreamScheduler::poll(TimePoint Now) {
+  std::vector<StreamDecision> Out;
+  if (Waiting.empty() || !Config)
+    return Out;
+  std::vector<bool> Done(Waiting.size(), false);
+  for (const std::size_t I : serviceOrder(Now))
+    Done[I] = consider(Waiting[I], Now, Out) != Verdict::Waits;
+  std::size_t Index = 0;
+  std::erase_if(Waiting, [&](const StreamNeed &) { return Done[Index++]; });
+  return Out;
+}
+
+StreamScheduler::Verdict
+StreamScheduler::consider(const StreamNeed &Need, TimePoint Now,
+                          std::vector<StreamDecision> &Out) {
+  if (memoryNeed(Need) > memoryBound(Need)) {
+    Out.push_back(refusal(Need, StreamRefusalReason::TooLarge, {}, Now));
+    return Verdict::Refused;
+  }
+  if (Endpoint *Decode = chooseDecode(Need, Now)) {
+    Endpoint *Prefill = nullptr;
+    if (Options.UsePrefillEngines && !Need.DecodeOnly)
+      Prefill = choosePrefill(Need, Decode->Record.Zone, Now);
+    Placed P{Need, Decode->Record.Id, Prefill ? Prefill->Record.Id : "", Now};
+    Table.reserve(P.Decode, decodeLoad(Need));
+    if (Prefill)
+      Table.reserve(P.Prefill, prefillLoad(Need));
+    Out.push_back(StreamPlace{Need.Id, P.Decode, P.Prefill, Now - Need.Arrival,
+                              Waiting.size()});
+    Running[Need.Id] = std::move(P);
+    return Verdict::Placed;
+  }
+  if (Now + LatestStart >= Need.GiveUpAt) {
+    Out.push_back(refusal(Need, StreamRefusalReason::WaitedTooLong,
+                          expectedWait(Need, Now), Now));
+    return Verdict::Refused;
+  }
+  const Duration Wait = expectedWait(Need, Now);
+  if (Now + Wait + LatestStart < Need.GiveUpAt)
+    return Verdict::Waits;
+  // Those who came back have no further try, so they wait as long as they can.
+  if (Need.Returning)
+    return Verdict::Waits;
+  Out.push_back(refusal(Need, StreamRefusalReason::QueueTooLong, Wait, Now));
+  return Verdict::Refused;
+}
+
+StreamRefusal StreamScheduler::refusal(const StreamNeed &Need,
+                                       StreamRefusalReason Reason,
+                                       Duration ExpectedWait,
+                                       TimePoint Now) const {
+  const Duration Left =
+      std::max<Duration>(Need.Arrival + Need.TimeLeft - Now, Duration{0});
+  const Duration Longest = fromSeconds(seconds(Left) * HonouredPart);
+  const Duration Return = std::clamp<Duration>(
+      ExpectedWait, std::min<Duration>(ShortestReturn, Longest), Longest);
+  return {Need.Id, Reason,
+          std::chrono::duration_cast<milliseconds>(Return), ExpectedWait,
+          Waiting.size()};
+}
+
+std::int64_t StreamScheduler::memoryBound(const StreamNeed &Need) const {
+  const ServicePolicy *Service = Config->service(Need.Service);
+  if (!Service || !Service->Engine)
+    return std::numeric_limits<std::int64_t>::max();
+  return static_cast<std::int64_t>(Service->Engine->KvTokens *
+                                   Options.MemoryShare);
+}
+
+Endpoint *StreamScheduler::chooseDecode(const StreamNeed &Need, TimePoint Now) {
+  const std::int64_t Bound = memoryBound(Need);
+  Endpoint *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::max();
+  for (Endpoint *E : Table.usable(Need.Service, Now)) {
+    if (E->Record.Stage == EngineStage::Prefill || E->Record.Id == Need.Avoid)
+      continue;
+    const EndpointLoad Load = E->total();
+    if (Load.Tokens + memoryNeed(Need) > Bound ||
+        Load.Runs >= static_cast<std::int32_t>(E->Record.Slots))
+      continue;
+    double Cost = static_cast<double>(Load.Tokens) / static_cast<double>(Bound);
+    if (E->Record.Zone != Options.Zone)
+      Cost += OtherZoneCost;
+    Cost += FailureCost * E->Health.failureShare();
+    if (Cost >= BestCost)
+      continue;
+    Best = E;
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+Endpoint *StreamScheduler::choosePrefill(const StreamNeed &Need,
+                                         std::string_view Zone,
+                                         TimePoint Now) {
+  Endpoint *Best = nullptr;
+  std::int64_t BestCost = std::numeric_limits<std::int64_t>::max();
+  for (Endpoint *E : Table.usable(Need.Service, Now)) {
+    if (E->Record.Stage != EngineStage::Prefill || E->Record.Id == Need.Avoid)
+      continue;
+    const std::int64_t Backlog = E->total().PrefillTokens;
+    if (Backlog > Options.PrefillBacklog)
+      continue;
+    const std::int64_t Cost =
+        Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
+        static_cast<std::int64_t>(E->Health.failureShare() * 10'000);
+    if (Cost >= BestCost)
+      continue;
+    Best = E;
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+/// Time until the memory for which others wait has been freed, if engines free
+/// it evenly over the mean time that a generation runs.
+Duration StreamScheduler::expectedWait(const StreamNeed &Need, TimePoint Now) {
+  std::int64_t Capacity = 0;
+  std::int64_t Used = 0;
+  const std::int64_t Bound = memoryBound(Need);
+  for (Endpoint *E : Table.usable(Need.Service, Now)) {
+    if (E->Record.Stage == EngineStage::Prefill)
+      continue;
+    Capacity += Bound;
+    Used += E->total().Tokens;
+  }
+  if (Capacity == 0)
+    return Need.GiveUpAt - Now;
+  std::int64_t Ahead = memoryNeed(Need) + PeersWaiting;
+  for (const StreamNeed &N : Waiting)
+    if (N.Arrival < Need.Arrival)
+      Ahead += memoryNeed(N);
+  const std::int64_t Missing = Ahead - std::max<std::int64_t>(0, Capacity - Used);
+  if (Missing <= 0)
+    return Duration{0};
+  const double FreedPerSecond = static_cast<double>(Capacity) / MeanRunSeconds;
+  return fromSeconds(static_cast<double>(Missing) / FreedPerSecond);
+}
+
+void StreamScheduler::release(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return;
+  prefillEnded(Id);
+  Placed &P = It->second;
+  Table.release(P.Decode, decodeLoad(P.Need));
+  MeanRunSeconds +=
+      RunTimeSmoothing * (seconds(Now - P.Since) - MeanRunSeconds);
+  Running.erase(It);
+}
+
+void StreamScheduler::prefillEnded(std::string_view Id) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || It->second.Prefill.empty())
+    return;
+  Table.release(It->second.Prefill, prefillLoad(It->second.Need));
+  It->second.Prefill.clear();
+}
+
+std::string StreamScheduler::replacePrefill(std::string_view Id,
+                                            TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return {};
+  Placed &P = It->second;
+  P.Need.Avoid = P.Prefill;
+  prefillEnded(Id);
+  const Endpoint *Decode = Table.find(P.Decode);
+  Endpoint *Next = choosePrefill(
+      P.Need, Decode ? Decode->Record.Zone : Options.Zone, Now);
+  if (!Next)
+    return {};
+  P.Prefill = Next->Record.Id;
+  Table.reserve(P.Prefill, prefillLoad(P.Need));
+  return P.Prefill;
+}
+
+std::string StreamScheduler::replaceDecode(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return {};
+  Placed &P = It->second;
+  Table.release(P.Decode, decodeLoad(P.Need));
+  P.Need.Avoid = P.Decode;
+  Endpoint *Next = chooseDecode(P.Need, Now);
+  P.Decode = Next ? Next->Record.Id : "";
+  if (Next)
+    Table.reserve(P.Decode, decodeLoad(P.Need));
+  return P.Decode;
+}
+
+} // namespace hyssoprail::routing
