Quota: nominal bucket plus a small allowance for late reports

Kept: 0.05, which covers the tokens granted elsewhere between two reports. Also: new buckets begin with the tolerance used up, and a caller counts as returning only below 0.84 of the route's timeout, as first deadlines spread down to 0.85 of it.

--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -28,6 +28,7 @@
   std::string Service;
   std::string Account; ///< empty: none
   int Priority = 0;
+  bool BeyondQuota = false; ///< uses the tolerance of its account's quota
   TimePoint Arrival{};
   milliseconds HandleRetention{500}; ///< life of a KV cache nobody fetched
   TimePoint AnswerBy{}; ///< the route's timeout or the caller's deadline
--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -12,9 +12,17 @@
 
 namespace hyssoprail::routing {
 
+/// How far grants may go beyond the quota. Requests that use the tolerance run
+/// only on capacity that nobody within a quota waits for.
+struct QuotaTolerance {
+  double Share = 0;  ///< of rate and burst
+  double Tokens = 0; ///< besides, once
+};
+
 /// Result of a debit.
 struct QuotaDecision {
   bool Granted = false;
+  bool BeyondQuota = false; ///< granted from the tolerance
   double Debt = 0;      ///< tokens granted and not yet refilled, over all entries
   double Burst = 0;     ///< largest debt that is allowed
   Duration RetryAfter{}; ///< time until the tokens could be granted
@@ -27,9 +35,7 @@
 /// several times its quota through all entries.
 class SharedQuota {
 public:
-  /// \p Slack tokens above the burst are granted, as reports are late and
-  /// refusals below the quota harm callers.
-  explicit SharedQuota(double Slack) : Slack(Slack) {}
+  explicit SharedQuota(QuotaTolerance Tolerance) : Tolerance(Tolerance) {}
 
   void configure(const FleetConfig &Config, TimePoint Now);
 
@@ -53,7 +59,8 @@
   struct Bucket {
     double Rate = 0;
     double Burst = 0;
-    double Debt = 0;
+    double Debt = 0;       ///< against the quota with its tolerance
+    double QuotaDebt = 0;  ///< against the quota alone
     double Granted = 0;
     TimePoint Settled{};
   };
@@ -64,8 +71,11 @@
   };
 
   void settle(Bucket &B, TimePoint Now) const;
+  static void charge(Bucket &B, double Tokens);
+  double refillRate(const Bucket &B) const;
+  double largestDebt(const Bucket &B) const;
 
-  double Slack;
+  QuotaTolerance Tolerance;
   double AudibleShare = 1;
   std::map<std::string, Bucket, std::less<>> Buckets;
   std::map<std::pair<std::string, std::string>, PeerTotal> PeerTotals;
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -26,6 +26,7 @@
   TimePoint OnTimeUntil{}; ///< the first event is late after this
   TimePoint GiveUpAt{};    ///< the caller leaves without a first event
   milliseconds TimeLeft{0}; ///< the caller's whole patience, at arrival
+  bool BeyondQuota = false; ///< runs only if nobody within a quota waits
   bool Returning = false;  ///< came back after an earlier rejection
   std::string Avoid;       ///< endpoint that just failed the request
   bool DecodeOnly = false; ///< continues a stream; no prefill engine
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -36,9 +36,10 @@
 /// Part of the bound of a cold endpoint that is used.
 constexpr double ColdBoundShare = 0.9;
 
-/// Part of the quota's slack that is granted: other entries' grants are seen
-/// late.
-constexpr double QuotaSlackShare = 0.2;
+/// Parts of the quota's tolerance that are granted: other entries' grants are
+/// seen late, and unseen while the entries are parted.
+constexpr double QuotaOverageShare = 0;
+constexpr double QuotaSlackShare = 0.05;
 
 constexpr milliseconds NoConfigurationReturn{400};
 constexpr milliseconds ShortestQuotaReturn{100};
@@ -55,7 +56,8 @@
     : Context(Context), Settings(std::move(Settings)), Time(Time),
       Protocol(Protocol), Feed(Feed), Log(Log), Random(systemSeed()),
       Incarnation(Random.identifier()), StartedAt(Time.now()),
-      Quota(this->Settings.QuotaSlackTokens * QuotaSlackShare),
+      Quota({this->Settings.QuotaOverage * QuotaOverageShare,
+             this->Settings.QuotaSlackTokens * QuotaSlackShare}),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
                this->Settings.RetryWindow}),
       Scheduler({.Zone = this->Settings.Zone,
@@ -221,6 +223,7 @@
   if (!Account && Config->requiresKeys() && !Route.Anonymous)
     return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
   double Tokens = 0;
+  bool BeyondQuota = false;
   if (Account) {
     Tokens = Info.Tokens ? double(Info.Tokens->Prompt) + Info.Tokens->MaxOutput
                          : Account->PlainTokens;
@@ -238,8 +241,11 @@
           std::max(ShortestQuotaReturn,
                    std::chrono::duration_cast<milliseconds>(D.RetryAfter)));
     }
+    BeyondQuota = D.BeyondQuota;
   }
-  startSession(Caller, flowRequest(std::move(Info), Route, Account), Tokens);
+  FlowRequest Request = flowRequest(std::move(Info), Route, Account);
+  Request.BeyondQuota = BeyondQuota;
+  startSession(Caller, std::move(Request), Tokens);
 }
 
 FlowRequest GatewayRuntime::flowRequest(RequestInfo Info,
@@ -274,6 +280,7 @@
              {"service", Request.Service},
              {"deadline_ms", Request.Info.Deadline},
              {"tokens", QuotaTokens},
+             {"beyond_quota", Request.BeyondQuota},
              {"version", Config->Version},
              {"version_age_ms", Time.now() - ConfigSince}});
   Retries.request(Request.Service, Time.now());
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -47,6 +47,7 @@
   read(In, "retry_ratio", Out.RetryRatio);
   read(In, "retry_slack", Out.RetrySlack);
   readSeconds(In, "retry_window_s", Out.RetryWindow);
+  read(In, "quota_overage", Out.QuotaOverage);
   read(In, "quota_slack_tokens", Out.QuotaSlackTokens);
   read(In, "cold_overage", Out.ColdOverage);
   read(In, "cold_slack", Out.ColdSlack);
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -24,7 +24,8 @@
   double RetryRatio = 0.2;
   double RetrySlack = 50;
   milliseconds RetryWindow{10'000};
-  double QuotaSlackTokens = 0;
+  double QuotaOverage = 0; ///< tolerated above the quota, as a share of it
+  double QuotaSlackTokens = 0; ///< tolerated besides
   double ColdOverage = 1;
   double ColdSlack = 0;
   bool UsePrefillEngines = true;
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -12,15 +12,28 @@
 
 } // namespace
 
+double SharedQuota::refillRate(const Bucket &B) const {
+  return B.Rate * (1 + Tolerance.Share) * AudibleShare;
+}
+
+double SharedQuota::largestDebt(const Bucket &B) const {
+  return B.Burst * (1 + Tolerance.Share) + Tolerance.Tokens;
+}
+
+/// A new bucket begins with its tolerance used up: after a loss of all entries
+/// nobody knows what was granted just before.
 void SharedQuota::configure(const FleetConfig &Config, TimePoint Now) {
   for (auto &[Name, B] : Buckets)
     settle(B, Now);
   for (const auto &[Name, Account] : Config.Accounts) {
-    Bucket &B = Buckets[Name];
-    if (B.Settled == TimePoint{})
-      B.Settled = Now;
+    const auto [It, New] = Buckets.try_emplace(Name);
+    Bucket &B = It->second;
     B.Rate = Account.RatePerSecond;
     B.Burst = Account.Burst;
+    if (!New)
+      continue;
+    B.Settled = Now;
+    B.Debt = Tolerance.Tokens;
   }
 }
 
@@ -35,28 +48,34 @@
 void SharedQuota::settle(Bucket &B, TimePoint Now) const {
   if (Now <= B.Settled)
     return;
-  const double Refill = B.Rate * AudibleShare * seconds(Now - B.Settled);
-  B.Debt = std::max(0.0, B.Debt - Refill);
+  const double Elapsed = seconds(Now - B.Settled);
+  B.Debt = std::max(0.0, B.Debt - refillRate(B) * Elapsed);
+  B.QuotaDebt = std::max(0.0, B.QuotaDebt - B.Rate * Elapsed);
   B.Settled = Now;
 }
 
+void SharedQuota::charge(Bucket &B, double Tokens) {
+  B.Debt = std::max(0.0, B.Debt + Tokens);
+  B.QuotaDebt = std::max(0.0, B.QuotaDebt + Tokens);
+}
+
 QuotaDecision SharedQuota::take(std::string_view Account, double Tokens,
                                 TimePoint Now) {
   const auto Found = Buckets.find(Account);
   if (Found == Buckets.end() || Found->second.Rate <= 0)
-    return {true, 0, 0, {}};
+    return {true, false, 0, 0, {}};
   Bucket &B = Found->second;
   settle(B, Now);
-  const double Room = B.Burst + Slack - B.Debt;
-  if (Tokens > Room && B.Debt > 0) {
-    const double Wait = (Tokens - Room) / (B.Rate * AudibleShare);
-    return {false, B.Debt, B.Burst,
-            std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(Wait))};
+  const double Missing = B.Debt + Tokens - largestDebt(B);
+  if (Missing > 0 && B.Debt > 0) {
+    const std::chrono::duration<double> Wait(Missing / refillRate(B));
+    return {false, false, B.Debt, largestDebt(B),
+            std::chrono::duration_cast<Duration>(Wait)};
   }
-  B.Debt += Tokens;
+  const bool Beyond = B.QuotaDebt + Tokens > B.Burst;
+  charge(B, Tokens);
   B.Granted += Tokens;
-  return {true, B.Debt, B.Burst, {}};
+  return {true, Beyond, B.Debt, largestDebt(B), {}};
 }
 
 void SharedQuota::giveBack(std::string_view Account, double Tokens,
@@ -65,7 +84,7 @@
   if (Found == Buckets.end())
     return;
   settle(Found->second, Now);
-  Found->second.Debt = std::max(0.0, Found->second.Debt - Tokens);
+  charge(Found->second, -Tokens);
   Found->second.Granted -= Tokens;
 }
 
@@ -90,7 +109,7 @@
   if (Found == Buckets.end())
     return;
   settle(Found->second, Now);
-  Found->second.Debt = std::max(0.0, Found->second.Debt + Change);
+  charge(Found->second, Change);
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -35,9 +35,9 @@
 constexpr int PatienceInObjectives = 4;
 constexpr int PatienceInGaps = 8;
 
-/// A deadline this much below the route's timeout shows that the caller has
-/// been here before.
-constexpr milliseconds FreshDeadlineSlack{250};
+/// Callers begin with most of the route's timeout as their deadline; one with
+/// less has been here before.
+constexpr double FreshDeadlineShare = 0.84;
 
 /// Expected length of an answer as a part of the largest, when the caller gave
 /// no estimate.
@@ -188,6 +188,7 @@
     N.Service = Request.Service;
     N.Account = Request.Account;
     N.Priority = Request.Priority;
+    N.BeyondQuota = Request.BeyondQuota;
     const TokenCounts Tokens = Request.Info.Tokens.value_or(TokenCounts{});
     N.PromptTokens = Tokens.Prompt;
     N.OutputTokens = expectedOutput(Tokens);
@@ -196,8 +197,8 @@
     N.TimeLeft = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
                                                           Request.Arrival);
     N.Returning = Request.Info.Deadline > milliseconds(0) &&
-                  Request.Info.Deadline + FreshDeadlineSlack <
-                      Request.Route.Timeout;
+                  Request.Info.Deadline < Request.Route.Timeout *
+                                              FreshDeadlineShare;
     const milliseconds Patience =
         std::max({CallerPatience,
                   Request.Route.Objective * PatienceInObjectives,
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -106,11 +106,11 @@
   return static_cast<double>(Tokens) / std::max(1.0, Rate);
 }
 
-/// Order of service: urgent ranks first; within a rank those who came back,
-/// then those that can still be on time, then the account with the least
+/// Order of service: urgent ranks first; within a rank those within their
+/// quota, then those who came back, then those that can still be on time, then the account with the least
 /// running work for its rate, then the earliest.
 std::vector<std::size_t> StreamScheduler::serviceOrder(TimePoint Now) const {
-  using Key = std::tuple<int, bool, bool, double, TimePoint>;
+  using Key = std::tuple<int, bool, bool, bool, double, TimePoint>;
   std::map<std::string, double> AccountLoads;
   std::vector<Key> Keys;
   Keys.reserve(Waiting.size());
@@ -119,7 +119,8 @@
     if (New)
       Load->second = accountLoad(N.Account);
     const bool Late = Now + TimeToFirstEvent > N.OnTimeUntil;
-    Keys.emplace_back(N.Priority, !N.Returning, Late, Load->second, N.Arrival);
+    Keys.emplace_back(N.Priority, N.BeyondQuota, !N.Returning, Late,
+                      Load->second, N.Arrival);
   }
   std::vector<std::size_t> Order(Waiting.size());
   std::iota(Order.begin(), Order.end(), 0U);
