Streams: no prompt is read again where its KV cache can still be used

After a prefill the reserved decode engine was often avoided by then and no other had room, so the request went back to the queue and its prompt was read again; a refused cache and a continued stream were read by decode engines at half their speed. Change: a replacement may use 1.15 of the memory bound; refused caches and continued streams go through a prefill engine again; an engine whose fresh cache had vanished reads no prompts for 2 s; a prefill's patience follows its backlog; a silent endpoint is avoided at once.

--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -11,7 +11,8 @@
   AppError,    ///< a signed failure of the service itself
   Refused,     ///< not run: full, draining or cold
   Unreachable, ///< no connection
-  Broken,      ///< the answer was cut, spoiled or did not come in time
+  Silent,      ///< no sign of life for longer than it should take
+  Broken,      ///< the answer was cut or spoiled
   WrongOwner,  ///< another endpoint answers at the address
 };
 
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -36,6 +36,7 @@
   EndpointLoad Own;   ///< work of this entry
   EndpointLoad Peers; ///< work of the other entries, from their reports
   TimePoint ColdUntil{};
+  TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -29,7 +29,6 @@
   bool BeyondQuota = false; ///< runs only if nobody within a quota waits
   bool Returning = false;  ///< came back after an earlier rejection
   std::string Avoid;       ///< endpoint that just failed the request
-  bool DecodeOnly = false; ///< continues a stream; no prefill engine
 };
 
 /// Engines for a generation.
@@ -101,10 +100,14 @@
   /// Frees the prefill engine of a placement.
   void prefillEnded(std::string_view Id);
 
-  /// Moves the prefill part of a placement to another engine; empty if none
-  /// can take it.
+  /// Gives a placement another prefill engine, or one if it has none any more;
+  /// empty if none can take it.
   std::string replacePrefill(std::string_view Id, TimePoint Now);
 
+  /// Prompt tokens that are to be read at the prefill engine of a placement,
+  /// its own included.
+  std::int64_t prefillBacklog(std::string_view Id) const;
+
   /// Moves the decode part of a placement to another engine; empty if none
   /// has room.
   std::string replaceDecode(std::string_view Id, TimePoint Now);
@@ -132,7 +135,8 @@
                    std::vector<StreamDecision> &Out);
   StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
                         Duration ExpectedWait, TimePoint Now) const;
-  Endpoint *chooseDecode(const StreamNeed &Need, TimePoint Now);
+  Endpoint *chooseDecode(const StreamNeed &Need, std::int64_t Bound,
+                         TimePoint Now);
   Endpoint *choosePrefill(const StreamNeed &Need, std::string_view Zone,
                           TimePoint Now);
   Duration expectedWait(const StreamNeed &Need, TimePoint Now);
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -43,6 +43,7 @@
 
 constexpr milliseconds NoConfigurationReturn{400};
 constexpr milliseconds ShortestQuotaReturn{100};
+constexpr milliseconds LeavingReturn{20};
 
 /// A streamed answer whose caller is this far behind is broken off.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
@@ -213,9 +214,17 @@
   const RoutePolicy *Route = Config->route(Info.Host, Info.Path);
   if (!Route)
     return rejectAtOnce(Caller, Info, RejectReason::NoRoute, {});
+  if (leavesTooSoon(*Route))
+    return rejectAtOnce(Caller, Info, RejectReason::Leaving, LeavingReturn);
   admit(Caller, std::move(Info), *Route);
 }
 
+/// A caller may still send on a connection whose last answer began before the
+/// stop. A stream would not end within the grace.
+bool GatewayRuntime::leavesTooSoon(const RoutePolicy &Route) const {
+  return Draining && Route.Kind == RouteKind::Stream;
+}
+
 void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
                            const RoutePolicy &Route) {
   const AccountPolicy *Account =
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -51,6 +51,7 @@
   using Exchange = std::shared_ptr<HttpExchange>;
 
   void handle(const Exchange &Caller);
+  bool leavesTooSoon(const routing::RoutePolicy &Route) const;
   void admit(const Exchange &Caller, routing::RequestInfo Info,
              const routing::RoutePolicy &Route);
   routing::FlowRequest flowRequest(routing::RequestInfo Info,
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -132,8 +132,9 @@
       return Answer.Response.Status >= 500 ? Evidence::AppError
                                            : Evidence::Success;
     case LegOutcome::Broken:
-    case LegOutcome::TimedOut:
       return Evidence::Broken;
+    case LegOutcome::TimedOut:
+      return Evidence::Silent;
     }
     return Evidence::Broken;
   }
@@ -183,7 +184,7 @@
     Ran = true;
     Io.note("impatient", {{"endpoint", ActiveEndpoint}});
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
-      E->Health.record(Evidence::Broken, Now);
+      E->Health.record(Evidence::Silent, Now);
     stopLeg();
     send(Now);
   }
@@ -202,7 +203,7 @@
     const bool WasActive = Active.has_value();
     if (WasActive) {
       if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
-        E->Health.record(Evidence::Broken, Now);
+        E->Health.record(Evidence::Silent, Now);
       stopLeg();
     }
     if (Failure)
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double Smoothing = 0.15; ///< weight of the newest result
-constexpr milliseconds FirstAvoidance{500};
+constexpr milliseconds FirstAvoidance{700};
 constexpr milliseconds LongestAvoidance{4'000};
 constexpr milliseconds RefusalPause{60};
 constexpr unsigned MaxDoublings = 3;
@@ -42,6 +42,7 @@
   case Evidence::Refused:
     return avoid(RefusalPause, Now);
   case Evidence::Unreachable:
+  case Evidence::Silent:
     ++Failures;
     return avoid(Backoff, Now);
   case Evidence::WrongOwner:
--- a/src/hyssoprail/routing/flow_io.cpp
+++ b/src/hyssoprail/routing/flow_io.cpp
@@ -21,10 +21,11 @@
     {LegOutcome::TimedOut, "timed_out"},
 }};
 
-constexpr std::array<EnumName<RejectReason>, 9> ReasonNames{{
+constexpr std::array<EnumName<RejectReason>, 10> ReasonNames{{
     {RejectReason::NoRoute, "no_route"},
     {RejectReason::NoKey, "no_key"},
     {RejectReason::NoConfiguration, "no_configuration"},
+    {RejectReason::Leaving, "leaving"},
     {RejectReason::OverQuota, "over_quota"},
     {RejectReason::NoCapacity, "no_capacity"},
     {RejectReason::NotRun, "not_run"},
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -10,8 +10,17 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// A prefill takes a tenth of a second; after this the engine is taken to hang.
-constexpr milliseconds PrefillPatience{900};
+/// A prefill that takes longer than this and a multiple of the time that the
+/// engine's backlog needs is taken to hang.
+constexpr milliseconds PrefillPatience{350};
+constexpr int PrefillPatienceFactor = 3;
+
+/// Prompt tokens that a prefill engine reads in a millisecond.
+constexpr std::int64_t PrefillTokensPerMs = 33;
+
+/// For how long an engine whose KV cache had vanished at its first use reads
+/// no further prompts.
+constexpr milliseconds HandlesLostPause{2'000};
 
 /// Time to the first event after which a stream that may be repeated is taken
 /// elsewhere.
@@ -155,7 +164,7 @@
     Io.note("impatient", {{"phase", enumName(PhaseNames, Current)},
                           {"endpoint", currentEndpoint()}});
     if (Endpoint *E = Shared.Table.find(currentEndpoint()))
-      E->Health.record(Evidence::Broken, Now);
+      E->Health.record(Evidence::Silent, Now);
     stopLeg();
     if (Current == Phase::Prefilling)
       return prefillElsewhere(true, Now);
@@ -239,6 +248,10 @@
     Current = Phase::Prefilling;
     PrefillEndpoint = EndpointId;
     LastProgress = Now;
+    PrefillBy = Now + PrefillPatience +
+                milliseconds(PrefillPatienceFactor *
+                             Shared.Scheduler.prefillBacklog(Request.Key) /
+                             PrefillTokensPerMs);
     LegRequest Leg = leg(LegKind::Prefill, *E, Now);
     Leg.Repeat = PrefillSends++ > 0;
     Shared.Table.sent(EndpointId, Now);
@@ -311,7 +324,6 @@
     releasePlace(Now);
     Current = Phase::Waiting;
     StreamNeed N = need(Request.Arrival);
-    N.DecodeOnly = Started;
     N.Returning = true;
     if (Started)
       N.GiveUpAt = std::min(LastProgress + CallerPatience, lastMoment());
@@ -321,9 +333,11 @@
   void onDecodeAnswer(LegAnswer Answer, TimePoint Now) {
     switch (Answer.Outcome) {
     case LegOutcome::NotSent:
-      return decodeAgain(true, false, Now);
+      if (mayDecodeAgain(false, Now))
+        decodeElsewhere(Now);
+      return;
     case LegOutcome::NotRun:
-      return onDecodeRefused(Now);
+      return onDecodeRefused(Answer, Now);
     case LegOutcome::Answered:
       Ran = true;
       if (mayRepeat() && Answer.Response.Status >= 500)
@@ -339,27 +353,48 @@
     }
   }
 
-  /// Not run: the engine is full, or the KV cache is gone. With a cache the
-  /// same engine can still read the prompt itself.
-  void onDecodeRefused(TimePoint Now) {
-    const bool HadSource = Source.has_value();
-    dropSource();
-    decodeAgain(!HadSource, true, Now);
+  /// Not run: another endpoint has the address, the KV cache is gone, or the
+  /// engine is full.
+  void onDecodeRefused(const LegAnswer &Answer, TimePoint Now) {
+    if (!mayDecodeAgain(true, Now))
+      return;
+    if (!Answer.OtherOwner && Source) {
+      if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
+        E->HandlesLostUntil = Now + HandlesLostPause;
+      dropSource();
+      return readPromptAgain(Now);
+    }
+    decodeElsewhere(Now);
   }
 
-  void decodeAgain(bool OtherEngine, bool Counts, TimePoint Now) {
-    if (DecodeSends >= MaxDecodeSends ||
-        (Counts && !Shared.Retries.take(Request.Service, Now))) {
-      if (Started)
-        return breakOff(Now);
-      return finish(Ran ? RejectReason::Unknown : RejectReason::NotRun,
-                    RefusedReturn, Now);
-    }
-    if (OtherEngine)
-      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+  bool mayDecodeAgain(bool Counts, TimePoint Now) {
+    if (DecodeSends < MaxDecodeSends &&
+        (!Counts || Shared.Retries.take(Request.Service, Now)))
+      return true;
+    if (Started)
+      breakOff(Now);
+    else
+      finish(Ran ? RejectReason::Unknown : RejectReason::NotRun, RefusedReturn,
+             Now);
+    return false;
+  }
+
+  /// Keeps the KV cache if there is one and it still lives.
+  void decodeElsewhere(TimePoint Now) {
+    DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
     sendDecode(Now);
   }
 
+  /// A prefill engine reads the prompt twice as fast as a decode engine, and
+  /// without holding up other generations.
+  void readPromptAgain(TimePoint Now) {
+    const std::string Prefill =
+        Shared.Scheduler.replacePrefill(Request.Key, Now);
+    if (Prefill.empty())
+      return sendDecode(Now);
+    sendPrefill(Prefill, Now);
+  }
+
   /// The run ended without its last event. Only a stream that may be resumed
   /// goes on, after the last event the caller has.
   void continueElsewhere(std::string_view Why, TimePoint Now) {
@@ -378,7 +413,9 @@
     }
     dropSource();
     DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
-    sendDecode(Now);
+    if (DecodeEndpoint.empty())
+      return noDecodeEngine(Now);
+    readPromptAgain(Now);
   }
 
   void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
@@ -401,8 +438,9 @@
                                   : Evidence::Success,
                               Now);
     case LegOutcome::Broken:
-    case LegOutcome::TimedOut:
       return E->Health.record(Evidence::Broken, Now);
+    case LegOutcome::TimedOut:
+      return E->Health.record(Evidence::Silent, Now);
     }
   }
 
@@ -413,7 +451,7 @@
   TimePoint patienceEnd() const {
     switch (Current) {
     case Phase::Prefilling:
-      return LastProgress + PrefillPatience;
+      return PrefillBy;
     case Phase::Starting:
       return mayRepeat() ? LastProgress + FirstEventPatience : TimePoint::max();
     case Phase::Streaming:
@@ -484,6 +522,7 @@
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
+  TimePoint PrefillBy{}; ///< a prefill without an answer by then hangs
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
   unsigned Runs = 0; ///< engines that ran it, or may have, and stopped
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -25,6 +25,11 @@
 
 constexpr double RunTimeSmoothing = 0.1;
 
+/// A generation whose engine failed after its prompt was read may use this
+/// multiple of the usual memory bound: to read it again would cost more than
+/// the small risk of preemption.
+constexpr double ReplacementShare = 1.15;
+
 /// Extra cost of a decode engine in another zone, as a part of its memory.
 constexpr double OtherZoneCost = 0.12;
 constexpr double FailureCost = 1.0;
@@ -149,9 +154,9 @@
     Out.push_back(refusal(Need, StreamRefusalReason::TooLarge, {}, Now));
     return Verdict::Refused;
   }
-  if (Endpoint *Decode = chooseDecode(Need, Now)) {
+  if (Endpoint *Decode = chooseDecode(Need, memoryBound(Need), Now)) {
     Endpoint *Prefill = nullptr;
-    if (Options.UsePrefillEngines && !Need.DecodeOnly)
+    if (Options.UsePrefillEngines)
       Prefill = choosePrefill(Need, Decode->Record.Zone, Now);
     Placed P{Need, Decode->Record.Id, Prefill ? Prefill->Record.Id : "", Now};
     Table.reserve(P.Decode, decodeLoad(Need));
@@ -199,8 +204,8 @@
                                    Options.MemoryShare);
 }
 
-Endpoint *StreamScheduler::chooseDecode(const StreamNeed &Need, TimePoint Now) {
-  const std::int64_t Bound = memoryBound(Need);
+Endpoint *StreamScheduler::chooseDecode(const StreamNeed &Need,
+                                        std::int64_t Bound, TimePoint Now) {
   Endpoint *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   for (Endpoint *E : Table.usable(Need.Service, Now)) {
@@ -228,7 +233,8 @@
   Endpoint *Best = nullptr;
   std::int64_t BestCost = std::numeric_limits<std::int64_t>::max();
   for (Endpoint *E : Table.usable(Need.Service, Now)) {
-    if (E->Record.Stage != EngineStage::Prefill || E->Record.Id == Need.Avoid)
+    if (E->Record.Stage != EngineStage::Prefill ||
+        E->Record.Id == Need.Avoid || Now < E->HandlesLostUntil)
       continue;
     const std::int64_t Backlog = E->total().PrefillTokens;
     if (Backlog > Options.PrefillBacklog)
@@ -295,7 +301,8 @@
   if (It == Running.end())
     return {};
   Placed &P = It->second;
-  P.Need.Avoid = P.Prefill;
+  if (!P.Prefill.empty())
+    P.Need.Avoid = P.Prefill;
   prefillEnded(Id);
   const Endpoint *Decode = Table.find(P.Decode);
   Endpoint *Next = choosePrefill(
@@ -307,6 +314,14 @@
   return P.Prefill;
 }
 
+std::int64_t StreamScheduler::prefillBacklog(std::string_view Id) const {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return 0;
+  const Endpoint *E = Table.find(It->second.Prefill);
+  return E ? E->total().PrefillTokens : 0;
+}
+
 std::string StreamScheduler::replaceDecode(std::string_view Id, TimePoint Now) {
   const auto It = Running.find(Id);
   if (It == Running.end())
@@ -314,7 +329,9 @@
   Placed &P = It->second;
   Table.release(P.Decode, decodeLoad(P.Need));
   P.Need.Avoid = P.Decode;
-  Endpoint *Next = chooseDecode(P.Need, Now);
+  const auto Bound = static_cast<std::int64_t>(
+      static_cast<double>(memoryBound(P.Need)) * ReplacementShare);
+  Endpoint *Next = chooseDecode(P.Need, Bound, Now);
   P.Decode = Next ? Next->Record.Id : "";
   if (Next)
     Table.reserve(P.Decode, decodeLoad(P.Need));
