Full engines: refused caches go to another engine, silent peers keep their load

The entries dropped each other's loads after 2.5 s of silence and filled the same engines; a full engine's refusal was taken for a lost cache, so the prompt was read again and offered to the same engine. Change: the last loads of a silent peer are kept for 8 s; a refused cache is first offered to another engine; refusals in a row double an engine's pause.

--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -38,6 +38,7 @@
   void avoid(Duration For, TimePoint Now);
 
   unsigned Failures = 0; ///< in a row
+  unsigned Refusals = 0; ///< in a row
   double FailureShare = 0;
   TimePoint AvoidUntil{};
 };
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -8,8 +8,13 @@
 constexpr double Smoothing = 0.15; ///< weight of the newest result
 constexpr milliseconds FirstAvoidance{700};
 constexpr milliseconds LongestAvoidance{4'000};
-constexpr milliseconds RefusalPause{60};
+
+/// An endpoint that refuses is fuller than its known load says; each refusal in
+/// a row doubles the pause.
+constexpr milliseconds FirstRefusalPause{60};
+constexpr milliseconds LongestRefusalPause{800};
 constexpr unsigned MaxDoublings = 3;
+constexpr unsigned MaxRefusalDoublings = 4;
 
 /// One answer cut in isolation says little; two in a row, or a high share,
 /// suggest that the endpoint is at fault.
@@ -34,13 +39,19 @@
   switch (What) {
   case Evidence::Success:
     Failures = 0;
+    Refusals = 0;
     return;
   case Evidence::AppError:
     if (FailureShare > GreyShare)
       avoid(FirstAvoidance, Now);
     return;
   case Evidence::Refused:
-    return avoid(RefusalPause, Now);
+    avoid(std::min<Duration>(FirstRefusalPause *
+                                 (1U << std::min(Refusals, MaxRefusalDoublings)),
+                             LongestRefusalPause),
+          Now);
+    ++Refusals;
+    return;
   case Evidence::Unreachable:
   case Evidence::Silent:
     ++Failures;
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -5,10 +5,14 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// A peer that is silent for longer is cut off, paused or dead. Its work may
-/// go on, so its loads are kept for longer than that.
+/// A peer that is silent for longer is cut off, paused or dead.
 constexpr milliseconds SilentAfter{1'200};
-constexpr milliseconds LoadsKept{2'500};
+
+/// A peer that is cut off goes on placing about as much work as before, so its
+/// last loads are the best guess; one that was killed restarts sooner than this
+/// and reports anew.
+constexpr milliseconds LoadsKept{8'000};
+constexpr milliseconds LeavingLoadsKept{1'500};
 
 /// A silent peer may still grant quota on its own; after this time it is taken
 /// to be gone.
@@ -46,14 +50,15 @@
 
 void PeerBoard::age(TimePoint Now) {
   for (auto &[Name, P] : Peers) {
-    if (P.LoadsDropped || Now - P.Heard < LoadsKept)
+    const milliseconds Kept = P.Leaving ? LeavingLoadsKept : LoadsKept;
+    if (P.LoadsDropped || Now - P.Heard < Kept)
       continue;
     Table.setPeerLoad(Name, {});
     P.LoadsDropped = true;
   }
   std::erase_if(Peers, [&](const auto &Item) {
     const Peer &P = Item.second;
-    return Now - P.Heard > (P.Leaving ? LoadsKept : ForgottenAfter);
+    return Now - P.Heard > (P.Leaving ? LeavingLoadsKept : ForgottenAfter);
   });
   std::erase_if(Candidates, [&](const auto &Item) {
     return Now - Item.second > CandidateTime;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -263,6 +263,7 @@
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
         Source = KvSource{E->Record.Address, Answer.Handle};
       SourceSince = Now;
+      SourceRefusals = 0;
       Shared.Scheduler.prefillEnded(Request.Key);
       return sendDecode(Now);
     }
@@ -353,18 +354,24 @@
     }
   }
 
-  /// Not run: another endpoint has the address, the KV cache is gone, or the
-  /// engine is full.
+  /// Not run: another endpoint has the address, the engine is full, or the KV
+  /// cache is gone. The answers are the same, so a cache that should still live
+  /// is first offered to another engine; if that refuses too, it is lost.
   void onDecodeRefused(const LegAnswer &Answer, TimePoint Now) {
     if (!mayDecodeAgain(true, Now))
       return;
-    if (!Answer.OtherOwner && Source) {
-      if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
-        E->HandlesLostUntil = Now + HandlesLostPause;
-      dropSource();
-      return readPromptAgain(Now);
+    if (!Source || Answer.OtherOwner)
+      return decodeElsewhere(Now);
+    if (++SourceRefusals < 2 && Now < sourceExpiry()) {
+      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+      if (DecodeEndpoint.empty())
+        return noDecodeEngine(Now);
+      return sendDecode(Now);
     }
-    decodeElsewhere(Now);
+    if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
+      E->HandlesLostUntil = Now + HandlesLostPause;
+    dropSource();
+    readPromptAgain(Now);
   }
 
   bool mayDecodeAgain(bool Counts, TimePoint Now) {
@@ -426,12 +433,9 @@
     case LegOutcome::NotSent:
       return E->Health.record(Evidence::Unreachable, Now);
     case LegOutcome::NotRun:
-      // A refused KV cache says nothing about the decode engine.
-      if (Answer.OtherOwner)
-        return E->Health.record(Evidence::WrongOwner, Now);
-      if (!Source)
-        E->Health.record(Evidence::Refused, Now);
-      return;
+      return E->Health.record(Answer.OtherOwner ? Evidence::WrongOwner
+                                                : Evidence::Refused,
+                              Now);
     case LegOutcome::Answered:
       return E->Health.record(Answer.Response.Status >= 500
                                   ? Evidence::AppError
@@ -519,6 +523,7 @@
   bool HasPlace = false;
   std::optional<KvSource> Source;
   TimePoint SourceSince{};
+  unsigned SourceRefusals = 0; ///< engines that refused the cache
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
