Lengths: reservations follow what has been seen, engines are filled to 1.03

Cause: reservations used the caller's hint as it was, and 0.92 of an engine's memory; runs end at different times, so engines were a tenth empty while streams waited.

--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -6,6 +6,7 @@
 
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
+#include "hyssoprail/routing/length_estimator.hpp"
 #include "hyssoprail/routing/request_info.hpp"
 #include "hyssoprail/routing/retry_window.hpp"
 #include "hyssoprail/routing/stream_scheduler.hpp"
@@ -17,6 +18,7 @@
   EndpointTable &Table;
   StreamScheduler &Scheduler;
   RetryWindow &Retries;
+  LengthEstimator &Lengths;
   std::string Zone; ///< of this entry
 };
 
@@ -31,6 +33,7 @@
   bool BeyondQuota = false; ///< uses the tolerance of its account's quota
   TimePoint Arrival{};
   milliseconds HandleRetention{500}; ///< life of a KV cache nobody fetched
+  std::uint32_t EventTokens = 1; ///< of one event of a stream
   TimePoint AnswerBy{}; ///< the route's timeout or the caller's deadline
 };
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -65,7 +65,7 @@
   bool UsePrefillEngines = true;
   /// Part of an engine's memory that is reserved; the rest covers answers that
   /// are longer than expected.
-  double MemoryShare = 0.92;
+  double MemoryShare = 1.03;
   /// Prompt tokens that may wait at one prefill engine.
   std::int64_t PrefillBacklog = 9'000;
 };
@@ -97,6 +97,10 @@
   /// Frees what a placement reserved at the decode engine.
   void release(std::string_view Id, TimePoint Now);
 
+  /// The generation has made \p Tokens; extends its reservation when it
+  /// turns out longer than expected.
+  void outputGrew(std::string_view Id, std::uint64_t Tokens);
+
   /// Frees the prefill engine of a placement.
   void prefillEnded(std::string_view Id);
 
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -274,8 +274,10 @@
                                     : Route.Timeout;
   R.AnswerBy = R.Arrival + Patience;
   const routing::ServicePolicy *Service = Config->service(R.Service);
-  if (Service && Service->Engine)
+  if (Service && Service->Engine) {
     R.HandleRetention = Service->Engine->HandleRetention;
+    R.EventTokens = Service->Engine->EventTokens;
+  }
   R.Info = std::move(Info);
   return R;
 }
@@ -300,7 +302,8 @@
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
-    const routing::FlowShared Shared{Table, Scheduler, Retries, Settings.Zone};
+    const routing::FlowShared Shared{Table, Scheduler, Retries, Lengths,
+                                     Settings.Zone};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -96,6 +96,7 @@
   routing::EndpointTable Table;
   routing::SharedQuota Quota;
   routing::RetryWindow Retries;
+  routing::LengthEstimator Lengths;
   routing::StreamScheduler Scheduler;
   routing::PeerBoard Peers;
   routing::FleetConfigPtr Config;
--- /dev/null
+++ b/src/hyssoprail/routing/length_estimator.cpp
@@ -0,0 +1,47 @@
+#include "hyssoprail/routing/length_estimator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Weight of the logarithm of the hint against that of the usual length: the
+/// slope of the regression of true lengths on hints.
+constexpr double HintWeight = 0.58;
+
+/// Mean over median of the lengths that share a hint.
+constexpr double MeanOverMedian = 1.07;
+
+/// Usual length before any is known, as a part of the largest, and the number
+/// of generations that it counts for.
+constexpr double FirstLengthShare = 0.34;
+constexpr double FirstLengthWeight = 8;
+
+constexpr double Forgetting = 0.995; ///< weight kept for each newer length
+
+} // namespace
+
+std::uint32_t LengthEstimator::estimate(std::uint32_t Hint,
+                                        std::uint32_t MaxOutput) const {
+  if (MaxOutput == 0)
+    return 0;
+  const double First = std::log(MaxOutput * FirstLengthShare);
+  const double Usual =
+      (LogSum + First * FirstLengthWeight) / (Weight + FirstLengthWeight);
+  const double Log =
+      Hint == 0 ? Usual
+                : HintWeight * std::log(Hint) + (1 - HintWeight) * Usual;
+  const double Length = std::exp(Log) * MeanOverMedian;
+  return static_cast<std::uint32_t>(
+      std::clamp(Length, 1.0, static_cast<double>(MaxOutput)));
+}
+
+void LengthEstimator::record(std::uint64_t Tokens) {
+  if (Tokens == 0)
+    return;
+  LogSum = LogSum * Forgetting + std::log(static_cast<double>(Tokens));
+  Weight = Weight * Forgetting + 1;
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -48,10 +48,6 @@
 /// less has been here before.
 constexpr double FreshDeadlineShare = 0.84;
 
-/// Expected length of an answer as a part of the largest, when the caller gave
-/// no estimate.
-constexpr double ExpectedLengthShare = 0.6;
-
 enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
 
 constexpr std::array<EnumName<Phase>, 5> PhaseNames{{
@@ -131,12 +127,15 @@
     Splitter.feed(Data);
     std::string Ready;
     while (auto Event = Splitter.next())
-      if (isNew(*Event))
+      if (isNew(*Event)) {
+        ++Events;
         Ready += Event->Bytes;
+      }
     if (Ready.empty())
       return;
     LastProgress = Now;
     GotEvent = true;
+    Shared.Scheduler.outputGrew(Request.Key, Events * Request.EventTokens);
     Io.forward(Ready);
   }
 
@@ -148,6 +147,7 @@
     if (Endpoint *E = Shared.Table.find(DecodeEndpoint))
       E->Health.record(Whole ? Evidence::Success : Evidence::Broken, Now);
     if (Whole) {
+      Shared.Lengths.record(Events * Request.EventTokens);
       Io.finishStream();
       return end(Now);
     }
@@ -200,7 +200,8 @@
     N.BeyondQuota = Request.BeyondQuota;
     const TokenCounts Tokens = Request.Info.Tokens.value_or(TokenCounts{});
     N.PromptTokens = Tokens.Prompt;
-    N.OutputTokens = expectedOutput(Tokens);
+    N.OutputTokens =
+        Shared.Lengths.estimate(Request.Info.OutputHint, Tokens.MaxOutput);
     N.Arrival = Request.Arrival;
     N.OnTimeUntil = Request.Arrival + Request.Route.Objective;
     N.TimeLeft = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
@@ -216,12 +217,6 @@
     return N;
   }
 
-  std::uint32_t expectedOutput(const TokenCounts &Tokens) const {
-    if (Request.Info.OutputHint > 0)
-      return std::min(Tokens.MaxOutput, Request.Info.OutputHint);
-    return static_cast<std::uint32_t>(Tokens.MaxOutput * ExpectedLengthShare);
-  }
-
   bool isNew(const StreamEvent &Event) {
     if (!Event.Id)
       return true;
@@ -528,6 +523,7 @@
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
   TimePoint PrefillBy{}; ///< a prefill without an answer by then hangs
+  std::uint64_t Events = 0; ///< that the caller has
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
   unsigned Runs = 0; ///< engines that ran it, or may have, and stopped
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::uint32_t BlockTokens = 16;
 
+/// What a generation that is longer than expected is expected to add.
+constexpr std::uint32_t GrowthTokens = 320;
+
 /// From placement to the first event: prefill, transfer and the first step.
 constexpr milliseconds TimeToFirstEvent{250};
 
@@ -287,6 +290,16 @@
   Running.erase(It);
 }
 
+void StreamScheduler::outputGrew(std::string_view Id, std::uint64_t Tokens) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || Tokens < It->second.Need.OutputTokens)
+    return;
+  Placed &P = It->second;
+  Table.release(P.Decode, decodeLoad(P.Need));
+  P.Need.OutputTokens = static_cast<std::uint32_t>(Tokens) + GrowthTokens;
+  Table.reserve(P.Decode, decodeLoad(P.Need));
+}
+
 void StreamScheduler::prefillEnded(std::string_view Id) {
   const auto It = Running.find(Id);
   if (It == Running.end() || It->second.Prefill.empty())
