Retry budget: every arrival beyond the first of its kind is counted

A request that went back to the queue was sent to a prefill engine again without a count, a continued stream counted once for two sends, and a restarted entry used the whole slack for itself until it heard the others. Change: the flow counts each send that reaches an endpoint; one that does not is given back; after a start the announced entries share the slack.

--- a/include/hyssoprail/routing/retry_window.hpp
+++ b/include/hyssoprail/routing/retry_window.hpp
@@ -34,8 +34,8 @@
   /// Takes one further send, or returns false.
   bool take(std::string_view Service, TimePoint Now);
 
-  /// Records a further send that was not avoidable.
-  void forced(std::string_view Service, TimePoint Now);
+  /// Returns a send that did not reach an endpoint.
+  void giveBack(std::string_view Service, TimePoint Now);
 
 private:
   static constexpr std::size_t SlotCount = 20;
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -460,7 +460,7 @@
 void GatewayRuntime::tick() {
   const TimePoint Now = Time.now();
   Peers.age(Now);
-  Retries.setEntries(static_cast<unsigned>(Peers.known(Now)));
+  Retries.setEntries(static_cast<unsigned>(sharingEntries(Now)));
   Scheduler.setPeers(Peers.audible(Now), Peers.waitingTokens(Now));
   updateStartBounds(Now);
   reportUsage();
@@ -475,14 +475,19 @@
   });
 }
 
+/// Entries that share a bound of the whole fleet.
+std::size_t GatewayRuntime::sharingEntries(TimePoint Now) const {
+  const std::size_t Known = Peers.known(Now);
+  return Now - StartedAt < StartUpTime ? std::max(Known, AnnouncedEntries)
+                                       : Known;
+}
+
 /// Entries share what a cold endpoint bears; an endpoint may turn cold at any
 /// moment, so the bound always holds.
 void GatewayRuntime::updateStartBounds(TimePoint Now) {
   if (!Config)
     return;
-  std::size_t Sharing = Peers.known(Now);
-  if (Now - StartedAt < StartUpTime)
-    Sharing = std::max(Sharing, AnnouncedEntries);
+  const std::size_t Sharing = sharingEntries(Now);
   for (const auto &[Name, Service] : Config->Services) {
     if (Service.ColdPerSecond <= 0)
       continue;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -79,6 +79,7 @@
   void tick();
   void reportUsage();
   wire::UsageReport usageReport();
+  std::size_t sharingEntries(TimePoint Now) const;
   void updateStartBounds(TimePoint Now);
   void updateGauges();
   void checkStopped();
--- a/src/hyssoprail/routing/retry_window.cpp
+++ b/src/hyssoprail/routing/retry_window.cpp
@@ -29,8 +29,10 @@
   ++slot(Service, Now).Requests;
 }
 
-void RetryWindow::forced(std::string_view Service, TimePoint Now) {
-  ++slot(Service, Now).Retries;
+void RetryWindow::giveBack(std::string_view Service, TimePoint Now) {
+  Slot &Current = slot(Service, Now);
+  if (Current.Retries > 0)
+    --Current.Retries;
 }
 
 bool RetryWindow::take(std::string_view Service, TimePoint Now) {
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -101,6 +101,10 @@
       return;
     Active.reset();
     recordEvidence(Answer, Now);
+    if (Answer.Outcome == LegOutcome::NotSent)
+      uncountArrival(Current == Phase::Prefilling ? PrefillArrivals
+                                                  : DecodeArrivals,
+                     Now);
     if (Current == Phase::Prefilling)
       return onPrefillAnswer(std::move(Answer), Now);
     onDecodeAnswer(std::move(Answer), Now);
@@ -167,7 +171,7 @@
       E->Health.record(Evidence::Silent, Now);
     stopLeg();
     if (Current == Phase::Prefilling)
-      return prefillElsewhere(true, Now);
+      return prefillElsewhere(Now);
     continueElsewhere("silent", Now);
   }
 
@@ -238,8 +242,10 @@
 
   void sendPrefill(const std::string &EndpointId, TimePoint Now) {
     Endpoint *E = Shared.Table.find(EndpointId);
-    if (!E)
-      return prefillElsewhere(false, Now);
+    if (!E || !countArrival(PrefillArrivals, Now)) {
+      Shared.Scheduler.prefillEnded(Request.Key);
+      return sendDecode(Now);
+    }
     Current = Phase::Prefilling;
     PrefillEndpoint = EndpointId;
     LastProgress = Now;
@@ -262,15 +268,14 @@
       Shared.Scheduler.prefillEnded(Request.Key);
       return sendDecode(Now);
     }
-    prefillElsewhere(Answer.Outcome != LegOutcome::NotSent, Now);
+    prefillElsewhere(Now);
   }
 
   /// The prompt could not be read at one engine: another one, or the decode
   /// engine itself.
-  void prefillElsewhere(bool Counts, TimePoint Now) {
+  void prefillElsewhere(TimePoint Now) {
     const std::string Next =
-        PrefillSends < MaxPrefillSends &&
-                (!Counts || Shared.Retries.take(Request.Service, Now))
+        PrefillSends < MaxPrefillSends
             ? Shared.Scheduler.replacePrefill(Request.Key, Now)
             : "";
     if (!Next.empty())
@@ -289,6 +294,8 @@
     }
     if (!E)
       return noDecodeEngine(Now);
+    if (!countArrival(DecodeArrivals, Now))
+      return giveUp(Now);
     Current = Phase::Starting;
     Splitter = {};
     GotEvent = false;
@@ -310,12 +317,8 @@
 
   /// The reserved engine is gone and no other has room: back to the queue.
   void noDecodeEngine(TimePoint Now) {
-    if (DecodeSends >= MaxDecodeSends) {
-      if (Started)
-        return breakOff(Now);
-      return finish(Ran ? RejectReason::Unknown : RejectReason::NotRun,
-                    RefusedReturn, Now);
-    }
+    if (DecodeSends >= MaxDecodeSends)
+      return giveUp(Now);
     Io.note("requeue", {{"reason", "no_decode_engine"}});
     releasePlace(Now);
     Current = Phase::Waiting;
@@ -329,9 +332,9 @@
   void onDecodeAnswer(LegAnswer Answer, TimePoint Now) {
     switch (Answer.Outcome) {
     case LegOutcome::NotSent:
-      if (mayDecodeAgain(false, Now))
-        decodeElsewhere(Now);
-      return;
+      if (DecodeSends >= MaxDecodeSends)
+        return giveUp(Now);
+      return decodeElsewhere(Now);
     case LegOutcome::NotRun:
       return onDecodeRefused(Answer, Now);
     case LegOutcome::Answered:
@@ -353,8 +356,8 @@
   /// cache is gone. The answers are the same, so a cache that should still live
   /// is first offered to another engine; if that refuses too, it is lost.
   void onDecodeRefused(const LegAnswer &Answer, TimePoint Now) {
-    if (!mayDecodeAgain(true, Now))
-      return;
+    if (DecodeSends >= MaxDecodeSends)
+      return giveUp(Now);
     if (!Source || Answer.OtherOwner)
       return decodeElsewhere(Now);
     if (++SourceRefusals < 2 && Now < sourceExpiry()) {
@@ -369,16 +372,26 @@
     readPromptAgain(Now);
   }
 
-  bool mayDecodeAgain(bool Counts, TimePoint Now) {
-    if (DecodeSends < MaxDecodeSends &&
-        (!Counts || Shared.Retries.take(Request.Service, Now)))
-      return true;
+  /// Counts a send that will reach an endpoint. All but the first of its kind
+  /// draw on the retry budget; false if that is used up.
+  bool countArrival(unsigned &Arrivals, TimePoint Now) {
+    if (Arrivals > 0 && !Shared.Retries.take(Request.Service, Now))
+      return false;
+    ++Arrivals;
+    return true;
+  }
+
+  void uncountArrival(unsigned &Arrivals, TimePoint Now) {
+    if (--Arrivals > 0)
+      Shared.Retries.giveBack(Request.Service, Now);
+  }
+
+  /// No further send is possible.
+  void giveUp(TimePoint Now) {
     if (Started)
-      breakOff(Now);
-    else
-      finish(Ran ? RejectReason::Unknown : RejectReason::NotRun, RefusedReturn,
-             Now);
-    return false;
+      return breakOff(Now);
+    finish(Ran ? RejectReason::Unknown : RejectReason::NotRun, RefusedReturn,
+           Now);
   }
 
   /// Keeps the KV cache if there is one and it still lives.
@@ -402,8 +415,7 @@
   void continueElsewhere(std::string_view Why, TimePoint Now) {
     ++Runs;
     const bool Allowed = mayRepeat() && Runs < Request.Route.MaxAttempts &&
-                         DecodeSends < MaxDecodeSends &&
-                         Shared.Retries.take(Request.Service, Now);
+                         DecodeSends < MaxDecodeSends;
     Io.note("continue", {{"why", Why},
                          {"allowed", Allowed},
                          {"last_event", LastEvent.value_or(0)},
@@ -526,6 +538,8 @@
   std::uint64_t Events = 0; ///< that the caller has
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
+  unsigned PrefillArrivals = 0; ///< sends that reached an endpoint
+  unsigned DecodeArrivals = 0;
   unsigned Runs = 0; ///< engines that ran it, or may have, and stopped
   bool GotEvent = false;
   bool Started = false; ///< the caller has the head of the answer
