--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -12,6 +12,7 @@
   Refused,     ///< not run: full, draining or cold
   Unreachable, ///< no connection
   Silent,      ///< no sign of life for longer than it should take
+  Late,        ///< no answer within the time that the route allows
   Broken,      ///< the answer was cut or spoiled
   WrongOwner,  ///< another endpoint answers at the address
 };
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -134,7 +134,7 @@
     case LegOutcome::Broken:
       return Evidence::Broken;
     case LegOutcome::TimedOut:
-      return Evidence::Silent;
+      return Evidence::Late;
     }
     return Evidence::Broken;
   }
@@ -184,7 +184,7 @@
     Ran = true;
     Io.note("impatient", {{"endpoint", ActiveEndpoint}});
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
-      E->Health.record(Evidence::Silent, Now);
+      E->Health.record(Evidence::Late, Now);
     stopLeg();
     send(Now);
   }
@@ -203,7 +203,7 @@
     const bool WasActive = Active.has_value();
     if (WasActive) {
       if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
-        E->Health.record(Evidence::Silent, Now);
+        E->Health.record(Evidence::Late, Now);
       stopLeg();
     }
     if (Failure)
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -20,6 +20,10 @@
 /// suggest that the endpoint is at fault.
 constexpr unsigned BrokenBeforeAvoidance = 2;
 
+/// A route may allow less time than the work takes, so a timeout alone is weak
+/// evidence.
+constexpr unsigned LateBeforeAvoidance = 4;
+
 /// Plain services fail one request in seven by themselves.
 constexpr double GreyShare = 0.4;
 
@@ -59,6 +63,11 @@
   case Evidence::WrongOwner:
     ++Failures;
     return avoid(LongestAvoidance, Now);
+  case Evidence::Late:
+    ++Failures;
+    if (Failures >= LateBeforeAvoidance || FailureShare > GreyShare)
+      avoid(Backoff, Now);
+    return;
   case Evidence::Broken:
     ++Failures;
     if (Failures >= BrokenBeforeAvoidance || FailureShare > GreyShare)
