Streams: a silent engine is given up only if another can go on

Change: before a silent run is ended, attempts, retry budget and a place at another engine are checked; without them the run goes on.

--- a/include/hyssoprail/routing/retry_window.hpp
+++ b/include/hyssoprail/routing/retry_window.hpp
@@ -31,6 +31,9 @@
   /// Counts a request for \p Service.
   void request(std::string_view Service, TimePoint Now);
 
+  /// True if take() would succeed.
+  bool available(std::string_view Service, TimePoint Now);
+
   /// Takes one further send, or returns false.
   bool take(std::string_view Service, TimePoint Now);
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -112,6 +112,9 @@
   /// its own included.
   std::int64_t prefillBacklog(std::string_view Id) const;
 
+  /// True if replaceDecode() would find an engine.
+  bool canReplaceDecode(std::string_view Id, TimePoint Now);
+
   /// Moves the decode part of a placement to another engine; empty if none
   /// has room.
   std::string replaceDecode(std::string_view Id, TimePoint Now);
@@ -139,6 +142,7 @@
                    std::vector<StreamDecision> &Out);
   StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
                         Duration ExpectedWait, TimePoint Now) const;
+  Endpoint *chooseReplacement(const Placed &P, TimePoint Now);
   Endpoint *chooseDecode(const StreamNeed &Need, std::int64_t Bound,
                          TimePoint Now);
   Endpoint *choosePrefill(const StreamNeed &Need, std::string_view Zone,
--- a/src/hyssoprail/routing/retry_window.cpp
+++ b/src/hyssoprail/routing/retry_window.cpp
@@ -36,7 +36,14 @@
 }
 
 bool RetryWindow::take(std::string_view Service, TimePoint Now) {
-  Slot &Current = slot(Service, Now);
+  if (!available(Service, Now))
+    return false;
+  ++slot(Service, Now).Retries;
+  return true;
+}
+
+bool RetryWindow::available(std::string_view Service, TimePoint Now) {
+  slot(Service, Now); // so that the service is known
   const std::int64_t Oldest =
       slotIndex(Now) - static_cast<std::int64_t>(SlotCount) + 1;
   double Requests = 0;
@@ -49,10 +56,7 @@
   }
   const double Allowed =
       Margin * (Options.Ratio * Requests + Options.Slack / Entries);
-  if (Retries + 1 > Allowed)
-    return false;
-  ++Current.Retries;
-  return true;
+  return Retries + 1 <= Allowed;
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -30,6 +30,9 @@
 /// leave after a gap of two seconds or more.
 constexpr milliseconds EventPatience{1'100};
 
+/// How much longer a silent engine is waited for if no other can go on.
+constexpr milliseconds PatienceExtension{300};
+
 /// Part of a handle's life that may pass before its use; a send may take the
 /// rest.
 constexpr double HandleUse = 0.9;
@@ -165,6 +168,10 @@
       return timeIsOver(Now);
     if (!Active || Now < patienceEnd())
       return;
+    if (Current != Phase::Prefilling && !canContinue(Now)) {
+      PatienceUntil = Now + PatienceExtension;
+      return;
+    }
     Io.note("impatient", {{"phase", enumName(PhaseNames, Current)},
                           {"endpoint", currentEndpoint()}});
     if (Endpoint *E = Shared.Table.find(currentEndpoint()))
@@ -459,7 +466,20 @@
     return Current == Phase::Prefilling ? PrefillEndpoint : DecodeEndpoint;
   }
 
+  /// A silent engine may still answer, so its run is ended only if another one
+  /// can go on with it.
+  bool canContinue(TimePoint Now) {
+    return Runs + 1 < Request.Route.MaxAttempts &&
+           DecodeSends < MaxDecodeSends &&
+           Shared.Retries.available(Request.Service, Now) &&
+           Shared.Scheduler.canReplaceDecode(Request.Key, Now);
+  }
+
   TimePoint patienceEnd() const {
+    return std::max(PatienceUntil, phasePatienceEnd());
+  }
+
+  TimePoint phasePatienceEnd() const {
     switch (Current) {
     case Phase::Prefilling:
       return PrefillBy;
@@ -534,6 +554,7 @@
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
+  TimePoint PatienceUntil{}; ///< a silent engine is given until then
   TimePoint PrefillBy{}; ///< a prefill without an answer by then hangs
   std::uint64_t Events = 0; ///< that the caller has
   unsigned PrefillSends = 0;
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -335,16 +335,27 @@
   return E ? E->total().PrefillTokens : 0;
 }
 
+Endpoint *StreamScheduler::chooseReplacement(const Placed &P, TimePoint Now) {
+  const auto Bound = static_cast<std::int64_t>(
+      static_cast<double>(memoryBound(P.Need)) * ReplacementShare);
+  StreamNeed Need = P.Need;
+  Need.Avoid = P.Decode;
+  return chooseDecode(Need, Bound, Now);
+}
+
+bool StreamScheduler::canReplaceDecode(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  return It != Running.end() && chooseReplacement(It->second, Now);
+}
+
 std::string StreamScheduler::replaceDecode(std::string_view Id, TimePoint Now) {
   const auto It = Running.find(Id);
   if (It == Running.end())
     return {};
   Placed &P = It->second;
   Table.release(P.Decode, decodeLoad(P.Need));
+  Endpoint *Next = chooseReplacement(P, Now);
   P.Need.Avoid = P.Decode;
-  const auto Bound = static_cast<std::int64_t>(
-      static_cast<double>(memoryBound(P.Need)) * ReplacementShare);
-  Endpoint *Next = chooseDecode(P.Need, Bound, Now);
   P.Decode = Next ? Next->Record.Id : "";
   if (Next)
     Table.reserve(P.Decode, decodeLoad(P.Need));
