Queue: the expected wait follows the order of service; tests of routing

Cause: a test of the queue failed: the expected wait counted requests that arrived earlier instead of those that are served earlier, so a request waited although others of its rank and the returning ones used up its time. Change: the wait counts what is ahead in the order of service.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -15,10 +15,10 @@
 
 /// How far an upstream exchange came.
 enum class UpstreamEnd {
-  Complete,   ///< the whole answer arrived, framed as HTTP says
-  NotSent,    ///< no connection: nothing reached the endpoint
-  Broken,     ///< the connection ended or the bytes were no answer
-  TimedOut,   ///< no complete head in time
+  Complete, ///< the whole answer arrived, framed as HTTP says
+  NotSent,  ///< no connection: nothing reached the endpoint
+  Broken,   ///< the connection ended or the bytes were no answer
+  TimedOut, ///< no complete head in time
 };
 
 /// Functions called while an answer arrives. OnEnd is called exactly once
@@ -53,8 +53,8 @@
 struct UpstreamCounters {
   std::uint64_t Connects = 0;
   std::uint64_t Reuses = 0;
-  std::uint64_t StaleAnswers = 0;  ///< answers to earlier requests
-  std::uint64_t StrayBytes = 0;    ///< connections with bytes after an answer
+  std::uint64_t StaleAnswers = 0; ///< answers to earlier requests
+  std::uint64_t StrayBytes = 0;   ///< connections with bytes after an answer
 };
 
 /// HTTP/1.1 client for endpoints that may be faulty: an answer counts only if
--- a/include/hyssoprail/process/log_field.hpp
+++ b/include/hyssoprail/process/log_field.hpp
@@ -17,8 +17,7 @@
   using Value = std::variant<std::int64_t, double, bool, std::string_view>;
 
   template <std::integral T>
-    requires(!std::same_as<T, bool>)
-  LogField(std::string_view Name, T Number)
+  requires(!std::same_as<T, bool>) LogField(std::string_view Name, T Number)
       : Name(Name), Content(static_cast<std::int64_t>(Number)) {}
   LogField(std::string_view Name, bool Flag) : Name(Name), Content(Flag) {}
   LogField(std::string_view Name, double Number)
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -33,7 +33,7 @@
   bool BeyondQuota = false; ///< uses the tolerance of its account's quota
   TimePoint Arrival{};
   milliseconds HandleRetention{500}; ///< life of a KV cache nobody fetched
-  std::uint32_t EventTokens = 1; ///< of one event of a stream
+  std::uint32_t EventTokens = 1;     ///< of one event of a stream
   TimePoint AnswerBy{}; ///< the route's timeout or the caller's deadline
 };
 
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -63,7 +63,7 @@
   NoRoute,
   NoKey,
   NoConfiguration,
-  Leaving,      ///< this entry stops; another one can serve it
+  Leaving, ///< this entry stops; another one can serve it
   OverQuota,
   NoCapacity,   ///< not run; the caller may come back
   NotRun,       ///< every endpoint refused it; the caller may come back
--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -23,8 +23,8 @@
 struct QuotaDecision {
   bool Granted = false;
   bool BeyondQuota = false; ///< granted from the tolerance
-  double Debt = 0;      ///< tokens granted and not yet refilled, over all entries
-  double Burst = 0;     ///< largest debt that is allowed
+  double Debt = 0;  ///< tokens granted and not yet refilled, over all entries
+  double Burst = 0; ///< largest debt that is allowed
   Duration RetryAfter{}; ///< time until the tokens could be granted
 };
 
@@ -59,8 +59,8 @@
   struct Bucket {
     double Rate = 0;
     double Burst = 0;
-    double Debt = 0;       ///< against the quota with its tolerance
-    double QuotaDebt = 0;  ///< against the quota alone
+    double Debt = 0;      ///< against the quota with its tolerance
+    double QuotaDebt = 0; ///< against the quota alone
     double Granted = 0;
     TimePoint Settled{};
   };
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -23,12 +23,12 @@
   std::uint32_t PromptTokens = 0;
   std::uint32_t OutputTokens = 0; ///< expected
   TimePoint Arrival{};
-  TimePoint OnTimeUntil{}; ///< the first event is late after this
-  TimePoint GiveUpAt{};    ///< the caller leaves without a first event
+  TimePoint OnTimeUntil{};  ///< the first event is late after this
+  TimePoint GiveUpAt{};     ///< the caller leaves without a first event
   milliseconds TimeLeft{0}; ///< the caller's whole patience, at arrival
   bool BeyondQuota = false; ///< runs only if nobody within a quota waits
-  bool Returning = false;  ///< came back after an earlier rejection
-  std::string Avoid;       ///< endpoint that just failed the request
+  bool Returning = false;   ///< came back after an earlier rejection
+  std::string Avoid;        ///< endpoint that just failed the request
 };
 
 /// Engines for a generation.
@@ -138,8 +138,8 @@
   enum class Verdict { Placed, Refused, Waits };
 
   std::vector<std::size_t> serviceOrder(TimePoint Now) const;
-  Verdict consider(const StreamNeed &Need, TimePoint Now,
-                   std::vector<StreamDecision> &Out);
+  Verdict consider(const StreamNeed &Need, std::int64_t TokensAhead,
+                   TimePoint Now, std::vector<StreamDecision> &Out);
   StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
                         Duration ExpectedWait, TimePoint Now) const;
   Endpoint *chooseReplacement(const Placed &P, TimePoint Now);
@@ -147,7 +147,8 @@
                          TimePoint Now);
   Endpoint *choosePrefill(const StreamNeed &Need, std::string_view Zone,
                           TimePoint Now);
-  Duration expectedWait(const StreamNeed &Need, TimePoint Now);
+  Duration expectedWait(const StreamNeed &Need, std::int64_t TokensAhead,
+                        TimePoint Now);
   double accountLoad(const std::string &Account) const;
   std::int64_t memoryBound(const StreamNeed &Need) const;
 
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -179,8 +179,8 @@
   void cancel() override {
     Ended = true;
     closeActive();
-    asio::post(Executor, [Self = shared_from_this(),
-                          Unused = std::move(Handlers)] {});
+    asio::post(Executor,
+               [Self = shared_from_this(), Unused = std::move(Handlers)] {});
     Handlers = {};
   }
 
@@ -356,8 +356,7 @@
 
 } // namespace
 
-std::unique_ptr<UpstreamClient>
-makeUpstreamClient(asio::io_context &Context) {
+std::unique_ptr<UpstreamClient> makeUpstreamClient(asio::io_context &Context) {
   return std::make_unique<BeastUpstreamClient>(Context);
 }
 
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -89,8 +89,8 @@
 }
 
 Status GatewayRuntime::start() {
-  CallerServer = makeServer(Settings.CallerAddress,
-                            [this](Exchange E) { handle(E); });
+  CallerServer =
+      makeServer(Settings.CallerAddress, [this](Exchange E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
                            [this](Exchange E) { handleReadiness(E); });
   if (!Settings.MetricsAddress.empty())
@@ -183,8 +183,7 @@
       Peers.addCandidate(Address, Time.now());
 }
 
-void GatewayRuntime::onBadRecord(std::string_view Key,
-                                 std::string_view Field) {
+void GatewayRuntime::onBadRecord(std::string_view Key, std::string_view Field) {
   Log.write(LogUrgency::Outcome, "bad_record", "",
             {{"key", Key}, {"field", Field}});
   Counters.counter("store_bad_records").add();
@@ -266,8 +265,8 @@
   R.Service = chooseService(Route, stableHash(Info.Id));
   if (Account)
     R.Account = Account->Name;
-  R.Priority = Account && Account->Priority ? *Account->Priority
-                                            : Route.Priority;
+  R.Priority =
+      Account && Account->Priority ? *Account->Priority : Route.Priority;
   R.Arrival = Time.now();
   const milliseconds Patience = Info.Deadline > milliseconds(0)
                                     ? std::min(Info.Deadline, Route.Timeout)
@@ -368,7 +367,8 @@
              {"retry_after_ms", RetryAfter},
              {"version", Config ? Config->Version : 0}});
   Counters
-      .counter("rejections", {{"reason", std::string(rejectReasonName(Reason))}})
+      .counter("rejections",
+               {{"reason", std::string(rejectReasonName(Reason))}})
       .add();
   Caller->respond(Protocol.rejection(Reason, RetryAfter, Info.Id));
 }
@@ -450,8 +450,7 @@
     Counters.gauge("endpoint_tokens", Label).set(double(E.total().Tokens));
     Counters.gauge("endpoint_failure_share", Label)
         .set(E.Health.failureShare());
-    Counters.gauge("endpoint_usable", Label)
-        .set(E.Health.usable(Now) ? 1 : 0);
+    Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
   });
 }
 
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -15,7 +15,7 @@
 struct GatewaySettings {
   std::string Name;
   std::string Zone;
-  std::string CallerAddress;  ///< "IP:PORT", as all addresses here
+  std::string CallerAddress; ///< "IP:PORT", as all addresses here
   std::string ReadyAddress;
   std::string MetricsAddress; ///< empty: metrics are not served
   std::string PeerAddress;
@@ -24,7 +24,7 @@
   double RetryRatio = 0.2;
   double RetrySlack = 50;
   milliseconds RetryWindow{10'000};
-  double QuotaOverage = 0; ///< tolerated above the quota, as a share of it
+  double QuotaOverage = 0;     ///< tolerated above the quota, as a share of it
   double QuotaSlackTokens = 0; ///< tolerated besides
   double ColdOverage = 1;
   double ColdSlack = 0;
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -69,8 +69,8 @@
         if (Code == asio::error::operation_aborted || !Socket.is_open())
           return;
         wire::UsageReport Report;
-        if (!Code && Report.ParseFromArray(Buffer.data(),
-                                           static_cast<int>(Size)))
+        if (!Code &&
+            Report.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
           OnReport(Report);
         receive();
       });
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -61,8 +61,8 @@
   Call.Authority = Asked.Address;
   Call.Request =
       Services.Protocol.encode(Caller->request(), Asked, Request.Account);
-  Call.ConnectTimeout = Asked.Kind == LegKind::Call ? CallConnectTimeout
-                                                    : EngineConnectTimeout;
+  Call.ConnectTimeout =
+      Asked.Kind == LegKind::Call ? CallConnectTimeout : EngineConnectTimeout;
   Call.HeadTimeout = Asked.Deadline;
   note("send", {{"kind", legKindName(Asked.Kind)},
                 {"endpoint", Asked.EndpointId},
@@ -163,7 +163,8 @@
 
 void RequestSession::logLegEnd(const Leg &L, std::string_view Outcome,
                                unsigned Status, std::string_view Detail) {
-  const bool Good = Outcome == "complete" || (Outcome == "answered" && Status < 500);
+  const bool Good =
+      Outcome == "complete" || (Outcome == "answered" && Status < 500);
   Services.Log.write(Good ? LogUrgency::Routine : LogUrgency::Outcome,
                      "send_ended", Request.Info.Id,
                      {{"kind", legKindName(L.Kind)},
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -95,13 +95,12 @@
     LegRequest Leg;
     Leg.EndpointId = E->Record.Id;
     Leg.Address = E->Record.Address;
-    Leg.Deadline = std::chrono::duration_cast<milliseconds>(
-        Request.AnswerBy - Now);
+    Leg.Deadline =
+        std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     Leg.Repeat = Sends > 1;
-    ImpatientAt =
-        idempotent() && Runs + 1 < Request.Route.MaxAttempts
-            ? Now + Request.Route.Objective * PatienceInObjectives
-            : TimePoint::max();
+    ImpatientAt = idempotent() && Runs + 1 < Request.Route.MaxAttempts
+                      ? Now + Request.Route.Objective * PatienceInObjectives
+                      : TimePoint::max();
     Active = Io.startLeg(Leg);
   }
 
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -50,10 +50,11 @@
       avoid(FirstAvoidance, Now);
     return;
   case Evidence::Refused:
-    avoid(std::min<Duration>(FirstRefusalPause *
-                                 (1U << std::min(Refusals, MaxRefusalDoublings)),
-                             LongestRefusalPause),
-          Now);
+    avoid(
+        std::min<Duration>(FirstRefusalPause *
+                               (1U << std::min(Refusals, MaxRefusalDoublings)),
+                           LongestRefusalPause),
+        Now);
     ++Refusals;
     return;
   case Evidence::Unreachable:
--- /dev/null
+++ b/src/hyssoprail/routing/endpoint_health_test.cpp
@@ -0,0 +1,62 @@
+#include "hyssoprail/routing/endpoint_health.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+
+using testing::Start;
+
+// Guards against traffic to a crashed endpoint that is still registered.
+TEST_CASE("an unreachable endpoint is avoided, longer each time") {
+  EndpointHealth Health;
+  Health.record(Evidence::Unreachable, Start);
+  REQUIRE_FALSE(Health.usable(Start));
+  const Duration First = Health.avoidedUntil() - Start;
+  Health.record(Evidence::Unreachable, Health.avoidedUntil());
+  REQUIRE(Health.avoidedUntil() - Start - First > First);
+  Health.record(Evidence::Success, Health.avoidedUntil());
+  REQUIRE(Health.usable(Health.avoidedUntil()));
+}
+
+// Replays a route whose time limit is shorter than the work: its timeouts must
+// not take a sound endpoint out of use, which made one order in twenty late.
+TEST_CASE("timeouts among successes do not take an endpoint out of use") {
+  EndpointHealth Health;
+  for (int I = 0; I < 100; ++I) {
+    Health.record(I % 5 == 0 ? Evidence::Late : Evidence::Success, Start);
+    REQUIRE(Health.usable(Start));
+  }
+}
+
+// Guards against an endpoint that hangs on most requests and stays in use.
+TEST_CASE("an endpoint that answers nothing in time is avoided") {
+  EndpointHealth Health;
+  for (int I = 0; I < 4; ++I)
+    Health.record(Evidence::Late, Start);
+  REQUIRE_FALSE(Health.usable(Start));
+}
+
+// Replays a full engine whose load is not known: each refusal in a row must
+// keep further requests away for longer, a success ends that.
+TEST_CASE("refusals in a row lengthen the pause") {
+  EndpointHealth Health;
+  Health.record(Evidence::Refused, Start);
+  const TimePoint First = Health.avoidedUntil();
+  Health.record(Evidence::Refused, First);
+  REQUIRE(Health.avoidedUntil() - First > First - Start);
+  REQUIRE(Health.failureShare() == 0);
+}
+
+// Guards against services that fail a seventh of their requests by themselves
+// and would all be avoided.
+TEST_CASE("ordinary failures of a service do not take it out of use") {
+  EndpointHealth Health;
+  for (int I = 0; I < 200; ++I) {
+    Health.record(I % 7 == 0 ? Evidence::AppError : Evidence::Success, Start);
+    REQUIRE(Health.usable(Start));
+  }
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -36,9 +36,9 @@
         E.Peers += Load->second;
     return true;
   }
-  const bool Older = Record.Born < E.Record.Born ||
-                     (Record.Born == E.Record.Born &&
-                      Record.Sequence < E.Record.Sequence);
+  const bool Older =
+      Record.Born < E.Record.Born ||
+      (Record.Born == E.Record.Born && Record.Sequence < E.Record.Sequence);
   if (Older)
     return false;
   if (Record.Born > E.Record.Born)
@@ -102,8 +102,7 @@
   if (!inService(E) || !E.Health.usable(Now))
     return false;
   const auto Bound = StartsPerSecond.find(E.Record.Service);
-  return Bound == StartsPerSecond.end() ||
-         E.Starts.allows(Bound->second, Now);
+  return Bound == StartsPerSecond.end() || E.Starts.allows(Bound->second, Now);
 }
 
 std::vector<Endpoint *> EndpointTable::usable(std::string_view Service,
--- /dev/null
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -0,0 +1,107 @@
+#include "hyssoprail/routing/endpoint_table.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::service;
+using testing::Start;
+
+} // namespace
+
+// Guards against a late registration that revives a draining endpoint.
+TEST_CASE("an older report does not replace a newer one") {
+  EndpointTable Table;
+  EndpointRecord R = service("s1");
+  R.Born = 100;
+  R.Sequence = 5;
+  R.Draining = true;
+  Table.apply(R, Start);
+  EndpointRecord Old = R;
+  Old.Sequence = 4;
+  Old.Draining = false;
+  REQUIRE_FALSE(Table.apply(Old, Start));
+  REQUIRE(Table.usable("orders", Start).empty());
+  EndpointRecord Restarted = R;
+  Restarted.Born = 200;
+  Restarted.Sequence = 0;
+  Restarted.Draining = false;
+  REQUIRE(Table.apply(Restarted, Start));
+  REQUIRE(Table.usable("orders", Start).size() == 1);
+}
+
+// Guards against new work for endpoints that leave, are gone or in a zone that
+// is out.
+TEST_CASE("endpoints that must receive nothing are not usable") {
+  EndpointTable Table;
+  Table.apply(service("a", "zone-a"), Start);
+  Table.apply(service("b", "zone-b"), Start);
+  Table.setZonesOut({"zone-b"});
+  REQUIRE(Table.usable("orders", Start).size() == 1);
+  Table.remove("a");
+  REQUIRE(Table.usable("orders", Start).empty());
+  Table.setZonesOut({});
+  REQUIRE(Table.usable("orders", Start).size() == 1);
+}
+
+// Guards against load that is lost or counted twice as reports come and go.
+TEST_CASE("a peer's report replaces its earlier one") {
+  EndpointTable Table;
+  Table.setPeerLoad("p", {{"a", {1, 100, 0}}});
+  Table.apply(service("a"), Start);
+  REQUIRE(Table.find("a")->total().Tokens == 100);
+  Table.setPeerLoad("p", {{"a", {2, 300, 0}}});
+  REQUIRE(Table.find("a")->total() == EndpointLoad{2, 300, 0});
+  Table.setPeerLoad("p", {});
+  REQUIRE(Table.find("a")->total() == EndpointLoad{});
+}
+
+// Guards against an endpoint that is forgotten while its work still runs, whose
+// release would then be lost.
+TEST_CASE("a removed endpoint is kept until its work has ended") {
+  EndpointTable Table;
+  Table.apply(service("a"), Start);
+  Table.reserve("a", {1, 0, 0});
+  Table.remove("a");
+  REQUIRE(Table.find("a") != nullptr);
+  Table.release("a", {1, 0, 0});
+  REQUIRE(Table.find("a") == nullptr);
+}
+
+// Replays a burst at an endpoint that may turn cold at any moment: in no second
+// may it get more than this entry's part of what it bears.
+TEST_CASE("starts in any second stay under the bound") {
+  EndpointTable Table;
+  Table.apply(service("a"), Start);
+  Table.setStartsPerSecond("orders", 4);
+  std::vector<TimePoint> Sent;
+  for (int Ms = 0; Ms < 5'000; Ms += 20) {
+    const TimePoint Now = Start + milliseconds(Ms);
+    if (!Table.usable("orders", Now).empty()) {
+      Table.sent("a", Now);
+      Sent.push_back(Now);
+    }
+  }
+  for (std::size_t I = 4; I < Sent.size(); ++I)
+    REQUIRE(Sent[I] - Sent[I - 4] >= std::chrono::seconds(1));
+  REQUIRE(Sent.size() >= 16);
+}
+
+// Guards against calls that leave the zone or crowd one endpoint.
+TEST_CASE("calls go to the least loaded endpoint, at home first") {
+  EndpointTable Table;
+  Table.apply(service("far", "zone-b"), Start);
+  Table.apply(service("home", "zone-a"), Start);
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start)->Record.Id ==
+          "home");
+  Table.reserve("home", {3, 0, 0});
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start)->Record.Id ==
+          "far");
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {"far", "home"}, Start) ==
+          nullptr);
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/event_splitter_test.cpp
@@ -0,0 +1,45 @@
+#include "hyssoprail/routing/event_splitter.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace hyssoprail::routing {
+
+// Guards against events that change, vanish or merge when the stream arrives
+// in pieces of any size.
+TEST_CASE("events are whole and unchanged however the stream is cut") {
+  const std::string Stream = "id: 1\ndata: a\n\n"
+                             "x-version: 7\nid:2\ndata: b\ndata: c\n\n"
+                             "data: no id\r\n\r\n"
+                             "id: 3\ndata: d\n\n";
+  const bool Passed = rc::check("any cut", [&] {
+    EventSplitter Splitter;
+    std::string Joined;
+    std::vector<std::optional<std::uint64_t>> Ids;
+    std::size_t At = 0;
+    while (At < Stream.size()) {
+      const auto Size = *rc::gen::inRange<std::size_t>(1, 9);
+      Splitter.feed(std::string_view(Stream).substr(At, Size));
+      At += Size;
+      while (auto Event = Splitter.next()) {
+        Joined += Event->Bytes;
+        Ids.push_back(Event->Id);
+      }
+    }
+    RC_ASSERT(Joined == Stream);
+    RC_ASSERT(Ids == (std::vector<std::optional<std::uint64_t>>{
+                         1, 2, std::nullopt, 3}));
+    RC_ASSERT(Splitter.atBoundary());
+  });
+  REQUIRE(Passed);
+}
+
+// Guards against half an event that reaches the caller when its engine crashes.
+TEST_CASE("an event without its end is not delivered") {
+  EventSplitter Splitter;
+  Splitter.feed("id: 1\ndata: hal");
+  REQUIRE_FALSE(Splitter.next().has_value());
+  REQUIRE_FALSE(Splitter.atBoundary());
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -63,9 +63,8 @@
   std::erase_if(Candidates, [&](const auto &Item) {
     return Now - Item.second > CandidateTime;
   });
-  Quota.setAudibleShare(static_cast<double>(audible(Now)) /
-                            static_cast<double>(known(Now)),
-                        Now);
+  Quota.setAudibleShare(
+      static_cast<double>(audible(Now)) / static_cast<double>(known(Now)), Now);
 }
 
 void PeerBoard::addCandidate(const std::string &Address, TimePoint Now) {
--- /dev/null
+++ b/src/hyssoprail/routing/peer_board_test.cpp
@@ -0,0 +1,87 @@
+#include "hyssoprail/routing/peer_board.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::engine;
+using testing::Start;
+
+wire::UsageReport report(const std::string &Sender, std::uint64_t Incarnation,
+                         std::uint64_t Sequence, std::uint64_t Tokens) {
+  wire::UsageReport R;
+  R.set_sender(Sender);
+  R.set_incarnation(Incarnation);
+  R.set_sequence(Sequence);
+  R.set_address("10.0.0.2:7600");
+  wire::EndpointUse *Use = R.add_endpoints();
+  Use->set_endpoint("d1");
+  Use->set_runs(1);
+  Use->set_tokens(Tokens);
+  return R;
+}
+
+struct Board {
+  Board() { Table.apply(engine("d1", EngineStage::Decode), Start); }
+
+  std::int64_t tokens() { return Table.find("d1")->total().Tokens; }
+
+  EndpointTable Table;
+  SharedQuota Quota{QuotaTolerance{}};
+  PeerBoard Peers{"self", Table, Quota};
+};
+
+} // namespace
+
+// Replays an entry that is cut off from the others: both sides must go on
+// counting each other's work, or they fill the same engines. On quiet days this
+// cost 99,000 prompt tokens that were read in vain.
+TEST_CASE("the load of a peer that has fallen silent is kept") {
+  Board B;
+  B.Peers.hear(report("p", 1, 1, 5'000), Start);
+  for (int Ms = 0; Ms <= 6'000; Ms += 100)
+    B.Peers.age(Start + milliseconds(Ms));
+  REQUIRE(B.tokens() == 5'000);
+  REQUIRE(B.Peers.audible(Start + milliseconds(6'000)) == 1);
+  REQUIRE(B.Peers.known(Start + milliseconds(6'000)) == 2);
+  B.Peers.age(Start + std::chrono::seconds(30));
+  REQUIRE(B.tokens() == 0);
+  REQUIRE(B.Peers.known(Start + std::chrono::seconds(30)) == 1);
+}
+
+// Guards against the load of a killed peer that stays after its restart.
+TEST_CASE("a new incarnation replaces what the old one reported") {
+  Board B;
+  B.Peers.hear(report("p", 1, 7, 5'000), Start);
+  REQUIRE(B.Peers.hear(report("p", 2, 1, 100), Start));
+  REQUIRE(B.tokens() == 100);
+}
+
+// Guards against datagrams that overtake each other.
+TEST_CASE("a report that arrives late is ignored") {
+  Board B;
+  B.Peers.hear(report("p", 1, 2, 5'000), Start);
+  B.Peers.hear(report("p", 1, 1, 100), Start);
+  REQUIRE(B.tokens() == 5'000);
+}
+
+// Guards against an entry that counts itself among its peers.
+TEST_CASE("the own report is ignored") {
+  Board B;
+  REQUIRE_FALSE(B.Peers.hear(report("self", 1, 1, 100), Start));
+  REQUIRE(B.Peers.known(Start) == 1);
+}
+
+// Guards against reports that go on to addresses where nobody lives.
+TEST_CASE("a candidate that never answers is dropped") {
+  Board B;
+  B.Peers.addCandidate("10.0.0.9:7600", Start);
+  REQUIRE(B.Peers.addresses(Start).size() == 1);
+  B.Peers.age(Start + std::chrono::seconds(10));
+  REQUIRE(B.Peers.addresses(Start + std::chrono::seconds(10)).empty());
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/retry_window_test.cpp
@@ -0,0 +1,72 @@
+#include "hyssoprail/routing/retry_window.hpp"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::Start;
+
+constexpr milliseconds Window{10'000};
+
+} // namespace
+
+// Guards against a window in which repeats exceed ratio x requests + slack,
+// wherever it begins.
+TEST_CASE("no window holds more repeats than the budget") {
+  const bool Passed = rc::check("window bound", [] {
+    RetryWindow Retries({0.2, 10, Window});
+    std::vector<TimePoint> Requests;
+    std::vector<TimePoint> Repeats;
+    TimePoint Now = Start;
+    const auto Steps = *rc::gen::inRange(50, 400);
+    for (int I = 0; I < Steps; ++I) {
+      Now += milliseconds(*rc::gen::inRange(0, 200));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        Retries.request("s", Now);
+        Requests.push_back(Now);
+      } else if (Retries.take("s", Now)) {
+        Repeats.push_back(Now);
+      }
+    }
+    for (const TimePoint From : Repeats) {
+      std::size_t InWindow = 0;
+      for (const TimePoint T : Repeats)
+        InWindow += T >= From && T < From + Window ? 1 : 0;
+      // The rule takes the largest of three windows of requests; the two that
+      // overlap the repeats are a lower bound of it.
+      std::size_t Counted = 0;
+      for (const TimePoint T : Requests)
+        Counted += T >= From - Window && T < From + Window ? 1 : 0;
+      RC_ASSERT(double(InWindow) <= 0.2 * double(Counted) + 10);
+    }
+  });
+  REQUIRE(Passed);
+}
+
+// Guards against entries that each use the whole slack.
+TEST_CASE("entries share the slack") {
+  RetryWindow Retries({0.2, 60, Window});
+  Retries.setEntries(6);
+  unsigned Taken = 0;
+  while (Retries.take("s", Start))
+    ++Taken;
+  REQUIRE(Taken * 6 <= 60);
+  REQUIRE(Taken > 0);
+}
+
+// Guards against sends that reached nobody and still use up the budget.
+TEST_CASE("a send that reached no endpoint is given back") {
+  RetryWindow Retries({0, 2, Window});
+  REQUIRE(Retries.take("s", Start));
+  REQUIRE_FALSE(Retries.available("s", Start));
+  Retries.giveBack("s", Start);
+  REQUIRE(Retries.take("s", Start));
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -6,9 +6,7 @@
 namespace hyssoprail::routing {
 namespace {
 
-double seconds(Duration D) {
-  return std::chrono::duration<double>(D).count();
-}
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 } // namespace
 
--- /dev/null
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -0,0 +1,105 @@
+#include "hyssoprail/routing/shared_quota.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::Start;
+using testing::testConfig;
+
+constexpr double Rate = 1'000;
+constexpr double Burst = 1'000;
+
+} // namespace
+
+// Replays one account that sends ten times its quota through one entry: no
+// window may get more than rate x length + burst.
+TEST_CASE("a hot account gets its quota and no more") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  double Granted = 0;
+  constexpr int Seconds = 8;
+  for (int Ms = 0; Ms < Seconds * 1'000; Ms += 10)
+    if (Quota.take("acme", 100, Start + milliseconds(Ms)).Granted)
+      Granted += 100;
+  REQUIRE(Granted <= Burst + Rate * Seconds);
+  REQUIRE(Granted >= Rate * Seconds);
+}
+
+// Replays the same account at two entries that hear each other every 100 ms.
+TEST_CASE("two entries that hear each other share one quota") {
+  SharedQuota A({});
+  SharedQuota B({});
+  A.configure(*testConfig(), Start);
+  B.configure(*testConfig(), Start);
+  A.peerGranted("b", 1, "acme", 0, Start);
+  B.peerGranted("a", 1, "acme", 0, Start);
+  double Granted = 0;
+  constexpr int Seconds = 8;
+  constexpr double LateReports = 1'000; // granted between two reports
+  for (int Ms = 0; Ms < Seconds * 1'000; Ms += 10) {
+    const TimePoint Now = Start + milliseconds(Ms);
+    for (SharedQuota *Q : {&A, &B})
+      if (Q->take("acme", 50, Now).Granted)
+        Granted += 50;
+    if (Ms % 100 != 0)
+      continue;
+    A.peerGranted("b", 1, "acme", B.granted()["acme"], Now);
+    B.peerGranted("a", 1, "acme", A.granted()["acme"], Now);
+  }
+  REQUIRE(Granted <= Burst + Rate * Seconds + LateReports);
+}
+
+// Guards against entries that each use the whole rate while they are parted.
+TEST_CASE("an entry that hears half of the fleet refills at half the rate") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.setAudibleShare(0.5, Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+  REQUIRE_FALSE(
+      Quota.take("acme", 900, Start + std::chrono::seconds(1)).Granted);
+  REQUIRE(Quota.take("acme", 400, Start + std::chrono::seconds(1)).Granted);
+}
+
+// Guards against a loss of quota for requests that never ran.
+TEST_CASE("tokens of a request that did not run are returned") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+  Quota.giveBack("acme", 1'000, Start);
+  REQUIRE(Quota.granted()["acme"] == 0);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+}
+
+// Guards against a time to return at which the request is refused again.
+TEST_CASE("a refusal names the time at which the tokens are there") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+  const QuotaDecision D = Quota.take("acme", 500, Start);
+  REQUIRE_FALSE(D.Granted);
+  REQUIRE(Quota.take("acme", 500, Start + D.RetryAfter).Granted);
+}
+
+// Guards against a second tolerance after all entries were lost.
+TEST_CASE("a new bucket begins with its tolerance used up") {
+  SharedQuota Quota({.Share = 0, .Tokens = 5'000});
+  Quota.configure(*testConfig(), Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+  REQUIRE_FALSE(Quota.take("acme", 100, Start).Granted);
+}
+
+// Guards against a restart of a peer that is read as tokens given back.
+TEST_CASE("a restarted peer's smaller total is no refund") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.peerGranted("b", 1, "acme", 0, Start);
+  Quota.peerGranted("b", 1, "acme", 1'000, Start);
+  Quota.peerGranted("b", 2, "acme", 0, Start);
+  REQUIRE_FALSE(Quota.take("acme", 100, Start).Granted);
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -71,9 +71,7 @@
       LastEvent = this->Request.Info.LastEvent;
   }
 
-  void start(TimePoint Now) override {
-    Shared.Scheduler.submit(need(Now));
-  }
+  void start(TimePoint Now) override { Shared.Scheduler.submit(need(Now)); }
 
   void onPlaced(const StreamPlace &Place, TimePoint Now) override {
     HasPlace = true;
@@ -105,9 +103,8 @@
     Active.reset();
     recordEvidence(Answer, Now);
     if (Answer.Outcome == LegOutcome::NotSent)
-      uncountArrival(Current == Phase::Prefilling ? PrefillArrivals
-                                                  : DecodeArrivals,
-                     Now);
+      uncountArrival(
+          Current == Phase::Prefilling ? PrefillArrivals : DecodeArrivals, Now);
     if (Current == Phase::Prefilling)
       return onPrefillAnswer(std::move(Answer), Now);
     onDecodeAnswer(std::move(Answer), Now);
@@ -217,13 +214,12 @@
     N.OnTimeUntil = Request.Arrival + Request.Route.Objective;
     N.TimeLeft = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
                                                           Request.Arrival);
-    N.Returning = Request.Info.Deadline > milliseconds(0) &&
-                  Request.Info.Deadline < Request.Route.Timeout *
-                                              FreshDeadlineShare;
-    const milliseconds Patience =
-        std::max({CallerPatience,
-                  Request.Route.Objective * PatienceInObjectives,
-                  Request.Route.GapObjective * PatienceInGaps});
+    N.Returning =
+        Request.Info.Deadline > milliseconds(0) &&
+        Request.Info.Deadline < Request.Route.Timeout * FreshDeadlineShare;
+    const milliseconds Patience = std::max(
+        {CallerPatience, Request.Route.Objective * PatienceInObjectives,
+         Request.Route.GapObjective * PatienceInGaps});
     N.GiveUpAt = std::min(Now + Patience, lastMoment());
     return N;
   }
@@ -447,13 +443,11 @@
     case LegOutcome::NotSent:
       return E->Health.record(Evidence::Unreachable, Now);
     case LegOutcome::NotRun:
-      return E->Health.record(Answer.OtherOwner ? Evidence::WrongOwner
-                                                : Evidence::Refused,
-                              Now);
+      return E->Health.record(
+          Answer.OtherOwner ? Evidence::WrongOwner : Evidence::Refused, Now);
     case LegOutcome::Answered:
-      return E->Health.record(Answer.Response.Status >= 500
-                                  ? Evidence::AppError
-                                  : Evidence::Success,
+      return E->Health.record(Answer.Response.Status >= 500 ? Evidence::AppError
+                                                            : Evidence::Success,
                               Now);
     case LegOutcome::Broken:
       return E->Health.record(Evidence::Broken, Now);
@@ -486,9 +480,9 @@
     case Phase::Starting:
       return mayRepeat() ? LastProgress + FirstEventPatience : TimePoint::max();
     case Phase::Streaming:
-      return mayRepeat()
-                 ? LastProgress + (GotEvent ? EventPatience : FirstEventPatience)
-                 : TimePoint::max();
+      return mayRepeat() ? LastProgress +
+                               (GotEvent ? EventPatience : FirstEventPatience)
+                         : TimePoint::max();
     case Phase::Waiting:
     case Phase::Done:
       break;
@@ -555,8 +549,8 @@
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
   TimePoint PatienceUntil{}; ///< a silent engine is given until then
-  TimePoint PrefillBy{}; ///< a prefill without an answer by then hangs
-  std::uint64_t Events = 0; ///< that the caller has
+  TimePoint PrefillBy{};     ///< a prefill without an answer by then hangs
+  std::uint64_t Events = 0;  ///< that the caller has
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
   unsigned PrefillArrivals = 0; ///< sends that reached an endpoint
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -62,9 +62,7 @@
   return {1, 0, Need.PromptTokens};
 }
 
-double seconds(Duration D) {
-  return std::chrono::duration<double>(D).count();
-}
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 Duration fromSeconds(double S) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(S));
@@ -115,8 +113,8 @@
 }
 
 /// Order of service: urgent ranks first; within a rank those within their
-/// quota, then those who came back, then those that can still be on time, then the account with the least
-/// running work for its rate, then the earliest.
+/// quota, then those who came back, then those that can still be on time, then
+/// the account with the least running work for its rate, then the earliest.
 std::vector<std::size_t> StreamScheduler::serviceOrder(TimePoint Now) const {
   using Key = std::tuple<int, bool, bool, bool, double, TimePoint>;
   std::map<std::string, double> AccountLoads;
@@ -132,9 +130,8 @@
   }
   std::vector<std::size_t> Order(Waiting.size());
   std::iota(Order.begin(), Order.end(), 0U);
-  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
-    return Keys[A] < Keys[B];
-  });
+  std::sort(Order.begin(), Order.end(),
+            [&](std::size_t A, std::size_t B) { return Keys[A] < Keys[B]; });
   return Order;
 }
 
@@ -143,16 +140,20 @@
   if (Waiting.empty() || !Config)
     return Out;
   std::vector<bool> Done(Waiting.size(), false);
-  for (const std::size_t I : serviceOrder(Now))
-    Done[I] = consider(Waiting[I], Now, Out) != Verdict::Waits;
+  std::int64_t TokensAhead = PeersWaiting;
+  for (const std::size_t I : serviceOrder(Now)) {
+    Done[I] = consider(Waiting[I], TokensAhead, Now, Out) != Verdict::Waits;
+    if (!Done[I])
+      TokensAhead += memoryNeed(Waiting[I]);
+  }
   std::size_t Index = 0;
   std::erase_if(Waiting, [&](const StreamNeed &) { return Done[Index++]; });
   return Out;
 }
 
 StreamScheduler::Verdict
-StreamScheduler::consider(const StreamNeed &Need, TimePoint Now,
-                          std::vector<StreamDecision> &Out) {
+StreamScheduler::consider(const StreamNeed &Need, std::int64_t TokensAhead,
+                          TimePoint Now, std::vector<StreamDecision> &Out) {
   if (memoryNeed(Need) > memoryBound(Need)) {
     Out.push_back(refusal(Need, StreamRefusalReason::TooLarge, {}, Now));
     return Verdict::Refused;
@@ -172,10 +173,10 @@
   }
   if (Now + LatestStart >= Need.GiveUpAt) {
     Out.push_back(refusal(Need, StreamRefusalReason::WaitedTooLong,
-                          expectedWait(Need, Now), Now));
+                          expectedWait(Need, TokensAhead, Now), Now));
     return Verdict::Refused;
   }
-  const Duration Wait = expectedWait(Need, Now);
+  const Duration Wait = expectedWait(Need, TokensAhead, Now);
   if (Now + Wait + LatestStart < Need.GiveUpAt)
     return Verdict::Waits;
   // Those who came back have no further try, so they wait as long as they can.
@@ -194,9 +195,8 @@
   const Duration Longest = fromSeconds(seconds(Left) * HonouredPart);
   const Duration Return = std::clamp<Duration>(
       ExpectedWait, std::min<Duration>(ShortestReturn, Longest), Longest);
-  return {Need.Id, Reason,
-          std::chrono::duration_cast<milliseconds>(Return), ExpectedWait,
-          Waiting.size()};
+  return {Need.Id, Reason, std::chrono::duration_cast<milliseconds>(Return),
+          ExpectedWait, Waiting.size()};
 }
 
 std::int64_t StreamScheduler::memoryBound(const StreamNeed &Need) const {
@@ -231,13 +231,12 @@
 }
 
 Endpoint *StreamScheduler::choosePrefill(const StreamNeed &Need,
-                                         std::string_view Zone,
-                                         TimePoint Now) {
+                                         std::string_view Zone, TimePoint Now) {
   Endpoint *Best = nullptr;
   std::int64_t BestCost = std::numeric_limits<std::int64_t>::max();
   for (Endpoint *E : Table.usable(Need.Service, Now)) {
-    if (E->Record.Stage != EngineStage::Prefill ||
-        E->Record.Id == Need.Avoid || Now < E->HandlesLostUntil)
+    if (E->Record.Stage != EngineStage::Prefill || E->Record.Id == Need.Avoid ||
+        Now < E->HandlesLostUntil)
       continue;
     const std::int64_t Backlog = E->total().PrefillTokens;
     if (Backlog > Options.PrefillBacklog)
@@ -255,7 +254,9 @@
 
 /// Time until the memory for which others wait has been freed, if engines free
 /// it evenly over the mean time that a generation runs.
-Duration StreamScheduler::expectedWait(const StreamNeed &Need, TimePoint Now) {
+Duration StreamScheduler::expectedWait(const StreamNeed &Need,
+                                       std::int64_t TokensAhead,
+                                       TimePoint Now) {
   std::int64_t Capacity = 0;
   std::int64_t Used = 0;
   const std::int64_t Bound = memoryBound(Need);
@@ -267,11 +268,8 @@
   }
   if (Capacity == 0)
     return Need.GiveUpAt - Now;
-  std::int64_t Ahead = memoryNeed(Need) + PeersWaiting;
-  for (const StreamNeed &N : Waiting)
-    if (N.Arrival < Need.Arrival)
-      Ahead += memoryNeed(N);
-  const std::int64_t Missing = Ahead - std::max<std::int64_t>(0, Capacity - Used);
+  const std::int64_t Missing = memoryNeed(Need) + TokensAhead -
+                               std::max<std::int64_t>(0, Capacity - Used);
   if (Missing <= 0)
     return Duration{0};
   const double FreedPerSecond = static_cast<double>(Capacity) / MeanRunSeconds;
@@ -318,8 +316,8 @@
     P.Need.Avoid = P.Prefill;
   prefillEnded(Id);
   const Endpoint *Decode = Table.find(P.Decode);
-  Endpoint *Next = choosePrefill(
-      P.Need, Decode ? Decode->Record.Zone : Options.Zone, Now);
+  Endpoint *Next =
+      choosePrefill(P.Need, Decode ? Decode->Record.Zone : Options.Zone, Now);
   if (!Next)
     return {};
   P.Prefill = Next->Record.Id;
--- /dev/null
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -0,0 +1,166 @@
+#ifndef HYSSOPRAIL_ROUTING_TEST_SUPPORT_HPP
+#define HYSSOPRAIL_ROUTING_TEST_SUPPORT_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hyssoprail/routing/flow.hpp"
+
+namespace hyssoprail::routing::testing {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+
+inline EndpointRecord engine(const std::string &Id, EngineStage Stage,
+                             const std::string &Zone = "zone-a") {
+  EndpointRecord R;
+  R.Id = Id;
+  R.Service = "assistant";
+  R.Address = "10.0.0.1:80";
+  R.Zone = Zone;
+  R.Slots = 64;
+  R.Stage = Stage;
+  return R;
+}
+
+inline EndpointRecord service(const std::string &Id,
+                              const std::string &Zone = "zone-a") {
+  EndpointRecord R = engine(Id, EngineStage::None, Zone);
+  R.Service = "orders";
+  R.Slots = 6;
+  return R;
+}
+
+/// One account with a quota of 1,000 tokens a second and a burst of 1,000, one
+/// service of engines with memory for 10,000 tokens, and a plain service.
+inline std::shared_ptr<FleetConfig> testConfig() {
+  auto C = std::make_shared<FleetConfig>();
+  C->Version = 1;
+  ServicePolicy Assistant;
+  Assistant.Name = "assistant";
+  Assistant.Engine = EngineLimits{64, 10'000, 16, milliseconds(500)};
+  C->Services["assistant"] = Assistant;
+  ServicePolicy Orders;
+  Orders.Name = "orders";
+  C->Services["orders"] = Orders;
+  C->Accounts["acme"] = {"acme", std::nullopt, 1'000, 1'000, 10};
+  C->AccountOfKey["key-1"] = "acme";
+  return C;
+}
+
+/// Records what a flow asks for.
+class FakeIo : public FlowIo {
+public:
+  LegId startLeg(const LegRequest &Leg) override {
+    Legs.push_back(Leg);
+    return static_cast<LegId>(Legs.size());
+  }
+  void cancelLeg(LegId Leg) override { Cancelled.push_back(Leg); }
+  void dropHandle(const KvSource &Source) override {
+    Dropped.push_back(Source.Handle);
+  }
+  void respond(const HttpResponse &Response) override {
+    ++Answers;
+    Status = Response.Status;
+  }
+  void reject(RejectReason Reason, milliseconds RetryAfter) override {
+    ++Answers;
+    Rejected = Reason;
+    Return = RetryAfter;
+  }
+  void beginStream(const HttpResponse &Head) override { Status = Head.Status; }
+  void forward(std::string_view Events) override { Sent += Events; }
+  void finishStream() override { ++Answers; }
+  void abort() override {
+    ++Answers;
+    Aborted = true;
+  }
+  bool stillAllowed() override { return Allowed; }
+  void note(std::string_view, LogFields) override {}
+
+  LegId lastLeg() const { return static_cast<LegId>(Legs.size()); }
+
+  std::vector<LegRequest> Legs;
+  std::vector<LegId> Cancelled;
+  std::vector<std::string> Dropped;
+  std::string Sent;
+  unsigned Answers = 0; ///< final ones
+  unsigned Status = 0;
+  std::optional<RejectReason> Rejected;
+  milliseconds Return{0};
+  bool Aborted = false;
+  bool Allowed = true;
+};
+
+inline LegAnswer answered(unsigned Status, const std::string &Handle = "") {
+  LegAnswer A;
+  A.Outcome = LegOutcome::Answered;
+  A.Response.Status = Status;
+  A.Handle = Handle;
+  return A;
+}
+
+inline LegAnswer ended(LegOutcome Outcome) {
+  LegAnswer A;
+  A.Outcome = Outcome;
+  return A;
+}
+
+/// An entry's state with engines and services, and one flow at a time.
+struct FlowBench {
+  FlowBench() { Scheduler.configure(testConfig()); }
+
+  void add(const EndpointRecord &Record) { Table.apply(Record, Now); }
+
+  FlowRequest request(RouteKind Kind, const std::string &Key = "1") const {
+    FlowRequest R;
+    R.Key = Key;
+    R.Info.Id = "id-" + Key;
+    R.Info.Tokens = TokenCounts{1'000, 400};
+    R.Info.OutputHint = 200;
+    R.Route.Kind = Kind;
+    R.Route.Timeout = milliseconds(14'000);
+    R.Route.Objective = milliseconds(900);
+    R.Route.GapObjective = milliseconds(300);
+    R.Route.MaxAttempts = 2;
+    R.Service = Kind == RouteKind::Stream ? "assistant" : "orders";
+    R.Account = "acme";
+    R.Arrival = Now;
+    R.AnswerBy = Now + R.Route.Timeout;
+    R.EventTokens = 16;
+    return R;
+  }
+
+  FlowShared shared() {
+    return {Table, Scheduler, Retries, Lengths, "zone-a"};
+  }
+
+  /// Starts a stream and passes the scheduler's decision on.
+  std::unique_ptr<Flow> startStream(FlowRequest R) {
+    auto F = makeStreamFlow(shared(), std::move(R), Io);
+    F->start(Now);
+    poll(*F);
+    return F;
+  }
+
+  void poll(Flow &F) {
+    for (const StreamDecision &D : Scheduler.poll(Now)) {
+      if (const auto *Place = std::get_if<StreamPlace>(&D))
+        F.onPlaced(*Place, Now);
+      else
+        F.onRefused(std::get<StreamRefusal>(D), Now);
+    }
+  }
+
+  TimePoint Now = Start;
+  EndpointTable Table;
+  StreamScheduler Scheduler{{.Zone = "zone-a"}, Table};
+  RetryWindow Retries{{0.2, 100, milliseconds(10'000)}};
+  LengthEstimator Lengths;
+  FakeIo Io;
+};
+
+} // namespace hyssoprail::routing::testing
+
+#endif // HYSSOPRAIL_ROUTING_TEST_SUPPORT_HPP
