--- /dev/null
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -0,0 +1,141 @@
+#include "hyssoprail/connection/upstream_client.hpp"
+
+#include <future>
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/testing/scripted_server.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using testing::LoopThread;
+using testing::ScriptedAnswer;
+using testing::ScriptedServer;
+
+struct Outcome {
+  UpstreamEnd End = UpstreamEnd::Broken;
+  unsigned Status = 0;
+  std::string Body;
+};
+
+std::string answer(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+/// Sends requests one after the other.
+class Sender {
+public:
+  Sender() : Client(makeUpstreamClient(Loop.context())) {}
+  ~Sender() { Loop.stop(); }
+
+  Outcome send(const std::string &Authority, const std::string &Id,
+               std::chrono::milliseconds Timeout = std::chrono::seconds(5)) {
+    std::promise<Outcome> Done;
+    auto Result = Done.get_future();
+    auto Seen = std::make_shared<Outcome>();
+    UpstreamCall Call;
+    Call.Authority = Authority;
+    Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
+    Call.HeadTimeout = Timeout;
+    UpstreamHandlers H;
+    H.IsOurs = [Id](const HttpResponse &Head) {
+      return headerValue(Head.Headers, "Request-Id") == Id;
+    };
+    H.OnHead = [Seen](HttpResponse Head) { Seen->Status = Head.Status; };
+    H.OnData = [Seen](std::string_view Data) { Seen->Body += Data; };
+    H.OnEnd = [Seen, &Done](UpstreamEnd End, const std::string &) {
+      Seen->End = End;
+      Done.set_value(*Seen);
+    };
+    boost::asio::post(Loop.context(), [&] {
+      Client->send(std::move(Call), std::move(H));
+    });
+    return Result.get();
+  }
+
+private:
+  LoopThread Loop;
+  std::unique_ptr<UpstreamClient> Client;
+};
+
+} // namespace
+
+// Guards against a new connection for every request.
+TEST_CASE("a connection is used again after a whole answer") {
+  ScriptedServer Server({{answer("1", "a")}, {answer("2", "b")}});
+  Sender S;
+  REQUIRE(S.send(Server.authority(), "1").Body == "a");
+  REQUIRE(S.send(Server.authority(), "2").Body == "b");
+  REQUIRE(Server.connections() == 1);
+}
+
+// Guards against a late second answer that is taken for the next request's.
+TEST_CASE("an answer of an earlier request is skipped") {
+  ScriptedServer Server({{answer("old", "x") + answer("1", "a")}});
+  Sender S;
+  const Outcome O = S.send(Server.authority(), "1");
+  REQUIRE(O.End == UpstreamEnd::Complete);
+  REQUIRE(O.Body == "a");
+}
+
+// Guards against stray bytes that become part of the next answer.
+TEST_CASE("a connection with bytes after its answer is not used again") {
+  ScriptedServer Server({{answer("1", "a") + "stray"}, {answer("2", "b")}});
+  Sender S;
+  REQUIRE(S.send(Server.authority(), "1").Body == "a");
+  REQUIRE(S.send(Server.authority(), "2").Body == "b");
+  REQUIRE(Server.connections() == 2);
+}
+
+// Guards against half an answer that passes for a whole one.
+TEST_CASE("an answer that is cut is not complete") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+  const std::vector<ScriptedAnswer> Cut{
+      {Head + "Content-Length: 10\r\n\r\nabc", true},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", true},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true},
+      {Head + "\r\nabc", false, true},
+      {"not an answer\r\n\r\n", true},
+      {"", true},
+  };
+  for (const ScriptedAnswer &A : Cut) {
+    ScriptedServer Server({A});
+    Sender S;
+    CHECK(S.send(Server.authority(), "1").End == UpstreamEnd::Broken);
+  }
+}
+
+// Guards against a refusal of answers that end with their connection.
+TEST_CASE("an answer without a length ends with its connection") {
+  ScriptedServer Server({{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc", true}});
+  Sender S;
+  const Outcome O = S.send(Server.authority(), "1");
+  REQUIRE(O.End == UpstreamEnd::Complete);
+  REQUIRE(O.Body == "abc");
+}
+
+// Guards against a request that is called lost although nobody received it.
+TEST_CASE("a refused connection means that nothing was sent") {
+  std::string Authority;
+  {
+    ScriptedServer Server({});
+    Authority = Server.authority();
+  }
+  Sender S;
+  REQUIRE(S.send(Authority, "1").End == UpstreamEnd::NotSent);
+  REQUIRE(S.send("nowhere", "1").End == UpstreamEnd::NotSent);
+}
+
+// Guards against an endpoint that takes a request and never answers.
+TEST_CASE("a silent endpoint times out") {
+  ScriptedServer Server({});
+  Sender S;
+  REQUIRE(S.send(Server.authority(), "1", std::chrono::milliseconds(200)).End ==
+          UpstreamEnd::TimedOut);
+}
+
+} // namespace hyssoprail
