--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -36,6 +36,10 @@
   /// when no request is left or the grace is over.
   void stop();
 
+  /// Ports that were bound.
+  std::uint16_t callerPort() const { return CallerServer->port(); }
+  std::uint16_t readyPort() const { return ReadyServer->port(); }
+
   // FleetListener
   void onConfig(routing::FleetConfigPtr Config) override;
   void onZonesOut(std::set<std::string, std::less<>> Zones) override;
