--- a/src/hyssoprail/timeline/main.cpp
+++ b/src/hyssoprail/timeline/main.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 
 #include <boost/algorithm/string.hpp>
@@ -11,11 +12,15 @@
 
 #include "hyssoprail/process/query.hpp"
 #include "hyssoprail/timeline/fetch.hpp"
+#include "hyssoprail/timeline/log_reader.hpp"
 
 DEFINE_string(processes, "", "IP:PORT of several processes, comma-separated");
 DEFINE_string(entry, "",
               "IP:PORT of an entry's admin port; its process list "
               "is used too");
+DEFINE_string(logs, "",
+              "files with decision logs, comma-separated; \"-\" is standard "
+              "input");
 DEFINE_string(token, "", "operator token; default: HYSSOPRAIL_TOKEN");
 DEFINE_string(request, "", "request id");
 DEFINE_string(account, "", "client account");
@@ -31,7 +36,8 @@
     "merges the events of several processes for one request, account or "
     "endpoint.\n\n"
     "  hyssoprail-timeline --processes IP:PORT,IP:PORT --request ID\n"
-    "  hyssoprail-timeline --entry IP:PORT --account NAME --output json\n\n"
+    "  hyssoprail-timeline --entry IP:PORT --account NAME --output json\n"
+    "  hyssoprail-timeline --logs FILE,FILE --request ID\n\n"
     "Exit codes: 0 all processes answered; 1 none answered; 2 wrong usage; "
     "3 some did not answer, and the time line is partial.";
 
@@ -96,7 +102,38 @@
   std::cout << Out.dump(2, ' ', false, Json::error_handler_t::replace) << "\n";
 }
 
+/// Prints the lines of the decision logs that match.
+int runLogs() {
+  if (FLAGS_request.empty() && FLAGS_endpoint.empty()) {
+    std::cerr << "give --request or --endpoint with --logs; see --help\n";
+    return WrongUsage;
+  }
+  const LogFilter Filter{FLAGS_request, FLAGS_endpoint, ""};
+  std::vector<std::string> Names;
+  boost::split(Names, FLAGS_logs, boost::is_any_of(","));
+  std::vector<LogLine> Lines;
+  bool Missing = false;
+  for (const std::string &Name : Names) {
+    std::ifstream File(Name);
+    if (Name != "-" && !File) {
+      std::cerr << "cannot read " << Name << "\n";
+      Missing = true;
+      continue;
+    }
+    auto Found = readLog(Name == "-" ? std::cin : File, Filter);
+    Lines.insert(Lines.end(), Found.begin(), Found.end());
+  }
+  sortLog(Lines);
+  for (const LogLine &Line : Lines)
+    std::cout << formatLine(Line) << "\n";
+  if (Lines.empty())
+    return NoAnswer;
+  return Missing ? Partial : Complete;
+}
+
 int run() {
+  if (!FLAGS_logs.empty())
+    return runLogs();
   const bool NoFilter =
       FLAGS_request.empty() && FLAGS_account.empty() && FLAGS_endpoint.empty();
   const bool NoProcess = FLAGS_processes.empty() && FLAGS_entry.empty();
@@ -148,9 +185,10 @@
   gflags::SetUsageMessage(hyssoprail::timeline::Usage);
   gflags::ParseCommandLineNonHelpFlags(&Argc, &Argv, true);
   if (gflags::GetCommandLineFlagInfoOrDie("help").current_value == "true") {
-    std::cout << "hyssoprail-timeline " << hyssoprail::timeline::Usage
-              << "\n\nFlags: --processes --entry --token --request --account "
-                 "--endpoint --limit --output --timeout_ms\n";
+    std::cout
+        << "hyssoprail-timeline " << hyssoprail::timeline::Usage
+        << "\n\nFlags: --processes --entry --logs --token --request --account "
+           "--endpoint --limit --output --timeout_ms\n";
     return 0;
   }
   return hyssoprail::timeline::run();
