Calls: failed answers do not leave a service without endpoints

Change: a signed failure only raises the endpoint's cost; an endpoint that is avoided for cut or late answers is still used when no other is left.

--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -27,6 +27,9 @@
   /// False while the endpoint is avoided.
   bool usable(TimePoint Now) const { return Now >= AvoidUntil; }
 
+  /// False while nothing is known to answer at the endpoint's address.
+  bool reachable(TimePoint Now) const { return Now >= UnreachableUntil; }
+
   /// True if the next request serves as a trial after an avoidance.
   bool onTrial() const { return Failures > 0; }
 
@@ -42,6 +45,7 @@
   unsigned Refusals = 0; ///< in a row
   double FailureShare = 0;
   TimePoint AvoidUntil{};
+  TimePoint UnreachableUntil{};
 };
 
 } // namespace hyssoprail::routing
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -70,6 +70,10 @@
   /// Endpoints of \p Service that may receive new work now.
   std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now);
 
+  /// Endpoints of \p Service that are avoided for what they did and might still
+  /// answer, for work that has no better place.
+  std::vector<Endpoint *> avoided(std::string_view Service, TimePoint Now);
+
   /// True if \p E may receive new work now.
   bool mayStart(Endpoint &E, TimePoint Now) const;
 
@@ -94,6 +98,7 @@
   std::size_t size() const { return ById.size(); }
 
 private:
+  bool withinStarts(Endpoint &E, TimePoint Now) const;
   void forgetIfIdle(const std::string &Id);
 
   std::map<std::string, Endpoint, std::less<>> ById;
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -24,7 +24,7 @@
 /// evidence.
 constexpr unsigned LateBeforeAvoidance = 4;
 
-/// Plain services fail one request in seven by themselves.
+/// Share of cut or late answers at which one more is enough.
 constexpr double GreyShare = 0.4;
 
 } // namespace
@@ -46,9 +46,7 @@
     Refusals = 0;
     return;
   case Evidence::AppError:
-    if (FailureShare > GreyShare)
-      avoid(FirstAvoidance, Now);
-    return;
+    return; // raises the share, by which callers' requests go elsewhere
   case Evidence::Refused:
     avoid(
         std::min<Duration>(FirstRefusalPause *
@@ -60,10 +58,14 @@
   case Evidence::Unreachable:
   case Evidence::Silent:
     ++Failures;
-    return avoid(Backoff, Now);
+    avoid(Backoff, Now);
+    UnreachableUntil = AvoidUntil;
+    return;
   case Evidence::WrongOwner:
     ++Failures;
-    return avoid(LongestAvoidance, Now);
+    avoid(LongestAvoidance, Now);
+    UnreachableUntil = AvoidUntil;
+    return;
   case Evidence::Late:
     ++Failures;
     if (Failures >= LateBeforeAvoidance || FailureShare > GreyShare)
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -99,8 +99,10 @@
 }
 
 bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
-  if (!inService(E) || !E.Health.usable(Now))
-    return false;
+  return inService(E) && E.Health.usable(Now) && withinStarts(E, Now);
+}
+
+bool EndpointTable::withinStarts(Endpoint &E, TimePoint Now) const {
   const auto Bound = StartsPerSecond.find(E.Record.Service);
   return Bound == StartsPerSecond.end() || E.Starts.allows(Bound->second, Now);
 }
@@ -114,6 +116,16 @@
   return Out;
 }
 
+std::vector<Endpoint *> EndpointTable::avoided(std::string_view Service,
+                                               TimePoint Now) {
+  std::vector<Endpoint *> Out;
+  for (auto &[Id, E] : ById)
+    if (E.Record.Service == Service && inService(E) && !E.Health.usable(Now) &&
+        E.Health.reachable(Now) && withinStarts(E, Now))
+      Out.push_back(&E);
+  return Out;
+}
+
 void EndpointTable::forEach(const std::function<void(Endpoint &)> &Visit) {
   for (auto &[Id, E] : ById)
     Visit(E);
@@ -160,15 +172,12 @@
   return Cost + FailureCost * E.Health.failureShare();
 }
 
-} // namespace
-
-Endpoint *chooseForCall(EndpointTable &Table, std::string_view Service,
-                        std::string_view Zone,
-                        const std::set<std::string, std::less<>> &Tried,
-                        TimePoint Now) {
+Endpoint *cheapest(const std::vector<Endpoint *> &Candidates,
+                   std::string_view Zone,
+                   const std::set<std::string, std::less<>> &Tried) {
   Endpoint *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
-  for (Endpoint *E : Table.usable(Service, Now)) {
+  for (Endpoint *E : Candidates) {
     if (Tried.contains(E->Record.Id))
       continue;
     const double Cost = callCost(*E, Zone);
@@ -180,4 +189,15 @@
   return Best;
 }
 
+} // namespace
+
+Endpoint *chooseForCall(EndpointTable &Table, std::string_view Service,
+                        std::string_view Zone,
+                        const std::set<std::string, std::less<>> &Tried,
+                        TimePoint Now) {
+  if (Endpoint *E = cheapest(Table.usable(Service, Now), Zone, Tried))
+    return E;
+  return cheapest(Table.avoided(Service, Now), Zone, Tried);
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -104,4 +104,24 @@
           nullptr);
 }
 
+// Replays an incident: a run of failed calls at the only endpoints of a service
+// took all of them out of use, and 29 callers were turned away within 2 s.
+TEST_CASE("calls are not refused while an endpoint might still answer") {
+  EndpointTable Table;
+  Table.apply(service("a"), Start);
+  Table.apply(service("b"), Start);
+  for (const char *Id : {"a", "b"})
+    for (int I = 0; I < 10; ++I) {
+      Table.find(Id)->Health.record(Evidence::AppError, Start);
+      Table.find(Id)->Health.record(Evidence::Broken, Start);
+    }
+  REQUIRE(Table.usable("orders", Start).empty());
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start) != nullptr);
+  Table.find("a")->Health.record(Evidence::Unreachable, Start);
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start)->Record.Id ==
+          "b");
+  Table.find("b")->Health.record(Evidence::Unreachable, Start);
+  REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start) == nullptr);
+}
+
 } // namespace hyssoprail::routing
