--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -35,6 +35,9 @@
 /// One request to an endpoint.
 struct UpstreamCall {
   std::string Authority; ///< "IP:PORT"
+  /// Incarnation that is expected there. A connection kept from another one is
+  /// not used: it would be reset, and the request would count as lost.
+  std::string Incarnation;
   HttpRequest Request;   ///< its Host header is sent as given
   std::chrono::milliseconds ConnectTimeout{300};
   std::chrono::milliseconds HeadTimeout{15'000}; ///< from the start
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -81,13 +81,13 @@
   return std::min(LongestIdleTime, Stated - IdleMargin);
 }
 
-/// Kept connections by authority, the most recently used last.
+/// Kept connections by authority and incarnation, the most recently used last.
 class Pool {
 public:
   explicit Pool(asio::io_context &Context) : Context(Context) {}
 
-  ConnectionPtr take(const std::string &Authority) {
-    const auto Found = Idle.find(Authority);
+  ConnectionPtr take(const std::string &Peer) {
+    const auto Found = Idle.find(Peer);
     if (Found == Idle.end())
       return nullptr;
     auto &Kept = Found->second;
@@ -108,10 +108,10 @@
     return std::make_shared<Connection>(Context);
   }
 
-  void keep(const std::string &Authority, ConnectionPtr C, milliseconds For) {
+  void keep(const std::string &Peer, ConnectionPtr C, milliseconds For) {
     if (For <= milliseconds(0))
       return;
-    auto &Kept = Idle[Authority];
+    auto &Kept = Idle[Peer];
     C->Stream.expires_never();
     C->UsableUntil = std::chrono::steady_clock::now() + For;
     if (Kept.size() >= MaxIdlePerAuthority)
@@ -119,6 +119,9 @@
     Kept.push_back(std::move(C));
   }
 
+  /// Closes the kept connections to a peer that has failed.
+  void drop(const std::string &Peer) { Idle.erase(Peer); }
+
   asio::io_context::executor_type executor() { return Context.get_executor(); }
 
   UpstreamCounters Counters;
@@ -149,11 +152,12 @@
   BeastExchange(std::shared_ptr<Pool> Kept, UpstreamCall Call,
                 UpstreamHandlers Handlers)
       : Kept(std::move(Kept)), Call(std::move(Call)),
+        Peer(this->Call.Authority + "/" + this->Call.Incarnation),
         Handlers(std::move(Handlers)), Executor(this->Kept->executor()),
         Deadline(std::chrono::steady_clock::now() + this->Call.HeadTimeout) {}
 
   void start() {
-    Active = Kept->take(Call.Authority);
+    Active = Kept->take(Peer);
     if (Active)
       return write();
     const auto Endpoint = parseAuthority(Call.Authority);
@@ -297,7 +301,7 @@
     if (Active->Buffer.size() > 0)
       ++Kept->Counters.StrayBytes;
     else if (Written)
-      Kept->keep(Call.Authority, std::move(Active), KeepFor);
+      Kept->keep(Peer, std::move(Active), KeepFor);
     Active.reset();
   }
 
@@ -310,8 +314,10 @@
     if (Ended)
       return;
     Ended = true;
-    if (How != UpstreamEnd::Complete)
+    if (How != UpstreamEnd::Complete) {
       closeActive();
+      Kept->drop(Peer);
+    }
     if (Handlers.OnEnd)
       Handlers.OnEnd(How, std::move(Detail));
     Handlers = {};
@@ -319,6 +325,7 @@
 
   std::shared_ptr<Pool> Kept;
   UpstreamCall Call;
+  std::string Peer; ///< key of its kept connections
   UpstreamHandlers Handlers;
   asio::io_context::executor_type Executor;
   SteadyTime Deadline;
--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -33,7 +33,8 @@
   ~Sender() { Loop.stop(); }
 
   Outcome send(const std::string &Authority, const std::string &Id,
-               std::chrono::milliseconds Timeout = std::chrono::seconds(5)) {
+               std::chrono::milliseconds Timeout = std::chrono::seconds(5),
+               const std::string &Incarnation = "") {
     std::promise<Outcome> Done;
     auto Result = Done.get_future();
     auto Seen = std::make_shared<Outcome>();
@@ -41,6 +42,7 @@
     Call.Authority = Authority;
     Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
     Call.HeadTimeout = Timeout;
+    Call.Incarnation = Incarnation;
     UpstreamHandlers H;
     H.IsOurs = [Id](const HttpResponse &Head) {
       return headerValue(Head.Headers, "Request-Id") == Id;
@@ -51,9 +53,8 @@
       Seen->End = End;
       Done.set_value(*Seen);
     };
-    boost::asio::post(Loop.context(), [&] {
-      Client->send(std::move(Call), std::move(H));
-    });
+    boost::asio::post(Loop.context(),
+                      [&] { Client->send(std::move(Call), std::move(H)); });
     return Result.get();
   }
 
@@ -73,6 +74,17 @@
   REQUIRE(Server.connections() == 1);
 }
 
+// Replays an endpoint that crashed and started again at its address: requests
+// on connections of the old incarnation were reset and counted as lost.
+TEST_CASE("a connection of an earlier incarnation is not used") {
+  ScriptedServer Server({{answer("1", "a")}, {answer("2", "b")}});
+  Sender S;
+  constexpr std::chrono::seconds Timeout{5};
+  REQUIRE(S.send(Server.authority(), "1", Timeout, "old").Body == "a");
+  REQUIRE(S.send(Server.authority(), "2", Timeout, "new").Body == "b");
+  REQUIRE(Server.connections() == 2);
+}
+
 // Guards against a late second answer that is taken for the next request's.
 TEST_CASE("an answer of an earlier request is skipped") {
   ScriptedServer Server({{answer("old", "x") + answer("1", "a")}});
@@ -111,7 +123,8 @@
 
 // Guards against a refusal of answers that end with their connection.
 TEST_CASE("an answer without a length ends with its connection") {
-  ScriptedServer Server({{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc", true}});
+  ScriptedServer Server(
+      {{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc", true}});
   Sender S;
   const Outcome O = S.send(Server.authority(), "1");
   REQUIRE(O.End == UpstreamEnd::Complete);
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -59,6 +59,7 @@
   L.Since = Services.Time.now();
   UpstreamCall Call;
   Call.Authority = Asked.Address;
+  Call.Incarnation = Asked.EndpointId;
   Call.Request =
       Services.Protocol.encode(Caller->request(), Asked, Request.Account);
   Call.ConnectTimeout =
