--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 check: configure
 	@scripts/format.sh
+	@scripts/check_platform_names.sh
 	@BUILD=$(BUILD) scripts/lint.py
 
 demo: build
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -49,7 +49,7 @@
   virtual void onAnswer(FlowIo::LegId Leg, LegAnswer Answer, TimePoint Now) = 0;
 
   /// A leg's stream began, continued or ended.
-  virtual void onStreamHead(FlowIo::LegId Leg, HttpResponse Head,
+  virtual void onStreamHead(FlowIo::LegId Leg, const HttpResponse &Head,
                             TimePoint Now);
   virtual void onStreamData(FlowIo::LegId Leg, std::string_view Data,
                             TimePoint Now);
--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -47,7 +47,7 @@
     H.IsOurs = [Id](const HttpResponse &Head) {
       return headerValue(Head.Headers, "Request-Id") == Id;
     };
-    H.OnHead = [Seen](HttpResponse Head) { Seen->Status = Head.Status; };
+    H.OnHead = [Seen](const HttpResponse &Head) { Seen->Status = Head.Status; };
     H.OnData = [Seen](std::string_view Data) { Seen->Body += Data; };
     H.OnEnd = [Seen, &Done](UpstreamEnd End, const std::string &) {
       Seen->End = End;
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -101,13 +101,14 @@
 }
 
 Status GatewayRuntime::start() {
-  CallerServer =
-      makeServer(Settings.CallerAddress, [this](Exchange E) { handle(E); });
+  CallerServer = makeServer(Settings.CallerAddress,
+                            [this](const Exchange &E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
-                           [this](Exchange E) { handleReadiness(E); });
+                           [this](const Exchange &E) { handleReadiness(E); });
   if (!Settings.MetricsAddress.empty())
-    MetricsServer = makeServer(Settings.MetricsAddress,
-                               [this](Exchange E) { handleInternal(E); });
+    MetricsServer =
+        makeServer(Settings.MetricsAddress,
+                   [this](const Exchange &E) { handleInternal(E); });
   for (HttpServer *Server :
        {CallerServer.get(), ReadyServer.get(), MetricsServer.get()}) {
     if (!Server)
@@ -456,6 +457,10 @@
       .set(double(Scheduler.waitingTokens()));
   Counters.gauge("peers_audible").set(double(Peers.audible(Now)));
   Counters.gauge("config_version").set(Config ? double(Config->Version) : 0);
+  Counters.gauge("store_age_seconds")
+      .set(std::chrono::duration<double>(
+               std::min<Duration>(Feed.age(), LargestReportedAge))
+               .count());
   Counters.gauge("store_calls").set(double(Feed.calls()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -102,7 +102,7 @@
     L.Answer = std::move(Head);
     return;
   }
-  Course->onStreamHead(Id, std::move(Head), Services.Time.now());
+  Course->onStreamHead(Id, Head, Services.Time.now());
   afterEvent();
 }
 
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -26,7 +26,7 @@
 class CallFlow : public Flow {
 public:
   CallFlow(FlowShared Shared, FlowRequest Request, FlowIo &Io)
-      : Shared(Shared), Request(std::move(Request)), Io(Io) {}
+      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io) {}
 
   void start(TimePoint Now) override { send(Now); }
 
@@ -238,7 +238,7 @@
 
 } // namespace
 
-void Flow::onStreamHead(FlowIo::LegId, HttpResponse, TimePoint) {}
+void Flow::onStreamHead(FlowIo::LegId, const HttpResponse &, TimePoint) {}
 void Flow::onStreamData(FlowIo::LegId, std::string_view, TimePoint) {}
 void Flow::onStreamEnd(FlowIo::LegId, bool, TimePoint) {}
 void Flow::onPlaced(const StreamPlace &, TimePoint) {}
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -66,7 +66,7 @@
 class StreamFlow : public Flow {
 public:
   StreamFlow(FlowShared Shared, FlowRequest Request, FlowIo &Io)
-      : Shared(Shared), Request(std::move(Request)), Io(Io) {
+      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io) {
     if (this->Request.Info.Resumes)
       LastEvent = this->Request.Info.LastEvent;
   }
@@ -106,11 +106,11 @@
       uncountArrival(
           Current == Phase::Prefilling ? PrefillArrivals : DecodeArrivals, Now);
     if (Current == Phase::Prefilling)
-      return onPrefillAnswer(std::move(Answer), Now);
-    onDecodeAnswer(std::move(Answer), Now);
+      return onPrefillAnswer(Answer, Now);
+    onDecodeAnswer(Answer, Now);
   }
 
-  void onStreamHead(FlowIo::LegId Leg, HttpResponse Head,
+  void onStreamHead(FlowIo::LegId Leg, const HttpResponse &Head,
                     TimePoint Now) override {
     if (Leg != Active || Current != Phase::Starting)
       return;
@@ -262,7 +262,7 @@
     Active = Io.startLeg(Leg);
   }
 
-  void onPrefillAnswer(LegAnswer Answer, TimePoint Now) {
+  void onPrefillAnswer(const LegAnswer &Answer, TimePoint Now) {
     if (Answer.Outcome == LegOutcome::Answered && !Answer.Handle.empty()) {
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
         Source = KvSource{E->Record.Address, Answer.Handle};
@@ -332,7 +332,7 @@
     Shared.Scheduler.submit(N);
   }
 
-  void onDecodeAnswer(LegAnswer Answer, TimePoint Now) {
+  void onDecodeAnswer(const LegAnswer &Answer, TimePoint Now) {
     switch (Answer.Outcome) {
     case LegOutcome::NotSent:
       if (DecodeSends >= MaxDecodeSends)
