Streams: a begun stream whose key is withdrawn is broken off; large files split

Cause: found by reading: a stream that had begun and could not go on because its key was withdrawn got a rejection that the connection no longer takes, and its caller waited until the timeout. A caller that left while the decode engine had the request got its quota back although it may have run. Change: both mended, the first with a test. The demand of a stream, its KV cache and the gateway's part that concerns the fleet are files of their own.

--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -13,6 +13,9 @@
 
 namespace hyssoprail::routing {
 
+/// Time kept back before a request's last moment for its final answer.
+constexpr milliseconds AnswerMargin{20};
+
 /// State shared by the flows of an entry.
 struct FlowShared {
   EndpointTable &Table;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -53,6 +53,12 @@
   void onStoreRegained(std::string_view Topic) override;
 
 private:
+  /// Where other entries ask for what this one knows.
+  static constexpr std::string_view StatePath = "/state";
+
+  /// Ages are reported up to this.
+  static constexpr milliseconds LargestReportedAge{60'000};
+
   using Exchange = std::shared_ptr<HttpExchange>;
 
   void handle(const Exchange &Caller);
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -19,9 +19,6 @@
 /// without an answer.
 constexpr int PatienceInObjectives = 2;
 
-/// Time kept back at the end for the final answer.
-constexpr milliseconds AnswerMargin{20};
-
 /// Course of a plain call.
 class CallFlow : public Flow {
 public:
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -6,6 +6,8 @@
 
 #include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/routing/event_splitter.hpp"
+#include "hyssoprail/routing/held_cache.hpp"
+#include "hyssoprail/routing/stream_need.hpp"
 
 namespace hyssoprail::routing {
 namespace {
@@ -33,24 +35,13 @@
 /// How much longer a silent engine is waited for if no other can go on.
 constexpr milliseconds PatienceExtension{300};
 
-/// Part of a handle's life that may pass before its use; a send may take the
-/// rest.
-constexpr double HandleUse = 0.9;
+/// Engines that refuse a KV cache until it is taken to be lost.
+constexpr unsigned CacheRefusals = 2;
 
 constexpr unsigned MaxPrefillSends = 2;
 constexpr unsigned MaxDecodeSends = 4;
-constexpr milliseconds AnswerMargin{20};
 constexpr milliseconds RefusedReturn{400};
 
-/// Shortest patience of a caller without an event, whatever the objectives.
-constexpr milliseconds CallerPatience{2'000};
-constexpr int PatienceInObjectives = 4;
-constexpr int PatienceInGaps = 8;
-
-/// Callers begin with most of the route's timeout as their deadline; one with
-/// less has been here before.
-constexpr double FreshDeadlineShare = 0.84;
-
 enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
 
 constexpr std::array<EnumName<Phase>, 5> PhaseNames{{
@@ -66,12 +57,15 @@
 class StreamFlow : public Flow {
 public:
   StreamFlow(FlowShared Shared, FlowRequest Request, FlowIo &Io)
-      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io) {
+      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
+        Cache(this->Request.HandleRetention) {
     if (this->Request.Info.Resumes)
       LastEvent = this->Request.Info.LastEvent;
   }
 
-  void start(TimePoint Now) override { Shared.Scheduler.submit(need(Now)); }
+  void start(TimePoint Now) override {
+    Shared.Scheduler.submit(streamNeed(Request, Shared.Lengths, Now));
+  }
 
   void onPlaced(const StreamPlace &Place, TimePoint Now) override {
     HasPlace = true;
@@ -81,7 +75,7 @@
                       {"waited_ms", Place.Waited},
                       {"queued", Place.QueueLength}});
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {}, Now);
+      return keyWithdrawn(Now);
     if (Place.Prefill.empty())
       return sendDecode(Now);
     sendPrefill(Place.Prefill, Now);
@@ -115,7 +109,7 @@
     if (Leg != Active || Current != Phase::Starting)
       return;
     Ran = true;
-    Source.reset(); // fetched by the engine
+    Cache.fetched();
     LastProgress = Now;
     Current = Phase::Streaming;
     if (Started)
@@ -183,6 +177,7 @@
     if (Current == Phase::Done)
       return;
     Shared.Scheduler.cancel(Request.Key);
+    Ran = Ran || Current == Phase::Starting;
     stopLeg();
     end(Now);
   }
@@ -199,31 +194,6 @@
 
   TimePoint lastMoment() const { return Request.AnswerBy - AnswerMargin; }
 
-  StreamNeed need(TimePoint Now) const {
-    StreamNeed N;
-    N.Id = Request.Key;
-    N.Service = Request.Service;
-    N.Account = Request.Account;
-    N.Priority = Request.Priority;
-    N.BeyondQuota = Request.BeyondQuota;
-    const TokenCounts Tokens = Request.Info.Tokens.value_or(TokenCounts{});
-    N.PromptTokens = Tokens.Prompt;
-    N.OutputTokens =
-        Shared.Lengths.estimate(Request.Info.OutputHint, Tokens.MaxOutput);
-    N.Arrival = Request.Arrival;
-    N.OnTimeUntil = Request.Arrival + Request.Route.Objective;
-    N.TimeLeft = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
-                                                          Request.Arrival);
-    N.Returning =
-        Request.Info.Deadline > milliseconds(0) &&
-        Request.Info.Deadline < Request.Route.Timeout * FreshDeadlineShare;
-    const milliseconds Patience = std::max(
-        {CallerPatience, Request.Route.Objective * PatienceInObjectives,
-         Request.Route.GapObjective * PatienceInGaps});
-    N.GiveUpAt = std::min(Now + Patience, lastMoment());
-    return N;
-  }
-
   bool isNew(const StreamEvent &Event) {
     if (!Event.Id)
       return true;
@@ -265,9 +235,7 @@
   void onPrefillAnswer(const LegAnswer &Answer, TimePoint Now) {
     if (Answer.Outcome == LegOutcome::Answered && !Answer.Handle.empty()) {
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
-        Source = KvSource{E->Record.Address, Answer.Handle};
-      SourceSince = Now;
-      SourceRefusals = 0;
+        Cache.hold({E->Record.Address, Answer.Handle}, Now);
       Shared.Scheduler.prefillEnded(Request.Key);
       return sendDecode(Now);
     }
@@ -289,7 +257,7 @@
 
   void sendDecode(TimePoint Now) {
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {}, Now);
+      return keyWithdrawn(Now);
     Endpoint *E = Shared.Table.find(DecodeEndpoint);
     if (!E || !Shared.Table.mayStart(*E, Now)) {
       DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
@@ -304,8 +272,7 @@
     GotEvent = false;
     LastProgress = Now;
     LegRequest Leg = leg(LegKind::Decode, *E, Now);
-    if (Source && Now < sourceExpiry())
-      Leg.Source = Source;
+    Leg.Source = Cache.usable(Now);
     if (LastEvent)
       Leg.ResumeAfter = LastEvent;
     Leg.Repeat = DecodeSends++ > 0;
@@ -313,11 +280,6 @@
     Active = Io.startLeg(Leg);
   }
 
-  TimePoint sourceExpiry() const {
-    return SourceSince + std::chrono::duration_cast<Duration>(
-                             Request.HandleRetention * HandleUse);
-  }
-
   /// The reserved engine is gone and no other has room: back to the queue.
   void noDecodeEngine(TimePoint Now) {
     if (DecodeSends >= MaxDecodeSends)
@@ -325,7 +287,7 @@
     Io.note("requeue", {{"reason", "no_decode_engine"}});
     releasePlace(Now);
     Current = Phase::Waiting;
-    StreamNeed N = need(Request.Arrival);
+    StreamNeed N = streamNeed(Request, Shared.Lengths, Request.Arrival);
     N.Returning = true;
     if (Started)
       N.GiveUpAt = std::min(LastProgress + CallerPatience, lastMoment());
@@ -361,9 +323,9 @@
   void onDecodeRefused(const LegAnswer &Answer, TimePoint Now) {
     if (DecodeSends >= MaxDecodeSends)
       return giveUp(Now);
-    if (!Source || Answer.OtherOwner)
+    if (!Cache.held() || Answer.OtherOwner)
       return decodeElsewhere(Now);
-    if (++SourceRefusals < 2 && Now < sourceExpiry()) {
+    if (Cache.refused() < CacheRefusals && Cache.usable(Now)) {
       DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
       if (DecodeEndpoint.empty())
         return noDecodeEngine(Now);
@@ -371,7 +333,7 @@
     }
     if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
       E->HandlesLostUntil = Now + HandlesLostPause;
-    dropSource();
+    dropCache();
     readPromptAgain(Now);
   }
 
@@ -389,6 +351,12 @@
       Shared.Retries.giveBack(Request.Service, Now);
   }
 
+  void keyWithdrawn(TimePoint Now) {
+    if (Started)
+      return breakOff(Now);
+    finish(RejectReason::NoKey, {}, Now);
+  }
+
   /// No further send is possible.
   void giveUp(TimePoint Now) {
     if (Started)
@@ -428,7 +396,7 @@
         return breakOff(Now);
       return finish(RejectReason::Unknown, {}, Now);
     }
-    dropSource();
+    dropCache();
     DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
     if (DecodeEndpoint.empty())
       return noDecodeEngine(Now);
@@ -506,10 +474,9 @@
     Active.reset();
   }
 
-  void dropSource() {
-    if (Source)
+  void dropCache() {
+    if (const auto Source = Cache.giveUp())
       Io.dropHandle(*Source);
-    Source.reset();
   }
 
   void releasePlace(TimePoint Now) {
@@ -519,7 +486,7 @@
   }
 
   void end(TimePoint Now) {
-    dropSource();
+    dropCache();
     releasePlace(Now);
     Current = Phase::Done;
   }
@@ -542,9 +509,7 @@
   std::string PrefillEndpoint;
   std::string DecodeEndpoint;
   bool HasPlace = false;
-  std::optional<KvSource> Source;
-  TimePoint SourceSince{};
-  unsigned SourceRefusals = 0; ///< engines that refused the cache
+  HeldCache Cache;
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
   TimePoint LastProgress{};
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -206,6 +206,19 @@
   REQUIRE(B.Table.ownLoads().empty());
 }
 
+// Guards against a caller that waits for ever on a stream that has begun, when
+// its key is withdrawn before it can go on elsewhere.
+TEST_CASE("a begun stream whose key was withdrawn is broken off") {
+  StreamBench B;
+  const auto F = B.startedStream(true);
+  B.Io.Allowed = false;
+  F->onStreamEnd(2, false, B.Now);
+  F->onAnswer(3, answered(200, "handle-2"), B.Now);
+  REQUIRE(B.Io.Aborted);
+  REQUIRE(B.Io.Answers == 1);
+  REQUIRE(F->done());
+}
+
 // Guards against requests without a final answer at their route's timeout.
 TEST_CASE("a request that still waits at its timeout gets its answer") {
   FlowBench B;
