--- a/include/hyssoprail/routing/retry_window.hpp
+++ b/include/hyssoprail/routing/retry_window.hpp
@@ -25,6 +25,12 @@
 public:
   explicit RetryWindow(RetryWindowOptions Options) : Options(Options) {}
 
+  /// Replaces the budget; the length of the window stays.
+  void setBudget(double Ratio, double Slack) {
+    Options.Ratio = Ratio;
+    Options.Slack = Slack;
+  }
+
   /// Number of entries that share the slack, this one included.
   void setEntries(unsigned Count) { Entries = Count; }
 
--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -39,6 +39,8 @@
 
   void configure(const FleetConfig &Config, TimePoint Now);
 
+  void setTolerance(QuotaTolerance To) { Tolerance = To; }
+
   /// Share of the fleet that this entry hears, itself included: 0 to 1.
   void setAudibleShare(double Share, TimePoint Now);
 
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -29,6 +29,11 @@
 /// A streamed answer whose caller is this far behind is broken off.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
+routing::QuotaTolerance quotaTolerance(const GatewaySettings &S) {
+  return {S.QuotaOverage * QuotaOverageShare,
+          S.QuotaSlackTokens * QuotaSlackShare};
+}
+
 } // namespace
 
 GatewayRuntime::GatewayRuntime(boost::asio::io_context &Context,
@@ -39,9 +44,7 @@
     : Context(Context), Settings(std::move(Settings)), Time(Time),
       Protocol(Protocol), Feed(Feed), Http(Http), Log(Log),
       Random(systemSeed()), Incarnation(Random.identifier()),
-      StartedAt(Time.now()),
-      Quota({this->Settings.QuotaOverage * QuotaOverageShare,
-             this->Settings.QuotaSlackTokens * QuotaSlackShare}),
+      StartedAt(Time.now()), Quota(quotaTolerance(this->Settings)),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
                this->Settings.RetryWindow}),
       Scheduler({.Zone = this->Settings.Zone,
@@ -99,6 +102,31 @@
   return std::monostate{};
 }
 
+void GatewayRuntime::reload(const Result<GatewaySettings> &Next) {
+  if (const Error *E = errorOf(Next)) {
+    Log.write(LogUrgency::Outcome, "reload", "",
+              {{"outcome", "kept the last settings"},
+               {"field", E->Field},
+               {"why", E->Message}});
+    return;
+  }
+  const GatewaySettings &N = valueOf(Next);
+  const bool NeedsRestart = N.CallerAddress != Settings.CallerAddress ||
+                            N.ReadyAddress != Settings.ReadyAddress ||
+                            N.PeerAddress != Settings.PeerAddress ||
+                            N.Store != Settings.Store;
+  Settings.StopGrace = N.StopGrace;
+  Settings.ColdOverage = N.ColdOverage;
+  Settings.ColdSlack = N.ColdSlack;
+  Quota.setTolerance(quotaTolerance(N));
+  Retries.setBudget(N.RetryRatio, N.RetrySlack);
+  updateStartBounds(Time.now());
+  Log.write(
+      LogUrgency::Outcome, "reload", "",
+      {{"outcome",
+        NeedsRestart ? "budgets taken, addresses need a restart" : "taken"}});
+}
+
 void GatewayRuntime::stop() {
   if (Stopping)
     return;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -33,6 +33,10 @@
   /// Binds all addresses and begins to follow the store.
   Status start();
 
+  /// Takes newer settings. Those of budgets and bounds apply at once; names and
+  /// addresses need a restart.
+  void reload(const Result<GatewaySettings> &Next);
+
   /// Begins a planned stop: callers are sent elsewhere, and the event loop ends
   /// when no request is left or the grace is over.
   void stop();
@@ -98,7 +102,7 @@
   void checkStopped();
 
   boost::asio::io_context &Context;
-  const GatewaySettings Settings;
+  GatewaySettings Settings;
   const Clock &Time;
   const EndpointProtocol &Protocol;
   FleetFeed &Feed;
