--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -38,7 +38,7 @@
   /// Incarnation that is expected there. A connection kept from another one is
   /// not used: it would be reset, and the request would count as lost.
   std::string Incarnation;
-  HttpRequest Request;   ///< its Host header is sent as given
+  HttpRequest Request; ///< its Host header is sent as given
   std::chrono::milliseconds ConnectTimeout{300};
   std::chrono::milliseconds HeadTimeout{15'000}; ///< from the start
 };
--- a/include/hyssoprail/process/schemas.hpp
+++ b/include/hyssoprail/process/schemas.hpp
@@ -7,8 +7,8 @@
 /// cmake/hyssoprail_schemas.cmake. The names are those of the files.
 namespace hyssoprail::schemas {
 
-extern const std::string_view hyssoprail_entry; // NOLINT
-extern const std::string_view hyssoprail_agent; // NOLINT
+extern const std::string_view hyssoprail_entry;   // NOLINT
+extern const std::string_view hyssoprail_agent;   // NOLINT
 extern const std::string_view hyssoprail_gateway; // NOLINT
 
 } // namespace hyssoprail::schemas
--- a/src/hyssoprail/testing/scripted_server.hpp
+++ b/src/hyssoprail/testing/scripted_server.hpp
@@ -52,13 +52,14 @@
   };
 
   void accept() {
-    Acceptor.async_accept([this](boost::system::error_code Code, Tcp::socket S) {
-      if (Code)
-        return;
-      ++Connections;
-      read(std::make_shared<Peer>(std::move(S)));
-      accept();
-    });
+    Acceptor.async_accept(
+        [this](boost::system::error_code Code, Tcp::socket S) {
+          if (Code)
+            return;
+          ++Connections;
+          read(std::make_shared<Peer>(std::move(S)));
+          accept();
+        });
   }
 
   void read(const std::shared_ptr<Peer> &P) {
