--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -30,9 +30,6 @@
   /// False while nothing is known to answer at the endpoint's address.
   bool reachable(TimePoint Now) const { return Now >= UnreachableUntil; }
 
-  /// True if the next request serves as a trial after an avoidance.
-  bool onTrial() const { return Failures > 0; }
-
   /// Smoothed share of failed requests, 0 to 1.
   double failureShare() const { return FailureShare; }
 
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -35,7 +35,6 @@
   StartRateLimiter Starts;
   EndpointLoad Own;   ///< work of this entry
   EndpointLoad Peers; ///< work of the other entries, from their reports
-  TimePoint ColdUntil{};
   TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
   bool Listed = true; ///< false: registration gone, work may still run
 
@@ -51,7 +50,7 @@
 public:
   /// Takes a registration. Older reports than the known one are ignored; the
   /// result tells whether anything but the sequence changed.
-  bool apply(const EndpointRecord &Record, TimePoint Now);
+  bool apply(const EndpointRecord &Record);
 
   /// The registration was removed.
   void remove(std::string_view Id);
--- a/include/hyssoprail/routing/fleet_config.hpp
+++ b/include/hyssoprail/routing/fleet_config.hpp
@@ -52,8 +52,7 @@
 
 struct ServicePolicy {
   std::string Name;
-  unsigned MaxConnections = 0; ///< per endpoint, over all entries
-  double ColdPerSecond = 0;    ///< requests a cold endpoint bears; 0: any
+  double ColdPerSecond = 0; ///< requests a cold endpoint bears; 0: any
   std::optional<EngineLimits> Engine;
 };
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -81,9 +81,8 @@
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
-  /// Number of entries that use the engines, and the memory for which their
-  /// requests wait.
-  void setPeers(std::size_t Entries, std::int64_t WaitingTokens);
+  /// Memory for which requests of the other entries wait, in tokens.
+  void setPeersWaiting(std::int64_t Tokens) { PeersWaiting = Tokens; }
 
   void submit(StreamNeed Need);
 
@@ -157,7 +156,6 @@
   FleetConfigPtr Config;
   std::vector<StreamNeed> Waiting;
   std::map<std::string, Placed, std::less<>> Running;
-  std::size_t Entries = 1;
   std::int64_t PeersWaiting = 0;
   double MeanRunSeconds = 3; ///< smoothed time that a placement lasts
 };
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -69,7 +69,7 @@
 }
 
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
-  if (!Table.apply(Record, Time.now()))
+  if (!Table.apply(Record))
     return;
   Log.write(LogUrgency::Outcome, "endpoint", "",
             {{"endpoint", Record.Id},
@@ -119,7 +119,7 @@
   const TimePoint Now = Time.now();
   Peers.age(Now);
   Retries.setEntries(static_cast<unsigned>(sharingEntries(Now)));
-  Scheduler.setPeers(Peers.audible(Now), Peers.waitingTokens(Now));
+  Scheduler.setPeersWaiting(Peers.waitingTokens(Now));
   updateStartBounds(Now);
   reportUsage();
   askPeer(Now);
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -25,12 +25,11 @@
   return Sum;
 }
 
-bool EndpointTable::apply(const EndpointRecord &Record, TimePoint Now) {
+bool EndpointTable::apply(const EndpointRecord &Record) {
   auto [It, New] = ById.try_emplace(Record.Id);
   Endpoint &E = It->second;
   if (New) {
     E.Record = Record;
-    E.ColdUntil = Now + Record.ColdFor;
     for (const auto &[Peer, Loads] : PeerLoads)
       if (const auto Load = Loads.find(Record.Id); Load != Loads.end())
         E.Peers += Load->second;
@@ -50,7 +49,6 @@
                        (Record.ColdFor > milliseconds(0)) !=
                            (E.Record.ColdFor > milliseconds(0));
   E.Record = Record;
-  E.ColdUntil = Now + Record.ColdFor;
   E.Listed = true;
   return Changed;
 }
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -19,17 +19,17 @@
   R.Born = 100;
   R.Sequence = 5;
   R.Draining = true;
-  Table.apply(R, Start);
+  Table.apply(R);
   EndpointRecord Old = R;
   Old.Sequence = 4;
   Old.Draining = false;
-  REQUIRE_FALSE(Table.apply(Old, Start));
+  REQUIRE_FALSE(Table.apply(Old));
   REQUIRE(Table.usable("orders", Start).empty());
   EndpointRecord Restarted = R;
   Restarted.Born = 200;
   Restarted.Sequence = 0;
   Restarted.Draining = false;
-  REQUIRE(Table.apply(Restarted, Start));
+  REQUIRE(Table.apply(Restarted));
   REQUIRE(Table.usable("orders", Start).size() == 1);
 }
 
@@ -37,8 +37,8 @@
 // is out.
 TEST_CASE("endpoints that must receive nothing are not usable") {
   EndpointTable Table;
-  Table.apply(service("a", "zone-a"), Start);
-  Table.apply(service("b", "zone-b"), Start);
+  Table.apply(service("a", "zone-a"));
+  Table.apply(service("b", "zone-b"));
   Table.setZonesOut({"zone-b"});
   REQUIRE(Table.usable("orders", Start).size() == 1);
   Table.remove("a");
@@ -51,7 +51,7 @@
 TEST_CASE("a peer's report replaces its earlier one") {
   EndpointTable Table;
   Table.setPeerLoad("p", {{"a", {1, 100, 0}}});
-  Table.apply(service("a"), Start);
+  Table.apply(service("a"));
   REQUIRE(Table.find("a")->total().Tokens == 100);
   Table.setPeerLoad("p", {{"a", {2, 300, 0}}});
   REQUIRE(Table.find("a")->total() == EndpointLoad{2, 300, 0});
@@ -63,7 +63,7 @@
 // release would then be lost.
 TEST_CASE("a removed endpoint is kept until its work has ended") {
   EndpointTable Table;
-  Table.apply(service("a"), Start);
+  Table.apply(service("a"));
   Table.reserve("a", {1, 0, 0});
   Table.remove("a");
   REQUIRE(Table.find("a") != nullptr);
@@ -75,7 +75,7 @@
 // may it get more than this entry's part of what it bears.
 TEST_CASE("starts in any second stay under the bound") {
   EndpointTable Table;
-  Table.apply(service("a"), Start);
+  Table.apply(service("a"));
   Table.setStartsPerSecond("orders", 4);
   std::vector<TimePoint> Sent;
   for (int Ms = 0; Ms < 5'000; Ms += 20) {
@@ -93,8 +93,8 @@
 // Guards against calls that leave the zone or crowd one endpoint.
 TEST_CASE("calls go to the least loaded endpoint, at home first") {
   EndpointTable Table;
-  Table.apply(service("far", "zone-b"), Start);
-  Table.apply(service("home", "zone-a"), Start);
+  Table.apply(service("far", "zone-b"));
+  Table.apply(service("home", "zone-a"));
   REQUIRE(chooseForCall(Table, "orders", "zone-a", {}, Start)->Record.Id ==
           "home");
   Table.reserve("home", {3, 0, 0});
@@ -108,8 +108,8 @@
 // took all of them out of use, and 29 callers were turned away within 2 s.
 TEST_CASE("calls are not refused while an endpoint might still answer") {
   EndpointTable Table;
-  Table.apply(service("a"), Start);
-  Table.apply(service("b"), Start);
+  Table.apply(service("a"));
+  Table.apply(service("b"));
   for (const char *Id : {"a", "b"})
     for (int I = 0; I < 10; ++I) {
       Table.find(Id)->Health.record(Evidence::AppError, Start);
--- a/src/hyssoprail/routing/peer_board_test.cpp
+++ b/src/hyssoprail/routing/peer_board_test.cpp
@@ -25,7 +25,7 @@
 }
 
 struct Board {
-  Board() { Table.apply(engine("d1", EngineStage::Decode), Start); }
+  Board() { Table.apply(engine("d1", EngineStage::Decode)); }
 
   std::int64_t tokens() { return Table.find("d1")->total().Tokens; }
 
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -74,11 +74,6 @@
   return enumName(RefusalNames, Reason);
 }
 
-void StreamScheduler::setPeers(std::size_t Count, std::int64_t WaitingTokens) {
-  Entries = std::max<std::size_t>(1, Count);
-  PeersWaiting = WaitingTokens;
-}
-
 void StreamScheduler::submit(StreamNeed Need) {
   Waiting.push_back(std::move(Need));
 }
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -18,7 +18,7 @@
 struct SchedulerBench {
   SchedulerBench() { Scheduler.configure(testConfig()); }
 
-  void add(const EndpointRecord &Record) { Table.apply(Record, Now); }
+  void add(const EndpointRecord &Record) { Table.apply(Record); }
 
   StreamNeed need(const std::string &Id, std::uint32_t Prompt = 3'000,
                   std::uint32_t Output = 1'000) const {
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -111,7 +111,7 @@
 struct FlowBench {
   FlowBench() { Scheduler.configure(testConfig()); }
 
-  void add(const EndpointRecord &Record) { Table.apply(Record, Now); }
+  void add(const EndpointRecord &Record) { Table.apply(Record); }
 
   FlowRequest request(RouteKind Kind, const std::string &Key = "1") const {
     FlowRequest R;
