--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -104,6 +104,7 @@
     State->Options = std::move(Options);
     State->Handler = std::move(Handler);
     Workers.push_back(std::make_unique<Worker>(Context));
+    OnProgramLoop = true;
     openOn(Context);
   }
 
@@ -161,7 +162,16 @@
   void stop() override {
     if (!Running.exchange(false))
       return;
-    drain();
+    State->Draining = true;
+    // A loop of the program may run on after this object is gone, so nothing
+    // is left to it; a thread of its own is joined below.
+    if (OnProgramLoop) {
+      beast::error_code Ignored;
+      Acceptor->close(Ignored);
+      AcceptTimer->cancel();
+    } else {
+      drain();
+    }
     for (auto &W : Workers)
       W->stop();
   }
@@ -217,6 +227,7 @@
   std::size_t Next = 0;
   std::uint16_t BoundPort = 0;
   std::atomic<bool> Running{false};
+  bool OnProgramLoop = false;
 };
 
 } // namespace
