One place for the evidence of a send, the reading of IP:PORT and the end of a begun stream

Cause: the reading found three things written more than once: what the end of a send says of its endpoint (calls and streams), the parsing of "IP:PORT" (three copies), and the choice between breaking off and rejecting (five places, one of which had been forgotten before). Change: evidenceOf(), parseIpPort(), and finish() breaks off a stream that has begun; a refused cache and an unreachable engine share one way to the next.

--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/connection/http_client.hpp"
+#include "hyssoprail/connection/ip_port.hpp"
 
 #include <algorithm>
 #include <array>
@@ -49,15 +50,10 @@
 }
 
 Result<tcp::endpoint> parseAuthority(const std::string &Authority) {
-  const auto Colon = Authority.rfind(':');
-  beast::error_code Code;
-  if (Colon == std::string::npos)
-    return unavailable(Authority, "no port given");
-  auto Address = asio::ip::make_address(Authority.substr(0, Colon), Code);
-  const int Port = std::atoi(Authority.c_str() + Colon + 1);
-  if (Code || Port <= 0 || Port > 65535)
+  const auto Parsed = parseIpPort(Authority);
+  if (!Parsed)
     return unavailable(Authority, "not an IP number and port");
-  return tcp::endpoint(Address, static_cast<std::uint16_t>(Port));
+  return tcp::endpoint(Parsed->Ip, Parsed->Port);
 }
 
 http::request<http::string_body> makeMessage(HttpCall &Call) {
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/connection/upstream_client.hpp"
+#include "hyssoprail/connection/ip_port.hpp"
 
 #include <array>
 #include <charconv>
@@ -45,21 +46,6 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-std::optional<tcp::endpoint> parseAuthority(const std::string &Authority) {
-  const auto Colon = Authority.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  beast::error_code Code;
-  const auto Address = asio::ip::make_address(Authority.substr(0, Colon), Code);
-  std::uint16_t Port = 0;
-  const char *End = Authority.data() + Authority.size();
-  const auto [Stop, Failure] =
-      std::from_chars(Authority.data() + Colon + 1, End, Port);
-  if (Code || Failure != std::errc() || Stop != End || Port == 0)
-    return std::nullopt;
-  return tcp::endpoint(Address, Port);
-}
-
 void setSocketOptions(tcp::socket &Socket) {
   beast::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -160,7 +146,7 @@
     Active = Kept->take(Peer);
     if (Active)
       return write();
-    const auto Endpoint = parseAuthority(Call.Authority);
+    const auto Endpoint = parseIpPort(Call.Authority);
     Active = Kept->make();
     if (!Endpoint)
       return asio::post(Active->Stream.get_executor(),
@@ -169,7 +155,8 @@
                         });
     Active->Stream.expires_after(Call.ConnectTimeout);
     Active->Stream.async_connect(
-        *Endpoint, [Self = shared_from_this()](beast::error_code Code) {
+        tcp::endpoint(Endpoint->Ip, Endpoint->Port),
+        [Self = shared_from_this()](beast::error_code Code) {
           if (Code)
             return Self->end(UpstreamEnd::NotSent, Code.message());
           if (Self->Ended)
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -1,10 +1,10 @@
 #include "hyssoprail/gateway/peer_socket.hpp"
 
-#include <charconv>
 #include <optional>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/address.hpp>
+
+#include "hyssoprail/connection/ip_port.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -13,17 +13,10 @@
 using asio::ip::udp;
 
 std::optional<udp::endpoint> parseEndpoint(const std::string &Address) {
-  const auto Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  boost::system::error_code Code;
-  const auto Ip = asio::ip::make_address(Address.substr(0, Colon), Code);
-  std::uint16_t Port = 0;
-  const char *End = Address.data() + Address.size();
-  const auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
-  if (Code || Parsed.ec != std::errc() || Parsed.ptr != End)
+  const auto Parsed = parseIpPort(Address);
+  if (!Parsed)
     return std::nullopt;
-  return udp::endpoint(Ip, Port);
+  return udp::endpoint(Parsed->Ip, Parsed->Port);
 }
 
 } // namespace
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/routing/flow.hpp"
+#include "hyssoprail/routing/leg_evidence.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -115,24 +116,7 @@
 
   void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
-      E->Health.record(evidenceOf(Answer), Now);
-  }
-
-  static Evidence evidenceOf(const LegAnswer &Answer) {
-    switch (Answer.Outcome) {
-    case LegOutcome::NotSent:
-      return Evidence::Unreachable;
-    case LegOutcome::NotRun:
-      return Answer.OtherOwner ? Evidence::WrongOwner : Evidence::Refused;
-    case LegOutcome::Answered:
-      return Answer.Response.Status >= 500 ? Evidence::AppError
-                                           : Evidence::Success;
-    case LegOutcome::Broken:
-      return Evidence::Broken;
-    case LegOutcome::TimedOut:
-      return Evidence::Late;
-    }
-    return Evidence::Broken;
+      E->Health.record(evidenceOf(Answer, Evidence::Late), Now);
   }
 
   /// The request has not run at the last endpoint, so any kind of call may be
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -7,6 +7,7 @@
 #include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/routing/event_splitter.hpp"
 #include "hyssoprail/routing/held_cache.hpp"
+#include "hyssoprail/routing/leg_evidence.hpp"
 #include "hyssoprail/routing/stream_need.hpp"
 
 namespace hyssoprail::routing {
@@ -75,7 +76,7 @@
                       {"waited_ms", Place.Waited},
                       {"queued", Place.QueueLength}});
     if (!Io.stillAllowed())
-      return keyWithdrawn(Now);
+      return finish(RejectReason::NoKey, {}, Now);
     if (Place.Prefill.empty())
       return sendDecode(Now);
     sendPrefill(Place.Prefill, Now);
@@ -85,8 +86,6 @@
     Io.note("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
                        {"expected_wait_ms", Refusal.ExpectedWait},
                        {"queued", Refusal.QueueLength}});
-    if (Started)
-      return breakOff(Now);
     finish(Ran ? RejectReason::Unknown : RejectReason::NoCapacity,
            Refusal.RetryAfter, Now);
   }
@@ -257,7 +256,7 @@
 
   void sendDecode(TimePoint Now) {
     if (!Io.stillAllowed())
-      return keyWithdrawn(Now);
+      return finish(RejectReason::NoKey, {}, Now);
     Endpoint *E = Shared.Table.find(DecodeEndpoint);
     if (!E || !Shared.Table.mayStart(*E, Now)) {
       DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
@@ -325,12 +324,8 @@
       return giveUp(Now);
     if (!Cache.held() || Answer.OtherOwner)
       return decodeElsewhere(Now);
-    if (Cache.refused() < CacheRefusals && Cache.usable(Now)) {
-      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
-      if (DecodeEndpoint.empty())
-        return noDecodeEngine(Now);
-      return sendDecode(Now);
-    }
+    if (Cache.refused() < CacheRefusals && Cache.usable(Now))
+      return decodeElsewhere(Now);
     if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
       E->HandlesLostUntil = Now + HandlesLostPause;
     dropCache();
@@ -351,16 +346,8 @@
       Shared.Retries.giveBack(Request.Service, Now);
   }
 
-  void keyWithdrawn(TimePoint Now) {
-    if (Started)
-      return breakOff(Now);
-    finish(RejectReason::NoKey, {}, Now);
-  }
-
   /// No further send is possible.
   void giveUp(TimePoint Now) {
-    if (Started)
-      return breakOff(Now);
     finish(Ran ? RejectReason::Unknown : RejectReason::NotRun, RefusedReturn,
            Now);
   }
@@ -368,6 +355,8 @@
   /// Keeps the KV cache if there is one and it still lives.
   void decodeElsewhere(TimePoint Now) {
     DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
+    if (DecodeEndpoint.empty())
+      return noDecodeEngine(Now);
     sendDecode(Now);
   }
 
@@ -391,11 +380,8 @@
                          {"allowed", Allowed},
                          {"last_event", LastEvent.value_or(0)},
                          {"runs", Runs}});
-    if (!Allowed) {
-      if (Started)
-        return breakOff(Now);
+    if (!Allowed)
       return finish(RejectReason::Unknown, {}, Now);
-    }
     dropCache();
     DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
     if (DecodeEndpoint.empty())
@@ -404,24 +390,8 @@
   }
 
   void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
-    Endpoint *E = Shared.Table.find(currentEndpoint());
-    if (!E)
-      return;
-    switch (Answer.Outcome) {
-    case LegOutcome::NotSent:
-      return E->Health.record(Evidence::Unreachable, Now);
-    case LegOutcome::NotRun:
-      return E->Health.record(
-          Answer.OtherOwner ? Evidence::WrongOwner : Evidence::Refused, Now);
-    case LegOutcome::Answered:
-      return E->Health.record(Answer.Response.Status >= 500 ? Evidence::AppError
-                                                            : Evidence::Success,
-                              Now);
-    case LegOutcome::Broken:
-      return E->Health.record(Evidence::Broken, Now);
-    case LegOutcome::TimedOut:
-      return E->Health.record(Evidence::Silent, Now);
-    }
+    if (Endpoint *E = Shared.Table.find(currentEndpoint()))
+      E->Health.record(evidenceOf(Answer, Evidence::Silent), Now);
   }
 
   const std::string &currentEndpoint() const {
@@ -462,8 +432,6 @@
     const bool Unsure = Ran || Current == Phase::Starting;
     stopLeg();
     Shared.Scheduler.cancel(Request.Key);
-    if (Started)
-      return breakOff(Now);
     finish(Unsure ? RejectReason::TimedOut : RejectReason::NotRunInTime, {},
            Now);
   }
@@ -496,7 +464,11 @@
     Io.abort();
   }
 
+  /// Ends without a whole answer. A stream that the caller has begun to read
+  /// can only be broken off.
   void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
+    if (Started)
+      return breakOff(Now);
     end(Now);
     Io.reject(Reason, RetryAfter);
   }
