A peer's older list no longer undoes a removal

After an outage of the store keyed.servers answered again 0.5 s before keyed.op. The entry read the removal, but its age, the older of both topics, was still that of keyed.op, so it asked a peer and took the peer's list, which still named the endpoint; the removal that waited for confirmation was cancelled. Ruled out: reads of the store that missed the record (22 of 26 entries took it in the same second).

The test "an older list of a peer does not undo a removal" fails without the change.

--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -51,9 +51,9 @@
   /// store.
   virtual std::string snapshot() const = 0;
 
-  /// Takes the snapshot of a peer that the store answered more recently.
-  /// Records that are older than the known ones change nothing.
-  virtual void offer(std::string_view Snapshot) = 0;
+  /// Takes those parts of a peer's snapshot that are newer than what this entry
+  /// has read itself. The peer was asked at \p AskedAt.
+  virtual void offer(std::string_view Snapshot, TimePoint AskedAt) = 0;
 
   /// Store calls made since the start.
   virtual std::uint64_t calls() const = 0;
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -146,14 +146,14 @@
   Call.Authority = Peer;
   Call.Request = {"GET", std::string(StatePath), {}, ""};
   Call.Timeout = AskPeerTimeout;
-  Http.call(std::move(Call), [this, Peer](Result<HttpResponse> Answer) {
+  Http.call(std::move(Call), [this, Peer, Now](Result<HttpResponse> Answer) {
     const Error *E = errorOf(Answer);
     Log.write(LogUrgency::Outcome, "state_from_peer", "",
               {{"peer", Peer},
                {"store_age_ms", Feed.age()},
                {"outcome", E ? E->Message : std::string("taken")}});
     if (!E && valueOf(Answer).Status == 200)
-      Feed.offer(valueOf(Answer).Body);
+      Feed.offer(valueOf(Answer).Body, Now);
   });
 }
 
