Entries leave freed engine memory to those who are served first

At the refusals engines held 8 to 20 runs where 8 fit, while the entries believed in 5 to 7: when memory was freed, all 26 to 29 entries heard it in the same report and each placed its waiting request on it within 10 ms. Ruled out: slow or lost reports (0.15 s old outside bursts), lapsed handles (the send followed the prefill at once), one bad engine or entry (refusals were spread evenly).

Change: reports name the first waiting requests of an entry; a poll sets memory aside for those of the peers that are served before its own (one queue in effect, by rank and arrival). A placement is reported after 15 ms at most instead of 80 ms, and each request adds a chance part to the cost of each engine, so that entries with the same reports do not choose the same one. The log line "place" names the load that was known and the memory that is needed.

The new scheduler tests replay the moment with 8 entries, a request that fits nowhere, and 12 entries with the same reports.

--- a/include/hyssoprail/routing/peer_board.hpp
+++ b/include/hyssoprail/routing/peer_board.hpp
@@ -9,6 +9,7 @@
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/shared_quota.hpp"
+#include "hyssoprail/routing/waiting_request.hpp"
 #include "hyssoprail/wire/usage.pb.h"
 
 namespace hyssoprail::routing {
@@ -47,6 +48,10 @@
   /// Memory for which requests wait at the peers that are heard, in tokens.
   std::int64_t waitingTokens(TimePoint Now) const;
 
+  /// The first requests that wait at each peer. A peer that has just fallen
+  /// silent is left out: what it waits for would otherwise stay unused.
+  std::vector<WaitingRequest> waitingRequests(TimePoint Now) const;
+
 private:
   struct Peer {
     std::uint64_t Incarnation = 0;
@@ -54,6 +59,7 @@
     std::string Address;
     TimePoint Heard{};
     std::int64_t WaitingTokens = 0;
+    std::vector<WaitingRequest> Waiting;
     std::string StateAddress;
     Duration StoreAge{};
     bool Leaving = false;
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -11,6 +11,7 @@
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/waiting_request.hpp"
 
 namespace hyssoprail::routing {
 
@@ -38,6 +39,8 @@
   std::string Prefill; ///< empty: the decode engine reads the prompt
   Duration Waited{};
   std::size_t QueueLength = 0; ///< that still waits in this entry
+  EndpointLoad DecodeLoad;     ///< known load of the decode engine before it
+  std::int64_t Need = 0;       ///< memory it takes there, in tokens
 };
 
 /// Why a generation was turned away.
@@ -73,7 +76,9 @@
 /// Queue, admission and placement of the generations of one entry, without
 /// I/O. A generation is placed only when a decode engine has room for its whole
 /// expected size, so no prompt is read in vain. Load pattern: bursts of twice
-/// the usual load, when decode memory runs out for some seconds.
+/// the usual load, when decode memory runs out for some seconds. All entries
+/// learn of freed memory at once, so each leaves it to those requests of the
+/// other entries that are served before its own.
 class StreamScheduler {
 public:
   StreamScheduler(StreamSchedulerOptions Options, EndpointTable &Table)
@@ -81,8 +86,10 @@
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
-  /// Memory for which requests of the other entries wait, in tokens.
-  void setPeersWaiting(std::int64_t Tokens) { PeersWaiting = Tokens; }
+  /// Memory for which requests of the other entries wait, in tokens, and the
+  /// first of these requests.
+  void setPeersWaiting(std::int64_t Tokens,
+                       std::vector<WaitingRequest> Requests);
 
   void submit(StreamNeed Need);
 
@@ -123,6 +130,10 @@
   /// Memory for which requests wait, in tokens.
   std::int64_t waitingTokens() const;
 
+  /// The first \p Count requests that wait, in the order of service.
+  std::vector<WaitingRequest> firstWaiting(std::size_t Count,
+                                           TimePoint Now) const;
+
   /// Next time at which poll() may have a decision without another event.
   TimePoint nextDeadline() const;
 
@@ -137,6 +148,9 @@
   enum class Verdict { Placed, Refused, Waits };
 
   std::vector<std::size_t> serviceOrder(TimePoint Now) const;
+  static WaitingRequest asWaiting(const StreamNeed &Need, TimePoint Now);
+  void leaveToPeer(const WaitingRequest &Request, TimePoint Now);
+  std::int64_t loadWithClaims(const Endpoint &E) const;
   Verdict consider(const StreamNeed &Need, std::int64_t TokensAhead,
                    TimePoint Now, std::vector<StreamDecision> &Out);
   StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
@@ -157,6 +171,9 @@
   std::vector<StreamNeed> Waiting;
   std::map<std::string, Placed, std::less<>> Running;
   std::int64_t PeersWaiting = 0;
+  std::vector<WaitingRequest> PeerRequests; ///< in the order of service
+  /// Memory that this poll leaves to the peers' requests, by endpoint.
+  std::map<std::string, std::int64_t, std::less<>> PeerClaims;
   double MeanRunSeconds = 3; ///< smoothed time that a placement lasts
 };
 
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -13,6 +13,13 @@
 /// Reports that say nothing new are sent this often.
 constexpr milliseconds IdleReportInterval{400};
 
+/// Between two reports that placements cause.
+constexpr milliseconds ShortestReportInterval{15};
+
+/// Requests that wait at one entry and that a report names; few are served
+/// before the next report.
+constexpr std::size_t ReportedWaiting = 4;
+
 /// A stopping entry still accepts connections for this time, until the load
 /// balancer has seen that it is not ready.
 constexpr milliseconds StopAcceptsFor{2'500};
@@ -37,6 +44,13 @@
 constexpr milliseconds AskPeerInterval{700};
 constexpr milliseconds AskPeerTimeout{1'000};
 
+std::uint32_t waitedMillis(const routing::WaitingRequest &W, TimePoint Now) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::max<Duration>(Now - W.Arrival, Duration::zero()))
+          .count());
+}
+
 } // namespace
 
 // ---- What the store says --------------------------------------------------
@@ -119,7 +133,6 @@
   const TimePoint Now = Time.now();
   Peers.age(Now);
   Retries.setEntries(static_cast<unsigned>(sharingEntries(Now)));
-  Scheduler.setPeersWaiting(Peers.waitingTokens(Now));
   updateStartBounds(Now);
   reportUsage();
   askPeer(Now);
@@ -201,11 +214,32 @@
   }
   Report.set_waiting_tokens(
       static_cast<std::uint64_t>(Scheduler.waitingTokens()));
+  for (const routing::WaitingRequest &W :
+       Scheduler.firstWaiting(ReportedWaiting, Time.now())) {
+    wire::WaitingUse *Use = Report.add_waiting();
+    Use->set_service(W.Service);
+    Use->set_rank(W.Rank);
+    Use->set_waited_ms(waitedMillis(W, Time.now()));
+    Use->set_tokens(static_cast<std::uint64_t>(W.Tokens));
+  }
   Report.set_config_version(Config ? Config->Version : 0);
   Report.set_leaving(Stopping);
   return Report;
 }
 
+/// The other entries must know of a placement before they use the same memory.
+void GatewayRuntime::reportSoon() {
+  if (ReportPending)
+    return;
+  ReportPending = true;
+  ReportTimer.expires_at(ReportedAt + ShortestReportInterval);
+  ReportTimer.async_wait([this](boost::system::error_code Code) {
+    ReportPending = false;
+    if (!Code)
+      reportUsage();
+  });
+}
+
 void GatewayRuntime::reportUsage() {
   const TimePoint Now = Time.now();
   wire::UsageReport Report = usageReport();
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -60,7 +60,7 @@
                                   {"address", Report.address()}});
                pollSoon();
              }),
-      TickTimer(Context), PollTimer(Context) {}
+      TickTimer(Context), PollTimer(Context), ReportTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
 
@@ -324,8 +324,13 @@
   PollPending = false;
   if (Scheduler.queued() == 0)
     return;
-  for (const routing::StreamDecision &D : Scheduler.poll(Time.now())) {
+  const TimePoint Now = Time.now();
+  Scheduler.setPeersWaiting(Peers.waitingTokens(Now),
+                            Peers.waitingRequests(Now));
+  for (const routing::StreamDecision &D : Scheduler.poll(Now)) {
     const auto *Place = std::get_if<routing::StreamPlace>(&D);
+    if (Place)
+      reportSoon();
     const auto *Refusal = std::get_if<routing::StreamRefusal>(&D);
     const auto It = Sessions.find(Place ? Place->Id : Refusal->Id);
     if (It == Sessions.end())
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -93,6 +93,7 @@
                                          HttpHandler Handler);
 
   void tick();
+  void reportSoon();
   void reportUsage();
   wire::UsageReport usageReport();
   std::size_t sharingEntries(TimePoint Now) const;
@@ -134,10 +135,12 @@
 
   boost::asio::steady_timer TickTimer;
   boost::asio::steady_timer PollTimer;
+  boost::asio::steady_timer ReportTimer;
   bool PollPending = false;
   std::uint64_t ReportSequence = 0;
   std::string LastReport; ///< without its sequence
   TimePoint ReportedAt{};
+  bool ReportPending = false;
   TimePoint AskedPeerAt{};
   bool Stopping = false;
   bool Draining = false;
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -20,6 +20,20 @@
 
 constexpr milliseconds CandidateTime{6'000};
 
+/// A peer with requests that wait reports at least this often; its list of them
+/// is older when it is cut off or starved of processor time.
+constexpr milliseconds WaitingListKept{600};
+
+std::vector<WaitingRequest> waitingOf(const wire::UsageReport &Report,
+                                      TimePoint Now) {
+  std::vector<WaitingRequest> Out;
+  for (const wire::WaitingUse &Use : Report.waiting())
+    Out.push_back({Use.service(), Use.rank(),
+                   Now - milliseconds(Use.waited_ms()),
+                   static_cast<std::int64_t>(Use.tokens())});
+  return Out;
+}
+
 } // namespace
 
 bool PeerBoard::hear(const wire::UsageReport &Report, TimePoint Now) {
@@ -34,6 +48,7 @@
        Report.address(),
        Now,
        static_cast<std::int64_t>(Report.waiting_tokens()),
+       waitingOf(Report, Now),
        Report.state_address(),
        milliseconds(Report.store_age_ms()),
        Report.leaving(),
@@ -119,4 +134,12 @@
   return Sum;
 }
 
+std::vector<WaitingRequest> PeerBoard::waitingRequests(TimePoint Now) const {
+  std::vector<WaitingRequest> Out;
+  for (const auto &[Name, P] : Peers)
+    if (Now - P.Heard < WaitingListKept)
+      Out.insert(Out.end(), P.Waiting.begin(), P.Waiting.end());
+  return Out;
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/peer_board_test.cpp
+++ b/src/hyssoprail/routing/peer_board_test.cpp
@@ -60,6 +60,23 @@
   REQUIRE(B.tokens() == 100);
 }
 
+// Guards against engine memory that is left to a peer which does not use it any
+// more, as it has been killed or is cut off.
+TEST_CASE("the waiting requests of a silent peer are left out") {
+  Board B;
+  wire::UsageReport R = report("p", 1, 1, 5'000);
+  wire::WaitingUse *Use = R.add_waiting();
+  Use->set_service("assistant");
+  Use->set_waited_ms(300);
+  Use->set_tokens(4'000);
+  B.Peers.hear(R, Start);
+  const auto Waiting = B.Peers.waitingRequests(Start + milliseconds(100));
+  REQUIRE(Waiting.size() == 1);
+  CHECK(Waiting.front().Arrival == Start - milliseconds(300));
+  CHECK(Waiting.front().Tokens == 4'000);
+  CHECK(B.Peers.waitingRequests(Start + milliseconds(700)).empty());
+}
+
 // Guards against datagrams that overtake each other.
 TEST_CASE("a report that arrives late is ignored") {
   Board B;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -76,7 +76,10 @@
     Io.note("place", {{"decode", Place.Decode},
                       {"prefill", Place.Prefill},
                       {"waited_ms", Place.Waited},
-                      {"queued", Place.QueueLength}});
+                      {"queued", Place.QueueLength},
+                      {"decode_runs", Place.DecodeLoad.Runs},
+                      {"decode_tokens", Place.DecodeLoad.Tokens},
+                      {"need_tokens", Place.Need}});
     if (!Io.stillAllowed())
       return finish(RejectReason::NoKey, {}, Now);
     if (Place.Prefill.empty())
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "hyssoprail/core/enum_names.hpp"
+#include "hyssoprail/core/hash.hpp"
 
 namespace hyssoprail::routing {
 namespace {
@@ -41,6 +42,13 @@
 /// worth; between zones a KV cache takes twice as long.
 constexpr std::int64_t OtherZonePrefillCost = 2'500;
 
+/// Entries hear of each other's placements some time later. So that they do not
+/// all choose the engine that was emptiest in the last reports, each request
+/// adds a chance part to the cost of each engine: up to this part of a decode
+/// engine's memory, and up to this many prompt tokens.
+constexpr double DecodeSpread = 0.2;
+constexpr std::int64_t PrefillSpread = 3'000;
+
 constexpr std::array<EnumName<StreamRefusalReason>, 4> RefusalNames{{
     {StreamRefusalReason::NoEngine, "no_engine"},
     {StreamRefusalReason::TooLarge, "too_large"},
@@ -62,6 +70,12 @@
   return {1, 0, Need.PromptTokens};
 }
 
+/// Number in [0, 1) that differs between requests and engines.
+double chanceOf(const std::string &Request, const std::string &EndpointId) {
+  constexpr double Range = 18'446'744'073'709'551'616.0; // 2^64
+  return static_cast<double>(rendezvousWeight(Request, EndpointId)) / Range;
+}
+
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 Duration fromSeconds(double S) {
@@ -82,6 +96,37 @@
   std::erase_if(Waiting, [&](const StreamNeed &N) { return N.Id == Id; });
 }
 
+void StreamScheduler::setPeersWaiting(std::int64_t Tokens,
+                                      std::vector<WaitingRequest> Requests) {
+  PeersWaiting = Tokens;
+  PeerRequests = std::move(Requests);
+  std::sort(PeerRequests.begin(), PeerRequests.end(),
+            [](const WaitingRequest &A, const WaitingRequest &B) {
+              return A.servedBefore(B);
+            });
+}
+
+std::vector<WaitingRequest> StreamScheduler::firstWaiting(std::size_t Count,
+                                                          TimePoint Now) const {
+  std::vector<WaitingRequest> Out;
+  for (const std::size_t I : serviceOrder(Now)) {
+    if (Out.size() == Count)
+      break;
+    Out.push_back(asWaiting(Waiting[I], Now));
+  }
+  return Out;
+}
+
+WaitingRequest StreamScheduler::asWaiting(const StreamNeed &Need,
+                                          TimePoint Now) {
+  const bool Late = Now + TimeToFirstEvent > Need.OnTimeUntil;
+  const auto Urgency = static_cast<std::uint32_t>(std::max(0, Need.Priority));
+  const std::uint32_t Rank =
+      Urgency << 3U | std::uint32_t{Need.BeyondQuota} << 2U |
+      std::uint32_t{!Need.Returning} << 1U | std::uint32_t{Late};
+  return {Need.Service, Rank, Need.Arrival, memoryNeed(Need)};
+}
+
 std::int64_t StreamScheduler::waitingTokens() const {
   std::int64_t Sum = 0;
   for (const StreamNeed &N : Waiting)
@@ -136,16 +181,44 @@
     return Out;
   std::vector<bool> Done(Waiting.size(), false);
   std::int64_t TokensAhead = PeersWaiting;
+  PeerClaims.clear();
+  auto Peer = PeerRequests.begin();
   for (const std::size_t I : serviceOrder(Now)) {
+    const WaitingRequest Own = asWaiting(Waiting[I], Now);
+    for (; Peer != PeerRequests.end() && Peer->servedBefore(Own); ++Peer)
+      leaveToPeer(*Peer, Now);
     Done[I] = consider(Waiting[I], TokensAhead, Now, Out) != Verdict::Waits;
     if (!Done[I])
       TokensAhead += memoryNeed(Waiting[I]);
   }
   std::size_t Index = 0;
   std::erase_if(Waiting, [&](const StreamNeed &) { return Done[Index++]; });
+  PeerClaims.clear();
   return Out;
 }
 
+/// Sets memory aside for a request of another entry, at the engine that this
+/// entry would choose for it. A request that fits nowhere holds up nobody.
+void StreamScheduler::leaveToPeer(const WaitingRequest &Request,
+                                  TimePoint Now) {
+  StreamNeed Need;
+  Need.Service = Request.Service;
+  const std::int64_t Bound = memoryBound(Need);
+  const Endpoint *Best = nullptr;
+  for (const Endpoint *E : Table.usable(Request.Service, Now))
+    if (E->Record.Stage != EngineStage::Prefill &&
+        loadWithClaims(*E) + Request.Tokens <= Bound &&
+        (!Best || loadWithClaims(*E) < loadWithClaims(*Best)))
+      Best = E;
+  if (Best)
+    PeerClaims[Best->Record.Id] += Request.Tokens;
+}
+
+std::int64_t StreamScheduler::loadWithClaims(const Endpoint &E) const {
+  const auto Claim = PeerClaims.find(E.Record.Id);
+  return E.total().Tokens + (Claim == PeerClaims.end() ? 0 : Claim->second);
+}
+
 StreamScheduler::Verdict
 StreamScheduler::consider(const StreamNeed &Need, std::int64_t TokensAhead,
                           TimePoint Now, std::vector<StreamDecision> &Out) {
@@ -158,11 +231,12 @@
     if (Options.UsePrefillEngines)
       Prefill = choosePrefill(Need, Decode->Record.Zone, Now);
     Placed P{Need, Decode->Record.Id, Prefill ? Prefill->Record.Id : "", Now};
+    const EndpointLoad Before = Decode->total();
     Table.reserve(P.Decode, decodeLoad(Need));
     if (Prefill)
       Table.reserve(P.Prefill, prefillLoad(Need));
     Out.push_back(StreamPlace{Need.Id, P.Decode, P.Prefill, Now - Need.Arrival,
-                              Waiting.size()});
+                              Waiting.size(), Before, memoryNeed(Need)});
     Running[Need.Id] = std::move(P);
     return Verdict::Placed;
   }
@@ -209,14 +283,15 @@
   for (Endpoint *E : Table.usable(Need.Service, Now)) {
     if (E->Record.Stage == EngineStage::Prefill || E->Record.Id == Need.Avoid)
       continue;
-    const EndpointLoad Load = E->total();
-    if (Load.Tokens + memoryNeed(Need) > Bound ||
-        Load.Runs >= static_cast<std::int32_t>(E->Record.Slots))
+    const std::int64_t Tokens = loadWithClaims(*E);
+    if (Tokens + memoryNeed(Need) > Bound ||
+        E->total().Runs >= static_cast<std::int32_t>(E->Record.Slots))
       continue;
-    double Cost = static_cast<double>(Load.Tokens) / static_cast<double>(Bound);
+    double Cost = static_cast<double>(Tokens) / static_cast<double>(Bound);
     if (E->Record.Zone != Options.Zone)
       Cost += OtherZoneCost;
     Cost += FailureCost * E->Health.failureShare();
+    Cost += DecodeSpread * chanceOf(Need.Id, E->Record.Id);
     if (Cost >= BestCost)
       continue;
     Best = E;
@@ -238,7 +313,9 @@
       continue;
     const std::int64_t Cost =
         Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
-        static_cast<std::int64_t>(E->Health.failureShare() * 10'000);
+        static_cast<std::int64_t>(E->Health.failureShare() * 10'000) +
+        static_cast<std::int64_t>(PrefillSpread *
+                                  chanceOf(Need.Id, E->Record.Id));
     if (Cost >= BestCost)
       continue;
     Best = E;
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -181,6 +181,106 @@
   REQUIRE(B.placed() == Ids{"small-1"});
 }
 
+/// Several entries before the same engines. Each knows its own work at once and
+/// that of the others when reports are exchanged.
+struct EntriesBench {
+  explicit EntriesBench(std::size_t Count) : Entries(Count) {}
+
+  void add(const EndpointRecord &Record) {
+    for (SchedulerBench &E : Entries)
+      E.add(Record);
+  }
+
+  /// All entries report, and then all hear the reports.
+  void exchange(TimePoint Now) {
+    std::vector<LoadMap> Loads;
+    std::vector<std::vector<WaitingRequest>> Waiting;
+    for (SchedulerBench &E : Entries) {
+      E.Now = Now;
+      Loads.push_back(E.Table.ownLoads());
+      Waiting.push_back(E.Scheduler.firstWaiting(4, Now));
+    }
+    for (std::size_t To = 0; To < Entries.size(); ++To) {
+      std::vector<WaitingRequest> Others;
+      std::int64_t Tokens = 0;
+      for (std::size_t From = 0; From < Entries.size(); ++From) {
+        if (From == To)
+          continue;
+        Entries[To].Table.setPeerLoad(std::to_string(From), Loads[From]);
+        Tokens += Entries[From].Scheduler.waitingTokens();
+        Others.insert(Others.end(), Waiting[From].begin(), Waiting[From].end());
+      }
+      Entries[To].Scheduler.setPeersWaiting(Tokens, std::move(Others));
+    }
+  }
+
+  /// All entries decide on the same reports; the ids that are placed.
+  Ids placed() {
+    Ids Out;
+    for (SchedulerBench &E : Entries)
+      for (const std::string &Id : E.placed())
+        Out.push_back(Id);
+    return Out;
+  }
+
+  std::vector<SchedulerBench> Entries;
+};
+
+// Replays a burst before many entries: each has a request that waits when one
+// engine frees memory for one. All of them used to take it, and the engine
+// refused the KV caches of all but the first.
+TEST_CASE("freed memory goes to one of the entries that wait") {
+  EntriesBench B(8);
+  B.add(engine("d1", EngineStage::Decode));
+  B.Entries[0].Scheduler.submit(B.Entries[0].need("running-1"));
+  B.Entries[0].Scheduler.submit(B.Entries[0].need("running-2"));
+  REQUIRE(B.placed().size() == 2);
+  B.exchange(Start);
+  for (std::size_t I = 0; I < B.Entries.size(); ++I) {
+    StreamNeed Need = B.Entries[I].need("waits-" + std::to_string(I));
+    Need.Arrival = Start - milliseconds(10 * static_cast<int>(I));
+    B.Entries[I].Scheduler.submit(Need);
+  }
+  REQUIRE(B.placed().empty());
+  B.exchange(Start + milliseconds(50));
+  B.Entries[0].Scheduler.release("running-1", Start);
+  B.exchange(Start + milliseconds(100));
+  CHECK(B.placed() == Ids{"waits-7"});
+}
+
+// Guards against engines that idle while a large request, which fits into none
+// of them, waits at another entry.
+TEST_CASE("a peer's request that fits nowhere holds nobody up") {
+  EntriesBench B(2);
+  B.add(engine("d1", EngineStage::Decode));
+  B.Entries[0].Scheduler.submit(B.Entries[0].need("running"));
+  REQUIRE(B.placed() == Ids{"running"});
+  B.exchange(Start);
+  B.Entries[0].Scheduler.submit(B.Entries[0].need("large", 8'000));
+  REQUIRE(B.placed().empty());
+  B.exchange(Start + milliseconds(50));
+  B.Entries[1].Scheduler.submit(B.Entries[1].need("small"));
+  CHECK(B.placed() == Ids{"small"});
+}
+
+// Replays the first moments of a burst: entries that have heard the same
+// reports used to choose the same engine.
+TEST_CASE("entries with the same reports spread over the engines") {
+  constexpr std::size_t EntryCount = 12;
+  EntriesBench B(EntryCount);
+  for (int I = 0; I < 12; ++I)
+    B.add(engine("d" + std::to_string(I), EngineStage::Decode));
+  std::map<std::string, int> Chosen;
+  for (std::size_t I = 0; I < EntryCount; ++I) {
+    B.Entries[I].Scheduler.submit(
+        B.Entries[I].need("request-" + std::to_string(I)));
+    REQUIRE(B.Entries[I].placed().size() == 1);
+    ++Chosen[B.Entries[I].Last.Decode];
+  }
+  for (const auto &[Id, Count] : Chosen)
+    CHECK(Count <= 4);
+}
+
 // Guards against requests that wait for their deadline although those before
 // them use up their time: they are refused at once, with a time to return that
 // callers honour.
