--- a/src/hyssoprail/testing/raw_socket.hpp
+++ b/src/hyssoprail/testing/raw_socket.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_TESTING_RAW_SOCKET_HPP
 
 #include <array>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,12 +22,20 @@
   explicit RawSocket(std::uint16_t Port) : Socket(Context) {
     Socket.connect({boost::asio::ip::address_v4::loopback(), Port});
     const timeval Limit{10, 0};
-    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
-               sizeof Limit);
+    setReadLimit(std::chrono::seconds(10));
     setsockopt(Socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &Limit,
                sizeof Limit);
   }
 
+  /// Reads end after this time without data; 10 s if not set.
+  void setReadLimit(std::chrono::milliseconds Limit) {
+    const auto Seconds = std::chrono::floor<std::chrono::seconds>(Limit);
+    const timeval Value{Seconds.count(),
+                        std::chrono::microseconds(Limit - Seconds).count()};
+    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Value,
+               sizeof Value);
+  }
+
   /// Sends \p Data; returns false if the connection broke.
   bool send(std::string_view Data) {
     boost::system::error_code Code;
@@ -55,6 +64,15 @@
     return Out;
   }
 
+  /// Returns the next \p Size bytes, or less if the connection ends first.
+  std::string readExactly(std::size_t Size) {
+    while (Received.size() < Size && readSome()) {
+    }
+    std::string Out = Received.substr(0, Size);
+    Received.erase(0, Out.size());
+    return Out;
+  }
+
   /// Ends the sending side; answers can still be read.
   void finishSending() {
     boost::system::error_code Ignored;
