Entries tell each other which endpoints they cannot reach

Ruled out: the time of a refused connection (0 to 3 ms).

Change: reports name the endpoints that the sender cannot reach; they are used last while the report is fresh, not excluded, as the sender may be cut off itself. A send that reached nobody no longer counts among the sends of a flow; twelve of them end it.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -36,9 +36,11 @@
   EndpointLoad Own;   ///< work of this entry
   EndpointLoad Peers; ///< work of the other entries, from their reports
   TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
+  TimePoint SuspectUntil{};     ///< a peer could not reach it
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
+  bool suspect(TimePoint Now) const { return Now < SuspectUntil; }
 };
 
 /// Loads by endpoint id.
@@ -61,6 +63,13 @@
   /// Replaces the loads that \p Peer reported.
   void setPeerLoad(const std::string &Peer, LoadMap Loads);
 
+  /// A peer reports that nothing answers at the endpoint. Until \p Until it is
+  /// used only if no other one will do, as the peer may be cut off itself.
+  void suspect(std::string_view Id, TimePoint Until);
+
+  /// Endpoints that this entry could not reach.
+  std::vector<std::string> unreachable(TimePoint Now) const;
+
   /// Requests this entry may start on one endpoint in a second, by service.
   void setStartsPerSecond(std::string_view Service, std::size_t Starts);
 
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -222,6 +222,8 @@
     Use->set_waited_ms(waitedMillis(W, Time.now()));
     Use->set_tokens(static_cast<std::uint64_t>(W.Tokens));
   }
+  for (std::string &Id : Table.unreachable(Time.now()))
+    Report.add_unreachable(std::move(Id));
   Report.set_config_version(Config ? Config->Version : 0);
   Report.set_leaving(Stopping);
   return Report;
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -40,8 +40,10 @@
       (Record.Born == E.Record.Born && Record.Sequence < E.Record.Sequence);
   if (Older)
     return false;
-  if (Record.Born > E.Record.Born)
+  if (Record.Born > E.Record.Born) {
     E.Health = {};
+    E.SuspectUntil = {};
+  }
   const bool Changed = !E.Listed || Record.Born != E.Record.Born ||
                        Record.Draining != E.Record.Draining ||
                        Record.Stage != E.Record.Stage ||
@@ -82,6 +84,19 @@
   Last = std::move(Loads);
 }
 
+void EndpointTable::suspect(std::string_view Id, TimePoint Until) {
+  if (Endpoint *E = find(Id))
+    E->SuspectUntil = Until;
+}
+
+std::vector<std::string> EndpointTable::unreachable(TimePoint Now) const {
+  std::vector<std::string> Out;
+  for (const auto &[Id, E] : ById)
+    if (E.Listed && !E.Health.reachable(Now))
+      Out.push_back(Id);
+  return Out;
+}
+
 void EndpointTable::setStartsPerSecond(std::string_view Service,
                                        std::size_t Starts) {
   StartsPerSecond[std::string(Service)] = Starts;
@@ -162,23 +177,29 @@
 /// Weight of an endpoint's failures against its load.
 constexpr double FailureCost = 1.5;
 
-double callCost(const Endpoint &E, std::string_view Zone) {
+/// Cost of an endpoint that a peer could not reach.
+constexpr double SuspectCost = 2;
+
+double callCost(const Endpoint &E, std::string_view Zone, TimePoint Now) {
   const double Slots = std::max(1U, E.Record.Slots);
   double Cost = E.total().Runs / Slots;
   if (E.Record.Zone != Zone)
     Cost += OtherZoneCost;
+  if (E.suspect(Now))
+    Cost += SuspectCost;
   return Cost + FailureCost * E.Health.failureShare();
 }
 
 Endpoint *cheapest(const std::vector<Endpoint *> &Candidates,
                    std::string_view Zone,
-                   const std::set<std::string, std::less<>> &Tried) {
+                   const std::set<std::string, std::less<>> &Tried,
+                   TimePoint Now) {
   Endpoint *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   for (Endpoint *E : Candidates) {
     if (Tried.contains(E->Record.Id))
       continue;
-    const double Cost = callCost(*E, Zone);
+    const double Cost = callCost(*E, Zone, Now);
     if (Cost >= BestCost)
       continue;
     Best = E;
@@ -193,9 +214,9 @@
                         std::string_view Zone,
                         const std::set<std::string, std::less<>> &Tried,
                         TimePoint Now) {
-  if (Endpoint *E = cheapest(Table.usable(Service, Now), Zone, Tried))
+  if (Endpoint *E = cheapest(Table.usable(Service, Now), Zone, Tried, Now))
     return E;
-  return cheapest(Table.avoided(Service, Now), Zone, Tried);
+  return cheapest(Table.avoided(Service, Now), Zone, Tried, Now);
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -24,6 +24,9 @@
 /// is older when it is cut off or starved of processor time.
 constexpr milliseconds WaitingListKept{600};
 
+/// A peer repeats what it cannot reach at least this often.
+constexpr milliseconds SuspicionKept{600};
+
 std::vector<WaitingRequest> waitingOf(const wire::UsageReport &Report,
                                       TimePoint Now) {
   std::vector<WaitingRequest> Out;
@@ -59,6 +62,8 @@
                              static_cast<std::int64_t>(Use.tokens()),
                              static_cast<std::int64_t>(Use.prefill_tokens())};
   Table.setPeerLoad(Report.sender(), std::move(Loads));
+  for (const std::string &Id : Report.unreachable())
+    Table.suspect(Id, Now + SuspicionKept);
   for (const wire::AccountUse &Use : Report.accounts())
     Quota.peerGranted(Report.sender(), Report.incarnation(), Use.account(),
                       Use.tokens(), Now);
--- a/src/hyssoprail/routing/peer_board_test.cpp
+++ b/src/hyssoprail/routing/peer_board_test.cpp
@@ -77,6 +77,19 @@
   CHECK(B.Peers.waitingRequests(Start + milliseconds(700)).empty());
 }
 
+// Replays a lost zone: every entry used to find each dead engine by itself,
+// while the registrations still read healthy.
+TEST_CASE("an endpoint that a peer cannot reach is suspected for a while") {
+  Board B;
+  B.Table.apply(engine("d2", EngineStage::Decode));
+  wire::UsageReport R = report("p", 1, 1, 0);
+  R.add_unreachable("d2");
+  B.Peers.hear(R, Start);
+  CHECK(B.Table.find("d2")->suspect(Start + milliseconds(500)));
+  CHECK_FALSE(B.Table.find("d1")->suspect(Start));
+  CHECK_FALSE(B.Table.find("d2")->suspect(Start + milliseconds(700)));
+}
+
 // Guards against datagrams that overtake each other.
 TEST_CASE("a report that arrives late is ignored") {
   Board B;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -42,6 +42,10 @@
 
 constexpr unsigned MaxPrefillSends = 2;
 constexpr unsigned MaxDecodeSends = 4;
+
+/// Sends that reached no engine cost little time and no budget. When a zone is
+/// lost, a third of the engines may be gone before their registrations lapse.
+constexpr unsigned MaxUnsent = 12;
 constexpr milliseconds RefusedReturn{400};
 
 enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
@@ -101,7 +105,7 @@
     Active.reset();
     recordEvidence(Answer, Now);
     if (Answer.Outcome == LegOutcome::NotSent)
-      Arrivals.notSent(Now);
+      onNotSent(Now);
     else if (Answer.Outcome != LegOutcome::Answered)
       Arrivals.notAccepted(Now);
     if (Current == Phase::Prefilling)
@@ -342,6 +346,12 @@
     readPromptAgain(Now);
   }
 
+  void onNotSent(TimePoint Now) {
+    Arrivals.notSent(Now);
+    if (++Unsent < MaxUnsent)
+      --(Current == Phase::Prefilling ? PrefillSends : DecodeSends);
+  }
+
   /// No further send is possible.
   void giveUp(TimePoint Now) {
     finish(Ran ? RejectReason::Unknown : RejectReason::NotRun, RefusedReturn,
@@ -487,7 +497,8 @@
   std::uint64_t Events = 0;  ///< that the caller has
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
-  unsigned Runs = 0; ///< engines that ran it, or may have, and stopped
+  unsigned Unsent = 0; ///< sends that reached no engine
+  unsigned Runs = 0;   ///< engines that ran it, or may have, and stopped
   bool GotEvent = false;
   bool Started = false; ///< the caller has the head of the answer
   bool Ran = false;
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -185,6 +185,22 @@
   REQUIRE(B.leg(4).Source->Handle == "handle-1");
 }
 
+// Replays a lost zone: many engines refuse connections before their
+// registrations lapse. The flow used to give up after four of them although
+// others had room, and the prompt had been read in vain.
+TEST_CASE("engines that cannot be reached do not use up the sends") {
+  StreamBench B;
+  for (int I = 3; I <= 9; ++I)
+    B.add(engine("d" + std::to_string(I), EngineStage::Decode));
+  const auto F = B.startStream(B.stream(false));
+  F->onAnswer(1, answered(200, "handle-1"), B.Now);
+  for (FlowIo::LegId Leg = 2; Leg <= 8; ++Leg)
+    F->onAnswer(Leg, ended(LegOutcome::NotSent), B.Now);
+  REQUIRE_FALSE(F->done());
+  REQUIRE(B.leg(9).Kind == LegKind::Decode);
+  REQUIRE(B.leg(9).Source->Handle == "handle-1");
+}
+
 // Guards against engine memory that stays held after the caller has left.
 TEST_CASE("a caller that leaves frees engines and KV cache at once") {
   StreamBench B;
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -38,6 +38,11 @@
 constexpr double OtherZoneCost = 0.12;
 constexpr double FailureCost = 1.0;
 
+/// Extra cost of an engine that a peer could not reach, for the decode part and
+/// in prompt tokens.
+constexpr double SuspectCost = 2;
+constexpr std::int64_t SuspectPrefillCost = 20'000;
+
 /// Prompt tokens that the shorter way to a decode engine in the same zone is
 /// worth; between zones a KV cache takes twice as long.
 constexpr std::int64_t OtherZonePrefillCost = 2'500;
@@ -292,6 +297,8 @@
       Cost += OtherZoneCost;
     Cost += FailureCost * E->Health.failureShare();
     Cost += DecodeSpread * chanceOf(Need.Id, E->Record.Id);
+    if (E->suspect(Now))
+      Cost += SuspectCost;
     if (Cost >= BestCost)
       continue;
     Best = E;
@@ -313,6 +320,7 @@
       continue;
     const std::int64_t Cost =
         Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
+        (E->suspect(Now) ? SuspectPrefillCost : 0) +
         static_cast<std::int64_t>(E->Health.failureShare() * 10'000) +
         static_cast<std::int64_t>(PrefillSpread *
                                   chanceOf(Need.Id, E->Record.Id));
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -281,6 +281,20 @@
     CHECK(Count <= 4);
 }
 
+// Guards against a peer that is cut off itself: an endpoint that only it cannot
+// reach still serves when no other one has room.
+TEST_CASE("an endpoint that a peer cannot reach is used last") {
+  SchedulerBench B;
+  B.add(engine("d1", EngineStage::Decode));
+  B.add(engine("d2", EngineStage::Decode, "zone-b"));
+  B.Table.suspect("d1", B.Now + milliseconds(600));
+  for (const char *Id : {"1", "2", "3"}) {
+    B.Scheduler.submit(B.need(Id));
+    REQUIRE(B.placed() == Ids{Id});
+    CHECK(B.Last.Decode == (std::string(Id) == "3" ? "d1" : "d2"));
+  }
+}
+
 // Guards against requests that wait for their deadline although those before
 // them use up their time: they are refused at once, with a time to return that
 // callers honour.
