--- /dev/null
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -0,0 +1,49 @@
+#ifndef HYSSOPRAIL_ROUTING_STREAM_PROGRESS_HPP
+#define HYSSOPRAIL_ROUTING_STREAM_PROGRESS_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "hyssoprail/routing/event_splitter.hpp"
+
+namespace hyssoprail::routing {
+
+/// How far a caller has received its stream, over all engines that made it.
+class StreamProgress {
+public:
+  /// The caller has the events up to \p Event from an earlier request.
+  void resumeAfter(std::uint64_t Event) { LastEvent = Event; }
+
+  /// Another engine begins to send.
+  void restart();
+
+  /// Takes data of the engine; returns the whole events that the caller does
+  /// not have yet.
+  std::string feed(std::string_view Data);
+
+  /// True if the data so far ends with a whole event of the present engine.
+  bool atEventEnd() const { return GotEvent && Splitter.atBoundary(); }
+
+  /// True if the present engine has sent an event that the caller lacked.
+  bool gotEvent() const { return GotEvent; }
+
+  /// Events that were passed on.
+  std::uint64_t events() const { return Events; }
+
+  /// Id of the last event that the caller has, if events carry ids.
+  const std::optional<std::uint64_t> &lastEvent() const { return LastEvent; }
+
+private:
+  bool isNew(const StreamEvent &Event);
+
+  EventSplitter Splitter;
+  std::optional<std::uint64_t> LastEvent;
+  std::uint64_t Events = 0;
+  bool GotEvent = false;
+};
+
+} // namespace hyssoprail::routing
+
+#endif // HYSSOPRAIL_ROUTING_STREAM_PROGRESS_HPP
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -6,10 +6,10 @@
 
 #include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/routing/arrival_count.hpp"
-#include "hyssoprail/routing/event_splitter.hpp"
 #include "hyssoprail/routing/held_cache.hpp"
 #include "hyssoprail/routing/leg_evidence.hpp"
 #include "hyssoprail/routing/stream_need.hpp"
+#include "hyssoprail/routing/stream_progress.hpp"
 
 namespace hyssoprail::routing {
 namespace {
@@ -67,7 +67,7 @@
         Cache(this->Request.HandleRetention),
         Arrivals(this->Shared.Retries, this->Request.Service) {
     if (this->Request.Info.Resumes)
-      LastEvent = this->Request.Info.LastEvent;
+      Progress.resumeAfter(this->Request.Info.LastEvent);
   }
 
   void start(TimePoint Now) override {
@@ -131,18 +131,12 @@
                     TimePoint Now) override {
     if (Leg != Active || Current != Phase::Streaming)
       return;
-    Splitter.feed(Data);
-    std::string Ready;
-    while (auto Event = Splitter.next())
-      if (isNew(*Event)) {
-        ++Events;
-        Ready += Event->Bytes;
-      }
+    const std::string Ready = Progress.feed(Data);
     if (Ready.empty())
       return;
     LastProgress = Now;
-    GotEvent = true;
-    Shared.Scheduler.outputGrew(Request.Key, Events * Request.EventTokens);
+    Shared.Scheduler.outputGrew(Request.Key,
+                                Progress.events() * Request.EventTokens);
     Io.forward(Ready);
   }
 
@@ -150,11 +144,11 @@
     if (Leg != Active || Current != Phase::Streaming)
       return;
     Active.reset();
-    const bool Whole = Complete && Splitter.atBoundary() && GotEvent;
+    const bool Whole = Complete && Progress.atEventEnd();
     if (Endpoint *E = Shared.Table.find(DecodeEndpoint))
       E->Health.record(Whole ? Evidence::Success : Evidence::Broken, Now);
     if (Whole) {
-      Shared.Lengths.record(Events * Request.EventTokens);
+      Shared.Lengths.record(Progress.events() * Request.EventTokens);
       Io.finishStream();
       return end(Now);
     }
@@ -207,15 +201,6 @@
 
   TimePoint lastMoment() const { return Request.AnswerBy - AnswerMargin; }
 
-  bool isNew(const StreamEvent &Event) {
-    if (!Event.Id)
-      return true;
-    if (LastEvent && *Event.Id <= *LastEvent)
-      return false;
-    LastEvent = Event.Id;
-    return true;
-  }
-
   LegRequest leg(LegKind Kind, const Endpoint &E, TimePoint Now) const {
     LegRequest Out;
     Out.Kind = Kind;
@@ -281,13 +266,11 @@
     if (!Arrivals.begin(LegKind::Decode, Now))
       return giveUp(Now);
     Current = Phase::Starting;
-    Splitter = {};
-    GotEvent = false;
+    Progress.restart();
     LastProgress = Now;
     LegRequest Leg = leg(LegKind::Decode, *E, Now);
     Leg.Source = Cache.usable(Now);
-    if (LastEvent)
-      Leg.ResumeAfter = LastEvent;
+    Leg.ResumeAfter = Progress.lastEvent();
     Leg.Repeat = DecodeSends++ > 0;
     Shared.Table.sent(DecodeEndpoint, Now);
     Active = Io.startLeg(Leg);
@@ -384,7 +367,7 @@
                          DecodeSends < MaxDecodeSends;
     Io.note("continue", {{"why", Why},
                          {"allowed", Allowed},
-                         {"last_event", LastEvent.value_or(0)},
+                         {"last_event", Progress.lastEvent().value_or(0)},
                          {"runs", Runs}});
     if (!Allowed)
       return finish(RejectReason::Unknown, {}, Now);
@@ -424,9 +407,10 @@
     case Phase::Starting:
       return mayRepeat() ? LastProgress + FirstEventPatience : TimePoint::max();
     case Phase::Streaming:
-      return mayRepeat() ? LastProgress +
-                               (GotEvent ? EventPatience : FirstEventPatience)
-                         : TimePoint::max();
+      return mayRepeat()
+                 ? LastProgress + (Progress.gotEvent() ? EventPatience
+                                                       : FirstEventPatience)
+                 : TimePoint::max();
     case Phase::Waiting:
     case Phase::Done:
       break;
@@ -489,17 +473,14 @@
   bool HasPlace = false;
   HeldCache Cache;
   ArrivalCount Arrivals;
-  EventSplitter Splitter;
-  std::optional<std::uint64_t> LastEvent;
+  StreamProgress Progress;
   TimePoint LastProgress{};
   TimePoint PatienceUntil{}; ///< a silent engine is given until then
   TimePoint PrefillBy{};     ///< a prefill without an answer by then hangs
-  std::uint64_t Events = 0;  ///< that the caller has
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
-  unsigned Unsent = 0; ///< sends that reached no engine
-  unsigned Runs = 0;   ///< engines that ran it, or may have, and stopped
-  bool GotEvent = false;
+  unsigned Unsent = 0;  ///< sends that reached no engine
+  unsigned Runs = 0;    ///< engines that ran it, or may have, and stopped
   bool Started = false; ///< the caller has the head of the answer
   bool Ran = false;
 };
