--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 # make test   builds and runs every test
 # make check  formatter and linter
 # make soak SEED=... MINUTES=...  randomised run over real processes
+# make gateway-soak SEED=... SEEDS=...  randomised runs over gateway processes, 12 s of faults each
 BUILD ?= build
 JOBS ?= 10
 
-.PHONY: all packages configure build test check format demo soak
+.PHONY: all packages configure build test check format demo soak gateway-soak
 
 all: build
 
@@ -36,3 +37,7 @@
 MINUTES ?= 1
 soak: build
 	@$(BUILD)/hyssoprail-load soak --binaries=$(BUILD) --seed=$(SEED) --seconds=$$(( $(MINUTES) * 60 )) --rate=20
+
+gateway-soak: build
+	@$(BUILD)/hyssoprail-gateway-soak --gateway=$(BUILD)/hyssoprail-gateway --directory=$(BUILD)/run/gateway-soak \
+		--seed=$(SEED) --seeds=$(SEEDS) --seconds=12
