--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 SEED ?= 1
 MINUTES ?= 1
+SEEDS ?= 10
 soak: build
 	@$(BUILD)/hyssoprail-load soak --binaries=$(BUILD) --seed=$(SEED) --seconds=$$(( $(MINUTES) * 60 )) --rate=20
 
