--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -30,12 +30,6 @@
   /// False while nothing is known to answer at the endpoint's address.
   bool reachable(TimePoint Now) const { return Now >= UnreachableUntil; }
 
-  /// True if the newest result, not long ago, was a failure: no success has
-  /// shown since that the endpoint is sound again.
-  bool unproven(TimePoint Now) const {
-    return Failures > 0 && Now < UnprovenUntil;
-  }
-
   /// Smoothed share of failed requests, 0 to 1.
   double failureShare() const { return FailureShare; }
 
@@ -49,7 +43,6 @@
   double FailureShare = 0;
   TimePoint AvoidUntil{};
   TimePoint UnreachableUntil{};
-  TimePoint UnprovenUntil{};
 };
 
 } // namespace hyssoprail::routing
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -37,16 +37,10 @@
   EndpointLoad Peers; ///< work of the other entries, from their reports
   TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
   TimePoint SuspectUntil{};     ///< a peer could not reach it
-  TimePoint PeerFailedUntil{};  ///< a peer's newest request to it failed
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
   bool suspect(TimePoint Now) const { return Now < SuspectUntil; }
-
-  /// True if it failed an entry and has not been seen to serve since.
-  bool unproven(TimePoint Now) const {
-    return Health.unproven(Now) || Now < PeerFailedUntil;
-  }
 };
 
 /// Loads by endpoint id.
@@ -73,12 +67,6 @@
   /// used only if no other one will do, as the peer may be cut off itself.
   void suspect(std::string_view Id, TimePoint Until);
 
-  /// A peer reports that its newest request to the endpoint failed.
-  void peerFailed(std::string_view Id, TimePoint Until);
-
-  /// Endpoints whose newest result here was a failure.
-  std::vector<std::string> unproven(TimePoint Now) const;
-
   /// Endpoints that this entry could not reach.
   std::vector<std::string> unreachable(TimePoint Now) const;
 
@@ -129,15 +117,11 @@
 
 /// Chooses an endpoint for a plain call: the least loaded one for its slots,
 /// with preference for the own zone and against endpoints that fail. Returns
-/// null if none may be used. \p Tried are not chosen. An endpoint that failed
-/// last gets idempotent calls first, whose failures can be repaired; a call
-/// that must not be repeated goes there only if all others failed too. Load
-/// pattern: an endpoint that goes down and up by turns.
+/// null if none may be used. \p Tried are not chosen.
 Endpoint *chooseForCall(EndpointTable &Table, std::string_view Service,
                         std::string_view Zone,
                         const std::set<std::string, std::less<>> &Tried,
-                        TimePoint Now,
-                        RouteKind Kind = RouteKind::IdempotentCall);
+                        TimePoint Now);
 
 } // namespace hyssoprail::routing
 
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -224,8 +224,6 @@
   }
   for (std::string &Id : Table.unreachable(Time.now()))
     Report.add_unreachable(std::move(Id));
-  for (std::string &Id : Table.unproven(Time.now()))
-    Report.add_unproven(std::move(Id));
   Report.set_config_version(Config ? Config->Version : 0);
   Report.set_leaving(Stopping);
   return Report;
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -77,8 +77,8 @@
   void send(TimePoint Now) {
     if (!Io.stillAllowed())
       return finish(RejectReason::NoKey, {});
-    Endpoint *E = chooseForCall(Shared.Table, Request.Service, Shared.Zone,
-                                Tried, Now, Request.Route.Kind);
+    Endpoint *E =
+        chooseForCall(Shared.Table, Request.Service, Shared.Zone, Tried, Now);
     if (!E)
       return giveUp(Now);
     Io.note("place", {{"endpoint", E->Record.Id},
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -24,9 +24,6 @@
 /// evidence.
 constexpr unsigned LateBeforeAvoidance = 4;
 
-/// After this time without any result a failure says nothing any more.
-constexpr milliseconds UnprovenFor{6'000};
-
 /// Share of cut or late answers at which one more is enough.
 constexpr double GreyShare = 0.4;
 
@@ -38,8 +35,6 @@
 
 void EndpointHealth::record(Evidence What, TimePoint Now) {
   const bool Failed = What != Evidence::Success && What != Evidence::Refused;
-  if (Failed)
-    UnprovenUntil = Now + UnprovenFor;
   if (What != Evidence::Refused)
     FailureShare += Smoothing * ((Failed ? 1.0 : 0.0) - FailureShare);
   const Duration Backoff = std::min<Duration>(
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -43,7 +43,6 @@
   if (Record.Born > E.Record.Born) {
     E.Health = {};
     E.SuspectUntil = {};
-    E.PeerFailedUntil = {};
   }
   const bool Changed = !E.Listed || Record.Born != E.Record.Born ||
                        Record.Draining != E.Record.Draining ||
@@ -90,19 +89,6 @@
     E->SuspectUntil = Until;
 }
 
-void EndpointTable::peerFailed(std::string_view Id, TimePoint Until) {
-  if (Endpoint *E = find(Id))
-    E->PeerFailedUntil = Until;
-}
-
-std::vector<std::string> EndpointTable::unproven(TimePoint Now) const {
-  std::vector<std::string> Out;
-  for (const auto &[Id, E] : ById)
-    if (E.Listed && E.Health.unproven(Now))
-      Out.push_back(Id);
-  return Out;
-}
-
 std::vector<std::string> EndpointTable::unreachable(TimePoint Now) const {
   std::vector<std::string> Out;
   for (const auto &[Id, E] : ById)
@@ -194,16 +180,10 @@
 /// Cost of an endpoint that a peer could not reach.
 constexpr double SuspectCost = 2;
 
-/// What a call asks of an endpoint.
-struct CallNeed {
-  std::string_view Zone;
-  const std::set<std::string, std::less<>> &Tried;
-};
-
-double callCost(const Endpoint &E, const CallNeed &Need, TimePoint Now) {
+double callCost(const Endpoint &E, std::string_view Zone, TimePoint Now) {
   const double Slots = std::max(1U, E.Record.Slots);
   double Cost = E.total().Runs / Slots;
-  if (E.Record.Zone != Need.Zone)
+  if (E.Record.Zone != Zone)
     Cost += OtherZoneCost;
   if (E.suspect(Now))
     Cost += SuspectCost;
@@ -211,13 +191,15 @@
 }
 
 Endpoint *cheapest(const std::vector<Endpoint *> &Candidates,
-                   const CallNeed &Need, TimePoint Now) {
+                   std::string_view Zone,
+                   const std::set<std::string, std::less<>> &Tried,
+                   TimePoint Now) {
   Endpoint *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   for (Endpoint *E : Candidates) {
-    if (Need.Tried.contains(E->Record.Id))
+    if (Tried.contains(E->Record.Id))
       continue;
-    const double Cost = callCost(*E, Need, Now);
+    const double Cost = callCost(*E, Zone, Now);
     if (Cost >= BestCost)
       continue;
     Best = E;
@@ -231,20 +213,10 @@
 Endpoint *chooseForCall(EndpointTable &Table, std::string_view Service,
                         std::string_view Zone,
                         const std::set<std::string, std::less<>> &Tried,
-                        TimePoint Now, RouteKind Kind) {
-  const CallNeed Need{Zone, Tried};
-  const std::vector<Endpoint *> Usable = Table.usable(Service, Now);
-  if (Kind != RouteKind::IdempotentCall) {
-    // An endpoint that resets its connections is always the least loaded one,
-    // so a cost would not keep calls away from it.
-    std::vector<Endpoint *> Proven = Usable;
-    std::erase_if(Proven, [&](const Endpoint *E) { return E->unproven(Now); });
-    if (Endpoint *E = cheapest(Proven, Need, Now))
-      return E;
-  }
-  if (Endpoint *E = cheapest(Usable, Need, Now))
+                        TimePoint Now) {
+  if (Endpoint *E = cheapest(Table.usable(Service, Now), Zone, Tried, Now))
     return E;
-  return cheapest(Table.avoided(Service, Now), Need, Now);
+  return cheapest(Table.avoided(Service, Now), Zone, Tried, Now);
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -64,8 +64,6 @@
   Table.setPeerLoad(Report.sender(), std::move(Loads));
   for (const std::string &Id : Report.unreachable())
     Table.suspect(Id, Now + SuspicionKept);
-  for (const std::string &Id : Report.unproven())
-    Table.peerFailed(Id, Now + SuspicionKept);
   for (const wire::AccountUse &Use : Report.accounts())
     Quota.peerGranted(Report.sender(), Report.incarnation(), Use.account(),
                       Use.tokens(), Now);
