--- a/include/hyssoprail/routing/arrival_count.hpp
+++ b/include/hyssoprail/routing/arrival_count.hpp
@@ -33,7 +33,7 @@
   RetryWindow &Retries;
   std::string Service;
   unsigned Counted = 0;         ///< arrivals, the accepted prefill left out
-  bool LastIsFree = false;      ///< the last send is a prefill, if accepted
+  bool LastIsFree = false;      ///< the last send, a prefill, if accepted
   bool PrefillAccepted = false; ///< or may have been
 };
 
--- a/include/hyssoprail/routing/retry_window.hpp
+++ b/include/hyssoprail/routing/retry_window.hpp
@@ -43,7 +43,7 @@
   /// Takes one further send, or returns false.
   bool take(std::string_view Service, TimePoint Now);
 
-  /// Counts a further send that is not to be avoided any more.
+  /// Counts a further send that has already arrived, whatever the budget.
   void charge(std::string_view Service, TimePoint Now);
 
   /// Returns a send that did not reach an endpoint.
