The chance part of placement differs between entries

Cause: the chance part was taken from the request's key, which each entry counts from 1, so after a restart of all entries the first requests of all of them preferred the same engine. Found by reading. Change: the entry's name is part of it; the test of 12 entries uses the same request ids and fails without the change.

--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -65,6 +65,7 @@
 
 struct StreamSchedulerOptions {
   std::string Zone; ///< of this entry
+  std::string Name; ///< of this entry; request ids are unique only within it
   bool UsePrefillEngines = true;
   /// Part of an engine's memory that is reserved; the rest covers answers that
   /// are longer than expected.
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -75,10 +75,13 @@
   return {1, 0, Need.PromptTokens};
 }
 
-/// Number in [0, 1) that differs between requests and engines.
-double chanceOf(const std::string &Request, const std::string &EndpointId) {
+/// Number in [0, 1) that differs between entries, requests and engines.
+double chanceOf(const std::string &Entry, const std::string &Request,
+                const std::string &EndpointId) {
   constexpr double Range = 18'446'744'073'709'551'616.0; // 2^64
-  return static_cast<double>(rendezvousWeight(Request, EndpointId)) / Range;
+  return static_cast<double>(
+             rendezvousWeight(Entry + '/' + Request, EndpointId)) /
+         Range;
 }
 
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
@@ -296,7 +299,7 @@
     if (E->Record.Zone != Options.Zone)
       Cost += OtherZoneCost;
     Cost += FailureCost * E->Health.failureShare();
-    Cost += DecodeSpread * chanceOf(Need.Id, E->Record.Id);
+    Cost += DecodeSpread * chanceOf(Options.Name, Need.Id, E->Record.Id);
     if (E->suspect(Now))
       Cost += SuspectCost;
     if (Cost >= BestCost)
@@ -322,8 +325,8 @@
         Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
         (E->suspect(Now) ? SuspectPrefillCost : 0) +
         static_cast<std::int64_t>(E->Health.failureShare() * 10'000) +
-        static_cast<std::int64_t>(PrefillSpread *
-                                  chanceOf(Need.Id, E->Record.Id));
+        static_cast<std::int64_t>(
+            PrefillSpread * chanceOf(Options.Name, Need.Id, E->Record.Id));
     if (Cost >= BestCost)
       continue;
     Best = E;
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -16,7 +17,10 @@
 using testing::testConfig;
 
 struct SchedulerBench {
-  SchedulerBench() { Scheduler.configure(testConfig()); }
+  explicit SchedulerBench(const std::string &Name = "entry")
+      : Scheduler({.Zone = "zone-a", .Name = Name}, Table) {
+    Scheduler.configure(testConfig());
+  }
 
   void add(const EndpointRecord &Record) { Table.apply(Record); }
 
@@ -52,7 +56,7 @@
 
   TimePoint Now = Start;
   EndpointTable Table;
-  StreamScheduler Scheduler{{.Zone = "zone-a"}, Table};
+  StreamScheduler Scheduler;
   StreamPlace Last;
   std::vector<StreamRefusal> Refusals;
 };
@@ -86,7 +90,7 @@
     B.add(engine("d1", EngineStage::Decode));
     B.add(engine("d2", EngineStage::Decode, "zone-b"));
     B.add(engine("p1", EngineStage::Prefill));
-    const StreamSchedulerOptions Options{.Zone = "zone-a"};
+    const StreamSchedulerOptions Options{.Zone = "zone-a", .Name = "entry"};
     const auto Bound = static_cast<std::int64_t>(10'000 * Options.MemoryShare);
     std::set<std::string> Open;
     std::vector<std::pair<TimePoint, std::string>> Running;
@@ -184,7 +188,10 @@
 /// Several entries before the same engines. Each knows its own work at once and
 /// that of the others when reports are exchanged.
 struct EntriesBench {
-  explicit EntriesBench(std::size_t Count) : Entries(Count) {}
+  explicit EntriesBench(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I)
+      Entries.emplace_back("entry-" + std::to_string(I));
+  }
 
   void add(const EndpointRecord &Record) {
     for (SchedulerBench &E : Entries)
@@ -223,7 +230,7 @@
     return Out;
   }
 
-  std::vector<SchedulerBench> Entries;
+  std::deque<SchedulerBench> Entries;
 };
 
 // Replays a burst before many entries: each has a request that waits when one
@@ -263,8 +270,9 @@
   CHECK(B.placed() == Ids{"small"});
 }
 
-// Replays the first moments of a burst: entries that have heard the same
-// reports used to choose the same engine.
+// Replays the first moments of a burst, or of a restart of all entries: entries
+// that have heard the same reports used to choose the same engine. Their
+// requests have the same ids, as each entry counts its own.
 TEST_CASE("entries with the same reports spread over the engines") {
   constexpr std::size_t EntryCount = 12;
   EntriesBench B(EntryCount);
@@ -272,8 +280,7 @@
     B.add(engine("d" + std::to_string(I), EngineStage::Decode));
   std::map<std::string, int> Chosen;
   for (std::size_t I = 0; I < EntryCount; ++I) {
-    B.Entries[I].Scheduler.submit(
-        B.Entries[I].need("request-" + std::to_string(I)));
+    B.Entries[I].Scheduler.submit(B.Entries[I].need("1"));
     REQUIRE(B.Entries[I].placed().size() == 1);
     ++Chosen[B.Entries[I].Last.Decode];
   }
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -153,7 +153,7 @@
 
   TimePoint Now = Start;
   EndpointTable Table;
-  StreamScheduler Scheduler{{.Zone = "zone-a"}, Table};
+  StreamScheduler Scheduler{{.Zone = "zone-a", .Name = "entry"}, Table};
   RetryWindow Retries{{0.2, 100, milliseconds(10'000)}};
   LengthEstimator Lengths;
   FakeIo Io;
