--- a/include/hyssoprail/routing/arrival_count.hpp
+++ b/include/hyssoprail/routing/arrival_count.hpp
@@ -32,9 +32,9 @@
 private:
   RetryWindow &Retries;
   std::string Service;
-  unsigned Counted = 0;         ///< arrivals, the accepted prefill left out
-  bool LastIsFree = false;      ///< the last send, a prefill, if accepted
-  bool PrefillAccepted = false; ///< or may have been
+  unsigned Counted = 0;         ///< arrivals, but for the free prefill
+  bool PrefillAccepted = false; ///< the free prefill was taken, or may be
+  bool LastIsFree = false;      ///< the last send is that prefill
 };
 
 } // namespace hyssoprail::routing
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -40,7 +40,7 @@
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
-  bool suspect(TimePoint Now) const { return Now < SuspectUntil; }
+  bool isSuspect(TimePoint Now) const { return Now < SuspectUntil; }
 };
 
 /// Loads by endpoint id.
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -40,7 +40,7 @@
   Duration Waited{};
   std::size_t QueueLength = 0; ///< that still waits in this entry
   EndpointLoad DecodeLoad;     ///< known load of the decode engine before it
-  std::int64_t Need = 0;       ///< memory it takes there, in tokens
+  std::int64_t NeedTokens = 0; ///< memory it takes there
 };
 
 /// Why a generation was turned away.
@@ -149,7 +149,6 @@
   enum class Verdict { Placed, Refused, Waits };
 
   std::vector<std::size_t> serviceOrder(TimePoint Now) const;
-  static WaitingRequest asWaiting(const StreamNeed &Need, TimePoint Now);
   void leaveToPeer(const WaitingRequest &Request, TimePoint Now);
   std::int64_t loadWithClaims(const Endpoint &E) const;
   Verdict consider(const StreamNeed &Need, std::int64_t TokensAhead,
@@ -164,7 +163,7 @@
   Duration expectedWait(const StreamNeed &Need, std::int64_t TokensAhead,
                         TimePoint Now);
   double accountLoad(const std::string &Account) const;
-  std::int64_t memoryBound(const StreamNeed &Need) const;
+  std::int64_t memoryBound(std::string_view Service) const;
 
   StreamSchedulerOptions Options;
   EndpointTable &Table;
--- a/include/hyssoprail/routing/waiting_request.hpp
+++ b/include/hyssoprail/routing/waiting_request.hpp
@@ -12,7 +12,7 @@
 /// A generation that waits for engine memory, as the entries tell each other.
 struct WaitingRequest {
   std::string Service;
-  std::uint32_t Rank = 0;  ///< lower ranks are served first
+  std::int32_t Rank = 0;   ///< lower ranks are served first
   TimePoint Arrival{};     ///< by the clock of this entry
   std::int64_t Tokens = 0; ///< engine memory it needs
 
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -194,7 +194,7 @@
   }
 }
 
-wire::UsageReport GatewayRuntime::usageReport() {
+wire::UsageReport GatewayRuntime::usageReport(TimePoint Now) const {
   wire::UsageReport Report;
   Report.set_sender(Settings.Name);
   Report.set_incarnation(Incarnation);
@@ -215,14 +215,14 @@
   Report.set_waiting_tokens(
       static_cast<std::uint64_t>(Scheduler.waitingTokens()));
   for (const routing::WaitingRequest &W :
-       Scheduler.firstWaiting(ReportedWaiting, Time.now())) {
+       Scheduler.firstWaiting(ReportedWaiting, Now)) {
     wire::WaitingUse *Use = Report.add_waiting();
     Use->set_service(W.Service);
     Use->set_rank(W.Rank);
-    Use->set_waited_ms(waitedMillis(W, Time.now()));
+    Use->set_waited_ms(waitedMillis(W, Now));
     Use->set_tokens(static_cast<std::uint64_t>(W.Tokens));
   }
-  for (std::string &Id : Table.unreachable(Time.now()))
+  for (std::string &Id : Table.unreachable(Now))
     Report.add_unreachable(std::move(Id));
   Report.set_config_version(Config ? Config->Version : 0);
   Report.set_leaving(Stopping);
@@ -244,7 +244,7 @@
 
 void GatewayRuntime::reportUsage() {
   const TimePoint Now = Time.now();
-  wire::UsageReport Report = usageReport();
+  wire::UsageReport Report = usageReport(Now);
   std::string Content = Report.SerializeAsString();
   if (Content == LastReport && Now - ReportedAt < IdleReportInterval)
     return;
@@ -255,8 +255,9 @@
           std::min<Duration>(Feed.age(), LargestReportedAge))
           .count()));
   Report.set_sequence(++ReportSequence);
+  const std::string Datagram = Report.SerializeAsString();
   for (const std::string &Address : Peers.addresses(Now))
-    Socket.send(Report, Address);
+    Socket.send(Datagram, Address);
 }
 
 void GatewayRuntime::checkStopped() {
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -95,7 +95,7 @@
   void tick();
   void reportSoon();
   void reportUsage();
-  wire::UsageReport usageReport();
+  wire::UsageReport usageReport(TimePoint Now) const;
   std::size_t sharingEntries(TimePoint Now) const;
   void askPeer(TimePoint Now);
   void updateStartBounds(TimePoint Now);
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -45,14 +45,12 @@
   return std::monostate{};
 }
 
-void PeerSocket::send(const wire::UsageReport &Report,
-                      const std::string &Address) {
+void PeerSocket::send(const std::string &Datagram, const std::string &Address) {
   const auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     return;
   boost::system::error_code Ignored;
-  Socket.send_to(asio::buffer(Report.SerializeAsString()), *Endpoint, 0,
-                 Ignored);
+  Socket.send_to(asio::buffer(Datagram), *Endpoint, 0, Ignored);
 }
 
 void PeerSocket::receive() {
--- a/src/hyssoprail/gateway/peer_socket.hpp
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -24,8 +24,8 @@
   /// Binds to "IP:PORT". Fails with Unavailable.
   Status start(const std::string &Address);
 
-  /// Sends \p Report to "IP:PORT"; a failure is not reported.
-  void send(const wire::UsageReport &Report, const std::string &Address);
+  /// Sends a serialized report to "IP:PORT"; a failure is not reported.
+  void send(const std::string &Datagram, const std::string &Address);
 
 private:
   void receive();
--- a/src/hyssoprail/routing/arrival_count_test.cpp
+++ b/src/hyssoprail/routing/arrival_count_test.cpp
@@ -7,74 +7,76 @@
 
 constexpr TimePoint Now{std::chrono::seconds(100)};
 
-/// Budget of \p Sends further sends.
-RetryWindow budget(double Sends) {
-  return RetryWindow({.Ratio = 0, .Slack = Sends / 0.8 + 0.01});
-}
+/// A generation with a budget of \p Sends further sends.
+struct CountBench {
+  explicit CountBench(double Sends)
+      : Retries({.Ratio = 0, .Slack = Sends / 0.8 + 0.01}) {}
+
+  bool prefill() { return Count.begin(LegKind::Prefill, Now); }
+  bool decode() { return Count.begin(LegKind::Decode, Now); }
+  bool budgetLeft() { return Retries.available("s", Now); }
+
+  RetryWindow Retries;
+  ArrivalCount Count{Retries, "s"};
+};
 
 } // namespace
 
 TEST_CASE("a prefill and a decode draw nothing on the retry budget") {
-  RetryWindow Retries = budget(0);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  CHECK(Count.begin(LegKind::Decode, Now));
-  CHECK_FALSE(Count.begin(LegKind::Decode, Now));
+  CountBench B(0);
+  CHECK(B.prefill());
+  CHECK(B.decode());
+  CHECK_FALSE(B.decode());
 }
 
 // Guards against a budget that is exceeded when addresses have changed owners:
 // the decode after a refused prefill is a second arrival.
 TEST_CASE("a refused prefill counts as an arrival") {
-  RetryWindow Retries = budget(1);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  Count.notAccepted(Now);
-  CHECK(Count.begin(LegKind::Decode, Now));
-  CHECK_FALSE(Retries.available("s", Now));
+  CountBench B(1);
+  CHECK(B.prefill());
+  B.Count.notAccepted(Now);
+  CHECK(B.decode());
+  CHECK_FALSE(B.budgetLeft());
 }
 
 TEST_CASE("two refused prefills and a decode are two further arrivals") {
-  RetryWindow Retries = budget(2);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  Count.notAccepted(Now);
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  Count.notAccepted(Now);
-  CHECK(Count.begin(LegKind::Decode, Now));
-  CHECK_FALSE(Retries.available("s", Now));
+  CountBench B(2);
+  CHECK(B.prefill());
+  B.Count.notAccepted(Now);
+  CHECK(B.prefill());
+  B.Count.notAccepted(Now);
+  CHECK(B.decode());
+  CHECK_FALSE(B.budgetLeft());
 }
 
 // Guards against a prompt that is read although the send which needs it cannot
 // follow.
 TEST_CASE("no prefill begins without budget for its decode") {
-  RetryWindow Retries = budget(0);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  Count.notAccepted(Now);
-  CHECK_FALSE(Count.begin(LegKind::Prefill, Now));
+  CountBench B(0);
+  CHECK(B.prefill());
+  B.Count.notAccepted(Now);
+  CHECK_FALSE(B.prefill());
 }
 
 // Guards against a decode that cannot follow: without budget, an engine that
 // broke off the prefill is not replaced by another one.
 TEST_CASE("a repeated prefill needs budget for its decode") {
-  RetryWindow Retries = budget(0);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  CHECK_FALSE(Count.begin(LegKind::Prefill, Now));
-  CHECK(Count.begin(LegKind::Decode, Now));
+  CountBench B(0);
+  CHECK(B.prefill());
+  CHECK_FALSE(B.prefill());
+  CHECK(B.decode());
 }
 
 TEST_CASE("a send that reached nobody is given back") {
-  RetryWindow Retries = budget(1);
-  ArrivalCount Count(Retries, "s");
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  Count.notSent(Now);
-  CHECK(Count.begin(LegKind::Prefill, Now));
-  CHECK(Count.begin(LegKind::Decode, Now));
-  Count.notSent(Now);
-  CHECK(Count.begin(LegKind::Decode, Now));
-  CHECK(Count.begin(LegKind::Decode, Now));
-  CHECK_FALSE(Count.begin(LegKind::Decode, Now));
+  CountBench B(1);
+  CHECK(B.prefill());
+  B.Count.notSent(Now);
+  CHECK(B.prefill());
+  CHECK(B.decode());
+  B.Count.notSent(Now);
+  CHECK(B.decode());
+  CHECK(B.decode());
+  CHECK_FALSE(B.decode());
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -185,7 +185,7 @@
   double Cost = E.total().Runs / Slots;
   if (E.Record.Zone != Zone)
     Cost += OtherZoneCost;
-  if (E.suspect(Now))
+  if (E.isSuspect(Now))
     Cost += SuspectCost;
   return Cost + FailureCost * E.Health.failureShare();
 }
--- a/src/hyssoprail/routing/peer_board.cpp
+++ b/src/hyssoprail/routing/peer_board.cpp
@@ -20,12 +20,10 @@
 
 constexpr milliseconds CandidateTime{6'000};
 
-/// A peer with requests that wait reports at least this often; its list of them
-/// is older when it is cut off or starved of processor time.
-constexpr milliseconds WaitingListKept{600};
-
-/// A peer repeats what it cannot reach at least this often.
-constexpr milliseconds SuspicionKept{600};
+/// Peers report at least every 400 ms. What an older report says of the present
+/// moment, who waits and what cannot be reached, is not used: its sender is cut
+/// off or starved of processor time.
+constexpr milliseconds ReportIsFresh{600};
 
 std::vector<WaitingRequest> waitingOf(const wire::UsageReport &Report,
                                       TimePoint Now) {
@@ -63,7 +61,7 @@
                              static_cast<std::int64_t>(Use.prefill_tokens())};
   Table.setPeerLoad(Report.sender(), std::move(Loads));
   for (const std::string &Id : Report.unreachable())
-    Table.suspect(Id, Now + SuspicionKept);
+    Table.suspect(Id, Now + ReportIsFresh);
   for (const wire::AccountUse &Use : Report.accounts())
     Quota.peerGranted(Report.sender(), Report.incarnation(), Use.account(),
                       Use.tokens(), Now);
@@ -142,7 +140,7 @@
 std::vector<WaitingRequest> PeerBoard::waitingRequests(TimePoint Now) const {
   std::vector<WaitingRequest> Out;
   for (const auto &[Name, P] : Peers)
-    if (Now - P.Heard < WaitingListKept)
+    if (Now - P.Heard < ReportIsFresh)
       Out.insert(Out.end(), P.Waiting.begin(), P.Waiting.end());
   return Out;
 }
--- a/src/hyssoprail/routing/peer_board_test.cpp
+++ b/src/hyssoprail/routing/peer_board_test.cpp
@@ -85,9 +85,9 @@
   wire::UsageReport R = report("p", 1, 1, 0);
   R.add_unreachable("d2");
   B.Peers.hear(R, Start);
-  CHECK(B.Table.find("d2")->suspect(Start + milliseconds(500)));
-  CHECK_FALSE(B.Table.find("d1")->suspect(Start));
-  CHECK_FALSE(B.Table.find("d2")->suspect(Start + milliseconds(700)));
+  CHECK(B.Table.find("d2")->isSuspect(Start + milliseconds(500)));
+  CHECK_FALSE(B.Table.find("d1")->isSuspect(Start));
+  CHECK_FALSE(B.Table.find("d2")->isSuspect(Start + milliseconds(700)));
 }
 
 // Guards against datagrams that overtake each other.
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -83,7 +83,7 @@
                       {"queued", Place.QueueLength},
                       {"decode_runs", Place.DecodeLoad.Runs},
                       {"decode_tokens", Place.DecodeLoad.Tokens},
-                      {"need_tokens", Place.Need}});
+                      {"need_tokens", Place.NeedTokens}});
     if (!Io.stillAllowed())
       return finish(RejectReason::NoKey, {}, Now);
     if (Place.Prefill.empty())
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -84,6 +84,20 @@
          Range;
 }
 
+/// Rank of service; lower ranks go first. Urgent routes and accounts; within
+/// them requests within their quota, then those who came back, then those that
+/// can still be on time.
+std::int32_t serviceRank(const StreamNeed &Need, TimePoint Now) {
+  constexpr std::int32_t RanksOfPriority = 8;
+  const bool Late = Now + TimeToFirstEvent > Need.OnTimeUntil;
+  return Need.Priority * RanksOfPriority + (Need.BeyondQuota ? 4 : 0) +
+         (Need.Returning ? 0 : 2) + (Late ? 1 : 0);
+}
+
+WaitingRequest asWaiting(const StreamNeed &Need, TimePoint Now) {
+  return {Need.Service, serviceRank(Need, Now), Need.Arrival, memoryNeed(Need)};
+}
+
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 Duration fromSeconds(double S) {
@@ -125,16 +139,6 @@
   return Out;
 }
 
-WaitingRequest StreamScheduler::asWaiting(const StreamNeed &Need,
-                                          TimePoint Now) {
-  const bool Late = Now + TimeToFirstEvent > Need.OnTimeUntil;
-  const auto Urgency = static_cast<std::uint32_t>(std::max(0, Need.Priority));
-  const std::uint32_t Rank =
-      Urgency << 3U | std::uint32_t{Need.BeyondQuota} << 2U |
-      std::uint32_t{!Need.Returning} << 1U | std::uint32_t{Late};
-  return {Need.Service, Rank, Need.Arrival, memoryNeed(Need)};
-}
-
 std::int64_t StreamScheduler::waitingTokens() const {
   std::int64_t Sum = 0;
   for (const StreamNeed &N : Waiting)
@@ -160,11 +164,10 @@
   return static_cast<double>(Tokens) / std::max(1.0, Rate);
 }
 
-/// Order of service: urgent ranks first; within a rank those within their
-/// quota, then those who came back, then those that can still be on time, then
-/// the account with the least running work for its rate, then the earliest.
+/// Order of service: by rank; within a rank the account with the least running
+/// work for its rate, then the earliest.
 std::vector<std::size_t> StreamScheduler::serviceOrder(TimePoint Now) const {
-  using Key = std::tuple<int, bool, bool, bool, double, TimePoint>;
+  using Key = std::tuple<std::int32_t, double, TimePoint>;
   std::map<std::string, double> AccountLoads;
   std::vector<Key> Keys;
   Keys.reserve(Waiting.size());
@@ -172,9 +175,7 @@
     const auto [Load, New] = AccountLoads.try_emplace(N.Account, 0);
     if (New)
       Load->second = accountLoad(N.Account);
-    const bool Late = Now + TimeToFirstEvent > N.OnTimeUntil;
-    Keys.emplace_back(N.Priority, N.BeyondQuota, !N.Returning, Late,
-                      Load->second, N.Arrival);
+    Keys.emplace_back(serviceRank(N, Now), Load->second, N.Arrival);
   }
   std::vector<std::size_t> Order(Waiting.size());
   std::iota(Order.begin(), Order.end(), 0U);
@@ -205,19 +206,21 @@
   return Out;
 }
 
-/// Sets memory aside for a request of another entry, at the engine that this
-/// entry would choose for it. A request that fits nowhere holds up nobody.
+/// Sets memory aside for a request of another entry, at the engine with the
+/// least load. A request that fits nowhere holds up nobody.
 void StreamScheduler::leaveToPeer(const WaitingRequest &Request,
                                   TimePoint Now) {
-  StreamNeed Need;
-  Need.Service = Request.Service;
-  const std::int64_t Bound = memoryBound(Need);
+  const std::int64_t Bound = memoryBound(Request.Service);
   const Endpoint *Best = nullptr;
-  for (const Endpoint *E : Table.usable(Request.Service, Now))
-    if (E->Record.Stage != EngineStage::Prefill &&
-        loadWithClaims(*E) + Request.Tokens <= Bound &&
-        (!Best || loadWithClaims(*E) < loadWithClaims(*Best)))
-      Best = E;
+  std::int64_t BestLoad = std::numeric_limits<std::int64_t>::max();
+  for (const Endpoint *E : Table.usable(Request.Service, Now)) {
+    const std::int64_t Load = loadWithClaims(*E);
+    if (E->Record.Stage == EngineStage::Prefill ||
+        Load + Request.Tokens > Bound || Load >= BestLoad)
+      continue;
+    Best = E;
+    BestLoad = Load;
+  }
   if (Best)
     PeerClaims[Best->Record.Id] += Request.Tokens;
 }
@@ -230,11 +233,11 @@
 StreamScheduler::Verdict
 StreamScheduler::consider(const StreamNeed &Need, std::int64_t TokensAhead,
                           TimePoint Now, std::vector<StreamDecision> &Out) {
-  if (memoryNeed(Need) > memoryBound(Need)) {
+  if (memoryNeed(Need) > memoryBound(Need.Service)) {
     Out.push_back(refusal(Need, StreamRefusalReason::TooLarge, {}, Now));
     return Verdict::Refused;
   }
-  if (Endpoint *Decode = chooseDecode(Need, memoryBound(Need), Now)) {
+  if (Endpoint *Decode = chooseDecode(Need, memoryBound(Need.Service), Now)) {
     Endpoint *Prefill = nullptr;
     if (Options.UsePrefillEngines)
       Prefill = choosePrefill(Need, Decode->Record.Zone, Now);
@@ -276,11 +279,11 @@
           ExpectedWait, Waiting.size()};
 }
 
-std::int64_t StreamScheduler::memoryBound(const StreamNeed &Need) const {
-  const ServicePolicy *Service = Config->service(Need.Service);
-  if (!Service || !Service->Engine)
+std::int64_t StreamScheduler::memoryBound(std::string_view Service) const {
+  const ServicePolicy *Policy = Config->service(Service);
+  if (!Policy || !Policy->Engine)
     return std::numeric_limits<std::int64_t>::max();
-  return static_cast<std::int64_t>(Service->Engine->KvTokens *
+  return static_cast<std::int64_t>(Policy->Engine->KvTokens *
                                    Options.MemoryShare);
 }
 
@@ -300,7 +303,7 @@
       Cost += OtherZoneCost;
     Cost += FailureCost * E->Health.failureShare();
     Cost += DecodeSpread * chanceOf(Options.Name, Need.Id, E->Record.Id);
-    if (E->suspect(Now))
+    if (E->isSuspect(Now))
       Cost += SuspectCost;
     if (Cost >= BestCost)
       continue;
@@ -323,7 +326,7 @@
       continue;
     const std::int64_t Cost =
         Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
-        (E->suspect(Now) ? SuspectPrefillCost : 0) +
+        (E->isSuspect(Now) ? SuspectPrefillCost : 0) +
         static_cast<std::int64_t>(E->Health.failureShare() * 10'000) +
         static_cast<std::int64_t>(
             PrefillSpread * chanceOf(Options.Name, Need.Id, E->Record.Id));
@@ -342,7 +345,7 @@
                                        TimePoint Now) {
   std::int64_t Capacity = 0;
   std::int64_t Used = 0;
-  const std::int64_t Bound = memoryBound(Need);
+  const std::int64_t Bound = memoryBound(Need.Service);
   for (Endpoint *E : Table.usable(Need.Service, Now)) {
     if (E->Record.Stage == EngineStage::Prefill)
       continue;
@@ -418,7 +421,7 @@
 
 Endpoint *StreamScheduler::chooseReplacement(const Placed &P, TimePoint Now) {
   const auto Bound = static_cast<std::int64_t>(
-      static_cast<double>(memoryBound(P.Need)) * ReplacementShare);
+      static_cast<double>(memoryBound(P.Need.Service)) * ReplacementShare);
   StreamNeed Need = P.Need;
   Need.Avoid = P.Decode;
   return chooseDecode(Need, Bound, Now);
