--- a/include/hyssoprail/routing/endpoint_health.hpp
+++ b/include/hyssoprail/routing/endpoint_health.hpp
@@ -1,6 +1,9 @@
 #ifndef HYSSOPRAIL_ROUTING_ENDPOINT_HEALTH_HPP
 #define HYSSOPRAIL_ROUTING_ENDPOINT_HEALTH_HPP
 
+#include <cstdint>
+#include <optional>
+
 #include "hyssoprail/core/clock.hpp"
 
 namespace hyssoprail::routing {
@@ -15,8 +18,12 @@
   Late,        ///< no answer within the time that the route allows
   Broken,      ///< the answer was cut or spoiled
   WrongOwner,  ///< another endpoint answers at the address
+  CacheLost,   ///< a KV cache that it kept had vanished before its use
 };
 
+/// The evidence of a number that another process sent, if there is one.
+std::optional<Evidence> evidenceFromNumber(std::uint32_t Number);
+
 /// Belief about one endpoint, from the results of its requests alone. Load
 /// pattern: endpoints that fail part of their requests, hang, or crash while
 /// their registration still reads healthy.
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -11,41 +11,29 @@
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_health.hpp"
+#include "hyssoprail/routing/endpoint_load.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
 #include "hyssoprail/routing/start_rate_limiter.hpp"
 
 namespace hyssoprail::routing {
 
-/// Work placed on one endpoint.
-struct EndpointLoad {
-  std::int32_t Runs = 0;          ///< requests
-  std::int64_t Tokens = 0;        ///< engine memory reserved for them
-  std::int64_t PrefillTokens = 0; ///< prompt tokens still to be read
-
-  EndpointLoad &operator+=(const EndpointLoad &O);
-  EndpointLoad &operator-=(const EndpointLoad &O);
-  bool operator==(const EndpointLoad &) const = default;
-};
-
 /// What this entry believes of one endpoint.
 struct Endpoint {
   EndpointRecord Record;
   EndpointHealth Health;
   StartRateLimiter Starts;
-  EndpointLoad Own;   ///< work of this entry
+  EndpointLoad Own;   ///< work that this entry placed
   EndpointLoad Peers; ///< work of the other entries, from their reports
   TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
-  TimePoint SuspectUntil{};     ///< a peer could not reach it
+  TimePoint SuspectUntil{};     ///< an entry could not reach it
+  std::string SuspectedBy;      ///< that entry
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
   bool isSuspect(TimePoint Now) const { return Now < SuspectUntil; }
 };
 
-/// Loads by endpoint id.
-using LoadMap = std::map<std::string, EndpointLoad, std::less<>>;
-
 /// Endpoints of the fleet with their load and health. Keeps an endpoint whose
 /// registration is gone until its own work has ended.
 class EndpointTable {
@@ -63,12 +51,13 @@
   /// Replaces the loads that \p Peer reported.
   void setPeerLoad(const std::string &Peer, LoadMap Loads);
 
-  /// A peer reports that nothing answers at the endpoint. Until \p Until it is
-  /// used only if no other one will do, as the peer may be cut off itself.
-  void suspect(std::string_view Id, TimePoint Until);
+  /// A request of this entry ended at the endpoint.
+  void record(std::string_view Id, Evidence What, TimePoint Now);
 
-  /// Endpoints that this entry could not reach.
-  std::vector<std::string> unreachable(TimePoint Now) const;
+  /// A request of another entry did. That one entry cannot reach an endpoint
+  /// may be its own fault: the endpoint is then used only if no other will do.
+  void recordOfPeer(const std::string &Peer, std::string_view Id, Evidence What,
+                    TimePoint Now);
 
   /// Requests this entry may start on one endpoint in a second, by service.
   void setStartsPerSecond(std::string_view Service, std::size_t Starts);
@@ -85,6 +74,11 @@
   /// True if \p E may receive new work now.
   bool mayStart(Endpoint &E, TimePoint Now) const;
 
+  /// True if work that was placed on \p E may be sent to it now.
+  bool mayReceive(const Endpoint &E, TimePoint Now) const {
+    return inService(E) && E.Health.usable(Now);
+  }
+
   /// True unless the endpoint leaves, is gone, or its zone is out.
   bool inService(const Endpoint &E) const;
 
@@ -103,6 +97,9 @@
   /// This entry's load by endpoint.
   LoadMap ownLoads() const;
 
+  /// Number of this entry's calls by endpoint of a plain service.
+  std::map<std::string, unsigned> ownCalls() const;
+
   std::size_t size() const { return ById.size(); }
 
 private:
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -5,11 +5,12 @@
 #include <string>
 
 #include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/evidence_log.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
 #include "hyssoprail/routing/length_estimator.hpp"
 #include "hyssoprail/routing/request_info.hpp"
 #include "hyssoprail/routing/retry_window.hpp"
-#include "hyssoprail/routing/stream_scheduler.hpp"
+#include "hyssoprail/routing/stream_admission.hpp"
 
 namespace hyssoprail::routing {
 
@@ -19,7 +20,8 @@
 /// State shared by the flows of an entry.
 struct FlowShared {
   EndpointTable &Table;
-  StreamScheduler &Scheduler;
+  EvidenceLog &Engines;
+  StreamAdmission &Admission;
   RetryWindow &Retries;
   LengthEstimator &Lengths;
   std::string Zone; ///< of this entry
@@ -58,7 +60,7 @@
                             TimePoint Now);
   virtual void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now);
 
-  /// The scheduler decided.
+  /// The admission decided.
   virtual void onPlaced(const StreamPlace &Place, TimePoint Now);
   virtual void onRefused(const StreamRefusal &Refusal, TimePoint Now);
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -3,69 +3,17 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
-#include "hyssoprail/routing/waiting_request.hpp"
+#include "hyssoprail/routing/stream_admission.hpp"
 
 namespace hyssoprail::routing {
 
-/// A generation that needs engines.
-struct StreamNeed {
-  std::string Id;
-  std::string Service;
-  std::string Account;
-  int Priority = 0;
-  std::uint32_t PromptTokens = 0;
-  std::uint32_t OutputTokens = 0; ///< expected
-  TimePoint Arrival{};
-  TimePoint OnTimeUntil{};  ///< the first event is late after this
-  TimePoint GiveUpAt{};     ///< the caller leaves without a first event
-  milliseconds TimeLeft{0}; ///< the caller's whole patience, at arrival
-  bool BeyondQuota = false; ///< runs only if nobody within a quota waits
-  bool Returning = false;   ///< came back after an earlier rejection
-  std::string Avoid;        ///< endpoint that just failed the request
-};
-
-/// Engines for a generation.
-struct StreamPlace {
-  std::string Id;
-  std::string Decode;
-  std::string Prefill; ///< empty: the decode engine reads the prompt
-  Duration Waited{};
-  std::size_t QueueLength = 0; ///< that still waits in this entry
-  EndpointLoad DecodeLoad;     ///< known load of the decode engine before it
-  std::int64_t NeedTokens = 0; ///< memory it takes there
-};
-
-/// Why a generation was turned away.
-enum class StreamRefusalReason {
-  NoEngine,     ///< no engine of the service is usable
-  TooLarge,     ///< needs more memory than an engine has
-  QueueTooLong, ///< those before it use up its time
-  WaitedTooLong,
-};
-
-std::string_view streamRefusalName(StreamRefusalReason Reason);
-
-struct StreamRefusal {
-  std::string Id;
-  StreamRefusalReason Reason = StreamRefusalReason::NoEngine;
-  milliseconds RetryAfter{0};
-  Duration ExpectedWait{};
-  std::size_t QueueLength = 0;
-};
-
-using StreamDecision = std::variant<StreamPlace, StreamRefusal>;
-
 struct StreamSchedulerOptions {
-  std::string Zone; ///< of this entry
-  std::string Name; ///< of this entry; request ids are unique only within it
   bool UsePrefillEngines = true;
   /// Part of an engine's memory that is reserved; the rest covers answers that
   /// are longer than expected.
@@ -74,106 +22,125 @@
   std::int64_t PrefillBacklog = 9'000;
 };
 
-/// Queue, admission and placement of the generations of one entry, without
-/// I/O. A generation is placed only when a decode engine has room for its whole
-/// expected size, so no prompt is read in vain. Load pattern: bursts of twice
-/// the usual load, when decode memory runs out for some seconds. All entries
-/// learn of freed memory at once, so each leaves it to those requests of the
-/// other entries that are served before its own.
-class StreamScheduler {
+/// A generation that holds engines, as its entry reports it.
+struct StreamHold {
+  std::string Id;
+  std::string Service;
+  std::string Account;
+  std::string Decode;
+  std::string Prefill;      ///< empty: its prompt was read
+  std::uint32_t Tokens = 0; ///< memory at the decode engine
+  std::uint32_t PromptTokens = 0;
+};
+
+/// Queue, admission and placement of generations, without I/O. A generation is
+/// placed only when a decode engine has room for its whole expected size, so no
+/// prompt is read in vain. Load pattern: bursts of twice the usual load, when
+/// decode memory runs out for some seconds.
+class StreamScheduler : public StreamAdmission {
 public:
   StreamScheduler(StreamSchedulerOptions Options, EndpointTable &Table)
-      : Options(std::move(Options)), Table(Table) {}
+      : Options(Options), Table(Table) {}
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
-  /// Memory for which requests of the other entries wait, in tokens, and the
-  /// first of these requests.
-  void setPeersWaiting(std::int64_t Tokens,
-                       std::vector<WaitingRequest> Requests);
+  /// Part of the fleet's work that this scheduler knows, 0 to 1. Placements are
+  /// spread by chance over engines of which less is known, so that schedulers
+  /// which do not hear each other do not all choose the same one.
+  void setKnownShare(double Share) { KnownShare = Share; }
+
+  // StreamAdmission
+  void submit(StreamNeed Need) override;
+  void cancel(std::string_view Id) override;
+  void release(std::string_view Id, TimePoint Now) override;
+  void outputGrew(std::string_view Id, std::uint64_t Tokens) override;
+  void prefillEnded(std::string_view Id) override;
+  bool hasRoom(std::string_view Service, std::int64_t Tokens,
+               std::string_view Except, TimePoint Now) override;
 
-  void submit(StreamNeed Need);
+  /// Takes over a placement that another scheduler made.
+  void adopt(const StreamHold &Hold, TimePoint Now);
 
-  /// Forgets a request that waits.
-  void cancel(std::string_view Id);
+  /// Sets the memory that a placement holds.
+  void resize(std::string_view Id, std::uint32_t Tokens);
+
+  /// Forgets all that waits or holds engines.
+  void clear(TimePoint Now);
 
   /// Returns the placements and refusals that are due. A placement reserves
   /// the memory until release().
   std::vector<StreamDecision> poll(TimePoint Now);
 
-  /// Frees what a placement reserved at the decode engine.
-  void release(std::string_view Id, TimePoint Now);
-
-  /// The generation has made \p Tokens; extends its reservation when it
-  /// turns out longer than expected.
-  void outputGrew(std::string_view Id, std::uint64_t Tokens);
-
-  /// Frees the prefill engine of a placement.
-  void prefillEnded(std::string_view Id);
-
-  /// Gives a placement another prefill engine, or one if it has none any more;
-  /// empty if none can take it.
-  std::string replacePrefill(std::string_view Id, TimePoint Now);
-
-  /// Prompt tokens that are to be read at the prefill engine of a placement,
-  /// its own included.
-  std::int64_t prefillBacklog(std::string_view Id) const;
-
-  /// True if replaceDecode() would find an engine.
-  bool canReplaceDecode(std::string_view Id, TimePoint Now);
-
-  /// Moves the decode part of a placement to another engine; empty if none
-  /// has room.
-  std::string replaceDecode(std::string_view Id, TimePoint Now);
-
+  bool waits(std::string_view Id) const { return Waiting.contains(Id); }
+  bool holds(std::string_view Id) const { return Running.contains(Id); }
   std::size_t queued() const { return Waiting.size(); }
 
   /// Memory for which requests wait, in tokens.
   std::int64_t waitingTokens() const;
 
-  /// The first \p Count requests that wait, in the order of service.
-  std::vector<WaitingRequest> firstWaiting(std::size_t Count,
-                                           TimePoint Now) const;
+  /// The emptiest decode engine of \p Service but for \p Except, and the
+  /// memory that it has left, in tokens.
+  struct Room {
+    std::string Endpoint; ///< empty: none
+    std::int64_t Free = 0;
+  };
+  Room emptiest(std::string_view Service, std::string_view Except,
+                TimePoint Now);
 
   /// Next time at which poll() may have a decision without another event.
   TimePoint nextDeadline() const;
 
 private:
-  struct Placed {
+  struct Queued {
     StreamNeed Need;
-    std::string Decode;
-    std::string Prefill;
+    std::uint64_t Serial = 0; ///< in the order of submission
+  };
+
+  struct Placed {
+    StreamHold Hold;
     TimePoint Since{};
   };
 
+  /// Engines of a service that may receive work, as of one moment.
+  struct Pool {
+    std::vector<Endpoint *> Decode;
+    std::vector<Endpoint *> Prefill;
+    std::int64_t Bound = 0;       ///< memory of one engine that may be used
+    std::int64_t LargestFree = 0; ///< at one decode engine
+    std::int64_t Free = 0;        ///< at all decode engines
+  };
+
   enum class Verdict { Placed, Refused, Waits };
 
-  std::vector<std::size_t> serviceOrder(TimePoint Now) const;
-  void leaveToPeer(const WaitingRequest &Request, TimePoint Now);
-  std::int64_t loadWithClaims(const Endpoint &E) const;
-  Verdict consider(const StreamNeed &Need, std::int64_t TokensAhead,
-                   TimePoint Now, std::vector<StreamDecision> &Out);
+  Pool makePool(std::string_view Service, TimePoint Now);
+  static void measure(Pool &P);
+  std::vector<const StreamNeed *> serviceOrder(TimePoint Now) const;
+  Verdict consider(const StreamNeed &Need, Pool &Engines,
+                   std::int64_t TokensAhead, TimePoint Now,
+                   std::vector<StreamDecision> &Out);
+  StreamPlace place(const StreamNeed &Need, Pool &Engines, Endpoint &Decode,
+                    TimePoint Now);
   StreamRefusal refusal(const StreamNeed &Need, StreamRefusalReason Reason,
                         Duration ExpectedWait, TimePoint Now) const;
-  Endpoint *chooseReplacement(const Placed &P, TimePoint Now);
-  Endpoint *chooseDecode(const StreamNeed &Need, std::int64_t Bound,
-                         TimePoint Now);
-  Endpoint *choosePrefill(const StreamNeed &Need, std::string_view Zone,
-                          TimePoint Now);
-  Duration expectedWait(const StreamNeed &Need, std::int64_t TokensAhead,
-                        TimePoint Now);
+  Endpoint *chooseDecode(const StreamNeed &Need, const Pool &Engines,
+                         TimePoint Now) const;
+  Endpoint *choosePrefill(const StreamNeed &Need, const Pool &Engines,
+                          std::string_view Zone, TimePoint Now) const;
+  double spread(const StreamNeed &Need, const Endpoint &E) const;
+  Duration expectedWait(const StreamNeed &Need, const Pool &Engines,
+                        std::int64_t TokensAhead, TimePoint Now) const;
   double accountLoad(const std::string &Account) const;
   std::int64_t memoryBound(std::string_view Service) const;
+  void hold(StreamHold Hold, TimePoint Now);
 
   StreamSchedulerOptions Options;
   EndpointTable &Table;
   FleetConfigPtr Config;
-  std::vector<StreamNeed> Waiting;
+  double KnownShare = 1;
+  std::map<std::string, Queued, std::less<>> Waiting;
+  std::uint64_t LastSerial = 0;
   std::map<std::string, Placed, std::less<>> Running;
-  std::int64_t PeersWaiting = 0;
-  std::vector<WaitingRequest> PeerRequests; ///< in the order of service
-  /// Memory that this poll leaves to the peers' requests, by endpoint.
-  std::map<std::string, std::int64_t, std::less<>> PeerClaims;
+  std::map<std::string, std::int64_t, std::less<>> AccountTokens;
   double MeanRunSeconds = 3; ///< smoothed time that a placement lasts
 };
 
--- /dev/null
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -0,0 +1,149 @@
+#ifndef HYSSOPRAIL_GATEWAY_COORDINATION_HPP
+#define HYSSOPRAIL_GATEWAY_COORDINATION_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "hyssoprail/gateway/fleet_feed.hpp"
+#include "hyssoprail/gateway/gateway_settings.hpp"
+#include "hyssoprail/gateway/peer_socket.hpp"
+#include "hyssoprail/process/decision_log.hpp"
+#include "hyssoprail/routing/admission_client.hpp"
+#include "hyssoprail/routing/admission_server.hpp"
+#include "hyssoprail/routing/coordinator_election.hpp"
+#include "hyssoprail/routing/evidence_log.hpp"
+
+namespace hyssoprail::gateway {
+
+/// Beliefs of the entry that the coordination reads and changes.
+struct CoordinationState {
+  routing::EndpointTable &Table;
+  routing::EvidenceLog &Engines;
+  routing::SharedQuota &Quota;
+  FleetFeed &Feed;
+};
+
+/// Connects this entry with the coordinator of all entries, or coordinates them
+/// itself: sends and hears datagrams, and asks for decisions when something
+/// that decides them has changed. Used on the thread of the event loop.
+class Coordination {
+public:
+  using DecisionHandler =
+      std::function<void(const std::vector<routing::StreamDecision> &)>;
+
+  Coordination(boost::asio::io_context &Context,
+               const GatewaySettings &Settings, std::uint64_t Incarnation,
+               const Clock &Time, DecisionLog &Log, CoordinationState State,
+               DecisionHandler OnDecisions);
+
+  /// Binds the address of the settings. Fails with Unavailable.
+  Status start();
+
+  void configure(const routing::FleetConfigPtr &Next);
+
+  /// Entries that have announced themselves, this one included.
+  void setEntries(const std::vector<EntryAddress> &Entries);
+
+  /// Periodic work, to be done some ten times a second.
+  void tick();
+
+  /// Something has changed that a decision may depend on.
+  void wake();
+
+  /// This entry stops: another one is to coordinate.
+  void stop();
+
+  routing::StreamAdmission &admission() { return Client; }
+
+  /// Entries that share a bound of the whole fleet.
+  std::size_t knownEntries() const;
+
+  /// Part of the known entries that this entry hears, at least through the
+  /// coordinator.
+  double audibleShare() const;
+
+  bool coordinates() const { return Election.coordinates(); }
+
+  /// Address of the state of an entry that the store answered within
+  /// \p MaxAge; else empty.
+  std::string freshestState(Duration MaxAge) const;
+
+  std::size_t wanting() const { return Client.wanting(); }
+  std::size_t queuedInFleet() const { return QueuedInFleet; }
+
+private:
+  struct Announced {
+    std::string Address;
+    double Weight = 0;
+    TimePoint Since{};
+  };
+
+  void onMessage(const wire::CoordinationMessage &Message);
+  void onUpdate(const wire::CoordinatorUpdate &Update);
+  bool hearsUs(const wire::CoordinatorUpdate &Update, TimePoint Now) const;
+  void takeUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
+  void beginCoordination(TimePoint Now);
+  void coordinatorChanged(std::string_view Why);
+  void deliver(const std::vector<routing::StreamDecision> &Decisions);
+  std::size_t startRank() const;
+
+  wire::EntryReport makeReport(TimePoint Now);
+  void sendReport(const std::string &Address, TimePoint Now);
+  bool reportDue(TimePoint Now) const;
+
+  void exchange();
+  void decide(TimePoint Now);
+  void measureRooms(TimePoint Now);
+  wire::CoordinatorUpdate makeUpdate(const std::string &Entry);
+  void sendUpdate(const std::string &Entry, const std::string &Address,
+                  TimePoint Now);
+  void sendHeartbeats(TimePoint Now);
+
+  boost::asio::io_context &Context;
+  const GatewaySettings &Settings;
+  const std::uint64_t Incarnation;
+  const Clock &Time;
+  DecisionLog &Log;
+  CoordinationState State;
+  DecisionHandler OnDecisions;
+
+  routing::FleetConfigPtr Config;
+  routing::StreamScheduler Scheduler;
+  routing::AdmissionClient Client;
+  routing::AdmissionServer Server;
+  routing::CoordinatorElection Election;
+  PeerSocket Socket;
+
+  std::map<std::string, Announced> Entries; ///< all but this one, by name
+  bool ElectionStarted = false;
+  bool WakePending = false;
+
+  // As a follower.
+  std::uint64_t ReportSequence = 0;
+  TimePoint ReportedAt{};
+  std::deque<std::pair<std::uint64_t, TimePoint>> SentReports;
+  std::map<std::string, TimePoint> IntroducedAt; ///< to other claimants
+  std::string CoordinatorState; ///< "IP:PORT" of its state; may be empty
+  Duration CoordinatorStoreAge{};
+  TimePoint UpdateAt{};
+  std::size_t QueuedInFleet = 0;
+
+  // As the coordinator.
+  std::uint64_t UpdateSequence = 0;
+  TimePoint CoordinatesSince{};
+  std::size_t KnownAtClaim = 1;
+  std::map<std::string, TimePoint> UpdatedAt;
+  std::vector<wire::ServiceRoom> Rooms;
+  TimePoint RoomsAt{};
+  std::vector<std::string> Deputies;
+};
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_COORDINATION_HPP
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -11,6 +11,13 @@
 
 namespace hyssoprail::gateway {
 
+/// An entry that has announced itself.
+struct EntryAddress {
+  std::string Name;
+  std::string Address; ///< "IP:PORT" where it hears datagrams
+  double Weight = 0;   ///< processor share of its VM
+};
+
 /// Receives what the platform's store says of the fleet.
 class FleetListener {
 public:
@@ -24,8 +31,8 @@
   /// The first whole list of endpoints has been delivered.
   virtual void onEndpointsComplete() = 0;
 
-  /// Addresses at which entries have announced themselves.
-  virtual void onEntries(const std::vector<std::string> &Addresses) = 0;
+  /// Entries that have announced themselves; some may be gone.
+  virtual void onEntries(const std::vector<EntryAddress> &Entries) = 0;
 
   /// A record was rejected; \p Field names what was wrong in it.
   virtual void onBadRecord(std::string_view Key, std::string_view Field) = 0;
@@ -40,9 +47,8 @@
 public:
   virtual ~FleetFeed() = default;
 
-  /// Begins to follow the store; \p Address is announced as this entry's.
-  virtual void start(FleetListener &Listener, const std::string &Name,
-                     const std::string &Address) = 0;
+  /// Begins to follow the store, and announces \p Self there.
+  virtual void start(FleetListener &Listener, const EntryAddress &Self) = 0;
 
   /// Time since the store last answered; the largest Duration if it never did.
   virtual Duration age() const = 0;
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -8,17 +8,7 @@
 namespace hyssoprail::gateway {
 namespace {
 
-constexpr milliseconds TickInterval{80};
-
-/// Reports that say nothing new are sent this often.
-constexpr milliseconds IdleReportInterval{400};
-
-/// Between two reports that placements cause.
-constexpr milliseconds ShortestReportInterval{15};
-
-/// Requests that wait at one entry and that a report names; few are served
-/// before the next report.
-constexpr std::size_t ReportedWaiting = 4;
+constexpr milliseconds TickInterval{50};
 
 /// A stopping entry still accepts connections for this time, until the load
 /// balancer has seen that it is not ready.
@@ -44,13 +34,6 @@
 constexpr milliseconds AskPeerInterval{700};
 constexpr milliseconds AskPeerTimeout{1'000};
 
-std::uint32_t waitedMillis(const routing::WaitingRequest &W, TimePoint Now) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::max<Duration>(Now - W.Arrival, Duration::zero()))
-          .count());
-}
-
 } // namespace
 
 // ---- What the store says --------------------------------------------------
@@ -64,13 +47,12 @@
   CallerServer->setLimits(L.HeaderBytes, L.BodyBytes, L.HeaderTimeout,
                           L.IdleTimeout);
   Quota.configure(*Config, ConfigSince);
-  Scheduler.configure(Config);
+  Coordinator.configure(Config);
   updateStartBounds(ConfigSince);
   Log.write(LogUrgency::Outcome, "configuration", "",
             {{"version", Config->Version},
              {"routes", Config->Routes.size()},
              {"accounts", Config->Accounts.size()}});
-  pollSoon();
 }
 
 void GatewayRuntime::onZonesOut(std::set<std::string, std::less<>> Zones) {
@@ -79,7 +61,7 @@
     Names += (Names.empty() ? "" : ",") + Zone;
   Log.write(LogUrgency::Outcome, "zones_out", "", {{"zones", Names}});
   Table.setZonesOut(std::move(Zones));
-  pollSoon();
+  Coordinator.wake();
 }
 
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
@@ -94,22 +76,20 @@
              {"cold_ms", Record.ColdFor},
              {"prefill", Record.Stage == routing::EngineStage::Prefill},
              {"sequence", Record.Sequence}});
-  pollSoon();
+  Coordinator.wake();
 }
 
 void GatewayRuntime::onEndpointGone(std::string_view Id) {
   Log.write(LogUrgency::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
   Table.remove(Id);
-  pollSoon();
+  Coordinator.wake();
 }
 
 void GatewayRuntime::onEndpointsComplete() { EndpointsComplete = true; }
 
-void GatewayRuntime::onEntries(const std::vector<std::string> &Addresses) {
-  AnnouncedEntries = std::max<std::size_t>(1, Addresses.size());
-  for (const std::string &Address : Addresses)
-    if (Address != Settings.PeerAddress)
-      Peers.addCandidate(Address, Time.now());
+void GatewayRuntime::onEntries(const std::vector<EntryAddress> &Entries) {
+  AnnouncedEntries = std::max<std::size_t>(1, Entries.size());
+  Coordinator.setEntries(Entries);
 }
 
 void GatewayRuntime::onBadRecord(std::string_view Key, std::string_view Field) {
@@ -131,13 +111,11 @@
 
 void GatewayRuntime::tick() {
   const TimePoint Now = Time.now();
-  Peers.age(Now);
+  Coordinator.tick();
+  Quota.setAudibleShare(Coordinator.audibleShare(), Now);
   Retries.setEntries(static_cast<unsigned>(sharingEntries(Now)));
   updateStartBounds(Now);
-  reportUsage();
   askPeer(Now);
-  if (Scheduler.queued() > 0)
-    pollSoon();
   if (Stopping)
     checkStopped();
   TickTimer.expires_after(TickInterval);
@@ -151,7 +129,7 @@
 void GatewayRuntime::askPeer(TimePoint Now) {
   if (Feed.age() < StaleAfter || Now - AskedPeerAt < AskPeerInterval)
     return;
-  const std::string Peer = Peers.freshestState(StaleAfter, Now);
+  const std::string Peer = Coordinator.freshestState(StaleAfter);
   if (Peer.empty())
     return;
   AskedPeerAt = Now;
@@ -172,94 +150,32 @@
 
 /// Entries that share a bound of the whole fleet.
 std::size_t GatewayRuntime::sharingEntries(TimePoint Now) const {
-  const std::size_t Known = Peers.known(Now);
+  const std::size_t Known = Coordinator.knownEntries();
   return Now - StartedAt < StartUpTime ? std::max(Known, AnnouncedEntries)
                                        : Known;
 }
 
-/// Entries share what a cold endpoint bears; an endpoint may turn cold at any
-/// moment, so the bound always holds.
+/// Bounds what a cold endpoint gets; it may turn cold at any moment, so the
+/// bound always holds. The coordinator places the work of all engines, and of
+/// those entries that it does not hear each may place its part by itself. Calls
+/// are placed by every entry, which share the bound evenly.
 void GatewayRuntime::updateStartBounds(TimePoint Now) {
   if (!Config)
     return;
-  const std::size_t Sharing = sharingEntries(Now);
+  const double CallShare = 1 / double(sharingEntries(Now));
+  const double EngineShare = Coordinator.audibleShare();
   for (const auto &[Name, Service] : Config->Services) {
     if (Service.ColdPerSecond <= 0)
       continue;
     const double Bound =
         Service.ColdPerSecond * Settings.ColdOverage + Settings.ColdSlack;
-    const double Share = Bound * ColdBoundShare / double(Sharing);
+    const double Share =
+        Bound * ColdBoundShare * (Service.Engine ? EngineShare : CallShare);
     Table.setStartsPerSecond(
         Name, std::max<std::size_t>(1, static_cast<std::size_t>(Share)));
   }
 }
 
-wire::UsageReport GatewayRuntime::usageReport(TimePoint Now) const {
-  wire::UsageReport Report;
-  Report.set_sender(Settings.Name);
-  Report.set_incarnation(Incarnation);
-  Report.set_address(Settings.PeerAddress);
-  Report.set_state_address(Settings.MetricsAddress);
-  for (const auto &[Id, Load] : Table.ownLoads()) {
-    wire::EndpointUse *Use = Report.add_endpoints();
-    Use->set_endpoint(Id);
-    Use->set_runs(static_cast<std::uint32_t>(Load.Runs));
-    Use->set_tokens(static_cast<std::uint64_t>(Load.Tokens));
-    Use->set_prefill_tokens(static_cast<std::uint64_t>(Load.PrefillTokens));
-  }
-  for (const auto &[Name, Tokens] : Quota.granted()) {
-    wire::AccountUse *Use = Report.add_accounts();
-    Use->set_account(Name);
-    Use->set_tokens(Tokens);
-  }
-  Report.set_waiting_tokens(
-      static_cast<std::uint64_t>(Scheduler.waitingTokens()));
-  for (const routing::WaitingRequest &W :
-       Scheduler.firstWaiting(ReportedWaiting, Now)) {
-    wire::WaitingUse *Use = Report.add_waiting();
-    Use->set_service(W.Service);
-    Use->set_rank(W.Rank);
-    Use->set_waited_ms(waitedMillis(W, Now));
-    Use->set_tokens(static_cast<std::uint64_t>(W.Tokens));
-  }
-  for (std::string &Id : Table.unreachable(Now))
-    Report.add_unreachable(std::move(Id));
-  Report.set_config_version(Config ? Config->Version : 0);
-  Report.set_leaving(Stopping);
-  return Report;
-}
-
-/// The other entries must know of a placement before they use the same memory.
-void GatewayRuntime::reportSoon() {
-  if (ReportPending)
-    return;
-  ReportPending = true;
-  ReportTimer.expires_at(ReportedAt + ShortestReportInterval);
-  ReportTimer.async_wait([this](boost::system::error_code Code) {
-    ReportPending = false;
-    if (!Code)
-      reportUsage();
-  });
-}
-
-void GatewayRuntime::reportUsage() {
-  const TimePoint Now = Time.now();
-  wire::UsageReport Report = usageReport(Now);
-  std::string Content = Report.SerializeAsString();
-  if (Content == LastReport && Now - ReportedAt < IdleReportInterval)
-    return;
-  LastReport = std::move(Content);
-  ReportedAt = Now;
-  Report.set_store_age_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::min<Duration>(Feed.age(), LargestReportedAge))
-          .count()));
-  Report.set_sequence(++ReportSequence);
-  const std::string Datagram = Report.SerializeAsString();
-  for (const std::string &Address : Peers.addresses(Now))
-    Socket.send(Datagram, Address);
-}
-
 void GatewayRuntime::checkStopped() {
   const TimePoint Now = Time.now();
   if (!Draining && Now - StopBegan >= StopAcceptsFor) {
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -47,21 +47,11 @@
       StartedAt(Time.now()), Quota(quotaTolerance(this->Settings)),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
                this->Settings.RetryWindow}),
-      Scheduler({.Zone = this->Settings.Zone,
-                 .Name = this->Settings.Name,
-                 .UsePrefillEngines = this->Settings.UsePrefillEngines},
-                Table),
-      Peers(this->Settings.Name, Table, Quota),
-      Endpoints(makeUpstreamClient(Context)),
-      Socket(Context,
-             [this](const wire::UsageReport &Report) {
-               if (Peers.hear(Report, this->Time.now()))
-                 this->Log.write(LogUrgency::Outcome, "peer_heard", "",
-                                 {{"peer", Report.sender()},
-                                  {"address", Report.address()}});
-               pollSoon();
-             }),
-      TickTimer(Context), PollTimer(Context), ReportTimer(Context) {}
+      Engines(Table),
+      Coordinator(Context, this->Settings, Incarnation, Time, Log,
+                  {Table, Engines, Quota, Feed},
+                  [this](const auto &Decisions) { onDecisions(Decisions); }),
+      Endpoints(makeUpstreamClient(Context)), TickTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
 
@@ -91,14 +81,14 @@
     if (Status S = Server->start(); !succeeded(S))
       return S;
   }
-  if (Status S = Socket.start(Settings.PeerAddress); !succeeded(S))
+  if (Status S = Coordinator.start(); !succeeded(S))
     return S;
   Log.write(LogUrgency::Outcome, "start", "",
             {{"zone", Settings.Zone},
              {"callers", Settings.CallerAddress},
              {"peers", Settings.PeerAddress},
              {"store", Settings.Store}});
-  Feed.start(*this, Settings.Name, Settings.PeerAddress);
+  Feed.start(*this, {Settings.Name, Settings.PeerAddress, Settings.Weight});
   tick();
   return std::monostate{};
 }
@@ -134,6 +124,7 @@
   Stopping = true;
   StopBegan = Time.now();
   CallerServer->discourage();
+  Coordinator.stop();
   Log.write(LogUrgency::Outcome, "stop", "", {{"open", Sessions.size()}});
 }
 
@@ -240,8 +231,8 @@
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
-    const routing::FlowShared Shared{Table, Scheduler, Retries, Lengths,
-                                     Settings.Zone};
+    const routing::FlowShared Shared{Table,   Engines, Coordinator.admission(),
+                                     Retries, Lengths, Settings.Zone};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
@@ -251,7 +242,7 @@
                                           double QuotaTokens) {
   SessionHooks Hooks;
   Hooks.StillAllowed = [this, Key] { return stillAllowed(Key); };
-  Hooks.PollScheduler = [this] { pollSoon(); };
+  Hooks.AdmissionChanged = [this] { Coordinator.wake(); };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
   };
@@ -312,26 +303,12 @@
   Caller->respond(Protocol.rejection(Reason, RetryAfter, Info.Id));
 }
 
-// ---- Scheduler ------------------------------------------------------------
+// ---- Admission ------------------------------------------------------------
 
-void GatewayRuntime::pollSoon() {
-  if (PollPending)
-    return;
-  PollPending = true;
-  boost::asio::post(Context, [this] { pollScheduler(); });
-}
-
-void GatewayRuntime::pollScheduler() {
-  PollPending = false;
-  if (Scheduler.queued() == 0)
-    return;
-  const TimePoint Now = Time.now();
-  Scheduler.setPeersWaiting(Peers.waitingTokens(Now),
-                            Peers.waitingRequests(Now));
-  for (const routing::StreamDecision &D : Scheduler.poll(Now)) {
+void GatewayRuntime::onDecisions(
+    const std::vector<routing::StreamDecision> &Decisions) {
+  for (const routing::StreamDecision &D : Decisions) {
     const auto *Place = std::get_if<routing::StreamPlace>(&D);
-    if (Place)
-      reportSoon();
     const auto *Refusal = std::get_if<routing::StreamRefusal>(&D);
     const auto It = Sessions.find(Place ? Place->Id : Refusal->Id);
     if (It == Sessions.end())
@@ -342,18 +319,6 @@
     else
       Session->onRefused(*Refusal);
   }
-  armPollTimer();
-}
-
-void GatewayRuntime::armPollTimer() {
-  const TimePoint Next = Scheduler.nextDeadline();
-  if (Next == TimePoint::max())
-    return;
-  PollTimer.expires_at(Next);
-  PollTimer.async_wait([this](boost::system::error_code Code) {
-    if (!Code)
-      pollSoon();
-  });
 }
 
 // ---- Readiness and metrics ------------------------------------------------
@@ -383,10 +348,12 @@
 void GatewayRuntime::updateGauges() {
   const TimePoint Now = Time.now();
   Counters.gauge("requests_open").set(double(Sessions.size()));
-  Counters.gauge("streams_waiting").set(double(Scheduler.queued()));
-  Counters.gauge("streams_waiting_tokens")
-      .set(double(Scheduler.waitingTokens()));
-  Counters.gauge("peers_audible").set(double(Peers.audible(Now)));
+  Counters.gauge("streams_waiting").set(double(Coordinator.wanting()));
+  Counters.gauge("fleet_streams_waiting")
+      .set(double(Coordinator.queuedInFleet()));
+  Counters.gauge("coordinates").set(Coordinator.coordinates() ? 1 : 0);
+  Counters.gauge("entries_known").set(double(Coordinator.knownEntries()));
+  Counters.gauge("entries_heard_share").set(Coordinator.audibleShare());
   Counters.gauge("config_version").set(Config ? double(Config->Version) : 0);
   Counters.gauge("store_age_seconds")
       .set(std::chrono::duration<double>(
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -11,12 +11,11 @@
 #include "hyssoprail/connection/http_client.hpp"
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/core/random.hpp"
+#include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
-#include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/process/metrics.hpp"
-#include "hyssoprail/routing/peer_board.hpp"
 
 namespace hyssoprail::gateway {
 
@@ -51,7 +50,7 @@
   void onEndpoint(const routing::EndpointRecord &Record) override;
   void onEndpointGone(std::string_view Id) override;
   void onEndpointsComplete() override;
-  void onEntries(const std::vector<std::string> &Addresses) override;
+  void onEntries(const std::vector<EntryAddress> &Entries) override;
   void onBadRecord(std::string_view Key, std::string_view Field) override;
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
@@ -81,9 +80,7 @@
   void rejectAtOnce(const Exchange &Caller, const routing::RequestInfo &Info,
                     routing::RejectReason Reason, milliseconds RetryAfter);
 
-  void pollSoon();
-  void pollScheduler();
-  void armPollTimer();
+  void onDecisions(const std::vector<routing::StreamDecision> &Decisions);
 
   bool ready() const;
   void handleReadiness(const Exchange &Caller);
@@ -93,9 +90,6 @@
                                          HttpHandler Handler);
 
   void tick();
-  void reportSoon();
-  void reportUsage();
-  wire::UsageReport usageReport(TimePoint Now) const;
   std::size_t sharingEntries(TimePoint Now) const;
   void askPeer(TimePoint Now);
   void updateStartBounds(TimePoint Now);
@@ -117,8 +111,8 @@
   routing::SharedQuota Quota;
   routing::RetryWindow Retries;
   routing::LengthEstimator Lengths;
-  routing::StreamScheduler Scheduler;
-  routing::PeerBoard Peers;
+  routing::EvidenceLog Engines;
+  Coordination Coordinator;
   routing::FleetConfigPtr Config;
   TimePoint ConfigSince{};
   bool EndpointsComplete = false;
@@ -126,7 +120,6 @@
 
   Metrics Counters;
   std::unique_ptr<UpstreamClient> Endpoints;
-  PeerSocket Socket;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
@@ -134,13 +127,6 @@
   std::uint64_t NextKey = 1;
 
   boost::asio::steady_timer TickTimer;
-  boost::asio::steady_timer PollTimer;
-  boost::asio::steady_timer ReportTimer;
-  bool PollPending = false;
-  std::uint64_t ReportSequence = 0;
-  std::string LastReport; ///< without its sequence
-  TimePoint ReportedAt{};
-  bool ReportPending = false;
   TimePoint AskedPeerAt{};
   bool Stopping = false;
   bool Draining = false;
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -43,6 +43,7 @@
   read(In, "metrics_address", Out.MetricsAddress);
   read(In, "peer_address", Out.PeerAddress);
   read(In, "store", Out.Store);
+  read(In, "cpu_share", Out.Weight);
   readSeconds(In, "stop_grace_s", Out.StopGrace);
   read(In, "retry_ratio", Out.RetryRatio);
   read(In, "retry_slack", Out.RetrySlack);
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -20,6 +20,7 @@
   std::string MetricsAddress; ///< empty: metrics are not served
   std::string PeerAddress;
   std::string Store;
+  double Weight = 1;             ///< processor share of the VM, of one core
   milliseconds StopGrace{8'000}; ///< from SIGTERM to SIGKILL
   double RetryRatio = 0.2;
   double RetrySlack = 50;
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-PeerSocket::PeerSocket(asio::io_context &Context, Handler OnReport)
-    : Socket(Context), OnReport(std::move(OnReport)) {}
+PeerSocket::PeerSocket(asio::io_context &Context, Handler OnMessage)
+    : Socket(Context), OnMessage(std::move(OnMessage)) {}
 
 Status PeerSocket::start(const std::string &Address) {
   const auto Endpoint = parseEndpoint(Address);
@@ -45,9 +45,10 @@
   return std::monostate{};
 }
 
-void PeerSocket::send(const std::string &Datagram, const std::string &Address) {
+void PeerSocket::send(const wire::CoordinationMessage &Message,
+                      const std::string &Address) {
   const auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint)
+  if (!Endpoint || !Message.SerializeToString(&Datagram))
     return;
   boost::system::error_code Ignored;
   Socket.send_to(asio::buffer(Datagram), *Endpoint, 0, Ignored);
@@ -59,10 +60,10 @@
       [this](boost::system::error_code Code, std::size_t Size) {
         if (Code == asio::error::operation_aborted || !Socket.is_open())
           return;
-        wire::UsageReport Report;
+        wire::CoordinationMessage Message;
         if (!Code &&
-            Report.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
-          OnReport(Report);
+            Message.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
+          OnMessage(Message);
         receive();
       });
 }
--- a/src/hyssoprail/gateway/peer_socket.hpp
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -9,30 +9,32 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include "hyssoprail/core/result.hpp"
-#include "hyssoprail/wire/usage.pb.h"
+#include "hyssoprail/wire/coordination.pb.h"
 
 namespace hyssoprail::gateway {
 
-/// Sends and receives usage reports as datagrams. A report is a whole state, so
-/// loss is harmless and no connection can fall silent.
+/// Sends and receives messages of the coordination as datagrams. A message is a
+/// whole state, so loss is harmless and no connection can fall silent.
 class PeerSocket {
 public:
-  using Handler = std::function<void(const wire::UsageReport &)>;
+  using Handler = std::function<void(const wire::CoordinationMessage &)>;
 
-  PeerSocket(boost::asio::io_context &Context, Handler OnReport);
+  PeerSocket(boost::asio::io_context &Context, Handler OnMessage);
 
   /// Binds to "IP:PORT". Fails with Unavailable.
   Status start(const std::string &Address);
 
-  /// Sends a serialized report to "IP:PORT"; a failure is not reported.
-  void send(const std::string &Datagram, const std::string &Address);
+  /// Sends to "IP:PORT"; a failure is not reported.
+  void send(const wire::CoordinationMessage &Message,
+            const std::string &Address);
 
 private:
   void receive();
 
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Sender;
-  Handler OnReport;
+  Handler OnMessage;
+  std::string Datagram;
   std::array<char, 65'536> Buffer{};
 };
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -248,7 +248,7 @@
   if (Course->done())
     return finish();
   armTimer();
-  Hooks.PollScheduler();
+  Hooks.AdmissionChanged();
 }
 
 /// The timer is set again only if it would fire too late: most deadlines move
@@ -276,7 +276,7 @@
   Result.MayHaveRun = Course->mayHaveRun();
   const auto Self = shared_from_this();
   Hooks.OnEnd(Result);
-  Hooks.PollScheduler();
+  Hooks.AdmissionChanged();
 }
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -38,8 +38,8 @@
 /// What a session asks of the gateway.
 struct SessionHooks {
   std::function<bool()> StillAllowed;
-  /// Work was submitted or released: the scheduler may have decisions.
-  std::function<void()> PollScheduler;
+  /// Something was asked of the admission, or given back.
+  std::function<void()> AdmissionChanged;
   /// The request has ended; called once, last.
   std::function<void(const SessionResult &)> OnEnd;
 };
--- /dev/null
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -0,0 +1,400 @@
+#include "hyssoprail/routing/admission_client.hpp"
+#include "hyssoprail/routing/admission_server.hpp"
+
+#include <deque>
+#include <memory>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::engine;
+using testing::Start;
+using testing::testConfig;
+
+using Ids = std::vector<std::string>;
+
+/// An entry that reports to a coordinator.
+class Follower {
+public:
+  explicit Follower(std::string Name, std::uint64_t Incarnation = 1)
+      : Name(std::move(Name)), Incarnation(Incarnation) {}
+
+  void want(const std::string &Id, TimePoint Now,
+            std::uint32_t Prompt = 3'000) {
+    StreamNeed N;
+    N.Id = Id;
+    N.Service = "assistant";
+    N.Account = "acme";
+    N.Zone = "zone-a";
+    N.PromptTokens = Prompt;
+    N.OutputTokens = 1'000;
+    N.Arrival = Now;
+    N.OnTimeUntil = Now + milliseconds(900);
+    N.GiveUpAt = Now + milliseconds(3'600);
+    N.TimeLeft = milliseconds(14'000);
+    Client.submit(N);
+  }
+
+  wire::EntryReport report(TimePoint Now) {
+    wire::EntryReport R;
+    R.set_sender(Name);
+    R.set_incarnation(Incarnation);
+    R.set_sequence(++Sequence);
+    R.set_address(Name + ":1");
+    R.set_weight(Weight);
+    Client.fill(R, Now);
+    return R;
+  }
+
+  std::string Name;
+  std::uint64_t Incarnation;
+  std::uint64_t Sequence = 0;
+  double Weight = 1;
+  AdmissionClient Client;
+};
+
+/// A coordinator with one decode engine for two generations of 4,000 tokens.
+struct Coordinator {
+  explicit Coordinator(int Engines = 1) {
+    Scheduler.configure(testConfig());
+    Quota.configure(*testConfig(), Start);
+    for (int I = 0; I < Engines; ++I)
+      Table.apply(engine("d" + std::to_string(I), EngineStage::Decode));
+    Server.begin(1, Start - milliseconds(500));
+  }
+
+  void hear(Follower &F) { Server.hear(F.report(Now), Now); }
+
+  wire::CoordinatorUpdate update(const Follower &F) {
+    wire::CoordinatorUpdate U;
+    Server.fill(F.Name, U);
+    return U;
+  }
+
+  /// A whole exchange with one entry; the ids that were placed.
+  Ids exchange(Follower &F) {
+    hear(F);
+    Server.decide(Now);
+    Ids Out;
+    for (const StreamDecision &D : F.Client.take(update(F), Now))
+      if (const auto *Place = std::get_if<StreamPlace>(&D))
+        Out.push_back(Place->Id);
+    return Out;
+  }
+
+  std::int64_t tokens(const std::string &Id = "d0") {
+    return Table.find(Id)->total().Tokens;
+  }
+
+  TimePoint Now = Start;
+  EndpointTable Table;
+  SharedQuota Quota{QuotaTolerance{}};
+  StreamScheduler Scheduler{{}, Table};
+  AdmissionServer Server{"self", Scheduler, Table, Quota};
+};
+
+} // namespace
+
+// Replays a burst before many entries: each has a request that waits when one
+// engine frees memory for one. All of them used to take it, and the engine
+// refused the KV caches of all but the first.
+TEST_CASE("freed memory goes to one of the entries that wait") {
+  Coordinator C;
+  std::deque<Follower> Entries;
+  for (int I = 0; I < 8; ++I)
+    Entries.emplace_back("entry-" + std::to_string(I));
+  Entries[0].want("running-1", Start);
+  Entries[0].want("running-2", Start);
+  REQUIRE(C.exchange(Entries[0]).size() == 2);
+  for (int I = 0; I < 8; ++I) {
+    const std::string Id = "waits-" + std::to_string(I);
+    Entries[I].want(Id, Start - milliseconds(10 * I));
+    REQUIRE(C.exchange(Entries[I]).empty());
+  }
+  Entries[0].Client.release("running-1", C.Now);
+  Ids Placed;
+  for (Follower &F : Entries)
+    for (const std::string &Id : C.exchange(F))
+      Placed.push_back(Id);
+  CHECK(Placed == Ids{"waits-7"});
+}
+
+// Guards against a request that gets two places, or none, when the update with
+// its place is lost.
+TEST_CASE("a place whose update was lost is sent again") {
+  Coordinator C;
+  Follower F("entry");
+  F.want("1", Start);
+  C.hear(F);
+  C.Server.decide(C.Now);
+  const std::int64_t Held = C.tokens();
+  C.update(F); // lost
+  REQUIRE(F.Client.unconfirmed());
+  REQUIRE(C.exchange(F) == Ids{"1"});
+  REQUIRE(C.exchange(F).empty());
+  CHECK(C.tokens() == Held);
+  CHECK_FALSE(F.Client.unconfirmed());
+}
+
+// Guards against memory that stays reserved for a caller who left before its
+// place was known.
+TEST_CASE("a place that nobody wants any more is freed") {
+  Coordinator C;
+  Follower F("entry");
+  F.want("1", Start);
+  C.hear(F);
+  C.Server.decide(C.Now);
+  F.Client.cancel("1");
+  CHECK(F.Client.take(C.update(F), C.Now).empty());
+  C.hear(F);
+  CHECK(C.tokens() == 0);
+}
+
+// Guards against datagrams that overtake each other.
+TEST_CASE("a report that arrives late is ignored") {
+  Coordinator C;
+  Follower F("entry");
+  F.want("1", Start);
+  const wire::EntryReport Early = F.report(C.Now);
+  REQUIRE(C.exchange(F) == Ids{"1"});
+  F.Client.release("1", C.Now);
+  C.hear(F);
+  C.Server.hear(Early, C.Now);
+  C.Server.decide(C.Now);
+  CHECK(C.tokens() == 0);
+}
+
+// Guards against the load of a killed entry that stays after its restart.
+TEST_CASE("a new incarnation replaces what the old one held") {
+  Coordinator C;
+  Follower Old("entry", 1);
+  Old.want("1", Start);
+  REQUIRE(C.exchange(Old) == Ids{"1"});
+  Follower New("entry", 2);
+  C.hear(New);
+  CHECK(C.tokens() == 0);
+}
+
+// Replays an entry that is cut off from the coordinator: its work goes on, and
+// engines that are taken to be free would refuse prompts that were read. On
+// quiet days this cost 99,000 prompt tokens that were read in vain.
+TEST_CASE("the work of an entry that has fallen silent is kept") {
+  Coordinator C;
+  Follower F("entry");
+  F.want("1", Start);
+  REQUIRE(C.exchange(F) == Ids{"1"});
+  const std::int64_t Held = C.tokens();
+  for (int Ms = 0; Ms <= 6'000; Ms += 100)
+    C.Server.age(Start + milliseconds(Ms));
+  CHECK(C.tokens() == Held);
+  CHECK(C.Server.heard(Start + milliseconds(6'000)) == 1);
+  CHECK(C.Server.known() == 2);
+  C.Server.age(Start + std::chrono::seconds(30));
+  CHECK(C.tokens() == 0);
+  CHECK(C.Server.known() == 1);
+}
+
+// Replays the loss of the coordinator at full load: its successor must learn
+// what was granted before it decides, or it fills engines that are full.
+TEST_CASE("a new coordinator takes over what its predecessor granted") {
+  Coordinator Lost;
+  Follower A("entry-a");
+  Follower B("entry-b");
+  A.want("1", Start);
+  B.want("2", Start);
+  REQUIRE(Lost.exchange(A) == Ids{"1"});
+  REQUIRE(Lost.exchange(B) == Ids{"2"});
+  Coordinator Next;
+  Next.Server.begin(2, Next.Now);
+  A.want("3", Start);
+  REQUIRE(Next.exchange(A).empty());
+  Next.hear(B);
+  CHECK(Next.tokens() == Lost.tokens());
+  Next.Now += milliseconds(200);
+  REQUIRE(Next.exchange(A).empty());
+  A.Client.release("1", Next.Now);
+  CHECK(Next.exchange(A) == Ids{"3"});
+}
+
+// Guards against a prompt that is read while nobody may use its result: a
+// caller's key or patience may end before any coordinator answers.
+TEST_CASE("requests are refused in time if no coordinator decides") {
+  Follower F("entry");
+  F.want("1", Start);
+  F.report(Start);
+  CHECK(F.Client.expire(Start + milliseconds(3'000)).empty());
+  const auto Refused = F.Client.expire(Start + milliseconds(3'400));
+  REQUIRE(Refused.size() == 1);
+  CHECK(std::get<StreamRefusal>(Refused[0]).RetryAfter > milliseconds(0));
+}
+
+// Guards against an account that gets its quota once from every entry, and
+// against grants that are counted for the entry that reported them.
+TEST_CASE("entries learn what all others have granted to an account") {
+  Coordinator C;
+  Follower A("entry-a");
+  Follower B("entry-b");
+  const auto ReportWith = [&](Follower &F, double Tokens) {
+    wire::EntryReport R = F.report(C.Now);
+    wire::AccountUse *Use = R.add_accounts();
+    Use->set_account("acme");
+    Use->set_tokens(Tokens);
+    C.Server.hear(R, C.Now);
+  };
+  ReportWith(A, 5'000); // from before this coordinator
+  ReportWith(B, 0);
+  ReportWith(A, 5'300);
+  ReportWith(B, 200);
+  REQUIRE(C.update(A).accounts_size() == 1);
+  CHECK(C.update(A).accounts(0).tokens() == 200);
+  CHECK(C.update(B).accounts(0).tokens() == 300);
+}
+
+// Guards against a message with numbers that no entry of this version sends.
+TEST_CASE("evidence and denials of unknown kinds are harmless") {
+  Coordinator C;
+  Follower F("entry");
+  wire::EntryReport R = F.report(C.Now);
+  wire::EngineEvidence *Item = R.add_evidence();
+  Item->set_serial(1);
+  Item->set_endpoint("d0");
+  Item->set_kind(4'000'000'000U);
+  C.Server.hear(R, C.Now);
+  CHECK(C.Table.find("d0")->Health.usable(C.Now));
+  F.want("1", Start);
+  wire::CoordinatorUpdate U;
+  U.add_denials()->set_key(1);
+  U.mutable_denials(0)->set_reason(77);
+  REQUIRE(F.Client.take(U, C.Now).size() == 1);
+}
+
+namespace {
+
+/// Entries and one coordinator whose datagrams are lost, late or repeated.
+class LossyFleet {
+public:
+  LossyFleet(int EntryCount, int EngineCount) : C(EngineCount) {
+    for (int I = 0; I < EntryCount; ++I)
+      Entries.push_back(
+          std::make_unique<Follower>("entry-" + std::to_string(I)));
+  }
+
+  /// One step of 10 ms: some entries report, some updates arrive.
+  void step() {
+    C.Now += milliseconds(10);
+    for (auto &F : Entries) {
+      if (chance(5))
+        Reports.push_back(F->report(C.Now));
+      finishSome(*F);
+    }
+    std::deque<wire::EntryReport> Later;
+    for (auto &R : Reports) {
+      if (chance(2))
+        C.Server.hear(R, C.Now);
+      else if (chance(2))
+        Later.push_back(R); // the others are lost
+    }
+    Reports.swap(Later);
+    C.Server.decide(C.Now);
+    for (auto &F : Entries)
+      if (chance(3))
+        take(*F);
+  }
+
+  void want(std::size_t Entry) {
+    const std::string Id = std::to_string(++Submitted);
+    Entries[Entry]->want(Id, C.Now);
+    Open.insert(Id);
+  }
+
+  /// No engine holds more than its memory, and no entry holds a place that
+  /// the coordinator has given to another.
+  bool withinBounds(int EngineCount) {
+    const auto Bound = static_cast<std::int64_t>(10'000 * 1.03);
+    for (int I = 0; I < EngineCount; ++I)
+      if (C.tokens("d" + std::to_string(I)) > Bound)
+        return false;
+    std::size_t Held = 0;
+    for (const auto &F : Entries)
+      Held += F->Client.holding();
+    return Held <= static_cast<std::size_t>(EngineCount) * 2;
+  }
+
+  /// Replaces an entry by a new process of its name; its requests are lost.
+  void restart(std::size_t Entry) {
+    const std::string Name = Entries[Entry]->Name;
+    for (const auto &[Id, F] : Holding)
+      if (F == Entries[Entry].get())
+        Open.erase(Id);
+    std::erase_if(Holding, [&](const auto &Item) {
+      return Item.second == Entries[Entry].get();
+    });
+    Lost += Entries[Entry]->Client.wanting();
+    Entries[Entry] = std::make_unique<Follower>(Name, ++LastIncarnation);
+  }
+
+  Coordinator C;
+  std::set<std::string> Open; ///< submitted and not decided
+  std::size_t Lost = 0;       ///< wants of processes that were killed
+
+private:
+  static bool chance(int OneIn) { return *rc::gen::inRange(0, OneIn) == 0; }
+
+  void take(Follower &F) {
+    for (const StreamDecision &D : F.Client.take(C.update(F), C.Now)) {
+      const auto *Place = std::get_if<StreamPlace>(&D);
+      const std::string Id = Place ? Place->Id : std::get<StreamRefusal>(D).Id;
+      RC_ASSERT(Open.erase(Id) == 1U); // decided once
+      if (Place)
+        Holding.emplace(Id, &F);
+    }
+  }
+
+  void finishSome(Follower &F) {
+    std::erase_if(Holding, [&](const auto &Item) {
+      if (Item.second != &F || !chance(10))
+        return false;
+      F.Client.release(Item.first, C.Now);
+      return true;
+    });
+  }
+
+  std::vector<std::unique_ptr<Follower>> Entries;
+  std::deque<wire::EntryReport> Reports;
+  std::map<std::string, Follower *> Holding;
+  int Submitted = 0;
+  std::uint64_t LastIncarnation = 1;
+};
+
+} // namespace
+
+// Replays a burst at full load while datagrams are lost, late and out of order
+// and entries are killed: each request is decided once, and no engine is ever
+// promised beyond its memory.
+TEST_CASE("memory is promised once whatever the network does") {
+  const bool Passed = rc::check("lossy fleet", [] {
+    constexpr int EntryCount = 6;
+    constexpr int EngineCount = 2;
+    LossyFleet Fleet(EntryCount, EngineCount);
+    for (int Step = 0; Step < 400; ++Step) {
+      if (*rc::gen::inRange(0, 4) == 0)
+        Fleet.want(*rc::gen::inRange<std::size_t>(0, EntryCount));
+      if (*rc::gen::inRange(0, 60) == 0)
+        Fleet.restart(*rc::gen::inRange<std::size_t>(0, EntryCount));
+      Fleet.step();
+      RC_ASSERT(Fleet.withinBounds(EngineCount));
+    }
+    for (int Step = 0; Step < 1'500 && Fleet.Open.size() > Fleet.Lost; ++Step)
+      Fleet.step();
+    RC_ASSERT(Fleet.Open.size() <= Fleet.Lost);
+  });
+  REQUIRE(Passed);
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/coordinator_election.cpp
@@ -0,0 +1,125 @@
+#include "hyssoprail/routing/coordinator_election.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "hyssoprail/core/hash.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// A coordinator sends updates every 100 ms; datagrams are lost at times.
+constexpr milliseconds SilentAfter{400};
+
+/// Between the claims of two deputies, so that the second hears the first.
+constexpr milliseconds ClaimStagger{60};
+
+/// A process that starts waits for the updates of a coordinator that is there.
+constexpr milliseconds StartWait{250};
+constexpr milliseconds LongestStartWait{1'500};
+
+/// Deputies that a stopping entry leaves the claim to.
+constexpr std::size_t RankOfLeaving = 12;
+
+/// Ranks of the entries that are no deputies, chosen by their names.
+constexpr std::uint64_t OtherRanks = 8;
+
+bool precedes(const CoordinatorClaim &A, const CoordinatorClaim &B) {
+  const auto Rank = [](const CoordinatorClaim &C) {
+    return std::tuple(C.hasMajority(), C.Term, stableHash(C.Name),
+                      C.Incarnation);
+  };
+  return Rank(A) > Rank(B);
+}
+
+} // namespace
+
+void CoordinatorElection::start(std::size_t Rank, TimePoint Now) {
+  const auto Wait = std::min<milliseconds>(
+      StartWait + ClaimStagger * static_cast<int>(Rank), LongestStartWait);
+  ClaimAt = Now + Wait;
+}
+
+bool CoordinatorElection::silent(TimePoint Now) const {
+  return !Current || Current->Leaving || Now - HeardAt > SilentAfter;
+}
+
+bool CoordinatorElection::isBetter(const CoordinatorClaim &Claim,
+                                   TimePoint Now) const {
+  if (Claim.Leaving || Claim.Name == OwnName)
+    return false;
+  const bool Vacant = !Coordinating && silent(Now);
+  return Vacant || precedes(Claim, *Current);
+}
+
+bool CoordinatorElection::hear(const CoordinatorClaim &Claim, bool HearsUs,
+                               TimePoint Now) {
+  HighestTerm = std::max(HighestTerm, Claim.Term);
+  if (Claim.Name == OwnName)
+    return false;
+  const bool Same = Current && !Coordinating && Current->Name == Claim.Name &&
+                    Current->Incarnation == Claim.Incarnation;
+  if (!HearsUs && !Claim.Leaving)
+    return false;
+  if (Same) {
+    const bool Renewed = Current->Term != Claim.Term;
+    Current = Claim;
+    HeardAt = Now;
+    return Renewed;
+  }
+  if (!isBetter(Claim, Now))
+    return false;
+  Coordinating = false;
+  Current = Claim;
+  HeardAt = Now;
+  ClaimAt = TimePoint::max();
+  return true;
+}
+
+std::size_t CoordinatorElection::deputyRank() const {
+  if (Resigned)
+    return RankOfLeaving;
+  const auto &Deputies = Current->Deputies;
+  const auto It = std::find(Deputies.begin(), Deputies.end(), OwnName);
+  if (It != Deputies.end())
+    return static_cast<std::size_t>(It - Deputies.begin());
+  return Deputies.size() + stableHash(OwnName) % OtherRanks;
+}
+
+bool CoordinatorElection::tick(std::size_t Followers, std::size_t Known,
+                               TimePoint Now) {
+  if (Coordinating) {
+    Current->Followers = Followers;
+    Current->Known = Known;
+    return false;
+  }
+  if (Current) {
+    if (!silent(Now))
+      return false;
+    const TimePoint Lost = Current->Leaving ? HeardAt : HeardAt + SilentAfter;
+    if (Now < Lost + ClaimStagger * static_cast<int>(deputyRank()))
+      return false;
+  } else if (Now < ClaimAt) {
+    return false;
+  }
+  const std::size_t KnownBefore = Current ? Current->Known : 1;
+  Coordinating = true;
+  Current = CoordinatorClaim{};
+  Current->Name = OwnName;
+  Current->Incarnation = OwnIncarnation;
+  Current->Term = ++HighestTerm;
+  Current->Followers = 1;
+  Current->Known = std::max(Known, KnownBefore);
+  return true;
+}
+
+void CoordinatorElection::resign(TimePoint Now) {
+  Resigned = true;
+  if (!Coordinating)
+    return;
+  Coordinating = false;
+  Current->Leaving = true;
+  HeardAt = Now;
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/coordinator_election_test.cpp
@@ -0,0 +1,116 @@
+#include "hyssoprail/routing/coordinator_election.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::Start;
+
+CoordinatorClaim claim(const std::string &Name, std::uint64_t Term,
+                       std::size_t Followers = 10, std::size_t Known = 10) {
+  CoordinatorClaim C;
+  C.Name = Name;
+  C.Incarnation = 1;
+  C.Address = "10.0.0.1:7600";
+  C.Term = Term;
+  C.Followers = Followers;
+  C.Known = Known;
+  return C;
+}
+
+TimePoint after(int Millis) { return Start + milliseconds(Millis); }
+
+} // namespace
+
+// Guards against a fleet without a coordinator after the present one is lost,
+// and against two deputies that claim at once.
+TEST_CASE("the deputies of a silent coordinator claim one after the other") {
+  CoordinatorElection First("first", 1);
+  CoordinatorElection Second("second", 1);
+  CoordinatorClaim C = claim("lost", 7);
+  C.Deputies = {"first", "second"};
+  REQUIRE(First.hear(C, true, Start));
+  REQUIRE(Second.hear(C, true, Start));
+  REQUIRE_FALSE(First.tick(1, 1, after(400)));
+  REQUIRE(First.tick(1, 1, after(410)));
+  REQUIRE(First.current()->Term == 8);
+  REQUIRE_FALSE(Second.tick(1, 1, after(410)));
+  REQUIRE(Second.hear(*First.current(), true, after(415)));
+  REQUIRE_FALSE(Second.tick(1, 1, after(600)));
+}
+
+// Guards against an entry that was cut off for a moment and then draws all
+// others away from their coordinator.
+TEST_CASE("a claim of the few does not replace the coordinator of the many") {
+  CoordinatorElection Entry("entry", 1);
+  REQUIRE(Entry.hear(claim("many", 3), true, Start));
+  REQUIRE_FALSE(Entry.hear(claim("few", 4, 1, 10), true, after(50)));
+  REQUIRE(Entry.current()->Name == "many");
+  CoordinatorElection Few("few", 1);
+  Few.start(0, Start);
+  REQUIRE(Few.tick(1, 10, after(300)));
+  Few.tick(1, 10, after(350));
+  REQUIRE(Few.hear(claim("many", 1), true, after(400)));
+  REQUIRE_FALSE(Few.coordinates());
+}
+
+// Replays a coordinator that was frozen while another one took over: it still
+// believes that all follow it.
+TEST_CASE("of two coordinators of the many the newer one stays") {
+  CoordinatorElection Thawed("thawed", 1);
+  Thawed.start(0, Start);
+  REQUIRE(Thawed.tick(1, 1, after(300)));
+  REQUIRE_FALSE(Thawed.tick(10, 10, after(350)));
+  REQUIRE_FALSE(Thawed.hear(claim("other", 1, 2, 10), true, after(400)));
+  REQUIRE(Thawed.hear(claim("other", 2), true, after(450)));
+  REQUIRE_FALSE(Thawed.coordinates());
+}
+
+// Replays packets that pass one way only: the coordinator is heard but does not
+// hear us, so its decisions never come.
+TEST_CASE("a coordinator that does not hear this entry is left") {
+  CoordinatorElection Entry("entry", 1);
+  REQUIRE(Entry.hear(claim("c", 1), true, Start));
+  bool Claimed = false;
+  for (int Ms = 100; Ms <= 1'200 && !Claimed; Ms += 50) {
+    Entry.hear(claim("c", 1), false, after(Ms));
+    Claimed = Entry.tick(1, 10, after(Ms));
+  }
+  REQUIRE(Claimed);
+  REQUIRE_FALSE(Entry.hear(claim("c", 1), false, after(1'300)));
+  REQUIRE(Entry.coordinates());
+  REQUIRE(Entry.hear(claim("c", 1), true, after(1'400)));
+}
+
+// Guards against a planned stop that leaves the entries without decisions until
+// they notice the silence.
+TEST_CASE("a coordinator that leaves is replaced at once") {
+  CoordinatorElection Leaving("leaving", 1);
+  Leaving.start(0, Start);
+  REQUIRE(Leaving.tick(1, 1, after(300)));
+  Leaving.resign(after(310));
+  REQUIRE_FALSE(Leaving.coordinates());
+  CoordinatorElection Deputy("deputy", 1);
+  CoordinatorClaim C = claim("leaving", 1);
+  C.Deputies = {"deputy"};
+  REQUIRE(Deputy.hear(C, true, after(300)));
+  C.Leaving = true;
+  Deputy.hear(C, true, after(310));
+  REQUIRE(Deputy.tick(1, 9, after(320)));
+  REQUIRE(Leaving.hear(claim("deputy", 2, 1, 1), true, after(330)));
+}
+
+// Guards against a fleet of one entry that stops and serves nobody meanwhile.
+TEST_CASE("a leaving entry coordinates itself if nobody else does") {
+  CoordinatorElection Alone("alone", 1);
+  Alone.start(0, Start);
+  REQUIRE(Alone.tick(1, 1, after(300)));
+  Alone.resign(after(400));
+  REQUIRE_FALSE(Alone.tick(1, 1, after(500)));
+  REQUIRE(Alone.tick(1, 1, after(1'500)));
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_health.cpp
+++ b/src/hyssoprail/routing/endpoint_health.cpp
@@ -29,13 +29,19 @@
 
 } // namespace
 
+std::optional<Evidence> evidenceFromNumber(std::uint32_t Number) {
+  if (Number > static_cast<std::uint32_t>(Evidence::CacheLost))
+    return std::nullopt;
+  return static_cast<Evidence>(Number);
+}
+
 void EndpointHealth::avoid(Duration For, TimePoint Now) {
   AvoidUntil = std::max(AvoidUntil, Now + For);
 }
 
 void EndpointHealth::record(Evidence What, TimePoint Now) {
   const bool Failed = What != Evidence::Success && What != Evidence::Refused;
-  if (What != Evidence::Refused)
+  if (What != Evidence::Refused && What != Evidence::CacheLost)
     FailureShare += Smoothing * ((Failed ? 1.0 : 0.0) - FailureShare);
   const Duration Backoff = std::min<Duration>(
       FirstAvoidance * (1U << std::min(Failures, MaxDoublings)),
@@ -45,8 +51,10 @@
     Failures = 0;
     Refusals = 0;
     return;
+  case Evidence::CacheLost: // says nothing of the endpoint's answers
   case Evidence::AppError:
-    return; // raises the share, by which callers' requests go elsewhere
+    return; // an AppError raises the share, by which callers' requests go
+            // elsewhere
   case Evidence::Refused:
     avoid(
         std::min<Duration>(FirstRefusalPause *
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -1,9 +1,24 @@
 #include "hyssoprail/routing/endpoint_table.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
 namespace hyssoprail::routing {
+namespace {
+
+/// For how long an engine whose KV cache had vanished at its first use reads
+/// no further prompts.
+constexpr milliseconds HandlesLostPause{2'000};
+
+/// For how long an endpoint that one entry could not reach is used last.
+constexpr milliseconds SuspicionTime{1'200};
+
+/// Part of the bound on starts that decode engines get. Their requests arrive
+/// when their prompts have been read, so those of two seconds may meet in one.
+constexpr std::size_t DecodeStartsDivisor = 2;
+
+} // namespace
 
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &O) {
   Runs += O.Runs;
@@ -43,6 +58,7 @@
   if (Record.Born > E.Record.Born) {
     E.Health = {};
     E.SuspectUntil = {};
+    E.HandlesLostUntil = {};
   }
   const bool Changed = !E.Listed || Record.Born != E.Record.Born ||
                        Record.Draining != E.Record.Draining ||
@@ -84,17 +100,33 @@
   Last = std::move(Loads);
 }
 
-void EndpointTable::suspect(std::string_view Id, TimePoint Until) {
-  if (Endpoint *E = find(Id))
-    E->SuspectUntil = Until;
+void EndpointTable::record(std::string_view Id, Evidence What, TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  if (What == Evidence::CacheLost) {
+    E->HandlesLostUntil = Now + HandlesLostPause;
+    return;
+  }
+  E->Health.record(What, Now);
+  if (What == Evidence::Success)
+    E->SuspectUntil = {};
 }
 
-std::vector<std::string> EndpointTable::unreachable(TimePoint Now) const {
-  std::vector<std::string> Out;
-  for (const auto &[Id, E] : ById)
-    if (E.Listed && !E.Health.reachable(Now))
-      Out.push_back(Id);
-  return Out;
+void EndpointTable::recordOfPeer(const std::string &Peer, std::string_view Id,
+                                 Evidence What, TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  const bool MayBeCutOff =
+      What == Evidence::Unreachable || What == Evidence::Silent;
+  const bool Confirmed = E->isSuspect(Now) && E->SuspectedBy != Peer;
+  if (!MayBeCutOff || Confirmed)
+    record(Id, What, Now);
+  if (!MayBeCutOff)
+    return;
+  E->SuspectUntil = Now + SuspicionTime;
+  E->SuspectedBy = Peer;
 }
 
 void EndpointTable::setStartsPerSecond(std::string_view Service,
@@ -112,12 +144,17 @@
 }
 
 bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
-  return inService(E) && E.Health.usable(Now) && withinStarts(E, Now);
+  return mayReceive(E, Now) && withinStarts(E, Now);
 }
 
 bool EndpointTable::withinStarts(Endpoint &E, TimePoint Now) const {
   const auto Bound = StartsPerSecond.find(E.Record.Service);
-  return Bound == StartsPerSecond.end() || E.Starts.allows(Bound->second, Now);
+  if (Bound == StartsPerSecond.end())
+    return true;
+  const std::size_t Divisor =
+      E.Record.Stage == EngineStage::Decode ? DecodeStartsDivisor : 1;
+  return E.Starts.allows(std::max<std::size_t>(1, Bound->second / Divisor),
+                         Now);
 }
 
 std::vector<Endpoint *> EndpointTable::usable(std::string_view Service,
@@ -169,6 +206,14 @@
   return Out;
 }
 
+std::map<std::string, unsigned> EndpointTable::ownCalls() const {
+  std::map<std::string, unsigned> Out;
+  for (const auto &[Id, E] : ById)
+    if (E.Record.Stage == EngineStage::None && E.Own.Runs > 0)
+      Out.emplace(Id, static_cast<unsigned>(E.Own.Runs));
+  return Out;
+}
+
 namespace {
 
 /// Cost of leaving the zone, in units of a full endpoint.
@@ -177,7 +222,7 @@
 /// Weight of an endpoint's failures against its load.
 constexpr double FailureCost = 1.5;
 
-/// Cost of an endpoint that a peer could not reach.
+/// Cost of an endpoint that an entry could not reach.
 constexpr double SuspectCost = 2;
 
 double callCost(const Endpoint &E, std::string_view Zone, TimePoint Now) {
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -90,6 +90,31 @@
   REQUIRE(Sent.size() >= 16);
 }
 
+// Replays a lost zone: every entry used to find each dead engine by itself,
+// while the registrations still read healthy.
+TEST_CASE("an endpoint that an entry cannot reach is suspected for a while") {
+  EndpointTable Table;
+  Table.apply(service("a"));
+  Table.apply(service("b"));
+  Table.recordOfPeer("entry-1", "a", Evidence::Unreachable, Start);
+  CHECK(Table.find("a")->isSuspect(Start + milliseconds(500)));
+  CHECK(Table.find("a")->Health.usable(Start));
+  CHECK_FALSE(Table.find("b")->isSuspect(Start));
+  CHECK_FALSE(Table.find("a")->isSuspect(Start + milliseconds(1'300)));
+}
+
+// Guards against prompts that are read for engines which nobody reaches, when
+// all others are full.
+TEST_CASE("an endpoint that two entries cannot reach gets no work") {
+  EndpointTable Table;
+  Table.apply(service("a"));
+  Table.recordOfPeer("entry-1", "a", Evidence::Unreachable, Start);
+  Table.recordOfPeer("entry-1", "a", Evidence::Unreachable, Start);
+  REQUIRE(Table.usable("orders", Start).size() == 1);
+  Table.recordOfPeer("entry-2", "a", Evidence::Unreachable, Start);
+  REQUIRE(Table.usable("orders", Start).empty());
+}
+
 // Guards against calls that leave the zone or crowd one endpoint.
 TEST_CASE("calls go to the least loaded endpoint, at home first") {
   EndpointTable Table;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -22,10 +22,6 @@
 /// Prompt tokens that a prefill engine reads in a millisecond.
 constexpr std::int64_t PrefillTokensPerMs = 33;
 
-/// For how long an engine whose KV cache had vanished at its first use reads
-/// no further prompts.
-constexpr milliseconds HandlesLostPause{2'000};
-
 /// Time to the first event after which a stream that may be repeated is taken
 /// elsewhere.
 constexpr milliseconds FirstEventPatience{1'500};
@@ -46,6 +42,7 @@
 /// Sends that reached no engine cost little time and no budget. When a zone is
 /// lost, a third of the engines may be gone before their registrations lapse.
 constexpr unsigned MaxUnsent = 12;
+constexpr unsigned MaxRequeues = 16;
 constexpr milliseconds RefusedReturn{400};
 
 enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
@@ -71,7 +68,7 @@
   }
 
   void start(TimePoint Now) override {
-    Shared.Scheduler.submit(streamNeed(Request, Shared.Lengths, Now));
+    submit(streamNeed(Request, Shared.Lengths, Now));
   }
 
   void onPlaced(const StreamPlace &Place, TimePoint Now) override {
@@ -80,21 +77,22 @@
     Io.note("place", {{"decode", Place.Decode},
                       {"prefill", Place.Prefill},
                       {"waited_ms", Place.Waited},
-                      {"queued", Place.QueueLength},
                       {"decode_runs", Place.DecodeLoad.Runs},
                       {"decode_tokens", Place.DecodeLoad.Tokens},
-                      {"need_tokens", Place.NeedTokens}});
+                      {"need_tokens", Place.NeedTokens},
+                      {"prefill_backlog", Place.PrefillBacklog}});
     if (!Io.stillAllowed())
       return finish(RejectReason::NoKey, {}, Now);
-    if (Place.Prefill.empty())
-      return sendDecode(Now);
-    sendPrefill(Place.Prefill, Now);
+    if (!Place.Prefill.empty())
+      return sendPrefill(Place, Now);
+    if (AskedWithCache && !Cache.usable(Now))
+      return readPromptAgain(Now);
+    sendDecode(Now);
   }
 
   void onRefused(const StreamRefusal &Refusal, TimePoint Now) override {
     Io.note("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
-                       {"expected_wait_ms", Refusal.ExpectedWait},
-                       {"queued", Refusal.QueueLength}});
+                       {"expected_wait_ms", Refusal.ExpectedWait}});
     finish(Ran ? RejectReason::Unknown : RejectReason::NoCapacity,
            Refusal.RetryAfter, Now);
   }
@@ -135,7 +133,7 @@
     if (Ready.empty())
       return;
     LastProgress = Now;
-    Shared.Scheduler.outputGrew(Request.Key,
+    Shared.Admission.outputGrew(Request.Key,
                                 Progress.events() * Request.EventTokens);
     Io.forward(Ready);
   }
@@ -145,8 +143,8 @@
       return;
     Active.reset();
     const bool Whole = Complete && Progress.atEventEnd();
-    if (Endpoint *E = Shared.Table.find(DecodeEndpoint))
-      E->Health.record(Whole ? Evidence::Success : Evidence::Broken, Now);
+    Shared.Engines.record(DecodeEndpoint,
+                          Whole ? Evidence::Success : Evidence::Broken, Now);
     if (Whole) {
       Shared.Lengths.record(Progress.events() * Request.EventTokens);
       Io.finishStream();
@@ -171,8 +169,7 @@
     }
     Io.note("impatient", {{"phase", enumName(PhaseNames, Current)},
                           {"endpoint", currentEndpoint()}});
-    if (Endpoint *E = Shared.Table.find(currentEndpoint()))
-      E->Health.record(Evidence::Silent, Now);
+    Shared.Engines.record(currentEndpoint(), Evidence::Silent, Now);
     stopLeg();
     Arrivals.notAccepted(Now);
     if (Current == Phase::Prefilling)
@@ -183,7 +180,7 @@
   void onCallerGone(TimePoint Now) override {
     if (Current == Phase::Done)
       return;
-    Shared.Scheduler.cancel(Request.Key);
+    Shared.Admission.cancel(Request.Key);
     Ran = Ran || Current == Phase::Starting;
     stopLeg();
     end(Now);
@@ -211,22 +208,31 @@
     return Out;
   }
 
-  void sendPrefill(const std::string &EndpointId, TimePoint Now) {
-    Endpoint *E = Shared.Table.find(EndpointId);
+  /// Asks for engines. What the request held before is given back.
+  void submit(StreamNeed Need) {
+    Current = Phase::Waiting;
+    Need.Zone = Shared.Zone;
+    for (const std::string &Failed : {FailedDecode, FailedPrefill})
+      if (!Failed.empty())
+        Need.Avoid.push_back(Failed);
+    AskedWithCache = Need.HasCache;
+    Shared.Admission.submit(std::move(Need));
+  }
+
+  void sendPrefill(const StreamPlace &Place, TimePoint Now) {
+    Endpoint *E = Shared.Table.find(Place.Prefill);
     if (!E || !Arrivals.begin(LegKind::Prefill, Now)) {
-      Shared.Scheduler.prefillEnded(Request.Key);
+      Shared.Admission.prefillEnded(Request.Key);
       return sendDecode(Now);
     }
     Current = Phase::Prefilling;
-    PrefillEndpoint = EndpointId;
+    PrefillEndpoint = Place.Prefill;
     LastProgress = Now;
     PrefillBy = Now + PrefillPatience +
-                milliseconds(PrefillPatienceFactor *
-                             Shared.Scheduler.prefillBacklog(Request.Key) /
+                milliseconds(PrefillPatienceFactor * Place.PrefillBacklog /
                              PrefillTokensPerMs);
     LegRequest Leg = leg(LegKind::Prefill, *E, Now);
     Leg.Repeat = PrefillSends++ > 0;
-    Shared.Table.sent(EndpointId, Now);
     Active = Io.startLeg(Leg);
   }
 
@@ -234,7 +240,7 @@
     if (Answer.Outcome == LegOutcome::Answered && !Answer.Handle.empty()) {
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
         Cache.hold({E->Record.Address, Answer.Handle}, Now);
-      Shared.Scheduler.prefillEnded(Request.Key);
+      Shared.Admission.prefillEnded(Request.Key);
       return sendDecode(Now);
     }
     prefillElsewhere(Now);
@@ -243,13 +249,10 @@
   /// The prompt could not be read at one engine: another one, or the decode
   /// engine itself.
   void prefillElsewhere(TimePoint Now) {
-    const std::string Next =
-        PrefillSends < MaxPrefillSends
-            ? Shared.Scheduler.replacePrefill(Request.Key, Now)
-            : "";
-    if (!Next.empty())
-      return sendPrefill(Next, Now);
-    Shared.Scheduler.prefillEnded(Request.Key);
+    FailedPrefill = PrefillEndpoint;
+    if (PrefillSends < MaxPrefillSends)
+      return readPromptAgain(Now);
+    Shared.Admission.prefillEnded(Request.Key);
     sendDecode(Now);
   }
 
@@ -257,12 +260,8 @@
     if (!Io.stillAllowed())
       return finish(RejectReason::NoKey, {}, Now);
     Endpoint *E = Shared.Table.find(DecodeEndpoint);
-    if (!E || !Shared.Table.mayStart(*E, Now)) {
-      DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
-      E = Shared.Table.find(DecodeEndpoint);
-    }
-    if (!E)
-      return noDecodeEngine(Now);
+    if (!E || !Shared.Table.mayReceive(*E, Now))
+      return decodeElsewhere(Now);
     if (!Arrivals.begin(LegKind::Decode, Now))
       return giveUp(Now);
     Current = Phase::Starting;
@@ -272,22 +271,21 @@
     Leg.Source = Cache.usable(Now);
     Leg.ResumeAfter = Progress.lastEvent();
     Leg.Repeat = DecodeSends++ > 0;
-    Shared.Table.sent(DecodeEndpoint, Now);
     Active = Io.startLeg(Leg);
   }
 
-  /// The reserved engine is gone and no other has room: back to the queue.
-  void noDecodeEngine(TimePoint Now) {
-    if (DecodeSends >= MaxDecodeSends)
+  /// Back to the queue, before those who have not been placed yet.
+  void placeAgain(bool WithCache, std::string_view Why, TimePoint Now) {
+    if (DecodeSends >= MaxDecodeSends || ++Requeues > MaxRequeues)
       return giveUp(Now);
-    Io.note("requeue", {{"reason", "no_decode_engine"}});
+    Io.note("requeue", {{"reason", Why}, {"has_cache", WithCache}});
     releasePlace(Now);
-    Current = Phase::Waiting;
     StreamNeed N = streamNeed(Request, Shared.Lengths, Request.Arrival);
     N.Returning = true;
+    N.HasCache = WithCache;
     if (Started)
       N.GiveUpAt = std::min(LastProgress + CallerPatience, lastMoment());
-    Shared.Scheduler.submit(N);
+    submit(std::move(N));
   }
 
   void onDecodeAnswer(const LegAnswer &Answer, TimePoint Now) {
@@ -323,9 +321,8 @@
       return decodeElsewhere(Now);
     if (Cache.refused() < CacheRefusals && Cache.usable(Now))
       return decodeElsewhere(Now);
-    if (Endpoint *E = Shared.Table.find(PrefillEndpoint))
-      E->HandlesLostUntil = Now + HandlesLostPause;
-    dropCache();
+    Shared.Engines.record(PrefillEndpoint, Evidence::CacheLost, Now);
+    FailedPrefill = PrefillEndpoint;
     readPromptAgain(Now);
   }
 
@@ -343,20 +340,17 @@
 
   /// Keeps the KV cache if there is one and it still lives.
   void decodeElsewhere(TimePoint Now) {
-    DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
-    if (DecodeEndpoint.empty())
-      return noDecodeEngine(Now);
-    sendDecode(Now);
+    FailedDecode = DecodeEndpoint;
+    if (!Cache.usable(Now))
+      return readPromptAgain(Now);
+    placeAgain(true, "decode_elsewhere", Now);
   }
 
   /// A prefill engine reads the prompt twice as fast as a decode engine, and
   /// without holding up other generations.
   void readPromptAgain(TimePoint Now) {
-    const std::string Prefill =
-        Shared.Scheduler.replacePrefill(Request.Key, Now);
-    if (Prefill.empty())
-      return sendDecode(Now);
-    sendPrefill(Prefill, Now);
+    dropCache();
+    placeAgain(false, "read_prompt", Now);
   }
 
   /// The run ended without its last event. Only a stream that may be resumed
@@ -371,16 +365,13 @@
                          {"runs", Runs}});
     if (!Allowed)
       return finish(RejectReason::Unknown, {}, Now);
-    dropCache();
-    DecodeEndpoint = Shared.Scheduler.replaceDecode(Request.Key, Now);
-    if (DecodeEndpoint.empty())
-      return noDecodeEngine(Now);
+    FailedDecode = DecodeEndpoint;
     readPromptAgain(Now);
   }
 
   void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
-    if (Endpoint *E = Shared.Table.find(currentEndpoint()))
-      E->Health.record(evidenceOf(Answer, Evidence::Silent), Now);
+    Shared.Engines.record(currentEndpoint(),
+                          evidenceOf(Answer, Evidence::Silent), Now);
   }
 
   const std::string &currentEndpoint() const {
@@ -393,7 +384,10 @@
     return Runs + 1 < Request.Route.MaxAttempts &&
            DecodeSends < MaxDecodeSends &&
            Shared.Retries.available(Request.Service, Now) &&
-           Shared.Scheduler.canReplaceDecode(Request.Key, Now);
+           Shared.Admission.hasRoom(
+               Request.Service,
+               streamNeed(Request, Shared.Lengths, Now).PromptTokens,
+               DecodeEndpoint, Now);
   }
 
   TimePoint patienceEnd() const {
@@ -421,7 +415,7 @@
   void timeIsOver(TimePoint Now) {
     const bool Unsure = Ran || Current == Phase::Starting;
     stopLeg();
-    Shared.Scheduler.cancel(Request.Key);
+    Shared.Admission.cancel(Request.Key);
     finish(Unsure ? RejectReason::TimedOut : RejectReason::NotRunInTime, {},
            Now);
   }
@@ -439,7 +433,7 @@
 
   void releasePlace(TimePoint Now) {
     if (HasPlace)
-      Shared.Scheduler.release(Request.Key, Now);
+      Shared.Admission.release(Request.Key, Now);
     HasPlace = false;
   }
 
@@ -470,7 +464,10 @@
   std::optional<FlowIo::LegId> Active;
   std::string PrefillEndpoint;
   std::string DecodeEndpoint;
+  std::string FailedDecode; ///< failed last, not to be tried next
+  std::string FailedPrefill;
   bool HasPlace = false;
+  bool AskedWithCache = false; ///< the place asked for has no prefill engine
   HeldCache Cache;
   ArrivalCount Arrivals;
   StreamProgress Progress;
@@ -479,9 +476,10 @@
   TimePoint PrefillBy{};     ///< a prefill without an answer by then hangs
   unsigned PrefillSends = 0;
   unsigned DecodeSends = 0;
-  unsigned Unsent = 0;  ///< sends that reached no engine
-  unsigned Runs = 0;    ///< engines that ran it, or may have, and stopped
-  bool Started = false; ///< the caller has the head of the answer
+  unsigned Unsent = 0;   ///< sends that reached no engine
+  unsigned Requeues = 0; ///< times that it asked for engines again
+  unsigned Runs = 0;     ///< engines that ran it, or may have, and stopped
+  bool Started = false;  ///< the caller has the head of the answer
   bool Ran = false;
 };
 
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -33,7 +33,7 @@
   /// Starts a stream whose first event has arrived.
   std::unique_ptr<Flow> startedStream(bool Resumable) {
     auto F = startStream(stream(Resumable));
-    F->onAnswer(1, answered(200, "handle-1"), Now);
+    answer(*F, 1, answered(200, "handle-1"));
     F->onStreamHead(2, head(), Now);
     F->onStreamData(2, "id: 1\ndata: a\n\n", Now);
     return F;
@@ -77,13 +77,14 @@
   StreamBench B;
   const auto F = B.startedStream(false);
   F->onStreamEnd(2, false, B.Now);
+  B.poll(*F);
   REQUIRE(B.Io.Legs.size() == 2);
   REQUIRE(B.Io.Aborted);
 
   StreamBench Early;
   const auto G = Early.startStream(Early.stream(false));
-  G->onAnswer(1, answered(200, "handle-1"), Early.Now);
-  G->onAnswer(2, ended(LegOutcome::Broken), Early.Now);
+  Early.answer(*G, 1, answered(200, "handle-1"));
+  Early.answer(*G, 2, ended(LegOutcome::Broken));
   REQUIRE(Early.Io.Legs.size() == 2);
   REQUIRE(Early.Io.Rejected == RejectReason::Unknown);
 }
@@ -95,8 +96,9 @@
   const auto F = B.startedStream(true);
   F->onStreamData(2, "id: 2\nda", B.Now);
   F->onStreamEnd(2, false, B.Now);
+  B.poll(*F);
   REQUIRE(B.leg(3).Kind == LegKind::Prefill);
-  F->onAnswer(3, answered(200, "handle-2"), B.Now);
+  B.answer(*F, 3, answered(200, "handle-2"));
   REQUIRE(B.leg(4).Kind == LegKind::Decode);
   REQUIRE(B.leg(4).ResumeAfter == 1);
   REQUIRE(B.leg(4).EndpointId != B.leg(2).EndpointId);
@@ -117,7 +119,7 @@
   FlowRequest R = B.request(RouteKind::Stream);
   R.Route.Resumable = true;
   const auto F = B.startStream(R);
-  F->onAnswer(1, answered(200, "handle-1"), B.Now);
+  B.answer(*F, 1, answered(200, "handle-1"));
   F->onStreamHead(2, head(), B.Now);
   F->onStreamData(2, "id: 1\ndata: a\n\n", B.Now);
   B.Now += milliseconds(1'500);
@@ -127,6 +129,7 @@
   B.add(engine("d2", EngineStage::Decode));
   B.Now += milliseconds(400);
   F->onTimer(B.Now);
+  B.poll(*F);
   REQUIRE(B.Io.Cancelled.size() == 1);
   REQUIRE(B.Io.Legs.size() == 3);
 }
@@ -136,8 +139,8 @@
 TEST_CASE("a refused KV cache is offered to another engine first") {
   StreamBench B;
   const auto F = B.startStream(B.stream(false));
-  F->onAnswer(1, answered(200, "handle-1"), B.Now);
-  F->onAnswer(2, ended(LegOutcome::NotRun), B.Now);
+  B.answer(*F, 1, answered(200, "handle-1"));
+  B.answer(*F, 2, ended(LegOutcome::NotRun));
   REQUIRE(B.leg(3).Kind == LegKind::Decode);
   REQUIRE(B.leg(3).Source->Handle == "handle-1");
   REQUIRE(B.leg(3).EndpointId != B.leg(2).EndpointId);
@@ -148,9 +151,11 @@
 TEST_CASE("a KV cache that two engines refuse is read anew elsewhere") {
   StreamBench B;
   const auto F = B.startStream(B.stream(false));
-  F->onAnswer(1, answered(200, "handle-1"), B.Now);
-  F->onAnswer(2, ended(LegOutcome::NotRun), B.Now);
-  F->onAnswer(3, ended(LegOutcome::NotRun), B.Now);
+  B.answer(*F, 1, answered(200, "handle-1"));
+  B.answer(*F, 2, ended(LegOutcome::NotRun));
+  B.answer(*F, 3, ended(LegOutcome::NotRun));
+  B.Now += milliseconds(200); // both engines rest after their refusals
+  B.poll(*F);
   REQUIRE(B.Io.Dropped == std::vector<std::string>{"handle-1"});
   REQUIRE(B.leg(4).Kind == LegKind::Prefill);
   REQUIRE(B.leg(4).EndpointId != B.leg(1).EndpointId);
@@ -165,8 +170,8 @@
   StreamBench B;
   B.Retries = RetryWindow({0, 1.3, milliseconds(10'000)});
   const auto F = B.startStream(B.stream(true));
-  F->onAnswer(1, ended(LegOutcome::Broken), B.Now);
-  F->onAnswer(2, ended(LegOutcome::Broken), B.Now);
+  B.answer(*F, 1, ended(LegOutcome::Broken));
+  B.answer(*F, 2, ended(LegOutcome::Broken));
   REQUIRE(B.Io.Legs.size() == 2);
   REQUIRE(B.Io.Rejected == RejectReason::NotRun);
   REQUIRE(B.Io.Return > milliseconds(0));
@@ -177,10 +182,10 @@
   StreamBench B;
   B.Retries = RetryWindow({0, 0, milliseconds(10'000)});
   const auto F = B.startStream(B.stream(false));
-  F->onAnswer(1, ended(LegOutcome::NotSent), B.Now);
+  B.answer(*F, 1, ended(LegOutcome::NotSent));
   REQUIRE(B.leg(2).Kind == LegKind::Prefill);
-  F->onAnswer(2, answered(200, "handle-1"), B.Now);
-  F->onAnswer(3, ended(LegOutcome::NotSent), B.Now);
+  B.answer(*F, 2, answered(200, "handle-1"));
+  B.answer(*F, 3, ended(LegOutcome::NotSent));
   REQUIRE(B.leg(4).Kind == LegKind::Decode);
   REQUIRE(B.leg(4).Source->Handle == "handle-1");
 }
@@ -193,9 +198,9 @@
   for (int I = 3; I <= 9; ++I)
     B.add(engine("d" + std::to_string(I), EngineStage::Decode));
   const auto F = B.startStream(B.stream(false));
-  F->onAnswer(1, answered(200, "handle-1"), B.Now);
+  B.answer(*F, 1, answered(200, "handle-1"));
   for (FlowIo::LegId Leg = 2; Leg <= 8; ++Leg)
-    F->onAnswer(Leg, ended(LegOutcome::NotSent), B.Now);
+    B.answer(*F, Leg, ended(LegOutcome::NotSent));
   REQUIRE_FALSE(F->done());
   REQUIRE(B.leg(9).Kind == LegKind::Decode);
   REQUIRE(B.leg(9).Source->Handle == "handle-1");
@@ -205,7 +210,7 @@
 TEST_CASE("a caller that leaves frees engines and KV cache at once") {
   StreamBench B;
   const auto F = B.startStream(B.stream(false));
-  F->onAnswer(1, answered(200, "handle-1"), B.Now);
+  B.answer(*F, 1, answered(200, "handle-1"));
   F->onCallerGone(B.Now);
   REQUIRE(B.Io.Cancelled == std::vector<FlowIo::LegId>{2});
   REQUIRE(B.Io.Dropped == std::vector<std::string>{"handle-1"});
@@ -230,7 +235,8 @@
   const auto F = B.startedStream(true);
   B.Io.Allowed = false;
   F->onStreamEnd(2, false, B.Now);
-  F->onAnswer(3, answered(200, "handle-2"), B.Now);
+  B.poll(*F);
+  B.answer(*F, 3, answered(200, "handle-2"));
   REQUIRE(B.Io.Aborted);
   REQUIRE(B.Io.Answers == 1);
   REQUIRE(F->done());
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -1,22 +1,14 @@
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
 #include <algorithm>
-#include <array>
 #include <limits>
-#include <numeric>
 #include <tuple>
 
-#include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/core/hash.hpp"
 
 namespace hyssoprail::routing {
 namespace {
 
-constexpr std::uint32_t BlockTokens = 16;
-
-/// What a generation that is longer than expected is expected to add.
-constexpr std::uint32_t GrowthTokens = 320;
-
 /// From placement to the first event: prefill, transfer and the first step.
 constexpr milliseconds TimeToFirstEvent{250};
 
@@ -38,8 +30,8 @@
 constexpr double OtherZoneCost = 0.12;
 constexpr double FailureCost = 1.0;
 
-/// Extra cost of an engine that a peer could not reach, for the decode part and
-/// in prompt tokens.
+/// Extra cost of an engine that an entry could not reach, for the decode part
+/// and in prompt tokens.
 constexpr double SuspectCost = 2;
 constexpr std::int64_t SuspectPrefillCost = 20'000;
 
@@ -47,41 +39,19 @@
 /// worth; between zones a KV cache takes twice as long.
 constexpr std::int64_t OtherZonePrefillCost = 2'500;
 
-/// Entries hear of each other's placements some time later. So that they do not
-/// all choose the engine that was emptiest in the last reports, each request
-/// adds a chance part to the cost of each engine: up to this part of a decode
-/// engine's memory, and up to this many prompt tokens.
-constexpr double DecodeSpread = 0.2;
-constexpr std::int64_t PrefillSpread = 3'000;
-
-constexpr std::array<EnumName<StreamRefusalReason>, 4> RefusalNames{{
-    {StreamRefusalReason::NoEngine, "no_engine"},
-    {StreamRefusalReason::TooLarge, "too_large"},
-    {StreamRefusalReason::QueueTooLong, "queue_too_long"},
-    {StreamRefusalReason::WaitedTooLong, "waited_too_long"},
-}};
-
-std::int64_t memoryNeed(const StreamNeed &Need) {
-  const std::int64_t Tokens =
-      std::int64_t{Need.PromptTokens} + Need.OutputTokens;
-  return (Tokens + BlockTokens - 1) / BlockTokens * BlockTokens;
-}
+/// Prompt tokens that a prefill engine which always fails is taken to be
+/// behind.
+constexpr double FailurePrefillCost = 10'000;
 
-EndpointLoad decodeLoad(const StreamNeed &Need) {
-  return {1, memoryNeed(Need), 0};
-}
+/// Chance part of the cost of an engine of whose work nothing is known: up to
+/// this part of a decode engine's memory.
+constexpr double LargestSpread = 0.5;
+constexpr double PrefillSpreadTokens = 6'000;
 
-EndpointLoad prefillLoad(const StreamNeed &Need) {
-  return {1, 0, Need.PromptTokens};
-}
+EndpointLoad decodeLoad(const StreamHold &Hold) { return {1, Hold.Tokens, 0}; }
 
-/// Number in [0, 1) that differs between entries, requests and engines.
-double chanceOf(const std::string &Entry, const std::string &Request,
-                const std::string &EndpointId) {
-  constexpr double Range = 18'446'744'073'709'551'616.0; // 2^64
-  return static_cast<double>(
-             rendezvousWeight(Entry + '/' + Request, EndpointId)) /
-         Range;
+EndpointLoad prefillLoad(const StreamHold &Hold) {
+  return {1, 0, Hold.PromptTokens};
 }
 
 /// Rank of service; lower ranks go first. Urgent routes and accounts; within
@@ -94,8 +64,9 @@
          (Need.Returning ? 0 : 2) + (Late ? 1 : 0);
 }
 
-WaitingRequest asWaiting(const StreamNeed &Need, TimePoint Now) {
-  return {Need.Service, serviceRank(Need, Now), Need.Arrival, memoryNeed(Need)};
+bool avoids(const StreamNeed &Need, const Endpoint &E) {
+  return std::find(Need.Avoid.begin(), Need.Avoid.end(), E.Record.Id) !=
+         Need.Avoid.end();
 }
 
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
@@ -106,166 +77,249 @@
 
 } // namespace
 
-std::string_view streamRefusalName(StreamRefusalReason Reason) {
-  return enumName(RefusalNames, Reason);
-}
+// ---- What waits and what holds engines ------------------------------------
 
 void StreamScheduler::submit(StreamNeed Need) {
-  Waiting.push_back(std::move(Need));
+  std::string Id = Need.Id;
+  Waiting.insert_or_assign(std::move(Id),
+                           Queued{std::move(Need), ++LastSerial});
 }
 
 void StreamScheduler::cancel(std::string_view Id) {
-  std::erase_if(Waiting, [&](const StreamNeed &N) { return N.Id == Id; });
-}
-
-void StreamScheduler::setPeersWaiting(std::int64_t Tokens,
-                                      std::vector<WaitingRequest> Requests) {
-  PeersWaiting = Tokens;
-  PeerRequests = std::move(Requests);
-  std::sort(PeerRequests.begin(), PeerRequests.end(),
-            [](const WaitingRequest &A, const WaitingRequest &B) {
-              return A.servedBefore(B);
-            });
-}
-
-std::vector<WaitingRequest> StreamScheduler::firstWaiting(std::size_t Count,
-                                                          TimePoint Now) const {
-  std::vector<WaitingRequest> Out;
-  for (const std::size_t I : serviceOrder(Now)) {
-    if (Out.size() == Count)
-      break;
-    Out.push_back(asWaiting(Waiting[I], Now));
-  }
-  return Out;
+  const auto It = Waiting.find(Id);
+  if (It != Waiting.end())
+    Waiting.erase(It);
 }
 
 std::int64_t StreamScheduler::waitingTokens() const {
   std::int64_t Sum = 0;
-  for (const StreamNeed &N : Waiting)
-    Sum += memoryNeed(N);
+  for (const auto &[Id, Q] : Waiting)
+    Sum += memoryNeed(Q.Need);
   return Sum;
 }
 
 TimePoint StreamScheduler::nextDeadline() const {
   TimePoint Next = TimePoint::max();
-  for (const StreamNeed &N : Waiting)
-    Next = std::min(Next, N.GiveUpAt - LatestStart);
+  for (const auto &[Id, Q] : Waiting)
+    Next = std::min(Next, Q.Need.GiveUpAt - LatestStart);
   return Next;
 }
 
+void StreamScheduler::hold(StreamHold Hold, TimePoint Now) {
+  Table.reserve(Hold.Decode, decodeLoad(Hold));
+  if (!Hold.Prefill.empty())
+    Table.reserve(Hold.Prefill, prefillLoad(Hold));
+  AccountTokens[Hold.Account] += Hold.Tokens;
+  std::string Id = Hold.Id;
+  Running.insert_or_assign(std::move(Id), Placed{std::move(Hold), Now});
+}
+
+void StreamScheduler::adopt(const StreamHold &Hold, TimePoint Now) {
+  cancel(Hold.Id);
+  if (!holds(Hold.Id))
+    hold(Hold, Now);
+}
+
+void StreamScheduler::release(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return;
+  prefillEnded(Id);
+  const Placed &P = It->second;
+  Table.release(P.Hold.Decode, decodeLoad(P.Hold));
+  AccountTokens[P.Hold.Account] -= P.Hold.Tokens;
+  MeanRunSeconds +=
+      RunTimeSmoothing * (seconds(Now - P.Since) - MeanRunSeconds);
+  Running.erase(It);
+}
+
+void StreamScheduler::clear(TimePoint Now) {
+  Waiting.clear();
+  const double KeptMean = MeanRunSeconds;
+  while (!Running.empty())
+    release(std::string(Running.begin()->first), Now);
+  MeanRunSeconds = KeptMean;
+}
+
+void StreamScheduler::outputGrew(std::string_view Id, std::uint64_t Tokens) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return;
+  const StreamHold &H = It->second.Hold;
+  if (H.PromptTokens + Tokens >= H.Tokens)
+    resize(Id, memoryOfLonger(H.PromptTokens, Tokens));
+}
+
+void StreamScheduler::resize(std::string_view Id, std::uint32_t Tokens) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || It->second.Hold.Tokens == Tokens)
+    return;
+  StreamHold &H = It->second.Hold;
+  Table.release(H.Decode, decodeLoad(H));
+  AccountTokens[H.Account] += std::int64_t{Tokens} - H.Tokens;
+  H.Tokens = Tokens;
+  Table.reserve(H.Decode, decodeLoad(H));
+}
+
+void StreamScheduler::prefillEnded(std::string_view Id) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || It->second.Hold.Prefill.empty())
+    return;
+  StreamHold &H = It->second.Hold;
+  Table.release(H.Prefill, prefillLoad(H));
+  H.Prefill.clear();
+}
+
 double StreamScheduler::accountLoad(const std::string &Account) const {
-  std::int64_t Tokens = 0;
-  for (const auto &[Id, P] : Running)
-    if (P.Need.Account == Account)
-      Tokens += memoryNeed(P.Need);
+  const auto Tokens = AccountTokens.find(Account);
+  if (Tokens == AccountTokens.end())
+    return 0;
   const auto Policy = Config->Accounts.find(Account);
   const double Rate =
       Policy == Config->Accounts.end() ? 0 : Policy->second.RatePerSecond;
-  return static_cast<double>(Tokens) / std::max(1.0, Rate);
+  return static_cast<double>(Tokens->second) / std::max(1.0, Rate);
 }
 
+// ---- Decisions ------------------------------------------------------------
+
 /// Order of service: by rank; within a rank the account with the least running
 /// work for its rate, then the earliest.
-std::vector<std::size_t> StreamScheduler::serviceOrder(TimePoint Now) const {
-  using Key = std::tuple<std::int32_t, double, TimePoint>;
-  std::map<std::string, double> AccountLoads;
+std::vector<const StreamNeed *>
+StreamScheduler::serviceOrder(TimePoint Now) const {
+  using Key = std::tuple<std::int32_t, double, TimePoint, std::uint64_t,
+                         const StreamNeed *>;
   std::vector<Key> Keys;
   Keys.reserve(Waiting.size());
-  for (const StreamNeed &N : Waiting) {
-    const auto [Load, New] = AccountLoads.try_emplace(N.Account, 0);
-    if (New)
-      Load->second = accountLoad(N.Account);
-    Keys.emplace_back(serviceRank(N, Now), Load->second, N.Arrival);
-  }
-  std::vector<std::size_t> Order(Waiting.size());
-  std::iota(Order.begin(), Order.end(), 0U);
-  std::sort(Order.begin(), Order.end(),
-            [&](std::size_t A, std::size_t B) { return Keys[A] < Keys[B]; });
-  return Order;
+  for (const auto &[Id, Q] : Waiting)
+    Keys.emplace_back(serviceRank(Q.Need, Now), accountLoad(Q.Need.Account),
+                      Q.Need.Arrival, Q.Serial, &Q.Need);
+  std::sort(Keys.begin(), Keys.end());
+  std::vector<const StreamNeed *> Out;
+  Out.reserve(Keys.size());
+  for (const Key &K : Keys)
+    Out.push_back(std::get<const StreamNeed *>(K));
+  return Out;
 }
 
 std::vector<StreamDecision> StreamScheduler::poll(TimePoint Now) {
   std::vector<StreamDecision> Out;
   if (Waiting.empty() || !Config)
     return Out;
-  std::vector<bool> Done(Waiting.size(), false);
-  std::int64_t TokensAhead = PeersWaiting;
-  PeerClaims.clear();
-  auto Peer = PeerRequests.begin();
-  for (const std::size_t I : serviceOrder(Now)) {
-    const WaitingRequest Own = asWaiting(Waiting[I], Now);
-    for (; Peer != PeerRequests.end() && Peer->servedBefore(Own); ++Peer)
-      leaveToPeer(*Peer, Now);
-    Done[I] = consider(Waiting[I], TokensAhead, Now, Out) != Verdict::Waits;
-    if (!Done[I])
-      TokensAhead += memoryNeed(Waiting[I]);
+  std::map<std::string_view, Pool> Pools;
+  std::vector<std::string> Done;
+  std::int64_t TokensAhead = 0;
+  for (const StreamNeed *Need : serviceOrder(Now)) {
+    auto Engines = Pools.find(Need->Service);
+    if (Engines == Pools.end())
+      Engines =
+          Pools.emplace(Need->Service, makePool(Need->Service, Now)).first;
+    if (consider(*Need, Engines->second, TokensAhead, Now, Out) ==
+        Verdict::Waits)
+      TokensAhead += memoryNeed(*Need);
+    else
+      Done.push_back(Need->Id);
   }
-  std::size_t Index = 0;
-  std::erase_if(Waiting, [&](const StreamNeed &) { return Done[Index++]; });
-  PeerClaims.clear();
+  for (const std::string &Id : Done)
+    Waiting.erase(Id);
   return Out;
 }
 
-/// Sets memory aside for a request of another entry, at the engine with the
-/// least load. A request that fits nowhere holds up nobody.
-void StreamScheduler::leaveToPeer(const WaitingRequest &Request,
-                                  TimePoint Now) {
-  const std::int64_t Bound = memoryBound(Request.Service);
-  const Endpoint *Best = nullptr;
-  std::int64_t BestLoad = std::numeric_limits<std::int64_t>::max();
-  for (const Endpoint *E : Table.usable(Request.Service, Now)) {
-    const std::int64_t Load = loadWithClaims(*E);
-    if (E->Record.Stage == EngineStage::Prefill ||
-        Load + Request.Tokens > Bound || Load >= BestLoad)
+StreamScheduler::Pool StreamScheduler::makePool(std::string_view Service,
+                                                TimePoint Now) {
+  Pool P;
+  P.Bound = memoryBound(Service);
+  for (Endpoint *E : Table.usable(Service, Now))
+    (E->Record.Stage == EngineStage::Prefill ? P.Prefill : P.Decode)
+        .push_back(E);
+  measure(P);
+  return P;
+}
+
+void StreamScheduler::measure(Pool &P) {
+  P.LargestFree = 0;
+  P.Free = 0;
+  for (const Endpoint *E : P.Decode) {
+    const EndpointLoad Load = E->total();
+    if (Load.Runs >= static_cast<std::int32_t>(E->Record.Slots))
       continue;
-    Best = E;
-    BestLoad = Load;
+    const std::int64_t Free = std::max<std::int64_t>(0, P.Bound - Load.Tokens);
+    P.Free += Free;
+    P.LargestFree = std::max(P.LargestFree, Free);
   }
-  if (Best)
-    PeerClaims[Best->Record.Id] += Request.Tokens;
 }
 
-std::int64_t StreamScheduler::loadWithClaims(const Endpoint &E) const {
-  const auto Claim = PeerClaims.find(E.Record.Id);
-  return E.total().Tokens + (Claim == PeerClaims.end() ? 0 : Claim->second);
+StreamScheduler::Room StreamScheduler::emptiest(std::string_view Service,
+                                                std::string_view Except,
+                                                TimePoint Now) {
+  Room Out;
+  if (!Config)
+    return Out;
+  const Pool P = makePool(Service, Now);
+  for (const Endpoint *E : P.Decode) {
+    const EndpointLoad Load = E->total();
+    const std::int64_t Free = P.Bound - Load.Tokens;
+    if (Load.Runs >= static_cast<std::int32_t>(E->Record.Slots) ||
+        Free <= Out.Free || E->Record.Id == Except)
+      continue;
+    Out = {E->Record.Id, Free};
+  }
+  return Out;
+}
+
+bool StreamScheduler::hasRoom(std::string_view Service, std::int64_t Tokens,
+                              std::string_view Except, TimePoint Now) {
+  return emptiest(Service, Except, Now).Free >= Tokens;
 }
 
 StreamScheduler::Verdict
-StreamScheduler::consider(const StreamNeed &Need, std::int64_t TokensAhead,
-                          TimePoint Now, std::vector<StreamDecision> &Out) {
-  if (memoryNeed(Need) > memoryBound(Need.Service)) {
+StreamScheduler::consider(const StreamNeed &Need, Pool &Engines,
+                          std::int64_t TokensAhead, TimePoint Now,
+                          std::vector<StreamDecision> &Out) {
+  if (memoryNeed(Need) > Engines.Bound) {
     Out.push_back(refusal(Need, StreamRefusalReason::TooLarge, {}, Now));
     return Verdict::Refused;
   }
-  if (Endpoint *Decode = chooseDecode(Need, memoryBound(Need.Service), Now)) {
-    Endpoint *Prefill = nullptr;
-    if (Options.UsePrefillEngines)
-      Prefill = choosePrefill(Need, Decode->Record.Zone, Now);
-    Placed P{Need, Decode->Record.Id, Prefill ? Prefill->Record.Id : "", Now};
-    const EndpointLoad Before = Decode->total();
-    Table.reserve(P.Decode, decodeLoad(Need));
-    if (Prefill)
-      Table.reserve(P.Prefill, prefillLoad(Need));
-    Out.push_back(StreamPlace{Need.Id, P.Decode, P.Prefill, Now - Need.Arrival,
-                              Waiting.size(), Before, memoryNeed(Need)});
-    Running[Need.Id] = std::move(P);
+  if (Endpoint *Decode = chooseDecode(Need, Engines, Now)) {
+    Out.push_back(place(Need, Engines, *Decode, Now));
     return Verdict::Placed;
   }
+  const Duration Wait = expectedWait(Need, Engines, TokensAhead, Now);
   if (Now + LatestStart >= Need.GiveUpAt) {
-    Out.push_back(refusal(Need, StreamRefusalReason::WaitedTooLong,
-                          expectedWait(Need, TokensAhead, Now), Now));
+    Out.push_back(refusal(Need, StreamRefusalReason::WaitedTooLong, Wait, Now));
     return Verdict::Refused;
   }
-  const Duration Wait = expectedWait(Need, TokensAhead, Now);
-  if (Now + Wait + LatestStart < Need.GiveUpAt)
-    return Verdict::Waits;
   // Those who came back have no further try, so they wait as long as they can.
-  if (Need.Returning)
+  if (Need.Returning || Now + Wait + LatestStart < Need.GiveUpAt)
     return Verdict::Waits;
   Out.push_back(refusal(Need, StreamRefusalReason::QueueTooLong, Wait, Now));
   return Verdict::Refused;
 }
 
+StreamPlace StreamScheduler::place(const StreamNeed &Need, Pool &Engines,
+                                   Endpoint &Decode, TimePoint Now) {
+  StreamPlace Out;
+  Out.Id = Need.Id;
+  Out.Decode = Decode.Record.Id;
+  Out.Waited = Now - Need.Arrival;
+  Out.DecodeLoad = Decode.total();
+  Out.NeedTokens = memoryNeed(Need);
+  Endpoint *Prefill = nullptr;
+  if (Options.UsePrefillEngines && !Need.HasCache)
+    Prefill = choosePrefill(Need, Engines, Decode.Record.Zone, Now);
+  if (Prefill) {
+    Out.Prefill = Prefill->Record.Id;
+    Out.PrefillBacklog = Prefill->total().PrefillTokens + Need.PromptTokens;
+  }
+  hold({Need.Id, Need.Service, Need.Account, Out.Decode, Out.Prefill,
+        memoryNeed(Need), Need.PromptTokens},
+       Now);
+  Table.sent(Out.Decode, Now);
+  if (Prefill)
+    Table.sent(Out.Prefill, Now);
+  measure(Engines);
+  return Out;
+}
+
 StreamRefusal StreamScheduler::refusal(const StreamNeed &Need,
                                        StreamRefusalReason Reason,
                                        Duration ExpectedWait,
@@ -276,7 +330,7 @@
   const Duration Return = std::clamp<Duration>(
       ExpectedWait, std::min<Duration>(ShortestReturn, Longest), Longest);
   return {Need.Id, Reason, std::chrono::duration_cast<milliseconds>(Return),
-          ExpectedWait, Waiting.size()};
+          ExpectedWait};
 }
 
 std::int64_t StreamScheduler::memoryBound(std::string_view Service) const {
@@ -287,22 +341,41 @@
                                    Options.MemoryShare);
 }
 
+/// Number in [0, 1 - KnownShare) that differs between requests and engines.
+double StreamScheduler::spread(const StreamNeed &Need,
+                               const Endpoint &E) const {
+  if (KnownShare >= 1)
+    return 0;
+  constexpr double Range = 18'446'744'073'709'551'616.0; // 2^64
+  const double Chance =
+      static_cast<double>(rendezvousWeight(Need.Id, E.Record.Id)) / Range;
+  return (1 - KnownShare) * Chance;
+}
+
 Endpoint *StreamScheduler::chooseDecode(const StreamNeed &Need,
-                                        std::int64_t Bound, TimePoint Now) {
+                                        const Pool &Engines,
+                                        TimePoint Now) const {
+  const std::int64_t Bound =
+      Need.HasCache ? static_cast<std::int64_t>(
+                          static_cast<double>(Engines.Bound) * ReplacementShare)
+                    : Engines.Bound;
+  const std::int64_t Tokens = memoryNeed(Need);
+  if (Tokens > Engines.LargestFree + (Bound - Engines.Bound))
+    return nullptr;
   Endpoint *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
-  for (Endpoint *E : Table.usable(Need.Service, Now)) {
-    if (E->Record.Stage == EngineStage::Prefill || E->Record.Id == Need.Avoid)
-      continue;
-    const std::int64_t Tokens = loadWithClaims(*E);
-    if (Tokens + memoryNeed(Need) > Bound ||
-        E->total().Runs >= static_cast<std::int32_t>(E->Record.Slots))
+  for (Endpoint *E : Engines.Decode) {
+    const EndpointLoad Load = E->total();
+    if (Load.Tokens + Tokens > Bound ||
+        Load.Runs >= static_cast<std::int32_t>(E->Record.Slots) ||
+        avoids(Need, *E) || !Table.mayStart(*E, Now))
       continue;
-    double Cost = static_cast<double>(Tokens) / static_cast<double>(Bound);
-    if (E->Record.Zone != Options.Zone)
+    double Cost =
+        static_cast<double>(Load.Tokens) / static_cast<double>(Engines.Bound);
+    if (E->Record.Zone != Need.Zone)
       Cost += OtherZoneCost;
     Cost += FailureCost * E->Health.failureShare();
-    Cost += DecodeSpread * chanceOf(Options.Name, Need.Id, E->Record.Id);
+    Cost += LargestSpread * spread(Need, *E);
     if (E->isSuspect(Now))
       Cost += SuspectCost;
     if (Cost >= BestCost)
@@ -314,22 +387,22 @@
 }
 
 Endpoint *StreamScheduler::choosePrefill(const StreamNeed &Need,
-                                         std::string_view Zone, TimePoint Now) {
+                                         const Pool &Engines,
+                                         std::string_view Zone,
+                                         TimePoint Now) const {
   Endpoint *Best = nullptr;
-  std::int64_t BestCost = std::numeric_limits<std::int64_t>::max();
-  for (Endpoint *E : Table.usable(Need.Service, Now)) {
-    if (E->Record.Stage != EngineStage::Prefill || E->Record.Id == Need.Avoid ||
-        Now < E->HandlesLostUntil)
-      continue;
+  double BestCost = std::numeric_limits<double>::max();
+  for (Endpoint *E : Engines.Prefill) {
     const std::int64_t Backlog = E->total().PrefillTokens;
-    if (Backlog > Options.PrefillBacklog)
+    if (Backlog > Options.PrefillBacklog || avoids(Need, *E) ||
+        Now < E->HandlesLostUntil || !Table.mayStart(*E, Now))
       continue;
-    const std::int64_t Cost =
+    const std::int64_t Known =
         Backlog + (E->Record.Zone == Zone ? 0 : OtherZonePrefillCost) +
-        (E->isSuspect(Now) ? SuspectPrefillCost : 0) +
-        static_cast<std::int64_t>(E->Health.failureShare() * 10'000) +
-        static_cast<std::int64_t>(
-            PrefillSpread * chanceOf(Options.Name, Need.Id, E->Record.Id));
+        (E->isSuspect(Now) ? SuspectPrefillCost : 0);
+    const double Cost = static_cast<double>(Known) +
+                        FailurePrefillCost * E->Health.failureShare() +
+                        PrefillSpreadTokens * spread(Need, *E);
     if (Cost >= BestCost)
       continue;
     Best = E;
@@ -341,109 +414,17 @@
 /// Time until the memory for which others wait has been freed, if engines free
 /// it evenly over the mean time that a generation runs.
 Duration StreamScheduler::expectedWait(const StreamNeed &Need,
+                                       const Pool &Engines,
                                        std::int64_t TokensAhead,
-                                       TimePoint Now) {
-  std::int64_t Capacity = 0;
-  std::int64_t Used = 0;
-  const std::int64_t Bound = memoryBound(Need.Service);
-  for (Endpoint *E : Table.usable(Need.Service, Now)) {
-    if (E->Record.Stage == EngineStage::Prefill)
-      continue;
-    Capacity += Bound;
-    Used += E->total().Tokens;
-  }
-  if (Capacity == 0)
+                                       TimePoint Now) const {
+  if (Engines.Decode.empty())
     return Need.GiveUpAt - Now;
-  const std::int64_t Missing = memoryNeed(Need) + TokensAhead -
-                               std::max<std::int64_t>(0, Capacity - Used);
+  const std::int64_t Missing = memoryNeed(Need) + TokensAhead - Engines.Free;
   if (Missing <= 0)
     return Duration{0};
-  const double FreedPerSecond = static_cast<double>(Capacity) / MeanRunSeconds;
-  return fromSeconds(static_cast<double>(Missing) / FreedPerSecond);
-}
-
-void StreamScheduler::release(std::string_view Id, TimePoint Now) {
-  const auto It = Running.find(Id);
-  if (It == Running.end())
-    return;
-  prefillEnded(Id);
-  Placed &P = It->second;
-  Table.release(P.Decode, decodeLoad(P.Need));
-  MeanRunSeconds +=
-      RunTimeSmoothing * (seconds(Now - P.Since) - MeanRunSeconds);
-  Running.erase(It);
-}
-
-void StreamScheduler::outputGrew(std::string_view Id, std::uint64_t Tokens) {
-  const auto It = Running.find(Id);
-  if (It == Running.end() || Tokens < It->second.Need.OutputTokens)
-    return;
-  Placed &P = It->second;
-  Table.release(P.Decode, decodeLoad(P.Need));
-  P.Need.OutputTokens = static_cast<std::uint32_t>(Tokens) + GrowthTokens;
-  Table.reserve(P.Decode, decodeLoad(P.Need));
-}
-
-void StreamScheduler::prefillEnded(std::string_view Id) {
-  const auto It = Running.find(Id);
-  if (It == Running.end() || It->second.Prefill.empty())
-    return;
-  Table.release(It->second.Prefill, prefillLoad(It->second.Need));
-  It->second.Prefill.clear();
-}
-
-std::string StreamScheduler::replacePrefill(std::string_view Id,
-                                            TimePoint Now) {
-  const auto It = Running.find(Id);
-  if (It == Running.end())
-    return {};
-  Placed &P = It->second;
-  if (!P.Prefill.empty())
-    P.Need.Avoid = P.Prefill;
-  prefillEnded(Id);
-  const Endpoint *Decode = Table.find(P.Decode);
-  Endpoint *Next =
-      choosePrefill(P.Need, Decode ? Decode->Record.Zone : Options.Zone, Now);
-  if (!Next)
-    return {};
-  P.Prefill = Next->Record.Id;
-  Table.reserve(P.Prefill, prefillLoad(P.Need));
-  return P.Prefill;
-}
-
-std::int64_t StreamScheduler::prefillBacklog(std::string_view Id) const {
-  const auto It = Running.find(Id);
-  if (It == Running.end())
-    return 0;
-  const Endpoint *E = Table.find(It->second.Prefill);
-  return E ? E->total().PrefillTokens : 0;
-}
-
-Endpoint *StreamScheduler::chooseReplacement(const Placed &P, TimePoint Now) {
-  const auto Bound = static_cast<std::int64_t>(
-      static_cast<double>(memoryBound(P.Need.Service)) * ReplacementShare);
-  StreamNeed Need = P.Need;
-  Need.Avoid = P.Decode;
-  return chooseDecode(Need, Bound, Now);
-}
-
-bool StreamScheduler::canReplaceDecode(std::string_view Id, TimePoint Now) {
-  const auto It = Running.find(Id);
-  return It != Running.end() && chooseReplacement(It->second, Now);
-}
-
-std::string StreamScheduler::replaceDecode(std::string_view Id, TimePoint Now) {
-  const auto It = Running.find(Id);
-  if (It == Running.end())
-    return {};
-  Placed &P = It->second;
-  Table.release(P.Decode, decodeLoad(P.Need));
-  Endpoint *Next = chooseReplacement(P, Now);
-  P.Need.Avoid = P.Decode;
-  P.Decode = Next ? Next->Record.Id : "";
-  if (Next)
-    Table.reserve(P.Decode, decodeLoad(P.Need));
-  return P.Decode;
+  const double Capacity = static_cast<double>(Engines.Bound) *
+                          static_cast<double>(Engines.Decode.size());
+  return fromSeconds(static_cast<double>(Missing) * MeanRunSeconds / Capacity);
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -1,7 +1,6 @@
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -17,10 +16,7 @@
 using testing::testConfig;
 
 struct SchedulerBench {
-  explicit SchedulerBench(const std::string &Name = "entry")
-      : Scheduler({.Zone = "zone-a", .Name = Name}, Table) {
-    Scheduler.configure(testConfig());
-  }
+  SchedulerBench() { Scheduler.configure(testConfig()); }
 
   void add(const EndpointRecord &Record) { Table.apply(Record); }
 
@@ -30,6 +26,7 @@
     N.Id = Id;
     N.Service = "assistant";
     N.Account = "acme";
+    N.Zone = "zone-a";
     N.PromptTokens = Prompt;
     N.OutputTokens = Output;
     N.Arrival = Now;
@@ -56,7 +53,7 @@
 
   TimePoint Now = Start;
   EndpointTable Table;
-  StreamScheduler Scheduler;
+  StreamScheduler Scheduler{{}, Table};
   StreamPlace Last;
   std::vector<StreamRefusal> Refusals;
 };
@@ -90,7 +87,7 @@
     B.add(engine("d1", EngineStage::Decode));
     B.add(engine("d2", EngineStage::Decode, "zone-b"));
     B.add(engine("p1", EngineStage::Prefill));
-    const StreamSchedulerOptions Options{.Zone = "zone-a", .Name = "entry"};
+    const StreamSchedulerOptions Options;
     const auto Bound = static_cast<std::int64_t>(10'000 * Options.MemoryShare);
     std::set<std::string> Open;
     std::vector<std::pair<TimePoint, std::string>> Running;
@@ -185,116 +182,46 @@
   REQUIRE(B.placed() == Ids{"small-1"});
 }
 
-/// Several entries before the same engines. Each knows its own work at once and
-/// that of the others when reports are exchanged.
-struct EntriesBench {
-  explicit EntriesBench(std::size_t Count) {
-    for (std::size_t I = 0; I < Count; ++I)
-      Entries.emplace_back("entry-" + std::to_string(I));
-  }
-
-  void add(const EndpointRecord &Record) {
-    for (SchedulerBench &E : Entries)
-      E.add(Record);
-  }
-
-  /// All entries report, and then all hear the reports.
-  void exchange(TimePoint Now) {
-    std::vector<LoadMap> Loads;
-    std::vector<std::vector<WaitingRequest>> Waiting;
-    for (SchedulerBench &E : Entries) {
-      E.Now = Now;
-      Loads.push_back(E.Table.ownLoads());
-      Waiting.push_back(E.Scheduler.firstWaiting(4, Now));
-    }
-    for (std::size_t To = 0; To < Entries.size(); ++To) {
-      std::vector<WaitingRequest> Others;
-      std::int64_t Tokens = 0;
-      for (std::size_t From = 0; From < Entries.size(); ++From) {
-        if (From == To)
-          continue;
-        Entries[To].Table.setPeerLoad(std::to_string(From), Loads[From]);
-        Tokens += Entries[From].Scheduler.waitingTokens();
-        Others.insert(Others.end(), Waiting[From].begin(), Waiting[From].end());
-      }
-      Entries[To].Scheduler.setPeersWaiting(Tokens, std::move(Others));
-    }
-  }
-
-  /// All entries decide on the same reports; the ids that are placed.
-  Ids placed() {
-    Ids Out;
-    for (SchedulerBench &E : Entries)
-      for (const std::string &Id : E.placed())
-        Out.push_back(Id);
-    return Out;
-  }
-
-  std::deque<SchedulerBench> Entries;
-};
-
-// Replays a burst before many entries: each has a request that waits when one
-// engine frees memory for one. All of them used to take it, and the engine
-// refused the KV caches of all but the first.
-TEST_CASE("freed memory goes to one of the entries that wait") {
-  EntriesBench B(8);
-  B.add(engine("d1", EngineStage::Decode));
-  B.Entries[0].Scheduler.submit(B.Entries[0].need("running-1"));
-  B.Entries[0].Scheduler.submit(B.Entries[0].need("running-2"));
-  REQUIRE(B.placed().size() == 2);
-  B.exchange(Start);
-  for (std::size_t I = 0; I < B.Entries.size(); ++I) {
-    StreamNeed Need = B.Entries[I].need("waits-" + std::to_string(I));
-    Need.Arrival = Start - milliseconds(10 * static_cast<int>(I));
-    B.Entries[I].Scheduler.submit(Need);
+// Replays the first moments after the entries were cut from each other: each
+// coordinates itself and knows nothing of the others' work, so all of them used
+// to choose the same engine. Their requests have ids of their own.
+TEST_CASE("schedulers that know little spread over the engines") {
+  constexpr int Count = 12;
+  std::map<std::string, int> Chosen;
+  for (int I = 0; I < Count; ++I) {
+    SchedulerBench B;
+    B.Scheduler.setKnownShare(1.0 / Count);
+    for (int J = 0; J < Count; ++J)
+      B.add(engine("d" + std::to_string(J), EngineStage::Decode));
+    const std::string Id = "entry-" + std::to_string(I) + "/1";
+    B.Scheduler.submit(B.need(Id));
+    REQUIRE(B.placed() == Ids{Id});
+    ++Chosen[B.Last.Decode];
   }
-  REQUIRE(B.placed().empty());
-  B.exchange(Start + milliseconds(50));
-  B.Entries[0].Scheduler.release("running-1", Start);
-  B.exchange(Start + milliseconds(100));
-  CHECK(B.placed() == Ids{"waits-7"});
+  for (const auto &[Id, Times] : Chosen)
+    CHECK(Times <= 4);
 }
 
 // Guards against engines that idle while a large request, which fits into none
-// of them, waits at another entry.
-TEST_CASE("a peer's request that fits nowhere holds nobody up") {
-  EntriesBench B(2);
+// of them, waits before a small one.
+TEST_CASE("a request that fits nowhere now holds nobody up") {
+  SchedulerBench B;
   B.add(engine("d1", EngineStage::Decode));
-  B.Entries[0].Scheduler.submit(B.Entries[0].need("running"));
+  B.Scheduler.submit(B.need("running"));
   REQUIRE(B.placed() == Ids{"running"});
-  B.exchange(Start);
-  B.Entries[0].Scheduler.submit(B.Entries[0].need("large", 8'000));
+  B.Scheduler.submit(B.need("large", 8'000));
   REQUIRE(B.placed().empty());
-  B.exchange(Start + milliseconds(50));
-  B.Entries[1].Scheduler.submit(B.Entries[1].need("small"));
+  B.Scheduler.submit(B.need("small"));
   CHECK(B.placed() == Ids{"small"});
 }
 
-// Replays the first moments of a burst, or of a restart of all entries: entries
-// that have heard the same reports used to choose the same engine. Their
-// requests have the same ids, as each entry counts its own.
-TEST_CASE("entries with the same reports spread over the engines") {
-  constexpr std::size_t EntryCount = 12;
-  EntriesBench B(EntryCount);
-  for (int I = 0; I < 12; ++I)
-    B.add(engine("d" + std::to_string(I), EngineStage::Decode));
-  std::map<std::string, int> Chosen;
-  for (std::size_t I = 0; I < EntryCount; ++I) {
-    B.Entries[I].Scheduler.submit(B.Entries[I].need("1"));
-    REQUIRE(B.Entries[I].placed().size() == 1);
-    ++Chosen[B.Entries[I].Last.Decode];
-  }
-  for (const auto &[Id, Count] : Chosen)
-    CHECK(Count <= 4);
-}
-
 // Guards against a peer that is cut off itself: an endpoint that only it cannot
 // reach still serves when no other one has room.
 TEST_CASE("an endpoint that a peer cannot reach is used last") {
   SchedulerBench B;
   B.add(engine("d1", EngineStage::Decode));
   B.add(engine("d2", EngineStage::Decode, "zone-b"));
-  B.Table.suspect("d1", B.Now + milliseconds(600));
+  B.Table.recordOfPeer("peer", "d1", Evidence::Unreachable, B.Now);
   for (const char *Id : {"1", "2", "3"}) {
     B.Scheduler.submit(B.need(Id));
     REQUIRE(B.placed() == Ids{Id});
@@ -330,20 +257,31 @@
 
 // Replays an engine that crashes between prefill and decode at full load: the
 // request moves to a crowded engine rather than having its prompt read again.
-TEST_CASE("a replacement may use memory that new requests may not") {
+TEST_CASE("a prompt that was read may use memory that new requests may not") {
   SchedulerBench B;
   B.add(engine("d1", EngineStage::Decode));
   B.add(engine("d2", EngineStage::Decode));
+  B.add(engine("p1", EngineStage::Prefill));
   B.Scheduler.submit(B.need("other-1", 4'000));
-  REQUIRE(B.placed().size() == 1);
-  const std::string Crowded = B.Last.Decode;
+  B.Scheduler.submit(B.need("other-2", 1'400));
   B.Scheduler.submit(B.need("moved", 3'000));
+  REQUIRE(B.placed().size() == 3);
+  const std::string Failed = B.Last.Decode;
+  B.Scheduler.submit(B.need("filler", 1'400));
   REQUIRE(B.placed().size() == 1);
-  REQUIRE(B.Last.Decode != Crowded);
-  B.Table.setPeerLoad("peer", {{Crowded, {1, 2'400, 0}}});
-  B.Scheduler.submit(B.need("new", 3'000));
-  REQUIRE(B.Scheduler.canReplaceDecode("moved", B.Now));
-  REQUIRE(B.Scheduler.replaceDecode("moved", B.Now) == Crowded);
+  B.Scheduler.release("moved", B.Now);
+  StreamNeed New = B.need("new", 3'000);
+  New.Avoid = {Failed};
+  B.Scheduler.submit(New);
+  REQUIRE(B.placed().empty());
+  B.Scheduler.cancel("new");
+  StreamNeed Moved = New;
+  Moved.Id = "moved";
+  Moved.HasCache = true;
+  B.Scheduler.submit(Moved);
+  REQUIRE(B.placed() == Ids{"moved"});
+  CHECK(B.Last.Decode != Failed);
+  CHECK(B.Last.Prefill.empty());
 }
 
 // Guards against memory that is promised twice when an answer turns out longer
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hyssoprail/routing/flow.hpp"
+#include "hyssoprail/routing/stream_scheduler.hpp"
 
 namespace hyssoprail::routing::testing {
 
@@ -132,7 +133,9 @@
     return R;
   }
 
-  FlowShared shared() { return {Table, Scheduler, Retries, Lengths, "zone-a"}; }
+  FlowShared shared() {
+    return {Table, Engines, Scheduler, Retries, Lengths, "zone-a"};
+  }
 
   /// Starts a stream and passes the scheduler's decision on.
   std::unique_ptr<Flow> startStream(FlowRequest R) {
@@ -142,6 +145,12 @@
     return F;
   }
 
+  /// A leg ends; the flow may then ask for other engines.
+  void answer(Flow &F, FlowIo::LegId Leg, LegAnswer Answer) {
+    F.onAnswer(Leg, std::move(Answer), Now);
+    poll(F);
+  }
+
   void poll(Flow &F) {
     for (const StreamDecision &D : Scheduler.poll(Now)) {
       if (const auto *Place = std::get_if<StreamPlace>(&D))
@@ -153,7 +162,8 @@
 
   TimePoint Now = Start;
   EndpointTable Table;
-  StreamScheduler Scheduler{{.Zone = "zone-a", .Name = "entry"}, Table};
+  EvidenceLog Engines{Table};
+  StreamScheduler Scheduler{{}, Table};
   RetryWindow Retries{{0.2, 100, milliseconds(10'000)}};
   LengthEstimator Lengths;
   FakeIo Io;
