A removal is believed at once if the store served other entries

Change: entries tell when the store answered them last and until when missing registrations may come back; one that was only turned away takes that over.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -336,6 +336,8 @@
   S.set_age_ms(reportedAge(State.Feed.storeAge()));
   S.set_operator_position(Known.Operator);
   S.set_endpoint_position(Known.Endpoints);
+  S.set_settling_ms(reportedAge(std::max<Duration>(
+      Duration::zero(), State.Feed.settledAt() - Time.now())));
   return S;
 }
 
@@ -352,7 +354,8 @@
 
 void Coordination::takeSource(TimePoint Now) {
   State.Feed.confirm({Source.operator_position(), Source.endpoint_position()},
-                     Now - milliseconds(Source.age_ms()));
+                     Now - milliseconds(Source.age_ms()),
+                     Now + milliseconds(Source.settling_ms()));
 }
 
 std::string Coordination::newerSource() const {
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -84,8 +84,13 @@
   virtual void offer(std::string_view Changes) = 0;
 
   /// An entry that the store answered at \p At knows no changes after
-  /// \p Newest.
-  virtual void confirm(FeedPosition Newest, TimePoint At) = 0;
+  /// \p Newest. Until \p SettledAt it takes no missing registration as gone.
+  virtual void confirm(FeedPosition Newest, TimePoint At,
+                       TimePoint SettledAt) = 0;
+
+  /// End of the time after an outage in which a missing registration may come
+  /// back, if there was one.
+  virtual TimePoint settledAt() const = 0;
 
   /// Store calls made since the start.
   virtual std::uint64_t calls() const = 0;
