--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -56,9 +56,14 @@
   std::uint64_t MaxBodyBytes = 8 * 1024 * 1024;
   /// A streamed answer whose caller is this far behind is broken off.
   std::size_t MaxUnsentBytes = 16 * 1024 * 1024;
-  std::chrono::milliseconds ReadTimeout{10'000};  ///< from first byte to last
-  std::chrono::milliseconds IdleTimeout{60'000};  ///< between requests
-  std::chrono::milliseconds WriteTimeout{30'000}; ///< for one write
+  /// From the first byte of a request to the end of its head.
+  std::chrono::milliseconds ReadTimeout{10'000};
+  /// A body may take ReadTimeout and besides as long as it keeps this rate.
+  std::size_t MinBodyBytesPerSecond = 4'096;
+  std::chrono::milliseconds IdleTimeout{60'000}; ///< between requests
+  /// A write may take this and besides as long as the caller keeps this rate.
+  std::chrono::milliseconds WriteTimeout{30'000};
+  std::size_t MinWriteBytesPerSecond = 4'096;
   /// How long a draining server still reads requests that were on their way
   /// on idle connections.
   std::chrono::milliseconds DrainGrace{250};
--- a/include/hyssoprail/routing/event_splitter.hpp
+++ b/include/hyssoprail/routing/event_splitter.hpp
@@ -23,10 +23,15 @@
   /// Takes the next whole event.
   std::optional<StreamEvent> next();
 
+  /// True if an event has been begun that is longer than any event.
+  bool tooLong() const { return Pending.size() > MaxEventBytes; }
+
   /// True if no event has been begun.
   bool atBoundary() const { return Pending.empty(); }
 
 private:
+  static constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
+
   std::string Pending;
 };
 
--- a/include/hyssoprail/routing/stream_progress.hpp
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -26,6 +26,9 @@
   /// True if the data so far ends with a whole event of the present engine.
   bool atEventEnd() const { return GotEvent && Splitter.atBoundary(); }
 
+  /// True if the present engine sends an event without end.
+  bool eventTooLong() const { return Splitter.tooLong(); }
+
   /// True if the present engine has sent an event that the caller lacked.
   bool gotEvent() const { return GotEvent; }
 
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -25,7 +25,10 @@
 /// Shorter than the idle timeout of servers, so that a kept connection is not
 /// closed by the server while a request is on its way.
 constexpr std::chrono::seconds MaxIdleTime{20};
-constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr std::uint64_t MaxAnswerBytes = 16ULL * 1024 * 1024;
+
+/// Bytes that are held until they make sense, such as a head.
+constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
 
 Error unavailable(const std::string &Authority, const std::string &Reason) {
   return {ErrorKind::Unavailable,
@@ -74,7 +77,7 @@
 struct Connection {
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxBufferedBytes};
   std::chrono::steady_clock::time_point IdleSince;
 };
 
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -152,6 +152,7 @@
   void drain() override {
     State->Draining = true;
     asio::post(Acceptor->get_executor(), [this] {
+      acceptWaiting();
       beast::error_code Ignored;
       Acceptor->close(Ignored);
     });
@@ -189,15 +190,31 @@
   void accept() {
     Acceptor->async_accept(
         [this](const beast::error_code &Code, tcp::socket Socket) {
-          if (Code == asio::error::operation_aborted || !Acceptor->is_open())
+          if (Code == asio::error::operation_aborted)
+            return;
+          if (!Code)
+            adopt(std::move(Socket)); // also if the acceptor was closed since
+          if (!Acceptor->is_open())
             return;
           if (Code)
             return acceptLater();
-          adopt(std::move(Socket));
           accept();
         });
   }
 
+  /// Takes the connections that callers have made already; the kernel would
+  /// reset them when the acceptor closes.
+  void acceptWaiting() {
+    beast::error_code Code;
+    Acceptor->non_blocking(true, Code);
+    while (!Code) {
+      tcp::socket Socket(Acceptor->get_executor());
+      Acceptor->accept(Socket, Code);
+      if (!Code)
+        adopt(std::move(Socket));
+    }
+  }
+
   /// Waits before the next try, because a lack of file descriptors lasts.
   void acceptLater() {
     AcceptTimer->expires_after(AcceptRetryTime);
--- a/src/hyssoprail/connection/http_server_test.cpp
+++ b/src/hyssoprail/connection/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 
@@ -254,6 +255,98 @@
   CHECK(Caller.readAll().empty());
 }
 
+// Guards against a broken answer that looks complete to a caller of HTTP/1.0,
+// for whom the end of the connection is the end of the answer.
+TEST_CASE("an aborted answer without chunks ends with a reset") {
+  EchoServer S;
+  RawSocket Caller(S.port());
+  Caller.send("GET /held HTTP/1.0\r\nHost: a\r\n\r\n");
+  const auto Exchange = S.held();
+  Exchange->begin(200, {});
+  Exchange->write("part");
+  Caller.readUntil("part");
+  Exchange->abort();
+  Caller.readAll();
+  CHECK(Caller.wasReset());
+}
+
+// Guards against a slow but sound upload that is cut, and against one that
+// sends a byte now and then and never ends.
+TEST_CASE("a body may take as long as it makes progress") {
+  HttpServerOptions Options;
+  Options.ReadTimeout = std::chrono::milliseconds(300);
+  Options.MinBodyBytesPerSecond = 500;
+  EchoServer S(Options);
+  RawSocket Slow(S.port());
+  Slow.send(Post + "Content-Length: 1000\r\n\r\n");
+  for (int I = 0; I < 10; ++I) {
+    Slow.send(std::string(100, 'x'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  CHECK(answered(Slow.readUntil("\r\n\r\n"), "200"));
+  RawSocket Stalled(S.port());
+  Stalled.send(Post + "Content-Length: 1000\r\n\r\n");
+  const auto Begin = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - Begin < std::chrono::seconds(1) &&
+         Stalled.send("x"))
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(answered(Stalled.readAll(), "408"));
+}
+
+// Guards against a slow but sound caller whose stream is cut, and against one
+// that reads a byte now and then and holds its endpoint for ever.
+TEST_CASE("an answer may take as long as its caller makes progress") {
+  HttpServerOptions Options;
+  Options.WriteTimeout = std::chrono::milliseconds(400);
+  Options.MinWriteBytesPerSecond = 200'000;
+  Options.MaxUnsentBytes = 64U << 20U;
+  EchoServer S(Options);
+  constexpr std::size_t Size = 12'000'000;
+  const auto Begin = [&](RawSocket &Caller) {
+    Caller.setReceiveBuffer(64 * 1024);
+    Caller.send(get("/held"));
+    const auto Exchange = S.held();
+    Exchange->begin(200, {});
+    Exchange->write(std::string(Size, 'x'));
+    Exchange->finish();
+  };
+  RawSocket Slow(S.port());
+  Begin(Slow);
+  std::size_t Received = 0;
+  while (Received < Size) {
+    const std::size_t Part = Slow.readExactly(600'000).size();
+    if (Part == 0)
+      break;
+    Received += Part;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  CHECK(Received >= Size);
+  RawSocket Stalled(S.port());
+  Begin(Stalled);
+  CHECK(waitUntil(
+      [&] {
+        Stalled.readExactly(1);
+        return S.Disconnects == 1;
+      },
+      std::chrono::milliseconds(8'000)));
+}
+
+// Guards against requests on connections that the kernel had accepted when a
+// planned stop began: they used to be reset without an answer.
+TEST_CASE("a draining server answers connections that were already made") {
+  HttpServerOptions Options;
+  Options.DrainGrace = std::chrono::milliseconds(500);
+  EchoServer S(Options);
+  std::deque<RawSocket> Callers;
+  for (int I = 0; I < 20; ++I) {
+    Callers.emplace_back(S.port());
+    Callers.back().send(get("/echo"));
+  }
+  S.Server->drain();
+  for (RawSocket &Caller : Callers)
+    CHECK(answered(Caller.readUntil("\r\n\r\n"), "200"));
+}
+
 // Guards against memory that a caller who does not read can fill.
 TEST_CASE("a caller that does not read is cut off") {
   HttpServerOptions Options;
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -79,6 +79,19 @@
 
 } // namespace
 
+HttpSession::Clock::time_point HttpSession::Progress::deadline() const {
+  const std::chrono::duration<double> Earned(static_cast<double>(Bytes) /
+                                             static_cast<double>(MinRate));
+  const auto EndOfRate =
+      Began + std::chrono::duration_cast<Clock::duration>(Earned);
+  return std::min(EndOfRate, Clock::now()) + Allowance;
+}
+
+HttpSession::Progress HttpSession::writePace() const {
+  return {Clock::now(), State->Options.WriteTimeout,
+          State->Options.MinWriteBytesPerSecond, 0};
+}
+
 HttpSession::HttpSession(tcp::socket Socket, std::shared_ptr<ServerState> State)
     : Socket(std::move(Socket)), State(std::move(State)),
       Signal(this->Socket.get_executor(), Clock::time_point::max()),
@@ -102,6 +115,8 @@
 
 void HttpSession::close() {
   Code Ignored;
+  if (ResetOnClose)
+    Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   Socket.close(Ignored);
   Signal.cancel();
   Timer.cancel();
@@ -193,14 +208,28 @@
       http::response<http::empty_body> Continue{http::status::continue_, 11};
       co_await http::async_write(Socket, Continue, NoThrow);
     }
-    auto [BodyFailure, BodyBytes] =
-        co_await http::async_read(Socket, Buffer, P, NoThrow);
-    Failure = BodyFailure;
+    Failure = co_await readBody(P);
   }
   clearDeadline();
   co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
 }
 
+/// A body that keeps coming may take longer than the head; one that comes a
+/// byte now and then may not.
+asio::awaitable<HttpSession::Code> HttpSession::readBody(Parser &P) {
+  Code Failure;
+  Progress Pace{Clock::now(), State->Options.ReadTimeout,
+                State->Options.MinBodyBytesPerSecond, 0};
+  while (!Failure && !P.is_done()) {
+    setDeadlineAt(Pace.deadline());
+    auto [Stopped, Size] =
+        co_await http::async_read_some(Socket, Buffer, P, NoThrow);
+    Failure = Stopped;
+    Pace.Bytes += Size;
+  }
+  co_return Failure;
+}
+
 asio::awaitable<void> HttpSession::answerReadError(Code Failure) {
   if (connectionEnded(Failure))
     co_return;
@@ -219,8 +248,11 @@
   const bool HeadOnly = Exchange.request().Method == "HEAD";
   for (;;) {
     ServerExchange::Step Step = Exchange.takeStep();
-    if (Step.Aborted || Step.Disconnected)
+    if (Step.Aborted || Step.Disconnected) {
+      // Without chunks, a plain end of the connection would look complete.
+      ResetOnClose = HeadSent && !Chunked;
       co_return false;
+    }
     if (Step.Whole)
       co_return co_await writeWhole(Exchange.head(), KeepAlive, Version,
                                     HeadOnly);
@@ -251,16 +283,23 @@
   Message.body() = std::move(Response.Body);
   Message.keep_alive(promiseKeepAlive(KeepAlive));
   Message.prepare_payload();
-  setDeadline(State->Options.WriteTimeout);
   http::response_serializer<http::string_body> Serializer{Message};
   if (HeadOnly) {
+    setDeadline(State->Options.WriteTimeout);
     auto [Failure, Size] =
         co_await http::async_write_header(Socket, Serializer, NoThrow);
     clearDeadline();
     co_return !Failure;
   }
-  auto [Failure, Size] =
-      co_await http::async_write(Socket, Serializer, NoThrow);
+  Code Failure;
+  Progress Pace = writePace();
+  while (!Failure && !Serializer.is_done()) {
+    setDeadlineAt(Pace.deadline());
+    auto [Stopped, Size] =
+        co_await http::async_write_some(Socket, Serializer, NoThrow);
+    Failure = Stopped;
+    Pace.Bytes += Size;
+  }
   clearDeadline();
   co_return !Failure;
 }
@@ -296,9 +335,15 @@
       Framed.append("0\r\n\r\n");
     Data.swap(Framed);
   }
-  setDeadline(State->Options.WriteTimeout);
-  auto [Failure, Size] =
-      co_await asio::async_write(Socket, asio::buffer(Data), NoThrow);
+  Code Failure;
+  Progress Pace = writePace();
+  while (!Failure && Pace.Bytes < Data.size()) {
+    setDeadlineAt(Pace.deadline());
+    auto [Stopped, Size] = co_await Socket.async_write_some(
+        asio::buffer(Data) + Pace.Bytes, NoThrow);
+    Failure = Stopped;
+    Pace.Bytes += Size;
+  }
   clearDeadline();
   co_return !Failure;
 }
@@ -375,8 +420,12 @@
 /// rescheduled only if it would fire too late, because most deadlines move on
 /// before they are reached.
 void HttpSession::setDeadline(std::chrono::milliseconds After) {
+  setDeadlineAt(Clock::now() + After);
+}
+
+void HttpSession::setDeadlineAt(Clock::time_point At) {
   TimedOut = false;
-  Deadline = Clock::now() + After;
+  Deadline = At;
   if (Deadline < TimerAt)
     scheduleTimer();
 }
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -47,10 +47,22 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Clock = std::chrono::steady_clock;
 
+  /// A transfer that may go on while it keeps a rate and does not pause for
+  /// longer than its allowance.
+  struct Progress {
+    Clock::time_point Began;
+    std::chrono::milliseconds Allowance; ///< besides the time that bytes earn
+    std::size_t MinRate;                 ///< bytes per second
+    std::size_t Bytes;                   ///< transferred so far
+
+    Clock::time_point deadline() const;
+  };
+
   Awaitable<void> run();
   Awaitable<bool> serveOne();
   Awaitable<bool> waitForFirstByte();
   Awaitable<Code> readRequest(Parser &P);
+  Awaitable<Code> readBody(Parser &P);
   Awaitable<void> answerReadError(Code Failure);
   Awaitable<void> linger();
   Awaitable<bool> answer(ServerExchange &Exchange, bool KeepAlive,
@@ -66,7 +78,9 @@
   void wakeAnswer();
   void watchForDisconnect();
 
+  Progress writePace() const;
   void setDeadline(std::chrono::milliseconds After);
+  void setDeadlineAt(Clock::time_point At);
   void clearDeadline() { Deadline = Clock::time_point::max(); }
   void scheduleTimer();
 
@@ -82,7 +96,8 @@
   bool Watching = false;
   bool Idle = false;
   bool PromisedKeepAlive = false;
-  bool Linger = false; ///< the last answer was sent and must arrive
+  bool Linger = false;       ///< the last answer was sent and must arrive
+  bool ResetOnClose = false; ///< the answer was broken off without chunks
 };
 
 } // namespace hyssoprail
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -36,11 +36,16 @@
 
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr unsigned MaxSkippedAnswers = 4;
+constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
+
+/// Bytes that are held until they make sense: a head, or the size and the
+/// extensions of a chunk.
+constexpr std::size_t MaxBufferedBytes = std::size_t{128} * 1024;
 
 struct Connection {
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxBufferedBytes};
   SteadyTime UsableUntil;
 };
 
@@ -256,6 +261,9 @@
     if (Ended)
       return;
     const std::size_t Got = Data.size() - Reader->get().body().size;
+    if (Skipping && (SkippedBytes += Got) > MaxSkippedBytes)
+      return end(UpstreamEnd::Broken,
+                 "an answer of another request is endless");
     if (Got > 0 && !Skipping && Handlers.OnData)
       Handlers.OnData(std::string_view(Data.data(), Got));
     if (Ended)
@@ -322,6 +330,7 @@
   std::array<char, 4096> Data{};
   milliseconds KeepFor{0};
   unsigned Skipped = 0;
+  std::size_t SkippedBytes = 0;
   bool Skipping = false;
   bool Written = false;
   bool WriteEnded = false;
--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -5,11 +5,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/testing/endless_server.hpp"
 #include "hyssoprail/testing/scripted_server.hpp"
 
 namespace hyssoprail {
 namespace {
 
+using testing::EndlessServer;
 using testing::LoopThread;
 using testing::ScriptedAnswer;
 using testing::ScriptedServer;
@@ -131,6 +133,74 @@
   REQUIRE(O.Body == "abc");
 }
 
+// Guards against memory that a faulty endpoint can fill: bytes that are no
+// answer, or framing that never ends, until the client closes.
+TEST_CASE("framing without end ends the exchange") {
+  const std::string Block(1'000, 'x');
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> Endless{
+      {"", Block},                                // no status line
+      {"HTTP/1.1 200 OK\r\nName: ", Block},       // one header
+      {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"}, // many headers
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},      // interim answers
+      {Chunked, "0"},                             // a chunk size
+      {Chunked + "1;", Block},                    // a chunk extension
+      {Chunked + "0\r\n", "Name: value\r\n"},     // trailers
+      {"HTTP/1.1 200 OK\r\nRequest-Id: old\r\n\r\n", Block},
+      {"HTTP/1.1 200 OK\r\nRequest-Id: old\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + Block + "\r\n"}, // the answer of another request
+  };
+  for (const auto &[Prefix, Repeated] : Endless) {
+    CAPTURE(Prefix, Repeated.substr(0, 20));
+    EndlessServer Server(Prefix, Repeated);
+    Sender S;
+    const Outcome O =
+        S.send(Server.authority(), "1", std::chrono::milliseconds(1'500));
+    CHECK(O.End != UpstreamEnd::Complete);
+    CHECK(O.Body.empty());
+    CHECK(testing::waitUntil([&] { return Server.closed(); }));
+    CHECK(Server.sentBytes() < 8'000'000);
+  }
+}
+
+// Guards against an exchange that a faulty endpoint keeps open for ever with a
+// byte now and then.
+TEST_CASE("a head that comes byte by byte ends at its time") {
+  EndlessServer Server("HTTP/1.1 200 OK\r\nName: ", "x",
+                       std::chrono::milliseconds(30));
+  Sender S;
+  const auto Begin = std::chrono::steady_clock::now();
+  CHECK(S.send(Server.authority(), "1", std::chrono::milliseconds(400)).End ==
+        UpstreamEnd::TimedOut);
+  CHECK(std::chrono::steady_clock::now() - Begin < std::chrono::seconds(2));
+}
+
+// Replays a server that sends a second copy of an answer, late, when the
+// connection is in use again: it must not become the next caller's answer.
+TEST_CASE("a late second copy is not the next caller's answer") {
+  ScriptedServer Server(
+      {{answer("1", "a")}, {answer("1", "a") + answer("2", "b")}});
+  Sender S;
+  REQUIRE(S.send(Server.authority(), "1").Body == "a");
+  const Outcome O = S.send(Server.authority(), "2");
+  CHECK(O.End == UpstreamEnd::Complete);
+  CHECK(O.Body == "b");
+  CHECK(Server.connections() == 1);
+}
+
+// Guards against interim answers that are taken for the final one.
+TEST_CASE("interim answers are skipped") {
+  ScriptedServer Server(
+      {{"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("1", "a")}});
+  Sender S;
+  const Outcome O = S.send(Server.authority(), "1");
+  CHECK(O.End == UpstreamEnd::Complete);
+  CHECK(O.Status == 200);
+  CHECK(O.Body == "a");
+}
+
 // Guards against a request that is called lost although nobody received it.
 TEST_CASE("a refused connection means that nothing was sent") {
   std::string Authority;
--- /dev/null
+++ b/src/hyssoprail/gateway/event_loop.hpp
@@ -0,0 +1,18 @@
+#ifndef HYSSOPRAIL_GATEWAY_EVENT_LOOP_HPP
+#define HYSSOPRAIL_GATEWAY_EVENT_LOOP_HPP
+
+#include <functional>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+namespace hyssoprail::gateway {
+
+/// Runs the event loop until it is stopped. A handler that throws loses its own
+/// event only: \p OnError is told, and the other requests go on.
+void runEventLoop(boost::asio::io_context &Context,
+                  const std::function<void(std::string_view Why)> &OnError);
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_EVENT_LOOP_HPP
--- /dev/null
+++ b/src/hyssoprail/gateway/event_loop_test.cpp
@@ -0,0 +1,39 @@
+#include "hyssoprail/gateway/event_loop.hpp"
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+namespace hyssoprail::gateway {
+
+// Guards against one unexpected error that takes down the process with all its
+// requests.
+TEST_CASE("a handler that throws does not end the loop") {
+  boost::asio::io_context Context;
+  std::vector<std::string> Errors;
+  bool Served = false;
+  boost::asio::post(Context, [] { throw std::runtime_error("first"); });
+  boost::asio::post(Context, [] { throw std::out_of_range("second"); });
+  boost::asio::post(Context, [&] { Served = true; });
+  runEventLoop(Context,
+               [&](std::string_view Why) { Errors.emplace_back(Why); });
+  CHECK(Errors == std::vector<std::string>{"first", "second"});
+  CHECK(Served);
+}
+
+// Guards against a loop that goes on after a planned stop.
+TEST_CASE("a stopped loop ends") {
+  boost::asio::io_context Context;
+  boost::asio::post(Context, [&] {
+    Context.stop();
+    throw std::runtime_error("late");
+  });
+  unsigned Errors = 0;
+  runEventLoop(Context, [&](std::string_view) { ++Errors; });
+  CHECK(Errors == 1);
+}
+
+} // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -20,9 +20,6 @@
 /// way on idle connections.
 constexpr milliseconds DrainsAtLeast{600};
 
-/// Time kept of the grace for the end of the process.
-constexpr milliseconds StopMargin{400};
-
 /// Entries that were announced but not heard count among those that share a
 /// bound for this time after a start.
 constexpr milliseconds StartUpTime{6'000};
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -27,9 +27,17 @@
 constexpr milliseconds ShortestQuotaReturn{100};
 constexpr milliseconds LeavingReturn{20};
 
+/// From the arrival of a stream to its first event, and how much longer than
+/// expected it may run.
+constexpr milliseconds StreamStartTime{400};
+constexpr double LongRunFactor = 1.5;
+
 /// A streamed answer whose caller is this far behind is broken off.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
+/// Memory for answers of endpoints that are not whole yet.
+constexpr std::size_t AnswerMemoryBytes = std::size_t{16} * 1024 * 1024;
+
 routing::QuotaTolerance quotaTolerance(const GatewaySettings &S) {
   return {S.QuotaOverage * QuotaOverageShare,
           S.QuotaSlackTokens * QuotaSlackShare};
@@ -52,7 +60,8 @@
       Coordinator(Context, this->Settings, Incarnation, Time, Log,
                   {Table, Engines, Quota, Feed},
                   [this](const auto &Decisions) { onDecisions(Decisions); }),
-      Endpoints(makeUpstreamClient(Context)), TickTimer(Context) {}
+      Endpoints(makeUpstreamClient(Context)), Answers(AnswerMemoryBytes),
+      TickTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
 
@@ -144,15 +153,23 @@
   const RoutePolicy *Route = Config->route(Info.Host, Info.Path);
   if (!Route)
     return rejectAtOnce(Caller, Info, RejectReason::NoRoute, {});
-  if (leavesTooSoon(*Route))
+  if (leavesTooSoon(*Route, Info))
     return rejectAtOnce(Caller, Info, RejectReason::Leaving, LeavingReturn);
   admit(Caller, std::move(Info), *Route);
 }
 
-/// A caller may still send on a connection whose last answer began before the
-/// stop. A stream would not end within the grace.
-bool GatewayRuntime::leavesTooSoon(const RoutePolicy &Route) const {
-  return Draining && Route.Kind == RouteKind::Stream;
+/// After a stop has begun, callers still send on connections that they have. A
+/// stream that would not end within the grace is served by another entry.
+bool GatewayRuntime::leavesTooSoon(const RoutePolicy &Route,
+                                   const RequestInfo &Info) const {
+  if (!Stopping || Route.Kind != RouteKind::Stream)
+    return false;
+  const std::uint32_t Tokens = Lengths.estimate(
+      Info.OutputHint, Info.Tokens ? Info.Tokens->MaxOutput : 0);
+  const auto RunTime = std::chrono::duration_cast<Duration>(
+      Lengths.runTime(Tokens) * LongRunFactor);
+  return Draining || Time.now() + StreamStartTime + RunTime >
+                         StopBegan + Settings.StopGrace - StopMargin;
 }
 
 void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
@@ -228,7 +245,7 @@
   const std::string Key = Request.Key;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
   auto Session = std::make_shared<RequestSession>(
-      SessionServices{Context, Time, *Endpoints, Protocol, Log},
+      SessionServices{Context, Time, *Endpoints, Protocol, Log, Answers},
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
@@ -372,6 +389,7 @@
   Counters.gauge("store_calls").set(double(Feed.calls()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
+  Counters.gauge("answer_bytes_held").set(double(Answers.held()));
   Counters.gauge("endpoint_connects").set(double(U.Connects));
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleAnswers));
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -62,10 +62,14 @@
   /// Ages are reported up to this.
   static constexpr milliseconds LargestReportedAge{60'000};
 
+  /// Time kept of the grace for the end of the process.
+  static constexpr milliseconds StopMargin{400};
+
   using Exchange = std::shared_ptr<HttpExchange>;
 
   void handle(const Exchange &Caller);
-  bool leavesTooSoon(const routing::RoutePolicy &Route) const;
+  bool leavesTooSoon(const routing::RoutePolicy &Route,
+                     const routing::RequestInfo &Info) const;
   void admit(const Exchange &Caller, routing::RequestInfo Info,
              const routing::RoutePolicy &Route);
   routing::FlowRequest flowRequest(routing::RequestInfo Info,
@@ -121,6 +125,7 @@
 
   Metrics Counters;
   std::unique_ptr<UpstreamClient> Endpoints;
+  AnswerMemory Answers;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -11,8 +11,10 @@
 using routing::LegKind;
 using routing::LegOutcome;
 
-/// Whole answers are kept in memory until they are complete.
-constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
+/// Answers are held in memory until they are whole. Those to a prefill only
+/// name a KV cache.
+constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t MaxPrefillAnswerBytes = std::size_t{64} * 1024;
 
 constexpr milliseconds CallConnectTimeout{150};
 constexpr milliseconds EngineConnectTimeout{250};
@@ -26,6 +28,11 @@
     : Services(Services), Hooks(std::move(Hooks)), Caller(std::move(Caller)),
       Request(std::move(Request)), Timer(Services.Context) {}
 
+RequestSession::~RequestSession() {
+  while (!Legs.empty())
+    takeLeg(Legs.begin());
+}
+
 void RequestSession::start(const FlowFactory &MakeFlow) {
   Course = MakeFlow(Request, *this);
   Caller->onDisconnect([Weak = weak_from_this()] {
@@ -114,20 +121,37 @@
     Course->onStreamData(Id, Data, Services.Time.now());
     return afterEvent();
   }
-  It->second.Answer.Body.append(Data);
-  if (It->second.Answer.Body.size() <= MaxAnswerBytes)
+  if (holdAnswer(It->second, Data))
     return;
   It->second.Exchange->cancel();
   onLegEnd(Id, UpstreamEnd::Broken, "answer too large");
 }
 
+/// Adds to an answer; false if it is too large, or all of them together.
+bool RequestSession::holdAnswer(Leg &L, std::string_view Data) {
+  const std::size_t Limit =
+      L.Kind == LegKind::Prefill ? MaxPrefillAnswerBytes : MaxAnswerBytes;
+  if (L.Answer.Body.size() + Data.size() > Limit ||
+      !Services.Memory.take(Data.size()))
+    return false;
+  L.Held += Data.size();
+  L.Answer.Body.append(Data);
+  return true;
+}
+
+RequestSession::Leg RequestSession::takeLeg(std::map<LegId, Leg>::iterator It) {
+  Leg L = std::move(It->second);
+  Legs.erase(It);
+  Services.Memory.giveBack(L.Held);
+  return L;
+}
+
 void RequestSession::onLegEnd(LegId Id, UpstreamEnd End,
                               const std::string &Detail) {
   const auto It = Legs.find(Id);
   if (It == Legs.end())
     return;
-  Leg L = std::move(It->second);
-  Legs.erase(It);
+  Leg L = takeLeg(It);
   if (L.Streaming) {
     const bool Complete = End == UpstreamEnd::Complete;
     logLegEnd(L, Complete ? "complete" : "broken", 200, Detail);
@@ -180,9 +204,9 @@
   const auto It = Legs.find(Id);
   if (It == Legs.end())
     return;
-  logLegEnd(It->second, "cancelled", 0, "");
-  It->second.Exchange->cancel();
-  Legs.erase(It);
+  const Leg L = takeLeg(It);
+  logLegEnd(L, "cancelled", 0, "");
+  L.Exchange->cancel();
 }
 
 void RequestSession::dropHandle(const routing::KvSource &Source) {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -26,6 +26,28 @@
   bool MayHaveRun = false;
 };
 
+/// Memory for answers that are held until they are whole, of all sessions.
+class AnswerMemory {
+public:
+  explicit AnswerMemory(std::size_t Limit) : Limit(Limit) {}
+
+  /// Takes \p Bytes; false if they would exceed the limit.
+  bool take(std::size_t Bytes) {
+    if (Held + Bytes > Limit)
+      return false;
+    Held += Bytes;
+    return true;
+  }
+
+  void giveBack(std::size_t Bytes) { Held -= Bytes; }
+
+  std::size_t held() const { return Held; }
+
+private:
+  std::size_t Limit;
+  std::size_t Held = 0;
+};
+
 /// Services that a session uses.
 struct SessionServices {
   boost::asio::io_context &Context;
@@ -33,6 +55,7 @@
   UpstreamClient &Endpoints;
   const EndpointProtocol &Protocol;
   DecisionLog &Log;
+  AnswerMemory &Memory;
 };
 
 /// What a session asks of the gateway.
@@ -52,6 +75,7 @@
   RequestSession(SessionServices Services, SessionHooks Hooks,
                  std::shared_ptr<HttpExchange> Caller,
                  routing::FlowRequest Request);
+  ~RequestSession() override;
 
   /// Starts the flow that \p MakeFlow makes.
   using FlowFactory = std::function<std::unique_ptr<routing::Flow>(
@@ -83,6 +107,7 @@
     TimePoint Since{};
     std::shared_ptr<UpstreamExchange> Exchange;
     HttpResponse Answer;
+    std::size_t Held = 0; ///< bytes of the answer, taken from the memory
     bool Streaming = false;
   };
 
@@ -90,6 +115,8 @@
   void onLegHead(LegId Id, HttpResponse Head);
   void onLegData(LegId Id, std::string_view Data);
   void onLegEnd(LegId Id, UpstreamEnd End, const std::string &Detail);
+  bool holdAnswer(Leg &L, std::string_view Data);
+  Leg takeLeg(std::map<LegId, Leg>::iterator It);
   routing::LegAnswer legAnswer(Leg &L, UpstreamEnd End,
                                const std::string &Detail) const;
   void logLegEnd(const Leg &L, std::string_view Outcome, unsigned Status,
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/admission_server.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -101,7 +102,7 @@
   E.Address = Report.address();
   E.Zone = Report.zone();
   E.State = Report.state();
-  E.Weight = Report.weight();
+  E.Weight = std::isfinite(Report.weight()) ? Report.weight() : 0;
   E.Leaving = Report.leaving();
   E.Heard = Now;
   takeEvidence(Name, E, Report, Now);
@@ -192,6 +193,8 @@
                                    const wire::EntryReport &Report,
                                    TimePoint Now) {
   for (const wire::AccountUse &Use : Report.accounts()) {
+    if (!std::isfinite(Use.tokens()))
+      continue;
     double &Last = E.Reported[Use.account()];
     const double Growth = New ? 0 : Use.tokens() - Last;
     Last = Use.tokens();
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/admission_client.hpp"
 #include "hyssoprail/routing/admission_server.hpp"
 
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <set>
@@ -276,6 +277,26 @@
   CHECK(C.update(B).accounts(0).tokens() == 300);
 }
 
+// Guards against a malformed report that takes the process down or spoils the
+// totals of all entries.
+TEST_CASE("weights and totals that are no numbers are harmless") {
+  Coordinator C;
+  std::deque<Follower> Entries;
+  for (int I = 0; I < 30; ++I) {
+    Entries.emplace_back("entry-" + std::to_string(I));
+    Entries.back().Weight = I % 2 == 0 ? std::nan("") : 0.1 * I;
+    for (const double Tokens : {1.0, std::nan(""), 7.0}) {
+      wire::EntryReport R = Entries.back().report(C.Now);
+      wire::AccountUse *Use = R.add_accounts();
+      Use->set_account("acme");
+      Use->set_tokens(Tokens);
+      C.Server.hear(R, C.Now);
+    }
+  }
+  CHECK(C.Server.deputies(3, C.Now) == Ids{"entry-29", "entry-27", "entry-25"});
+  CHECK(C.update(Entries[0]).accounts(0).tokens() == 29 * 6);
+}
+
 // Guards against a message with numbers that no entry of this version sends.
 TEST_CASE("evidence and denials of unknown kinds are harmless") {
   Coordinator C;
--- a/src/hyssoprail/routing/length_estimator.cpp
+++ b/src/hyssoprail/routing/length_estimator.cpp
@@ -18,6 +18,7 @@
 constexpr double FirstLengthShare = 0.34;
 constexpr double FirstLengthWeight = 8;
 
+constexpr double PaceSmoothing = 0.1;
 constexpr double Forgetting = 0.995; ///< weight kept for each newer length
 
 } // namespace
@@ -37,9 +38,12 @@
       std::clamp(Length, 1.0, static_cast<double>(MaxOutput)));
 }
 
-void LengthEstimator::record(std::uint64_t Tokens) {
+void LengthEstimator::record(std::uint64_t Tokens, Duration Took) {
   if (Tokens == 0)
     return;
+  const std::chrono::duration<double> PerToken =
+      Took / static_cast<double>(Tokens);
+  SecondsPerToken += PaceSmoothing * (PerToken - SecondsPerToken);
   LogSum = LogSum * Forgetting + std::log(static_cast<double>(Tokens));
   Weight = Weight * Forgetting + 1;
 }
--- a/src/hyssoprail/routing/length_estimator_test.cpp
+++ b/src/hyssoprail/routing/length_estimator_test.cpp
@@ -26,7 +26,7 @@
     REQUIRE(Estimate <= MaxOutput);
     HintError += std::abs(std::min<double>(Hint, MaxOutput) - True);
     EstimateError += std::abs(Estimate - True);
-    Lengths.record(static_cast<std::uint64_t>(True));
+    Lengths.record(static_cast<std::uint64_t>(True), Duration{0});
   }
   REQUIRE(EstimateError < HintError);
 }
@@ -37,9 +37,11 @@
   const std::uint32_t Before = Lengths.estimate(0, 1'000);
   REQUIRE(Before > 0);
   for (int I = 0; I < 200; ++I)
-    Lengths.record(800);
+    Lengths.record(800, std::chrono::seconds(4));
   REQUIRE(Lengths.estimate(0, 1'000) > Before);
   REQUIRE(Lengths.estimate(10, 0) == 0);
+  REQUIRE(Lengths.runTime(400) > milliseconds(1'950));
+  REQUIRE(Lengths.runTime(400) < milliseconds(2'050));
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/shared_quota.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hyssoprail::routing {
@@ -97,6 +98,8 @@
 void SharedQuota::peerGranted(std::string_view Peer, std::uint64_t Incarnation,
                               std::string_view Account, double Total,
                               TimePoint Now) {
+  if (!std::isfinite(Total))
+    return;
   PeerTotal &Last = PeerTotals[{std::string(Peer), std::string(Account)}];
   // A first report of an incarnation that was up before this entry cannot be
   // dated; only its growth from now on counts.
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -1,5 +1,7 @@
 #include "hyssoprail/routing/shared_quota.hpp"
 
+#include <cmath>
+
 #include <catch2/catch.hpp>
 
 #include "test_support.hpp"
@@ -102,4 +104,16 @@
   REQUIRE_FALSE(Quota.take("acme", 100, Start).Granted);
 }
 
+// Guards against a malformed report after which an account has no limit at all.
+TEST_CASE("totals that are no numbers change nothing") {
+  SharedQuota Quota{QuotaTolerance{}};
+  Quota.configure(*testing::testConfig(), testing::Start);
+  REQUIRE(Quota.take("acme", 1'000, testing::Start).Granted);
+  for (const double Total : {0.0, std::nan(""), 0.0, HUGE_VAL, 0.0})
+    Quota.peerGranted("p", 1, "acme", Total, testing::Start);
+  CHECK_FALSE(Quota.take("acme", 1'000, testing::Start).Granted);
+  const TimePoint Later = testing::Start + milliseconds(1'100);
+  CHECK(Quota.take("acme", 1'000, Later).Granted);
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -122,6 +122,7 @@
     if (Started)
       return;
     Started = true;
+    StartedAt = Now;
     Io.beginStream(Head);
   }
 
@@ -130,6 +131,8 @@
     if (Leg != Active || Current != Phase::Streaming)
       return;
     const std::string Ready = Progress.feed(Data);
+    if (Progress.eventTooLong())
+      return onSpoiled(Now);
     if (Ready.empty())
       return;
     LastProgress = Now;
@@ -146,7 +149,8 @@
     Shared.Engines.record(DecodeEndpoint,
                           Whole ? Evidence::Success : Evidence::Broken, Now);
     if (Whole) {
-      Shared.Lengths.record(Progress.events() * Request.EventTokens);
+      Shared.Lengths.record(Progress.events() * Request.EventTokens,
+                            Now - StartedAt);
       Io.finishStream();
       return end(Now);
     }
@@ -369,6 +373,13 @@
     readPromptAgain(Now);
   }
 
+  /// The engine sends what is no stream of events.
+  void onSpoiled(TimePoint Now) {
+    Shared.Engines.record(DecodeEndpoint, Evidence::Broken, Now);
+    stopLeg();
+    continueElsewhere("event_too_long", Now);
+  }
+
   void recordEvidence(const LegAnswer &Answer, TimePoint Now) {
     Shared.Engines.record(currentEndpoint(),
                           evidenceOf(Answer, Evidence::Silent), Now);
@@ -480,6 +491,7 @@
   unsigned Requeues = 0; ///< times that it asked for engines again
   unsigned Runs = 0;     ///< engines that ran it, or may have, and stopped
   bool Started = false;  ///< the caller has the head of the answer
+  TimePoint StartedAt{};
   bool Ran = false;
 };
 
--- a/src/hyssoprail/testing/raw_socket.hpp
+++ b/src/hyssoprail/testing/raw_socket.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_TESTING_RAW_SOCKET_HPP
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <string>
 #include <string_view>
@@ -79,6 +80,15 @@
     Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
   }
 
+  /// True if the connection ended with a reset.
+  bool wasReset() const { return Reset; }
+
+  /// Limits what the kernel receives ahead of reads.
+  void setReceiveBuffer(int Bytes) {
+    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVBUF, &Bytes,
+               sizeof Bytes);
+  }
+
   void close() {
     boost::system::error_code Ignored;
     Socket.close(Ignored);
@@ -89,6 +99,7 @@
     std::array<char, 4096> Data{};
     const ssize_t Size =
         recv(Socket.native_handle(), Data.data(), Data.size(), 0);
+    Reset = Reset || (Size < 0 && errno == ECONNRESET);
     if (Size <= 0)
       return false;
     Received.append(Data.data(), static_cast<std::size_t>(Size));
@@ -100,6 +111,7 @@
   boost::asio::io_context Context;
   boost::asio::ip::tcp::socket Socket;
   std::string Received;
+  bool Reset = false;
 };
 
 } // namespace hyssoprail::testing
