Idle prefill engines become decode engines

Change: the coordinator measures how many engines prompts and generations keep busy, averaged over 5 s, and orders changes in rounds of at most 15 in 100 with 8 s between them, 30 s before the other direction. Tried before and dropped: a split from finished generations only.

--- a/include/hyssoprail/routing/admission_client.hpp
+++ b/include/hyssoprail/routing/admission_client.hpp
@@ -22,7 +22,7 @@
   void cancel(std::string_view Id) override;
   void release(std::string_view Id, TimePoint Now) override;
   void outputGrew(std::string_view Id, std::uint64_t Tokens) override;
-  void prefillEnded(std::string_view Id) override;
+  void prefillEnded(std::string_view Id, TimePoint Now) override;
   bool hasRoom(std::string_view Service, std::int64_t Tokens,
                std::string_view Except, TimePoint Now) override;
 
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -28,10 +28,17 @@
   TimePoint HandlesLostUntil{}; ///< its KV caches vanish before they are used
   TimePoint SuspectUntil{};     ///< an entry could not reach it
   std::string SuspectedBy;      ///< that entry
+  EngineStage ChangingTo = EngineStage::None; ///< as it was ordered
+  TimePoint ChangingUntil{};
   bool Listed = true; ///< false: registration gone, work may still run
 
   EndpointLoad total() const;
   bool isSuspect(TimePoint Now) const { return Now < SuspectUntil; }
+
+  /// True while an order to change its stage is carried out.
+  bool isChanging(TimePoint Now) const {
+    return Now < ChangingUntil && Record.Stage != ChangingTo;
+  }
 };
 
 /// Endpoints of the fleet with their load and health. Keeps an endpoint whose
--- a/include/hyssoprail/routing/fleet_config.hpp
+++ b/include/hyssoprail/routing/fleet_config.hpp
@@ -45,9 +45,10 @@
 /// What the engines of a service can hold.
 struct EngineLimits {
   unsigned Slots = 1;
-  std::uint32_t KvTokens = 0;      ///< memory of one engine, in tokens
-  std::uint32_t EventTokens = 1;   ///< tokens that one event may carry
-  milliseconds HandleRetention{0}; ///< life of a KV cache nobody fetched
+  std::uint32_t KvTokens = 0;          ///< memory of one engine, in tokens
+  std::uint32_t EventTokens = 1;       ///< tokens that one event may carry
+  milliseconds HandleRetention{0};     ///< life of a KV cache nobody fetched
+  milliseconds StageChangeTime{6'000}; ///< an engine that changes serves nobody
 };
 
 struct ServicePolicy {
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -92,7 +92,7 @@
   virtual void outputGrew(std::string_view Id, std::uint64_t Tokens) = 0;
 
   /// Frees the prefill engine of a placement.
-  virtual void prefillEnded(std::string_view Id) = 0;
+  virtual void prefillEnded(std::string_view Id, TimePoint Now) = 0;
 
   /// True if an engine of \p Service other than \p Except is believed to have
   /// room for \p Tokens.
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -9,6 +9,7 @@
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/stage_planner.hpp"
 #include "hyssoprail/routing/stream_admission.hpp"
 
 namespace hyssoprail::routing {
@@ -54,7 +55,7 @@
   void cancel(std::string_view Id) override;
   void release(std::string_view Id, TimePoint Now) override;
   void outputGrew(std::string_view Id, std::uint64_t Tokens) override;
-  void prefillEnded(std::string_view Id) override;
+  void prefillEnded(std::string_view Id, TimePoint Now) override;
   bool hasRoom(std::string_view Service, std::int64_t Tokens,
                std::string_view Except, TimePoint Now) override;
 
@@ -87,6 +88,12 @@
   Room emptiest(std::string_view Service, std::string_view Except,
                 TimePoint Now);
 
+  /// Measures how busy engines are. To be called some times a second.
+  void observeWork(TimePoint Now);
+
+  /// How busy the engines of \p Service are.
+  const EngineWork &work(std::string_view Service) const;
+
   /// Next time at which poll() may have a decision without another event.
   TimePoint nextDeadline() const;
 
@@ -99,6 +106,7 @@
   struct Placed {
     StreamHold Hold;
     TimePoint Since{};
+    std::int64_t Backlog = 0; ///< at its prefill engine, its own included
   };
 
   /// Engines of a service that may receive work, as of one moment.
@@ -131,7 +139,8 @@
                         std::int64_t TokensAhead, TimePoint Now) const;
   double accountLoad(const std::string &Account) const;
   std::int64_t memoryBound(std::string_view Service) const;
-  void hold(StreamHold Hold, TimePoint Now);
+  void hold(StreamHold Hold, std::int64_t Backlog, TimePoint Now);
+  void freePrefill(Placed &P);
 
   StreamSchedulerOptions Options;
   EndpointTable &Table;
@@ -141,6 +150,7 @@
   std::uint64_t LastSerial = 0;
   std::map<std::string, Placed, std::less<>> Running;
   std::map<std::string, std::int64_t, std::less<>> AccountTokens;
+  std::map<std::string, EngineWork, std::less<>> Work; ///< by service
   double MeanRunSeconds = 3; ///< smoothed time that a placement lasts
 };
 
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -139,6 +139,7 @@
     return;
   }
   Server.age(Now);
+  Scheduler.observeWork(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
   exchange();
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -61,6 +61,9 @@
 
   routing::StreamAdmission &admission() { return Client; }
 
+  /// Queue of all entries, while this one coordinates.
+  const routing::StreamScheduler &scheduler() const { return Scheduler; }
+
   /// Entries that share a bound of the whole fleet.
   std::size_t knownEntries() const;
 
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -1,11 +1,13 @@
 #ifndef HYSSOPRAIL_GATEWAY_ENDPOINT_PROTOCOL_HPP
 #define HYSSOPRAIL_GATEWAY_ENDPOINT_PROTOCOL_HPP
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "hyssoprail/connection/http_message.hpp"
 #include "hyssoprail/core/result.hpp"
+#include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
 #include "hyssoprail/routing/request_info.hpp"
 
@@ -41,6 +43,13 @@
   /// Makes the request that frees a KV cache.
   virtual HttpRequest dropHandle(const routing::KvSource &Source) const = 0;
 
+  /// Makes the order that an engine change its stage. \p Fence grows with each
+  /// holder of the lease on orders.
+  virtual HttpRequest stageOrder(std::string_view EndpointId,
+                                 routing::EngineStage To,
+                                 std::string_view Holder,
+                                 std::uint64_t Fence) const = 0;
+
   /// Makes an answer of the entry itself.
   virtual HttpResponse rejection(routing::RejectReason Reason,
                                  milliseconds RetryAfter,
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_GATEWAY_FLEET_FEED_HPP
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -92,6 +93,14 @@
   /// back, if there was one.
   virtual TimePoint settledAt() const = 0;
 
+  /// Asks for the lease on orders to engines, and calls \p Use with its fencing
+  /// number if this entry holds it and no other entry can have given an order
+  /// shortly before. To be repeated while the lease is wanted.
+  virtual void withOrderLease(std::function<void(std::uint64_t Fence)> Use) = 0;
+
+  /// Gives the lease back.
+  virtual void leaveOrderLease() = 0;
+
   /// Store calls made since the start.
   virtual std::uint64_t calls() const = 0;
 };
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -108,6 +108,10 @@
 void GatewayRuntime::tick() {
   const TimePoint Now = Time.now();
   Coordinator.tick();
+  if (Config && Coordinator.coordinates())
+    Stages.tick(Config);
+  else
+    Stages.stop();
   Quota.setAudibleShare(Coordinator.audibleShare(), Now);
   Retries.setEntries(static_cast<unsigned>(sharingEntries(Now)));
   updateStartBounds(Now);
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -60,6 +60,8 @@
       Coordinator(Context, this->Settings, Incarnation, Time, Log,
                   {Table, Engines, Quota, Feed},
                   [this](const auto &Decisions) { onDecisions(Decisions); }),
+      Stages(this->Settings.Name, Time, Table, Coordinator.scheduler(), Feed,
+             Http, Protocol, Log),
       Endpoints(makeUpstreamClient(Context)), Answers(AnswerMemoryBytes),
       TickTimer(Context) {}
 
@@ -135,6 +137,7 @@
   StopBegan = Time.now();
   CallerServer->discourage();
   Coordinator.stop();
+  Stages.stop();
   Log.write(LogUrgency::Outcome, "stop", "", {{"open", Sessions.size()}});
 }
 
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -15,6 +15,7 @@
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
+#include "hyssoprail/gateway/stage_orders.hpp"
 #include "hyssoprail/process/metrics.hpp"
 
 namespace hyssoprail::gateway {
@@ -118,6 +119,7 @@
   routing::LengthEstimator Lengths;
   routing::EvidenceLog Engines;
   Coordination Coordinator;
+  StageOrders Stages;
   routing::FleetConfigPtr Config;
   TimePoint ConfigSince{};
   bool EndpointsComplete = false;
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -87,7 +87,7 @@
     R.set_tokens(memoryOfLonger(R.prompt_tokens(), Tokens));
 }
 
-void AdmissionClient::prefillEnded(std::string_view Id) {
+void AdmissionClient::prefillEnded(std::string_view Id, TimePoint) {
   const auto It = Runs.find(Id);
   if (It == Runs.end() || It->second.prefill().empty())
     return;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -139,7 +139,7 @@
     }
     Scheduler.resize(Id, R.tokens());
     if (R.prefill().empty())
-      Scheduler.prefillEnded(Id);
+      Scheduler.prefillEnded(Id, Now);
   }
 }
 
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -59,6 +59,7 @@
     E.Health = {};
     E.SuspectUntil = {};
     E.HandlesLostUntil = {};
+    E.ChangingUntil = {};
   }
   const bool Changed = !E.Listed || Record.Born != E.Record.Born ||
                        Record.Draining != E.Record.Draining ||
@@ -144,7 +145,7 @@
 }
 
 bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
-  return mayReceive(E, Now) && withinStarts(E, Now);
+  return mayReceive(E, Now) && !E.isChanging(Now) && withinStarts(E, Now);
 }
 
 bool EndpointTable::withinStarts(Endpoint &E, TimePoint Now) const {
--- /dev/null
+++ b/src/hyssoprail/routing/stage_planner.cpp
@@ -0,0 +1,163 @@
+#include "hyssoprail/routing/stage_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Prefill engines are given this much more than they need when decode engines
+/// are full, so that prompts do not queue and a lost engine can be borne.
+constexpr double PrefillReserve = 1.7;
+
+/// Prefill engines become decode engines only if these are busier than the
+/// first figure, and the other way only if prefill engines are busier than the
+/// second.
+constexpr double DecodeInDemand = 0.55;
+constexpr double PrefillInDemand = 0.85;
+
+/// Traffic is averaged over this time, and believed after the second: before,
+/// long generations have not shown yet.
+constexpr milliseconds AveragingTime{5'000};
+constexpr milliseconds LearningTime{8'000};
+constexpr unsigned EnoughPrompts = 40;
+constexpr double RateSmoothing = 0.05;
+
+/// Part of a service's engines by which the split must be off, and that may
+/// change in one round.
+constexpr double Tolerance = 0.04;
+constexpr double LargestRound = 0.15;
+
+/// Between two rounds in one direction, between rounds in opposite directions,
+/// and between two changes of one engine.
+constexpr milliseconds RoundInterval{8'000};
+constexpr milliseconds ReverseInterval{30'000};
+constexpr milliseconds EngineInterval{30'000};
+
+/// Time for an order to arrive and for the registration to show the change.
+constexpr milliseconds OrderSlack{4'000};
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
+} // namespace
+
+void EngineWork::promptRead(std::uint32_t Tokens, Duration Took, bool Alone) {
+  TokensRead += Tokens;
+  if (!Alone || Took <= Duration::zero() || Tokens == 0)
+    return;
+  const double Weight = std::max(RateSmoothing, 1.0 / ++Prompts);
+  TokensPerSecond += Weight * (Tokens / seconds(Took) - TokensPerSecond);
+}
+
+void EngineWork::observe(double DecodeEngines, TimePoint Now) {
+  const double Elapsed = seconds(Now - std::exchange(Observed, Now));
+  if (Elapsed > seconds(AveragingTime)) {
+    // The first observation, or none was made for long.
+    *this = {};
+    Observed = Now;
+    return;
+  }
+  const double Weight = 1 - std::exp(-Elapsed / seconds(AveragingTime));
+  if (Elapsed > 0)
+    ReadingRate += Weight * (TokensRead / Elapsed - ReadingRate);
+  Decode += Weight * (DecodeEngines - Decode);
+  TokensRead = 0;
+  if (DecodeEngines > 0)
+    Seen += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Elapsed));
+}
+
+std::optional<EngineWork::Busy> EngineWork::busy() const {
+  if (Prompts < EnoughPrompts || Seen < LearningTime)
+    return std::nullopt;
+  return Busy{ReadingRate / TokensPerSecond, Decode};
+}
+
+bool StagePlanner::mayChange(const Endpoint &E, TimePoint Now) const {
+  const auto Last = OrderedAt.find(E.Record.Id);
+  return Table.mayReceive(E, Now) && E.Record.ColdFor == milliseconds(0) &&
+         (Last == OrderedAt.end() || Now - Last->second >= EngineInterval);
+}
+
+std::vector<StageChange> StagePlanner::plan(const ServicePolicy &Service,
+                                            const EngineWork &Work,
+                                            TimePoint Now) {
+  std::vector<StageChange> Out;
+  const auto Busy = Work.busy();
+  if (!Service.Engine || !Busy || Busy->Decode <= 0)
+    return Out;
+  std::vector<Endpoint *> Prefill;
+  std::vector<Endpoint *> Decode;
+  std::map<std::string_view, int> PrefillOfZone;
+  Table.forEach([&](Endpoint &E) {
+    if (E.Record.Service != Service.Name || !Table.inService(E))
+      return;
+    if (E.isChanging(Now)) {
+      // Counts as what it will be.
+      (E.ChangingTo == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
+      return;
+    }
+    if (E.Record.Stage == EngineStage::Prefill)
+      ++PrefillOfZone[E.Record.Zone];
+    (E.Record.Stage == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
+  });
+  const auto All = static_cast<double>(Prefill.size() + Decode.size());
+  if (Prefill.empty() || Decode.empty())
+    return Out;
+  const double Needed = PrefillReserve * Busy->Prefill;
+  const double Share = Needed / (Needed + Busy->Decode);
+  const double Wanted = std::clamp(std::ceil(Share * All), 1.0, All - 1);
+  const double Surplus = static_cast<double>(Prefill.size()) - Wanted;
+  if (std::abs(Surplus) < std::max(1.0, Tolerance * All))
+    return Out;
+  const EngineStage To =
+      Surplus > 0 ? EngineStage::Decode : EngineStage::Prefill;
+  const bool InDemand =
+      To == EngineStage::Decode
+          ? Busy->Decode > DecodeInDemand * static_cast<double>(Decode.size())
+          : Busy->Prefill >
+                PrefillInDemand * static_cast<double>(Prefill.size());
+  if (!InDemand)
+    return Out;
+  const auto Last = LastOfService.find(Service.Name);
+  if (Last != LastOfService.end() &&
+      Now - Last->second.At <
+          (Last->second.To == To ? RoundInterval : ReverseInterval))
+    return Out;
+  const auto Count = static_cast<std::size_t>(
+      std::min(std::abs(Surplus), std::max(1.0, LargestRound * All)));
+  std::vector<Endpoint *> &From = Surplus > 0 ? Prefill : Decode;
+  std::erase_if(From, [&](const Endpoint *E) {
+    return E->isChanging(Now) || !mayChange(*E, Now);
+  });
+  // The idlest first; within a zone the last prefill engine stays.
+  std::sort(From.begin(), From.end(), [](const Endpoint *A, const Endpoint *B) {
+    return std::pair(A->total().Runs, A->Record.Id) <
+           std::pair(B->total().Runs, B->Record.Id);
+  });
+  while (Out.size() < Count && !From.empty()) {
+    auto Best = std::max_element(
+        From.begin(), From.end(), [&](const Endpoint *A, const Endpoint *B) {
+          return PrefillOfZone[A->Record.Zone] < PrefillOfZone[B->Record.Zone];
+        });
+    if (To == EngineStage::Decode && PrefillOfZone[(*Best)->Record.Zone] <= 1)
+      break;
+    PrefillOfZone[(*Best)->Record.Zone] += To == EngineStage::Decode ? -1 : 1;
+    Out.push_back({(*Best)->Record.Id, To});
+    From.erase(Best);
+  }
+  return Out;
+}
+
+void StagePlanner::ordered(const StageChange &Change,
+                           const ServicePolicy &Service, TimePoint Now) {
+  LastOfService[Service.Name] = {Change.To, Now};
+  OrderedAt[Change.EndpointId] = Now;
+  if (Endpoint *E = Table.find(Change.EndpointId)) {
+    E->ChangingTo = Change.To;
+    E->ChangingUntil = Now + Service.Engine->StageChangeTime + OrderSlack;
+  }
+}
+
+} // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/stage_planner_test.cpp
@@ -0,0 +1,143 @@
+#include "hyssoprail/routing/stage_planner.hpp"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::engine;
+using testing::Start;
+
+/// A service of engines in two zones under steady traffic.
+struct PlannerBench {
+  PlannerBench(int PrefillCount, int DecodeCount) {
+    for (int I = 0; I < PrefillCount; ++I)
+      add("p", I, EngineStage::Prefill);
+    for (int I = 0; I < DecodeCount; ++I)
+      add("d", I, EngineStage::Decode);
+    Service.Name = "assistant";
+    Service.Engine = EngineLimits{};
+  }
+
+  void add(const std::string &Kind, int Number, EngineStage Stage) {
+    Table.apply(engine(Kind + std::to_string(Number), Stage,
+                       Number % 2 == 0 ? "zone-a" : "zone-b"));
+  }
+
+  /// Traffic for \p Seconds: \p PerSecond prompts of 1,000 tokens, of which an
+  /// engine reads ten a second, and generations that fill \p DecodeEngines.
+  void run(int Seconds, int PerSecond, double DecodeEngines) {
+    for (int Step = 0; Step < Seconds * 20; ++Step) {
+      Now += milliseconds(50);
+      for (int I = 0; I < PerSecond / 20; ++I)
+        Work.promptRead(1'000, milliseconds(100), true);
+      Work.observe(DecodeEngines, Now);
+    }
+  }
+
+  /// The changes that are planned now, taken as ordered.
+  std::vector<StageChange> order() {
+    const auto Changes = Planner.plan(Service, Work, Now);
+    for (const StageChange &C : Changes)
+      Planner.ordered(C, Service, Now);
+    return Changes;
+  }
+
+  TimePoint Now = Start;
+  EndpointTable Table;
+  ServicePolicy Service;
+  EngineWork Work;
+  StagePlanner Planner{Table};
+};
+
+} // namespace
+
+// Replays a fleet with a third of its engines for prompts, of which most idle
+// while bursts wait for decode memory.
+TEST_CASE("idle prefill engines become decode engines in rounds") {
+  PlannerBench B(50, 50);
+  B.run(7, 60, 42);
+  REQUIRE(B.order().empty()); // too early
+  B.run(5, 60, 42);
+  const auto First = B.order();
+  REQUIRE(First.size() == 15); // 20 of 100 would do; a round is not larger
+  for (const StageChange &C : First) {
+    CHECK(C.To == EngineStage::Decode);
+    CHECK(C.EndpointId.starts_with("p"));
+    CHECK_FALSE(B.Table.mayStart(*B.Table.find(C.EndpointId), B.Now));
+  }
+  REQUIRE(B.order().empty());
+  B.run(9, 60, 42);
+  CHECK(B.order().size() == 15);
+  B.run(9, 60, 42);
+  CHECK(B.order().empty());
+}
+
+// Guards against changes that cost service and gain nothing.
+TEST_CASE("nothing changes while memory is free or the split is right") {
+  PlannerBench Idle(14, 26);
+  Idle.run(20, 20, 10);
+  CHECK(Idle.order().empty());
+  PlannerBench Right(9, 31);
+  Right.run(20, 40, 28);
+  CHECK(Right.order().empty());
+  PlannerBench Small(4, 8);
+  Small.run(20, 20, 7);
+  CHECK(Small.order().empty());
+}
+
+// Replays traffic that shifts to long prompts: prefill engines fall behind.
+TEST_CASE("decode engines read prompts when prefill engines are short") {
+  PlannerBench B(4, 36);
+  B.run(20, 40, 18);
+  const auto Changes = B.order();
+  REQUIRE_FALSE(Changes.empty());
+  for (const StageChange &C : Changes)
+    CHECK(C.To == EngineStage::Prefill);
+}
+
+// Guards against engines that change to and fro and serve nobody meanwhile.
+TEST_CASE("a change is not taken back soon") {
+  PlannerBench B(14, 26);
+  B.run(12, 40, 22);
+  REQUIRE_FALSE(B.order().empty());
+  B.run(15, 400, 4);
+  CHECK(B.order().empty());
+}
+
+// Guards against a zone without prefill engines, whose prompts would all cross
+// to other zones.
+TEST_CASE("the last prefill engine of a zone stays") {
+  PlannerBench B(3, 37);
+  B.run(20, 20, 200); // as if the prompts needed half an engine
+  const auto Changes = B.order();
+  REQUIRE(Changes.size() == 1);
+  CHECK(B.Table.find(Changes[0].EndpointId)->Record.Zone == "zone-a");
+  B.run(40, 20, 200);
+  CHECK(B.order().empty());
+}
+
+// Guards against work for an engine that has been ordered to change, and
+// against one that is never used again if the order was lost.
+TEST_CASE("an engine that changes gets no work until it has changed") {
+  PlannerBench B(14, 26);
+  B.run(12, 40, 22);
+  const std::string Id = B.order().at(0).EndpointId;
+  Endpoint &E = *B.Table.find(Id);
+  CHECK_FALSE(B.Table.mayStart(E, B.Now + milliseconds(100)));
+  EndpointRecord Changed = E.Record;
+  Changed.Stage = EngineStage::Decode;
+  Changed.Sequence = 7;
+  B.Table.apply(Changed);
+  CHECK(B.Table.mayStart(E, B.Now + milliseconds(6'000)));
+  const std::string Lost = Id == "p0" ? "p1" : "p0";
+  StageChange Order{Lost, EngineStage::Decode};
+  B.Planner.ordered(Order, B.Service, B.Now);
+  CHECK(B.Table.mayStart(*B.Table.find(Lost), B.Now + milliseconds(11'000)));
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -226,7 +226,7 @@
   void sendPrefill(const StreamPlace &Place, TimePoint Now) {
     Endpoint *E = Shared.Table.find(Place.Prefill);
     if (!E || !Arrivals.begin(LegKind::Prefill, Now)) {
-      Shared.Admission.prefillEnded(Request.Key);
+      Shared.Admission.prefillEnded(Request.Key, Now);
       return sendDecode(Now);
     }
     Current = Phase::Prefilling;
@@ -244,7 +244,7 @@
     if (Answer.Outcome == LegOutcome::Answered && !Answer.Handle.empty()) {
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
         Cache.hold({E->Record.Address, Answer.Handle}, Now);
-      Shared.Admission.prefillEnded(Request.Key);
+      Shared.Admission.prefillEnded(Request.Key, Now);
       return sendDecode(Now);
     }
     prefillElsewhere(Now);
@@ -256,7 +256,7 @@
     FailedPrefill = PrefillEndpoint;
     if (PrefillSends < MaxPrefillSends)
       return readPromptAgain(Now);
-    Shared.Admission.prefillEnded(Request.Key);
+    Shared.Admission.prefillEnded(Request.Key, Now);
     sendDecode(Now);
   }
 
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -105,27 +105,29 @@
   return Next;
 }
 
-void StreamScheduler::hold(StreamHold Hold, TimePoint Now) {
+void StreamScheduler::hold(StreamHold Hold, std::int64_t Backlog,
+                           TimePoint Now) {
   Table.reserve(Hold.Decode, decodeLoad(Hold));
   if (!Hold.Prefill.empty())
     Table.reserve(Hold.Prefill, prefillLoad(Hold));
   AccountTokens[Hold.Account] += Hold.Tokens;
   std::string Id = Hold.Id;
-  Running.insert_or_assign(std::move(Id), Placed{std::move(Hold), Now});
+  Running.insert_or_assign(std::move(Id),
+                           Placed{std::move(Hold), Now, Backlog});
 }
 
 void StreamScheduler::adopt(const StreamHold &Hold, TimePoint Now) {
   cancel(Hold.Id);
   if (!holds(Hold.Id))
-    hold(Hold, Now);
+    hold(Hold, 0, Now);
 }
 
 void StreamScheduler::release(std::string_view Id, TimePoint Now) {
   const auto It = Running.find(Id);
   if (It == Running.end())
     return;
-  prefillEnded(Id);
-  const Placed &P = It->second;
+  Placed &P = It->second;
+  freePrefill(P);
   Table.release(P.Hold.Decode, decodeLoad(P.Hold));
   AccountTokens[P.Hold.Account] -= P.Hold.Tokens;
   MeanRunSeconds +=
@@ -161,13 +163,39 @@
   Table.reserve(H.Decode, decodeLoad(H));
 }
 
-void StreamScheduler::prefillEnded(std::string_view Id) {
+void StreamScheduler::prefillEnded(std::string_view Id, TimePoint Now) {
   const auto It = Running.find(Id);
   if (It == Running.end() || It->second.Hold.Prefill.empty())
     return;
-  StreamHold &H = It->second.Hold;
-  Table.release(H.Prefill, prefillLoad(H));
-  H.Prefill.clear();
+  Placed &P = It->second;
+  Work[P.Hold.Service].promptRead(P.Hold.PromptTokens, Now - P.Since,
+                                  P.Backlog == P.Hold.PromptTokens);
+  freePrefill(P);
+}
+
+void StreamScheduler::freePrefill(Placed &P) {
+  if (!P.Hold.Prefill.empty())
+    Table.release(P.Hold.Prefill, prefillLoad(P.Hold));
+  P.Hold.Prefill.clear();
+}
+
+void StreamScheduler::observeWork(TimePoint Now) {
+  std::map<std::string_view, std::int64_t> Held;
+  for (const auto &[Id, P] : Running)
+    Held[P.Hold.Service] += P.Hold.Tokens;
+  if (!Config)
+    return;
+  for (const auto &[Name, Service] : Config->Services)
+    if (Service.Engine)
+      Work[Name].observe(static_cast<double>(Held[Name]) /
+                             static_cast<double>(memoryBound(Name)),
+                         Now);
+}
+
+const EngineWork &StreamScheduler::work(std::string_view Service) const {
+  static const EngineWork Unknown;
+  const auto It = Work.find(Service);
+  return It == Work.end() ? Unknown : It->second;
 }
 
 double StreamScheduler::accountLoad(const std::string &Account) const {
@@ -312,7 +340,7 @@
   }
   hold({Need.Id, Need.Service, Need.Account, Out.Decode, Out.Prefill,
         memoryNeed(Need), Need.PromptTokens},
-       Now);
+       Out.PrefillBacklog, Now);
   Table.sent(Out.Decode, Now);
   if (Prefill)
     Table.sent(Out.Prefill, Now);
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -112,7 +112,7 @@
       }
       for (const std::string &Id : B.placed()) {
         Open.erase(Id);
-        B.Scheduler.prefillEnded(Id);
+        B.Scheduler.prefillEnded(Id, B.Now);
         Running.emplace_back(B.Now + milliseconds(1'500), Id);
       }
       for (const StreamRefusal &R : B.Refusals) {
