Tests of the stage planner: engines register with their new stage

Cause: the commit before went in with two of its tests red; the bench of the tests never finished an ordered change, so the planner ordered again.

--- a/src/hyssoprail/routing/stage_planner_test.cpp
+++ b/src/hyssoprail/routing/stage_planner_test.cpp
@@ -31,6 +31,8 @@
   /// Traffic for \p Seconds: \p PerSecond prompts of 1,000 tokens, of which an
   /// engine reads ten a second, and generations that fill \p DecodeEngines.
   void run(int Seconds, int PerSecond, double DecodeEngines) {
+    for (const StageChange &C : std::exchange(Pending, {}))
+      finish(C);
     for (int Step = 0; Step < Seconds * 20; ++Step) {
       Now += milliseconds(50);
       for (int I = 0; I < PerSecond / 20; ++I)
@@ -44,14 +46,24 @@
     const auto Changes = Planner.plan(Service, Work, Now);
     for (const StageChange &C : Changes)
       Planner.ordered(C, Service, Now);
+    Pending.insert(Pending.end(), Changes.begin(), Changes.end());
     return Changes;
   }
 
+  /// The engine registers with its new stage.
+  void finish(const StageChange &C) {
+    EndpointRecord Record = Table.find(C.EndpointId)->Record;
+    Record.Stage = C.To;
+    ++Record.Sequence;
+    Table.apply(Record);
+  }
+
   TimePoint Now = Start;
   EndpointTable Table;
   ServicePolicy Service;
   EngineWork Work;
   StagePlanner Planner{Table};
+  std::vector<StageChange> Pending; ///< ordered, and finished by the next run
 };
 
 } // namespace
