Updates of the coordinator carry what changed, and no whole lists at the start

Change: totals go with an update at most every 200 ms, and are marked as present. An entry that reads the store with success doesn't ask for the list; one that asks names the position its own reading reached. An entry that has read once and then follows stops its own reading at once.

--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -46,8 +46,9 @@
   std::vector<std::string> due() const;
 
   /// Writes what \p Entry is to know into the update, which is then due no
-  /// more.
-  void fill(const std::string &Entry, wire::CoordinatorUpdate &Update);
+  /// more. \p WithTotals: with those of accounts and calls.
+  void fill(const std::string &Entry, wire::CoordinatorUpdate &Update,
+            bool WithTotals);
 
   /// Addresses of all entries that report, but for this one, by name.
   std::map<std::string, std::string> addresses() const;
@@ -99,6 +100,7 @@
                  const wire::EntryReport &Report);
   void takeAccounts(const std::string &Name, Entry &E, bool New,
                     const wire::EntryReport &Report, TimePoint Now);
+  void fillTotals(const Entry &E, wire::CoordinatorUpdate &Update);
   void drop(const std::string &Name, Entry &E, TimePoint Now);
   bool complete(TimePoint Now) const;
   void record(const StreamPlace &Place);
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds IntroductionTime{2'000};
 constexpr milliseconds UnheardUpdateInterval{1'000};
 
+/// Totals of accounts and calls make up most of an update.
+constexpr milliseconds TotalsInterval{200};
+
 constexpr milliseconds RoomsInterval{50};
 constexpr std::size_t DeputyCount = 3;
 
@@ -129,7 +132,8 @@
 
 void Coordination::tick() {
   const TimePoint Now = Time.now();
-  State.Feed.setReading(shouldRead(Now));
+  Reads = shouldRead(Now);
+  State.Feed.setReading(Reads);
   deliver(Client.expire(Now));
   if (Election.tick(Server.heard(Now), knownEntries(), Now))
     beginCoordination(Now);
@@ -150,6 +154,7 @@
   KnownAtClaim = Election.current()->Known;
   CoordinatesSince = Now;
   UpdatedAt.clear();
+  TotalsAt.clear();
   // Its predecessor is not expected to report.
   Server.begin(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   State.Table.setPeerLoad(FleetPeer, {});
@@ -247,10 +252,12 @@
   Deputies.assign(Update.deputies().begin(), Update.deputies().end());
   takeSource(Now);
   QueuedInFleet = Update.queued();
-  routing::LoadMap Calls;
-  for (const wire::CallUse &Use : Update.calls())
-    Calls[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
-  State.Table.setPeerLoad(FleetPeer, std::move(Calls));
+  if (Update.has_totals()) {
+    routing::LoadMap Calls;
+    for (const wire::CallUse &Use : Update.calls())
+      Calls[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
+    State.Table.setPeerLoad(FleetPeer, std::move(Calls));
+  }
   for (const wire::AccountUse &Use : Update.accounts())
     State.Quota.peerGranted(FleetPeer, Update.incarnation() ^ Update.term(),
                             Use.account(), Use.tokens(), Now);
@@ -362,7 +369,10 @@
 std::string Coordination::newerSource() const {
   const FeedPosition Newest{Source.operator_position(),
                             Source.endpoint_position()};
-  return State.Feed.position().covers(Newest) ||
+  // An entry that reads the store itself soon gets there.
+  const bool ReadsItself =
+      Reads && State.Feed.storeAge() < milliseconds(FirstReadsAfter);
+  return ReadsItself || State.Feed.known().covers(Newest) ||
                  Source.address() == Settings.MetricsAddress
              ? ""
              : Source.address();
@@ -382,8 +392,9 @@
       FirstReadsAfter + (LastReadsAfter - FirstReadsAfter) *
                             (stableHash(Settings.Name) % Parts) / Parts;
   const Duration Age = State.Feed.age();
-  if (Age > FirstReadsAfter)
+  if (Age > FirstReadsAfter && WasFresh)
     SourceFresh = Now;
+  WasFresh = WasFresh || Age <= FirstReadsAfter;
   ReadsAlone = Age > Limit || (ReadsAlone && Now - SourceFresh < FreshFor);
   return IsReader || ReadsAlone;
 }
@@ -455,7 +466,11 @@
   *U.mutable_source() = Source;
   for (const wire::ServiceRoom &Room : Rooms)
     *U.add_rooms() = Room;
-  Server.fill(Entry, U);
+  TimePoint &Totals = TotalsAt[Entry];
+  const bool WithTotals = Now - Totals >= TotalsInterval;
+  if (WithTotals)
+    Totals = Now;
+  Server.fill(Entry, U, WithTotals);
   return U;
 }
 
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -138,7 +138,9 @@
   std::map<std::string, TimePoint> IntroducedAt; ///< to other claimants
   wire::FleetSource Source; ///< whom entries that do not read the store ask
   TimePoint SourceFresh{};  ///< when the knowledge became fresh again
+  bool Reads = true;        ///< the store
   bool ReadsAlone = false;  ///< as no other entry's knowledge is fresh
+  bool WasFresh = false;    ///< at any time since the start
   std::size_t QueuedInFleet = 0;
 
   // As the coordinator.
@@ -146,6 +148,7 @@
   TimePoint CoordinatesSince{};
   std::size_t KnownAtClaim = 1;
   std::map<std::string, TimePoint> UpdatedAt;
+  std::map<std::string, TimePoint> TotalsAt;
   std::vector<wire::ServiceRoom> Rooms;
   TimePoint RoomsAt{};
   std::vector<std::string> Deputies;
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -78,6 +78,10 @@
   /// The newest changes that this entry knows.
   virtual FeedPosition position() const = 0;
 
+  /// How far this entry knows of all changes; it may have read on beyond the
+  /// newest one.
+  virtual FeedPosition known() const = 0;
+
   /// The changes since \p From, for another entry.
   virtual std::string changesSince(FeedPosition From) const = 0;
 
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -132,7 +132,7 @@
     return;
   Pulling = true;
   PulledAt = Now;
-  const FeedPosition Known = Feed.position();
+  const FeedPosition Known = Feed.known();
   HttpCall Call;
   Call.Authority = Source;
   Call.Request = {"GET",
@@ -147,7 +147,7 @@
     const bool Taken = !E && valueOf(Answer).Status == 200;
     if (Taken)
       Feed.offer(valueOf(Answer).Body);
-    const FeedPosition Position = Feed.position();
+    const FeedPosition Position = Feed.known();
     Log.write(Taken ? LogUrgency::Routine : LogUrgency::Outcome,
               "changes_from_entry", "",
               {{"source", Source},
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -286,7 +286,7 @@
 }
 
 void AdmissionServer::fill(const std::string &Name,
-                           wire::CoordinatorUpdate &Update) {
+                           wire::CoordinatorUpdate &Update, bool WithTotals) {
   Update.set_queued(static_cast<std::uint32_t>(Scheduler.queued()));
   const auto It = Entries.find(Name);
   if (It == Entries.end())
@@ -299,6 +299,13 @@
     *Update.add_grants() = Grant;
   for (const auto &[Key, Denial] : E.Denied)
     *Update.add_denials() = Denial;
+  if (WithTotals)
+    fillTotals(E, Update);
+}
+
+void AdmissionServer::fillTotals(const Entry &E,
+                                 wire::CoordinatorUpdate &Update) {
+  Update.set_has_totals(true);
   for (const auto &[Account, Tokens] : GrantingOfAll) {
     const auto Own = E.Granting.find(Account);
     wire::AccountUse *Use = Update.add_accounts();
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -74,7 +74,7 @@
 
   wire::CoordinatorUpdate update(const Follower &F) {
     wire::CoordinatorUpdate U;
-    Server.fill(F.Name, U);
+    Server.fill(F.Name, U, true);
     return U;
   }
 
--- a/src/hyssoprail/routing/stage_planner_test.cpp
+++ b/src/hyssoprail/routing/stage_planner_test.cpp
@@ -43,7 +43,7 @@
 
   /// The changes that are planned now, taken as ordered.
   std::vector<StageChange> order() {
-    const auto Changes = Planner.plan(Service, Work, Now);
+    auto Changes = Planner.plan(Service, Work, Now);
     for (const StageChange &C : Changes)
       Planner.ordered(C, Service, Now);
     Pending.insert(Pending.end(), Changes.begin(), Changes.end());
