The changes of the fleet spread within each zone, and entries that start together get no whole lists

After a start the coordinator sent the whole list (750 kB) to 200 entries at once: each had read the store up to a position a little before that from which the coordinator knew changes. After the loss of a zone 610 registrations went from it to each of 300 entries. Its updates waited behind those on its link for more than 400 ms, so the followers took it for silent and up to 55 of them claimed within a second, each with the same pulls to answer. Ruled out: processor time of the coordinator, the read limits of the store.

Change: an entry that knows less than the coordinator can tell as changes reads on until it does. A source tells how far it has read, so followers know that what they have not read only repeats. In zones with eight followers or more the coordinator names the largest heard entry as the source of the others; they ask the coordinator if it brings nothing new for a second. Failed pulls wait 200 ms.

--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -66,6 +66,15 @@
   /// The other entry that is heard and that the store answered last.
   std::optional<wire::FleetSource> freshestSource(TimePoint Now) const;
 
+  /// Chooses the largest entry of each zone with many entries. The others of
+  /// its zone get the changes of the fleet from it. To be called some times a
+  /// second.
+  void chooseNearbySources(TimePoint Now);
+
+  /// Address of the entry that \p Entry gets the changes from; empty if that is
+  /// the source of all.
+  std::string nearbySource(const std::string &Entry) const;
+
 private:
   using Grants = std::map<std::uint64_t, wire::StreamGrant>;
   using Denials = std::map<std::uint64_t, wire::StreamDenial>;
@@ -115,6 +124,7 @@
   TimePoint Began{};
   std::size_t Expected = 1;
   std::map<std::string, Entry> Entries;
+  std::map<std::string, std::string> NearbySources; ///< entries, by zone
   std::map<std::string, double, std::less<>> GrantingOfAll; ///< by account
   /// Entry and key of each request that waits or holds engines.
   std::map<std::string, std::pair<std::string, std::uint64_t>> Requests;
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -146,6 +146,7 @@
   Scheduler.observeWork(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
+  Server.chooseNearbySources(Now);
   exchange();
   sendHeartbeats(Now);
 }
@@ -344,6 +345,8 @@
   S.set_age_ms(reportedAge(State.Feed.storeAge()));
   S.set_operator_position(Known.Operator);
   S.set_endpoint_position(Known.Endpoints);
+  S.set_endpoints_from(State.Feed.endpointsFrom());
+  S.set_endpoints_read(State.Feed.endpointsRead());
   S.set_settling_ms(reportedAge(std::max<Duration>(
       Duration::zero(), State.Feed.settledAt() - Time.now())));
   return S;
@@ -361,21 +364,31 @@
 }
 
 void Coordination::takeSource(TimePoint Now) {
-  State.Feed.confirm({Source.operator_position(), Source.endpoint_position()},
-                     Now - milliseconds(Source.age_ms()),
-                     Now + milliseconds(Source.settling_ms()));
+  State.Feed.confirm({
+      .Newest = {Source.operator_position(), Source.endpoint_position()},
+      .EndpointsRead = Source.endpoints_read(),
+      .At = Now - milliseconds(Source.age_ms()),
+      .SettledAt = Now + milliseconds(Source.settling_ms()),
+  });
 }
 
-std::string Coordination::newerSource() const {
+FleetSources Coordination::newerSources() const {
   const FeedPosition Newest{Source.operator_position(),
                             Source.endpoint_position()};
   // An entry that reads the store itself soon gets there.
   const bool ReadsItself =
       Reads && State.Feed.storeAge() < milliseconds(FirstReadsAfter);
-  return ReadsItself || State.Feed.known().covers(Newest) ||
-                 Source.address() == Settings.MetricsAddress
-             ? ""
-             : Source.address();
+  if (ReadsItself || State.Feed.known().covers(Newest) ||
+      Source.address() == Settings.MetricsAddress)
+    return {};
+  return {Source.address(), Source.nearby()};
+}
+
+/// Load pattern: all entries start at once and have read the store up to
+/// positions a little before that of the coordinator, which would then have to
+/// send each of them the whole list.
+bool Coordination::isBehindChanges() const {
+  return State.Feed.known().Endpoints < Source.endpoints_from();
 }
 
 /// Load pattern: hundreds of entries, of which each would cost the store some
@@ -396,7 +409,7 @@
     SourceFresh = Now;
   WasFresh = WasFresh || Age <= FirstReadsAfter;
   ReadsAlone = Age > Limit || (ReadsAlone && Now - SourceFresh < FreshFor);
-  return IsReader || ReadsAlone;
+  return IsReader || ReadsAlone || isBehindChanges();
 }
 
 // ---- As the coordinator ---------------------------------------------------
@@ -464,6 +477,7 @@
   for (const std::string &Name : Deputies)
     U.add_deputies(Name);
   *U.mutable_source() = Source;
+  U.mutable_source()->set_nearby(Server.nearbySource(Entry));
   for (const wire::ServiceRoom &Room : Rooms)
     *U.add_rooms() = Room;
   TimePoint &Totals = TotalsAt[Entry];
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -29,6 +29,13 @@
   FleetFeed &Feed;
 };
 
+/// Addresses of entries that serve changes of the fleet. Both are empty if
+/// there is nothing to ask for.
+struct FleetSources {
+  std::string Reader; ///< reads the store
+  std::string Nearby; ///< follows in this entry's zone; may be empty
+};
+
 /// Connects this entry with the coordinator of all entries, or coordinates them
 /// itself: sends and hears datagrams, and asks for decisions when something
 /// that decides them has changed. Used on the thread of the event loop.
@@ -73,9 +80,8 @@
 
   bool coordinates() const { return Election.coordinates(); }
 
-  /// Address of an entry that knows changes of the fleet which this one does
-  /// not; empty if there is none.
-  std::string newerSource() const;
+  /// Entries to ask for changes of the fleet that this one does not know.
+  FleetSources newerSources() const;
 
   std::size_t wanting() const { return Client.wanting(); }
   std::size_t queuedInFleet() const { return QueuedInFleet; }
@@ -107,6 +113,7 @@
   void chooseSource(TimePoint Now);
   void takeSource(TimePoint Now);
   bool shouldRead(TimePoint Now);
+  bool isBehindChanges() const;
   wire::CoordinatorUpdate makeUpdate(const std::string &Entry);
   void sendUpdate(const std::string &Entry, const std::string &Address,
                   TimePoint Now);
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -32,6 +32,15 @@
   }
 };
 
+/// What an entry that reads the store says of its knowledge.
+struct FeedConfirmation {
+  FeedPosition Newest;             ///< it knows no changes after these
+  std::uint64_t EndpointsRead = 0; ///< it has read registrations up to here
+  TimePoint At{};                  ///< when the store last answered it
+  /// Until then it takes no missing registration as gone.
+  TimePoint SettledAt{};
+};
+
 /// Receives what the platform's store says of the fleet.
 class FleetListener {
 public:
@@ -82,16 +91,21 @@
   /// newest one.
   virtual FeedPosition known() const = 0;
 
+  /// The same for registrations, as far as it may be told to other entries.
+  virtual std::uint64_t endpointsRead() const = 0;
+
+  /// An entry that knows registrations up to here or further gets the changes
+  /// from this one; any other gets the whole list.
+  virtual std::uint64_t endpointsFrom() const = 0;
+
   /// The changes since \p From, for another entry.
   virtual std::string changesSince(FeedPosition From) const = 0;
 
   /// Takes changes from another entry.
   virtual void offer(std::string_view Changes) = 0;
 
-  /// An entry that the store answered at \p At knows no changes after
-  /// \p Newest. Until \p SettledAt it takes no missing registration as gone.
-  virtual void confirm(FeedPosition Newest, TimePoint At,
-                       TimePoint SettledAt) = 0;
+  /// Takes what another entry says of its knowledge.
+  virtual void confirm(const FeedConfirmation &Peer) = 0;
 
   /// End of the time after an outage in which a missing registration may come
   /// back, if there was one.
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -30,6 +30,13 @@
 constexpr milliseconds ShortestPullInterval{40};
 constexpr milliseconds PullTimeout{600};
 
+/// A source that did not answer in time may have more to send than its link
+/// takes.
+constexpr milliseconds PullRetry{200};
+
+/// Time within which a nearby source passes on what it gets.
+constexpr milliseconds NearbyMayTake{1'000};
+
 } // namespace
 
 // ---- What the store says --------------------------------------------------
@@ -125,13 +132,27 @@
   });
 }
 
-/// An entry that does not read the store gets the changes from one that does.
+/// An entry that does not read the store gets the changes from one that does,
+/// or from one nearby that gets them sooner. If the latter brings nothing new
+/// for some time, it is cut off or has stopped.
+std::string GatewayRuntime::changesSource(TimePoint Now) {
+  const FleetSources Sources = Coordinator.newerSources();
+  const FeedPosition Known = Feed.known();
+  if (Sources.Reader.empty() || !AdvancedTo.covers(Known)) {
+    AdvancedTo = Known;
+    AdvancedAt = Now;
+  }
+  return Sources.Nearby.empty() || Now - AdvancedAt > NearbyMayTake
+             ? Sources.Reader
+             : Sources.Nearby;
+}
+
 void GatewayRuntime::pullChanges(TimePoint Now) {
-  const std::string Source = Coordinator.newerSource();
-  if (Source.empty() || Pulling || Now - PulledAt < ShortestPullInterval)
+  const std::string Source = changesSource(Now);
+  if (Source.empty() || Pulling || Now < PullAt)
     return;
   Pulling = true;
-  PulledAt = Now;
+  PullAt = Now + ShortestPullInterval;
   const FeedPosition Known = Feed.known();
   HttpCall Call;
   Call.Authority = Source;
@@ -142,21 +163,28 @@
                   ""};
   Call.Timeout = PullTimeout;
   Http.call(std::move(Call), [this, Source](Result<HttpResponse> Answer) {
-    Pulling = false;
-    const Error *E = errorOf(Answer);
-    const bool Taken = !E && valueOf(Answer).Status == 200;
-    if (Taken)
-      Feed.offer(valueOf(Answer).Body);
-    const FeedPosition Position = Feed.known();
-    Log.write(Taken ? LogUrgency::Routine : LogUrgency::Outcome,
-              "changes_from_entry", "",
-              {{"source", Source},
-               {"operator_position", Position.Operator},
-               {"endpoint_position", Position.Endpoints},
-               {"outcome", E ? E->Message : std::string("answered")}});
+    onChanges(Source, Answer);
   });
 }
 
+void GatewayRuntime::onChanges(const std::string &Source,
+                               const Result<HttpResponse> &Answer) {
+  Pulling = false;
+  const Error *E = errorOf(Answer);
+  const bool Taken = !E && valueOf(Answer).Status == 200;
+  if (Taken)
+    Feed.offer(valueOf(Answer).Body);
+  else
+    PullAt = Time.now() + PullRetry;
+  const FeedPosition Position = Feed.known();
+  Log.write(Taken ? LogUrgency::Routine : LogUrgency::Outcome,
+            "changes_from_entry", "",
+            {{"source", Source},
+             {"operator_position", Position.Operator},
+             {"endpoint_position", Position.Endpoints},
+             {"outcome", E ? E->Message : std::string("answered")}});
+}
+
 /// Entries that share a bound of the whole fleet.
 std::size_t GatewayRuntime::sharingEntries(TimePoint Now) const {
   const std::size_t Known = Coordinator.knownEntries();
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -97,7 +97,9 @@
 
   void tick();
   std::size_t sharingEntries(TimePoint Now) const;
+  std::string changesSource(TimePoint Now);
   void pullChanges(TimePoint Now);
+  void onChanges(const std::string &Source, const Result<HttpResponse> &Answer);
   void updateStartBounds(TimePoint Now);
   void updateGauges();
   void checkStopped();
@@ -136,7 +138,9 @@
 
   boost::asio::steady_timer TickTimer;
   bool Pulling = false;
-  TimePoint PulledAt{};
+  TimePoint PullAt{};      ///< not before
+  FeedPosition AdvancedTo; ///< newest knowledge of the fleet
+  TimePoint AdvancedAt{};  ///< when it grew, or was complete
   bool Stopping = false;
   bool Draining = false;
   TimePoint StopBegan{};
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -26,6 +26,9 @@
 /// incarnation that comes sooner is a late one of a process that was killed.
 constexpr milliseconds RestartTime{200};
 
+/// Zones with fewer followers ask the source of all.
+constexpr std::size_t FollowersOfNearbySource = 8;
+
 /// Time that a new coordinator gives the entries to report what they hold.
 constexpr milliseconds CollectTime{150};
 
@@ -376,4 +379,35 @@
   return Best;
 }
 
+/// Load pattern: a zone with hundreds of endpoints is lost and comes back. The
+/// changes would go from one entry to hundreds, most of them between zones, and
+/// its updates would wait behind them until the others take it for silent.
+void AdmissionServer::chooseNearbySources(TimePoint Now) {
+  NearbySources.clear();
+  std::map<std::string, std::size_t> Followers;
+  for (const auto &[Name, E] : Entries) {
+    if (Name == OwnName || E.Leaving || Now - E.Heard >= SilentAfter ||
+        E.State.address().empty())
+      continue;
+    ++Followers[E.Zone];
+    std::string &Chosen = NearbySources[E.Zone];
+    if (Chosen.empty() || E.Weight > Entries.at(Chosen).Weight)
+      Chosen = Name;
+  }
+  std::erase_if(NearbySources, [&](const auto &Item) {
+    return Followers.at(Item.first) < FollowersOfNearbySource;
+  });
+}
+
+std::string AdmissionServer::nearbySource(const std::string &Entry) const {
+  const auto It = Entries.find(Entry);
+  if (It == Entries.end())
+    return "";
+  const auto Chosen = NearbySources.find(It->second.Zone);
+  if (Chosen == NearbySources.end() || Chosen->second == Entry)
+    return "";
+  const auto Source = Entries.find(Chosen->second);
+  return Source == Entries.end() ? "" : Source->second.State.address();
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -277,6 +277,42 @@
   CHECK(C.update(B).accounts(0).tokens() == 300);
 }
 
+// Replays the return of a zone's endpoints before many entries: the changes
+// used to go to each of them from one entry, whose updates waited behind them.
+TEST_CASE("the changes of the fleet spread within each zone") {
+  Coordinator C;
+  std::deque<Follower> Followers;
+  for (const std::string Zone : {"zone-a", "zone-b"})
+    for (int I = 0; I < 8; ++I) {
+      Follower &F = Followers.emplace_back(Zone + "/" + std::to_string(I));
+      F.Weight = I == 5 ? 2 : 1;
+    }
+  Follower &Alone = Followers.emplace_back("zone-c/0");
+  const auto HearAll = [&] {
+    for (Follower &F : Followers) {
+      wire::EntryReport R = F.report(C.Now);
+      R.set_zone(F.Name.substr(0, F.Name.find('/')));
+      R.mutable_state()->set_address(F.Name);
+      C.Server.hear(R, C.Now);
+    }
+    C.Server.chooseNearbySources(C.Now);
+  };
+  HearAll();
+  CHECK(C.Server.nearbySource("zone-a/0") == "zone-a/5");
+  CHECK(C.Server.nearbySource("zone-b/7") == "zone-b/5");
+  CHECK(C.Server.nearbySource("zone-a/5").empty());
+  CHECK(C.Server.nearbySource(Alone.Name).empty());
+
+  // A source that has fallen silent is replaced.
+  std::erase_if(Followers,
+                [](const Follower &F) { return F.Name == "zone-a/5"; });
+  Followers.emplace_back("zone-a/8");
+  C.Now += milliseconds(800);
+  HearAll();
+  CHECK(C.Server.nearbySource("zone-a/0") != "zone-a/5");
+  CHECK(C.Server.nearbySource("zone-b/0") == "zone-b/5");
+}
+
 // Guards against a malformed report that takes the process down or spoils the
 // totals of all entries.
 TEST_CASE("weights and totals that are no numbers are harmless") {
