An entry's own pause is no silence of the coordinator; deputies are spread over zones

Each is busy with the list of 3,000 endpoints for longer than the 400 ms after which a coordinator counts as silent, and decides that before it reads the datagrams that have arrived. The loss of one zone could also take the coordinator and all its deputies.

Change: after a pause of its own of more than 200 ms an entry waits 200 ms more, once, for what it should have heard. Of VMs of one size those in other zones become deputies first.

--- a/include/hyssoprail/routing/coordinator_election.hpp
+++ b/include/hyssoprail/routing/coordinator_election.hpp
@@ -66,6 +66,7 @@
 
 private:
   bool silent(TimePoint Now) const;
+  void allowForOwnPause(TimePoint Now);
   std::size_t deputyRank() const;
 
   std::string OwnName;
@@ -74,6 +75,8 @@
   bool Resigned = false;
   std::optional<CoordinatorClaim> Current;
   TimePoint HeardAt{};
+  TimePoint TickedAt{};
+  TimePoint AllowedFrom{}; ///< HeardAt, if it allows for an own pause
   std::uint64_t HighestTerm = 0;
   TimePoint ClaimAt = TimePoint::max(); ///< of a start without a coordinator
 };
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -345,21 +345,31 @@
   return Count;
 }
 
+/// Of entries with VMs of one size those of further zones come first, so that
+/// the loss of a zone spares one.
 std::vector<std::string> AdmissionServer::deputies(std::size_t Count,
                                                    TimePoint Now) const {
-  std::vector<std::pair<double, std::string>> Ranked;
-  for (const auto &[Name, E] : Entries)
-    if (Name != OwnName && !E.Leaving && Now - E.Heard < SilentAfter)
-      Ranked.emplace_back(-E.Weight, Name);
-  std::sort(Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
-    return std::tuple(A.first, stableHash(A.second), A.second) <
-           std::tuple(B.first, stableHash(B.second), B.second);
-  });
+  std::vector<const std::pair<const std::string, Entry> *> Candidates;
+  std::map<std::string, std::size_t> Chosen; ///< by zone
+  for (const auto &Item : Entries) {
+    const Entry &E = Item.second;
+    if (Item.first == OwnName)
+      ++Chosen[E.Zone];
+    else if (!E.Leaving && Now - E.Heard < SilentAfter)
+      Candidates.push_back(&Item);
+  }
   std::vector<std::string> Out;
-  for (const auto &[Weight, Name] : Ranked) {
-    if (Out.size() == Count)
-      break;
-    Out.push_back(Name);
+  while (Out.size() < Count && !Candidates.empty()) {
+    const auto Rank = [&](const auto *C) {
+      return std::tuple(-C->second.Weight, Chosen[C->second.Zone],
+                        stableHash(C->first), C->first);
+    };
+    const auto Best = std::min_element(
+        Candidates.begin(), Candidates.end(),
+        [&](const auto *A, const auto *B) { return Rank(A) < Rank(B); });
+    ++Chosen[(*Best)->second.Zone];
+    Out.push_back((*Best)->first);
+    Candidates.erase(Best);
   }
   return Out;
 }
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -277,6 +277,29 @@
   CHECK(C.update(B).accounts(0).tokens() == 300);
 }
 
+// Guards against the loss of a zone that takes the coordinator and all of its
+// deputies away.
+TEST_CASE("deputies are spread over zones") {
+  Coordinator C;
+  std::deque<Follower> Followers;
+  for (const std::string Zone : {"zone-a", "zone-b", "zone-c"})
+    for (int I = 0; I < 4; ++I)
+      Followers.emplace_back(Zone + "/" + std::to_string(I));
+  Followers.emplace_back("zone-a/large").Weight = 2;
+  Follower &Self = Followers.emplace_back("self");
+  for (Follower &F : Followers) {
+    wire::EntryReport R = F.report(C.Now);
+    R.set_zone(&F == &Self ? "zone-a" : F.Name.substr(0, F.Name.find('/')));
+    C.Server.hear(R, C.Now);
+  }
+  const Ids Deputies = C.Server.deputies(3, C.Now);
+  REQUIRE(Deputies.size() == 3);
+  CHECK(Deputies[0] == "zone-a/large");
+  CHECK(Deputies[1].substr(0, 6) != "zone-a");
+  CHECK(Deputies[2].substr(0, 6) != "zone-a");
+  CHECK(Deputies[1].substr(0, 6) != Deputies[2].substr(0, 6));
+}
+
 // Replays the return of a zone's endpoints before many entries: the changes
 // used to go to each of them from one entry, whose updates waited behind them.
 TEST_CASE("the changes of the fleet spread within each zone") {
--- a/src/hyssoprail/routing/coordinator_election.cpp
+++ b/src/hyssoprail/routing/coordinator_election.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "hyssoprail/core/hash.hpp"
 
@@ -18,6 +19,12 @@
 constexpr milliseconds StartWait{250};
 constexpr milliseconds LongestStartWait{1'500};
 
+/// An entry that has not run for longer could not hear anything meanwhile.
+constexpr milliseconds LongestTickGap{200};
+
+/// After such a pause it waits this long, once, for what it should have heard.
+constexpr milliseconds HearAgainWithin{200};
+
 /// Deputies that a stopping entry leaves the claim to.
 constexpr std::size_t RankOfLeaving = 12;
 
@@ -88,6 +95,7 @@
 
 bool CoordinatorElection::tick(std::size_t Followers, std::size_t Known,
                                TimePoint Now) {
+  allowForOwnPause(Now);
   if (Coordinating) {
     Current->Followers = Followers;
     Current->Known = Known;
@@ -113,6 +121,19 @@
   return true;
 }
 
+/// Load pattern: hundreds of entries on small VMs start, and each is busy for a
+/// second with the list of thousands of endpoints. All would take their
+/// coordinator for silent before they read what it has sent.
+void CoordinatorElection::allowForOwnPause(TimePoint Now) {
+  const TimePoint Last = std::exchange(TickedAt, Now);
+  const bool Leaves = Current && Current->Leaving;
+  const bool Paused = Last != TimePoint{} && Now - Last > LongestTickGap;
+  if (!Paused || Leaves || HeardAt == AllowedFrom)
+    return;
+  HeardAt = std::max(HeardAt, Now - SilentAfter + HearAgainWithin);
+  AllowedFrom = HeardAt;
+}
+
 void CoordinatorElection::resign(TimePoint Now) {
   Resigned = true;
   if (!Coordinating)
--- a/src/hyssoprail/routing/coordinator_election_test.cpp
+++ b/src/hyssoprail/routing/coordinator_election_test.cpp
@@ -42,6 +42,27 @@
   REQUIRE_FALSE(Second.tick(1, 1, after(600)));
 }
 
+// Replays the start of hundreds of entries, each of which is busy with the list
+// of endpoints for longer than its coordinator may be silent: all used to
+// claim.
+TEST_CASE("an entry that did not run does not take the others for silent") {
+  CoordinatorElection Entry("entry", 1);
+  CoordinatorClaim C = claim("busy", 7);
+  C.Deputies = {"entry"};
+  Entry.start(5, Start);
+  REQUIRE_FALSE(Entry.tick(1, 10, Start));
+  REQUIRE(Entry.hear(C, true, after(40)));
+  REQUIRE_FALSE(Entry.tick(1, 10, after(50)));
+  REQUIRE_FALSE(Entry.tick(1, 10, after(1'050)));
+  REQUIRE(Entry.settled(after(1'050)));
+  REQUIRE_FALSE(Entry.tick(1, 10, after(1'200)));
+  REQUIRE_FALSE(Entry.hear(C, true, after(1'210)));
+  REQUIRE_FALSE(Entry.tick(1, 10, after(1'250)));
+  // Frequent pauses do not put the claim off for ever.
+  REQUIRE_FALSE(Entry.tick(1, 10, after(1'600)));
+  REQUIRE(Entry.tick(1, 10, after(1'900)));
+}
+
 // Guards against an entry that was cut off for a moment and then draws all
 // others away from their coordinator.
 TEST_CASE("a claim of the few does not replace the coordinator of the many") {
