--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -42,32 +42,6 @@
 /// hearing it, and counts among the known ones for this time.
 constexpr milliseconds KnownAtClaimCounts{14'000};
 
-/// The coordinator and this many of its deputies read the store. The others get
-/// the changes from them.
-constexpr std::size_t ReadingDeputies = 1;
-
-/// An entry whose knowledge is older reads the store itself: at the first of
-/// these ages if it is the first to do so, at the second if it is the last, so
-/// that the others may follow it.
-constexpr milliseconds FirstReadsAfter{1'400};
-constexpr milliseconds LastReadsAfter{1'800};
-
-/// It stops when its knowledge has been fresh for this time.
-constexpr milliseconds FreshFor{1'500};
-
-/// Another entry is asked only if the store answered it this much later.
-constexpr milliseconds SourceHysteresis{400};
-
-/// Ages are reported up to this.
-constexpr milliseconds LargestReportedAge{60'000};
-
-std::uint32_t reportedAge(Duration Age) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::min<Duration>(Age, LargestReportedAge))
-          .count());
-}
-
 routing::CoordinatorClaim claimOf(const wire::CoordinatorUpdate &Update) {
   routing::CoordinatorClaim C;
   C.Name = Update.sender();
@@ -336,82 +310,6 @@
                   static_cast<double>(Election.current()->Followers) / Known);
 }
 
-// ---- Who reads the store --------------------------------------------------
-
-wire::FleetSource Coordination::ownSource() const {
-  const FeedPosition Known = State.Feed.position();
-  wire::FleetSource S;
-  S.set_address(Settings.MetricsAddress);
-  S.set_age_ms(reportedAge(State.Feed.storeAge()));
-  S.set_operator_position(Known.Operator);
-  S.set_endpoint_position(Known.Endpoints);
-  S.set_endpoints_from(State.Feed.endpointsFrom());
-  S.set_endpoints_read(State.Feed.endpointsRead());
-  S.set_settling_ms(reportedAge(std::max<Duration>(
-      Duration::zero(), State.Feed.settledAt() - Time.now())));
-  return S;
-}
-
-/// The coordinator names itself unless the store does not answer it any more.
-void Coordination::chooseSource(TimePoint Now) {
-  Source = ownSource();
-  const auto Other = Server.freshestSource(Now);
-  if (!Other || milliseconds(Other->age_ms()) + SourceHysteresis >=
-                    milliseconds(Source.age_ms()))
-    return;
-  Source = *Other;
-  takeSource(Now);
-}
-
-void Coordination::takeSource(TimePoint Now) {
-  State.Feed.confirm({
-      .Newest = {Source.operator_position(), Source.endpoint_position()},
-      .EndpointsRead = Source.endpoints_read(),
-      .At = Now - milliseconds(Source.age_ms()),
-      .SettledAt = Now + milliseconds(Source.settling_ms()),
-  });
-}
-
-FleetSources Coordination::newerSources() const {
-  const FeedPosition Newest{Source.operator_position(),
-                            Source.endpoint_position()};
-  // An entry that reads the store itself soon gets there.
-  const bool ReadsItself =
-      Reads && State.Feed.storeAge() < milliseconds(FirstReadsAfter);
-  if (ReadsItself || State.Feed.known().covers(Newest) ||
-      Source.address() == Settings.MetricsAddress)
-    return {};
-  return {Source.address(), Source.nearby()};
-}
-
-/// Load pattern: all entries start at once and have read the store up to
-/// positions a little before that of the coordinator, which would then have to
-/// send each of them the whole list.
-bool Coordination::isBehindChanges() const {
-  return State.Feed.known().Endpoints < Source.endpoints_from();
-}
-
-/// Load pattern: hundreds of entries, of which each would cost the store some
-/// calls a second; and a store that comes back after an outage, when all of
-/// them ask at once.
-bool Coordination::shouldRead(TimePoint Now) {
-  const auto Deputy =
-      std::find(Deputies.begin(), Deputies.end(), Settings.Name);
-  const bool IsReader = Election.coordinates() ||
-                        static_cast<std::size_t>(Deputy - Deputies.begin()) <
-                            std::min(ReadingDeputies, Deputies.size());
-  const std::uint64_t Parts = 16;
-  const Duration Limit =
-      FirstReadsAfter + (LastReadsAfter - FirstReadsAfter) *
-                            (stableHash(Settings.Name) % Parts) / Parts;
-  const Duration Age = State.Feed.age();
-  if (Age > FirstReadsAfter && WasFresh)
-    SourceFresh = Now;
-  WasFresh = WasFresh || Age <= FirstReadsAfter;
-  ReadsAlone = Age > Limit || (ReadsAlone && Now - SourceFresh < FreshFor);
-  return IsReader || ReadsAlone || isBehindChanges();
-}
-
 // ---- As the coordinator ---------------------------------------------------
 
 /// Brings the state of this entry to the coordinator, and decides if that is
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -12,6 +12,10 @@
 /// a few calls of tens of milliseconds.
 constexpr milliseconds CallReturn{60};
 
+/// Time to return if the service has no endpoint: one registers or is believed
+/// again some hundred milliseconds after it is up.
+constexpr milliseconds NoEndpointReturn{400};
+
 /// Sends that reach no endpoint or that it refuses are bounded too, so a fleet
 /// that is down is not searched for the whole deadline.
 constexpr unsigned MaxSends = 4;
@@ -175,8 +179,9 @@
       return finishWith(*Failure);
     if (Ran)
       return finish(RejectReason::Unknown, {});
-    finish(Sends > 0 ? RejectReason::NotRun : RejectReason::NoCapacity,
-           CallReturn);
+    if (Sends == 0)
+      return finish(RejectReason::NoCapacity, NoEndpointReturn);
+    finish(RejectReason::NotRun, CallReturn);
   }
 
   void timeIsOver(TimePoint Now) {
--- a/src/hyssoprail/routing/call_flow_test.cpp
+++ b/src/hyssoprail/routing/call_flow_test.cpp
@@ -111,13 +111,22 @@
   REQUIRE(B.Table.ownLoads().empty());
 }
 
-// Guards against a fleet that is down and searched until the deadline.
+// Guards against a fleet that is down and searched until the deadline, and
+// against callers that use up their retries before an endpoint is back.
 TEST_CASE("without an endpoint the call is refused at once") {
   FlowBench B;
   auto F = makeCallFlow(B.shared(), B.request(RouteKind::Call), B.Io);
   F->start(B.Now);
   REQUIRE(B.Io.Rejected == RejectReason::NoCapacity);
-  REQUIRE(B.Io.Return > milliseconds(0));
+  REQUIRE(B.Io.Return >= milliseconds(300));
+
+  // A slot of an endpoint that refused is free much sooner.
+  CallBench Full;
+  const auto G = Full.startCall(RouteKind::Call);
+  G->onAnswer(1, ended(LegOutcome::NotRun), Full.Now);
+  G->onAnswer(2, ended(LegOutcome::NotRun), Full.Now);
+  REQUIRE(Full.Io.Rejected == RejectReason::NotRun);
+  REQUIRE(Full.Io.Return < milliseconds(100));
 }
 
 } // namespace hyssoprail::routing
