The last of the stopping entries goes on to coordinate

A rolling restart stops an entry every two seconds while each drains for up to eight. Reports did not say that their sender was stopping, so the last coordinator left the claim to entries that were stopping themselves and wait 0.7 s before they claim; the queue stood still. An entry that had just started did not take over from one that left.

Change: reports carry the mark; a stopping coordinator hands over only to an entry that does not stop, as soon as there is one, or when its process ends; a deputy that follows nobody yet takes the claim of a coordinator that leaves.

--- a/include/hyssoprail/routing/coordinator_election.hpp
+++ b/include/hyssoprail/routing/coordinator_election.hpp
@@ -67,6 +67,7 @@
 private:
   bool silent(TimePoint Now) const;
   void allowForOwnPause(TimePoint Now);
+  bool isDeputy(const CoordinatorClaim &Claim) const;
   std::size_t deputyRank() const;
 
   std::string OwnName;
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -106,6 +106,8 @@
 
 void Coordination::tick() {
   const TimePoint Now = Time.now();
+  if (Leaving)
+    handOverIfPossible(Now);
   Reads = shouldRead(Now);
   State.Feed.setReading(Reads);
   deliver(Client.expire(Now));
@@ -147,16 +149,33 @@
 }
 
 void Coordination::stop() {
-  const TimePoint Now = Time.now();
+  Leaving = true;
+  handOverIfPossible(Time.now());
+}
+
+/// Load pattern: a rolling restart stops all entries within the time that each
+/// of them drains. The last one that coordinates goes on while it stops, since
+/// nobody would decide otherwise.
+void Coordination::handOverIfPossible(TimePoint Now) {
+  if (!Election.coordinates())
+    return Election.resign(Now);
+  if (!Server.deputies(1, Now).empty())
+    handOver(Now);
+}
+
+void Coordination::handOver(TimePoint Now) {
   const bool Coordinated = Election.coordinates();
   Election.resign(Now);
   if (!Coordinated)
     return;
+  Deputies = Server.deputies(DeputyCount, Now);
   for (const auto &[Name, Address] : Server.addresses())
     sendUpdate(Name, Address, Now);
   Server.end(Now);
 }
 
+void Coordination::end() { handOver(Time.now()); }
+
 void Coordination::coordinatorChanged(std::string_view Why) {
   const routing::CoordinatorClaim &C = *Election.current();
   Log.write(LogUrgency::Outcome, "coordinator", "",
@@ -249,6 +268,7 @@
   R.set_address(Settings.PeerAddress);
   R.set_zone(Settings.Zone);
   R.set_weight(Settings.Weight);
+  R.set_leaving(Leaving);
   *R.mutable_state() = ownSource();
   for (const auto &Item : State.Engines.recent(Now)) {
     wire::EngineEvidence *Out = R.add_evidence();
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -63,9 +63,12 @@
   /// Something has changed that a decision may depend on.
   void wake();
 
-  /// This entry stops: another one is to coordinate.
+  /// This entry stops: another one that does not is to coordinate.
   void stop();
 
+  /// The process ends: it coordinates no more.
+  void end();
+
   routing::StreamAdmission &admission() { return Client; }
 
   /// Queue of all entries, while this one coordinates.
@@ -98,6 +101,8 @@
   bool hearsUs(const wire::CoordinatorUpdate &Update, TimePoint Now) const;
   void takeUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
   void beginCoordination(TimePoint Now);
+  void handOverIfPossible(TimePoint Now);
+  void handOver(TimePoint Now);
   void coordinatorChanged(std::string_view Why);
   void deliver(const std::vector<routing::StreamDecision> &Decisions);
   std::size_t startRank() const;
@@ -137,6 +142,7 @@
   std::map<std::string, Announced> Entries; ///< all but this one, by name
   bool ElectionStarted = false;
   bool WakePending = false;
+  bool Leaving = false;
 
   // As a follower.
   std::uint64_t ReportSequence = 0;
--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -162,9 +162,10 @@
                   {},
                   ""};
   Call.Timeout = PullTimeout;
-  Http.call(std::move(Call), [this, Source](Result<HttpResponse> Answer) {
-    onChanges(Source, Answer);
-  });
+  Http.call(std::move(Call),
+            [this, Source](const Result<HttpResponse> &Answer) {
+              onChanges(Source, Answer);
+            });
 }
 
 void GatewayRuntime::onChanges(const std::string &Source,
@@ -224,6 +225,7 @@
                     Now - StopBegan >= StopAcceptsFor + DrainsAtLeast;
   if (!Idle && Now - StopBegan < Settings.StopGrace - StopMargin)
     return;
+  Coordinator.end();
   Log.write(LogUrgency::Outcome, "stopped", "", {{"open", Sessions.size()}});
   Context.stop();
 }
--- a/src/hyssoprail/routing/coordinator_election.cpp
+++ b/src/hyssoprail/routing/coordinator_election.cpp
@@ -74,7 +74,10 @@
     HeardAt = Now;
     return Renewed;
   }
-  if (!isBetter(Claim, Now))
+  // An entry that has just started follows nobody yet, and may be the only one
+  // that a leaving coordinator can hand over to.
+  const bool Inherits = Claim.Leaving && !Current && isDeputy(Claim);
+  if (!Inherits && !isBetter(Claim, Now))
     return false;
   Coordinating = false;
   Current = Claim;
@@ -83,6 +86,11 @@
   return true;
 }
 
+bool CoordinatorElection::isDeputy(const CoordinatorClaim &Claim) const {
+  return std::find(Claim.Deputies.begin(), Claim.Deputies.end(), OwnName) !=
+         Claim.Deputies.end();
+}
+
 std::size_t CoordinatorElection::deputyRank() const {
   if (Resigned)
     return RankOfLeaving;
--- a/src/hyssoprail/routing/coordinator_election_test.cpp
+++ b/src/hyssoprail/routing/coordinator_election_test.cpp
@@ -124,6 +124,19 @@
   REQUIRE(Leaving.hear(claim("deputy", 2, 1, 1), true, after(330)));
 }
 
+// Replays a rolling restart: the first entry that is back is the only deputy,
+// and used to wait for a coordinator as any entry that starts.
+TEST_CASE("a coordinator that leaves hands over to an entry that has started") {
+  CoordinatorElection Restarted("restarted", 2);
+  Restarted.start(3, Start);
+  CoordinatorClaim C = claim("leaving", 4);
+  C.Leaving = true;
+  C.Deputies = {"restarted"};
+  Restarted.hear(C, false, after(30));
+  REQUIRE(Restarted.tick(1, 4, after(50)));
+  REQUIRE(Restarted.current()->Term == 5);
+}
+
 // Guards against a fleet of one entry that stops and serves nobody meanwhile.
 TEST_CASE("a leaving entry coordinates itself if nobody else does") {
   CoordinatorElection Alone("alone", 1);
