--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -221,13 +221,24 @@
                        Current->Incarnation == Claim.Incarnation;
   if (Follows && HearsUs)
     return takeUpdate(Update, Now);
-  // A report introduces this entry; the next update confirms it.
+  introduce(Claim, Follows, Now);
+}
+
+/// A report introduces this entry to a claimant that it would follow; the next
+/// update confirms it. A claimant that would follow this entry may not know it,
+/// if it was announced before this one could read its address.
+void Coordination::introduce(const routing::CoordinatorClaim &Claim,
+                             bool Follows, TimePoint Now) {
+  const bool Reports = Follows || Election.isBetter(Claim, Now);
+  const bool Answers = Election.coordinates() && !Claim.Leaving;
   TimePoint &Introduced = IntroducedAt[Claim.Name];
-  if ((Follows || Election.isBetter(Claim, Now)) &&
-      Now - Introduced >= UnconfirmedReportInterval) {
-    Introduced = Now;
+  if ((!Reports && !Answers) || Now - Introduced < UnconfirmedReportInterval)
+    return;
+  Introduced = Now;
+  if (Reports)
     sendReport(Claim.Address, Now);
-  }
+  else
+    sendUpdate(Claim.Name, Claim.Address, Now);
 }
 
 bool Coordination::hearsUs(const wire::CoordinatorUpdate &Update,
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -98,6 +98,8 @@
 
   void onMessage(const wire::CoordinationMessage &Message);
   void onUpdate(const wire::CoordinatorUpdate &Update);
+  void introduce(const routing::CoordinatorClaim &Claim, bool Follows,
+                 TimePoint Now);
   bool hearsUs(const wire::CoordinatorUpdate &Update, TimePoint Now) const;
   void takeUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
   void beginCoordination(TimePoint Now);
--- a/src/hyssoprail/gateway/coordination_test.cpp
+++ b/src/hyssoprail/gateway/coordination_test.cpp
@@ -68,14 +68,36 @@
 };
 
 struct Fleet {
-  explicit Fleet(std::initializer_list<const char *> Names) {
+  explicit Fleet(std::initializer_list<const char *> Names,
+                 std::size_t KnownToFirst = 0) {
     for (const char *Name : Names)
       Entries.push_back(std::make_unique<Entry>(Context, Name, Time));
-    std::vector<EntryAddress> All;
-    for (const auto &E : Entries)
-      All.push_back({E->Settings.Name, E->Settings.PeerAddress, 1});
+    for (std::size_t I = 0; I < KnownToFirst; ++I)
+      Entries[I]->Part.setEntries(addresses(0, KnownToFirst));
+    if (KnownToFirst > 0) {
+      run(milliseconds(1'000));
+      for (std::size_t I = KnownToFirst; I < Entries.size(); ++I)
+        Entries[I]->Part.setEntries(addresses(0, Entries.size()));
+      return;
+    }
     for (const auto &E : Entries)
-      E->Part.setEntries(All);
+      E->Part.setEntries(addresses(0, Entries.size()));
+  }
+
+  /// Addresses of the entries from the first to before the last.
+  std::vector<EntryAddress> addresses(std::size_t First,
+                                      std::size_t Last) const {
+    std::vector<EntryAddress> Out;
+    for (std::size_t I = First; I < Last; ++I)
+      Out.push_back(
+          {Entries[I]->Settings.Name, Entries[I]->Settings.PeerAddress, 1});
+    return Out;
+  }
+
+  std::size_t coordinators() const {
+    return static_cast<std::size_t>(
+        std::count_if(Entries.begin(), Entries.end(),
+                      [](const auto &E) { return E->Part.coordinates(); }));
   }
 
   /// Lets time pass; returns how much of it no entry coordinated.
@@ -146,4 +168,15 @@
   CHECK(F.coordinator() == Survivor->get());
 }
 
+// Replays the start of 68 entries, of which 19 knew only each other: both
+// groups kept a coordinator of their own, and each promised the memory of all
+// engines.
+TEST_CASE("entries that were not announced in time join the others") {
+  Fleet F({"a", "b", "c", "d", "e", "f"}, 2);
+  F.run(milliseconds(4'000));
+  CHECK(F.coordinators() == 1);
+  for (const auto &E : F.Entries)
+    CHECK(E->Part.knownEntries() == 6);
+}
+
 } // namespace hyssoprail::gateway
