A stopping entry answers every call that it takes

Streams that would not end within the grace were refused, calls were not.

Change: a stopping entry refuses calls, as not run, for which less than three times their objective is left; what it takes has a last moment before the process ends, so that the caller gets a final answer.

The test, a silent endpoint and a call 2.3 s after a stop with a grace of 4 s, got no answer before and a 504 in time after.

--- a/src/hyssoprail/gateway/gateway_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_fleet.cpp
@@ -223,7 +223,7 @@
   const bool Idle = Draining && Sessions.empty() &&
                     CallerServer->openExchanges() == 0 &&
                     Now - StopBegan >= StopAcceptsFor + DrainsAtLeast;
-  if (!Idle && Now - StopBegan < Settings.StopGrace - StopMargin)
+  if (!Idle && Now < stopsAt())
     return;
   Coordinator.end();
   Log.write(LogUrgency::Outcome, "stopped", "", {{"open", Sessions.size()}});
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds StreamStartTime{400};
 constexpr double LongRunFactor = 1.5;
 
+/// Time that a call takes at most, but for a few.
+constexpr int CallRunInObjectives = 3;
+
 /// A streamed answer whose caller is this far behind is broken off.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
@@ -161,18 +164,19 @@
   admit(Caller, std::move(Info), *Route);
 }
 
-/// After a stop has begun, callers still send on connections that they have. A
-/// stream that would not end within the grace is served by another entry.
+/// After a stop has begun, callers still send on connections that they have.
+/// What would not end within the grace is served by another entry.
 bool GatewayRuntime::leavesTooSoon(const RoutePolicy &Route,
                                    const RequestInfo &Info) const {
-  if (!Stopping || Route.Kind != RouteKind::Stream)
+  if (!Stopping)
     return false;
+  if (Route.Kind != RouteKind::Stream)
+    return Time.now() + Route.Objective * CallRunInObjectives > stopsAt();
   const std::uint32_t Tokens = Lengths.estimate(
       Info.OutputHint, Info.Tokens ? Info.Tokens->MaxOutput : 0);
   const auto RunTime = std::chrono::duration_cast<Duration>(
       Lengths.runTime(Tokens) * LongRunFactor);
-  return Draining || Time.now() + StreamStartTime + RunTime >
-                         StopBegan + Settings.StopGrace - StopMargin;
+  return Draining || Time.now() + StreamStartTime + RunTime > stopsAt();
 }
 
 void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
@@ -223,6 +227,10 @@
                                     ? std::min(Info.Deadline, Route.Timeout)
                                     : Route.Timeout;
   R.AnswerBy = R.Arrival + Patience;
+  // The process ends whether or not the endpoint has answered by then, so the
+  // caller gets a final answer before it.
+  if (Stopping)
+    R.AnswerBy = std::min(R.AnswerBy, stopsAt());
   const routing::ServicePolicy *Service = Config->service(R.Service);
   if (Service && Service->Engine) {
     R.HandleRetention = Service->Engine->HandleRetention;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -97,6 +97,11 @@
 
   void tick();
   std::size_t sharingEntries(TimePoint Now) const;
+  /// End of a stopping process that is not idle sooner.
+  TimePoint stopsAt() const {
+    return StopBegan + Settings.StopGrace - StopMargin;
+  }
+
   std::string changesSource(TimePoint Now);
   void pullChanges(TimePoint Now);
   void onChanges(const std::string &Source, const Result<HttpResponse> &Answer);
