--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -103,7 +103,7 @@
   bool hearsUs(const wire::CoordinatorUpdate &Update, TimePoint Now) const;
   void takeUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
   void beginCoordination(TimePoint Now);
-  void handOverIfPossible(TimePoint Now);
+  void handOverIfPossible(TimePoint Now); ///< while this entry stops
   void handOver(TimePoint Now);
   void coordinatorChanged(std::string_view Why);
   void deliver(const std::vector<routing::StreamDecision> &Decisions);
