--- /dev/null
+++ b/src/hyssoprail/routing/admission_loss_test.cpp
@@ -0,0 +1,141 @@
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "admission_test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::Coordinator;
+using testing::Follower;
+
+/// Entries and one coordinator whose datagrams are lost, late or repeated.
+class LossyFleet {
+public:
+  LossyFleet(int EntryCount, int EngineCount) : C(EngineCount) {
+    for (int I = 0; I < EntryCount; ++I)
+      Entries.push_back(
+          std::make_unique<Follower>("entry-" + std::to_string(I)));
+  }
+
+  /// One step of 10 ms: some entries report, some updates arrive.
+  void step() {
+    C.Now += milliseconds(10);
+    for (auto &F : Entries) {
+      if (chance(5))
+        Reports.push_back(F->report(C.Now));
+      finishSome(*F);
+    }
+    std::deque<wire::EntryReport> Later;
+    for (auto &R : Reports) {
+      if (chance(2))
+        C.Server.hear(R, C.Now);
+      else if (chance(2))
+        Later.push_back(R); // the others are lost
+    }
+    Reports.swap(Later);
+    C.Server.decide(C.Now);
+    for (auto &F : Entries)
+      if (chance(3))
+        take(*F);
+  }
+
+  void want(std::size_t Entry) {
+    const std::string Id = std::to_string(++Submitted);
+    Entries[Entry]->want(Id, C.Now);
+    Open.insert(Id);
+  }
+
+  /// No engine holds more than its memory, and no entry holds a place that
+  /// the coordinator has given to another.
+  bool withinBounds(int EngineCount) {
+    const auto Bound = static_cast<std::int64_t>(10'000 * 1.03);
+    for (int I = 0; I < EngineCount; ++I)
+      if (C.tokens("d" + std::to_string(I)) > Bound)
+        return false;
+    std::size_t Held = 0;
+    for (const auto &F : Entries)
+      Held += F->Client.holding();
+    return Held <= static_cast<std::size_t>(EngineCount) * 2;
+  }
+
+  /// Replaces an entry by a new process of its name; its requests are lost.
+  void restart(std::size_t Entry) {
+    const std::string Name = Entries[Entry]->Name;
+    for (const auto &[Id, F] : Holding)
+      if (F == Entries[Entry].get())
+        Open.erase(Id);
+    std::erase_if(Holding, [&](const auto &Item) {
+      return Item.second == Entries[Entry].get();
+    });
+    Lost += Entries[Entry]->Client.wanting();
+    Entries[Entry] = std::make_unique<Follower>(Name, ++LastIncarnation);
+  }
+
+  Coordinator C;
+  std::set<std::string> Open; ///< submitted and not decided
+  std::size_t Lost = 0;       ///< wants of processes that were killed
+
+private:
+  static bool chance(int OneIn) { return *rc::gen::inRange(0, OneIn) == 0; }
+
+  void take(Follower &F) {
+    const wire::CoordinatorUpdate Update = C.update(F);
+    if (Update.heard_incarnation() != F.Incarnation)
+      return; // meant for a process that was killed
+    for (const StreamDecision &D : F.Client.take(Update, C.Now)) {
+      const auto *Place = std::get_if<StreamPlace>(&D);
+      const std::string Id = Place ? Place->Id : std::get<StreamRefusal>(D).Id;
+      RC_ASSERT(Open.erase(Id) == 1U); // decided once
+      if (Place)
+        Holding.emplace(Id, &F);
+    }
+  }
+
+  void finishSome(Follower &F) {
+    std::erase_if(Holding, [&](const auto &Item) {
+      if (Item.second != &F || !chance(10))
+        return false;
+      F.Client.release(Item.first, C.Now);
+      return true;
+    });
+  }
+
+  std::vector<std::unique_ptr<Follower>> Entries;
+  std::deque<wire::EntryReport> Reports;
+  std::map<std::string, Follower *> Holding;
+  int Submitted = 0;
+  std::uint64_t LastIncarnation = 1;
+};
+
+} // namespace
+
+// Replays a burst at full load while datagrams are lost, late and out of order
+// and entries are killed: each request is decided once, and no engine is ever
+// promised beyond its memory.
+TEST_CASE("memory is promised once whatever the network does") {
+  const bool Passed = rc::check("lossy fleet", [] {
+    constexpr int EntryCount = 6;
+    constexpr int EngineCount = 2;
+    LossyFleet Fleet(EntryCount, EngineCount);
+    for (int Step = 0; Step < 400; ++Step) {
+      if (*rc::gen::inRange(0, 4) == 0)
+        Fleet.want(*rc::gen::inRange<std::size_t>(0, EntryCount));
+      if (*rc::gen::inRange(0, 60) == 0)
+        Fleet.restart(*rc::gen::inRange<std::size_t>(0, EntryCount));
+      Fleet.step();
+      RC_ASSERT(Fleet.withinBounds(EngineCount));
+    }
+    for (int Step = 0; Step < 1'500 && Fleet.Open.size() > Fleet.Lost; ++Step)
+      Fleet.step();
+    RC_ASSERT(Fleet.Open.size() <= Fleet.Lost);
+  });
+  REQUIRE(Passed);
+}
+
+} // namespace hyssoprail::routing
