--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_GATEWAY_ENDPOINT_PROTOCOL_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,11 @@
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
+  /// Requests per second that the endpoint states in the head of a response to
+  /// take from all entries together; nullopt if it states no valid limit.
+  virtual std::optional<double>
+  requestLimit(const HttpResponse &Head) const = 0;
+
   /// Classifies a complete response.
   virtual routing::LegResult interpret(routing::LegKind Kind,
                                        HttpResponse Response) const = 0;
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -280,6 +280,14 @@
   SessionHooks Hooks;
   Hooks.StillAllowed = [this, Key] { return stillAllowed(Key); };
   Hooks.AdmissionChanged = [this] { FleetCoordination.notifyStateChanged(); };
+  Hooks.OnLegStart = [this](const std::string &EndpointId) {
+    Counters.counter("endpoint_sends", {{"endpoint", EndpointId}}).add();
+  };
+  Hooks.OnLegHead = [this](const std::string &EndpointId,
+                           const HttpResponse &Head) {
+    Counters.gauge("endpoint_limit_per_second", {{"endpoint", EndpointId}})
+        .set(Protocol.requestLimit(Head).value_or(0));
+  };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
   };
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -78,6 +78,7 @@
                        {"deadline_ms", Spec.Deadline},
                        {"has_cache", Spec.Source.has_value()},
                        {"repeat", Spec.IsRetry}});
+  Hooks.OnLegStart(Spec.EndpointId);
   L.Exchange = Services.Endpoints.send(std::move(Call), legHandlers(Id));
   return Id;
 }
@@ -103,6 +104,8 @@
   if (It == Legs.end())
     return;
   Leg &L = It->second;
+  L.RequestLimit = Services.Protocol.requestLimit(Head);
+  Hooks.OnLegHead(L.EndpointId, Head);
   L.Streaming =
       L.Kind == LegKind::Decode && Services.Protocol.beginsStream(Head);
   if (!L.Streaming) {
@@ -198,6 +201,7 @@
                       {"outcome", Outcome},
                       {"status", Status},
                       {"detail", Detail},
+                      {"limit_per_s", L.RequestLimit.value_or(0)},
                       {"took_ms", Services.Time.now() - L.StartedAt}});
 }
 
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -65,6 +66,11 @@
   /// The session may have submitted or withdrawn a request for engines, or
   /// released some.
   std::function<void()> AdmissionChanged;
+  /// A leg to the endpoint begins.
+  std::function<void(const std::string &EndpointId)> OnLegStart;
+  /// The head of an endpoint's response has arrived.
+  std::function<void(const std::string &EndpointId, const HttpResponse &Head)>
+      OnLegHead;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -111,6 +117,8 @@
     HttpResponse Response;
     std::size_t BufferedBytes = 0; ///< size of Response, reserved in the budget
     bool Streaming = false;
+    /// Requests per second that the response states as the endpoint's limit.
+    std::optional<double> RequestLimit;
   };
 
   UpstreamHandlers legHandlers(LegId Id);
