--- a/cmake/hyssoprail_targets.cmake
+++ b/cmake/hyssoprail_targets.cmake
@@ -17,11 +17,12 @@
   Boost::headers OpenSSL::Crypto nlohmann_json::nlohmann_json
   spdlog::spdlog fmt gflags zmq xxhash Threads::Threads)
 
-# hyssoprail_library(name [DIRECTORY dir] [DEPENDS lib...])
+# hyssoprail_library(name [DIRECTORY dir] [SLOW_TAG tag] [DEPENDS lib...])
 # Builds src/hyssoprail/<name>/*.cpp (or dir/*.cpp) into a library, and every *_test.cpp there into
-# <name>_test.
+# <name>_test. Test cases with the tag SLOW_TAG run as a CTest test of their own, <name>_<tag>,
+# beside the others.
 function(hyssoprail_library Name)
-  cmake_parse_arguments(ARG "" "DIRECTORY" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "DIRECTORY;SLOW_TAG" "DEPENDS" ${ARGN})
   set(Dir ${PROJECT_SOURCE_DIR}/src/hyssoprail/${Name})
   if(ARG_DIRECTORY)
     set(Dir ${ARG_DIRECTORY})
@@ -44,8 +45,15 @@
     add_executable(${Name}_test ${Tests} $<TARGET_OBJECTS:hyssoprail_catch_main>)
     target_link_libraries(${Name}_test PRIVATE hyssoprail_${Name} rapidcheck)
     target_compile_options(${Name}_test PRIVATE ${HYSSOPRAIL_WARNINGS})
-    add_test(NAME ${Name} COMMAND ${Name}_test)
-    set_tests_properties(${Name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600)
+    set(TestNames ${Name})
+    if(ARG_SLOW_TAG)
+      add_test(NAME ${Name} COMMAND ${Name}_test "~[${ARG_SLOW_TAG}]")
+      add_test(NAME ${Name}_${ARG_SLOW_TAG} COMMAND ${Name}_test "[${ARG_SLOW_TAG}]")
+      list(APPEND TestNames ${Name}_${ARG_SLOW_TAG})
+    else()
+      add_test(NAME ${Name} COMMAND ${Name}_test)
+    endif()
+    set_tests_properties(${TestNames} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600)
   endif()
 endfunction()
 
