--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -33,8 +33,9 @@
   /// Ends the term and discards the state of the entries.
   void endTerm(TimePoint Now);
 
-  /// Applies the report of an entry, which may be this one.
-  void handleReport(const wire::EntryReport &Report, TimePoint Now);
+  /// Applies the report of an entry, which may be this one. Returns false if it
+  /// is out of date.
+  bool handleReport(const wire::EntryReport &Report, TimePoint Now);
 
   /// Decides on the queued requests. A new coordinator first waits until the
   /// entries have reported what its predecessor granted.
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_health.hpp"
+#include "hyssoprail/routing/endpoint_limit.hpp"
 #include "hyssoprail/routing/endpoint_load.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
@@ -23,6 +25,7 @@
   EndpointRecord Record;
   EndpointHealth Health;
   StartRateLimiter StartLimiter;
+  EndpointLimit Limit;
   EndpointLoad OwnLoad;  ///< placed by this entry
   EndpointLoad PeerLoad; ///< placed by the other entries, from their reports
   TimePoint CacheLossUntil{}; ///< KV caches that it keeps are lost before they
@@ -44,6 +47,21 @@
   }
 };
 
+/// Limit on the requests that this entry may start per second on an endpoint.
+struct StartRateLimit {
+  std::size_t PerSecond = 0;
+  /// The limit is too low to be divided among the entries: the coordinator
+  /// grants the requests of all of them one by one.
+  bool ByGrant = false;
+};
+
+/// When the endpoints of a service whose requests are granted one by one can
+/// take more.
+struct GrantForecast {
+  double PerSecond = 0; ///< requests that this entry can grant per second
+  Duration Wait = Duration::max(); ///< until the next one
+};
+
 /// The endpoints of the fleet with their load and health. An endpoint whose
 /// registration was removed is kept until the work that this entry placed on it
 /// has ended.
@@ -74,7 +92,15 @@
 
   /// Sets how many requests this entry may start per second on one endpoint of
   /// \p Service.
-  void setStartRateLimit(std::string_view Service, std::size_t Starts);
+  void setStartRateLimit(std::string_view Service, StartRateLimit Limit);
+
+  /// Records what a response of the endpoint that arrived at \p At states: a
+  /// limit in requests per second, or none.
+  void recordLimit(std::string_view Id, std::optional<double> PerSecond,
+                   TimePoint At);
+
+  /// Sets the share of the endpoints' stated limits that this entry may grant.
+  void setLimitShare(double Share, TimePoint Now);
 
   Endpoint *find(std::string_view Id);
 
@@ -85,6 +111,17 @@
   /// answer: a last resort for work that no usable endpoint can take.
   std::vector<Endpoint *> avoided(std::string_view Service, TimePoint Now);
 
+  /// Endpoints of \p Service that can receive new work as soon as it is
+  /// granted: they have stated a limit, or their start rate is subject to
+  /// grants.
+  std::vector<Endpoint *> grantable(std::string_view Service, TimePoint Now);
+
+  /// Counts a request of any entry that this one has granted.
+  void recordGrant(std::string_view Id, TimePoint Now);
+
+  /// When this entry can grant requests to endpoints of \p Service.
+  GrantForecast grantForecast(std::string_view Service, TimePoint Now);
+
   /// True if \p E can receive new work now.
   bool mayStart(Endpoint &E, TimePoint Now) const;
 
@@ -118,12 +155,16 @@
 
 private:
   bool isWithinStartRate(Endpoint &E, TimePoint Now) const;
+  bool startsByGrant(std::string_view Service) const;
   void eraseIfIdle(const std::string &Id);
 
   std::map<std::string, Endpoint, std::less<>> ById;
   std::map<std::string, LoadMap, std::less<>> PeerLoads;
   std::set<std::string, std::less<>> ExcludedZones;
-  std::map<std::string, std::size_t, std::less<>> StartRateLimits;
+  std::map<std::string, StartRateLimit, std::less<>> StartRateLimits;
+  double LimitShare = 0;
+  /// Services of which an endpoint may have stated a limit.
+  std::set<std::string, std::less<>> LimitedServices;
 };
 
 /// Chooses an endpoint for a call to a plain service: the one with the lowest
@@ -135,6 +176,20 @@
                         const std::set<std::string, std::less<>> &Tried,
                         TimePoint Now);
 
+/// As chooseForCall(), among the endpoints to which this entry can grant a
+/// request now.
+Endpoint *chooseGrantable(EndpointTable &Table, std::string_view Service,
+                          std::string_view Zone,
+                          const std::set<std::string, std::less<>> &Tried,
+                          TimePoint Now);
+
+/// True if an endpoint that chooseForCall() cannot choose, as its requests are
+/// granted one by one, would be better than \p Usable, which may be null.
+bool worthAskingForGrant(EndpointTable &Table, std::string_view Service,
+                         std::string_view Zone,
+                         const std::set<std::string, std::less<>> &Tried,
+                         const Endpoint *Usable, TimePoint Now);
+
 } // namespace hyssoprail::routing
 
 #endif // HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "hyssoprail/routing/call_admission.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
@@ -22,6 +23,7 @@
   EndpointTable &Table;
   HealthSignalLog &EngineSignals;
   StreamAdmission &Admission;
+  CallAdmission &Calls;
   RetryLimiter &Retries;
   LengthEstimator &Lengths;
   std::string Zone; ///< availability zone of this entry
@@ -65,6 +67,10 @@
   virtual void onPlaced(const StreamPlacement &Place, TimePoint Now);
   virtual void onRefused(const StreamRefusal &Refusal, TimePoint Now);
 
+  /// Decisions on the submitted call.
+  virtual void onCallGranted(const CallGrant &Grant, TimePoint Now);
+  virtual void onCallDenied(const CallDenial &Denial, TimePoint Now);
+
   /// The time of nextDeadline() was reached.
   virtual void onTimer(TimePoint Now) = 0;
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -122,6 +122,15 @@
     std::int64_t Bound = 0;       ///< memory that may be reserved on one engine
     std::int64_t LargestFree = 0; ///< largest free memory of a decode engine
     std::int64_t Free = 0; ///< free memory of all decode engines together
+    /// Requests per second that decode engines can take which are left out
+    /// above because their stated limits are used up.
+    double LimitedPerSecond = 0;
+  };
+
+  /// The queued requests that are dispatched before another one.
+  struct QueueAhead {
+    std::int64_t Tokens = 0;
+    std::size_t Requests = 0;
   };
 
   enum class Verdict { Placed, Refused, Waits };
@@ -130,7 +139,7 @@
   static void updateFreeMemory(Pool &P);
   std::vector<const StreamRequest *> dispatchOrder(TimePoint Now) const;
   Verdict decide(const StreamRequest &Request, Pool &Engines,
-                 std::int64_t TokensAhead, TimePoint Now,
+                 const QueueAhead &Ahead, TimePoint Now,
                  std::vector<StreamDecision> &Out);
   StreamPlacement place(const StreamRequest &Request, Pool &Engines,
                         Endpoint &Decode, TimePoint Now);
@@ -143,7 +152,7 @@
                           std::string_view Zone, TimePoint Now) const;
   double placementJitter(const StreamRequest &Request, const Endpoint &E) const;
   Duration expectedWait(const StreamRequest &Request, const Pool &Engines,
-                        std::int64_t TokensAhead, TimePoint Now) const;
+                        const QueueAhead &Ahead, TimePoint Now) const;
   double accountLoad(const std::string &Account) const;
   std::int64_t memoryBound(std::string_view Service) const;
   void reserveEngines(StreamReservation Reservation, std::int64_t Backlog,
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/gateway/coordination.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/asio/post.hpp>
 
@@ -65,18 +66,20 @@
 Coordination::Coordination(boost::asio::io_context &Context,
                            const GatewaySettings &Settings,
                            std::uint64_t Incarnation, const Clock &Time,
-                           DecisionLog &Log, CoordinationState State,
-                           DecisionHandler OnDecisions)
+                           DecisionLog &Log, PeerTransport &Peers,
+                           CoordinationState State, DecisionHandlers Handlers)
     : Context(Context), Settings(Settings), Incarnation(Incarnation),
-      Time(Time), Log(Log), State(State), OnDecisions(std::move(OnDecisions)),
+      Time(Time), Log(Log), State(State), Handlers(std::move(Handlers)),
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
-      Election(Settings.Name, Incarnation),
-      Socket(Context, [this](const wire::CoordinationMessage &Message) {
-        onMessage(Message);
-      }) {}
+      Calls(State.Table), Grants(State.Table),
+      Election(Settings.Name, Incarnation), Peers(Peers) {}
 
-Status Coordination::start() { return Socket.start(Settings.PeerAddress); }
+Status Coordination::start() {
+  return Peers.start(
+      Settings.PeerAddress,
+      [this](const wire::CoordinationMessage &Message) { onMessage(Message); });
+}
 
 void Coordination::configure(const routing::FleetConfigPtr &Next) {
   Config = Next;
@@ -125,6 +128,7 @@
     return;
   }
   Server.expireSilentEntries(Now);
+  Grants.expireSilentEntries(Now);
   Scheduler.sampleUtilization(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
@@ -140,6 +144,7 @@
   TotalsSentAt.clear();
   // Does not wait for a report of the previous coordinator.
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
+  Grants.clear();
   State.Table.setPeerLoad(FleetPeer, {});
   logCoordinatorChange("claimed");
   reportOrDecide();
@@ -177,7 +182,7 @@
   Deputies = Server.deputies(DeputyCount, Now);
   for (const auto &[Name, Address] : Server.addresses())
     sendUpdate(Name, Address, Now);
-  Server.endTerm(Now);
+  endTerm(Now);
 }
 
 void Coordination::shutDown() { handOver(Time.now()); }
@@ -194,7 +199,25 @@
 
 void Coordination::deliver(const std::vector<StreamDecision> &Decisions) {
   if (!Decisions.empty())
-    OnDecisions(Decisions);
+    Handlers.OnStreams(Decisions);
+}
+
+void Coordination::applyDecisions(const wire::CoordinatorUpdate &Update,
+                                  TimePoint Now) {
+  deliver(Client.applyUpdate(Update, Now));
+  const auto OnCalls = Calls.applyUpdate(Update, Now);
+  if (!OnCalls.empty())
+    Handlers.OnCalls(OnCalls);
+}
+
+void Coordination::takeReport(const wire::EntryReport &Report, TimePoint Now) {
+  if (Server.handleReport(Report, Now))
+    Grants.handleReport(Report, Now);
+}
+
+void Coordination::endTerm(TimePoint Now) {
+  Server.endTerm(Now);
+  Grants.clear();
 }
 
 // ---- As a follower --------------------------------------------------------
@@ -205,7 +228,7 @@
   if (!Message.has_report() || !Election.isCoordinator() ||
       Message.report().sender() == Settings.Name)
     return;
-  Server.handleReport(Message.report(), Time.now());
+  takeReport(Message.report(), Time.now());
   notifyStateChanged();
 }
 
@@ -218,7 +241,7 @@
   const bool WasCoordinator = Election.isCoordinator();
   if (Election.handleClaim(Claim, ConfirmsReport, Now)) {
     if (WasCoordinator)
-      Server.endTerm(Now);
+      endTerm(Now);
     logCoordinatorChange("heard");
   }
   const auto &Current = Election.currentClaim();
@@ -275,8 +298,8 @@
   for (const wire::AccountUse &Use : Update.accounts())
     State.Quota.recordPeerTotal(FleetPeer, Update.incarnation() ^ Update.term(),
                                 Use.account(), Use.tokens(), Now);
-  deliver(Client.applyUpdate(Update, Now));
-  if (Client.hasUnreportedChange())
+  applyDecisions(Update, Now);
+  if (hasUnreportedChange())
     notifyStateChanged();
 }
 
@@ -307,6 +330,7 @@
     Use->set_tokens(Tokens);
   }
   Client.fillReport(R, Now);
+  Calls.fillReport(R, Now);
   ReportedAt = Now;
   return R;
 }
@@ -317,12 +341,12 @@
   SentReports.emplace_back(ReportSequence, Now);
   while (Now - SentReports.front().second > MaxConfirmedReportAge)
     SentReports.pop_front();
-  Socket.send(Message, Address);
+  Peers.send(Message, Address);
 }
 
 bool Coordination::reportDue(TimePoint Now) const {
   const Duration Since = Now - ReportedAt;
-  if (Client.hasUnreportedChange())
+  if (hasUnreportedChange())
     return true;
   if (Client.hasUnconfirmedRequest())
     return Since >= UnconfirmedReportInterval;
@@ -360,27 +384,30 @@
 void Coordination::reportOrDecide() {
   const TimePoint Now = Time.now();
   if (Election.isCoordinator()) {
-    if (Client.hasUnreportedChange() || Now - ReportedAt >= SelfReportInterval)
-      Server.handleReport(makeReport(Now), Now);
+    if (hasUnreportedChange() || Now - ReportedAt >= SelfReportInterval)
+      takeReport(makeReport(Now), Now);
     return decide(Now);
   }
-  if (Client.hasUnreportedChange() && Election.currentClaim())
+  if (hasUnreportedChange() && Election.currentClaim())
     sendReport(Election.currentClaim()->Address, Now);
 }
 
 void Coordination::decide(TimePoint Now) {
   Server.decide(Now);
   const auto Addresses = Server.addresses();
-  for (const std::string &Name : Server.entriesDueUpdate()) {
+  std::set<std::string> DueEntries = Grants.entriesDueUpdate();
+  for (const std::string &Name : Server.entriesDueUpdate())
+    DueEntries.insert(Name);
+  for (const std::string &Name : DueEntries) {
     if (Name == Settings.Name) {
-      deliver(Client.applyUpdate(makeUpdate(Name), Now));
+      applyDecisions(makeUpdate(Name), Now);
       continue;
     }
     const auto It = Addresses.find(Name);
     if (It != Addresses.end())
       sendUpdate(Name, It->second, Now);
   }
-  if (Client.hasUnreportedChange())
+  if (hasUnreportedChange())
     notifyStateChanged();
 }
 
@@ -426,6 +453,7 @@
   if (WithTotals)
     LastTotals = Now;
   Server.fillUpdate(Entry, U, WithTotals);
+  Grants.fillUpdate(Entry, U, Now);
   return U;
 }
 
@@ -434,7 +462,7 @@
   wire::CoordinationMessage Message;
   *Message.mutable_update() = makeUpdate(Entry);
   UpdateSentAt[Entry] = Now;
-  Socket.send(Message, Address);
+  Peers.send(Message, Address);
 }
 
 void Coordination::sendHeartbeats(TimePoint Now) {
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -12,10 +12,12 @@
 
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
-#include "hyssoprail/gateway/peer_socket.hpp"
+#include "hyssoprail/gateway/peer_transport.hpp"
 #include "hyssoprail/process/decision_log.hpp"
 #include "hyssoprail/routing/admission_client.hpp"
 #include "hyssoprail/routing/admission_server.hpp"
+#include "hyssoprail/routing/call_grant_client.hpp"
+#include "hyssoprail/routing/call_grant_server.hpp"
 #include "hyssoprail/routing/coordinator_election.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
 
@@ -42,13 +44,16 @@
 /// their inputs have changed. Used on the event loop thread only.
 class Coordination {
 public:
-  using DecisionHandler =
-      std::function<void(const std::vector<routing::StreamDecision> &)>;
+  /// Receives the decisions on generations and calls of this entry.
+  struct DecisionHandlers {
+    std::function<void(const std::vector<routing::StreamDecision> &)> OnStreams;
+    std::function<void(const std::vector<routing::CallDecision> &)> OnCalls;
+  };
 
   Coordination(boost::asio::io_context &Context,
                const GatewaySettings &Settings, std::uint64_t Incarnation,
-               const Clock &Time, DecisionLog &Log, CoordinationState State,
-               DecisionHandler OnDecisions);
+               const Clock &Time, DecisionLog &Log, PeerTransport &Peers,
+               CoordinationState State, DecisionHandlers Handlers);
 
   /// Binds the peer address of the settings. Fails with Unavailable.
   Status start();
@@ -73,6 +78,7 @@
   void shutDown();
 
   routing::StreamAdmission &admission() { return Client; }
+  routing::CallGrantClient &calls() { return Calls; }
 
   /// Queue of the whole fleet; in use only while this entry is the coordinator.
   const routing::StreamScheduler &scheduler() const { return Scheduler; }
@@ -84,6 +90,11 @@
   /// be this entry. Without a coordinator it is the share of this entry alone.
   double reportingShare() const;
 
+  /// Share of the limits that endpoints state which this entry may grant.
+  double limitShare() const {
+    return Election.isCoordinator() ? reportingShare() : 0;
+  }
+
   bool isCoordinator() const { return Election.isCoordinator(); }
 
   /// Entries to ask for changes of the fleet that this one does not have yet.
@@ -112,6 +123,12 @@
   void handOver(TimePoint Now);
   void logCoordinatorChange(std::string_view Why);
   void deliver(const std::vector<routing::StreamDecision> &Decisions);
+  void applyDecisions(const wire::CoordinatorUpdate &Update, TimePoint Now);
+  bool hasUnreportedChange() const {
+    return Client.hasUnreportedChange() || Calls.hasUnreportedChange();
+  }
+  void endTerm(TimePoint Now);
+  void takeReport(const wire::EntryReport &Report, TimePoint Now);
   std::size_t claimRank() const;
 
   wire::EntryReport makeReport(TimePoint Now);
@@ -137,14 +154,16 @@
   const Clock &Time;
   DecisionLog &Log;
   CoordinationState State;
-  DecisionHandler OnDecisions;
+  DecisionHandlers Handlers;
 
   routing::FleetConfigPtr Config;
   routing::StreamScheduler Scheduler;
   routing::AdmissionClient Client;
   routing::AdmissionServer Server;
+  routing::CallGrantClient Calls;
+  routing::CallGrantServer Grants;
   routing::CoordinatorElection Election;
-  PeerSocket Socket;
+  PeerTransport &Peers;
 
   std::map<std::string, PeerEntry> Entries; ///< by name, without this one
   bool ElectionStarted = false;
--- a/src/hyssoprail/gateway/coordination_test.cpp
+++ b/src/hyssoprail/gateway/coordination_test.cpp
@@ -1,4 +1,6 @@
 #include "hyssoprail/gateway/coordination.hpp"
+#include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/gateway/peer_socket.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -12,31 +14,6 @@
 namespace hyssoprail::gateway {
 namespace {
 
-/// A feed that has the registrations up to a given position and is always
-/// fresh.
-class FakeFeed : public FleetFeed {
-public:
-  std::uint64_t Known = 0;
-  std::uint64_t DeltaStart = 0; ///< before it, the full list is sent
-  bool ReadsStore = true;
-
-  void start(FleetListener &, const EntryAddress &) override {}
-  void setReadsStore(bool To) override { ReadsStore = To; }
-  Duration storeAge() const override { return {}; }
-  Duration dataAge() const override { return {}; }
-  FeedPosition newestChange() const override { return {}; }
-  FeedPosition syncedPosition() const override { return {0, Known}; }
-  std::uint64_t endpointsRead() const override { return 0; }
-  std::uint64_t endpointDeltaStart() const override { return DeltaStart; }
-  std::string changesSince(FeedPosition) const override { return ""; }
-  void applyChanges(std::string_view) override {}
-  void applyPeerStatus(const PeerFeedStatus &) override {}
-  TimePoint removalGraceEnd() const override { return {}; }
-  void withOrderLease(std::function<void(std::uint64_t)>) override {}
-  void releaseOrderLease() override {}
-  std::uint64_t storeCalls() const override { return 0; }
-};
-
 GatewaySettings settings(const std::string &Name, const std::string &Address) {
   GatewaySettings S;
   S.Name = Name;
@@ -51,9 +28,10 @@
   Entry(boost::asio::io_context &Context, const std::string &Name,
         const Clock &Time)
       : Settings(settings(Name, hyssoprail::testing::freeUdpAddress())),
-        Log(STDERR_FILENO, Name, Time),
-        FleetCoordination(Context, Settings, 1, Time, Log,
-                          {Table, Engines, Quota, Feed}, [](const auto &) {}) {
+        Log(STDERR_FILENO, Name, Time), Peers(Context),
+        FleetCoordination(Context, Settings, 1, Time, Log, Peers,
+                          {Table, Engines, Quota, Feed},
+                          {[](const auto &) {}, [](const auto &) {}}) {
     REQUIRE_FALSE(errorOf(FleetCoordination.start()));
   }
 
@@ -63,6 +41,7 @@
   routing::HealthSignalLog Engines{Table};
   routing::SharedQuota Quota{routing::QuotaTolerance{}};
   FakeFeed Feed;
+  PeerSocket Peers;
   Coordination FleetCoordination;
 };
 
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -14,6 +14,12 @@
 
 namespace hyssoprail::gateway {
 
+/// What an endpoint states about the requests that it takes from all entries
+/// together.
+struct LimitStatement {
+  std::optional<double> PerSecond; ///< nullopt: there is no limit
+};
+
 /// Converts between the HTTP messages of callers and endpoints and the types of
 /// the routing library. Stateless.
 class EndpointProtocol {
@@ -38,10 +44,10 @@
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
-  /// Requests per second that the endpoint states in the head of a response to
-  /// take from all entries together; nullopt if it states no valid limit.
-  virtual std::optional<double>
-  requestLimit(const HttpResponse &Head) const = 0;
+  /// What the head of a response to a leg of kind \p Kind states about the
+  /// endpoint's limit; nullopt if nothing can be concluded from it.
+  virtual std::optional<LimitStatement>
+  limitStatement(routing::LegKind Kind, const HttpResponse &Head) const = 0;
 
   /// Classifies a complete response.
   virtual routing::LegResult interpret(routing::LegKind Kind,
--- /dev/null
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -0,0 +1,37 @@
+#ifndef HYSSOPRAIL_GATEWAY_FAKE_FEED_HPP
+#define HYSSOPRAIL_GATEWAY_FAKE_FEED_HPP
+
+#include <string>
+
+#include "hyssoprail/gateway/fleet_feed.hpp"
+
+namespace hyssoprail::gateway {
+
+/// A feed that has the registrations up to a given position and is always
+/// fresh.
+class FakeFeed : public FleetFeed {
+public:
+  std::uint64_t Known = 0;
+  std::uint64_t DeltaStart = 0; ///< before it, the full list is sent
+  bool ReadsStore = true;
+
+  void start(FleetListener &, const EntryAddress &) override {}
+  void setReadsStore(bool To) override { ReadsStore = To; }
+  Duration storeAge() const override { return {}; }
+  Duration dataAge() const override { return {}; }
+  FeedPosition newestChange() const override { return {}; }
+  FeedPosition syncedPosition() const override { return {0, Known}; }
+  std::uint64_t endpointsRead() const override { return 0; }
+  std::uint64_t endpointDeltaStart() const override { return DeltaStart; }
+  std::string changesSince(FeedPosition) const override { return ""; }
+  void applyChanges(std::string_view) override {}
+  void applyPeerStatus(const PeerFeedStatus &) override {}
+  TimePoint removalGraceEnd() const override { return {}; }
+  void withOrderLease(std::function<void(std::uint64_t)>) override {}
+  void releaseOrderLease() override {}
+  std::uint64_t storeCalls() const override { return 0; }
+};
+
+} // namespace hyssoprail::gateway
+
+#endif // HYSSOPRAIL_GATEWAY_FAKE_FEED_HPP
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -61,11 +61,12 @@
       StartedAt(Time.now()), Quota(quotaTolerance(this->Settings)),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
                this->Settings.RetryWindow}),
-      EngineSignals(Table),
+      EngineSignals(Table), Peers(Context),
       FleetCoordination(
-          Context, this->Settings, Incarnation, Time, Log,
+          Context, this->Settings, Incarnation, Time, Log, Peers,
           {Table, EngineSignals, Quota, Feed},
-          [this](const auto &Decisions) { onDecisions(Decisions); }),
+          {[this](const auto &Decisions) { onDecisions(Decisions); },
+           [this](const auto &Decisions) { onCallDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
              Feed, Http, Protocol, Log),
       Endpoints(makeUpstreamClient(Context)), BufferBudget(ResponseBufferBytes),
@@ -267,9 +268,13 @@
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
-    const routing::SharedFlowState Shared{
-        Table,   EngineSignals, FleetCoordination.admission(),
-        Retries, Lengths,       Settings.Zone};
+    const routing::SharedFlowState Shared{Table,
+                                          EngineSignals,
+                                          FleetCoordination.admission(),
+                                          FleetCoordination.calls(),
+                                          Retries,
+                                          Lengths,
+                                          Settings.Zone};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
@@ -283,10 +288,9 @@
   Hooks.OnLegStart = [this](const std::string &EndpointId) {
     Counters.counter("endpoint_sends", {{"endpoint", EndpointId}}).add();
   };
-  Hooks.OnLegHead = [this](const std::string &EndpointId,
-                           const HttpResponse &Head) {
-    Counters.gauge("endpoint_limit_per_second", {{"endpoint", EndpointId}})
-        .set(Protocol.requestLimit(Head).value_or(0));
+  Hooks.OnLimitStatement = [this](const std::string &EndpointId,
+                                  const LimitStatement &Statement) {
+    onLimitStatement(EndpointId, Statement);
   };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
@@ -367,6 +371,34 @@
   }
 }
 
+void GatewayRuntime::onCallDecisions(
+    const std::vector<routing::CallDecision> &Decisions) {
+  for (const routing::CallDecision &D : Decisions) {
+    const auto *Grant = std::get_if<routing::CallGrant>(&D);
+    const auto *Denial = std::get_if<routing::CallDenial>(&D);
+    const auto It = Sessions.find(Grant ? Grant->Id : Denial->Id);
+    if (It == Sessions.end())
+      continue;
+    const auto Session = It->second;
+    if (Grant)
+      Session->onCallGranted(*Grant);
+    else
+      Session->onCallDenied(*Denial);
+  }
+}
+
+void GatewayRuntime::onLimitStatement(const std::string &EndpointId,
+                                      const LimitStatement &Statement) {
+  if (!FleetCoordination.calls().recordResponse(EndpointId, Statement.PerSecond,
+                                                Time.now()))
+    return;
+  Log.write(LogCategory::Outcome, "endpoint_limit", "",
+            {{"endpoint", EndpointId},
+             {"limit_per_s", Statement.PerSecond.value_or(0)},
+             {"share", FleetCoordination.limitShare()}});
+  FleetCoordination.notifyStateChanged();
+}
+
 // ---- Readiness and metrics ------------------------------------------------
 
 bool GatewayRuntime::ready() const {
@@ -428,6 +460,8 @@
     Counters.gauge("endpoint_tokens", Label).set(double(E.totalLoad().Tokens));
     Counters.gauge("endpoint_failure_share", Label)
         .set(E.Health.failureShare());
+    Counters.gauge("endpoint_limit_per_second", Label)
+        .set(E.Limit.perSecond().value_or(0));
     Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
   });
 }
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -14,6 +14,7 @@
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
+#include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/gateway/stage_orders.hpp"
 #include "hyssoprail/process/metrics.hpp"
@@ -88,6 +89,9 @@
                     routing::RejectReason Reason, milliseconds RetryAfter);
 
   void onDecisions(const std::vector<routing::StreamDecision> &Decisions);
+  void onCallDecisions(const std::vector<routing::CallDecision> &Decisions);
+  void onLimitStatement(const std::string &EndpointId,
+                        const LimitStatement &Statement);
 
   bool ready() const;
   void handleReadiness(const Exchange &Caller);
@@ -128,6 +132,7 @@
   routing::RetryLimiter Retries;
   routing::LengthEstimator Lengths;
   routing::HealthSignalLog EngineSignals;
+  PeerSocket Peers;
   Coordination FleetCoordination;
   StageOrders Stages;
   routing::FleetConfigPtr Config;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -121,6 +121,7 @@
   else
     Stages.stop();
   Quota.setReportingShare(FleetCoordination.reportingShare(), Now);
+  Table.setLimitShare(FleetCoordination.limitShare(), Now);
   Retries.setEntries(static_cast<unsigned>(entriesSharingLimits(Now)));
   updateColdStartLimits(Now);
   pullChanges(Now);
@@ -214,7 +215,7 @@
     const double Share =
         Limit * ColdLimitShare * (Service.Engine ? EngineShare : CallShare);
     Table.setStartRateLimit(
-        Name, std::max<std::size_t>(1, static_cast<std::size_t>(Share)));
+        Name, {std::max<std::size_t>(1, static_cast<std::size_t>(Share))});
   }
 }
 
--- /dev/null
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -0,0 +1,398 @@
+#ifndef HYSSOPRAIL_GATEWAY_LIMIT_FLEET_HPP
+#define HYSSOPRAIL_GATEWAY_LIMIT_FLEET_HPP
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <fcntl.h>
+
+#include "hyssoprail/gateway/coordination.hpp"
+#include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/routing/flow.hpp"
+
+namespace hyssoprail::gateway::testing {
+
+/// Delivers messages between entries in memory after a fixed delay. Links can
+/// be cut.
+class PeerNetwork {
+public:
+  explicit PeerNetwork(const Clock &Time) : Time(Time) {}
+
+  /// One entry's access to the network. Its address is the entry's name.
+  class Port : public PeerTransport {
+  public:
+    explicit Port(PeerNetwork &Network) : Network(Network) {}
+    ~Port() override { Network.Handlers.erase(Address); }
+
+    Status start(const std::string &NewAddress, Handler OnMessage) override {
+      Address = NewAddress;
+      Network.Handlers[Address] = std::move(OnMessage);
+      return std::monostate{};
+    }
+
+    void send(const wire::CoordinationMessage &Message,
+              const std::string &To) override {
+      if (!Network.IsCut || !Network.IsCut(Address, To))
+        Network.InTransit.push_back(
+            {Network.Time.now() + Delay, To, Message.SerializeAsString()});
+    }
+
+  private:
+    PeerNetwork &Network;
+    std::string Address;
+  };
+
+  /// Messages between two entries for which \p Cut returns true are lost.
+  void cut(std::function<bool(const std::string &, const std::string &)> Cut) {
+    IsCut = std::move(Cut);
+  }
+
+  /// Delivers what is due. Messages to entries for which \p Runs returns false
+  /// are lost.
+  void deliver(const std::function<bool(const std::string &)> &Runs) {
+    while (!InTransit.empty() && InTransit.front().At <= Time.now()) {
+      const Datagram D = std::move(InTransit.front());
+      InTransit.pop_front();
+      const auto It = Handlers.find(D.To);
+      wire::CoordinationMessage Message;
+      if (It != Handlers.end() && Runs(D.To) &&
+          Message.ParseFromString(D.Bytes))
+        It->second(Message);
+    }
+  }
+
+private:
+  static constexpr milliseconds Delay{2};
+
+  struct Datagram {
+    TimePoint At;
+    std::string To;
+    std::string Bytes;
+  };
+
+  const Clock &Time;
+  std::map<std::string, PeerTransport::Handler> Handlers;
+  std::deque<Datagram> InTransit;
+  std::function<bool(const std::string &, const std::string &)> IsCut;
+};
+
+/// An endpoint of the service "orders" that answers every request after a fixed
+/// time and may state a limit.
+struct LimitedEndpoint {
+  std::string Id;
+  std::optional<double> PerSecond;
+  std::vector<TimePoint> Arrivals;
+};
+
+/// Outcomes of the calls of a run.
+struct CallOutcomes {
+  unsigned Served = 0;
+  unsigned Rejected = 0;
+  Duration LongestRejection{}; ///< from a call's arrival to its rejection
+  milliseconds ShortestRetryAfter = milliseconds::max();
+};
+
+/// Entries of a fleet with their real coordination and call flows, before
+/// simulated endpoints, on a clock that the test advances.
+class LimitFleet {
+public:
+  LimitFleet(std::size_t EntryCount, std::vector<LimitedEndpoint> Of)
+      : Endpoints(std::move(Of)), LogFile(::open("/dev/null", O_WRONLY)) {
+    for (std::size_t I = 0; I < EntryCount; ++I)
+      Names.push_back("entry-" + std::to_string(I));
+    for (const std::string &Name : Names)
+      start(Name);
+  }
+
+  ~LimitFleet() { ::close(LogFile); }
+
+  /// Runs for \p Span with \p CallsPerSecond calls over all entries.
+  void run(milliseconds Span, double CallsPerSecond) {
+    for (milliseconds At{0}; At < Span; At += Step) {
+      Time.advance(Step);
+      PendingCalls +=
+          CallsPerSecond * std::chrono::duration<double>(Step).count();
+      Network.deliver([this](const std::string &Name) { return runs(Name); });
+      Context.poll();
+      deliverResponses();
+      for (auto &[Name, E] : Entries)
+        if (!E->Paused)
+          tick(*E);
+      for (; PendingCalls >= 1; PendingCalls -= 1)
+        startCall();
+      Context.poll();
+      Context.restart();
+    }
+  }
+
+  /// Starts an entry, or starts it again as a new process.
+  void start(const std::string &Name) {
+    Entries.erase(Name);
+    auto E = std::make_unique<Entry>(*this, Name, ++LastIncarnation);
+    for (const LimitedEndpoint &Target : Endpoints)
+      E->Table.apply(record(Target.Id));
+    (void)E->Fleet.start();
+    std::vector<EntryAddress> All;
+    for (const std::string &Announced : Names)
+      All.push_back({Announced, Announced, 1});
+    E->Fleet.setEntries(All);
+    Entries[Name] = std::move(E);
+  }
+
+  void kill(const std::string &Name) { Entries.erase(Name); }
+  void pause(const std::string &Name, bool Paused) {
+    Entries.at(Name)->Paused = Paused;
+  }
+  Coordination &coordination(const std::string &Name) {
+    return Entries.at(Name)->Fleet;
+  }
+
+  /// Name of an entry that is the coordinator, empty if there is none.
+  std::string coordinator() const {
+    for (const auto &[Name, E] : Entries)
+      if (!E->Paused && E->Fleet.isCoordinator())
+        return Name;
+    return "";
+  }
+
+  std::size_t coordinatorCount() const {
+    return static_cast<std::size_t>(
+        std::count_if(Entries.begin(), Entries.end(), [](const auto &Item) {
+          return Item.second->Fleet.isCoordinator();
+        }));
+  }
+
+  TimePoint now() const { return Time.now(); }
+
+  std::vector<std::string> Names;
+  std::vector<LimitedEndpoint> Endpoints;
+  CallOutcomes Outcomes;
+
+private:
+  ManualClock Time;
+  boost::asio::io_context Context;
+
+public:
+  PeerNetwork Network{Time};
+
+private:
+  static constexpr milliseconds Step{10};
+  static constexpr milliseconds TickInterval{50};
+  static constexpr milliseconds TransitTime{1};
+  static constexpr milliseconds ServiceTime{30};
+
+  struct Entry;
+
+  /// A call with its flow.
+  struct Call : routing::FlowIo {
+    explicit Call(LimitFleet &Fleet, Entry &Home) : Fleet(Fleet), Home(Home) {}
+
+    LegId startLeg(const routing::LegRequest &Leg) override {
+      Fleet.receive(Home, *this, Leg.EndpointId, ++LastLeg);
+      return LastLeg;
+    }
+    void cancelLeg(LegId) override {}
+    void dropHandle(const routing::KvSource &) override {}
+    void respond(const HttpResponse &) override { ++Fleet.Outcomes.Served; }
+    void reject(routing::RejectReason, milliseconds RetryAfter) override {
+      CallOutcomes &Out = Fleet.Outcomes;
+      ++Out.Rejected;
+      Out.LongestRejection =
+          std::max(Out.LongestRejection, Fleet.now() - Arrival);
+      Out.ShortestRetryAfter = std::min(Out.ShortestRetryAfter, RetryAfter);
+    }
+    void beginStream(const HttpResponse &) override {}
+    void forward(std::string_view) override {}
+    void finishStream() override {}
+    void abort() override {}
+    bool stillAllowed() override { return true; }
+    void logDecision(std::string_view, LogFields) override {}
+
+    LimitFleet &Fleet;
+    Entry &Home;
+    std::unique_ptr<routing::Flow> Flow;
+    TimePoint Arrival{};
+    LegId LastLeg = 0;
+  };
+
+  struct Entry {
+    Entry(LimitFleet &Owner, const std::string &Name, std::uint64_t Incarnation)
+        : Settings(settings(Name)), Log(Owner.LogFile, Name, Owner.Time),
+          Port(Owner.Network),
+          Fleet(Owner.Context, Settings, Incarnation, Owner.Time, Log, Port,
+                {Table, Engines, Quota, Feed},
+                {[](const auto &) {},
+                 [this, &Owner](const auto &Decisions) {
+                   Owner.onDecisions(*this, Decisions);
+                 }}) {}
+
+    static GatewaySettings settings(const std::string &Name) {
+      GatewaySettings S;
+      S.Name = S.PeerAddress = S.MetricsAddress = Name;
+      S.Zone = "zone";
+      return S;
+    }
+
+    GatewaySettings Settings;
+    DecisionLog Log;
+    routing::EndpointTable Table;
+    routing::HealthSignalLog Engines{Table};
+    routing::SharedQuota Quota{routing::QuotaTolerance{}};
+    routing::RetryLimiter Retries{{0.2, 50, milliseconds(10'000)}};
+    routing::LengthEstimator Lengths;
+    FakeFeed Feed;
+    PeerNetwork::Port Port;
+    Coordination Fleet;
+    std::map<std::string, std::unique_ptr<Call>> Calls;
+    bool Paused = false;
+    TimePoint TickedAt{};
+  };
+
+  struct Response {
+    TimePoint At;
+    std::string EntryName;
+    std::uint64_t Incarnation;
+    std::string CallId;
+    routing::FlowIo::LegId Leg;
+    std::string EndpointId;
+    std::optional<double> PerSecond;
+  };
+
+  static routing::EndpointRecord record(const std::string &Id) {
+    routing::EndpointRecord R;
+    R.Id = Id;
+    R.Service = "orders";
+    R.Address = "10.0.0.1:80";
+    R.Zone = "zone";
+    R.Slots = 6;
+    return R;
+  }
+
+  bool runs(const std::string &Name) const {
+    const auto It = Entries.find(Name);
+    return It != Entries.end() && !It->second->Paused;
+  }
+
+  void tick(Entry &E) {
+    for (auto It = E.Calls.begin(); It != E.Calls.end();) {
+      Call &C = *(It++)->second;
+      if (C.Flow->nextDeadline() <= now())
+        C.Flow->onTimer(now());
+      eraseIfDone(E, C);
+    }
+    if (now() - E.TickedAt < TickInterval)
+      return;
+    E.TickedAt = now();
+    E.Fleet.tick();
+    E.Table.setLimitShare(E.Fleet.limitShare(), now());
+  }
+
+  void startCall() {
+    const std::string &Name = Names[Random() % Names.size()];
+    const std::string Id = std::to_string(++LastCall);
+    if (!runs(Name))
+      return;
+    Entry &E = *Entries.at(Name);
+    routing::FlowRequest R;
+    R.SessionId = Id;
+    R.Info.Id = Id;
+    R.Route.Kind = routing::RouteKind::Call;
+    R.Route.LatencyObjective = milliseconds(150);
+    R.Route.MaxAttempts = 1;
+    R.Service = "orders";
+    R.Arrival = now();
+    R.AnswerBy = now() + milliseconds(1'500);
+    auto C = std::make_unique<Call>(*this, E);
+    C->Arrival = now();
+    Call &Started = *C;
+    E.Calls[Id] = std::move(C);
+    Started.Flow =
+        routing::makeCallFlow({E.Table, E.Engines, E.Fleet.admission(),
+                               E.Fleet.calls(), E.Retries, E.Lengths, "zone"},
+                              std::move(R), Started);
+    Started.Flow->start(now());
+    E.Fleet.notifyStateChanged();
+    eraseIfDone(E, Started);
+  }
+
+  void receive(Entry &Home, Call &C, const std::string &EndpointId,
+               routing::FlowIo::LegId Leg) {
+    const auto Target = std::find_if(
+        Endpoints.begin(), Endpoints.end(),
+        [&](const LimitedEndpoint &E) { return E.Id == EndpointId; });
+    Target->Arrivals.push_back(now() + TransitTime);
+    const auto Id =
+        std::find_if(Home.Calls.begin(), Home.Calls.end(),
+                     [&](const auto &Item) { return Item.second.get() == &C; });
+    Responses.push_back({now() + ServiceTime, Home.Settings.Name,
+                         incarnation(Home), Id->first, Leg, EndpointId,
+                         Target->PerSecond});
+  }
+
+  std::uint64_t incarnation(const Entry &E) const {
+    return reinterpret_cast<std::uintptr_t>(&E);
+  }
+
+  void deliverResponses() {
+    while (!Responses.empty() && Responses.front().At <= now()) {
+      const Response R = std::move(Responses.front());
+      Responses.pop_front();
+      if (!runs(R.EntryName))
+        continue;
+      Entry &E = *Entries.at(R.EntryName);
+      const auto It = E.Calls.find(R.CallId);
+      if (It == E.Calls.end() || incarnation(E) != R.Incarnation)
+        continue;
+      if (E.Fleet.calls().recordResponse(R.EndpointId, R.PerSecond, now()))
+        E.Fleet.notifyStateChanged();
+      routing::LegResult Result;
+      Result.Outcome = routing::LegOutcome::Answered;
+      Result.Response.Status = 200;
+      Call &C = *It->second;
+      C.Flow->onLegResult(R.Leg, std::move(Result), now());
+      eraseIfDone(E, C);
+    }
+  }
+
+  void onDecisions(Entry &E,
+                   const std::vector<routing::CallDecision> &Decisions) {
+    for (const routing::CallDecision &D : Decisions) {
+      const auto *Grant = std::get_if<routing::CallGrant>(&D);
+      const auto *Denial = std::get_if<routing::CallDenial>(&D);
+      const auto It = E.Calls.find(Grant ? Grant->Id : Denial->Id);
+      if (It == E.Calls.end())
+        continue;
+      Call &C = *It->second;
+      if (Grant)
+        C.Flow->onCallGranted(*Grant, now());
+      else
+        C.Flow->onCallDenied(*Denial, now());
+      eraseIfDone(E, C);
+    }
+  }
+
+  static void eraseIfDone(Entry &E, Call &C) {
+    if (C.Flow->done())
+      std::erase_if(E.Calls,
+                    [&](const auto &Item) { return Item.second.get() == &C; });
+  }
+
+  int LogFile;
+  std::map<std::string, std::unique_ptr<Entry>> Entries;
+  std::deque<Response> Responses;
+  std::mt19937 Random{1};
+  double PendingCalls = 0;
+  std::uint64_t LastCall = 0;
+  std::uint64_t LastIncarnation = 0;
+};
+
+} // namespace hyssoprail::gateway::testing
+
+#endif // HYSSOPRAIL_GATEWAY_LIMIT_FLEET_HPP
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/gateway/peer_socket.hpp"
 
 #include <optional>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 
@@ -21,10 +22,8 @@
 
 } // namespace
 
-PeerSocket::PeerSocket(asio::io_context &Context, Handler OnMessage)
-    : Socket(Context), OnMessage(std::move(OnMessage)) {}
-
-Status PeerSocket::start(const std::string &Address) {
+Status PeerSocket::start(const std::string &Address, Handler NewHandler) {
+  OnMessage = std::move(NewHandler);
   const auto Endpoint = parseEndpoint(Address);
   boost::system::error_code Code = asio::error::invalid_argument;
   if (Endpoint) {
--- a/src/hyssoprail/gateway/peer_socket.hpp
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -2,32 +2,25 @@
 #define HYSSOPRAIL_GATEWAY_PEER_SOCKET_HPP
 
 #include <array>
-#include <functional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include "hyssoprail/core/result.hpp"
-#include "hyssoprail/wire/coordination.pb.h"
+#include "hyssoprail/gateway/peer_transport.hpp"
 
 namespace hyssoprail::gateway {
 
-/// Sends and receives coordination messages as UDP datagrams. Each message has
-/// the complete state of its sender, so a lost one does no harm, and there is
-/// no connection that could stall unnoticed.
-class PeerSocket {
+/// Sends and receives coordination messages as UDP datagrams: there is no
+/// connection that could stall unnoticed.
+class PeerSocket : public PeerTransport {
 public:
-  using Handler = std::function<void(const wire::CoordinationMessage &)>;
+  explicit PeerSocket(boost::asio::io_context &Context) : Socket(Context) {}
 
-  PeerSocket(boost::asio::io_context &Context, Handler OnMessage);
-
-  /// Binds to "IP:PORT". Fails with Unavailable.
-  Status start(const std::string &Address);
-
-  /// Sends to "IP:PORT". Failures are ignored, like lost datagrams.
+  // PeerTransport
+  Status start(const std::string &Address, Handler OnMessage) override;
   void send(const wire::CoordinationMessage &Message,
-            const std::string &Address);
+            const std::string &Address) override;
 
 private:
   void receive();
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -57,6 +57,16 @@
   afterEvent();
 }
 
+void RequestSession::onCallGranted(const routing::CallGrant &Grant) {
+  ActiveFlow->onCallGranted(Grant, Services.Time.now());
+  afterEvent();
+}
+
+void RequestSession::onCallDenied(const routing::CallDenial &Denial) {
+  ActiveFlow->onCallDenied(Denial, Services.Time.now());
+  afterEvent();
+}
+
 routing::FlowIo::LegId
 RequestSession::startLeg(const routing::LegRequest &Spec) {
   const LegId Id = NextLeg++;
@@ -104,8 +114,9 @@
   if (It == Legs.end())
     return;
   Leg &L = It->second;
-  L.RequestLimit = Services.Protocol.requestLimit(Head);
-  Hooks.OnLegHead(L.EndpointId, Head);
+  L.Limit = Services.Protocol.limitStatement(L.Kind, Head);
+  if (L.Limit)
+    Hooks.OnLimitStatement(L.EndpointId, *L.Limit);
   L.Streaming =
       L.Kind == LegKind::Decode && Services.Protocol.beginsStream(Head);
   if (!L.Streaming) {
@@ -194,15 +205,16 @@
                                unsigned Status, std::string_view Detail) {
   const bool Good =
       Outcome == "complete" || (Outcome == "answered" && Status < 500);
-  Services.Log.write(Good ? LogCategory::Routine : LogCategory::Outcome,
-                     "send_ended", Request.Info.Id,
-                     {{"kind", legKindName(L.Kind)},
-                      {"endpoint", L.EndpointId},
-                      {"outcome", Outcome},
-                      {"status", Status},
-                      {"detail", Detail},
-                      {"limit_per_s", L.RequestLimit.value_or(0)},
-                      {"took_ms", Services.Time.now() - L.StartedAt}});
+  Services.Log.write(
+      Good ? LogCategory::Routine : LogCategory::Outcome, "send_ended",
+      Request.Info.Id,
+      {{"kind", legKindName(L.Kind)},
+       {"endpoint", L.EndpointId},
+       {"outcome", Outcome},
+       {"status", Status},
+       {"detail", Detail},
+       {"limit_per_s", L.Limit ? L.Limit->PerSecond.value_or(0) : 0},
+       {"took_ms", Services.Time.now() - L.StartedAt}});
 }
 
 void RequestSession::cancelLeg(LegId Id) {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -68,9 +68,10 @@
   std::function<void()> AdmissionChanged;
   /// A leg to the endpoint begins.
   std::function<void(const std::string &EndpointId)> OnLegStart;
-  /// The head of an endpoint's response has arrived.
-  std::function<void(const std::string &EndpointId, const HttpResponse &Head)>
-      OnLegHead;
+  /// A response of the endpoint states its limit, or that it has none.
+  std::function<void(const std::string &EndpointId,
+                     const LimitStatement &Statement)>
+      OnLimitStatement;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -92,6 +93,8 @@
 
   void onPlaced(const routing::StreamPlacement &Place);
   void onRefused(const routing::StreamRefusal &Refusal);
+  void onCallGranted(const routing::CallGrant &Grant);
+  void onCallDenied(const routing::CallDenial &Denial);
 
   const routing::FlowRequest &request() const { return Request; }
 
@@ -117,8 +120,7 @@
     HttpResponse Response;
     std::size_t BufferedBytes = 0; ///< size of Response, reserved in the budget
     bool Streaming = false;
-    /// Requests per second that the response states as the endpoint's limit.
-    std::optional<double> RequestLimit;
+    std::optional<LimitStatement> Limit; ///< what the response states
   };
 
   UpstreamHandlers legHandlers(LegId Id);
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -91,7 +91,7 @@
 
 // ---- Reports --------------------------------------------------------------
 
-void AdmissionServer::handleReport(const wire::EntryReport &Report,
+bool AdmissionServer::handleReport(const wire::EntryReport &Report,
                                    TimePoint Now) {
   const std::string &Name = Report.sender();
   Entry &E = Entries[Name];
@@ -100,7 +100,7 @@
                                           Now - E.LastReportAt < MinRestartTime
                                     : Report.sequence() <= E.Sequence;
   if (Stale)
-    return;
+    return false;
   if (NewIncarnation) {
     // The reservations of the former process are free, as its connections are
     // closed.
@@ -120,6 +120,7 @@
   applyWants(Name, E, Report, Now);
   applyCalls(Name, E, Report);
   applyAccounts(Name, E, NewIncarnation, Report, Now);
+  return true;
 }
 
 /// A run that the entry no longer reports has ended. A run that this
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace hyssoprail::routing {
 namespace {
@@ -24,6 +25,10 @@
 /// answered within this multiple of the latency objective.
 constexpr int LegTimeoutInObjectives = 2;
 
+/// A call that the coordinator has neither granted nor denied within this time
+/// does without a grant.
+constexpr milliseconds GrantTimeout{60};
+
 /// State machine of a plain call.
 class CallFlow : public Flow {
 public:
@@ -56,17 +61,51 @@
     if (Now >= answerDeadline())
       return onDeadline(Now);
     if (ActiveLeg && Now >= LegDeadline)
-      onLegTimeout(Now);
+      return onLegTimeout(Now);
+    if (!AwaitsGrant || Now < GrantDeadline)
+      return;
+    Io.logDecision("grant_timeout", {});
+    stopWaiting();
+    sendWithoutGrant(Now);
   }
 
-  void onCallerDisconnected(TimePoint) override {
+  void onCallGranted(const CallGrant &Grant, TimePoint Now) override {
+    if (!AwaitsGrant)
+      return;
+    AwaitsGrant = false;
+    if (!Io.stillAllowed())
+      return finish(RejectReason::NoKey, {}, Now);
+    Endpoint *E = Shared.Table.find(Grant.EndpointId);
+    if (!E || !Shared.Table.mayReceive(*E, Now))
+      return sendWithoutGrant(Now);
+    sendTo(*E, Now);
+  }
+
+  void onCallDenied(const CallDenial &Denial, TimePoint Now) override {
+    if (!AwaitsGrant)
+      return;
+    AwaitsGrant = false;
+    Io.logDecision("grant_denied", {{"retry_after_ms", Denial.RetryAfter}});
+    DeniedRetryAfter = Denial.RetryAfter;
+    if (!Io.stillAllowed())
+      return finish(RejectReason::NoKey, {}, Now);
+    sendWithoutGrant(Now);
+  }
+
+  void onCallerDisconnected(TimePoint Now) override {
+    stopWaiting();
     stopLeg();
+    refundRetry(Now);
     Done = true;
   }
 
   TimePoint nextDeadline() const override {
-    return ActiveLeg ? std::min(LegDeadline, answerDeadline())
-                     : answerDeadline();
+    TimePoint Next = answerDeadline();
+    if (ActiveLeg)
+      Next = std::min(Next, LegDeadline);
+    if (AwaitsGrant)
+      Next = std::min(Next, GrantDeadline);
+    return Next;
   }
 
   bool done() const override { return Done; }
@@ -81,23 +120,58 @@
 
   void send(TimePoint Now) {
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {});
-    Endpoint *E = chooseForCall(Shared.Table, Request.Service, Shared.Zone,
-                                TriedEndpoints, Now);
-    if (!E)
-      return giveUp(Now);
-    Io.logDecision("place", {{"endpoint", E->Record.Id},
-                             {"zone", E->Record.Zone},
-                             {"runs", E->totalLoad().Runs},
-                             {"failure_share", E->Health.failureShare()}});
+      return finish(RejectReason::NoKey, {}, Now);
+    Endpoint *E = chooseUsable(Now);
+    if (!shouldAskForGrant(E, Now))
+      return E ? sendTo(*E, Now) : giveUp(Now);
+    AwaitsGrant = true;
+    GrantDeadline = Now + GrantTimeout;
+    Shared.Calls.submit({Request.SessionId,
+                         Request.Service,
+                         {TriedEndpoints.begin(), TriedEndpoints.end()}});
+  }
+
+  Endpoint *chooseUsable(TimePoint Now) {
+    return chooseForCall(Shared.Table, Request.Service, Shared.Zone,
+                         TriedEndpoints, Now);
+  }
+
+  /// True if an endpoint whose requests are granted one by one is better than
+  /// \p Usable. Remembers the time to return if no grant can be had now.
+  bool shouldAskForGrant(const Endpoint *Usable, TimePoint Now) {
+    if (!worthAskingForGrant(Shared.Table, Request.Service, Shared.Zone,
+                             TriedEndpoints, Usable, Now))
+      return false;
+    const auto Denied = Shared.Calls.deniedFor(Request.Service, Now);
+    DeniedRetryAfter = Denied.value_or(milliseconds(0));
+    return !Denied;
+  }
+
+  void sendWithoutGrant(TimePoint Now) {
+    Endpoint *E = chooseUsable(Now);
+    E ? sendTo(*E, Now) : giveUp(Now);
+  }
+
+  void stopWaiting() {
+    if (std::exchange(AwaitsGrant, false))
+      Shared.Calls.cancel(Request.SessionId);
+  }
+
+  void sendTo(Endpoint &E, TimePoint Now) {
+    RetryCharged = false;
+    Io.logDecision("place", {{"endpoint", E.Record.Id},
+                             {"zone", E.Record.Zone},
+                             {"runs", E.totalLoad().Runs},
+                             {"failure_share", E.Health.failureShare()},
+                             {"limit_per_s", E.Limit.perSecond().value_or(0)}});
     ++LegCount;
-    ActiveEndpoint = E->Record.Id;
+    ActiveEndpoint = E.Record.Id;
     TriedEndpoints.insert(ActiveEndpoint);
     Shared.Table.reserve(ActiveEndpoint, {1, 0, 0});
     Shared.Table.recordSend(ActiveEndpoint, Now);
     LegRequest Leg;
-    Leg.EndpointId = E->Record.Id;
-    Leg.Address = E->Record.Address;
+    Leg.EndpointId = E.Record.Id;
+    Leg.Address = E.Record.Address;
     Leg.Deadline =
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     Leg.IsRetry = LegCount > 1;
@@ -129,12 +203,22 @@
   /// one even if it is not idempotent.
   void sendToAnother(LegOutcome Outcome, TimePoint Now) {
     const bool Arrived = Outcome != LegOutcome::NotSent;
-    if (LegCount >= MaxLegs ||
-        (Arrived && !Shared.Retries.take(Request.Service, Now)))
+    if (LegCount >= MaxLegs || (Arrived && !chargeRetry(Now)))
       return giveUp(Now);
     send(Now);
   }
 
+  bool chargeRetry(TimePoint Now) {
+    RetryCharged = Shared.Retries.take(Request.Service, Now);
+    return RetryCharged;
+  }
+
+  /// Refunds a retry for which no endpoint was found.
+  void refundRetry(TimePoint Now) {
+    if (std::exchange(RetryCharged, false))
+      Shared.Retries.refund(Request.Service, Now);
+  }
+
   void onAnswered(HttpResponse Response, TimePoint Now) {
     MayHaveRun = true;
     ++RunCount;
@@ -153,10 +237,7 @@
 
   bool canRunAgain(TimePoint Now) {
     return idempotent() && RunCount < Request.Route.MaxAttempts &&
-           LegCount < MaxLegs &&
-           chooseForCall(Shared.Table, Request.Service, Shared.Zone,
-                         TriedEndpoints, Now) &&
-           Shared.Retries.take(Request.Service, Now);
+           LegCount < MaxLegs && chooseUsable(Now) && chargeRetry(Now);
   }
 
   /// The endpoint has not answered by LegDeadline: it is slow or unresponsive.
@@ -177,18 +258,25 @@
 
   /// Gives the best available answer: that of an endpoint that failed, or else
   /// a rejection.
-  void giveUp(TimePoint) {
+  void giveUp(TimePoint Now) {
+    refundRetry(Now);
     if (FailedResponse)
       return finishWith(*FailedResponse);
     if (MayHaveRun)
-      return finish(RejectReason::OutcomeUnknown, {});
-    if (LegCount == 0)
-      return finish(RejectReason::NoCapacity, NoEndpointRetryAfter);
-    finish(RejectReason::NotRun, CallRetryAfter);
+      return finish(RejectReason::OutcomeUnknown, {}, Now);
+    if (LegCount > 0)
+      return finish(RejectReason::NotRun,
+                    std::max(CallRetryAfter, DeniedRetryAfter), Now);
+    finish(RejectReason::NoCapacity,
+           DeniedRetryAfter > milliseconds(0) ? DeniedRetryAfter
+                                              : NoEndpointRetryAfter,
+           Now);
   }
 
   void onDeadline(TimePoint Now) {
     const bool WasActive = ActiveLeg.has_value();
+    stopWaiting();
+    refundRetry(Now);
     if (WasActive) {
       if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
         E->Health.record(HealthSignal::RouteTimeout, Now);
@@ -198,7 +286,7 @@
       return finishWith(*FailedResponse);
     finish(MayHaveRun || WasActive ? RejectReason::TimedOut
                                    : RejectReason::NotRunInTime,
-           {});
+           {}, Now);
   }
 
   void finishWith(const HttpResponse &Response) {
@@ -206,7 +294,8 @@
     Io.respond(Response);
   }
 
-  void finish(RejectReason Reason, milliseconds RetryAfter) {
+  void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
+    refundRetry(Now);
     Done = true;
     Io.reject(Reason, RetryAfter);
   }
@@ -222,6 +311,11 @@
   unsigned LegCount = 0;
   unsigned RunCount = 0; ///< endpoints that ran the call, or may have
   TimePoint LegDeadline = TimePoint::max();
+  bool AwaitsGrant = false;
+  TimePoint GrantDeadline{};
+  /// Time to return if no endpoint is found, from the last denial of a grant.
+  milliseconds DeniedRetryAfter{0};
+  bool RetryCharged = false; ///< for a leg that has not been sent yet
   bool MayHaveRun = false;
   bool Done = false;
 };
@@ -233,6 +327,8 @@
 void Flow::onStreamEnd(FlowIo::LegId, bool, TimePoint) {}
 void Flow::onPlaced(const StreamPlacement &, TimePoint) {}
 void Flow::onRefused(const StreamRefusal &, TimePoint) {}
+void Flow::onCallGranted(const CallGrant &, TimePoint) {}
+void Flow::onCallDenied(const CallDenial &, TimePoint) {}
 
 std::unique_ptr<Flow> makeCallFlow(SharedFlowState Shared, FlowRequest Request,
                                    FlowIo &Io) {
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -47,6 +47,7 @@
   Endpoint &E = It->second;
   if (New) {
     E.Record = Record;
+    E.Limit.setShare(LimitShare, TimePoint{});
     for (const auto &[Peer, Loads] : PeerLoads)
       if (const auto Load = Loads.find(Record.Id); Load != Loads.end())
         E.PeerLoad += Load->second;
@@ -59,6 +60,7 @@
     return false;
   if (Record.StartedAtMs > E.Record.StartedAtMs) {
     E.Health = {};
+    E.Limit.reset();
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
@@ -135,8 +137,27 @@
 }
 
 void EndpointTable::setStartRateLimit(std::string_view Service,
-                                      std::size_t Starts) {
-  StartRateLimits[std::string(Service)] = Starts;
+                                      StartRateLimit Limit) {
+  StartRateLimits[std::string(Service)] = Limit;
+}
+
+void EndpointTable::recordLimit(std::string_view Id,
+                                std::optional<double> PerSecond, TimePoint At) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  if (!PerSecond)
+    return E->Limit.recordNone(At);
+  E->Limit.recordStated(*PerSecond, At);
+  LimitedServices.insert(E->Record.Service);
+}
+
+void EndpointTable::setLimitShare(double Share, TimePoint Now) {
+  if (Share == LimitShare)
+    return;
+  LimitShare = Share;
+  for (auto &[Id, E] : ById)
+    E.Limit.setShare(Share, Now);
 }
 
 Endpoint *EndpointTable::find(std::string_view Id) {
@@ -151,7 +172,12 @@
 
 bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
   return mayReceive(E, Now) && !E.isChangingStage(Now) &&
-         isWithinStartRate(E, Now);
+         isWithinStartRate(E, Now) && E.Limit.allows(Now);
+}
+
+bool EndpointTable::startsByGrant(std::string_view Service) const {
+  const auto Bound = StartRateLimits.find(Service);
+  return Bound != StartRateLimits.end() && Bound->second.ByGrant;
 }
 
 bool EndpointTable::isWithinStartRate(Endpoint &E, TimePoint Now) const {
@@ -160,8 +186,9 @@
     return true;
   const std::size_t Divisor =
       E.Record.Stage == EngineStage::Decode ? DecodeStartsDivisor : 1;
-  return E.StartLimiter.allows(
-      std::max<std::size_t>(1, Bound->second / Divisor), Now);
+  const StartRateLimit &Limit = Bound->second;
+  const std::size_t Least = Limit.ByGrant ? 0 : 1;
+  return E.StartLimiter.allows(std::max(Least, Limit.PerSecond / Divisor), Now);
 }
 
 std::vector<Endpoint *> EndpointTable::usable(std::string_view Service,
@@ -178,11 +205,62 @@
   std::vector<Endpoint *> Out;
   for (auto &[Id, E] : ById)
     if (E.Record.Service == Service && inService(E) && !E.Health.usable(Now) &&
-        E.Health.reachable(Now) && isWithinStartRate(E, Now))
+        E.Health.reachable(Now) && isWithinStartRate(E, Now) &&
+        E.Limit.allows(Now))
       Out.push_back(&E);
   return Out;
 }
 
+std::vector<Endpoint *> EndpointTable::grantable(std::string_view Service,
+                                                 TimePoint Now) {
+  std::vector<Endpoint *> Out;
+  const bool ByGrant = startsByGrant(Service);
+  const auto Limited = LimitedServices.find(Service);
+  if (!ByGrant && Limited == LimitedServices.end())
+    return Out;
+  bool AnyLimit = false;
+  for (auto &[Id, E] : ById) {
+    if (E.Record.Service != Service)
+      continue;
+    AnyLimit = AnyLimit || E.Limit.perSecond();
+    if ((ByGrant || E.Limit.perSecond()) && mayReceive(E, Now) &&
+        !E.isChangingStage(Now))
+      Out.push_back(&E);
+  }
+  if (!AnyLimit && Limited != LimitedServices.end())
+    LimitedServices.erase(Limited);
+  return Out;
+}
+
+void EndpointTable::recordGrant(std::string_view Id, TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  E->Limit.take(Now);
+  if (startsByGrant(E->Record.Service))
+    E->StartLimiter.recordStart(Now);
+}
+
+GrantForecast EndpointTable::grantForecast(std::string_view Service,
+                                           TimePoint Now) {
+  GrantForecast Out;
+  const auto Starts = StartRateLimits.find(Service);
+  for (Endpoint *E : grantable(Service, Now)) {
+    const double Rate = E->Limit.perSecond()
+                            ? E->Limit.grantRate()
+                            : static_cast<double>(Starts->second.PerSecond);
+    if (Rate <= 0)
+      continue;
+    const Duration Wait = E->Limit.perSecond()
+                              ? E->Limit.waitTime(Now)
+                              : std::chrono::duration_cast<Duration>(
+                                    std::chrono::duration<double>(1 / Rate));
+    Out.PerSecond += Rate;
+    Out.Wait = std::min(Out.Wait, Wait);
+  }
+  return Out;
+}
+
 void EndpointTable::forEach(const std::function<void(Endpoint &)> &Visit) {
   for (auto &[Id, E] : ById)
     Visit(E);
@@ -201,8 +279,11 @@
 }
 
 void EndpointTable::recordSend(std::string_view Id, TimePoint Now) {
-  if (Endpoint *E = find(Id))
-    E->StartLimiter.recordStart(Now);
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  E->StartLimiter.recordStart(Now);
+  E->Limit.take(Now);
 }
 
 LoadMap EndpointTable::ownLoads() const {
@@ -271,4 +352,24 @@
   return cheapest(Table.avoided(Service, Now), Zone, Tried, Now);
 }
 
+Endpoint *chooseGrantable(EndpointTable &Table, std::string_view Service,
+                          std::string_view Zone,
+                          const std::set<std::string, std::less<>> &Tried,
+                          TimePoint Now) {
+  std::vector<Endpoint *> Candidates = Table.grantable(Service, Now);
+  std::erase_if(Candidates,
+                [&](Endpoint *E) { return !Table.mayStart(*E, Now); });
+  return cheapest(Candidates, Zone, Tried, Now);
+}
+
+bool worthAskingForGrant(EndpointTable &Table, std::string_view Service,
+                         std::string_view Zone,
+                         const std::set<std::string, std::less<>> &Tried,
+                         const Endpoint *Usable, TimePoint Now) {
+  const Endpoint *Best =
+      cheapest(Table.grantable(Service, Now), Zone, Tried, Now);
+  return Best && Best != Usable &&
+         (!Usable || callCost(*Best, Zone, Now) < callCost(*Usable, Zone, Now));
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -77,7 +77,7 @@
 TEST_CASE("starts in any second stay within the limit") {
   EndpointTable Table;
   Table.apply(service("a"));
-  Table.setStartRateLimit("orders", 4);
+  Table.setStartRateLimit("orders", {4});
   std::vector<TimePoint> Sent;
   for (int Ms = 0; Ms < 5'000; Ms += 20) {
     const TimePoint Now = Start + milliseconds(Ms);
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -244,17 +244,18 @@
     return Out;
   std::map<std::string_view, Pool> Pools;
   std::vector<std::string> Done;
-  std::int64_t TokensAhead = 0;
+  QueueAhead Ahead;
   for (const StreamRequest *Request : dispatchOrder(Now)) {
     auto Engines = Pools.find(Request->Service);
     if (Engines == Pools.end())
       Engines = Pools.emplace(Request->Service, makePool(Request->Service, Now))
                     .first;
-    if (decide(*Request, Engines->second, TokensAhead, Now, Out) ==
-        Verdict::Waits)
-      TokensAhead += requiredKvTokens(*Request);
-    else
+    if (decide(*Request, Engines->second, Ahead, Now, Out) != Verdict::Waits) {
       Done.push_back(Request->Id);
+      continue;
+    }
+    Ahead.Tokens += requiredKvTokens(*Request);
+    ++Ahead.Requests;
   }
   for (const std::string &Id : Done)
     Waiting.erase(Id);
@@ -268,6 +269,9 @@
   for (Endpoint *E : Table.usable(Service, Now))
     (E->Record.Stage == EngineStage::Prefill ? P.Prefill : P.Decode)
         .push_back(E);
+  for (Endpoint *E : Table.grantable(Service, Now))
+    if (E->Record.Stage != EngineStage::Prefill && !E->Limit.allows(Now))
+      P.LimitedPerSecond += E->Limit.grantRate();
   updateFreeMemory(P);
   return P;
 }
@@ -310,7 +314,7 @@
 
 StreamScheduler::Verdict
 StreamScheduler::decide(const StreamRequest &Request, Pool &Engines,
-                        std::int64_t TokensAhead, TimePoint Now,
+                        const QueueAhead &Ahead, TimePoint Now,
                         std::vector<StreamDecision> &Out) {
   if (requiredKvTokens(Request) > Engines.Bound) {
     Out.push_back(makeRefusal(Request, StreamRefusalReason::TooLarge, {}, Now));
@@ -320,7 +324,7 @@
     Out.push_back(place(Request, Engines, *Decode, Now));
     return Verdict::Placed;
   }
-  const Duration Wait = expectedWait(Request, Engines, TokensAhead, Now);
+  const Duration Wait = expectedWait(Request, Engines, Ahead, Now);
   if (Now + MinServiceTime >= Request.GiveUpAt) {
     Out.push_back(
         makeRefusal(Request, StreamRefusalReason::WaitedTooLong, Wait, Now));
@@ -457,15 +461,19 @@
 }
 
 /// Time until enough memory for this request and those ahead of it is free, if
-/// engines free their memory evenly over the mean duration of a generation.
+/// engines free their memory evenly over the mean duration of a generation; or
+/// until the stated limits of the engines admit them.
 Duration StreamScheduler::expectedWait(const StreamRequest &Request,
                                        const Pool &Engines,
-                                       std::int64_t TokensAhead,
+                                       const QueueAhead &Ahead,
                                        TimePoint Now) const {
+  if (Engines.Decode.empty() && Engines.LimitedPerSecond > 0)
+    return fromSeconds(static_cast<double>(Ahead.Requests + 1) /
+                       Engines.LimitedPerSecond);
   if (Engines.Decode.empty())
     return Request.GiveUpAt - Now;
   const std::int64_t MissingTokens =
-      requiredKvTokens(Request) + TokensAhead - Engines.Free;
+      requiredKvTokens(Request) + Ahead.Tokens - Engines.Free;
   if (MissingTokens <= 0)
     return Duration{0};
   const double Capacity = static_cast<double>(Engines.Bound) *
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "hyssoprail/routing/call_grant_client.hpp"
 #include "hyssoprail/routing/flow.hpp"
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
@@ -134,7 +135,7 @@
   }
 
   SharedFlowState sharedState() {
-    return {Table, EngineSignals, Scheduler, Retries, Lengths, "zone-a"};
+    return {Table, EngineSignals, Scheduler, Calls, Retries, Lengths, "zone-a"};
   }
 
   /// Starts a stream and delivers the scheduler's decision to it.
@@ -165,6 +166,7 @@
   EndpointTable Table;
   HealthSignalLog EngineSignals{Table};
   StreamScheduler Scheduler{{}, Table};
+  CallGrantClient Calls{Table};
   RetryLimiter Retries{{0.2, 100, milliseconds(10'000)}};
   LengthEstimator Lengths;
   FakeIo Io;
