Entries behind a network partition are not taken for dead

What callers would see: during a partition of more than 14 s an endpoint got its stated limit from both sides, and accounts their whole rate on each side. Cause: an entry that was silent for 14 s was forgotten as ended, on both sides; each side then took the share of all entries. Change: a coordinator that has missed entries for 5 s announces the size of its group in the store, every 4 s; the other side counts these entries as known. Without an answer of the store nobody is forgotten, and such a group gives up its share of stated limits after 10 s, before the others can forget it. 'entries that have ended leave their share of a limit to the others' guards the other direction. Conclusion: fixed for partitions in which a side reaches the store. A majority that has lost the store and the other entries is still taken for dead by a minority that has the store; the majority then sends nothing to limited endpoints.

--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -43,7 +43,10 @@
 
   /// Releases the reservations of entries that have stopped reporting. Must be
   /// called several times per second.
-  void expireSilentEntries(TimePoint Now);
+  void releaseSilentEntries(TimePoint Now);
+
+  /// Forgets entries that have not reported for long: they count as ended.
+  void forgetSilentEntries(TimePoint Now);
 
   /// Entries with decisions that have not been sent to them, or requests whose
   /// receipt has not been confirmed to them.
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -91,9 +91,7 @@
   double reportingShare() const;
 
   /// Share of the limits that endpoints state which this entry may grant.
-  double limitShare() const {
-    return Election.isCoordinator() ? reportingShare() : 0;
-  }
+  double limitShare() const;
 
   bool isCoordinator() const { return Election.isCoordinator(); }
 
@@ -109,6 +107,9 @@
     std::string Address;
     double Weight = 0;
     TimePoint AddressSince{};
+    std::size_t GroupSize =
+        0; ///< entries that followed it when it announced so
+    TimePoint GroupAnnouncedAt{};
   };
 
   void onMessage(const wire::CoordinationMessage &Message);
@@ -147,6 +148,9 @@
   void sendUpdate(const std::string &Entry, const std::string &Address,
                   TimePoint Now);
   void sendHeartbeats(TimePoint Now);
+  bool storeAnswers() const;
+  void announceGroup(TimePoint Now);
+  std::size_t partedEntries(TimePoint Now) const;
 
   boost::asio::io_context &Context;
   const GatewaySettings &Settings;
@@ -186,6 +190,8 @@
   std::uint64_t UpdateSequence = 0;
   TimePoint CoordinatorSince{};
   std::size_t KnownAtClaim = 1;
+  TimePoint CompleteAt{};       ///< when all known entries last reported
+  TimePoint GroupAnnouncedAt{}; ///< by this entry
   std::map<std::string, TimePoint> UpdateSentAt;
   std::map<std::string, TimePoint> TotalsSentAt;
   std::vector<wire::ServiceRoom> Rooms;
--- a/src/hyssoprail/gateway/endpoint_limit_test.cpp
+++ b/src/hyssoprail/gateway/endpoint_limit_test.cpp
@@ -196,6 +196,45 @@
     });
 }
 
+// Guards against both sides of a network partition taking the other one for
+// dead after some time, and granting the whole limit each. One side may also
+// have lost the store.
+TEST_CASE("the limit of an endpoint holds while the fleet is parted for long",
+          "[endpoint_limit]") {
+  for (const bool LosesStore : {false, true})
+    for (const std::size_t EntryCount : {4, 60}) {
+      StartedFleet F(EntryCount, Spare::None);
+      std::set<std::string> Side;
+      for (const std::string &Name : F.Names)
+        if (Side.size() < F.Names.size() / 2)
+          Side.insert(Name);
+      F.Network.cut([Side](const std::string &A, const std::string &B) {
+        return Side.contains(A) != Side.contains(B);
+      });
+      if (LosesStore)
+        F.CutFromStore = Side;
+      F.run(milliseconds(40'000), CallsPerSecond);
+      CHECK(F.coordinatorCount() == 2);
+      F.Network.cut({});
+      F.CutFromStore.clear();
+      F.run(milliseconds(20'000), CallsPerSecond);
+      CHECK(F.coordinatorCount() == 1);
+      F.check();
+      CHECK(F.coordination(F.coordinator()).reportingShare() == 1);
+    }
+}
+
+// Guards against entries that have ended but count as parted for ever.
+TEST_CASE("entries that have ended leave their share of a limit to the others",
+          "[endpoint_limit]") {
+  StartedFleet F(6, Spare::None);
+  for (std::size_t I = 0; I < 4; ++I)
+    F.kill(F.Names[I]);
+  F.run(milliseconds(20'000), CallsPerSecond);
+  CHECK(F.coordination(F.coordinator()).reportingShare() == 1);
+  F.check();
+}
+
 // Guards against new processes that do not know of a limit, and against a new
 // process that gets another share of it.
 TEST_CASE("the limit of an endpoint holds while entries start and restart",
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -27,6 +27,7 @@
   void applyChanges(std::string_view) override {}
   void applyPeerStatus(const PeerFeedStatus &) override {}
   TimePoint removalGraceEnd() const override { return {}; }
+  void announceGroup(std::size_t) override {}
   void withOrderLease(std::function<void(std::uint64_t)>) override {}
   void releaseOrderLease() override {}
   std::uint64_t storeCalls() const override { return 0; }
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -18,6 +18,11 @@
   std::string Name;
   std::string Address; ///< "IP:PORT" where it receives datagrams
   double Weight = 0;   ///< share of a processor that its VM has
+  /// Entries that follow this one as their coordinator, while it misses others;
+  /// 0: not announced.
+  std::size_t GroupSize = 0;
+  /// When the announcement reached the store; not set if this is unknown.
+  TimePoint AnnouncedAt{};
 };
 
 /// Positions in the two logs of the store that describe the fleet. A position
@@ -120,6 +125,10 @@
   /// registration is not yet treated as removed; in the past if there is none.
   virtual TimePoint removalGraceEnd() const = 0;
 
+  /// Announces in the store that \p Size entries, this one included, follow
+  /// this one as their coordinator while others cannot be reached.
+  virtual void announceGroup(std::size_t Size) = 0;
+
   /// Requests or renews the lease on sending orders to engines. Calls \p Use
   /// with its fencing token if this entry holds it and no other entry can have
   /// sent an order shortly before. To be repeated while the lease is needed.
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,15 +121,14 @@
       PendingCalls +=
           CallsPerSecond * std::chrono::duration<double>(Step).count();
       Network.deliver([this](const std::string &Name) { return runs(Name); });
-      Context.poll();
+      runPosted();
       deliverResponses();
       for (auto &[Name, E] : Entries)
         if (!E->Paused)
           tick(*E);
       for (; PendingCalls >= 1; PendingCalls -= 1)
         startCall();
-      Context.poll();
-      Context.restart();
+      runPosted();
     }
   }
 
@@ -139,10 +139,7 @@
     for (const LimitedEndpoint &Target : Endpoints)
       E->Table.apply(record(Target.Id));
     (void)E->Fleet.start();
-    std::vector<EntryAddress> All;
-    for (const std::string &Announced : Names)
-      All.push_back({Announced, Announced, 1});
-    E->Fleet.setEntries(All);
+    E->Fleet.setEntries(announcements());
     Entries[Name] = std::move(E);
   }
 
@@ -172,6 +169,7 @@
   TimePoint now() const { return Time.now(); }
 
   std::vector<std::string> Names;
+  std::set<std::string> CutFromStore;
   std::vector<LimitedEndpoint> Endpoints;
   CallOutcomes Outcomes;
 
@@ -190,6 +188,25 @@
 
   struct Entry;
 
+  /// The store as far as coordination uses it: entries announce groups there.
+  class StoreFeed : public FakeFeed {
+  public:
+    StoreFeed(LimitFleet &Fleet, std::string Name)
+        : Fleet(Fleet), Name(std::move(Name)) {}
+
+    Duration storeAge() const override {
+      return Fleet.CutFromStore.contains(Name) ? Duration::max() : Duration{0};
+    }
+    void announceGroup(std::size_t Size) override {
+      if (!Fleet.CutFromStore.contains(Name))
+        Fleet.announceGroup(Name, Size);
+    }
+
+  private:
+    LimitFleet &Fleet;
+    std::string Name;
+  };
+
   /// A call with its flow.
   struct Call : routing::FlowIo {
     explicit Call(LimitFleet &Fleet, Entry &Home) : Fleet(Fleet), Home(Home) {}
@@ -225,7 +242,7 @@
   struct Entry {
     Entry(LimitFleet &Owner, const std::string &Name, std::uint64_t Incarnation)
         : Settings(settings(Name)), Log(Owner.LogFile, Name, Owner.Time),
-          Port(Owner.Network),
+          Feed(Owner, Name), Port(Owner.Network),
           Fleet(Owner.Context, Settings, Incarnation, Owner.Time, Log, Port,
                 {Table, Engines, Quota, Feed},
                 {[](const auto &) {},
@@ -247,7 +264,7 @@
     routing::SharedQuota Quota{routing::QuotaTolerance{}};
     routing::RetryLimiter Retries{{0.2, 50, milliseconds(10'000)}};
     routing::LengthEstimator Lengths;
-    FakeFeed Feed;
+    StoreFeed Feed;
     PeerNetwork::Port Port;
     Coordination Fleet;
     std::map<std::string, std::unique_ptr<Call>> Calls;
@@ -275,11 +292,37 @@
     return R;
   }
 
+  /// Runs what the entries have posted. Nothing may be left when an entry is
+  /// destroyed.
+  void runPosted() {
+    Context.restart();
+    Context.poll();
+  }
+
   bool runs(const std::string &Name) const {
     const auto It = Entries.find(Name);
     return It != Entries.end() && !It->second->Paused;
   }
 
+  std::vector<EntryAddress> announcements() const {
+    std::vector<EntryAddress> All;
+    for (const std::string &Name : Names)
+      All.push_back({Name, Name, 1});
+    return All;
+  }
+
+  void announceGroup(const std::string &Name, std::size_t Size) {
+    std::vector<EntryAddress> All = announcements();
+    for (EntryAddress &E : All)
+      if (E.Name == Name) {
+        E.GroupSize = Size;
+        E.AnnouncedAt = now();
+      }
+    for (auto &[Reader, E] : Entries)
+      if (!CutFromStore.contains(Reader))
+        E->Fleet.setEntries(All);
+  }
+
   void tick(Entry &E) {
     for (auto It = E.Calls.begin(); It != E.Calls.end();) {
       Call &C = *(It++)->second;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -241,11 +241,15 @@
     Table.setPeerLoad(Name, {});
 }
 
-void AdmissionServer::expireSilentEntries(TimePoint Now) {
+void AdmissionServer::releaseSilentEntries(TimePoint Now) {
   for (auto &[Name, E] : Entries)
     if (Now - E.LastReportAt >=
         (E.Leaving ? LeavingLoadRetention : LoadRetention))
       releaseAll(Name, E, Now);
+}
+
+void AdmissionServer::forgetSilentEntries(TimePoint Now) {
+  releaseSilentEntries(Now);
   std::erase_if(Entries, [&](const auto &Item) {
     const Entry &E = Item.second;
     return Now - E.LastReportAt >
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -127,11 +127,11 @@
   REQUIRE(C.exchange(F) == Ids{"1"});
   const std::int64_t Held = C.tokens();
   for (int Ms = 0; Ms <= 6'000; Ms += 100)
-    C.Server.expireSilentEntries(Start + milliseconds(Ms));
+    C.Server.forgetSilentEntries(Start + milliseconds(Ms));
   CHECK(C.tokens() == Held);
   CHECK(C.Server.liveEntryCount(Start + milliseconds(6'000)) == 1);
   CHECK(C.Server.knownEntryCount() == 2);
-  C.Server.expireSilentEntries(Start + std::chrono::seconds(30));
+  C.Server.forgetSilentEntries(Start + std::chrono::seconds(30));
   CHECK(C.tokens() == 0);
   CHECK(C.Server.knownEntryCount() == 1);
 }
