Start limits too low to divide among the entries are granted one by one

What callers would see: a cold endpoint of a plain service crashes, as hundreds of entries together start several times what it can take in a second. Parts of a parted fleet rounded up the limits of engines in the same way. Change: if an even share is below one request, the coordinator grants the calls of all entries. A part of the fleet without a majority rounds down. Conclusion: fixed.

--- a/include/hyssoprail/routing/start_rate_limiter.hpp
+++ b/include/hyssoprail/routing/start_rate_limiter.hpp
@@ -24,6 +24,12 @@
   std::deque<TimePoint> Starts;
 };
 
+/// Whole number of requests per second that a part of the fleet may start, if
+/// all of it together may start \p PerSecond. \p Share is the part's share of
+/// the fleet. Only a part with a majority gets at least one: other parts, each
+/// rounded up, could exceed the limit together.
+std::size_t startRateOfPart(double PerSecond, double Share);
+
 } // namespace hyssoprail::routing
 
 #endif // HYSSOPRAIL_ROUTING_START_RATE_LIMITER_HPP
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "hyssoprail/gateway/gateway_runtime.hpp"
+#include "hyssoprail/gateway/start_limits.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -24,9 +25,6 @@
 /// fleet-wide limits, even if no message of theirs has arrived yet.
 constexpr milliseconds StartUpPeriod{6'000};
 
-/// Share of the start limit of a cold endpoint that is used.
-constexpr double ColdLimitShare = 0.9;
-
 constexpr milliseconds MinPullInterval{40};
 constexpr milliseconds PullTimeout{600};
 
@@ -196,27 +194,13 @@
                                          : Known;
 }
 
-/// Limits the start rate of each endpoint to what it can take while cold. An
-/// endpoint can become cold at any moment, so the limit applies always. The
-/// coordinator places the work of all engines and uses the shares of all
-/// entries whose reports reach it; an entry whose reports do not reach it may
-/// place work itself, within its own share. Calls are placed by each entry, and
-/// all entries share the limit evenly.
 void GatewayRuntime::updateColdStartLimits(TimePoint Now) {
   if (!Config)
     return;
-  const double CallShare = 1 / double(entriesSharingLimits(Now));
-  const double EngineShare = FleetCoordination.reportingShare();
-  for (const auto &[Name, Service] : Config->Services) {
-    if (Service.ColdRequestsPerSecond <= 0)
-      continue;
-    const double Limit = Service.ColdRequestsPerSecond * Settings.ColdOverage +
-                         Settings.ColdSlack;
-    const double Share =
-        Limit * ColdLimitShare * (Service.Engine ? EngineShare : CallShare);
-    Table.setStartRateLimit(
-        Name, {std::max<std::size_t>(1, static_cast<std::size_t>(Share))});
-  }
+  applyStartLimits(Table, *Config, {Settings.ColdOverage, Settings.ColdSlack},
+                   {entriesSharingLimits(Now),
+                    FleetCoordination.reportingShare(),
+                    FleetCoordination.isCoordinator()});
 }
 
 void GatewayRuntime::stopWhenIdle() {
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -16,6 +16,7 @@
 
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/gateway/start_limits.hpp"
 #include "hyssoprail/routing/flow.hpp"
 
 namespace hyssoprail::gateway::testing {
@@ -170,6 +171,7 @@
 
   std::vector<std::string> Names;
   std::set<std::string> CutFromStore;
+  routing::FleetConfig Config;
   std::vector<LimitedEndpoint> Endpoints;
   CallOutcomes Outcomes;
 
@@ -335,6 +337,9 @@
     E.TickedAt = now();
     E.Fleet.tick();
     E.Table.setLimitShare(E.Fleet.limitShare(), now());
+    applyStartLimits(E.Table, Config, {},
+                     {E.Fleet.knownEntries(), E.Fleet.reportingShare(),
+                      E.Fleet.isCoordinator()});
   }
 
   void startCall() {
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -187,7 +187,7 @@
   const std::size_t Divisor =
       E.Record.Stage == EngineStage::Decode ? DecodeStartsDivisor : 1;
   const StartRateLimit &Limit = Bound->second;
-  const std::size_t Least = Limit.ByGrant ? 0 : 1;
+  const std::size_t Least = Limit.PerSecond > 0 ? 1 : 0;
   return E.StartLimiter.allows(std::max(Least, Limit.PerSecond / Divisor), Now);
 }
 
