Parts of a parted fleet share the bursts of accounts

Change: after 2 s without the reports of all entries, burst and debt of each account are scaled to the share as well. A change of the coordinator takes less time and reduces no burst. A request larger than the burst is granted only by a part with a majority. Conclusion: fixed for parts that last; in the first 2 s each part still has the whole unused burst, for which the platform's tolerance allows.

--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -43,7 +43,9 @@
   void setTolerance(QuotaTolerance To) { Tolerance = To; }
 
   /// Sets the share of all entries whose usage reports arrive, including this
-  /// entry: 0 to 1.
+  /// entry: 0 to 1. To be repeated several times per second. While it stays
+  /// below 1, the refill is reduced at once, and after some time the unused
+  /// part of each burst as well.
   void setReportingShare(double Share, TimePoint Now);
 
   /// Grants \p Tokens to \p Account and adds them to its debt, or refuses.
@@ -77,12 +79,15 @@
   };
 
   void refill(Bucket &B, TimePoint Now) const;
+  void setBurstShare(double Share);
   static void charge(Bucket &B, double Tokens);
   double refillRate(const Bucket &B) const;
   double maxDebt(const Bucket &B) const;
 
   QuotaTolerance Tolerance;
   double ReportingShare = 1;
+  double BurstShare = 1;  ///< share of each burst that this entry may use
+  TimePoint CompleteAt{}; ///< when all reports last arrived
   std::map<std::string, Bucket, std::less<>> Buckets;
   std::map<std::pair<std::string, std::string>, PeerTotal> PeerTotals;
 };
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -7,6 +7,16 @@
 namespace hyssoprail::routing {
 namespace {
 
+/// Missing reports reduce the usable bursts only after this time. A change of
+/// the coordinator takes less, and what is granted meanwhile is within the
+/// tolerance.
+constexpr milliseconds BriefAbsence{2'000};
+
+/// A request of more tokens than the burst is granted to an account without
+/// debt, but only by a part of the fleet with a majority: the other parts could
+/// each grant one.
+constexpr double MajorityShare = 0.5;
+
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 } // namespace
@@ -16,7 +26,7 @@
 }
 
 double SharedQuota::maxDebt(const Bucket &B) const {
-  return B.Burst * (1 + Tolerance.Share) + Tolerance.Tokens;
+  return (B.Burst * (1 + Tolerance.Share) + Tolerance.Tokens) * BurstShare;
 }
 
 /// A new bucket starts with its tolerance in tokens used up, because what was
@@ -32,16 +42,31 @@
     if (!New)
       continue;
     B.RefilledAt = Now;
-    B.Debt = Tolerance.Tokens;
+    B.Debt = Tolerance.Tokens * BurstShare;
   }
 }
 
 void SharedQuota::setReportingShare(double Share, TimePoint Now) {
-  if (Share == ReportingShare)
+  if (Share != ReportingShare)
+    for (auto &[Name, B] : Buckets)
+      refill(B, Now);
+  ReportingShare = Share;
+  if (Share >= 1 || CompleteAt == TimePoint{})
+    CompleteAt = Now;
+  const bool Brief = Now - CompleteAt < BriefAbsence;
+  setBurstShare(Brief ? std::max(Share, BurstShare) : Share);
+}
+
+/// Load pattern: the fleet is parted, and each part knows only what it has
+/// granted itself. If each used the whole burst of an account, the account
+/// would get it once for each part. The debt is scaled as well, as if the other
+/// parts had granted their shares of it.
+void SharedQuota::setBurstShare(double Share) {
+  if (Share == BurstShare || Share <= 0)
     return;
   for (auto &[Name, B] : Buckets)
-    refill(B, Now);
-  ReportingShare = Share;
+    B.Debt *= Share / BurstShare;
+  BurstShare = Share;
 }
 
 void SharedQuota::refill(Bucket &B, TimePoint Now) const {
@@ -66,7 +91,8 @@
   Bucket &B = Found->second;
   refill(B, Now);
   const double Excess = B.Debt + Tokens - maxDebt(B);
-  if (Excess > 0 && B.Debt > 0) {
+  const bool MayExceedBurst = B.Debt <= 0 && BurstShare > MajorityShare;
+  if (Excess > 0 && !MayExceedBurst) {
     const std::chrono::duration<double> Wait(Excess / refillRate(B));
     return {false, false, B.Debt, maxDebt(B),
             std::chrono::duration_cast<Duration>(Wait)};
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/shared_quota.hpp"
 
 #include <cmath>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -68,6 +69,50 @@
   REQUIRE(Quota.take("acme", 400, Start + std::chrono::seconds(1)).Granted);
 }
 
+// Guards against a parted fleet in which each part grants the whole unused
+// burst of an account.
+TEST_CASE("parts of a fleet share the unused burst of an account") {
+  constexpr std::size_t Parts = 15;
+  constexpr double RequestTokens = 20;
+  constexpr int Seconds = 8;
+  std::vector<SharedQuota> Quotas(Parts, SharedQuota({}));
+  TimePoint Now = Start;
+  const auto Advance = [&](double Share) {
+    Now += milliseconds(50);
+    for (SharedQuota &Q : Quotas)
+      Q.setReportingShare(Share, Now);
+  };
+  for (SharedQuota &Q : Quotas)
+    Q.configure(*testConfig(), Start);
+  for (int I = 0; I < 60; ++I)
+    Advance(1.0 / Parts);
+  double Granted = 0;
+  for (int I = 0; I < Seconds * 20; ++I) {
+    for (SharedQuota &Q : Quotas)
+      if (Q.take("acme", RequestTokens, Now).Granted)
+        Granted += RequestTokens;
+    Advance(1.0 / Parts);
+  }
+  CHECK(Granted <= Burst + Rate * Seconds);
+  CHECK(Granted >= Rate * Seconds * 0.8);
+}
+
+// Guards against bursts that stay reduced after the parts of a fleet have met
+// again, and against a change of the coordinator that reduces them.
+TEST_CASE("the unused burst is whole again when all reports arrive") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.setReportingShare(1, Start);
+  Quota.setReportingShare(0.2, Start + milliseconds(500));
+  REQUIRE(Quota.take("acme", 900, Start + milliseconds(500)).Granted);
+  Quota.refund("acme", 900, Start + milliseconds(500));
+  const TimePoint Later = Start + std::chrono::seconds(3);
+  Quota.setReportingShare(0.2, Later);
+  REQUIRE_FALSE(Quota.take("acme", 900, Later).Granted);
+  Quota.setReportingShare(1, Later);
+  REQUIRE(Quota.take("acme", 900, Later).Granted);
+}
+
 // Guards against charging quota for requests that never ran.
 TEST_CASE("tokens of a request that did not run are refunded") {
   SharedQuota Quota({});
