--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -1,7 +1,6 @@
 #include "hyssoprail/gateway/coordination.hpp"
 
 #include <algorithm>
-#include <set>
 
 #include <boost/asio/post.hpp>
 
@@ -14,53 +13,19 @@
 
 /// Longest times between two reports to the coordinator: while nothing waits,
 /// while generations wait, and until the coordinator confirms all that wait.
-/// The last one applies to the reports of the coordinator to itself.
 constexpr milliseconds IdleReportInterval{200};
 constexpr milliseconds WaitingReportInterval{100};
 constexpr milliseconds UnconfirmedReportInterval{40};
-constexpr milliseconds SelfReportInterval{50};
 
 /// If the newest report that the coordinator has confirmed is older than this,
 /// the coordinator no longer receives the reports of this entry.
 constexpr milliseconds MaxConfirmedReportAge{600};
 
-/// Longest time between two updates to an entry whose reports arrive.
-constexpr milliseconds UpdateInterval{100};
-
-/// An announced entry that does not report gets updates at the usual interval
-/// for this time, and then at the longer one, as it may have ended.
-constexpr milliseconds IntroductionPeriod{2'000};
-constexpr milliseconds SilentEntryUpdateInterval{1'000};
-
-/// Interval of the totals of accounts and calls. They make up most of an
-/// update, so not every update contains them.
-constexpr milliseconds TotalsInterval{200};
-
-constexpr milliseconds RoomsInterval{50};
 constexpr std::size_t DeputyCount = 3;
 
 /// Peer name under which a follower records the work of all other entries.
 constexpr const char *FleetPeer = "fleet";
 
-/// An entry that fell silent before this one became the coordinator may still
-/// be running without receiving its updates. For this time the new coordinator
-/// assumes at least as many entries as were known when it claimed.
-constexpr milliseconds KnownAtClaimPeriod{14'000};
-
-/// A coordinator that has missed entries for this time announces its group in
-/// the store, and repeats it, so that other groups do not take it for dead. An
-/// announcement is valid as long as a silent entry is remembered.
-constexpr milliseconds GroupAnnounceDelay{5'000};
-constexpr milliseconds GroupAnnounceInterval{4'000};
-constexpr milliseconds GroupAnnounceLifetime{14'000};
-
-/// Without an answer of the store for this time, other groups cannot be known.
-constexpr milliseconds StoreSilence{2'000};
-
-/// A group without the store that misses entries gives up its share of limits
-/// before the others take it for dead.
-constexpr milliseconds ShareWithoutStore{10'000};
-
 routing::CoordinatorClaim
 claimFromUpdate(const wire::CoordinatorUpdate &Update) {
   routing::CoordinatorClaim C;
@@ -375,170 +340,4 @@
                                              : IdleReportInterval);
 }
 
-/// Silent entries are forgotten after some time, as most of them have ended. If
-/// they are only parted from this group, their coordinator announces them in
-/// the store. Without the store nobody is forgotten.
-std::size_t Coordination::knownEntries() const {
-  if (!Election.isCoordinator())
-    return Election.currentClaim() ? Election.currentClaim()->Known
-                                   : Entries.size() + 1;
-  const TimePoint Now = Time.now();
-  const bool CountsKnownAtClaim =
-      Now - CoordinatorSince < KnownAtClaimPeriod || !storeAnswers();
-  return std::max({Server.knownEntryCount(),
-                   CountsKnownAtClaim ? KnownAtClaim : 1,
-                   Server.liveEntryCount(Now) + partedEntries(Now)});
-}
-
-bool Coordination::storeAnswers() const {
-  return State.Feed.storeAge() < StoreSilence;
-}
-
-/// Entries of other groups whose coordinators have announced them lately.
-std::size_t Coordination::partedEntries(TimePoint Now) const {
-  const auto Reporting = Server.addresses();
-  std::size_t Count = 0;
-  for (const auto &[Name, E] : Entries)
-    if (Now - E.GroupAnnouncedAt < GroupAnnounceLifetime &&
-        !Reporting.contains(Name))
-      Count += E.GroupSize;
-  return Count;
-}
-
-void Coordination::announceGroup(TimePoint Now) {
-  const std::size_t Live = Server.liveEntryCount(Now);
-  if (Live >= knownEntries())
-    CompleteAt = Now;
-  if (Now - CompleteAt < GroupAnnounceDelay ||
-      Now - GroupAnnouncedAt < GroupAnnounceInterval)
-    return;
-  GroupAnnouncedAt = Now;
-  State.Feed.announceGroup(Live);
-}
-
-double Coordination::limitShare() const {
-  if (!Election.isCoordinator())
-    return 0;
-  const double Share = reportingShare();
-  const bool MayBeTakenForDead =
-      Share < 1 && State.Feed.storeAge() > ShareWithoutStore;
-  return MayBeTakenForDead ? 0 : Share;
-}
-
-double Coordination::reportingShare() const {
-  const TimePoint Now = Time.now();
-  const auto Known =
-      static_cast<double>(std::max<std::size_t>(1, knownEntries()));
-  if (Election.isCoordinator())
-    return static_cast<double>(Server.liveEntryCount(Now)) / Known;
-  if (!Election.hasCoordinator(Now))
-    return 1 / Known;
-  return std::min(1.0, static_cast<double>(Election.currentClaim()->Followers) /
-                           Known);
-}
-
-// ---- As the coordinator ---------------------------------------------------
-
-/// Reports changes of this entry to the coordinator. If this entry is the
-/// coordinator, takes its own report and decides.
-void Coordination::reportOrDecide() {
-  const TimePoint Now = Time.now();
-  if (Election.isCoordinator()) {
-    if (hasUnreportedChange() || Now - ReportedAt >= SelfReportInterval)
-      takeReport(makeReport(Now), Now);
-    return decide(Now);
-  }
-  if (hasUnreportedChange() && Election.currentClaim())
-    sendReport(Election.currentClaim()->Address, Now);
-}
-
-void Coordination::decide(TimePoint Now) {
-  Server.decide(Now);
-  const auto Addresses = Server.addresses();
-  std::set<std::string> DueEntries = Grants.entriesDueUpdate();
-  for (const std::string &Name : Server.entriesDueUpdate())
-    DueEntries.insert(Name);
-  for (const std::string &Name : DueEntries) {
-    if (Name == Settings.Name) {
-      applyDecisions(makeUpdate(Name), Now);
-      continue;
-    }
-    const auto It = Addresses.find(Name);
-    if (It != Addresses.end())
-      sendUpdate(Name, It->second, Now);
-  }
-  if (hasUnreportedChange())
-    notifyStateChanged();
-}
-
-void Coordination::measureRooms(TimePoint Now) {
-  if (!Config || Now - RoomsMeasuredAt < RoomsInterval)
-    return;
-  RoomsMeasuredAt = Now;
-  Rooms.clear();
-  for (const auto &[Name, Service] : Config->Services) {
-    if (!Service.Engine)
-      continue;
-    wire::ServiceRoom &Room = Rooms.emplace_back();
-    const auto Emptiest = Scheduler.emptiestDecodeEngine(Name, "", Now);
-    Room.set_service(Name);
-    Room.set_endpoint(Emptiest.Endpoint);
-    Room.set_largest_free(static_cast<std::uint64_t>(Emptiest.Free));
-    Room.set_second_largest_free(static_cast<std::uint64_t>(
-        Scheduler.emptiestDecodeEngine(Name, Emptiest.Endpoint, Now).Free));
-  }
-}
-
-wire::CoordinatorUpdate Coordination::makeUpdate(const std::string &Entry) {
-  const TimePoint Now = Time.now();
-  measureRooms(Now);
-  const routing::CoordinatorClaim &Claim = *Election.currentClaim();
-  wire::CoordinatorUpdate U;
-  U.set_sender(Settings.Name);
-  U.set_incarnation(Incarnation);
-  U.set_sequence(++UpdateSequence);
-  U.set_address(Settings.PeerAddress);
-  U.set_term(Claim.Term);
-  U.set_followers(static_cast<std::uint32_t>(Server.liveEntryCount(Now)));
-  U.set_known(static_cast<std::uint32_t>(knownEntries()));
-  U.set_leaving(Claim.Leaving);
-  for (const std::string &Name : Deputies)
-    U.add_deputies(Name);
-  *U.mutable_source() = Source;
-  U.mutable_source()->set_nearby(Server.nearbySource(Entry));
-  for (const wire::ServiceRoom &Room : Rooms)
-    *U.add_rooms() = Room;
-  TimePoint &LastTotals = TotalsSentAt[Entry];
-  const bool WithTotals = Now - LastTotals >= TotalsInterval;
-  if (WithTotals)
-    LastTotals = Now;
-  Server.fillUpdate(Entry, U, WithTotals);
-  Grants.fillUpdate(Entry, U, Now);
-  return U;
-}
-
-void Coordination::sendUpdate(const std::string &Entry,
-                              const std::string &Address, TimePoint Now) {
-  wire::CoordinationMessage Message;
-  *Message.mutable_update() = makeUpdate(Entry);
-  UpdateSentAt[Entry] = Now;
-  Peers.send(Message, Address);
-}
-
-void Coordination::sendHeartbeats(TimePoint Now) {
-  const auto Reporting = Server.addresses();
-  for (const auto &[Name, Address] : Reporting)
-    if (Now - UpdateSentAt[Name] >= UpdateInterval)
-      sendUpdate(Name, Address, Now);
-  for (const auto &[Name, E] : Entries) {
-    if (Reporting.contains(Name))
-      continue;
-    const bool Introducing =
-        Now - std::max(E.AddressSince, CoordinatorSince) < IntroductionPeriod;
-    if (Now - UpdateSentAt[Name] >=
-        (Introducing ? UpdateInterval : SilentEntryUpdateInterval))
-      sendUpdate(Name, E.Address, Now);
-  }
-}
-
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -1,7 +1,9 @@
 #include "hyssoprail/gateway/gateway_runtime.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <variant>
 
 #include <boost/asio/post.hpp>
 
@@ -66,7 +68,7 @@
           Context, this->Settings, Incarnation, Time, Log, Peers,
           {Table, EngineSignals, Quota, Feed},
           {[this](const auto &Decisions) { onDecisions(Decisions); },
-           [this](const auto &Decisions) { onCallDecisions(Decisions); }}),
+           [this](const auto &Decisions) { onDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
              Feed, Http, Protocol, Log),
       Endpoints(makeUpstreamClient(Context)), BufferBudget(ResponseBufferBytes),
@@ -121,10 +123,12 @@
     return;
   }
   const GatewaySettings &N = valueOf(Next);
-  const bool NeedsRestart = N.CallerAddress != Settings.CallerAddress ||
-                            N.ReadyAddress != Settings.ReadyAddress ||
-                            N.PeerAddress != Settings.PeerAddress ||
-                            N.Store != Settings.Store;
+  const auto Fixed = [](const GatewaySettings &S) {
+    return std::tie(S.Name, S.Zone, S.CallerAddress, S.ReadyAddress,
+                    S.MetricsAddress, S.PeerAddress, S.Store, S.Weight,
+                    S.RetryWindow, S.UsePrefillEngines);
+  };
+  const bool NeedsRestart = Fixed(N) != Fixed(Settings);
   Settings.StopGrace = N.StopGrace;
   Settings.ColdOverage = N.ColdOverage;
   Settings.ColdSlack = N.ColdSlack;
@@ -134,7 +138,7 @@
   Log.write(
       LogCategory::Outcome, "reload", "",
       {{"outcome",
-        NeedsRestart ? "budgets taken, addresses need a restart" : "taken"}});
+        NeedsRestart ? "budgets taken, the rest needs a restart" : "taken"}});
 }
 
 void GatewayRuntime::stop() {
@@ -355,36 +359,18 @@
 
 // ---- Admission ------------------------------------------------------------
 
-void GatewayRuntime::onDecisions(
-    const std::vector<routing::StreamDecision> &Decisions) {
-  for (const routing::StreamDecision &D : Decisions) {
-    const auto *Place = std::get_if<routing::StreamPlacement>(&D);
-    const auto *Refusal = std::get_if<routing::StreamRefusal>(&D);
-    const auto It = Sessions.find(Place ? Place->Id : Refusal->Id);
-    if (It == Sessions.end())
-      continue;
-    const auto Session = It->second;
-    if (Place)
-      Session->onPlaced(*Place);
-    else
-      Session->onRefused(*Refusal);
-  }
-}
-
-void GatewayRuntime::onCallDecisions(
-    const std::vector<routing::CallDecision> &Decisions) {
-  for (const routing::CallDecision &D : Decisions) {
-    const auto *Grant = std::get_if<routing::CallGrant>(&D);
-    const auto *Denial = std::get_if<routing::CallDenial>(&D);
-    const auto It = Sessions.find(Grant ? Grant->Id : Denial->Id);
-    if (It == Sessions.end())
-      continue;
-    const auto Session = It->second;
-    if (Grant)
-      Session->onCallGranted(*Grant);
-    else
-      Session->onCallDenied(*Denial);
-  }
+template <typename Decision>
+void GatewayRuntime::onDecisions(const std::vector<Decision> &Decisions) {
+  for (const Decision &Any : Decisions)
+    std::visit(
+        [this](const auto &D) {
+          const auto It = Sessions.find(D.Id);
+          if (It == Sessions.end())
+            return;
+          const auto Session = It->second; // may end and be erased
+          Session->onDecision(D);
+        },
+        Any);
 }
 
 void GatewayRuntime::onLimitStatement(const std::string &EndpointId,
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -88,8 +88,9 @@
   void rejectAtOnce(const Exchange &Caller, const routing::RequestInfo &Info,
                     routing::RejectReason Reason, milliseconds RetryAfter);
 
-  void onDecisions(const std::vector<routing::StreamDecision> &Decisions);
-  void onCallDecisions(const std::vector<routing::CallDecision> &Decisions);
+  /// Delivers decisions on generations or calls to their sessions.
+  template <typename Decision>
+  void onDecisions(const std::vector<Decision> &Decisions);
   void onLimitStatement(const std::string &EndpointId,
                         const LimitStatement &Statement);
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -47,26 +47,6 @@
   afterEvent();
 }
 
-void RequestSession::onPlaced(const routing::StreamPlacement &Place) {
-  ActiveFlow->onPlaced(Place, Services.Time.now());
-  afterEvent();
-}
-
-void RequestSession::onRefused(const routing::StreamRefusal &Refusal) {
-  ActiveFlow->onRefused(Refusal, Services.Time.now());
-  afterEvent();
-}
-
-void RequestSession::onCallGranted(const routing::CallGrant &Grant) {
-  ActiveFlow->onCallGranted(Grant, Services.Time.now());
-  afterEvent();
-}
-
-void RequestSession::onCallDenied(const routing::CallDenial &Denial) {
-  ActiveFlow->onCallDenied(Denial, Services.Time.now());
-  afterEvent();
-}
-
 routing::FlowIo::LegId
 RequestSession::startLeg(const routing::LegRequest &Spec) {
   const LegId Id = NextLeg++;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -91,10 +91,18 @@
       routing::FlowRequest, routing::FlowIo &)>;
   void start(const FlowFactory &MakeFlow);
 
-  void onPlaced(const routing::StreamPlacement &Place);
-  void onRefused(const routing::StreamRefusal &Refusal);
-  void onCallGranted(const routing::CallGrant &Grant);
-  void onCallDenied(const routing::CallDenial &Denial);
+  void onDecision(const routing::StreamPlacement &D) {
+    deliver(&routing::Flow::onPlaced, D);
+  }
+  void onDecision(const routing::StreamRefusal &D) {
+    deliver(&routing::Flow::onRefused, D);
+  }
+  void onDecision(const routing::CallGrant &D) {
+    deliver(&routing::Flow::onCallGranted, D);
+  }
+  void onDecision(const routing::CallDenial &D) {
+    deliver(&routing::Flow::onCallDenied, D);
+  }
 
   const routing::FlowRequest &request() const { return Request; }
 
@@ -123,6 +131,13 @@
     std::optional<LimitStatement> Limit; ///< what the response states
   };
 
+  template <typename Decision>
+  void deliver(void (routing::Flow::*Handler)(const Decision &, TimePoint),
+               const Decision &D) {
+    (ActiveFlow.get()->*Handler)(D, Services.Time.now());
+    afterEvent();
+  }
+
   UpstreamHandlers legHandlers(LegId Id);
   void onLegHead(LegId Id, HttpResponse Head);
   void onLegData(LegId Id, std::string_view Data);
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -1,35 +1,18 @@
 #include "hyssoprail/routing/flow.hpp"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 
-#include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/routing/held_cache.hpp"
 #include "hyssoprail/routing/leg_budget.hpp"
 #include "hyssoprail/routing/leg_health_signal.hpp"
 #include "hyssoprail/routing/stream_progress.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
+#include "hyssoprail/routing/stream_timeouts.hpp"
 
 namespace hyssoprail::routing {
 namespace {
 
-/// A prefill counts as hanging if it takes longer than this plus a multiple of
-/// the time that the engine needs for its backlog.
-constexpr milliseconds PrefillBaseTimeout{350};
-constexpr int PrefillTimeoutFactor = 3;
-
-/// Prompt tokens that a prefill engine processes in a millisecond.
-constexpr std::int64_t PrefillTokensPerMs = 33;
-
-/// If the first event takes longer than this, a resumable stream moves to
-/// another engine.
-constexpr milliseconds FirstEventTimeout{1'500};
-
-/// If the gap between two events is longer than this, a resumable stream moves
-/// to another engine. Callers disconnect after a gap of two seconds or more.
-constexpr milliseconds EventTimeout{1'100};
-
 /// Extension of a timeout if no other engine can take over.
 constexpr milliseconds TimeoutExtension{300};
 
@@ -46,16 +29,6 @@
 constexpr unsigned MaxRequeues = 16;
 constexpr milliseconds NotRunRetryAfter{400};
 
-enum class Phase { Waiting, Prefilling, Starting, Streaming, Done };
-
-constexpr std::array<EnumName<Phase>, 5> PhaseNames{{
-    {Phase::Waiting, "waiting"},
-    {Phase::Prefilling, "prefilling"},
-    {Phase::Starting, "starting"},
-    {Phase::Streaming, "streaming"},
-    {Phase::Done, "done"},
-}};
-
 /// State machine of a generation: wait for engines, prefill, decode, and after
 /// a failure resume at another engine if the route allows it.
 class StreamFlow : public Flow {
@@ -99,7 +72,7 @@
   }
 
   void onLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) override {
-    if (CurrentPhase == Phase::Done || Leg != ActiveLeg)
+    if (CurrentPhase == StreamPhase::Done || Leg != ActiveLeg)
       return;
     ActiveLeg.reset();
     recordHealth(R, Now);
@@ -107,19 +80,19 @@
       onNotSent(Now);
     else if (R.Outcome != LegOutcome::Answered)
       Budget.notAccepted(Now);
-    if (CurrentPhase == Phase::Prefilling)
+    if (CurrentPhase == StreamPhase::Prefilling)
       return onPrefillResult(R, Now);
     onDecodeResult(R, Now);
   }
 
   void onStreamHead(FlowIo::LegId Leg, const HttpResponse &Head,
                     TimePoint Now) override {
-    if (Leg != ActiveLeg || CurrentPhase != Phase::Starting)
+    if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Starting)
       return;
     MayHaveRun = true;
     Cache.fetched();
     LastProgressAt = Now;
-    CurrentPhase = Phase::Streaming;
+    CurrentPhase = StreamPhase::Streaming;
     if (StreamStarted)
       return;
     StreamStarted = true;
@@ -129,7 +102,7 @@
 
   void onStreamData(FlowIo::LegId Leg, std::string_view Data,
                     TimePoint Now) override {
-    if (Leg != ActiveLeg || CurrentPhase != Phase::Streaming)
+    if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Streaming)
       return;
     const std::string NewEvents = Progress.feed(Data);
     if (Progress.eventTooLong())
@@ -143,7 +116,7 @@
   }
 
   void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) override {
-    if (Leg != ActiveLeg || CurrentPhase != Phase::Streaming)
+    if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Streaming)
       return;
     ActiveLeg.reset();
     const bool EndedCleanly = Complete && Progress.atEventEnd();
@@ -160,35 +133,35 @@
   }
 
   void onTimer(TimePoint Now) override {
-    if (CurrentPhase == Phase::Done)
+    if (CurrentPhase == StreamPhase::Done)
       return;
     if (Now >= answerDeadline())
       return onDeadline(Now);
     if (!ActiveLeg || Now < legDeadline())
       return;
-    const bool CanReplace = CurrentPhase == Phase::Prefilling
+    const bool CanReplace = CurrentPhase == StreamPhase::Prefilling
                                 ? Shared.Retries.available(Request.Service, Now)
                                 : canContinue(Now);
     if (!CanReplace) {
       ExtendedDeadline = Now + TimeoutExtension;
       return;
     }
-    Io.logDecision("impatient", {{"phase", enumName(PhaseNames, CurrentPhase)},
+    Io.logDecision("impatient", {{"phase", streamPhaseName(CurrentPhase)},
                                  {"endpoint", currentEndpoint()}});
     Shared.EngineSignals.record(currentEndpoint(), HealthSignal::Unresponsive,
                                 Now);
     stopLeg();
     Budget.notAccepted(Now);
-    if (CurrentPhase == Phase::Prefilling)
+    if (CurrentPhase == StreamPhase::Prefilling)
       return retryPrefill(Now);
     resumeElsewhere("silent", Now);
   }
 
   void onCallerDisconnected(TimePoint Now) override {
-    if (CurrentPhase == Phase::Done)
+    if (CurrentPhase == StreamPhase::Done)
       return;
     Shared.Admission.cancel(Request.SessionId);
-    MayHaveRun = MayHaveRun || CurrentPhase == Phase::Starting;
+    MayHaveRun = MayHaveRun || CurrentPhase == StreamPhase::Starting;
     stopLeg();
     end(Now);
   }
@@ -198,7 +171,7 @@
                      : answerDeadline();
   }
 
-  bool done() const override { return CurrentPhase == Phase::Done; }
+  bool done() const override { return CurrentPhase == StreamPhase::Done; }
   bool mayHaveRun() const override { return MayHaveRun; }
 
 private:
@@ -218,7 +191,7 @@
 
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission) {
-    CurrentPhase = Phase::Waiting;
+    CurrentPhase = StreamPhase::Waiting;
     Submission.Zone = Shared.Zone;
     for (const std::string &Failed : {FailedDecode, FailedPrefill})
       if (!Failed.empty())
@@ -233,12 +206,10 @@
       Shared.Admission.prefillEnded(Request.SessionId, Now);
       return sendDecode(Now);
     }
-    CurrentPhase = Phase::Prefilling;
+    CurrentPhase = StreamPhase::Prefilling;
     PrefillEndpoint = Place.Prefill;
     LastProgressAt = Now;
-    PrefillDeadline = Now + PrefillBaseTimeout +
-                      milliseconds(PrefillTimeoutFactor * Place.PrefillBacklog /
-                                   PrefillTokensPerMs);
+    PrefillDeadline = Now + prefillTimeout(Place.PrefillBacklog);
     LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
     Leg.IsRetry = PrefillLegs++ > 0;
     ActiveLeg = Io.startLeg(Leg);
@@ -272,7 +243,7 @@
       return retryDecode(Now);
     if (!Budget.tryBegin(LegKind::Decode, Now))
       return giveUp(Now);
-    CurrentPhase = Phase::Starting;
+    CurrentPhase = StreamPhase::Starting;
     Progress.restart();
     LastProgressAt = Now;
     LegRequest Leg = makeLeg(LegKind::Decode, *E, Now);
@@ -340,7 +311,7 @@
   void onNotSent(TimePoint Now) {
     Budget.notSent(Now);
     if (++UnreachedLegs < MaxUnreachedLegs)
-      --(CurrentPhase == Phase::Prefilling ? PrefillLegs : DecodeLegs);
+      --(CurrentPhase == StreamPhase::Prefilling ? PrefillLegs : DecodeLegs);
   }
 
   /// Ends the request, as no further leg is possible.
@@ -396,7 +367,8 @@
   }
 
   const std::string &currentEndpoint() const {
-    return CurrentPhase == Phase::Prefilling ? PrefillEndpoint : DecodeEndpoint;
+    return CurrentPhase == StreamPhase::Prefilling ? PrefillEndpoint
+                                                   : DecodeEndpoint;
   }
 
   /// True if another engine can take over the stream. An unresponsive engine
@@ -416,26 +388,16 @@
   }
 
   TimePoint phaseDeadline() const {
-    switch (CurrentPhase) {
-    case Phase::Prefilling:
+    if (CurrentPhase == StreamPhase::Prefilling)
       return PrefillDeadline;
-    case Phase::Starting:
-      return resumable() ? LastProgressAt + FirstEventTimeout
-                         : TimePoint::max();
-    case Phase::Streaming:
-      return resumable()
-                 ? LastProgressAt + (Progress.gotNewEvent() ? EventTimeout
-                                                            : FirstEventTimeout)
-                 : TimePoint::max();
-    case Phase::Waiting:
-    case Phase::Done:
-      break;
-    }
-    return TimePoint::max();
+    const auto Timeout = progressTimeout(CurrentPhase, Progress.gotNewEvent());
+    return resumable() && Timeout ? LastProgressAt + *Timeout
+                                  : TimePoint::max();
   }
 
   void onDeadline(TimePoint Now) {
-    const bool RunPossible = MayHaveRun || CurrentPhase == Phase::Starting;
+    const bool RunPossible =
+        MayHaveRun || CurrentPhase == StreamPhase::Starting;
     stopLeg();
     Shared.Admission.cancel(Request.SessionId);
     finish(RunPossible ? RejectReason::TimedOut : RejectReason::NotRunInTime,
@@ -462,7 +424,7 @@
   void end(TimePoint Now) {
     dropCache();
     releasePlacement(Now);
-    CurrentPhase = Phase::Done;
+    CurrentPhase = StreamPhase::Done;
   }
 
   void abortStream(TimePoint Now) {
@@ -482,7 +444,7 @@
   SharedFlowState Shared;
   FlowRequest Request;
   FlowIo &Io;
-  Phase CurrentPhase = Phase::Waiting;
+  StreamPhase CurrentPhase = StreamPhase::Waiting;
   std::optional<FlowIo::LegId> ActiveLeg;
   std::string PrefillEndpoint;
   std::string DecodeEndpoint;
