An entry owes nothing for requests sent under the grants of others

What callers would see: an endpoint with a stated limit gets nothing for up to minutes after a change of the coordinator. Cause: every send took a token from the entry's own bucket, also at entries without a share; a long-time follower became coordinator with a large debt. And an entry count from the time of its claim came back in each later outage of the store, which would reduce the shares of a fleet that had shrunk since. Change: a bucket never goes below empty; the count is dropped once the entries that remain have reported.

--- a/include/hyssoprail/routing/endpoint_limit.hpp
+++ b/include/hyssoprail/routing/endpoint_limit.hpp
@@ -44,7 +44,8 @@
   /// True if there is no limit or this entry may grant a request now.
   bool allows(TimePoint Now);
 
-  /// Records that a request was granted.
+  /// Records that a request was sent or granted. An entry that sends under the
+  /// grants of another one owes nothing when it gets a share itself.
   void take(TimePoint Now);
 
   /// Time until this entry may grant a request; Duration::max() if it has no
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -110,8 +110,7 @@
       sendReport(Election.currentClaim()->Address, Now);
     return;
   }
-  if (storeAnswers())
-    Server.forgetSilentEntries(Now);
+  forgetSilentEntries(Now);
   Server.releaseSilentEntries(Now);
   announceGroup(Now);
   Grants.expireSilentEntries(Now);
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -149,6 +149,7 @@
                   TimePoint Now);
   void sendHeartbeats(TimePoint Now);
   bool storeAnswers() const;
+  void forgetSilentEntries(TimePoint Now);
   void announceGroup(TimePoint Now);
   std::size_t partedEntries(TimePoint Now) const;
 
@@ -189,7 +190,7 @@
   // As the coordinator.
   std::uint64_t UpdateSequence = 0;
   TimePoint CoordinatorSince{};
-  std::size_t KnownAtClaim = 1;
+  std::size_t KnownAtClaim = 1; ///< 1 after a time, as entries have reported
   TimePoint CompleteAt{};       ///< when all known entries last reported
   TimePoint GroupAnnouncedAt{}; ///< by this entry
   std::map<std::string, TimePoint> UpdateSentAt;
--- a/src/hyssoprail/gateway/coordination_membership.cpp
+++ b/src/hyssoprail/gateway/coordination_membership.cpp
@@ -36,13 +36,18 @@
     return Election.currentClaim() ? Election.currentClaim()->Known
                                    : Entries.size() + 1;
   const TimePoint Now = Time.now();
-  const bool CountsKnownAtClaim =
-      Now - CoordinatorSince < KnownAtClaimPeriod || !storeAnswers();
-  return std::max({Server.knownEntryCount(),
-                   CountsKnownAtClaim ? KnownAtClaim : 1,
+  return std::max({Server.knownEntryCount(), KnownAtClaim,
                    Server.liveEntryCount(Now) + partedEntries(Now)});
 }
 
+void Coordination::forgetSilentEntries(TimePoint Now) {
+  if (!storeAnswers())
+    return;
+  Server.forgetSilentEntries(Now);
+  if (Now - CoordinatorSince >= KnownAtClaimPeriod)
+    KnownAtClaim = 1;
+}
+
 bool Coordination::storeAnswers() const {
   return State.Feed.storeAge() < StoreSilence;
 }
--- a/src/hyssoprail/gateway/endpoint_limit_test.cpp
+++ b/src/hyssoprail/gateway/endpoint_limit_test.cpp
@@ -169,7 +169,12 @@
       F.start(Name);
       F.run(milliseconds(1'000), CallsPerSecond);
     }
+    F.run(milliseconds(3'000), CallsPerSecond);
     F.check();
+    // What an entry sent under the grants of others does not reduce its own.
+    const TimePoint LastWindow = F.now() - LimitWindow - milliseconds(100);
+    if (F.Capacity == Spare::None)
+      CHECK(mostInWindow(F.Endpoints[0], LastWindow) >= 4 * Limit * 0.6);
   });
 }
 
--- a/src/hyssoprail/routing/endpoint_limit.cpp
+++ b/src/hyssoprail/routing/endpoint_limit.cpp
@@ -75,7 +75,7 @@
 
 void EndpointLimit::take(TimePoint Now) {
   refill(Now);
-  Tokens -= 1;
+  Tokens = std::max(0.0, Tokens - 1);
 }
 
 Duration EndpointLimit::waitTime(TimePoint Now) {
--- a/src/hyssoprail/routing/endpoint_limit_test.cpp
+++ b/src/hyssoprail/routing/endpoint_limit_test.cpp
@@ -78,9 +78,12 @@
     }
 }
 
-// Guards against grants that build up while an entry is not the coordinator.
+// Guards against grants that build up while an entry is not the coordinator, and
+// against requests that it sent under the grants of another one and then owes.
 TEST_CASE("a new coordinator begins without grants") {
   EndpointLimit L = statedLimit(4, 0);
+  for (int I = 0; I < 50; ++I)
+    L.take(Start + std::chrono::seconds(I));
   const TimePoint Later = Start + std::chrono::seconds(60);
   L.setShare(1, Later);
   CHECK_FALSE(L.allows(Later));
