--- a/src/hyssoprail/routing/endpoint_limit_test.cpp
+++ b/src/hyssoprail/routing/endpoint_limit_test.cpp
@@ -78,8 +78,9 @@
     }
 }
 
-// Guards against grants that build up while an entry is not the coordinator, and
-// against requests that it sent under the grants of another one and then owes.
+// Guards against grants that build up while an entry is not the coordinator,
+// and against requests that it sent under the grants of another one and then
+// owes.
 TEST_CASE("a new coordinator begins without grants") {
   EndpointLimit L = statedLimit(4, 0);
   for (int I = 0; I < 50; ++I)
