Logs and metrics say why a stream was broken off

The log line break_off named an age only, and the metric requests counted such requests without a reason. FlowIo::abort() now takes the reason; it is in break_off, end and requests{outcome="broken_off"}.

--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -106,8 +106,8 @@
   virtual void finishStream() = 0;
 
   /// Closes the caller's connection before the end of the answer, so the caller
-  /// sees that the answer is incomplete.
-  virtual void abort() = 0;
+  /// sees that the answer is incomplete. \p Reason is for logs and metrics.
+  virtual void abort(RejectReason Reason) = 0;
 
   /// True while the caller's key and route still allow the request.
   virtual bool stillAllowed() = 0;
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -254,7 +254,7 @@
     void beginStream(const HttpResponse &) override {}
     void forward(std::string_view) override {}
     void finishStream() override {}
-    void abort() override {}
+    void abort(routing::RejectReason) override {}
     bool stillAllowed() override { return true; }
     void logDecision(std::string_view, LogFields) override {}
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -252,10 +252,12 @@
   Caller->finish();
 }
 
-void RequestSession::abort() {
+void RequestSession::abort(routing::RejectReason Reason) {
   Result.Outcome = "broken_off";
+  Result.Reason = rejectReasonName(Reason);
   Services.Log.write(LogCategory::Outcome, "break_off", Request.Info.Id,
-                     {{"age_ms", Services.Time.now() - Request.Arrival}});
+                     {{"reason", Result.Reason},
+                      {"age_ms", Services.Time.now() - Request.Arrival}});
   Caller->abort();
 }
 
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -20,7 +20,7 @@
 /// How a request ended, for logs and metrics.
 struct SessionResult {
   std::string_view Outcome; ///< "answered", "rejected", "broken_off" or "left"
-  std::string_view Reason;  ///< of a rejection
+  std::string_view Reason;  ///< of a rejection, or why it was broken off
   unsigned Status = 0;      ///< HTTP status of the response; 0: none was sent
   Duration FirstEventDelay{}; ///< of a stream, from arrival
   Duration TotalTime{};
@@ -115,7 +115,7 @@
   void beginStream(const HttpResponse &Head) override;
   void forward(std::string_view Events) override;
   void finishStream() override;
-  void abort() override;
+  void abort(routing::RejectReason Reason) override;
   bool stillAllowed() override { return Hooks.StillAllowed(); }
   void logDecision(std::string_view What, LogFields Fields) override;
 
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -298,7 +298,7 @@
       if (resumable() && R.Response.Status >= 500)
         return resumeElsewhere("failed", Now);
       if (StreamStarted)
-        return abortStream(Now);
+        return abortStream(RejectReason::OutcomeUnknown, Now);
       Io.respond(R.Response);
       return end(Now);
     case LegOutcome::Broken:
@@ -453,16 +453,16 @@
     CurrentPhase = StreamPhase::Done;
   }
 
-  void abortStream(TimePoint Now) {
+  void abortStream(RejectReason Reason, TimePoint Now) {
     end(Now);
-    Io.abort();
+    Io.abort(Reason);
   }
 
   /// Ends without a complete answer. If the caller has received the start of
   /// the stream, the answer can only be aborted.
   void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
     if (StreamStarted)
-      return abortStream(Now);
+      return abortStream(Reason, Now);
     end(Now);
     Io.reject(Reason, RetryAfter);
   }
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -241,6 +241,7 @@
   B.poll(*F);
   B.answer(*F, 3, answered(200, "handle-2"));
   REQUIRE(B.Io.Aborted);
+  REQUIRE(B.Io.AbortedWith == RejectReason::NoKey);
   REQUIRE(B.Io.FinalAnswers == 1);
   REQUIRE(F->done());
 }
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -74,8 +74,9 @@
   void beginStream(const HttpResponse &Head) override { Status = Head.Status; }
   void forward(std::string_view Events) override { Forwarded += Events; }
   void finishStream() override { ++FinalAnswers; }
-  void abort() override {
+  void abort(RejectReason Reason) override {
     ++FinalAnswers;
+    AbortedWith = Reason;
     Aborted = true;
   }
   bool stillAllowed() override { return Allowed; }
@@ -92,6 +93,7 @@
   std::optional<RejectReason> RejectedWith;
   milliseconds SentRetryAfter{0};
   bool Aborted = false;
+  std::optional<RejectReason> AbortedWith;
   bool Allowed = true;
 };
 
