A silent engine keeps its run until another engine has taken over

Callers saw a stream end in its middle (LOST) although its engine, silent for a second, went on. Cause: a resumable stream was cancelled at the silent engine as soon as some other engine seemed to have room, and only then asked for engines. Whatever went wrong after that ended the stream: a refusal of the coordinator (all streams of one engine look at the same room), an engine that refused, failed or broke the connection, a key that was revoked while the stream waited.

The run now goes on beside the search (SilentRun). It ends when the new engine begins its answer, or 250 ms after that engine was sent the request and has not refused it, so that two engines do not generate one stream for long. Data of the silent engine, or a replacement that does not work out, returns the stream to it. The search has an admission request of its own id, so both reservations are known to the coordinator. An unfinished event is kept until another engine begins.

--- a/include/hyssoprail/routing/run_crash_watch.hpp
+++ b/include/hyssoprail/routing/run_crash_watch.hpp
@@ -12,6 +12,14 @@
 /// the work of one engine on its answer.
 class RunCrashWatch {
 public:
+  /// What is known of one run.
+  struct Run {
+    EndpointRecord Engine; ///< as registered when the run began
+    TimePoint BeganAt{};
+    std::uint64_t Events = 0;
+    bool AnswerRecorded = false;
+  };
+
   RunCrashWatch(CrashLedger &Ledger, PromptParts Parts)
       : Ledger(Ledger), Parts(std::move(Parts)) {}
 
@@ -38,17 +46,18 @@
   bool mayRunAgain() const;
 
   /// Events of the present run.
-  std::uint64_t events() const { return Events; }
+  std::uint64_t events() const { return Current.Events; }
+
+  /// The present run, to be watched again after another one.
+  const Run &run() const { return Current; }
+  void restore(Run Earlier) { Current = std::move(Earlier); }
 
 private:
   void recordAnswer(TimePoint Now);
 
   CrashLedger &Ledger;
   const PromptParts Parts;
-  EndpointRecord Engine; ///< as registered when the run began
-  TimePoint BeganAt{};
-  std::uint64_t Events = 0;
-  bool AnswerRecorded = false; ///< of the present run
+  Run Current;
   unsigned SuspectedCrashes = 0;
 };
 
--- a/include/hyssoprail/routing/stream_request.hpp
+++ b/include/hyssoprail/routing/stream_request.hpp
@@ -1,6 +1,9 @@
 #ifndef HYSSOPRAIL_ROUTING_STREAM_REQUEST_HPP
 #define HYSSOPRAIL_ROUTING_STREAM_REQUEST_HPP
 
+#include <string>
+#include <string_view>
+
 #include "hyssoprail/routing/flow.hpp"
 
 namespace hyssoprail::routing {
@@ -8,6 +11,14 @@
 /// Shortest time that a caller waits for an event before it gives up.
 constexpr milliseconds MinEventTimeout{2'000};
 
+/// Id of the \p Number-th admission request of a session. A stream may ask for
+/// engines while it still holds others.
+std::string placementId(std::string_view SessionId, unsigned Number);
+
+/// The session of an admission request; the id of a call is that of its
+/// session.
+std::string sessionOfPlacement(std::string_view Id);
+
 /// Makes the admission request for \p Request, whose caller has been waiting
 /// for an event since \p WaitingSince.
 StreamRequest makeStreamRequest(const FlowRequest &Request,
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -10,6 +10,7 @@
 
 #include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
+#include "hyssoprail/routing/stream_request.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -370,7 +371,7 @@
   for (const Decision &Any : Decisions)
     std::visit(
         [this](const auto &D) {
-          const auto It = Sessions.find(D.Id);
+          const auto It = Sessions.find(routing::sessionOfPlacement(D.Id));
           if (It == Sessions.end())
             return;
           const auto Session = It->second; // may end and be erased
--- a/src/hyssoprail/routing/run_crash_watch.cpp
+++ b/src/hyssoprail/routing/run_crash_watch.cpp
@@ -14,31 +14,28 @@
 } // namespace
 
 void RunCrashWatch::begin(const EndpointRecord &NewEngine, TimePoint Now) {
-  Engine = NewEngine;
-  BeganAt = Now;
-  Events = 0;
-  AnswerRecorded = false;
+  Current = {NewEngine, Now, 0, false};
 }
 
 void RunCrashWatch::received(std::uint64_t NewEvents, TimePoint Now) {
-  Events += NewEvents;
-  Ledger.recordAlive(Engine.Id, BeganAt, Now);
-  if (Events >= EventsOfBegunAnswer)
+  Current.Events += NewEvents;
+  Ledger.recordAlive(Current.Engine.Id, Current.BeganAt, Now);
+  if (Current.Events >= EventsOfBegunAnswer)
     recordAnswer(Now);
 }
 
 void RunCrashWatch::completed(TimePoint Now) { recordAnswer(Now); }
 
 void RunCrashWatch::recordAnswer(TimePoint Now) {
-  if (!std::exchange(AnswerRecorded, true))
+  if (!std::exchange(Current.AnswerRecorded, true))
     Ledger.recordAnswer(Parts, Now);
 }
 
 void RunCrashWatch::broke(TimePoint Now) {
-  if (Events >= EventsOfBegunAnswer)
+  if (Current.Events >= EventsOfBegunAnswer)
     return;
   ++SuspectedCrashes;
-  Ledger.recordCrash(Engine, Parts, Now);
+  Ledger.recordCrash(Current.Engine, Parts, Now);
 }
 
 bool RunCrashWatch::mayRunAgain() const {
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -30,6 +30,21 @@
 constexpr unsigned MaxRequeues = 16;
 constexpr milliseconds NotRunRetryAfter{400};
 
+/// A run whose engine was silent ends this long after another engine was sent
+/// the request and has not refused it, so that not both generate for long.
+constexpr milliseconds SilentRunOverlap{250};
+
+/// A run whose engine has fallen silent. It goes on until another engine has
+/// taken over, as the silent one may still answer.
+struct SilentRun {
+  FlowIo::LegId Leg;
+  StreamPhase Phase;
+  std::string Endpoint;
+  std::string PlacementId;
+  RunCrashWatch::Run Watched;
+  TimePoint EndAt = TimePoint::max(); ///< set once the request was sent on
+};
+
 /// State machine of a generation: wait for engines, prefill, decode, and after
 /// a failure resume at another engine if the route allows it.
 class StreamFlow : public Flow {
@@ -38,7 +53,8 @@
       : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
         Cache(this->Request.HandleRetention),
         Budget(this->Shared.Retries, this->Request.Service),
-        Crashes(this->Shared.Crashes, this->Request.Info.PromptParts) {
+        Crashes(this->Shared.Crashes, this->Request.Info.PromptParts),
+        PlacementId(placementId(this->Request.SessionId, Placements)) {
     if (this->Request.Info.Resumes)
       Progress.resumeAfter(this->Request.Info.LastEventId);
   }
@@ -76,9 +92,16 @@
   }
 
   void onLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) override {
+    if (Silent && Leg == Silent->Leg) {
+      if (R.Outcome != LegOutcome::Answered)
+        return onSilentRunFailed(R, Now);
+      returnToSilentRun(Now);
+    }
     if (CurrentPhase == StreamPhase::Done || Leg != ActiveLeg)
       return;
     ActiveLeg.reset();
+    if (Silent)
+      Silent->EndAt = TimePoint::max();
     recordHealth(R, Now);
     const bool ConnectionBroke =
         R.Outcome == LegOutcome::Broken && R.Response.Status == 0;
@@ -95,9 +118,13 @@
 
   void onStreamHead(FlowIo::LegId Leg, const HttpResponse &Head,
                     TimePoint Now) override {
+    if (Silent && Leg == Silent->Leg)
+      returnToSilentRun(Now);
     if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Starting)
       return;
+    endSilentRun(Now);
     MayHaveRun = true;
+    Progress.restart();
     Cache.fetched();
     LastProgressAt = Now;
     Crashes.received(0, Now);
@@ -111,6 +138,8 @@
 
   void onStreamData(FlowIo::LegId Leg, std::string_view Data,
                     TimePoint Now) override {
+    if (Silent && Leg == Silent->Leg)
+      returnToSilentRun(Now);
     if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Streaming)
       return;
     const std::uint64_t EventsBefore = Progress.events();
@@ -121,12 +150,17 @@
       return;
     LastProgressAt = Now;
     Crashes.received(Progress.events() - EventsBefore, Now);
-    Shared.Admission.outputGrew(Request.SessionId,
+    Shared.Admission.outputGrew(PlacementId,
                                 Progress.events() * Request.EventTokens);
     Io.forward(NewEvents);
   }
 
   void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) override {
+    if (Silent && Leg == Silent->Leg) {
+      if (!Complete)
+        return onSilentRunFailed({}, Now);
+      returnToSilentRun(Now);
+    }
     if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Streaming)
       return;
     ActiveLeg.reset();
@@ -150,6 +184,8 @@
       return;
     if (Now >= answerDeadline())
       return onDeadline(Now);
+    if (Silent && Now >= Silent->EndAt)
+      endSilentRun(Now);
     if (!ActiveLeg || Now < legDeadline())
       return;
     const bool CanReplace = CurrentPhase == StreamPhase::Prefilling
@@ -163,25 +199,31 @@
                                  {"endpoint", currentEndpoint()}});
     Shared.EngineSignals.record(currentEndpoint(), HealthSignal::Unresponsive,
                                 Now);
-    stopLeg();
     Budget.notAccepted(Now);
-    if (CurrentPhase == StreamPhase::Prefilling)
+    if (CurrentPhase == StreamPhase::Prefilling) {
+      stopLeg();
       return retryPrefill(Now);
+    }
+    keepSilentRun(Now);
     resumeElsewhere("silent", Now);
   }
 
   void onCallerDisconnected(TimePoint Now) override {
     if (CurrentPhase == StreamPhase::Done)
       return;
-    Shared.Admission.cancel(Request.SessionId);
+    Shared.Admission.cancel(PlacementId);
     MayHaveRun = MayHaveRun || CurrentPhase == StreamPhase::Starting;
     stopLeg();
     end(Now);
   }
 
   TimePoint nextDeadline() const override {
-    return ActiveLeg ? std::min(answerDeadline(), legDeadline())
-                     : answerDeadline();
+    TimePoint Next = answerDeadline();
+    if (ActiveLeg)
+      Next = std::min(Next, legDeadline());
+    if (Silent)
+      Next = std::min(Next, Silent->EndAt);
+    return Next;
   }
 
   bool done() const override { return CurrentPhase == StreamPhase::Done; }
@@ -205,10 +247,13 @@
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission) {
     CurrentPhase = StreamPhase::Waiting;
+    Submission.Id = PlacementId;
     Submission.Zone = Shared.Zone;
     for (const std::string &Failed : {FailedDecode, FailedPrefill})
       if (!Failed.empty())
         Submission.ExcludedEndpoints.push_back(Failed);
+    if (Silent)
+      Submission.ExcludedEndpoints.push_back(Silent->Endpoint);
     SubmittedWithCache = Submission.HasKvCache;
     Shared.Admission.submit(std::move(Submission));
   }
@@ -216,7 +261,7 @@
   void sendPrefill(const StreamPlacement &Place, TimePoint Now) {
     Endpoint *E = Shared.Table.find(Place.Prefill);
     if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
-      Shared.Admission.prefillEnded(Request.SessionId, Now);
+      Shared.Admission.prefillEnded(PlacementId, Now);
       return sendDecode(Now);
     }
     CurrentPhase = StreamPhase::Prefilling;
@@ -232,7 +277,7 @@
     if (R.Outcome == LegOutcome::Answered && !R.Handle.empty()) {
       if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
         Cache.store({E->Record.Address, R.Handle}, Now);
-      Shared.Admission.prefillEnded(Request.SessionId, Now);
+      Shared.Admission.prefillEnded(PlacementId, Now);
       return sendDecode(Now);
     }
     retryPrefill(Now);
@@ -244,7 +289,7 @@
     FailedPrefill = PrefillEndpoint;
     if (PrefillLegs < MaxPrefillLegs)
       return repeatPrefill(Now);
-    Shared.Admission.prefillEnded(Request.SessionId, Now);
+    Shared.Admission.prefillEnded(PlacementId, Now);
     sendDecode(Now);
   }
 
@@ -259,7 +304,6 @@
     if (!Budget.tryBegin(LegKind::Decode, Now))
       return giveUp(Now);
     CurrentPhase = StreamPhase::Starting;
-    Progress.restart();
     Crashes.begin(E->Record, Now);
     LastProgressAt = Now;
     LegRequest Leg = makeLeg(LegKind::Decode, *E, Now);
@@ -267,6 +311,8 @@
     Leg.ResumeAfter = Progress.lastEventId();
     Leg.IsRetry = DecodeLegs++ > 0;
     ActiveLeg = Io.startLeg(Leg);
+    if (Silent)
+      Silent->EndAt = Now + SilentRunOverlap;
   }
 
   /// Releases the placement and puts the request back into the queue, ahead of
@@ -298,7 +344,7 @@
       if (resumable() && R.Response.Status >= 500)
         return resumeElsewhere("failed", Now);
       if (StreamStarted)
-        return abortStream(RejectReason::OutcomeUnknown, Now);
+        return finish(RejectReason::OutcomeUnknown, {}, Now);
       Io.respond(R.Response);
       return end(Now);
     case LegOutcome::Broken:
@@ -372,6 +418,65 @@
     repeatPrefill(Now);
   }
 
+  /// Keeps the present run beside the search for another engine.
+  void keepSilentRun(TimePoint Now) {
+    endSilentRun(Now);
+    MayHaveRun = true;
+    Silent = {*std::exchange(ActiveLeg, std::nullopt), CurrentPhase,
+              DecodeEndpoint, PlacementId, Crashes.run()};
+    HasPlacement = false;
+    PlacementId = placementId(Request.SessionId, ++Placements);
+    DecodeLegsAtSilence = DecodeLegs;
+  }
+
+  /// The silent engine goes on, or no other one takes over. Returns false if
+  /// there is no silent run.
+  bool returnToSilentRun(TimePoint Now) {
+    if (!Silent)
+      return false;
+    Io.logDecision("return", {{"endpoint", Silent->Endpoint}});
+    Shared.Admission.cancel(PlacementId);
+    stopLeg();
+    dropCache();
+    releasePlacement(Now);
+    if (DecodeLegs == DecodeLegsAtSilence)
+      --FailedRuns; // no other engine was sent the request
+    SilentRun Run = *std::exchange(Silent, std::nullopt);
+    ActiveLeg = Run.Leg;
+    CurrentPhase = Run.Phase;
+    DecodeEndpoint = std::move(Run.Endpoint);
+    PlacementId = std::move(Run.PlacementId);
+    HasPlacement = true;
+    Crashes.restore(std::move(Run.Watched));
+    ExtendedDeadline = Now + TimeoutExtension;
+    return true;
+  }
+
+  /// Ends the silent run, as another engine has taken over or the request ends.
+  void endSilentRun(TimePoint Now) {
+    if (!Silent)
+      return;
+    Io.cancelLeg(Silent->Leg);
+    forgetSilentRun(Now);
+  }
+
+  void onSilentRunFailed(const LegResult &R, TimePoint Now) {
+    Shared.EngineSignals.record(
+        Silent->Endpoint, healthSignalOf(R, HealthSignal::Unresponsive), Now);
+    if (R.Outcome == LegOutcome::Broken && R.Response.Status == 0) {
+      const RunCrashWatch::Run Present = Crashes.run();
+      Crashes.restore(Silent->Watched);
+      Crashes.broke(Now);
+      Crashes.restore(Present);
+    }
+    forgetSilentRun(Now);
+  }
+
+  void forgetSilentRun(TimePoint Now) {
+    Shared.Admission.release(Silent->PlacementId, Now);
+    Silent.reset();
+  }
+
   /// The engine sends data that is not a valid event stream.
   void onOversizedEvent(TimePoint Now) {
     Shared.EngineSignals.record(DecodeEndpoint, HealthSignal::Broken, Now);
@@ -425,7 +530,8 @@
     const bool RunPossible =
         MayHaveRun || CurrentPhase == StreamPhase::Starting;
     stopLeg();
-    Shared.Admission.cancel(Request.SessionId);
+    endSilentRun(Now);
+    Shared.Admission.cancel(PlacementId);
     finish(RunPossible ? RejectReason::TimedOut : RejectReason::NotRunInTime,
            {}, Now);
   }
@@ -443,11 +549,12 @@
 
   void releasePlacement(TimePoint Now) {
     if (HasPlacement)
-      Shared.Admission.release(Request.SessionId, Now);
+      Shared.Admission.release(PlacementId, Now);
     HasPlacement = false;
   }
 
   void end(TimePoint Now) {
+    endSilentRun(Now);
     dropCache();
     releasePlacement(Now);
     CurrentPhase = StreamPhase::Done;
@@ -458,9 +565,12 @@
     Io.abort(Reason);
   }
 
-  /// Ends without a complete answer. If the caller has received the start of
-  /// the stream, the answer can only be aborted.
+  /// Ends without a complete answer, unless a silent engine may still give one.
+  /// If the caller has received the start of the stream, the answer can only be
+  /// aborted.
   void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
+    if (returnToSilentRun(Now))
+      return;
     if (StreamStarted)
       return abortStream(Reason, Now);
     end(Now);
@@ -483,6 +593,10 @@
   LegBudget Budget;
   StreamProgress Progress;
   RunCrashWatch Crashes;
+  unsigned Placements = 0; ///< admission requests under other ids so far
+  std::string PlacementId; ///< of the present admission request
+  std::optional<SilentRun> Silent;
+  unsigned DecodeLegsAtSilence = 0;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
   TimePoint PrefillDeadline{};  ///< a prefill counts as hanging after this
--- a/src/hyssoprail/routing/stream_request.cpp
+++ b/src/hyssoprail/routing/stream_request.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -10,12 +12,23 @@
 constexpr int TimeoutInObjectives = 4;
 constexpr int TimeoutInGaps = 8;
 
+/// Separates the session from the number in the id of an admission request.
+constexpr char PlacementSeparator = '/';
+
 /// The deadline of a first try is close to the route's timeout; a caller with a
 /// shorter one is retrying.
 constexpr double FirstTryDeadlineShare = 0.84;
 
 } // namespace
 
+std::string placementId(std::string_view SessionId, unsigned Number) {
+  return fmt::format("{}{}{}", SessionId, PlacementSeparator, Number);
+}
+
+std::string sessionOfPlacement(std::string_view Id) {
+  return std::string(Id.substr(0, Id.find(PlacementSeparator)));
+}
+
 StreamRequest makeStreamRequest(const FlowRequest &Request,
                                 const LengthEstimator &Lengths,
                                 TimePoint WaitingSince) {
