A broken stream waits for an engine as long as its caller does

A stream whose engine had crashed was put back into the queue with 2 s from its last event, although its caller waits for the longest of 2 s, four latency objectives and eight gap objectives (3.6 s on the known sites). With all engines full it was broken off (LOST for the caller) up to 1.6 s early. The queue and the requeue now use one function, callerEventTimeout(). The new test failed before.

--- a/include/hyssoprail/routing/stream_request.hpp
+++ b/include/hyssoprail/routing/stream_request.hpp
@@ -8,8 +8,8 @@
 
 namespace hyssoprail::routing {
 
-/// Shortest time that a caller waits for an event before it gives up.
-constexpr milliseconds MinEventTimeout{2'000};
+/// How long a caller of the route waits for an event before it gives up.
+milliseconds callerEventTimeout(const RoutePolicy &Route);
 
 /// Id of the \p Number-th admission request of a session. A stream may ask for
 /// engines while it still holds others.
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -327,7 +327,8 @@
     N.IsRetry = true;
     N.HasKvCache = WithCache;
     if (StreamStarted)
-      N.GiveUpAt = std::min(LastProgressAt + MinEventTimeout, answerDeadline());
+      N.GiveUpAt = std::min(LastProgressAt + callerEventTimeout(Request.Route),
+                            answerDeadline());
     submit(std::move(N));
   }
 
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -111,6 +111,28 @@
   REQUIRE_FALSE(B.Io.Aborted);
 }
 
+// Guards against a stream that is broken off while its caller would still wait
+// for it to go on: an engine gets free 2.2 s after the last event, and callers
+// of the route wait 3.6 s.
+TEST_CASE("a broken stream waits for an engine as long as its caller does") {
+  FlowFixture B;
+  B.add(engine("d1", EngineStage::Decode));
+  FlowRequest R = B.request(RouteKind::Stream);
+  R.Route.Resumable = true;
+  const auto F = B.startStream(R);
+  F->onStreamHead(1, head(), B.Now);
+  F->onStreamData(1, "id: 1\ndata: a\n\n", B.Now);
+  B.Table.remove("d1");
+  F->onStreamEnd(1, false, B.Now);
+  B.Now += milliseconds(2'200);
+  B.poll(*F);
+  REQUIRE_FALSE(F->done());
+  B.add(engine("d2", EngineStage::Decode));
+  B.poll(*F);
+  REQUIRE(B.Io.Legs.size() == 2);
+  REQUIRE(B.Io.Legs.back().ResumeAfter == 1);
+}
+
 // Reproduces an overloaded engine that pauses while no other one has room: the
 // run must not be cancelled, since its answer may still arrive.
 TEST_CASE("an unresponsive engine is replaced only if another has room") {
--- a/src/hyssoprail/routing/stream_request.cpp
+++ b/src/hyssoprail/routing/stream_request.cpp
@@ -7,8 +7,9 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// Callers give up if no event arrives for the longest of MinEventTimeout
-/// and these multiples of the route's latency and gap objectives.
+/// Callers give up if no event arrives for the longest of this time and these
+/// multiples of the route's latency and gap objectives.
+constexpr milliseconds MinEventTimeout{2'000};
 constexpr int TimeoutInObjectives = 4;
 constexpr int TimeoutInGaps = 8;
 
@@ -29,6 +30,12 @@
   return std::string(Id.substr(0, Id.find(PlacementSeparator)));
 }
 
+milliseconds callerEventTimeout(const RoutePolicy &Route) {
+  return std::max({MinEventTimeout,
+                   Route.LatencyObjective * TimeoutInObjectives,
+                   Route.EventGapObjective * TimeoutInGaps});
+}
+
 StreamRequest makeStreamRequest(const FlowRequest &Request,
                                 const LengthEstimator &Lengths,
                                 TimePoint WaitingSince) {
@@ -48,11 +55,8 @@
                                                             Request.Arrival);
   N.IsRetry = Request.Info.Deadline > milliseconds(0) &&
               Request.Info.Deadline < Route.Timeout * FirstTryDeadlineShare;
-  const milliseconds EventTimeout =
-      std::max({MinEventTimeout, Route.LatencyObjective * TimeoutInObjectives,
-                Route.EventGapObjective * TimeoutInGaps});
-  N.GiveUpAt =
-      std::min(WaitingSince + EventTimeout, Request.AnswerBy - AnswerMargin);
+  N.GiveUpAt = std::min(WaitingSince + callerEventTimeout(Route),
+                        Request.AnswerBy - AnswerMargin);
   return N;
 }
 
