The KV cache of a silent run is not freed

An engine that was silent before its first event kept its run, but the entry told the prefill engine to free the cache which that run may still fetch, so the engine would have refused the request when it went on. After 1.5 s of silence the cache was fetched or has expired (it is kept for 0.5 s), so nothing has to be freed. The new test failed before.

--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -423,6 +423,7 @@
   void keepSilentRun(TimePoint Now) {
     endSilentRun(Now);
     MayHaveRun = true;
+    Cache.fetched(); // or expired: it is kept for less than the silence
     Silent = {*std::exchange(ActiveLeg, std::nullopt), CurrentPhase,
               DecodeEndpoint, PlacementId, Crashes.run()};
     HasPlacement = false;
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -247,6 +247,24 @@
   REQUIRE(B.Table.ownLoads().empty());
 }
 
+// Guards against a KV cache that is freed while the engine that is to fetch it
+// is silent: the engine would refuse the request when it goes on.
+TEST_CASE("the KV cache of a silent run is not freed") {
+  StreamFixture B;
+  const auto F = B.startStream(B.stream(true));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  B.Now += milliseconds(1'600);
+  F->onTimer(B.Now);
+  B.poll(*F);
+  REQUIRE(B.leg(3).Kind == LegKind::Prefill);
+  REQUIRE(B.Io.Dropped.empty());
+  F->onStreamHead(2, head(), B.Now);
+  F->onStreamData(2, "id: 1\ndata: a\n\n", B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  REQUIRE(B.Io.FinalAnswers == 1);
+  REQUIRE_FALSE(B.Io.Aborted);
+}
+
 // Guards against engine memory that stays reserved for the run of a silent
 // engine after its connection broke or its caller left.
 TEST_CASE("a silent run that breaks or is not wanted frees its engine") {
