Failing tests: callers that leave, pipelined requests, cancelled calls

- a disconnect of a pipelined request is reported: Linger keeps the value of the answered request before it, so the exchange is not told
- a call that is cancelled at its endpoint may have run: its quota is refunded

No logic is changed.

--- a/src/hyssoprail/connection/http_server_test.cpp
+++ b/src/hyssoprail/connection/http_server_test.cpp
@@ -364,6 +364,25 @@
   CHECK(Exchange->unsentBytes() <= 150'000);
 }
 
+// Guards against work that goes on for a client that was disconnected, because
+// its request was pipelined behind another one that was answered.
+TEST_CASE("a disconnect of a pipelined request is reported") {
+  HttpServerOptions Options;
+  Options.MaxUnsentBytes = 100'000;
+  EchoServer S(Options);
+  RawSocket Client(S.port());
+  Client.send(get("/a") + get("/held"));
+  Client.readUntil("/a 0");
+  const auto Exchange = S.held();
+  Exchange->begin(200, {});
+  CHECK(waitUntil(
+      [&] {
+        Exchange->write(std::string(50'000, 'x'));
+        return S.Disconnects == 1;
+      },
+      std::chrono::seconds(3)));
+}
+
 // Guards against an exception of a handler that ends the program or leaves the
 // client without a response.
 TEST_CASE("a handler that throws yields a 500") {
--- a/src/hyssoprail/routing/call_flow_test.cpp
+++ b/src/hyssoprail/routing/call_flow_test.cpp
@@ -101,6 +101,22 @@
   REQUIRE(Once.Now < Once.request(RouteKind::Call).AnswerBy);
 }
 
+// Guards against a refund of quota for a call that an endpoint may have run
+// when its caller left or its deadline passed.
+TEST_CASE("a call that is cancelled at its endpoint may have run") {
+  CallFixture Left;
+  const auto F = Left.startCall(RouteKind::Call);
+  F->onCallerDisconnected(Left.Now);
+  CHECK(F->mayHaveRun());
+
+  CallFixture Late;
+  const auto G = Late.startCall(RouteKind::Call);
+  Late.Now = G->nextDeadline();
+  G->onTimer(Late.Now);
+  REQUIRE(Late.Io.RejectedWith == RejectReason::TimedOut);
+  CHECK(G->mayHaveRun());
+}
+
 // Guards against load that remains reserved on an endpoint after its call has
 // ended.
 TEST_CASE("a call that ends releases its load on the endpoint") {
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -326,11 +326,17 @@
   StreamFixture B;
   const auto F = B.startStream(B.stream(true));
   B.answer(*F, 1, answered(200, "handle-1"));
-  B.Now += milliseconds(1'600);
-  F->onTimer(B.Now);
-  for (const char *Id : {"d1", "d2"})
-    B.Table.reserve(Id, {1, 9'500, 0});
-  B.poll(*F);
+  const auto FillEngines = [&] {
+    for (const char *Id : {"d1", "d2"})
+      B.Table.reserve(Id, {1, 9'500, 0});
+  };
+  SECTION("others are found full only after the search has begun") {
+    B.Now += milliseconds(1'600);
+    F->onTimer(B.Now);
+    FillEngines();
+    B.poll(*F);
+  }
+  SECTION("others are full from the start") { FillEngines(); }
   REQUIRE(B.Io.Legs.size() == 2);
   while (!F->done() && B.Now < Start + milliseconds(3'600)) {
     B.Now += milliseconds(20);
