--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -31,8 +31,9 @@
 constexpr milliseconds NotRunRetryAfter{400};
 
 /// A run whose engine was silent ends this long after another engine was sent
-/// the request and has not refused it, so that not both generate for long.
-constexpr milliseconds SilentRunOverlap{250};
+/// the request and has not refused it, so that not both generate for long. An
+/// engine that cannot be reached is known to be so after 250 ms.
+constexpr milliseconds SilentRunOverlap{300};
 
 /// A run whose engine has fallen silent. It goes on until another engine has
 /// taken over, as the silent one may still answer.
@@ -43,6 +44,7 @@
   std::string PlacementId;
   RunCrashWatch::Run Watched;
   TimePoint EndAt = TimePoint::max(); ///< set once the request was sent on
+  bool ReplacementRan = false;        ///< another engine ran it, or may have
 };
 
 /// State machine of a generation: wait for engines, prefill, decode, and after
@@ -93,7 +95,7 @@
 
   void onLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) override {
     if (Silent && Leg == Silent->Leg) {
-      if (R.Outcome != LegOutcome::Answered)
+      if (R.Outcome != LegOutcome::Answered || R.Response.Status >= 500)
         return onSilentRunFailed(R, Now);
       returnToSilentRun(Now);
     }
@@ -101,7 +103,7 @@
       return;
     ActiveLeg.reset();
     if (Silent)
-      Silent->EndAt = TimePoint::max();
+      onReplacementEnded(R.Outcome);
     recordHealth(R, Now);
     const bool ConnectionBroke =
         R.Outcome == LegOutcome::Broken && R.Response.Status == 0;
@@ -157,8 +159,8 @@
 
   void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) override {
     if (Silent && Leg == Silent->Leg) {
-      if (!Complete)
-        return onSilentRunFailed({}, Now);
+      if (!Complete || !Progress.atEventEnd())
+        return onSilentRunFailed(brokenConnection(), Now);
       returnToSilentRun(Now);
     }
     if (Leg != ActiveLeg || CurrentPhase != StreamPhase::Streaming)
@@ -298,6 +300,8 @@
       return finish(RejectReason::NoKey, {}, Now);
     if (Crashes.isQuarantined(Now))
       return finishQuarantined(Now);
+    if (!Crashes.mayRunAgain())
+      return giveUp(Now);
     Endpoint *E = Shared.Table.find(DecodeEndpoint);
     if (!E || !Shared.Table.mayReceive(*E, Now))
       return retryDecode(Now);
@@ -428,7 +432,15 @@
               DecodeEndpoint, PlacementId, Crashes.run()};
     HasPlacement = false;
     PlacementId = placementId(Request.SessionId, ++Placements);
-    DecodeLegsAtSilence = DecodeLegs;
+  }
+
+  /// A leg to the engines that are to replace a silent one has ended.
+  void onReplacementEnded(LegOutcome Outcome) {
+    Silent->EndAt = TimePoint::max();
+    const bool NeverRan =
+        Outcome == LegOutcome::NotSent || Outcome == LegOutcome::NotRun;
+    if (CurrentPhase == StreamPhase::Starting && !NeverRan)
+      Silent->ReplacementRan = true;
   }
 
   /// The silent engine goes on, or no other one takes over. Returns false if
@@ -437,12 +449,14 @@
     if (!Silent)
       return false;
     Io.logDecision("return", {{"endpoint", Silent->Endpoint}});
+    const bool ReplacementRuns =
+        ActiveLeg && CurrentPhase == StreamPhase::Starting;
+    if (!Silent->ReplacementRan && !ReplacementRuns)
+      --FailedRuns; // the silent run has not failed, and is the only one
     Shared.Admission.cancel(PlacementId);
     stopLeg();
     dropCache();
     releasePlacement(Now);
-    if (DecodeLegs == DecodeLegsAtSilence)
-      --FailedRuns; // no other engine was sent the request
     SilentRun Run = *std::exchange(Silent, std::nullopt);
     ActiveLeg = Run.Leg;
     CurrentPhase = Run.Phase;
@@ -462,6 +476,14 @@
     forgetSilentRun(Now);
   }
 
+  static LegResult brokenConnection() {
+    LegResult R;
+    R.Outcome = LegOutcome::Broken;
+    R.Response.Status = 0;
+    return R;
+  }
+
+  /// The search for another engine goes on.
   void onSilentRunFailed(const LegResult &R, TimePoint Now) {
     Shared.EngineSignals.record(
         Silent->Endpoint, healthSignalOf(R, HealthSignal::Unresponsive), Now);
@@ -598,7 +620,6 @@
   unsigned Placements = 0; ///< admission requests under other ids so far
   std::string PlacementId; ///< of the present admission request
   std::optional<SilentRun> Silent;
-  unsigned DecodeLegsAtSilence = 0;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
   TimePoint PrefillDeadline{};  ///< a prefill counts as hanging after this
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -32,8 +32,11 @@
   }
 
   /// Starts a stream whose first event has arrived.
-  std::unique_ptr<Flow> startedStream(bool Resumable) {
-    auto F = startStream(stream(Resumable));
+  std::unique_ptr<Flow> startedStream(bool Resumable,
+                                      const PromptParts &Parts = {}) {
+    FlowRequest R = stream(Resumable);
+    R.Info.PromptParts = Parts;
+    auto F = startStream(std::move(R));
     answer(*F, 1, answered(200, "handle-1"));
     F->onStreamHead(2, head(), Now);
     F->onStreamData(2, "id: 1\ndata: a\n\n", Now);
@@ -165,7 +168,8 @@
 /// A stream whose engine sent one event and a half, and has been silent for so
 /// long that another engine prefills the prompt (leg 3).
 struct SilentStream : StreamFixture {
-  SilentStream() : F(startedStream(true)) {
+  explicit SilentStream(const PromptParts &Parts = {})
+      : F(startedStream(true, Parts)) {
     F->onStreamData(2, "id: 2\nda", Now);
     Now += milliseconds(1'200);
     F->onTimer(Now);
@@ -413,7 +417,7 @@
 // silent before its connection broke.
 TEST_CASE("a silent run that breaks before its second event counts as a "
           "crash") {
-  SilentStream B;
+  SilentStream B({"first", "own"});
   B.F->onStreamEnd(2, false, B.Now);
   REQUIRE(B.Crashes.crashCount() == 1);
 }
