A request without a first event is answered before its caller leaves

Callers of a route leave after the longest of 2 s, four latency objectives and eight gap objectives without an event. A request whose engine stayed silent before its first event, with no other engine free, got neither an answer nor a refusal by then: the flow waited for the route's timeout (14 s). The final answer (504, or 503 if it has not run) is now given 100 ms before the caller leaves.

--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -30,6 +30,10 @@
 constexpr unsigned MaxRequeues = 16;
 constexpr milliseconds NotRunRetryAfter{400};
 
+/// Time reserved before a caller without an event leaves, for the final answer
+/// to reach it.
+constexpr milliseconds CallerEventMargin{100};
+
 /// A run whose engine was silent ends this long after another engine was sent
 /// the request and has not refused it, so that not both generate for long. An
 /// engine that cannot be reached is known to be so after 250 ms.
@@ -234,7 +238,15 @@
 private:
   bool resumable() const { return Request.Route.Resumable; }
 
-  TimePoint answerDeadline() const { return Request.AnswerBy - AnswerMargin; }
+  /// Before the first event the caller leaves earlier than at its deadline.
+  TimePoint answerDeadline() const {
+    const TimePoint Latest = Request.AnswerBy - AnswerMargin;
+    if (StreamStarted)
+      return Latest;
+    return std::min(Latest, Request.Arrival +
+                                callerEventTimeout(Request.Route) -
+                                CallerEventMargin);
+  }
 
   LegRequest makeLeg(LegKind Kind, const Endpoint &E, TimePoint Now) const {
     LegRequest Out;
