--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -298,10 +298,11 @@
   }
 
   /// A prefill failed: tries another prefill engine, or lets the decode engine
-  /// process the prompt.
+  /// process the prompt. A stream that has begun keeps its decode engine, as
+  /// there may be no room for it elsewhere.
   void retryPrefill(TimePoint Now) {
     FailedPrefill = PrefillEndpoint;
-    if (PrefillLegs < MaxPrefillLegs)
+    if (PrefillLegs < MaxPrefillLegs && !StreamStarted)
       return repeatPrefill(Now);
     Shared.Admission.prefillEnded(PlacementId, Now);
     sendDecode(Now);
