A pipelined request whose caller is disconnected is ended

Behind an answered request the session took the lingering close of that answer for its own, so the handler of the next request was not told that its caller had been disconnected, and work went on for nobody.

--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/connection/http_session.hpp"
 
 #include <array>
+#include <utility>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -172,13 +173,15 @@
   ++State->OpenExchanges;
   watchForDisconnect();
   callHandler(Exchange);
+  // Behind a pipelined request, Linger still concerns the response before.
+  const bool LingerBefore = std::exchange(Linger, false);
   const bool Sent = co_await sendResponse(*Exchange, KeepAlive, Version);
   --State->OpenExchanges;
   if (!Sent && !Linger)
     Exchange->disconnect();
   Exchange->complete();
   Current.reset();
-  Linger = Linger || Sent;
+  Linger = Linger || Sent || LingerBefore;
   co_return Sent &&AnnouncedKeepAlive;
 }
 
