A planned stop ends requests that were accepted before it with an answer

Only requests that came after the stop had begun had to end before the process does. One that was accepted before, and whose endpoint stayed silent, ended without an answer when the process ended (LOST around planned work). stop() now tells all sessions the time of its end (Flow::endBy).

--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -79,6 +79,9 @@
   /// Cancels all work for the request.
   virtual void onCallerDisconnected(TimePoint Now) = 0;
 
+  /// The final answer has to be given by \p Deadline, as the process ends then.
+  virtual void endBy(TimePoint Deadline) = 0;
+
   virtual TimePoint nextDeadline() const = 0;
 
   /// True after the final answer.
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -151,6 +151,8 @@
   CallerServer->disableKeepAlive();
   FleetCoordination.beginStop();
   Stages.stop();
+  for (const auto &[Key, Session] : Sessions)
+    Session->endBy(stopDeadline());
   Log.write(LogCategory::Outcome, "stop", "", {{"open", Sessions.size()}});
 }
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -47,6 +47,11 @@
   afterEvent();
 }
 
+void RequestSession::endBy(TimePoint Deadline) {
+  ActiveFlow->endBy(Deadline);
+  armTimer();
+}
+
 routing::FlowIo::LegId
 RequestSession::startLeg(const routing::LegRequest &Spec) {
   const LegId Id = NextLeg++;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -104,6 +104,9 @@
     deliver(&routing::Flow::onCallDenied, D);
   }
 
+  /// The process ends at \p Deadline.
+  void endBy(TimePoint Deadline);
+
   const routing::FlowRequest &request() const { return Request; }
 
   // FlowIo
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -99,6 +99,10 @@
     Done = true;
   }
 
+  void endBy(TimePoint Deadline) override {
+    Request.AnswerBy = std::min(Request.AnswerBy, Deadline);
+  }
+
   TimePoint nextDeadline() const override {
     TimePoint Next = answerDeadline();
     if (ActiveLeg)
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -223,6 +223,10 @@
     end(Now);
   }
 
+  void endBy(TimePoint Deadline) override {
+    Request.AnswerBy = std::min(Request.AnswerBy, Deadline);
+  }
+
   TimePoint nextDeadline() const override {
     TimePoint Next = answerDeadline();
     if (ActiveLeg)
