The quota of a call that was cancelled at its endpoint is not refunded

A call whose caller left or whose deadline passed while it ran counted as not run, so its tokens were given back to the account. Found by the review; the test in call_flow_test.cpp failed before.

--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -194,6 +194,7 @@
   void stopLeg() {
     if (!ActiveLeg)
       return;
+    MayHaveRun = true;
     Io.cancelLeg(*ActiveLeg);
     endLeg();
   }
