A refusal counts only for the send that it answers

What callers saw: with a worker that writes an earlier refusal once more on a kept connection, a request that the worker ran was answered with 503 ("not run"), or also run at a second worker, although it must not be repeated.

Cause: a response without X-Attempt-Id counted as the answer to any request. And an id does not tell two sends of one request apart: a generation that was refused is tried again at the same engine, and a caller comes back with the id of its first attempt, on the same kept connection.

Change: a refusal (421, or X-Not-Executed) that does not name the request is skipped like one that names another, and the response goes on being awaited. A connection remembers the ids that were sent on it (as hashes) and is not used for one of them again. As these take memory, it is closed after 256 requests (2 KB).

Weighed: - Closing each connection that brought a refusal: simplest, but a refusing worker is usually overloaded, and every refusal would cost it a connection. - Remembering only refused ids: fewer bytes, but the client would have to know what a refusal is, and late copies of other responses stay possible. - All ids, chosen: a new connection only for a repeated id without another idle connection, and one for every 256 requests. - A nameless refusal as a broken response instead of a skipped one: the answer that follows it would be lost, and an idempotent request would run twice. A worker that never names requests in its refusals is waited for until the leg's timeout; its outcome is then unknown.

Why it works: a connection carries each id once, so a refusal that names the id can only belong to this send.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -24,8 +24,8 @@
 /// Callbacks of an exchange. OnEnd is called exactly once unless the exchange
 /// is cancelled.
 struct UpstreamHandlers {
-  /// Returns whether a response head belongs to this request. Late responses
-  /// to earlier requests on a reused connection are skipped.
+  /// Returns whether a response head belongs to this request. Others, such as
+  /// late responses to earlier requests on a reused connection, are skipped.
   std::function<bool(const HttpResponse &Head)> MatchesRequest;
   std::function<void(HttpResponse Head)> OnHead;
   std::function<void(std::string_view Data)> OnData;
@@ -39,6 +39,10 @@
   /// incarnation is not reused: it would be reset, and the request would count
   /// as lost.
   std::string Incarnation;
+  /// Id that the response names; empty if none. The request is not sent on a
+  /// connection on which this id was sent before: a late copy of the earlier
+  /// response could not be told from the response to this request.
+  std::string RequestId;
   HttpRequest Request; ///< its Host header is sent as given
   std::chrono::milliseconds ConnectTimeout{300};
   /// From the start of the exchange to the end of the response head.
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -1,11 +1,14 @@
 #include "hyssoprail/connection/upstream_client.hpp"
 #include "hyssoprail/connection/ip_port.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -24,6 +27,10 @@
 
 constexpr std::size_t MaxIdlePerAuthority = 24;
 
+/// A connection is closed after this many named requests, because their ids are
+/// remembered with it. A new one for every 256 requests costs little.
+constexpr std::size_t MaxRequestsPerConnection = 256;
+
 /// Idle time after which a connection is not reused if the endpoint announces
 /// none; a request sent while the endpoint closes the connection would be lost.
 constexpr milliseconds DefaultIdleTime{2'500};
@@ -48,8 +55,19 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{MaxBufferedBytes};
   SteadyTime UsableUntil;
+  std::vector<std::size_t> SentIds; ///< hashes of the ids that were sent on it
+
+  /// Also true, rarely, for an id whose hash is the same.
+  bool hasSent(std::size_t IdHash) const {
+    return std::find(SentIds.begin(), SentIds.end(), IdHash) != SentIds.end();
+  }
 };
 
+/// 0 for a request without an id.
+std::size_t hashOfId(const std::string &RequestId) {
+  return RequestId.empty() ? 0 : std::hash<std::string>()(RequestId);
+}
+
 using ConnectionPtr = std::shared_ptr<Connection>;
 
 void setSocketOptions(tcp::socket &Socket) {
@@ -79,20 +97,25 @@
 public:
   explicit ConnectionPool(asio::io_context &Context) : Context(Context) {}
 
-  ConnectionPtr take(const std::string &Peer) {
+  /// Returns an idle connection on which no request with the id \p IdHash was
+  /// sent; nullptr if there is none.
+  ConnectionPtr take(const std::string &Peer, std::size_t IdHash) {
     const auto Found = Idle.find(Peer);
     if (Found == Idle.end())
       return nullptr;
     auto &Connections = Found->second;
-    while (!Connections.empty()) {
-      ConnectionPtr C = std::move(Connections.back());
-      Connections.pop_back();
+    for (std::size_t I = Connections.size(); I-- > 0;) {
+      if (IdHash != 0 && Connections[I]->hasSent(IdHash))
+        continue;
+      ConnectionPtr C = std::move(Connections[I]);
+      Connections.erase(Connections.begin() + static_cast<std::ptrdiff_t>(I));
       if (usable(*C)) {
         ++Counters.Reuses;
         return C;
       }
     }
-    Idle.erase(Found);
+    if (Connections.empty())
+      Idle.erase(Found);
     return nullptr;
   }
 
@@ -102,7 +125,8 @@
   }
 
   void keep(const std::string &Peer, ConnectionPtr C, milliseconds IdleTime) {
-    if (IdleTime <= milliseconds(0))
+    if (IdleTime <= milliseconds(0) ||
+        C->SentIds.size() >= MaxRequestsPerConnection)
       return;
     auto &Connections = Idle[Peer];
     C->Stream.expires_never();
@@ -150,7 +174,7 @@
         Deadline(std::chrono::steady_clock::now() + this->Call.HeadTimeout) {}
 
   void start() {
-    Active = Connections->take(Peer);
+    Active = Connections->take(Peer, hashOfId(Call.RequestId));
     if (Active)
       return write();
     const auto Endpoint = parseIpPort(Call.Authority);
@@ -196,6 +220,8 @@
         Message.insert(H.Name, H.Value);
     Message.body() = std::move(Call.Request.Body);
     Message.prepare_payload();
+    if (!Call.RequestId.empty())
+      Active->SentIds.push_back(hashOfId(Call.RequestId));
     Active->Stream.expires_at(Deadline);
     http::async_write(
         Active->Stream, Message,
--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -36,7 +36,8 @@
 
   Outcome send(const std::string &Authority, const std::string &Id,
                std::chrono::milliseconds Timeout = std::chrono::seconds(5),
-               const std::string &Incarnation = "") {
+               const std::string &Incarnation = "",
+               const std::string &RequestId = "") {
     std::promise<Outcome> Done;
     auto Result = Done.get_future();
     auto Seen = std::make_shared<Outcome>();
@@ -45,6 +46,7 @@
     Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
     Call.HeadTimeout = Timeout;
     Call.Incarnation = Incarnation;
+    Call.RequestId = RequestId;
     UpstreamHandlers H;
     H.MatchesRequest = [Id](const HttpResponse &Head) {
       return headerValue(Head.Headers, "Request-Id") == Id;
@@ -88,6 +90,46 @@
   REQUIRE(Server.connections() == 2);
 }
 
+// Guards against a late copy of the response to an earlier send of the same
+// request that is taken for the response to the present one.
+TEST_CASE("a request is not sent twice on the same connection") {
+  ScriptedServer Server({{response("1", "first")},
+                         {response("2", "b")},
+                         {response("1", "second")},
+                         {response("2", "c")},
+                         {response("3", "d")}});
+  Sender S;
+  const auto Send = [&](const std::string &Id) {
+    return S.send(Server.authority(), Id, std::chrono::seconds(5), "", Id).Body;
+  };
+  REQUIRE(Send("1") == "first");
+  REQUIRE(Send("2") == "b");
+  REQUIRE(Server.connections() == 1);
+  REQUIRE(Send("1") == "second");
+  REQUIRE(Server.connections() == 2);
+  REQUIRE(Send("2") == "c"); // on the second connection
+  REQUIRE(Send("3") == "d");
+  REQUIRE(Server.connections() == 2);
+}
+
+// Guards against the ids of all requests of a connection taking up memory
+// without bound, and against a new connection for every few requests.
+TEST_CASE("a connection is closed after a number of requests") {
+  constexpr unsigned Requests = 600;
+  std::vector<ScriptedAnswer> Script;
+  for (unsigned I = 0; I < Requests; ++I)
+    Script.push_back({response(std::to_string(I), "a")});
+  ScriptedServer Server(Script);
+  Sender S;
+  for (unsigned I = 0; I < Requests; ++I) {
+    const std::string Id = std::to_string(I);
+    REQUIRE(
+        S.send(Server.authority(), Id, std::chrono::seconds(5), "", Id).End ==
+        UpstreamEnd::Complete);
+  }
+  REQUIRE(Server.connections() == 3);
+}
+
 // Guards against a late duplicate response that is taken for the response to
 // the next request.
 TEST_CASE("a response to an earlier request is skipped") {
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -36,8 +36,9 @@
                              const routing::LegRequest &Leg,
                              std::string_view Account) const = 0;
 
-  /// Tells whether the head belongs to a response to the request \p RequestId;
-  /// false only if it names another request.
+  /// Tells whether the head belongs to a response to the request \p RequestId.
+  /// False if it names another request, or refuses one without naming it: it
+  /// may be a late copy of the refusal of an earlier request.
   virtual bool isResponseTo(const HttpResponse &Head,
                             std::string_view RequestId) const = 0;
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -57,6 +57,7 @@
   UpstreamCall Call;
   Call.Authority = Spec.Address;
   Call.Incarnation = Spec.EndpointId;
+  Call.RequestId = Request.Info.Id;
   Call.Request =
       Services.Protocol.encode(Caller->request(), Spec, Request.Account);
   Call.ConnectTimeout =
