An error of the next engine does not become part of a stream

What callers saw: a resumable stream began and broke off, the next engine answered with a signed 200 that was no event stream (text, JSON or a page with a blank line at its end), and the text stood in the middle of the stream, which then ended as if it were complete.

All other errors (4xx and 5xx, signed or not, with or without a length, unsigned 200) already broke the stream off.

Where the content type tells nothing, text without any field of an event or a comment ends what is passed on, and the stream cannot end as complete; it goes on at another engine where the route allows it. stream_flow.cpp is unchanged, and so is the stream of the first engine, since the content type of sound streams is not fixed.

What remains: an error that is written as an event ("data: overloaded") in an answer that states no content type, or that of an event stream, cannot be told from an event.

--- a/include/hyssoprail/routing/event_splitter.hpp
+++ b/include/hyssoprail/routing/event_splitter.hpp
@@ -12,6 +12,9 @@
 struct StreamEvent {
   std::optional<std::uint64_t> Id; ///< value of the "id" field
   std::string Bytes;               ///< including the blank line that ends it
+  /// It has text, but no line of it is a field or a comment: most likely it is
+  /// part of another kind of response.
+  bool IsForeignText = false;
 };
 
 /// Splits a stream into complete server-sent events. Their bytes are not
--- a/include/hyssoprail/routing/stream_progress.hpp
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -23,11 +23,15 @@
   void restart();
 
   /// Adds data from the engine; returns the complete events that the caller has
-  /// not received yet.
+  /// not received yet. Nothing is returned any more once an engine that should
+  /// continue the stream has sent text that is no event, such as an error.
   std::string feed(std::string_view Data);
 
-  /// True if the data so far ends with a complete event of the current engine.
-  bool atEventEnd() const { return GotNewEvent && Splitter.atBoundary(); }
+  /// True if the data so far ends with a complete event of the current engine,
+  /// and all of it belongs to the stream.
+  bool atEventEnd() const {
+    return GotNewEvent && !HasForeignText && Splitter.atBoundary();
+  }
 
   /// True if the current engine sends an event that exceeds the size limit.
   bool eventTooLong() const { return Splitter.tooLong(); }
@@ -50,6 +54,9 @@
   std::optional<std::uint64_t> LastEventId;
   std::uint64_t Events = 0;
   bool GotNewEvent = false;
+  /// The current engine continues a stream whose events have ids.
+  bool Continues = false;
+  bool HasForeignText = false; ///< of the engine that continues the stream
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -45,6 +45,11 @@
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
+  /// True if the head, for which beginsStream() holds, begins the rest of the
+  /// stream whose first head the caller has received.
+  virtual bool continuesStream(const HttpResponse &Head,
+                               const HttpResponse &First) const = 0;
+
   /// What the head of a response to a leg of kind \p Kind states about the
   /// endpoint's limit; nullopt if nothing can be concluded from it.
   virtual std::optional<LimitStatement>
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -98,8 +98,7 @@
   L.Limit = Services.Protocol.limitStatement(L.Kind, Head);
   if (L.Limit)
     Hooks.OnLimitStatement(L.EndpointId, *L.Limit);
-  L.Streaming =
-      L.Kind == LegKind::Decode && Services.Protocol.beginsStream(Head);
+  L.Streaming = isPartOfStream(L.Kind, Head);
   if (!L.Streaming) {
     L.Response = std::move(Head);
     return;
@@ -108,6 +107,14 @@
   afterEvent();
 }
 
+/// True if what follows \p Head may be passed on to the caller as it arrives.
+bool RequestSession::isPartOfStream(LegKind Kind,
+                                    const HttpResponse &Head) const {
+  const EndpointProtocol &Protocol = Services.Protocol;
+  return Kind == LegKind::Decode && Protocol.beginsStream(Head) &&
+         (!StreamHead || Protocol.continuesStream(Head, *StreamHead));
+}
+
 void RequestSession::onLegData(LegId Id, std::string_view Data) {
   const auto It = Legs.find(Id);
   if (It == Legs.end())
@@ -241,6 +248,7 @@
 void RequestSession::beginStream(const HttpResponse &Head) {
   Result.FirstEventDelay = Services.Time.now() - Request.Arrival;
   Result.Status = Head.Status;
+  StreamHead = Head;
   Caller->begin(Head.Status, Head.Headers);
 }
 
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -140,6 +140,7 @@
 
   UpstreamHandlers legHandlers(LegId Id);
   void onLegHead(LegId Id, HttpResponse Head);
+  bool isPartOfStream(routing::LegKind Kind, const HttpResponse &Head) const;
   void onLegData(LegId Id, std::string_view Data);
   void onLegEnd(LegId Id, UpstreamEnd End, const std::string &Detail);
   bool bufferResponse(Leg &L, std::string_view Data);
@@ -162,6 +163,8 @@
   boost::asio::steady_timer Timer;
   TimePoint TimerExpiry = TimePoint::max();
   SessionResult Result;
+  /// Head of the stream that the caller receives.
+  std::optional<HttpResponse> StreamHead;
   bool Ended = false;
 };
 
--- a/src/hyssoprail/routing/event_splitter.cpp
+++ b/src/hyssoprail/routing/event_splitter.cpp
@@ -1,16 +1,26 @@
 #include "hyssoprail/routing/event_splitter.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace hyssoprail::routing {
 namespace {
 
+/// Removes the first line from \p Text and returns it without its end.
+std::string_view takeLine(std::string_view &Text) {
+  const std::size_t End = Text.find('\n');
+  std::string_view Line = Text.substr(0, End);
+  Text.remove_prefix(End == std::string_view::npos ? Text.size() : End + 1);
+  if (Line.ends_with('\r'))
+    Line.remove_suffix(1);
+  return Line;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view Event) {
   constexpr std::string_view Field = "id:";
   while (!Event.empty()) {
-    const std::size_t End = Event.find('\n');
-    std::string_view Line = Event.substr(0, End);
-    Event.remove_prefix(End == std::string_view::npos ? Event.size() : End + 1);
+    std::string_view Line = takeLine(Event);
     if (!Line.starts_with(Field))
       continue;
     Line.remove_prefix(Field.size());
@@ -25,6 +35,24 @@
   return std::nullopt;
 }
 
+/// A comment has an empty name.
+constexpr std::array<std::string_view, 5> FieldNames{"data", "id", "event",
+                                                     "retry", ""};
+
+bool isForeignText(std::string_view Event) {
+  bool HasText = false;
+  while (!Event.empty()) {
+    const std::string_view Line = takeLine(Event);
+    if (Line.empty())
+      continue;
+    HasText = true;
+    if (std::find(FieldNames.begin(), FieldNames.end(),
+                  Line.substr(0, Line.find(':'))) != FieldNames.end())
+      return false;
+  }
+  return HasText;
+}
+
 /// Returns the position after the first blank line, or npos.
 std::size_t endOfEvent(std::string_view Text) {
   const std::size_t LfEnd = Text.find("\n\n");
@@ -45,6 +73,7 @@
   StreamEvent Event;
   Event.Bytes = Pending.substr(0, End);
   Event.Id = eventId(Event.Bytes);
+  Event.IsForeignText = isForeignText(Event.Bytes);
   Pending.erase(0, End);
   return Event;
 }
--- a/src/hyssoprail/routing/event_splitter_test.cpp
+++ b/src/hyssoprail/routing/event_splitter_test.cpp
@@ -42,4 +42,20 @@
   REQUIRE_FALSE(Splitter.atBoundary());
 }
 
+// Guards against events that are taken for text, and the reverse.
+TEST_CASE("text without any field of an event is recognised") {
+  const auto IsForeign = [](const std::string &Text) {
+    EventSplitter Splitter;
+    Splitter.feed(Text);
+    return Splitter.next()->IsForeignText;
+  };
+  for (const char *Event :
+       {"data: a\n\n", "data\n\n", "id: 1\r\ndata: a\r\n\r\n", ": comment\n\n",
+        "event: end\n\n", "retry: 5\n\n", "x-version: 7\ndata: b\n\n", "\n\n"})
+    CHECK_FALSE(IsForeign(Event));
+  for (const char *Text : {"overloaded\n\n", "{\n  \"data\": 1\n}\n\n",
+                           "<html>\r\n\r\n", "database: down\n\n"})
+    CHECK(IsForeign(Text));
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_progress.cpp
+++ b/src/hyssoprail/routing/stream_progress.cpp
@@ -5,13 +5,16 @@
 void StreamProgress::restart() {
   Splitter = {};
   GotNewEvent = false;
+  HasForeignText = false;
+  Continues = LastEventId.has_value();
 }
 
 std::string StreamProgress::feed(std::string_view Data) {
   Splitter.feed(Data);
   std::string Ready;
   while (auto Event = Splitter.next()) {
-    if (!isNew(*Event))
+    HasForeignText = HasForeignText || (Continues && Event->IsForeignText);
+    if (HasForeignText || !isNew(*Event))
       continue;
     ++Events;
     Ready += Event->Bytes;
--- a/src/hyssoprail/routing/stream_progress_test.cpp
+++ b/src/hyssoprail/routing/stream_progress_test.cpp
@@ -26,4 +26,29 @@
   CHECK(P.feed("id: 4\ndata: d\n\n") == "id: 4\ndata: d\n\n");
 }
 
+// Guards against an error of the next engine in the middle of the stream, and
+// against such a stream that counts as complete.
+TEST_CASE("text of a continuation that is no event is not passed on") {
+  StreamProgress P;
+  CHECK(P.feed("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
+  P.restart();
+  CHECK(P.feed("id: 2\ndata: b\n\noverloaded\n\nid: 3\ndata: c\n\n") ==
+        "id: 2\ndata: b\n\n");
+  CHECK_FALSE(P.atEventEnd());
+  CHECK(P.lastEventId() == 2);
+  P.restart();
+  CHECK(P.feed(": alive\n\n\n\ndata: no id\n\nid: 3\ndata: c\n\n") ==
+        ": alive\n\n\n\ndata: no id\n\nid: 3\ndata: c\n\n");
+  CHECK(P.atEventEnd());
+}
+
+// Guards against a check that changes the streams of a single engine.
+TEST_CASE("the first engine's stream is passed on as it is") {
+  StreamProgress P;
+  P.restart();
+  CHECK(P.feed("text\n\nid: 1\ndata: a\n\ntext\n\n") ==
+        "text\n\nid: 1\ndata: a\n\ntext\n\n");
+  CHECK(P.atEventEnd());
+}
+
 } // namespace hyssoprail::routing
