--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -36,14 +36,20 @@
                              const routing::LegRequest &Leg,
                              std::string_view Account) const = 0;
 
-  /// Tells whether the head belongs to a response to the request \p RequestId;
-  /// false only if it names another request.
+  /// Tells whether the head belongs to a response to the request \p RequestId.
+  /// False if it names another request, or refuses one without naming it: it
+  /// may be a late copy of the refusal of an earlier request.
   virtual bool isResponseTo(const HttpResponse &Head,
                             std::string_view RequestId) const = 0;
 
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
+  /// True if the head, for which beginsStream() holds, begins the rest of the
+  /// stream whose first head the caller has received.
+  virtual bool continuesStream(const HttpResponse &Head,
+                               const HttpResponse &First) const = 0;
+
   /// What the head of a response to a leg of kind \p Kind states about the
   /// endpoint's limit; nullopt if nothing can be concluded from it.
   virtual std::optional<LimitStatement>
