Endpoints whose responses state that they leave get no new work

Cause: an endpoint that leaves says so in every response, often before its registration does, and also to entries that cannot read the store. Entries ignored it and kept sending work.

Change: the head of any response but a 421 takes the incarnation (id and start time) out of service at this entry: for calls, prefills, decodes, stage orders, grants and last resorts. Only a newer start time ends this; statements about endpoints whose registration lapsed are remembered, for 1,024 of them. Entries and coordinator exchange the known incarnations: a digest in each report and update, the list (at most 500 a message) while the digests differ. Start times are merged by their maximum, so lost, late and repeated messages do no harm, and older builds ignore the new fields. Streams placed at such an engine, also at a prefill engine, go back to the queue before anything is sent.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -11,11 +12,13 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/endpoint_availability.hpp"
 #include "hyssoprail/routing/endpoint_health.hpp"
 #include "hyssoprail/routing/endpoint_limit.hpp"
 #include "hyssoprail/routing/endpoint_load.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
+#include "hyssoprail/routing/leaving_endpoints.hpp"
 #include "hyssoprail/routing/start_rate_limiter.hpp"
 
 namespace hyssoprail::routing {
@@ -26,6 +29,7 @@
   EndpointHealth Health;
   StartRateLimiter StartLimiter;
   EndpointLimit Limit;
+  EndpointAvailability Availability;
   EndpointLoad OwnLoad;  ///< placed by this entry
   EndpointLoad PeerLoad; ///< placed by the other entries, from their reports
   TimePoint CacheLossUntil{}; ///< KV caches that it keeps are lost before they
@@ -99,6 +103,14 @@
   void recordLimit(std::string_view Id, std::optional<double> PerSecond,
                    TimePoint At);
 
+  /// Records that the incarnation of the endpoint that started at \p
+  /// StartedAtMs leaves: it gets no new work until a later incarnation
+  /// registers. Returns true if this was not known.
+  bool recordLeaving(std::string_view Id, std::int64_t StartedAtMs);
+
+  /// Registered endpoints that leave.
+  const LeavingEndpoints &leaving() const { return Leaving; }
+
   /// Sets the share of the endpoints' stated limits that this entry may grant.
   void setLimitShare(double Share, TimePoint Now);
 
@@ -125,13 +137,16 @@
   /// True if \p E can receive new work now.
   bool mayStart(Endpoint &E, TimePoint Now) const;
 
+  /// True if \p E takes new work, as far as is known without its health.
+  bool takesWork(const Endpoint &E, TimePoint) const { return inService(E); }
+
   /// True if work that has been placed on \p E can be sent to it now.
   bool mayReceive(const Endpoint &E, TimePoint Now) const {
-    return inService(E) && E.Health.usable(Now);
+    return takesWork(E, Now) && E.Health.usable(Now);
   }
 
-  /// True unless the endpoint is draining, its registration was removed, or its
-  /// zone is excluded.
+  /// True unless the endpoint is draining or has stated that it leaves, its
+  /// registration was removed, or its zone is excluded.
   bool inService(const Endpoint &E) const;
 
   void forEach(const std::function<void(Endpoint &)> &Visit);
@@ -153,16 +168,27 @@
 
   std::size_t size() const { return ById.size(); }
 
+  /// Endpoints that are not in the table and have stated something.
+  std::size_t unregisteredCount() const { return Unregistered.size(); }
+
 private:
   bool isWithinStartRate(Endpoint &E, TimePoint Now) const;
   bool startsByGrant(std::string_view Service) const;
   void eraseIfIdle(const std::string &Id);
+  EndpointAvailability &availabilityOf(const std::string &Id);
+  void forgetUnregistered(const std::string &Id);
+  void listLeaving(const Endpoint &E);
 
   std::map<std::string, Endpoint, std::less<>> ById;
   std::map<std::string, LoadMap, std::less<>> PeerLoads;
   std::set<std::string, std::less<>> ExcludedZones;
   std::map<std::string, StartRateLimit, std::less<>> StartRateLimits;
   double LimitShare = 0;
+  LeavingEndpoints Leaving;
+  /// What endpoints that are not in the table have stated. Their registrations
+  /// may return, and other entries tell of endpoints that are not known yet.
+  std::map<std::string, EndpointAvailability, std::less<>> Unregistered;
+  std::deque<std::string> UnregisteredOrder; ///< oldest first
   /// Services of which an endpoint may have stated a limit.
   std::set<std::string, std::less<>> LimitedServices;
 };
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -33,7 +33,8 @@
   LegKind Kind = LegKind::Call;
   std::string EndpointId;
   std::string Address;
-  milliseconds Deadline{0}; ///< time after which the endpoint stops work
+  std::int64_t StartedAtMs = 0; ///< incarnation of the endpoint
+  milliseconds Deadline{0};     ///< time after which the endpoint stops work
   std::optional<KvSource> Source;
   std::optional<std::uint64_t> ResumeAfter; ///< id of the last delivered event
   bool IsRetry = false; ///< the request had an earlier leg of this kind
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -51,7 +51,7 @@
       Time(Time), Log(Log), State(State), Handlers(std::move(Handlers)),
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
-      Calls(State.Table), Grants(State.Table),
+      Calls(State.Table), Grants(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers) {}
 
 Status Coordination::start() {
@@ -116,6 +116,8 @@
   announceGroup(Now);
   publishCrashes(Now);
   Grants.expireSilentEntries(Now);
+  if (Leavers.peerCount() > Server.knownEntryCount())
+    Leavers.forgetPeers();
   Scheduler.sampleUtilization(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
@@ -133,6 +135,7 @@
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
   forgetCrashPeers();
+  Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
   logCoordinatorChange("claimed");
   reportOrDecide();
@@ -201,9 +204,19 @@
 void Coordination::takeReport(const wire::EntryReport &Report, TimePoint Now) {
   if (!Server.handleReport(Report, Now))
     return;
-  Grants.handleReport(Report, Now);
-  if (Report.sender() != Settings.Name)
+  if (Report.sender() != Settings.Name) {
     takeCrashes(Report, Now);
+    takeLeaving(Report);
+  }
+  Grants.handleReport(Report, Now);
+}
+
+/// Merges what a report or an update tells of endpoints that leave.
+template <typename Message>
+void Coordination::takeLeaving(const Message &From) {
+  for (const std::string &Id : Leavers.take(From.sender(), From))
+    Log.write(LogCategory::Outcome, "endpoint_leaving", "",
+              {{"endpoint", Id}, {"source", From.sender()}});
 }
 
 void Coordination::endTerm(TimePoint Now) {
@@ -234,6 +247,7 @@
     if (WasCoordinator)
       endTerm(Now);
     forgetCrashPeers();
+    Leavers.forgetPeers();
     logCoordinatorChange("heard");
   }
   const auto &Current = Election.currentClaim();
@@ -278,6 +292,7 @@
 void Coordination::applyUpdate(const wire::CoordinatorUpdate &Update,
                                TimePoint Now) {
   takeCrashes(Update, Now);
+  takeLeaving(Update);
   Source = Update.source();
   Deputies.assign(Update.deputies().begin(), Update.deputies().end());
   applySource(Now);
@@ -296,7 +311,8 @@
     notifyStateChanged();
 }
 
-wire::EntryReport Coordination::makeReport(TimePoint Now) {
+wire::EntryReport Coordination::makeReport(const std::string &To,
+                                           TimePoint Now) {
   wire::EntryReport R;
   R.set_sender(Settings.Name);
   R.set_incarnation(Incarnation);
@@ -324,6 +340,7 @@
   }
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
+  Leavers.fill(To, R);
   ReportedAt = Now;
   return R;
 }
@@ -331,7 +348,7 @@
 void Coordination::sendReport(const routing::CoordinatorClaim &To,
                               TimePoint Now) {
   wire::CoordinationMessage Message;
-  *Message.mutable_report() = makeReport(Now);
+  *Message.mutable_report() = makeReport(To.Name, Now);
   if (State.Crashes.hasNewsFor(To.Name))
     State.Crashes.fillDelta(To.Name,
                             *Message.mutable_report()->mutable_crashes(), Now);
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -21,6 +21,7 @@
 #include "hyssoprail/routing/coordinator_election.hpp"
 #include "hyssoprail/routing/crash_ledger.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
+#include "hyssoprail/routing/leaving_exchange.hpp"
 
 namespace hyssoprail::gateway {
 
@@ -131,13 +132,14 @@
   void deliver(const std::vector<routing::StreamDecision> &Decisions);
   void applyDecisions(const wire::CoordinatorUpdate &Update, TimePoint Now);
   bool hasUnreportedChange() const {
-    return Client.hasUnreportedChange() || Calls.hasUnreportedChange();
+    return Client.hasUnreportedChange() || Calls.hasUnreportedChange() ||
+           Leavers.hasUnreportedChange();
   }
   void endTerm(TimePoint Now);
   void takeReport(const wire::EntryReport &Report, TimePoint Now);
   std::size_t claimRank() const;
 
-  wire::EntryReport makeReport(TimePoint Now);
+  wire::EntryReport makeReport(const std::string &To, TimePoint Now);
   void sendReport(const routing::CoordinatorClaim &To, TimePoint Now);
   bool reportDue(TimePoint Now) const;
 
@@ -160,6 +162,7 @@
   template <typename Message>
   void takeCrashes(const Message &From, TimePoint Now);
   void forgetCrashPeers();
+  template <typename Message> void takeLeaving(const Message &From);
   void publishCrashes(TimePoint Now);
   std::size_t partedEntries(TimePoint Now) const;
 
@@ -177,6 +180,7 @@
   routing::AdmissionServer Server;
   routing::CallGrantClient Calls;
   routing::CallGrantServer Grants;
+  routing::LeavingExchange Leavers;
   routing::CoordinatorElection Election;
   PeerTransport &Peers;
 
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -32,7 +32,7 @@
   const TimePoint Now = Time.now();
   if (Election.isCoordinator()) {
     if (hasUnreportedChange() || Now - ReportedAt >= SelfReportInterval)
-      takeReport(makeReport(Now), Now);
+      takeReport(makeReport(Settings.Name, Now), Now);
     return decide(Now);
   }
   if (hasUnreportedChange() && Election.currentClaim())
@@ -101,6 +101,8 @@
     LastTotals = Now;
   Server.fillUpdate(Entry, U, WithTotals);
   Grants.fillUpdate(Entry, U, Now);
+  if (Entry != Settings.Name)
+    Leavers.fill(Entry, U);
   if (Entry != Settings.Name && State.Crashes.hasNewsFor(Entry))
     State.Crashes.fillDelta(Entry, *U.mutable_crashes(), Now);
   return U;
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -20,6 +20,14 @@
   std::optional<double> PerSecond; ///< nullopt: there is no limit
 };
 
+/// What a response of an endpoint states about the work that it takes from now
+/// on.
+struct AvailabilityStatement {
+  bool Leaving = false; ///< it takes no new work from any entry
+
+  bool empty() const { return !Leaving; }
+};
+
 /// Converts between the HTTP messages of callers and endpoints and the types of
 /// the routing library. Stateless.
 class EndpointProtocol {
@@ -49,6 +57,10 @@
   virtual std::optional<LimitStatement>
   limitStatement(routing::LegKind Kind, const HttpResponse &Head) const = 0;
 
+  /// What the head of a response states about the work that the endpoint takes.
+  virtual AvailabilityStatement
+  availabilityStatement(const HttpResponse &Head) const = 0;
+
   /// Classifies a complete response.
   virtual routing::LegResult interpret(routing::LegKind Kind,
                                        HttpResponse Response) const = 0;
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -71,7 +71,11 @@
           {[this](const auto &Decisions) { onDecisions(Decisions); },
            [this](const auto &Decisions) { onDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
-             Feed, Http, Protocol, Log),
+             Feed, Http, Protocol, Log,
+             [this](const std::string &Id, std::int64_t StartedAtMs,
+                    const AvailabilityStatement &Statement) {
+               onAvailabilityStatement(Id, StartedAtMs, Statement);
+             }),
       Endpoints(makeUpstreamClient(Context)), BufferBudget(ResponseBufferBytes),
       TickTimer(Context) {}
 
@@ -302,6 +306,11 @@
                                   const LimitStatement &Statement) {
     onLimitStatement(EndpointId, Statement);
   };
+  Hooks.OnAvailabilityStatement =
+      [this](const std::string &EndpointId, std::int64_t StartedAtMs,
+             const AvailabilityStatement &Statement) {
+        onAvailabilityStatement(EndpointId, StartedAtMs, Statement);
+      };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
   };
@@ -458,6 +467,8 @@
         .set(E.Health.failureShare());
     Counters.gauge("endpoint_limit_per_second", Label)
         .set(E.Limit.perSecond().value_or(0));
+    Counters.gauge("endpoint_leaving", Label)
+        .set(E.Availability.leaving() ? 1 : 0);
     Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
   });
 }
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -96,6 +96,9 @@
   void onDecisions(const std::vector<Decision> &Decisions);
   void onLimitStatement(const std::string &EndpointId,
                         const LimitStatement &Statement);
+  void onAvailabilityStatement(const std::string &EndpointId,
+                               std::int64_t StartedAtMs,
+                               const AvailabilityStatement &Statement);
 
   bool ready() const;
   void handleReadiness(const Exchange &Caller);
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -126,6 +126,20 @@
   FleetCoordination.storeRestored();
 }
 
+// ---- What endpoints state ---------------------------------------------------
+
+void GatewayRuntime::onAvailabilityStatement(
+    const std::string &EndpointId, std::int64_t StartedAtMs,
+    const AvailabilityStatement &Statement) {
+  if (!Statement.Leaving || !Table.recordLeaving(EndpointId, StartedAtMs))
+    return;
+  Log.write(LogCategory::Outcome, "endpoint_leaving", "",
+            {{"endpoint", EndpointId},
+             {"started_at_ms", StartedAtMs},
+             {"source", "response"}});
+  FleetCoordination.notifyStateChanged();
+}
+
 // ---- Periodic work --------------------------------------------------------
 
 void GatewayRuntime::tick() {
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -85,12 +85,22 @@
   std::function<bool(const std::string &, const std::string &)> IsCut;
 };
 
+/// A request as an entry sends it.
+struct Send {
+  TimePoint At;
+  std::uint64_t Process = 0; ///< incarnation of the entry
+  bool KnewLeaving = false;  ///< the process had read that the endpoint leaves
+};
+
 /// An endpoint of the service "orders" that answers every request after a fixed
 /// time and may state a limit.
 struct LimitedEndpoint {
   std::string Id;
   std::optional<double> PerSecond;
   std::vector<TimePoint> Arrivals;
+  bool Leaving = false; ///< what its responses state
+  std::int64_t StartedAtMs = 1;
+  std::vector<Send> Sends;
 };
 
 /// Outcomes of the calls of a run.
@@ -138,12 +148,34 @@
     Entries.erase(Name);
     auto E = std::make_unique<Entry>(*this, Name, ++LastIncarnation);
     for (const LimitedEndpoint &Target : Endpoints)
-      E->Table.apply(record(Target.Id));
+      E->Table.apply(record(Target.Id, Target.StartedAtMs));
     (void)E->Fleet.start();
     E->Fleet.setEntries(announcements());
     Entries[Name] = std::move(E);
   }
 
+  /// All entries read a registration of the endpoint that says it is ready.
+  void registerEndpoint(const LimitedEndpoint &Target, std::int64_t Sequence) {
+    for (auto &[Name, E] : Entries) {
+      routing::EndpointRecord R = record(Target.Id, Target.StartedAtMs);
+      R.Sequence = Sequence;
+      const bool NewIncarnation =
+          R.StartedAtMs > E->Table.find(Target.Id)->Record.StartedAtMs;
+      E->Table.apply(R);
+      if (NewIncarnation)
+        E->ToldToLeave.erase(Target.Id);
+    }
+  }
+
+  /// Entries that still send work to the endpoint.
+  std::size_t entriesUsing(const std::string &EndpointId) {
+    return static_cast<std::size_t>(
+        std::count_if(Entries.begin(), Entries.end(), [&](const auto &Item) {
+          routing::Endpoint *E = Item.second->Table.find(EndpointId);
+          return E && Item.second->Table.inService(*E);
+        }));
+  }
+
   void kill(const std::string &Name) { Entries.erase(Name); }
   void pause(const std::string &Name, bool Paused) {
     Entries.at(Name)->Paused = Paused;
@@ -268,7 +300,8 @@
   struct Entry {
     Entry(LimitFleet &Owner, const std::string &Name, std::uint64_t Incarnation)
         : Settings(settings(Name)), Log(Owner.LogFile, Name, Owner.Time),
-          Crashes(Incarnation), Feed(Owner, Name), Port(Owner.Network),
+          Incarnation(Incarnation), Crashes(Incarnation), Feed(Owner, Name),
+          Port(Owner.Network),
           Fleet(Owner.Context, Settings, Incarnation, Owner.Time, Log, Port,
                 {Table, Engines, Crashes, Quota, Feed},
                 {[](const auto &) {},
@@ -287,7 +320,9 @@
     DecisionLog Log;
     routing::EndpointTable Table;
     routing::HealthSignalLog Engines{Table};
+    const std::uint64_t Incarnation;
     routing::CrashLedger Crashes;
+    std::set<std::string> ToldToLeave; ///< endpoints, by their own responses
     routing::SharedQuota Quota{routing::QuotaTolerance{}};
     routing::RetryLimiter Retries{{0.2, 50, milliseconds(10'000)}};
     routing::LengthEstimator Lengths;
@@ -307,15 +342,19 @@
     routing::FlowIo::LegId Leg;
     std::string EndpointId;
     std::optional<double> PerSecond;
+    bool Leaving = false;
+    std::int64_t StartedAtMs = 0;
   };
 
-  static routing::EndpointRecord record(const std::string &Id) {
+  static routing::EndpointRecord record(const std::string &Id,
+                                        std::int64_t StartedAtMs) {
     routing::EndpointRecord R;
     R.Id = Id;
     R.Service = "orders";
     R.Address = "10.0.0.1:80";
     R.Zone = "zone";
     R.Slots = 6;
+    R.StartedAtMs = StartedAtMs;
     return R;
   }
 
@@ -401,12 +440,15 @@
         Endpoints.begin(), Endpoints.end(),
         [&](const LimitedEndpoint &E) { return E.Id == EndpointId; });
     Target->Arrivals.push_back(now() + TransitTime);
+    Target->Sends.push_back(
+        {now(), Home.Incarnation, Home.ToldToLeave.contains(EndpointId)});
     const auto Id =
         std::find_if(Home.Calls.begin(), Home.Calls.end(),
                      [&](const auto &Item) { return Item.second.get() == &C; });
     Responses.push_back({now() + ServiceTime, Home.Settings.Name,
                          incarnation(Home), Id->first, Leg, EndpointId,
-                         Target->PerSecond});
+                         Target->PerSecond, Target->Leaving,
+                         Target->StartedAtMs});
   }
 
   std::uint64_t incarnation(const Entry &E) const {
@@ -425,6 +467,11 @@
         continue;
       if (E.Fleet.calls().recordResponse(R.EndpointId, R.PerSecond, now()))
         E.Fleet.notifyStateChanged();
+      if (R.Leaving) {
+        E.ToldToLeave.insert(R.EndpointId);
+        if (E.Table.recordLeaving(R.EndpointId, R.StartedAtMs))
+          E.Fleet.notifyStateChanged();
+      }
       routing::LegResult Result;
       Result.Outcome = routing::LegOutcome::Answered;
       Result.Response.Status = 200;
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -53,6 +53,7 @@
   Leg &L = Legs[Id];
   L.Kind = Spec.Kind;
   L.EndpointId = Spec.EndpointId;
+  L.EndpointStartedAtMs = Spec.StartedAtMs;
   L.StartedAt = Services.Time.now();
   UpstreamCall Call;
   Call.Authority = Spec.Address;
@@ -97,6 +98,10 @@
   L.Limit = Services.Protocol.limitStatement(L.Kind, Head);
   if (L.Limit)
     Hooks.OnLimitStatement(L.EndpointId, *L.Limit);
+  const AvailabilityStatement Stated =
+      Services.Protocol.availabilityStatement(Head);
+  if (!Stated.empty())
+    Hooks.OnAvailabilityStatement(L.EndpointId, L.EndpointStartedAtMs, Stated);
   L.Streaming =
       L.Kind == LegKind::Decode && Services.Protocol.beginsStream(Head);
   if (!L.Streaming) {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -72,6 +72,11 @@
   std::function<void(const std::string &EndpointId,
                      const LimitStatement &Statement)>
       OnLimitStatement;
+  /// A response of the incarnation of the endpoint that started at \p
+  /// StartedAtMs states which work it takes.
+  std::function<void(const std::string &EndpointId, std::int64_t StartedAtMs,
+                     const AvailabilityStatement &Statement)>
+      OnAvailabilityStatement;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -123,6 +128,7 @@
   struct Leg {
     routing::LegKind Kind = routing::LegKind::Call;
     std::string EndpointId;
+    std::int64_t EndpointStartedAtMs = 0;
     TimePoint StartedAt{};
     std::shared_ptr<UpstreamExchange> Exchange;
     HttpResponse Response;
--- a/src/hyssoprail/gateway/stage_orders.cpp
+++ b/src/hyssoprail/gateway/stage_orders.cpp
@@ -58,16 +58,20 @@
   Call.Request =
       Protocol.stageOrderRequest(Record.Id, Change.To, Holder, Fence);
   Call.Timeout = OrderTimeout;
-  Http.call(std::move(Call), [this, Id = Record.Id, To = Change.To,
-                              Fence](Result<HttpResponse> Response) {
-    const Error *E = errorOf(Response);
-    Log.write(LogCategory::Outcome, "stage_order", "",
-              {{"endpoint", Id},
-               {"to_prefill", To == routing::EngineStage::Prefill},
-               {"fence", Fence},
-               {"status", E ? 0U : valueOf(Response).Status},
-               {"why", E ? E->Message : std::string()}});
-  });
+  Http.call(std::move(Call),
+            [this, Id = Record.Id, StartedAtMs = Record.StartedAtMs,
+             To = Change.To, Fence](Result<HttpResponse> Response) {
+              const Error *E = errorOf(Response);
+              if (!E)
+                OnStatement(Id, StartedAtMs,
+                            Protocol.availabilityStatement(valueOf(Response)));
+              Log.write(LogCategory::Outcome, "stage_order", "",
+                        {{"endpoint", Id},
+                         {"to_prefill", To == routing::EngineStage::Prefill},
+                         {"fence", Fence},
+                         {"status", E ? 0U : valueOf(Response).Status},
+                         {"why", E ? E->Message : std::string()}});
+            });
 }
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/stage_orders.hpp
+++ b/src/hyssoprail/gateway/stage_orders.hpp
@@ -1,6 +1,8 @@
 #ifndef HYSSOPRAIL_GATEWAY_STAGE_ORDERS_HPP
 #define HYSSOPRAIL_GATEWAY_STAGE_ORDERS_HPP
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,14 +21,19 @@
 /// thread only.
 class StageOrders {
 public:
+  /// Called with what the response of an engine states.
+  using StatementHandler = std::function<void(
+      const std::string &EndpointId, std::int64_t StartedAtMs,
+      const AvailabilityStatement &Statement)>;
+
   StageOrders(std::string Holder, const Clock &Time,
               routing::EndpointTable &Table,
               const routing::StreamScheduler &Scheduler, FleetFeed &Feed,
               HttpClient &Http, const EndpointProtocol &Protocol,
-              DecisionLog &Log)
+              DecisionLog &Log, StatementHandler OnStatement)
       : Holder(std::move(Holder)), Time(Time), Table(Table),
         Scheduler(Scheduler), Feed(Feed), Http(Http), Protocol(Protocol),
-        Log(Log), Planner(Table) {}
+        Log(Log), OnStatement(std::move(OnStatement)), Planner(Table) {}
 
   /// Does the periodic work; to be called several times a second while this
   /// entry is the coordinator.
@@ -49,6 +56,7 @@
   HttpClient &Http;
   const EndpointProtocol &Protocol;
   DecisionLog &Log;
+  StatementHandler OnStatement;
   routing::StagePlanner Planner;
   TimePoint LeaseRequestedAt{};
   bool LeaseWanted = false; ///< the lease was requested and not released
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -172,6 +172,7 @@
     LegRequest Leg;
     Leg.EndpointId = E.Record.Id;
     Leg.Address = E.Record.Address;
+    Leg.StartedAtMs = E.Record.StartedAtMs;
     Leg.Deadline =
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     Leg.IsRetry = LegCount > 1;
--- /dev/null
+++ b/src/hyssoprail/routing/endpoint_availability.cpp
@@ -0,0 +1,17 @@
+#include "hyssoprail/routing/endpoint_availability.hpp"
+
+namespace hyssoprail::routing {
+
+bool EndpointAvailability::recordLeaving(std::int64_t StartedAtMs) {
+  if (LeavingIncarnation && *LeavingIncarnation >= StartedAtMs)
+    return false;
+  LeavingIncarnation = StartedAtMs;
+  return true;
+}
+
+void EndpointAvailability::registered(std::int64_t StartedAtMs) {
+  if (LeavingIncarnation && *LeavingIncarnation < StartedAtMs)
+    LeavingIncarnation.reset();
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -20,6 +20,10 @@
 /// arrive within one.
 constexpr std::size_t DecodeStartsDivisor = 2;
 
+/// Endpoints that are not in the table whose statements are remembered. The
+/// target fleet has 1,200 restarts a day.
+constexpr std::size_t MaxUnregistered = 1'024;
+
 } // namespace
 
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &Other) {
@@ -51,6 +55,13 @@
     for (const auto &[Peer, Loads] : PeerLoads)
       if (const auto Load = Loads.find(Record.Id); Load != Loads.end())
         E.PeerLoad += Load->second;
+    if (const auto Known = Unregistered.find(Record.Id);
+        Known != Unregistered.end()) {
+      E.Availability = Known->second;
+      forgetUnregistered(Record.Id);
+    }
+    E.Availability.registered(Record.StartedAtMs);
+    listLeaving(E);
     return true;
   }
   const bool Older = Record.StartedAtMs < E.Record.StartedAtMs ||
@@ -64,6 +75,7 @@
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
+    E.Availability.registered(Record.StartedAtMs);
   }
   const bool Changed =
       !E.Registered || Record.StartedAtMs != E.Record.StartedAtMs ||
@@ -73,6 +85,7 @@
           (E.Record.ColdFor > milliseconds(0));
   E.Record = Record;
   E.Registered = true;
+  listLeaving(E);
   return Changed;
 }
 
@@ -80,15 +93,58 @@
   const auto It = ById.find(Id);
   if (It == ById.end())
     return;
-  It->second.Registered = false;
-  eraseIfIdle(It->first);
+  Endpoint &E = It->second;
+  E.Registered = false;
+  // Without a start time, a later incarnation could not be told apart.
+  if (E.Record.StartedAtMs == 0)
+    E.Availability = {};
+  listLeaving(E);
+  eraseIfIdle(std::string(Id));
 }
 
 void EndpointTable::eraseIfIdle(const std::string &Id) {
   const auto It = ById.find(Id);
-  if (It != ById.end() && !It->second.Registered &&
-      It->second.OwnLoad.Runs == 0)
-    ById.erase(It);
+  if (It == ById.end() || It->second.Registered || It->second.OwnLoad.Runs != 0)
+    return;
+  if (It->second.Availability.hasStatement())
+    availabilityOf(Id) = It->second.Availability;
+  ById.erase(It);
+}
+
+/// Statements of an endpoint that is not in the table.
+EndpointAvailability &EndpointTable::availabilityOf(const std::string &Id) {
+  const auto [It, New] = Unregistered.try_emplace(Id);
+  if (New)
+    UnregisteredOrder.push_back(Id);
+  if (Unregistered.size() > MaxUnregistered)
+    forgetUnregistered(std::string(UnregisteredOrder.front()));
+  return It->second;
+}
+
+void EndpointTable::forgetUnregistered(const std::string &Id) {
+  Unregistered.erase(Id);
+  std::erase(UnregisteredOrder, Id);
+}
+
+void EndpointTable::listLeaving(const Endpoint &E) {
+  const auto Incarnation = E.Availability.leavingIncarnation();
+  if (E.Registered && Incarnation)
+    Leaving.set(E.Record.Id, *Incarnation);
+  else
+    Leaving.erase(E.Record.Id);
+}
+
+bool EndpointTable::recordLeaving(std::string_view Id,
+                                  std::int64_t StartedAtMs) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return StartedAtMs > 0 &&
+           availabilityOf(std::string(Id)).recordLeaving(StartedAtMs);
+  if (StartedAtMs < E->Record.StartedAtMs ||
+      !E->Availability.recordLeaving(StartedAtMs))
+    return false;
+  listLeaving(*E);
+  return true;
 }
 
 void EndpointTable::setExcludedZones(std::set<std::string, std::less<>> Zones) {
@@ -166,7 +222,7 @@
 }
 
 bool EndpointTable::inService(const Endpoint &E) const {
-  return E.Registered && !E.Record.Draining &&
+  return E.Registered && !E.Record.Draining && !E.Availability.leaving() &&
          !ExcludedZones.contains(E.Record.Zone);
 }
 
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -61,6 +61,8 @@
       return finish(RejectReason::NoKey, {}, Now);
     if (Crashes.isQuarantined(Now))
       return finishQuarantined(Now);
+    if (!takesWork(Place.Decode, Now))
+      return retryDecode(Now);
     if (!Place.Prefill.empty())
       return sendPrefill(Place, Now);
     if (SubmittedWithCache && !Cache.usable(Now))
@@ -197,11 +199,18 @@
     Out.Kind = Kind;
     Out.EndpointId = E.Record.Id;
     Out.Address = E.Record.Address;
+    Out.StartedAtMs = E.Record.StartedAtMs;
     Out.Deadline =
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     return Out;
   }
 
+  /// False if the endpoint has stopped taking work since it was chosen.
+  bool takesWork(const std::string &Id, TimePoint Now) const {
+    const Endpoint *E = Shared.Table.find(Id);
+    return !E || Shared.Table.takesWork(*E, Now);
+  }
+
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission) {
     CurrentPhase = StreamPhase::Waiting;
@@ -215,6 +224,10 @@
 
   void sendPrefill(const StreamPlacement &Place, TimePoint Now) {
     Endpoint *E = Shared.Table.find(Place.Prefill);
+    if (E && !takesWork(Place.Prefill, Now)) {
+      FailedPrefill = Place.Prefill;
+      return repeatPrefill(Now);
+    }
     if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
       Shared.Admission.prefillEnded(Request.SessionId, Now);
       return sendDecode(Now);
