Endpoints that turn an entry away are left alone until their time is over

Cause: an endpoint may answer 503 with Retry-After to an entry that sends it more than it can take. Entries ignored the time and sent more work after a backoff of 60 to 800 ms, or at once as a last resort.

The latest known end counts; a newer start time ends it. No call, prefill, decode or stage order is sent during a pause. Requests for the coordinator name up to 16 paused or leaving endpoints; a placement at another paused one goes back to the queue. A coordinator's own pauses do not count for what it places for others (Sender), and the refusal is no health signal for them. If all endpoints of a service are paused or out of service, calls, new streams and queued streams are rejected with the time until the first pause ends.

--- a/include/hyssoprail/routing/admission_client.hpp
+++ b/include/hyssoprail/routing/admission_client.hpp
@@ -2,7 +2,9 @@
 #define HYSSOPRAIL_ROUTING_ADMISSION_CLIENT_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +42,12 @@
   /// has decided.
   std::vector<StreamDecision> expire(TimePoint Now);
 
+  /// Refuses requests for services that take no work of this entry for a time.
+  /// \p WaitOf returns that time, or nullopt.
+  std::vector<StreamDecision> refusePaused(
+      const std::function<std::optional<milliseconds>(const std::string &)>
+          &WaitOf);
+
   /// True if the state has changed since the last report.
   bool hasUnreportedChange() const { return Changed; }
 
--- a/include/hyssoprail/routing/call_admission.hpp
+++ b/include/hyssoprail/routing/call_admission.hpp
@@ -15,7 +15,8 @@
 struct CallRequest {
   std::string Id;
   std::string Service;
-  std::vector<std::string> ExcludedEndpoints; ///< the call has tried them
+  /// The call has tried these, or they refuse all requests of the entry.
+  std::vector<std::string> ExcludedEndpoints;
 };
 
 /// The call may be sent to the endpoint, once and at once.
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -51,6 +51,13 @@
   }
 };
 
+/// Who would send the work in question. What an endpoint states to this entry
+/// alone does not count for work of other entries, which a coordinator places.
+enum class Sender {
+  ThisEntry,
+  AnyEntry,
+};
+
 /// Limit on the requests that this entry may start per second on an endpoint.
 struct StartRateLimit {
   std::size_t PerSecond = 0;
@@ -108,6 +115,22 @@
   /// registers. Returns true if this was not known.
   bool recordLeaving(std::string_view Id, std::int64_t StartedAtMs);
 
+  /// Records that the incarnation of the endpoint that started at \p
+  /// StartedAtMs wants no request from this entry before \p Until. Returns true
+  /// if that is later than what was known.
+  bool recordPause(std::string_view Id, std::int64_t StartedAtMs,
+                   TimePoint Until);
+
+  /// Time until an endpoint of \p Service can receive work of this entry, if
+  /// all that could are paused for it; else nullopt.
+  std::optional<milliseconds> pauseWait(std::string_view Service,
+                                        TimePoint Now) const;
+
+  /// Endpoints of \p Service that the coordinator may choose although they take
+  /// no work of this entry: those that are paused for it, and those that leave.
+  std::vector<std::string> refusing(std::string_view Service,
+                                    TimePoint Now) const;
+
   /// Registered endpoints that leave.
   const LeavingEndpoints &leaving() const { return Leaving; }
 
@@ -117,7 +140,8 @@
   Endpoint *find(std::string_view Id);
 
   /// Endpoints of \p Service that can receive new work now.
-  std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now);
+  std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now,
+                                 Sender From = Sender::ThisEntry);
 
   /// Endpoints of \p Service that are avoided because of failures but may still
   /// answer: a last resort for work that no usable endpoint can take.
@@ -126,7 +150,8 @@
   /// Endpoints of \p Service that can receive new work as soon as it is
   /// granted: they have stated a limit, or their start rate is subject to
   /// grants.
-  std::vector<Endpoint *> grantable(std::string_view Service, TimePoint Now);
+  std::vector<Endpoint *> grantable(std::string_view Service, TimePoint Now,
+                                    Sender From = Sender::ThisEntry);
 
   /// Counts a request of any entry that this one has granted.
   void recordGrant(std::string_view Id, TimePoint Now);
@@ -135,14 +160,20 @@
   GrantForecast grantForecast(std::string_view Service, TimePoint Now);
 
   /// True if \p E can receive new work now.
-  bool mayStart(Endpoint &E, TimePoint Now) const;
+  bool mayStart(Endpoint &E, TimePoint Now,
+                Sender From = Sender::ThisEntry) const;
 
   /// True if \p E takes new work, as far as is known without its health.
-  bool takesWork(const Endpoint &E, TimePoint) const { return inService(E); }
+  bool takesWork(const Endpoint &E, TimePoint Now,
+                 Sender From = Sender::ThisEntry) const {
+    return inService(E) &&
+           (From == Sender::AnyEntry || !E.Availability.paused(Now));
+  }
 
   /// True if work that has been placed on \p E can be sent to it now.
-  bool mayReceive(const Endpoint &E, TimePoint Now) const {
-    return takesWork(E, Now) && E.Health.usable(Now);
+  bool mayReceive(const Endpoint &E, TimePoint Now,
+                  Sender From = Sender::ThisEntry) const {
+    return takesWork(E, Now, From) && E.Health.usable(Now);
   }
 
   /// True unless the endpoint is draining or has stated that it leaves, its
@@ -185,6 +216,7 @@
   std::map<std::string, StartRateLimit, std::less<>> StartRateLimits;
   double LimitShare = 0;
   LeavingEndpoints Leaving;
+  TimePoint LastPauseEnd{}; ///< no endpoint is paused after this time
   /// What endpoints that are not in the table have stated. Their registrations
   /// may return, and other entries tell of endpoints that are not known yet.
   std::map<std::string, EndpointAvailability, std::less<>> Unregistered;
@@ -203,7 +235,7 @@
                         TimePoint Now);
 
 /// As chooseForCall(), among the endpoints to which this entry can grant a
-/// request now.
+/// request of any entry now.
 Endpoint *chooseGrantable(EndpointTable &Table, std::string_view Service,
                           std::string_view Zone,
                           const std::set<std::string, std::less<>> &Tried,
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -56,6 +56,8 @@
   LegOutcome Outcome = LegOutcome::Broken;
   /// NotRun, because another endpoint answers at the address.
   bool WrongEndpoint = false;
+  /// The endpoint wants nothing from this entry for a time.
+  bool PausesSender = false;
   HttpResponse Response; ///< if Answered; can be passed to the caller
   std::string Handle;    ///< of the KV cache that a prefill stored
   std::string Detail;    ///< reason, for the log
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -33,7 +33,8 @@
   bool IsRetry = false; ///< the caller repeats a request that was rejected
   /// The prompt has been prefilled: no prefill engine is needed.
   bool HasKvCache = false;
-  std::vector<std::string> ExcludedEndpoints; ///< these have failed the request
+  /// These have failed the request or refuse all requests of the entry.
+  std::vector<std::string> ExcludedEndpoints;
 };
 
 /// KV cache memory to reserve at a decode engine, in tokens.
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -103,6 +103,9 @@
   ReadsStore = shouldReadStore(Now);
   State.Feed.setReadsStore(ReadsStore);
   deliver(Client.expire(Now));
+  deliver(Client.refusePaused([&](const std::string &Service) {
+    return State.Table.pauseWait(Service, Now);
+  }));
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -23,9 +23,10 @@
 /// What a response of an endpoint states about the work that it takes from now
 /// on.
 struct AvailabilityStatement {
-  bool Leaving = false; ///< it takes no new work from any entry
+  bool Leaving = false;              ///< it takes no new work from any entry
+  std::optional<milliseconds> Pause; ///< it takes nothing from this entry
 
-  bool empty() const { return !Leaving; }
+  bool empty() const { return !Leaving && !Pause; }
 };
 
 /// Converts between the HTTP messages of callers and endpoints and the types of
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -469,6 +469,10 @@
         .set(E.Limit.perSecond().value_or(0));
     Counters.gauge("endpoint_leaving", Label)
         .set(E.Availability.leaving() ? 1 : 0);
+    Counters.gauge("endpoint_pause_seconds", Label)
+        .set(std::chrono::duration<double>(
+                 std::max(Duration{0}, E.Availability.pausedUntil() - Now))
+                 .count());
     Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
   });
 }
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -131,6 +131,15 @@
 void GatewayRuntime::onAvailabilityStatement(
     const std::string &EndpointId, std::int64_t StartedAtMs,
     const AvailabilityStatement &Statement) {
+  const TimePoint Now = Time.now();
+  if (Statement.Pause &&
+      Table.recordPause(EndpointId, StartedAtMs, Now + *Statement.Pause)) {
+    Counters.counter("endpoint_pauses", {{"endpoint", EndpointId}}).add();
+    Log.write(LogCategory::Outcome, "endpoint_pause", "",
+              {{"endpoint", EndpointId},
+               {"started_at_ms", StartedAtMs},
+               {"pause_ms", *Statement.Pause}});
+  }
   if (!Statement.Leaving || !Table.recordLeaving(EndpointId, StartedAtMs))
     return;
   Log.write(LogCategory::Outcome, "endpoint_leaving", "",
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -90,6 +90,7 @@
   TimePoint At;
   std::uint64_t Process = 0; ///< incarnation of the entry
   bool KnewLeaving = false;  ///< the process had read that the endpoint leaves
+  bool KnewPause = false;    ///< it had read of a pause that has not ended
 };
 
 /// An endpoint of the service "orders" that answers every request after a fixed
@@ -100,6 +101,9 @@
   std::vector<TimePoint> Arrivals;
   bool Leaving = false; ///< what its responses state
   std::int64_t StartedAtMs = 1;
+  /// It turns requests away and asks for this pause.
+  std::optional<milliseconds> Pause;
+  std::string PausedEntry; ///< only this entry is turned away; empty: all
   std::vector<Send> Sends;
 };
 
@@ -323,6 +327,7 @@
     const std::uint64_t Incarnation;
     routing::CrashLedger Crashes;
     std::set<std::string> ToldToLeave; ///< endpoints, by their own responses
+    std::map<std::string, TimePoint> ToldToPause; ///< until then
     routing::SharedQuota Quota{routing::QuotaTolerance{}};
     routing::RetryLimiter Retries{{0.2, 50, milliseconds(10'000)}};
     routing::LengthEstimator Lengths;
@@ -344,6 +349,7 @@
     std::optional<double> PerSecond;
     bool Leaving = false;
     std::int64_t StartedAtMs = 0;
+    std::optional<milliseconds> Pause;
   };
 
   static routing::EndpointRecord record(const std::string &Id,
@@ -440,15 +446,20 @@
         Endpoints.begin(), Endpoints.end(),
         [&](const LimitedEndpoint &E) { return E.Id == EndpointId; });
     Target->Arrivals.push_back(now() + TransitTime);
-    Target->Sends.push_back(
-        {now(), Home.Incarnation, Home.ToldToLeave.contains(EndpointId)});
+    Target->Sends.push_back({now(), Home.Incarnation,
+                             Home.ToldToLeave.contains(EndpointId),
+                             now() < Home.ToldToPause[EndpointId]});
     const auto Id =
         std::find_if(Home.Calls.begin(), Home.Calls.end(),
                      [&](const auto &Item) { return Item.second.get() == &C; });
     Responses.push_back({now() + ServiceTime, Home.Settings.Name,
                          incarnation(Home), Id->first, Leg, EndpointId,
                          Target->PerSecond, Target->Leaving,
-                         Target->StartedAtMs});
+                         Target->StartedAtMs,
+                         Target->PausedEntry.empty() ||
+                                 Target->PausedEntry == Home.Settings.Name
+                             ? Target->Pause
+                             : std::nullopt});
   }
 
   std::uint64_t incarnation(const Entry &E) const {
@@ -475,6 +486,13 @@
       routing::LegResult Result;
       Result.Outcome = routing::LegOutcome::Answered;
       Result.Response.Status = 200;
+      if (R.Pause) {
+        Result.Outcome = routing::LegOutcome::NotRun;
+        Result.PausesSender = true;
+        TimePoint &Until = E.ToldToPause[R.EndpointId];
+        Until = std::max(Until, now() + *R.Pause);
+        E.Table.recordPause(R.EndpointId, R.StartedAtMs, now() + *R.Pause);
+      }
       Call &C = *It->second;
       C.Flow->onLegResult(R.Leg, std::move(Result), now());
       eraseIfDone(E, C);
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -181,4 +181,24 @@
   return Out;
 }
 
+std::vector<StreamDecision> AdmissionClient::refusePaused(
+    const std::function<std::optional<milliseconds>(const std::string &)>
+        &WaitOf) {
+  std::vector<StreamDecision> Out;
+  std::map<std::string, std::optional<milliseconds>> Waits;
+  std::erase_if(Pending, [&](const auto &Item) {
+    const std::string &Service = Item.second.Request.Service;
+    const auto [It, New] = Waits.try_emplace(Service);
+    if (New)
+      It->second = WaitOf(Service);
+    if (!It->second)
+      return false;
+    Out.push_back(StreamRefusal{Item.first, StreamRefusalReason::QueueTooLong,
+                                *It->second, *It->second});
+    return true;
+  });
+  Changed = Changed || !Out.empty();
+  return Out;
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace hyssoprail::routing {
 namespace {
@@ -126,9 +127,12 @@
       return E ? sendTo(*E, Now) : giveUp(Now);
     AwaitsGrant = true;
     GrantDeadline = Now + GrantTimeout;
-    Shared.Calls.submit({Request.SessionId,
-                         Request.Service,
-                         {TriedEndpoints.begin(), TriedEndpoints.end()}});
+    std::vector<std::string> Excluded =
+        Shared.Table.refusing(Request.Service, Now);
+    Excluded.insert(Excluded.end(), TriedEndpoints.begin(),
+                    TriedEndpoints.end());
+    Shared.Calls.submit(
+        {Request.SessionId, Request.Service, std::move(Excluded)});
   }
 
   Endpoint *chooseUsable(TimePoint Now) {
@@ -265,12 +269,14 @@
       return finishWith(*FailedResponse);
     if (MayHaveRun)
       return finish(RejectReason::OutcomeUnknown, {}, Now);
+    const milliseconds RetryAfter = std::max(
+        DeniedRetryAfter,
+        Shared.Table.pauseWait(Request.Service, Now).value_or(milliseconds(0)));
     if (LegCount > 0)
-      return finish(RejectReason::NotRun,
-                    std::max(CallRetryAfter, DeniedRetryAfter), Now);
+      return finish(RejectReason::NotRun, std::max(CallRetryAfter, RetryAfter),
+                    Now);
     finish(RejectReason::NoCapacity,
-           DeniedRetryAfter > milliseconds(0) ? DeniedRetryAfter
-                                              : NoEndpointRetryAfter,
+           RetryAfter > milliseconds(0) ? RetryAfter : NoEndpointRetryAfter,
            Now);
   }
 
--- a/src/hyssoprail/routing/endpoint_availability.cpp
+++ b/src/hyssoprail/routing/endpoint_availability.cpp
@@ -9,7 +9,18 @@
   return true;
 }
 
+bool EndpointAvailability::recordPause(std::int64_t StartedAtMs,
+                                       TimePoint Until) {
+  if (Until <= PausedUntil)
+    return false;
+  PausedUntil = Until;
+  PausedIncarnation = StartedAtMs;
+  return true;
+}
+
 void EndpointAvailability::registered(std::int64_t StartedAtMs) {
+  if (PausedIncarnation < StartedAtMs)
+    PausedUntil = {};
   if (LeavingIncarnation && *LeavingIncarnation < StartedAtMs)
     LeavingIncarnation.reset();
 }
--- a/src/hyssoprail/routing/endpoint_availability_test.cpp
+++ b/src/hyssoprail/routing/endpoint_availability_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/routing/admission_client.hpp"
+#include "hyssoprail/routing/stream_request.hpp"
+
 #include "test_support.hpp"
 
 namespace hyssoprail::routing {
@@ -290,4 +293,174 @@
   CHECK(B.Io.Legs[0].EndpointId == "b");
 }
 
+// Guards against work for an endpoint during the pause that it asked for, also
+// as a last resort and by a grant of the coordinator.
+TEST_CASE("a paused endpoint gets no work of this entry",
+          "[endpoint_statements]") {
+  EndpointTable Table;
+  Table.apply(started(service("a"), 5));
+  Table.setStartRateLimit("orders", {10, true});
+  const TimePoint End = Start + milliseconds(2'000);
+  REQUIRE(Table.recordPause("a", 5, End));
+  for (int I = 0; I < 10; ++I)
+    Table.record("a", HealthSignal::Broken, Start);
+  for (const TimePoint Now : {Start, End - milliseconds(1)}) {
+    CHECK(Table.usable("orders", Now).empty());
+    CHECK(Table.avoided("orders", Now).empty());
+    CHECK(Table.grantable("orders", Now).empty());
+    CHECK_FALSE(Table.mayReceive(*Table.find("a"), Now));
+    CHECK(chooseForCall(Table, "orders", "zone-a", {}, Now) == nullptr);
+  }
+  CHECK(chooseForCall(Table, "orders", "zone-a", {}, End) != nullptr);
+}
+
+// Guards against a short pause that ends a longer one, and against a pause that
+// outlasts the incarnation that asked for it.
+TEST_CASE("the latest end of a pause counts until the endpoint restarts",
+          "[endpoint_statements]") {
+  EndpointTable Table;
+  Table.apply(started(service("a"), 5));
+  REQUIRE(Table.recordPause("a", 5, Start + milliseconds(3'000)));
+  CHECK_FALSE(Table.recordPause("a", 5, Start + milliseconds(1'000)));
+  CHECK(Table.usable("orders", Start + milliseconds(2'900)).empty());
+  CHECK(Table.recordPause("a", 5, Start + milliseconds(4'000)));
+  CHECK(Table.usable("orders", Start + milliseconds(3'900)).empty());
+  // Its registration is repeated, lapses and returns.
+  Table.apply(started(service("a"), 5, 2));
+  Table.remove("a");
+  Table.apply(started(service("a"), 5, 3));
+  CHECK(Table.usable("orders", Start).empty());
+  Table.apply(started(service("a"), 6));
+  CHECK(Table.usable("orders", Start).size() == 1);
+  CHECK_FALSE(Table.recordPause("a", 5, Start + milliseconds(9'000)));
+}
+
+// Guards against a coordinator that keeps an engine from all entries because it
+// was itself asked for a pause.
+TEST_CASE("a pause of the coordinator does not keep others from the endpoint",
+          "[endpoint_statements]") {
+  FlowFixture B;
+  B.add(engine("d1", EngineStage::Decode));
+  B.add(service("a"));
+  B.Table.setStartRateLimit("orders", {10, true});
+  const TimePoint End = B.Now + milliseconds(2'000);
+  REQUIRE(B.Table.recordPause("d1", 0, End));
+  REQUIRE(B.Table.recordPause("a", 0, End));
+  B.Scheduler.submit(
+      makeStreamRequest(B.request(RouteKind::Stream), B.Lengths, B.Now));
+  const auto Decisions = B.Scheduler.poll(B.Now);
+  REQUIRE(Decisions.size() == 1);
+  CHECK(std::get<StreamPlacement>(Decisions[0]).Decode == "d1");
+  CHECK(chooseGrantable(B.Table, "orders", "zone-a", {}, B.Now) != nullptr);
+}
+
+// Guards against callers that wait, or return too early, while every endpoint
+// has asked for a pause.
+TEST_CASE("requests are rejected until the first pause ends",
+          "[endpoint_statements]") {
+  FlowFixture B;
+  for (const char *Id : {"a", "b"})
+    B.add(service(Id));
+  for (const char *Id : {"d1", "d2"})
+    B.add(engine(Id, EngineStage::Decode));
+  B.add(engine("p1", EngineStage::Prefill));
+  for (const char *Id : {"a", "d1"})
+    B.Table.recordPause(Id, 0, B.Now + milliseconds(3'000));
+  CHECK_FALSE(B.Table.pauseWait("orders", B.Now));
+  CHECK_FALSE(B.Table.pauseWait("assistant", B.Now));
+  for (const char *Id : {"b", "d2"})
+    B.Table.recordPause(Id, 0, B.Now + milliseconds(1'500));
+  auto F = makeCallFlow(B.sharedState(), B.request(RouteKind::Call), B.Io);
+  F->start(B.Now);
+  CHECK(B.Io.RejectedWith == RejectReason::NoCapacity);
+  CHECK(B.Io.SentRetryAfter == milliseconds(1'500));
+  auto G = makeStreamFlow(B.sharedState(), B.request(RouteKind::Stream), B.Io);
+  G->start(B.Now);
+  CHECK(B.Io.FinalAnswers == 2);
+  CHECK(B.Io.RejectedWith == RejectReason::NoCapacity);
+  CHECK(B.Io.SentRetryAfter == milliseconds(1'500));
+  CHECK(B.Io.Legs.empty());
+  CHECK_FALSE(B.Table.pauseWait("orders", B.Now + milliseconds(1'500)));
+  // One that leaves does not count as usable.
+  B.Table.recordLeaving("b", 0);
+  CHECK(B.Table.pauseWait("orders", B.Now) == milliseconds(3'000));
+}
+
+// Guards against a stream that is sent to a paused engine because it was placed
+// there, or that is placed there again and again.
+TEST_CASE("a stream placed at a paused engine goes elsewhere",
+          "[endpoint_statements]") {
+  for (const EngineStage Paused : {EngineStage::Prefill, EngineStage::Decode}) {
+    FlowFixture B;
+    for (const char *Id : {"p1", "p2"})
+      B.add(engine(Id, EngineStage::Prefill));
+    for (const char *Id : {"d1", "d2"})
+      B.add(engine(Id, EngineStage::Decode));
+    auto F =
+        makeStreamFlow(B.sharedState(), B.request(RouteKind::Stream), B.Io);
+    F->start(B.Now);
+    const auto Decisions = B.Scheduler.poll(B.Now);
+    const auto &Place = std::get<StreamPlacement>(Decisions.at(0));
+    const std::string Id =
+        Paused == EngineStage::Prefill ? Place.Prefill : Place.Decode;
+    B.Table.recordPause(Id, 0, B.Now + milliseconds(2'000));
+    F->onPlaced(Place, B.Now);
+    CHECK(B.Io.Legs.empty());
+    B.poll(*F);
+    REQUIRE(B.Io.Legs.size() == 1);
+    CHECK(B.Io.Legs[0].EndpointId != Id);
+    B.answer(*F, 1, answered(200, "h"));
+    REQUIRE(B.Io.Legs.size() == 2);
+    CHECK(B.Io.Legs[1].EndpointId != Id);
+  }
+}
+
+// Guards against a request that waits until its deadline because the last
+// engine asked for a pause after the request had been queued.
+TEST_CASE("queued streams are refused when all engines are paused",
+          "[endpoint_statements]") {
+  AdmissionClient Client;
+  for (const char *Id : {"1", "2"}) {
+    StreamRequest R;
+    R.Id = Id;
+    R.Service = Id == std::string("1") ? "assistant" : "other";
+    Client.submit(R);
+  }
+  const auto Refused = Client.refusePaused(
+      [](const std::string &Service) -> std::optional<milliseconds> {
+        if (Service == "assistant")
+          return milliseconds(700);
+        return std::nullopt;
+      });
+  REQUIRE(Refused.size() == 1);
+  CHECK(std::get<StreamRefusal>(Refused[0]).Id == "1");
+  CHECK(std::get<StreamRefusal>(Refused[0]).RetryAfter == milliseconds(700));
+  CHECK(Client.pendingCount() == 1);
+}
+
+// Guards against stage orders to engines that leave or asked for a pause.
+TEST_CASE("paused and leaving engines may not receive stage orders",
+          "[endpoint_statements]") {
+  EndpointTable Table;
+  Table.apply(engine("p1", EngineStage::Prefill));
+  Table.apply(engine("p2", EngineStage::Prefill));
+  Table.recordPause("p1", 0, Start + milliseconds(500));
+  Table.recordLeaving("p2", 0);
+  CHECK_FALSE(Table.mayReceive(*Table.find("p1"), Start));
+  CHECK_FALSE(Table.mayReceive(*Table.find("p2"), Start));
+}
+
+// Guards against names of refusing endpoints that fill the datagrams.
+TEST_CASE("a request names a bounded number of refusing endpoints",
+          "[endpoint_statements]") {
+  EndpointTable Table;
+  for (int I = 0; I < 100; ++I) {
+    Table.apply(service("w" + std::to_string(I)));
+    Table.recordPause("w" + std::to_string(I), 0, Start + milliseconds(500));
+  }
+  CHECK(Table.refusing("orders", Start).size() == 16);
+  CHECK(Table.refusing("assistant", Start).empty());
+  CHECK(Table.refusing("orders", Start + milliseconds(500)).empty());
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -24,6 +24,11 @@
 /// target fleet has 1,200 restarts a day.
 constexpr std::size_t MaxUnregistered = 1'024;
 
+/// Endpoints that a request names as refusing. The names travel with each
+/// request that waits, so there is a bound; a placement at an endpoint that is
+/// not named goes back to the queue.
+constexpr std::size_t MaxRefusing = 16;
+
 } // namespace
 
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &Other) {
@@ -226,8 +231,8 @@
          !ExcludedZones.contains(E.Record.Zone);
 }
 
-bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
-  return mayReceive(E, Now) && !E.isChangingStage(Now) &&
+bool EndpointTable::mayStart(Endpoint &E, TimePoint Now, Sender From) const {
+  return mayReceive(E, Now, From) && !E.isChangingStage(Now) &&
          isWithinStartRate(E, Now) && E.Limit.allows(Now);
 }
 
@@ -247,11 +252,55 @@
   return E.StartLimiter.allows(std::max(Least, Limit.PerSecond / Divisor), Now);
 }
 
+bool EndpointTable::recordPause(std::string_view Id, std::int64_t StartedAtMs,
+                                TimePoint Until) {
+  Endpoint *E = find(Id);
+  if (!E || StartedAtMs < E->Record.StartedAtMs ||
+      !E->Availability.recordPause(StartedAtMs, Until))
+    return false;
+  LastPauseEnd = std::max(LastPauseEnd, Until);
+  return true;
+}
+
+/// An endpoint in a short backoff may answer soon, so requests wait for it; one
+/// that cannot be reached does not count.
+std::optional<milliseconds> EndpointTable::pauseWait(std::string_view Service,
+                                                     TimePoint Now) const {
+  if (Now >= LastPauseEnd)
+    return std::nullopt;
+  TimePoint End = TimePoint::max();
+  for (const auto &[Id, E] : ById) {
+    if (E.Record.Service != Service || !inService(E) ||
+        E.Record.Stage == EngineStage::Prefill)
+      continue;
+    if (E.Availability.paused(Now))
+      End = std::min(End, E.Availability.pausedUntil());
+    else if (E.Health.reachable(Now))
+      return std::nullopt;
+  }
+  if (End == TimePoint::max())
+    return std::nullopt;
+  return std::chrono::ceil<milliseconds>(End - Now);
+}
+
+std::vector<std::string> EndpointTable::refusing(std::string_view Service,
+                                                 TimePoint Now) const {
+  std::vector<std::string> Out;
+  if (Now >= LastPauseEnd && Leaving.all().empty())
+    return Out;
+  for (const auto &[Id, E] : ById)
+    if (Out.size() < MaxRefusing && E.Record.Service == Service &&
+        E.Registered && !E.Record.Draining &&
+        (E.Availability.leaving() || E.Availability.paused(Now)))
+      Out.push_back(Id);
+  return Out;
+}
+
 std::vector<Endpoint *> EndpointTable::usable(std::string_view Service,
-                                              TimePoint Now) {
+                                              TimePoint Now, Sender From) {
   std::vector<Endpoint *> Out;
   for (auto &[Id, E] : ById)
-    if (E.Record.Service == Service && mayStart(E, Now))
+    if (E.Record.Service == Service && mayStart(E, Now, From))
       Out.push_back(&E);
   return Out;
 }
@@ -260,15 +309,15 @@
                                                TimePoint Now) {
   std::vector<Endpoint *> Out;
   for (auto &[Id, E] : ById)
-    if (E.Record.Service == Service && inService(E) && !E.Health.usable(Now) &&
-        E.Health.reachable(Now) && isWithinStartRate(E, Now) &&
-        E.Limit.allows(Now))
+    if (E.Record.Service == Service && takesWork(E, Now) &&
+        !E.Health.usable(Now) && E.Health.reachable(Now) &&
+        isWithinStartRate(E, Now) && E.Limit.allows(Now))
       Out.push_back(&E);
   return Out;
 }
 
 std::vector<Endpoint *> EndpointTable::grantable(std::string_view Service,
-                                                 TimePoint Now) {
+                                                 TimePoint Now, Sender From) {
   std::vector<Endpoint *> Out;
   const bool ByGrant = startsByGrant(Service);
   const auto Limited = LimitedServices.find(Service);
@@ -279,7 +328,7 @@
     if (E.Record.Service != Service)
       continue;
     AnyLimit = AnyLimit || E.Limit.perSecond();
-    if ((ByGrant || E.Limit.perSecond()) && mayReceive(E, Now) &&
+    if ((ByGrant || E.Limit.perSecond()) && mayReceive(E, Now, From) &&
         !E.isChangingStage(Now))
       Out.push_back(&E);
   }
@@ -301,7 +350,7 @@
                                            TimePoint Now) {
   GrantForecast Out;
   const auto Starts = StartRateLimits.find(Service);
-  for (Endpoint *E : grantable(Service, Now)) {
+  for (Endpoint *E : grantable(Service, Now, Sender::AnyEntry)) {
     const double Rate = E->Limit.perSecond()
                             ? E->Limit.grantRate()
                             : static_cast<double>(Starts->second.PerSecond);
@@ -412,9 +461,11 @@
                           std::string_view Zone,
                           const std::set<std::string, std::less<>> &Tried,
                           TimePoint Now) {
-  std::vector<Endpoint *> Candidates = Table.grantable(Service, Now);
-  std::erase_if(Candidates,
-                [&](Endpoint *E) { return !Table.mayStart(*E, Now); });
+  std::vector<Endpoint *> Candidates =
+      Table.grantable(Service, Now, Sender::AnyEntry);
+  std::erase_if(Candidates, [&](Endpoint *E) {
+    return !Table.mayStart(*E, Now, Sender::AnyEntry);
+  });
   return cheapest(Candidates, Zone, Tried, Now);
 }
 
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -44,7 +44,7 @@
   }
 
   void start(TimePoint Now) override {
-    submit(makeStreamRequest(Request, Shared.Lengths, Now));
+    submit(makeStreamRequest(Request, Shared.Lengths, Now), Now);
   }
 
   void onPlaced(const StreamPlacement &Place, TimePoint Now) override {
@@ -212,7 +212,13 @@
   }
 
   /// Asks the admission for engines. The request must hold no placement.
-  void submit(StreamRequest Submission) {
+  void submit(StreamRequest Submission, TimePoint Now) {
+    if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+      return finish(MayHaveRun       ? RejectReason::OutcomeUnknown
+                    : DecodeLegs > 0 ? RejectReason::NotRun
+                                     : RejectReason::NoCapacity,
+                    *Wait, Now);
+    Submission.ExcludedEndpoints = Shared.Table.refusing(Request.Service, Now);
     CurrentPhase = StreamPhase::Waiting;
     Submission.Zone = Shared.Zone;
     for (const std::string &Failed : {FailedDecode, FailedPrefill})
@@ -295,7 +301,7 @@
     N.HasKvCache = WithCache;
     if (StreamStarted)
       N.GiveUpAt = std::min(LastProgressAt + MinEventTimeout, answerDeadline());
-    submit(std::move(N));
+    submit(std::move(N), Now);
   }
 
   void onDecodeResult(const LegResult &R, TimePoint Now) {
@@ -400,7 +406,10 @@
            QuarantineRetryAfter, Now);
   }
 
+  /// What an engine refuses to this entry alone says nothing to the others.
   void recordHealth(const LegResult &R, TimePoint Now) {
+    if (R.PausesSender)
+      return;
     Shared.EngineSignals.record(
         currentEndpoint(), healthSignalOf(R, HealthSignal::Unresponsive), Now);
   }
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -266,10 +266,10 @@
                                                 TimePoint Now) {
   Pool P;
   P.Bound = memoryBound(Service);
-  for (Endpoint *E : Table.usable(Service, Now))
+  for (Endpoint *E : Table.usable(Service, Now, Sender::AnyEntry))
     (E->Record.Stage == EngineStage::Prefill ? P.Prefill : P.Decode)
         .push_back(E);
-  for (Endpoint *E : Table.grantable(Service, Now))
+  for (Endpoint *E : Table.grantable(Service, Now, Sender::AnyEntry))
     if (E->Record.Stage != EngineStage::Prefill && !E->Limit.allows(Now))
       P.LimitedPerSecond += E->Limit.grantRate();
   updateFreeMemory(P);
@@ -417,7 +417,7 @@
     const EndpointLoad Load = E->totalLoad();
     if (Load.Tokens + Tokens > Bound ||
         Load.Runs >= static_cast<std::int32_t>(E->Record.Slots) ||
-        isExcluded(Request, *E) || !Table.mayStart(*E, Now))
+        isExcluded(Request, *E) || !Table.mayStart(*E, Now, Sender::AnyEntry))
       continue;
     double Cost =
         static_cast<double>(Load.Tokens) / static_cast<double>(Engines.Bound);
@@ -444,7 +444,7 @@
   for (Endpoint *E : Engines.Prefill) {
     const std::int64_t Backlog = E->totalLoad().PrefillTokens;
     if (Backlog > Options.PrefillBacklog || isExcluded(Request, *E) ||
-        Now < E->CacheLossUntil || !Table.mayStart(*E, Now))
+        Now < E->CacheLossUntil || !Table.mayStart(*E, Now, Sender::AnyEntry))
       continue;
     const std::int64_t TokenCost =
         Backlog + (E->Record.Zone == Zone ? 0 : CrossZonePrefillTokens) +
