--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_ENDPOINT_TABLE_HPP
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -11,11 +12,13 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/endpoint_availability.hpp"
 #include "hyssoprail/routing/endpoint_health.hpp"
 #include "hyssoprail/routing/endpoint_limit.hpp"
 #include "hyssoprail/routing/endpoint_load.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
+#include "hyssoprail/routing/leaving_endpoints.hpp"
 #include "hyssoprail/routing/start_rate_limiter.hpp"
 
 namespace hyssoprail::routing {
@@ -26,6 +29,7 @@
   EndpointHealth Health;
   StartRateLimiter StartLimiter;
   EndpointLimit Limit;
+  EndpointAvailability Availability;
   EndpointLoad OwnLoad;  ///< placed by this entry
   EndpointLoad PeerLoad; ///< placed by the other entries, from their reports
   TimePoint CacheLossUntil{}; ///< KV caches that it keeps are lost before they
@@ -47,6 +51,13 @@
   }
 };
 
+/// Who would send the work in question. What an endpoint states to this entry
+/// alone does not count for work of other entries, which a coordinator places.
+enum class Sender {
+  ThisEntry,
+  AnyEntry,
+};
+
 /// Limit on the requests that this entry may start per second on an endpoint.
 struct StartRateLimit {
   std::size_t PerSecond = 0;
@@ -99,13 +110,38 @@
   void recordLimit(std::string_view Id, std::optional<double> PerSecond,
                    TimePoint At);
 
+  /// Records that the incarnation of the endpoint that started at \p
+  /// StartedAtMs leaves: it gets no new work until a later incarnation
+  /// registers. Returns true if this was not known.
+  bool recordLeaving(std::string_view Id, std::int64_t StartedAtMs);
+
+  /// Records that the incarnation of the endpoint that started at \p
+  /// StartedAtMs wants no request from this entry before \p Until. Returns true
+  /// if that is later than what was known.
+  bool recordPause(std::string_view Id, std::int64_t StartedAtMs,
+                   TimePoint Until);
+
+  /// Time until an endpoint of \p Service can receive work of this entry, if
+  /// all that could are paused for it; else nullopt.
+  std::optional<milliseconds> pauseWait(std::string_view Service,
+                                        TimePoint Now) const;
+
+  /// Endpoints of \p Service that the coordinator may choose although they take
+  /// no work of this entry: those that are paused for it, and those that leave.
+  std::vector<std::string> refusing(std::string_view Service,
+                                    TimePoint Now) const;
+
+  /// Registered endpoints that leave.
+  const LeavingEndpoints &leaving() const { return Leaving; }
+
   /// Sets the share of the endpoints' stated limits that this entry may grant.
   void setLimitShare(double Share, TimePoint Now);
 
   Endpoint *find(std::string_view Id);
 
   /// Endpoints of \p Service that can receive new work now.
-  std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now);
+  std::vector<Endpoint *> usable(std::string_view Service, TimePoint Now,
+                                 Sender From = Sender::ThisEntry);
 
   /// Endpoints of \p Service that are avoided because of failures but may still
   /// answer: a last resort for work that no usable endpoint can take.
@@ -114,7 +150,8 @@
   /// Endpoints of \p Service that can receive new work as soon as it is
   /// granted: they have stated a limit, or their start rate is subject to
   /// grants.
-  std::vector<Endpoint *> grantable(std::string_view Service, TimePoint Now);
+  std::vector<Endpoint *> grantable(std::string_view Service, TimePoint Now,
+                                    Sender From = Sender::ThisEntry);
 
   /// Counts a request of any entry that this one has granted.
   void recordGrant(std::string_view Id, TimePoint Now);
@@ -123,15 +160,24 @@
   GrantForecast grantForecast(std::string_view Service, TimePoint Now);
 
   /// True if \p E can receive new work now.
-  bool mayStart(Endpoint &E, TimePoint Now) const;
+  bool mayStart(Endpoint &E, TimePoint Now,
+                Sender From = Sender::ThisEntry) const;
+
+  /// True if \p E takes new work, as far as is known without its health.
+  bool takesWork(const Endpoint &E, TimePoint Now,
+                 Sender From = Sender::ThisEntry) const {
+    return inService(E) &&
+           (From == Sender::AnyEntry || !E.Availability.paused(Now));
+  }
 
   /// True if work that has been placed on \p E can be sent to it now.
-  bool mayReceive(const Endpoint &E, TimePoint Now) const {
-    return inService(E) && E.Health.usable(Now);
+  bool mayReceive(const Endpoint &E, TimePoint Now,
+                  Sender From = Sender::ThisEntry) const {
+    return takesWork(E, Now, From) && E.Health.usable(Now);
   }
 
-  /// True unless the endpoint is draining, its registration was removed, or its
-  /// zone is excluded.
+  /// True unless the endpoint is draining or has stated that it leaves, its
+  /// registration was removed, or its zone is excluded.
   bool inService(const Endpoint &E) const;
 
   void forEach(const std::function<void(Endpoint &)> &Visit);
@@ -153,16 +199,28 @@
 
   std::size_t size() const { return ById.size(); }
 
+  /// Endpoints that are not in the table and have stated something.
+  std::size_t unregisteredCount() const { return Unregistered.size(); }
+
 private:
   bool isWithinStartRate(Endpoint &E, TimePoint Now) const;
   bool startsByGrant(std::string_view Service) const;
   void eraseIfIdle(const std::string &Id);
+  EndpointAvailability &availabilityOf(const std::string &Id);
+  void forgetUnregistered(const std::string &Id);
+  void listLeaving(const Endpoint &E);
 
   std::map<std::string, Endpoint, std::less<>> ById;
   std::map<std::string, LoadMap, std::less<>> PeerLoads;
   std::set<std::string, std::less<>> ExcludedZones;
   std::map<std::string, StartRateLimit, std::less<>> StartRateLimits;
   double LimitShare = 0;
+  LeavingEndpoints Leaving;
+  TimePoint LastPauseEnd{}; ///< no endpoint is paused after this time
+  /// What endpoints that are not in the table have stated. Their registrations
+  /// may return, and other entries tell of endpoints that are not known yet.
+  std::map<std::string, EndpointAvailability, std::less<>> Unregistered;
+  std::deque<std::string> UnregisteredOrder; ///< oldest first
   /// Services of which an endpoint may have stated a limit.
   std::set<std::string, std::less<>> LimitedServices;
 };
@@ -177,7 +235,7 @@
                         TimePoint Now);
 
 /// As chooseForCall(), among the endpoints to which this entry can grant a
-/// request now.
+/// request of any entry now.
 Endpoint *chooseGrantable(EndpointTable &Table, std::string_view Service,
                           std::string_view Zone,
                           const std::set<std::string, std::less<>> &Tried,
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -51,7 +51,7 @@
       Time(Time), Log(Log), State(State), Handlers(std::move(Handlers)),
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
-      Calls(State.Table), Grants(State.Table),
+      Calls(State.Table), Grants(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers) {}
 
 Status Coordination::start() {
@@ -103,6 +103,9 @@
   ReadsStore = shouldReadStore(Now);
   State.Feed.setReadsStore(ReadsStore);
   deliver(Client.expire(Now));
+  deliver(Client.refusePaused([&](const std::string &Service) {
+    return State.Table.pauseWait(Service, Now);
+  }));
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
@@ -116,6 +119,8 @@
   announceGroup(Now);
   publishCrashes(Now);
   Grants.expireSilentEntries(Now);
+  if (Leavers.peerCount() > Server.knownEntryCount())
+    Leavers.forgetPeers();
   Scheduler.sampleUtilization(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
@@ -133,6 +138,7 @@
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
   forgetCrashPeers();
+  Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
   logCoordinatorChange("claimed");
   reportOrDecide();
@@ -201,9 +207,19 @@
 void Coordination::takeReport(const wire::EntryReport &Report, TimePoint Now) {
   if (!Server.handleReport(Report, Now))
     return;
-  Grants.handleReport(Report, Now);
-  if (Report.sender() != Settings.Name)
+  if (Report.sender() != Settings.Name) {
     takeCrashes(Report, Now);
+    takeLeaving(Report);
+  }
+  Grants.handleReport(Report, Now);
+}
+
+/// Merges what a report or an update tells of endpoints that leave.
+template <typename Message>
+void Coordination::takeLeaving(const Message &From) {
+  for (const std::string &Id : Leavers.take(From.sender(), From))
+    Log.write(LogCategory::Outcome, "endpoint_leaving", "",
+              {{"endpoint", Id}, {"source", From.sender()}});
 }
 
 void Coordination::endTerm(TimePoint Now) {
@@ -234,6 +250,7 @@
     if (WasCoordinator)
       endTerm(Now);
     forgetCrashPeers();
+    Leavers.forgetPeers();
     logCoordinatorChange("heard");
   }
   const auto &Current = Election.currentClaim();
@@ -278,6 +295,7 @@
 void Coordination::applyUpdate(const wire::CoordinatorUpdate &Update,
                                TimePoint Now) {
   takeCrashes(Update, Now);
+  takeLeaving(Update);
   Source = Update.source();
   Deputies.assign(Update.deputies().begin(), Update.deputies().end());
   applySource(Now);
@@ -296,7 +314,8 @@
     notifyStateChanged();
 }
 
-wire::EntryReport Coordination::makeReport(TimePoint Now) {
+wire::EntryReport Coordination::makeReport(const std::string &To,
+                                           TimePoint Now) {
   wire::EntryReport R;
   R.set_sender(Settings.Name);
   R.set_incarnation(Incarnation);
@@ -324,6 +343,7 @@
   }
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
+  Leavers.fill(To, R);
   ReportedAt = Now;
   return R;
 }
@@ -331,7 +351,7 @@
 void Coordination::sendReport(const routing::CoordinatorClaim &To,
                               TimePoint Now) {
   wire::CoordinationMessage Message;
-  *Message.mutable_report() = makeReport(Now);
+  *Message.mutable_report() = makeReport(To.Name, Now);
   if (State.Crashes.hasNewsFor(To.Name))
     State.Crashes.fillDelta(To.Name,
                             *Message.mutable_report()->mutable_crashes(), Now);
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -126,6 +126,29 @@
   FleetCoordination.storeRestored();
 }
 
+// ---- What endpoints state ---------------------------------------------------
+
+void GatewayRuntime::onAvailabilityStatement(
+    const std::string &EndpointId, std::int64_t StartedAtMs,
+    const AvailabilityStatement &Statement) {
+  const TimePoint Now = Time.now();
+  if (Statement.Pause &&
+      Table.recordPause(EndpointId, StartedAtMs, Now + *Statement.Pause)) {
+    Counters.counter("endpoint_pauses", {{"endpoint", EndpointId}}).add();
+    Log.write(LogCategory::Outcome, "endpoint_pause", "",
+              {{"endpoint", EndpointId},
+               {"started_at_ms", StartedAtMs},
+               {"pause_ms", *Statement.Pause}});
+  }
+  if (!Statement.Leaving || !Table.recordLeaving(EndpointId, StartedAtMs))
+    return;
+  Log.write(LogCategory::Outcome, "endpoint_leaving", "",
+            {{"endpoint", EndpointId},
+             {"started_at_ms", StartedAtMs},
+             {"source", "response"}});
+  FleetCoordination.notifyStateChanged();
+}
+
 // ---- Periodic work --------------------------------------------------------
 
 void GatewayRuntime::tick() {
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -58,6 +58,7 @@
   Leg &L = Legs[Id];
   L.Kind = Spec.Kind;
   L.EndpointId = Spec.EndpointId;
+  L.EndpointStartedAtMs = Spec.StartedAtMs;
   L.StartedAt = Services.Time.now();
   UpstreamCall Call;
   Call.Authority = Spec.Address;
@@ -103,6 +104,10 @@
   L.Limit = Services.Protocol.limitStatement(L.Kind, Head);
   if (L.Limit)
     Hooks.OnLimitStatement(L.EndpointId, *L.Limit);
+  const AvailabilityStatement Stated =
+      Services.Protocol.availabilityStatement(Head);
+  if (!Stated.empty())
+    Hooks.OnAvailabilityStatement(L.EndpointId, L.EndpointStartedAtMs, Stated);
   L.Streaming = isPartOfStream(L.Kind, Head);
   if (!L.Streaming) {
     L.Response = std::move(Head);
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -20,6 +20,15 @@
 /// arrive within one.
 constexpr std::size_t DecodeStartsDivisor = 2;
 
+/// Endpoints that are not in the table whose statements are remembered. The
+/// target fleet has 1,200 restarts a day.
+constexpr std::size_t MaxUnregistered = 1'024;
+
+/// Endpoints that a request names as refusing. The names travel with each
+/// request that waits, so there is a bound; a placement at an endpoint that is
+/// not named goes back to the queue.
+constexpr std::size_t MaxRefusing = 16;
+
 } // namespace
 
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &Other) {
@@ -51,6 +60,13 @@
     for (const auto &[Peer, Loads] : PeerLoads)
       if (const auto Load = Loads.find(Record.Id); Load != Loads.end())
         E.PeerLoad += Load->second;
+    if (const auto Known = Unregistered.find(Record.Id);
+        Known != Unregistered.end()) {
+      E.Availability = Known->second;
+      forgetUnregistered(Record.Id);
+    }
+    E.Availability.registered(Record.StartedAtMs);
+    listLeaving(E);
     return true;
   }
   const bool Older = Record.StartedAtMs < E.Record.StartedAtMs ||
@@ -64,6 +80,7 @@
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
+    E.Availability.registered(Record.StartedAtMs);
   }
   const bool Changed =
       !E.Registered || Record.StartedAtMs != E.Record.StartedAtMs ||
@@ -73,6 +90,7 @@
           (E.Record.ColdFor > milliseconds(0));
   E.Record = Record;
   E.Registered = true;
+  listLeaving(E);
   return Changed;
 }
 
@@ -80,15 +98,58 @@
   const auto It = ById.find(Id);
   if (It == ById.end())
     return;
-  It->second.Registered = false;
-  eraseIfIdle(It->first);
+  Endpoint &E = It->second;
+  E.Registered = false;
+  // Without a start time, a later incarnation could not be told apart.
+  if (E.Record.StartedAtMs == 0)
+    E.Availability = {};
+  listLeaving(E);
+  eraseIfIdle(std::string(Id));
 }
 
 void EndpointTable::eraseIfIdle(const std::string &Id) {
   const auto It = ById.find(Id);
-  if (It != ById.end() && !It->second.Registered &&
-      It->second.OwnLoad.Runs == 0)
-    ById.erase(It);
+  if (It == ById.end() || It->second.Registered || It->second.OwnLoad.Runs != 0)
+    return;
+  if (It->second.Availability.hasStatement())
+    availabilityOf(Id) = It->second.Availability;
+  ById.erase(It);
+}
+
+/// Statements of an endpoint that is not in the table.
+EndpointAvailability &EndpointTable::availabilityOf(const std::string &Id) {
+  const auto [It, New] = Unregistered.try_emplace(Id);
+  if (New)
+    UnregisteredOrder.push_back(Id);
+  if (Unregistered.size() > MaxUnregistered)
+    forgetUnregistered(std::string(UnregisteredOrder.front()));
+  return It->second;
+}
+
+void EndpointTable::forgetUnregistered(const std::string &Id) {
+  Unregistered.erase(Id);
+  std::erase(UnregisteredOrder, Id);
+}
+
+void EndpointTable::listLeaving(const Endpoint &E) {
+  const auto Incarnation = E.Availability.leavingIncarnation();
+  if (E.Registered && Incarnation)
+    Leaving.set(E.Record.Id, *Incarnation);
+  else
+    Leaving.erase(E.Record.Id);
+}
+
+bool EndpointTable::recordLeaving(std::string_view Id,
+                                  std::int64_t StartedAtMs) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return StartedAtMs > 0 &&
+           availabilityOf(std::string(Id)).recordLeaving(StartedAtMs);
+  if (StartedAtMs < E->Record.StartedAtMs ||
+      !E->Availability.recordLeaving(StartedAtMs))
+    return false;
+  listLeaving(*E);
+  return true;
 }
 
 void EndpointTable::setExcludedZones(std::set<std::string, std::less<>> Zones) {
@@ -166,12 +227,12 @@
 }
 
 bool EndpointTable::inService(const Endpoint &E) const {
-  return E.Registered && !E.Record.Draining &&
+  return E.Registered && !E.Record.Draining && !E.Availability.leaving() &&
          !ExcludedZones.contains(E.Record.Zone);
 }
 
-bool EndpointTable::mayStart(Endpoint &E, TimePoint Now) const {
-  return mayReceive(E, Now) && !E.isChangingStage(Now) &&
+bool EndpointTable::mayStart(Endpoint &E, TimePoint Now, Sender From) const {
+  return mayReceive(E, Now, From) && !E.isChangingStage(Now) &&
          isWithinStartRate(E, Now) && E.Limit.allows(Now);
 }
 
@@ -191,11 +252,55 @@
   return E.StartLimiter.allows(std::max(Least, Limit.PerSecond / Divisor), Now);
 }
 
+bool EndpointTable::recordPause(std::string_view Id, std::int64_t StartedAtMs,
+                                TimePoint Until) {
+  Endpoint *E = find(Id);
+  if (!E || StartedAtMs < E->Record.StartedAtMs ||
+      !E->Availability.recordPause(StartedAtMs, Until))
+    return false;
+  LastPauseEnd = std::max(LastPauseEnd, Until);
+  return true;
+}
+
+/// An endpoint in a short backoff may answer soon, so requests wait for it; one
+/// that cannot be reached does not count.
+std::optional<milliseconds> EndpointTable::pauseWait(std::string_view Service,
+                                                     TimePoint Now) const {
+  if (Now >= LastPauseEnd)
+    return std::nullopt;
+  TimePoint End = TimePoint::max();
+  for (const auto &[Id, E] : ById) {
+    if (E.Record.Service != Service || !inService(E) ||
+        E.Record.Stage == EngineStage::Prefill)
+      continue;
+    if (E.Availability.paused(Now))
+      End = std::min(End, E.Availability.pausedUntil());
+    else if (E.Health.reachable(Now))
+      return std::nullopt;
+  }
+  if (End == TimePoint::max())
+    return std::nullopt;
+  return std::chrono::ceil<milliseconds>(End - Now);
+}
+
+std::vector<std::string> EndpointTable::refusing(std::string_view Service,
+                                                 TimePoint Now) const {
+  std::vector<std::string> Out;
+  if (Now >= LastPauseEnd && Leaving.all().empty())
+    return Out;
+  for (const auto &[Id, E] : ById)
+    if (Out.size() < MaxRefusing && E.Record.Service == Service &&
+        E.Registered && !E.Record.Draining &&
+        (E.Availability.leaving() || E.Availability.paused(Now)))
+      Out.push_back(Id);
+  return Out;
+}
+
 std::vector<Endpoint *> EndpointTable::usable(std::string_view Service,
-                                              TimePoint Now) {
+                                              TimePoint Now, Sender From) {
   std::vector<Endpoint *> Out;
   for (auto &[Id, E] : ById)
-    if (E.Record.Service == Service && mayStart(E, Now))
+    if (E.Record.Service == Service && mayStart(E, Now, From))
       Out.push_back(&E);
   return Out;
 }
@@ -204,15 +309,15 @@
                                                TimePoint Now) {
   std::vector<Endpoint *> Out;
   for (auto &[Id, E] : ById)
-    if (E.Record.Service == Service && inService(E) && !E.Health.usable(Now) &&
-        E.Health.reachable(Now) && isWithinStartRate(E, Now) &&
-        E.Limit.allows(Now))
+    if (E.Record.Service == Service && takesWork(E, Now) &&
+        !E.Health.usable(Now) && E.Health.reachable(Now) &&
+        isWithinStartRate(E, Now) && E.Limit.allows(Now))
       Out.push_back(&E);
   return Out;
 }
 
 std::vector<Endpoint *> EndpointTable::grantable(std::string_view Service,
-                                                 TimePoint Now) {
+                                                 TimePoint Now, Sender From) {
   std::vector<Endpoint *> Out;
   const bool ByGrant = startsByGrant(Service);
   const auto Limited = LimitedServices.find(Service);
@@ -223,7 +328,7 @@
     if (E.Record.Service != Service)
       continue;
     AnyLimit = AnyLimit || E.Limit.perSecond();
-    if ((ByGrant || E.Limit.perSecond()) && mayReceive(E, Now) &&
+    if ((ByGrant || E.Limit.perSecond()) && mayReceive(E, Now, From) &&
         !E.isChangingStage(Now))
       Out.push_back(&E);
   }
@@ -245,7 +350,7 @@
                                            TimePoint Now) {
   GrantForecast Out;
   const auto Starts = StartRateLimits.find(Service);
-  for (Endpoint *E : grantable(Service, Now)) {
+  for (Endpoint *E : grantable(Service, Now, Sender::AnyEntry)) {
     const double Rate = E->Limit.perSecond()
                             ? E->Limit.grantRate()
                             : static_cast<double>(Starts->second.PerSecond);
@@ -356,9 +461,11 @@
                           std::string_view Zone,
                           const std::set<std::string, std::less<>> &Tried,
                           TimePoint Now) {
-  std::vector<Endpoint *> Candidates = Table.grantable(Service, Now);
-  std::erase_if(Candidates,
-                [&](Endpoint *E) { return !Table.mayStart(*E, Now); });
+  std::vector<Endpoint *> Candidates =
+      Table.grantable(Service, Now, Sender::AnyEntry);
+  std::erase_if(Candidates, [&](Endpoint *E) {
+    return !Table.mayStart(*E, Now, Sender::AnyEntry);
+  });
   return cheapest(Candidates, Zone, Tried, Now);
 }
 
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -66,7 +66,7 @@
   }
 
   void start(TimePoint Now) override {
-    submit(makeStreamRequest(Request, Shared.Lengths, Now));
+    submit(makeStreamRequest(Request, Shared.Lengths, Now), Now);
   }
 
   void onPlaced(const StreamPlacement &Place, TimePoint Now) override {
@@ -83,6 +83,8 @@
       return finish(RejectReason::NoKey, {}, Now);
     if (Crashes.isQuarantined(Now))
       return finishQuarantined(Now);
+    if (!takesWork(Place.Decode, Now))
+      return retryDecode(Now);
     if (!Place.Prefill.empty())
       return sendPrefill(Place, Now);
     if (SubmittedWithCache && !Cache.usable(Now))
@@ -257,13 +259,26 @@
     Out.Kind = Kind;
     Out.EndpointId = E.Record.Id;
     Out.Address = E.Record.Address;
+    Out.StartedAtMs = E.Record.StartedAtMs;
     Out.Deadline =
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     return Out;
   }
 
+  /// False if the endpoint has stopped taking work since it was chosen.
+  bool takesWork(const std::string &Id, TimePoint Now) const {
+    const Endpoint *E = Shared.Table.find(Id);
+    return !E || Shared.Table.takesWork(*E, Now);
+  }
+
   /// Asks the admission for engines. The request must hold no placement.
-  void submit(StreamRequest Submission) {
+  void submit(StreamRequest Submission, TimePoint Now) {
+    if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+      return finish(MayHaveRun       ? RejectReason::OutcomeUnknown
+                    : DecodeLegs > 0 ? RejectReason::NotRun
+                                     : RejectReason::NoCapacity,
+                    *Wait, Now);
+    Submission.ExcludedEndpoints = Shared.Table.refusing(Request.Service, Now);
     CurrentPhase = StreamPhase::Waiting;
     Submission.Id = PlacementId;
     Submission.Zone = Shared.Zone;
@@ -278,6 +293,10 @@
 
   void sendPrefill(const StreamPlacement &Place, TimePoint Now) {
     Endpoint *E = Shared.Table.find(Place.Prefill);
+    if (E && !takesWork(Place.Prefill, Now)) {
+      FailedPrefill = Place.Prefill;
+      return repeatPrefill(Now);
+    }
     if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
       Shared.Admission.prefillEnded(PlacementId, Now);
       return sendDecode(Now);
@@ -350,7 +369,7 @@
     if (StreamStarted)
       N.GiveUpAt = std::min(LastProgressAt + callerEventTimeout(Request.Route),
                             answerDeadline());
-    submit(std::move(N));
+    submit(std::move(N), Now);
   }
 
   void onDecodeResult(const LegResult &R, TimePoint Now) {
@@ -533,7 +552,10 @@
            QuarantineRetryAfter, Now);
   }
 
+  /// What an engine refuses to this entry alone says nothing to the others.
   void recordHealth(const LegResult &R, TimePoint Now) {
+    if (R.PausesSender)
+      return;
     Shared.EngineSignals.record(
         currentEndpoint(), healthSignalOf(R, HealthSignal::Unresponsive), Now);
   }
