A draining server answers on every connection that it completes

The kernel reset the connections that it completed between the last accept and the close, and those whose handshake had begun; their callers may have sent a request already.

Change: a server that begins to drain lets the kernel drop the first packet of new connections (a socket filter on the listener, no privilege needed), accepts for 20 ms more what has begun, and then closes. A caller whose first packet falls into these 20 ms repeats it after a second and is refused. Weighed: to keep the listener open until the process ends moves the same gap to its end, where callers would still come. stop() closes the listener itself and does not drain before.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -106,6 +106,7 @@
   virtual void disableKeepAlive() = 0;
 
   /// Stops accepting connections and closes idle ones after DrainGrace.
+  /// Connections whose handshake has begun are served; later ones are refused.
   /// Requests in progress are completed, with "Connection: close" in their
   /// responses.
   virtual void drain() = 0;
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -1,12 +1,15 @@
 #include "hyssoprail/connection/http_server.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <optional>
 #include <thread>
 #include <vector>
 
 #include <boost/asio.hpp>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 #include "hyssoprail/connection/http_session.hpp"
 
@@ -19,6 +22,30 @@
 
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
+/// Time for handshakes that began before new ones are dropped to complete.
+/// Callers are a few milliseconds away.
+constexpr std::chrono::milliseconds HandshakePeriod{20};
+
+/// Makes the kernel drop the first packet of each new connection to a listening
+/// socket. Such a caller repeats it after a second and is then refused. Closing
+/// the socket instead resets connections that were completed but not accepted,
+/// whose callers may have sent a request.
+void dropNewHandshakes(int Listener) {
+  constexpr unsigned FlagsOffset = 13; // in the TCP header
+  constexpr unsigned SynFlag = 0x02;
+  constexpr unsigned AckFlag = 0x10;
+  std::array<sock_filter, 5> Code{{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SynFlag | AckFlag),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SynFlag, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, 0xffff),
+  }};
+  const sock_fprog Program{Code.size(), Code.data()};
+  ::setsockopt(Listener, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+               sizeof Program);
+}
+
 /// An event loop and its connections. Runs its own loop on its own thread, or
 /// uses the event loop of the program.
 class Worker {
@@ -154,11 +181,7 @@
 
   void drain() override {
     State->Draining = true;
-    asio::post(Acceptor->get_executor(), [this] {
-      acceptBacklog();
-      beast::error_code Ignored;
-      Acceptor->close(Ignored);
-    });
+    asio::post(Acceptor->get_executor(), [this] { closeAcceptor(); });
     for (auto &W : Workers)
       W->drain();
   }
@@ -173,11 +196,12 @@
       beast::error_code Ignored;
       Acceptor->close(Ignored);
       AcceptRetryTimer->cancel();
-    } else {
-      drain();
+      CloseTimer->cancel();
     }
     for (auto &W : Workers)
       W->stop();
+    beast::error_code Ignored;
+    Acceptor->close(Ignored);
   }
 
   std::uint16_t port() const override { return BoundPort; }
@@ -188,6 +212,7 @@
   void createAcceptor(asio::io_context &Context) {
     Acceptor.emplace(Context);
     AcceptRetryTimer.emplace(Context);
+    CloseTimer.emplace(Context);
   }
 
   void accept() {
@@ -206,6 +231,22 @@
         });
   }
 
+  /// Closes the acceptor when all handshakes that have begun are complete and
+  /// accepted.
+  void closeAcceptor() {
+    if (!Acceptor->is_open())
+      return;
+    dropNewHandshakes(Acceptor->native_handle());
+    CloseTimer->expires_after(HandshakePeriod);
+    CloseTimer->async_wait([this](const beast::error_code &Code) {
+      if (Code)
+        return;
+      acceptBacklog();
+      beast::error_code Ignored;
+      Acceptor->close(Ignored);
+    });
+  }
+
   /// Accepts the connections in the listen backlog; the kernel would reset them
   /// when the acceptor closes.
   void acceptBacklog() {
@@ -247,6 +288,7 @@
   std::vector<std::unique_ptr<Worker>> Workers;
   std::optional<tcp::acceptor> Acceptor;
   std::optional<asio::steady_timer> AcceptRetryTimer;
+  std::optional<asio::steady_timer> CloseTimer;
   std::size_t NextWorker = 0;
   std::uint16_t BoundPort = 0;
   std::atomic<bool> Running{false};
