--- a/src/hyssoprail/testbed/child_process.cpp
+++ b/src/hyssoprail/testbed/child_process.cpp
@@ -37,6 +37,8 @@
     _exit(127);
   dup2(Output, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
+  // An inherited connection would stay open when the parent closes it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(Program, Arguments);
   _exit(127);
 }
