The log names the hash of a request, so that attempts of one call can be told

A call that comes again has a new attempt id, and nothing else in the log was the same. 'admit' now has the hash of method, path with query, host, account and body; bodies and keys are not logged.

--- a/include/hyssoprail/routing/request_info.hpp
+++ b/include/hyssoprail/routing/request_info.hpp
@@ -27,6 +27,9 @@
   /// Ids of the parts of a generation's prompt, in order. Requests share parts;
   /// the last one belongs to the request or its session alone.
   std::vector<std::string> PromptParts;
+  /// requestFingerprint() of a call, or of a stream without prompt parts; empty
+  /// otherwise.
+  std::string Fingerprint;
   std::uint32_t OutputHint = 0;  ///< the caller's estimate; 0: none
   std::uint64_t LastEventId = 0; ///< of a stream that the caller resumes
   bool Resumes = false;          ///< the caller sent LastEventId
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -10,6 +10,7 @@
 
 #include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
+#include "hyssoprail/routing/request_fingerprint.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -201,6 +202,9 @@
   if (Crashes.isQuarantined(Info.PromptParts, Time.now()))
     return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
                         routing::QuarantineRetryAfter);
+  if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
+    Info.Fingerprint = routing::requestFingerprint(
+        Caller->request(), Info.Host, Account ? Account->Name : "");
   double Tokens = 0;
   bool BeyondQuota = false;
   if (Account) {
@@ -266,6 +270,7 @@
              {"deadline_ms", Request.Info.Deadline},
              {"tokens", QuotaTokens},
              {"parts", boost::algorithm::join(Request.Info.PromptParts, ",")},
+             {"fingerprint", Request.Info.Fingerprint},
              {"beyond_quota", Request.BeyondQuota},
              {"version", Config->Version},
              {"version_age_ms", Time.now() - ConfigAppliedAt}});
