Calls that crash plain workers are kept from them by all entries

Cause: nothing connected a call that broke at one worker with the same call under a new attempt id at the next one, and each entry saw only its own share of the crashes. Calls had no part of a prompt, so the crash ledger did not watch them; an idempotent call was also repeated at the next worker by the entry itself.

A second instance of CrashLedger counts crashes under it; reports and updates carry it in a field of its own, the record in the store inside the one of prompts, and older builds skip both. A call is checked at admission and before each send, and is not repeated after two crashes. An answer or refusal on a connection from before a crash proves that there was none, so exchanges tell since when their connection is open.

The answer of a call that no crash has as a suspect is recorded without a look at the crashes.

Two rules are new for both ledgers. A part that was answered before is not blamed for crashes within one second: a request that is in use everywhere is under all crashes of a larger failure.

crash_ledger.cpp is split by subject. The test of merging runs with both ledgers. The bounds in the tests of the ledger are named by CrashLedgerBounds now, with the same values.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,11 @@
 
   /// Closes the connection; no handler is called afterwards.
   virtual void cancel() = 0;
+
+  /// Since when the connection is open that the request was sent on; nullopt
+  /// before it is sent.
+  virtual std::optional<std::chrono::steady_clock::time_point>
+  connectedAt() const = 0;
 };
 
 /// Counters of an UpstreamClient.
--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
@@ -30,6 +31,18 @@
   TimePoint Until{};
 };
 
+/// Bounds of the memory and of the messages of a CrashLedger.
+struct CrashLedgerBounds {
+  std::size_t Crashes = 128;
+  std::size_t Suspects = 8;          ///< suspected prompts of a crash
+  std::size_t AnsweredParts = 4'096; ///< parts that were answered lately
+  /// A delta ends after the crash with which it exceeds this size, so that it
+  /// fits into a datagram.
+  std::size_t DeltaBytes = 16'384;
+  /// A record in the store has the newest crashes up to this size.
+  std::size_t RecordBytes = 131'072;
+};
+
 /// Remembers which prompts engines were about to answer when they crashed, and
 /// blames the part of a prompt that explains the crashes. Load pattern: one
 /// part of a prompt crashes each engine that begins an answer to it, and
@@ -53,16 +66,13 @@
   /// What is remembered of a crash, and so a quarantine, ends after this time.
   static constexpr std::chrono::minutes Lifetime{10};
 
-  /// Bounds of the memory: crashes, suspected prompts of a crash, parts of a
-  /// prompt, bytes of a part's id, and parts that were answered lately.
-  static constexpr std::size_t MaxCrashes = 128;
-  static constexpr std::size_t MaxSuspects = 8;
+  /// Bounds of the memory: parts of a prompt, and bytes of a part's id.
   static constexpr std::size_t MaxParts = 64;
   static constexpr std::size_t MaxIdBytes = 16;
-  static constexpr std::size_t MaxAnsweredParts = 4'096;
 
   /// \p Incarnation identifies this copy; it is new at each start of a process.
-  explicit CrashLedger(std::uint64_t Incarnation) : Incarnation(Incarnation) {}
+  explicit CrashLedger(std::uint64_t Incarnation, CrashLedgerBounds Bounds = {})
+      : Incarnation(Incarnation), Bounds(Bounds) {}
 
   /// An engine's connection broke as it was about to answer a prompt.
   void recordCrash(const EndpointRecord &Engine, const PromptParts &Parts,
@@ -113,6 +123,10 @@
   /// their age is told by the time of day: \p UnixMicros is the present one.
   std::string encode(TimePoint Now, std::int64_t UnixMicros);
   void merge(std::string_view Encoded, TimePoint Now, std::int64_t UnixMicros);
+  void fillRecord(wire::CrashDelta &Out, TimePoint Now,
+                  std::int64_t UnixMicros);
+  void mergeRecord(const wire::CrashDelta &In, TimePoint Now,
+                   std::int64_t UnixMicros);
 
 private:
   struct Crash {
@@ -136,6 +150,7 @@
     std::set<std::string> LastParts; ///< of the prompts at these crashes
     std::size_t Depth = 0;           ///< its position in the prompts
     bool Answered = false;           ///< before these crashes
+    TimePoint FirstCrashAt = TimePoint::max();
     TimePoint LastCrashAt{};
   };
 
@@ -158,7 +173,10 @@
   bool countsAgainst(const Crash &C, const std::string &Part) const;
   void expire(TimePoint Now);
   void makeRoom();
+  void findSuspectedParts();
   std::vector<Suspicion> suspicions() const;
+  static bool isAmbiguous(const Suspicion &S,
+                          const std::vector<Suspicion> &All);
   bool isBlamed(const Suspicion &S, const std::vector<Suspicion> &All,
                 const std::set<std::string> &Explained) const;
   void refresh(TimePoint Now);
@@ -167,8 +185,12 @@
   void mergeContent(const wire::CrashDelta &In, Duration Delay, TimePoint Now);
 
   std::uint64_t Incarnation;
+  CrashLedgerBounds Bounds;
   std::uint64_t Revision = 0;
   std::map<std::string, Crash> Crashes; ///< by keyOf()
+  /// All parts that occur in Crashes, so that the answer to any other part is
+  /// recorded without a look at the crashes.
+  std::unordered_set<std::string> SuspectedParts;
   /// Newest answer of the parts that occur in Crashes.
   std::map<std::string, Answer, std::less<>> Answers;
   /// Newest answers that this entry has seen itself, of all parts; the older
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "hyssoprail/routing/call_admission.hpp"
-#include "hyssoprail/routing/crash_ledger.hpp"
+#include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
@@ -23,7 +23,7 @@
 struct SharedFlowState {
   EndpointTable &Table;
   HealthSignalLog &EngineSignals;
-  CrashLedger &Crashes;
+  CrashLedgers &Crashes;
   StreamAdmission &Admission;
   CallAdmission &Calls;
   RetryLimiter &Retries;
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -55,6 +55,10 @@
   LegOutcome Outcome = LegOutcome::Broken;
   /// NotRun, because another endpoint answers at the address.
   bool WrongEndpoint = false;
+  /// Broken, after the head of the answer had arrived.
+  bool AnswerBegan = false;
+  /// Since when the connection was open on which the response came.
+  std::optional<TimePoint> ConnectedAt;
   HttpResponse Response; ///< if Answered; can be passed to the caller
   std::string Handle;    ///< of the KV cache that a prefill stored
   std::string Detail;    ///< reason, for the log
@@ -67,7 +71,7 @@
   NoConfiguration,
   Draining, ///< this entry is shutting down; another one can serve the request
   OverQuota,
-  Quarantined,    ///< engines crash under a part of its prompt
+  Quarantined,    ///< endpoints crash under it or a part of its prompt
   NoCapacity,     ///< it has not run; the caller may retry
   NotRun,         ///< every endpoint refused it; the caller may retry
   OutcomeUnknown, ///< it may have run, but its answer was lost
--- a/include/hyssoprail/routing/run_crash_watch.hpp
+++ b/include/hyssoprail/routing/run_crash_watch.hpp
@@ -26,6 +26,9 @@
   /// The engine has sent data with \p NewEvents events.
   void received(std::uint64_t NewEvents, TimePoint Now);
 
+  /// The endpoint has sent data on a connection that is open since \p Since.
+  void alive(TimePoint Since, TimePoint Now);
+
   /// The answer is complete.
   void completed(TimePoint Now);
 
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -48,6 +48,7 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{MaxBufferedBytes};
   SteadyTime UsableUntil;
+  SteadyTime ConnectedAt;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -149,6 +150,11 @@
         Handlers(std::move(Handlers)), Executor(this->Connections->executor()),
         Deadline(std::chrono::steady_clock::now() + this->Call.HeadTimeout) {}
 
+  std::optional<std::chrono::steady_clock::time_point>
+  connectedAt() const override {
+    return ConnectedAt;
+  }
+
   void start() {
     Active = Connections->take(Peer);
     if (Active)
@@ -169,6 +175,7 @@
           if (Self->Ended)
             return;
           setSocketOptions(Self->Active->Stream.socket());
+          Self->Active->ConnectedAt = std::chrono::steady_clock::now();
           Self->write();
         });
   }
@@ -188,6 +195,7 @@
   /// Writes the request and reads the response concurrently: an endpoint may
   /// respond before it has read a long body.
   void write() {
+    ConnectedAt = Active->ConnectedAt;
     Message.version(11);
     Message.method_string(Call.Request.Method);
     Message.target(Call.Request.Target);
@@ -331,6 +339,7 @@
   asio::io_context::executor_type Executor;
   SteadyTime Deadline;
   ConnectionPtr Active;
+  std::optional<SteadyTime> ConnectedAt; ///< of the connection in use
   http::request<http::string_body> Message;
   std::optional<Parser> ResponseParser;
   std::array<char, 4096> Data{};
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -332,9 +332,7 @@
                               TimePoint Now) {
   wire::CoordinationMessage Message;
   *Message.mutable_report() = makeReport(Now);
-  if (State.Crashes.hasNewsFor(To.Name))
-    State.Crashes.fillDelta(To.Name,
-                            *Message.mutable_report()->mutable_crashes(), Now);
+  State.Crashes.fillNews(To.Name, *Message.mutable_report(), Now);
   SentReports.emplace_back(ReportSequence, Now);
   while (Now - SentReports.front().second > MaxConfirmedReportAge)
     SentReports.pop_front();
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -19,7 +19,7 @@
 #include "hyssoprail/routing/call_grant_client.hpp"
 #include "hyssoprail/routing/call_grant_server.hpp"
 #include "hyssoprail/routing/coordinator_election.hpp"
-#include "hyssoprail/routing/crash_ledger.hpp"
+#include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
 
 namespace hyssoprail::gateway {
@@ -28,7 +28,7 @@
 struct CoordinationState {
   routing::EndpointTable &Table;
   routing::HealthSignalLog &EngineSignals;
-  routing::CrashLedger &Crashes;
+  routing::CrashLedgers &Crashes;
   routing::SharedQuota &Quota;
   FleetFeed &Feed;
 };
--- a/src/hyssoprail/gateway/coordination_crashes.cpp
+++ b/src/hyssoprail/gateway/coordination_crashes.cpp
@@ -17,8 +17,7 @@
 template <typename Message>
 void Coordination::takeCrashes(const Message &From, TimePoint Now) {
   State.Crashes.notePeer(From.sender(), From.incarnation());
-  if (From.has_crashes())
-    State.Crashes.applyDelta(From.sender(), From.crashes(), Now);
+  State.Crashes.applyNews(From.sender(), From, Now);
 }
 
 template void Coordination::takeCrashes(const wire::EntryReport &, TimePoint);
--- a/src/hyssoprail/gateway/coordination_test.cpp
+++ b/src/hyssoprail/gateway/coordination_test.cpp
@@ -39,7 +39,7 @@
   DecisionLog Log;
   routing::EndpointTable Table;
   routing::HealthSignalLog Engines{Table};
-  routing::CrashLedger Crashes{1};
+  routing::CrashLedgers Crashes{1};
   routing::SharedQuota Quota{routing::QuotaTolerance{}};
   FakeFeed Feed;
   PeerSocket Peers;
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -101,8 +101,8 @@
     LastTotals = Now;
   Server.fillUpdate(Entry, U, WithTotals);
   Grants.fillUpdate(Entry, U, Now);
-  if (Entry != Settings.Name && State.Crashes.hasNewsFor(Entry))
-    State.Crashes.fillDelta(Entry, *U.mutable_crashes(), Now);
+  if (Entry != Settings.Name)
+    State.Crashes.fillNews(Entry, U, Now);
   return U;
 }
 
--- a/src/hyssoprail/gateway/crash_ledger_test.cpp
+++ b/src/hyssoprail/gateway/crash_ledger_test.cpp
@@ -16,31 +16,48 @@
 /// Time in which a fleet elects a coordinator and its entries report.
 constexpr milliseconds ElectionTime{2'000};
 
-/// Entries of a fleet that see engines crash under prompts.
+using routing::CrashLedgers;
+
+/// The two kinds of ledgers that entries exchange.
+using Ledger = routing::CrashLedger CrashLedgers::*;
+
+/// Entries of a fleet that see endpoints crash, under parts of prompts or under
+/// whole requests.
 struct CrashFleet : LimitFleet {
-  explicit CrashFleet(std::size_t EntryCount) : LimitFleet(EntryCount, {}) {
+  CrashFleet(std::size_t EntryCount, Ledger Watched)
+      : LimitFleet(EntryCount, {}), Watched(Watched) {
     run(ElectionTime, 0);
   }
 
-  /// The entry with the number \p Entry sees the next engine crash under a
-  /// prompt with \p Part.
+  routing::PromptParts parts(const std::string &Part, const std::string &Own) {
+    return Watched == &CrashLedgers::Prompts
+               ? routing::PromptParts{"first", Part, Own}
+               : routing::PromptParts{Part};
+  }
+
+  routing::CrashLedger &ledger(const std::string &Name) {
+    return crashes(Name).*Watched;
+  }
+
+  /// The entry with the number \p Entry sees the next endpoint crash under a
+  /// request with \p Part.
   void crash(std::size_t Entry, const std::string &Part) {
     routing::EndpointRecord Engine;
     Engine.Id = "i-" + std::to_string(++LastEngine);
-    crashes(Names[Entry % Names.size()])
-        .recordCrash(Engine,
-                     {"first", Part, "own-" + std::to_string(LastEngine)},
+    ledger(Names[Entry % Names.size()])
+        .recordCrash(Engine, parts(Part, "own-" + std::to_string(LastEngine)),
                      now());
   }
 
-  /// Number of entries that keep prompts with \p Part from the engines.
+  /// Number of entries that keep requests with \p Part from the endpoints.
   std::size_t blaming(const std::string &Part) {
     return static_cast<std::size_t>(
         std::count_if(Names.begin(), Names.end(), [&](const auto &Name) {
-          return crashes(Name).isQuarantined({"first", Part, "own"}, now());
+          return ledger(Name).isQuarantined(parts(Part, "own"), now());
         }));
   }
 
+  const Ledger Watched;
   unsigned LastEngine = 0;
 };
 
@@ -49,7 +66,9 @@
 // Guards against entries that each count the crashes they have seen themselves.
 TEST_CASE("crashes count over all entries") {
   const auto Count = GENERATE(std::size_t{3}, std::size_t{300});
-  CrashFleet F(Count);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(Count, Watched);
   for (const std::size_t Entry : {0, 1, 2}) {
     F.crash(Entry * (Count / 3), "bad");
     F.crash(Entry + 1, "bad-2");
@@ -64,7 +83,9 @@
 // changes, or when the entry that saw them starts again.
 TEST_CASE("crashes are remembered while coordinators and entries end") {
   const auto Count = GENERATE(std::size_t{3}, std::size_t{300});
-  CrashFleet F(Count);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(Count, Watched);
   F.crash(0, "bad");
   F.crash(1, "bad");
   F.run(SpreadTime, 0);
@@ -84,7 +105,9 @@
 // as nothing new is to be told since.
 TEST_CASE("an entry that starts again learns of the crashes before") {
   const auto Count = GENERATE(std::size_t{3}, std::size_t{300});
-  CrashFleet F(Count);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(Count, Watched);
   for (const std::size_t Entry : {0, 1, 2})
     F.crash(Entry, "bad");
   F.run(SpreadTime, 0);
@@ -97,7 +120,9 @@
 
 // Guards against entries that learn of no crash while there is no coordinator.
 TEST_CASE("crashes that are seen without a coordinator are told to the next") {
-  CrashFleet F(5);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(5, Watched);
   F.pause(F.coordinator(), true);
   for (std::size_t Entry = 0; Entry < 5; ++Entry)
     F.crash(Entry, "bad");
@@ -109,7 +134,9 @@
 // three engines.
 TEST_CASE("groups that cannot reach each other count crashes together") {
   const auto Count = GENERATE(std::size_t{6}, std::size_t{300});
-  CrashFleet F(Count);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(Count, Watched);
   const auto Side = [](const std::string &Name) { return Name.back() % 3; };
   F.Network.cut([&](const std::string &A, const std::string &B) {
     return Side(A) != Side(B);
@@ -128,7 +155,9 @@
 
 // Guards against a fleet that starts anew and crashes engines again.
 TEST_CASE("a fleet whose processes have all ended remembers bad parts") {
-  CrashFleet F(3);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(3, Watched);
   for (std::size_t Entry = 0; Entry < 3; ++Entry)
     F.crash(Entry, "bad");
   F.run(SpreadTime * 2, 0);
@@ -143,7 +172,9 @@
 // Guards against bad parts that are forgotten when all processes end, after the
 // store has lost what it was told of them.
 TEST_CASE("crashes are published again after the store was restored") {
-  CrashFleet F(3);
+  const Ledger Watched =
+      GENERATE(&CrashLedgers::Prompts, &CrashLedgers::Requests);
+  CrashFleet F(3, Watched);
   for (std::size_t Entry = 0; Entry < 3; ++Entry)
     F.crash(Entry, "bad");
   F.run(SpreadTime * 2, 0);
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -199,12 +199,12 @@
       Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Info.ApiKey);
   if (!Account && Config->requiresKeys() && !Route.AllowAnonymous)
     return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
-  if (Crashes.isQuarantined(Info.PromptParts, Time.now()))
-    return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
-                        routing::QuarantineRetryAfter);
   if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
     Info.Fingerprint = routing::requestFingerprint(
         Caller->request(), Info.Host, Account ? Account->Name : "");
+  if (Crashes.watch(Info).isQuarantined(Time.now()))
+    return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
+                        routing::QuarantineRetryAfter);
   double Tokens = 0;
   bool BeyondQuota = false;
   if (Account) {
@@ -446,9 +446,14 @@
                std::min<Duration>(Feed.dataAge(), MaxReportedAge))
                .count());
   Counters.gauge("store_calls").set(double(Feed.storeCalls()));
-  Counters.gauge("engine_crashes_remembered").set(double(Crashes.crashCount()));
+  Counters.gauge("engine_crashes_remembered")
+      .set(double(Crashes.Prompts.crashCount()));
   Counters.gauge("prompt_parts_quarantined")
-      .set(double(Crashes.quarantined(Now).size()));
+      .set(double(Crashes.Prompts.quarantined(Now).size()));
+  Counters.gauge("request_crashes_remembered")
+      .set(double(Crashes.Requests.crashCount()));
+  Counters.gauge("requests_quarantined")
+      .set(double(Crashes.Requests.quarantined(Now).size()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
   Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -118,6 +118,9 @@
                        const Result<HttpResponse> &Response);
   void updateColdStartLimits(TimePoint Now);
   void logQuarantineChanges(TimePoint Now);
+  void logQuarantineChanges(std::string_view Field,
+                            const std::vector<routing::QuarantinedPart> &All,
+                            std::set<std::string> &Logged);
   void updateGauges();
   void stopWhenIdle();
 
@@ -137,8 +140,10 @@
   routing::RetryLimiter Retries;
   routing::LengthEstimator Lengths;
   routing::HealthSignalLog EngineSignals;
-  routing::CrashLedger Crashes;
-  std::set<std::string> LoggedQuarantine; ///< parts, as last logged
+  routing::CrashLedgers Crashes;
+  /// Parts of prompts and fingerprints, as last logged.
+  std::set<std::string> LoggedParts;
+  std::set<std::string> LoggedFingerprints;
   PeerSocket Peers;
   Coordination FleetCoordination;
   StageOrders Stages;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -224,19 +224,27 @@
 }
 
 void GatewayRuntime::logQuarantineChanges(TimePoint Now) {
-  std::set<std::string> Parts;
-  for (const routing::QuarantinedPart &Q : Crashes.quarantined(Now)) {
-    Parts.insert(Q.Part);
-    if (!LoggedQuarantine.contains(Q.Part))
+  logQuarantineChanges("part", Crashes.Prompts.quarantined(Now), LoggedParts);
+  logQuarantineChanges("fingerprint", Crashes.Requests.quarantined(Now),
+                       LoggedFingerprints);
+}
+
+void GatewayRuntime::logQuarantineChanges(
+    std::string_view Field, const std::vector<routing::QuarantinedPart> &All,
+    std::set<std::string> &Logged) {
+  std::set<std::string> Ids;
+  for (const routing::QuarantinedPart &Q : All) {
+    Ids.insert(Q.Part);
+    if (!Logged.contains(Q.Part))
       Log.write(LogCategory::Outcome, "quarantine_begins", "",
-                {{"part", Q.Part},
+                {{Field, Q.Part},
                  {"crashes", Q.Crashes},
-                 {"ends_in_ms", Q.Until - Now}});
+                 {"ends_in_ms", Q.Until - Time.now()}});
   }
-  for (const std::string &Part : LoggedQuarantine)
-    if (!Parts.contains(Part))
-      Log.write(LogCategory::Outcome, "quarantine_ends", "", {{"part", Part}});
-  LoggedQuarantine = std::move(Parts);
+  for (const std::string &Id : Logged)
+    if (!Ids.contains(Id))
+      Log.write(LogCategory::Outcome, "quarantine_ends", "", {{Field, Id}});
+  Logged = std::move(Ids);
 }
 
 void GatewayRuntime::stopWhenIdle() {
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -151,7 +151,7 @@
   Coordination &coordination(const std::string &Name) {
     return Entries.at(Name)->Fleet;
   }
-  routing::CrashLedger &crashes(const std::string &Name) {
+  routing::CrashLedgers &crashes(const std::string &Name) {
     return Entries.at(Name)->Crashes;
   }
 
@@ -287,7 +287,7 @@
     DecisionLog Log;
     routing::EndpointTable Table;
     routing::HealthSignalLog Engines{Table};
-    routing::CrashLedger Crashes;
+    routing::CrashLedgers Crashes;
     routing::SharedQuota Quota{routing::QuotaTolerance{}};
     routing::RetryLimiter Retries{{0.2, 50, milliseconds(10'000)}};
     routing::LengthEstimator Lengths;
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -94,6 +94,7 @@
   if (It == Legs.end())
     return;
   Leg &L = It->second;
+  L.HasHead = true;
   L.Limit = Services.Protocol.limitStatement(L.Kind, Head);
   if (L.Limit)
     Hooks.OnLimitStatement(L.EndpointId, *L.Limit);
@@ -165,9 +166,12 @@
   LegResult Out;
   Out.Detail = Detail;
   Out.Response.Status = 0;
+  Out.AnswerBegan = L.HasHead;
   switch (End) {
   case UpstreamEnd::Complete:
-    return Services.Protocol.interpret(L.Kind, std::move(L.Response));
+    Out = Services.Protocol.interpret(L.Kind, std::move(L.Response));
+    Out.ConnectedAt = L.Exchange->connectedAt();
+    return Out;
   case UpstreamEnd::NotSent:
     Out.Outcome = LegOutcome::NotSent;
     return Out;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -127,6 +127,7 @@
     std::shared_ptr<UpstreamExchange> Exchange;
     HttpResponse Response;
     std::size_t BufferedBytes = 0; ///< size of Response, reserved in the budget
+    bool HasHead = false;          ///< the head of the response has arrived
     bool Streaming = false;
     std::optional<LimitStatement> Limit; ///< what the response states
   };
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -33,7 +33,8 @@
 class CallFlow : public Flow {
 public:
   CallFlow(SharedFlowState Shared, FlowRequest Request, FlowIo &Io)
-      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io) {}
+      : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
+        Crashes(this->Shared.Crashes.watch(this->Request.Info)) {}
 
   void start(TimePoint Now) override { send(Now); }
 
@@ -42,6 +43,7 @@
       return;
     endLeg();
     recordHealth(R, Now);
+    recordCrashEvidence(R, Now);
     switch (R.Outcome) {
     case LegOutcome::NotSent:
     case LegOutcome::NotRun:
@@ -158,6 +160,8 @@
   }
 
   void sendTo(Endpoint &E, TimePoint Now) {
+    if (Crashes.isQuarantined(Now))
+      return finishQuarantined(Now);
     RetryCharged = false;
     Io.logDecision("place", {{"endpoint", E.Record.Id},
                              {"zone", E.Record.Zone},
@@ -169,6 +173,7 @@
     TriedEndpoints.insert(ActiveEndpoint);
     Shared.Table.reserve(ActiveEndpoint, {1, 0, 0});
     Shared.Table.recordSend(ActiveEndpoint, Now);
+    Crashes.begin(E.Record, Now);
     LegRequest Leg;
     Leg.EndpointId = E.Record.Id;
     Leg.Address = E.Record.Address;
@@ -199,6 +204,21 @@
       E->Health.record(healthSignalOf(R, HealthSignal::RouteTimeout), Now);
   }
 
+  /// A connection that breaks before the answer begins may be a crash under
+  /// this call. A complete response on a connection from before a crash proves
+  /// that there was none.
+  void recordCrashEvidence(const LegResult &R, TimePoint Now) {
+    const bool Responded =
+        R.Outcome == LegOutcome::Answered || R.Outcome == LegOutcome::NotRun;
+    if (Responded && !R.WrongEndpoint && R.ConnectedAt)
+      Crashes.alive(*R.ConnectedAt, Now);
+    if (R.Outcome == LegOutcome::Answered)
+      Crashes.completed(Now);
+    if (R.Outcome == LegOutcome::Broken && R.Response.Status == 0 &&
+        !R.AnswerBegan)
+      Crashes.broke(Now);
+  }
+
   /// The last endpoint has not run the request, so it may be sent to another
   /// one even if it is not idempotent.
   void sendToAnother(LegOutcome Outcome, TimePoint Now) {
@@ -237,7 +257,8 @@
 
   bool canRunAgain(TimePoint Now) {
     return idempotent() && RunCount < Request.Route.MaxAttempts &&
-           LegCount < MaxLegs && chooseUsable(Now) && chargeRetry(Now);
+           LegCount < MaxLegs && Crashes.mayRunAgain() &&
+           !Crashes.isQuarantined(Now) && chooseUsable(Now) && chargeRetry(Now);
   }
 
   /// The endpoint has not answered by LegDeadline: it is slow or unresponsive.
@@ -273,6 +294,14 @@
            Now);
   }
 
+  /// Endpoints have crashed under this call since it was admitted.
+  void finishQuarantined(TimePoint Now) {
+    Io.logDecision("quarantine", {{"runs", RunCount}});
+    if (MayHaveRun)
+      return giveUp(Now);
+    finish(RejectReason::Quarantined, QuarantineRetryAfter, Now);
+  }
+
   void onDeadline(TimePoint Now) {
     const bool WasActive = ActiveLeg.has_value();
     stopWaiting();
@@ -303,6 +332,7 @@
   SharedFlowState Shared;
   FlowRequest Request;
   FlowIo &Io;
+  RunCrashWatch Crashes;
   std::set<std::string, std::less<>> TriedEndpoints;
   std::optional<FlowIo::LegId> ActiveLeg;
   std::string ActiveEndpoint;
--- /dev/null
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -0,0 +1,159 @@
+// The part of CrashLedger that blames parts for crashes.
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "hyssoprail/routing/crash_ledger.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Crashes that the store tells other coordinators about.
+constexpr std::size_t CrashesWorthPublishing = 2;
+
+/// A part that was answered before is blamed after this many crashes only, as
+/// requests with it may just have been in the way.
+constexpr std::size_t MinCrashesAfterAnswer = 5;
+
+/// A part that was answered before is not blamed for crashes within this time:
+/// a part that is in use everywhere is under all crashes of a larger failure.
+constexpr milliseconds MinSpanAfterAnswer{1'000};
+
+/// A part further back in the prompts is the likelier cause of the crashes that
+/// it was at, if it was at this many, under as many different prompts.
+constexpr std::size_t CrashesOfLikelierPart = 2;
+
+/// So many parts are not bad at the same time: the one that they share is.
+constexpr std::size_t MaxLikelierParts = 3;
+
+} // namespace
+
+bool CrashLedger::countsAgainst(const Crash &C, const std::string &Part) const {
+  if (C.AliveAfter)
+    return false;
+  const auto Answered = Answers.find(Part);
+  if (Answered != Answers.end() && Answered->second.At >= C.At)
+    return false;
+  return std::any_of(
+      C.Suspects.begin(), C.Suspects.end(), [&](const PromptParts &Parts) {
+        return std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
+      });
+}
+
+/// True if the crash counts against at least one part.
+bool CrashLedger::isEvidence(const Crash &C) const {
+  for (const PromptParts &Parts : C.Suspects)
+    for (const std::string &Part : Parts)
+      if (countsAgainst(C, Part))
+        return true;
+  return false;
+}
+
+/// The suspected parts in the order in which they are to be blamed: those
+/// without any answer first, then those with more crashes, then those nearer to
+/// the end of the prompts.
+std::vector<CrashLedger::Suspicion> CrashLedger::suspicions() const {
+  std::map<std::string, Suspicion> ByPart;
+  for (const auto &[Key, C] : Crashes)
+    for (const PromptParts &Parts : C.Suspects)
+      for (std::size_t I = 0; I < Parts.size(); ++I) {
+        if (!countsAgainst(C, Parts[I]))
+          continue;
+        Suspicion &S = ByPart[Parts[I]];
+        S.Part = Parts[I];
+        S.Crashes.insert(Key);
+        S.LastParts.insert(Parts.back());
+        S.Depth = std::max(S.Depth, I);
+        S.Answered = Answers.contains(Parts[I]);
+        S.FirstCrashAt = std::min(S.FirstCrashAt, C.At);
+        S.LastCrashAt = std::max(S.LastCrashAt, C.At);
+      }
+  std::vector<Suspicion> Out;
+  Out.reserve(ByPart.size());
+  for (auto &[Part, S] : ByPart)
+    Out.push_back(std::move(S));
+  const auto Rank = [](const Suspicion &S) {
+    return std::tuple(S.Answered, -static_cast<std::int64_t>(S.Crashes.size()),
+                      -static_cast<std::int64_t>(S.Depth));
+  };
+  std::stable_sort(Out.begin(), Out.end(),
+                   [&](const Suspicion &A, const Suspicion &B) {
+                     return Rank(A) < Rank(B);
+                   });
+  return Out;
+}
+
+/// True if another part is as likely the cause of the same crashes. The next
+/// crash or answer tells the two apart, as only one of them is under it.
+bool CrashLedger::isAmbiguous(const Suspicion &S,
+                              const std::vector<Suspicion> &All) {
+  return std::any_of(All.begin(), All.end(), [&](const Suspicion &Other) {
+    return Other.Part != S.Part && Other.Depth == S.Depth &&
+           Other.Answered == S.Answered && Other.Crashes == S.Crashes;
+  });
+}
+
+/// True if the crashes under \p S, but for the \p Explained ones, are reason
+/// enough to blame it.
+bool CrashLedger::isBlamed(const Suspicion &S,
+                           const std::vector<Suspicion> &All,
+                           const std::set<std::string> &Explained) const {
+  std::set<std::string> Left;
+  std::set_difference(S.Crashes.begin(), S.Crashes.end(), Explained.begin(),
+                      Explained.end(), std::inserter(Left, Left.end()));
+  const bool NeedsMore = S.Answered || isAmbiguous(S, All);
+  const std::size_t Needed = NeedsMore ? MinCrashesAfterAnswer : MinCrashes;
+  if (Left.size() < Needed ||
+      (S.Answered && S.LastCrashAt - S.FirstCrashAt < MinSpanAfterAnswer))
+    return false;
+  std::size_t Likelier = 0;
+  for (const Suspicion &Other : All) {
+    if (Other.Depth <= S.Depth ||
+        Other.Crashes.size() < CrashesOfLikelierPart ||
+        Other.LastParts.size() < CrashesOfLikelierPart)
+      continue;
+    const std::size_t Removed = std::erase_if(
+        Left, [&](const auto &Key) { return Other.Crashes.contains(Key); });
+    Likelier += Removed > 0 ? 1 : 0;
+  }
+  return Left.size() >= Needed || Likelier > MaxLikelierParts;
+}
+
+void CrashLedger::refresh(TimePoint Now) {
+  if (Crashes.empty() && Quarantine.empty())
+    return;
+  expire(Now);
+  if (!std::exchange(Dirty, false))
+    return;
+  Quarantine.clear();
+  MostCrashes = 0;
+  std::set<std::string> Explained; // keys of crashes under blamed parts
+  const std::vector<Suspicion> All = suspicions();
+  for (const Suspicion &S : All) {
+    MostCrashes = std::max(MostCrashes, S.Crashes.size());
+    if (!isBlamed(S, All, Explained))
+      continue;
+    Explained.insert(S.Crashes.begin(), S.Crashes.end());
+    Quarantine.push_back({S.Part, S.Crashes.size(), S.LastCrashAt + Lifetime});
+  }
+}
+
+bool CrashLedger::isQuarantined(const PromptParts &Parts, TimePoint Now) {
+  refresh(Now);
+  return std::any_of(Quarantine.begin(), Quarantine.end(), [&](const auto &Q) {
+    return std::find(Parts.begin(), Parts.end(), Q.Part) != Parts.end();
+  });
+}
+
+const std::vector<QuarantinedPart> &CrashLedger::quarantined(TimePoint Now) {
+  refresh(Now);
+  return Quarantine;
+}
+
+bool CrashLedger::worthPublishing(TimePoint Now) {
+  refresh(Now);
+  return MostCrashes >= CrashesWorthPublishing;
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -160,7 +160,7 @@
     O.crash(100 + I, {"first", Own + std::to_string(I)});
     O.answer({"first", Own + std::to_string(I)});
   }
-  REQUIRE(O.Ledger.crashCount() <= CrashLedger::MaxCrashes);
+  REQUIRE(O.Ledger.crashCount() <= CrashLedgerBounds{}.Crashes);
   REQUIRE(O.blames({"first", "bad", "own"}));
   REQUIRE(O.Ledger.encode(O.Now, 0).size() < std::size_t{256} * 1'024);
 }
@@ -170,8 +170,8 @@
 TEST_CASE("long prompts are watched, and told in parts that fit") {
   Observed O;
   CrashLedger Other(2);
-  for (unsigned I = 0; I < CrashLedger::MaxCrashes; ++I)
-    for (unsigned K = 0; K < CrashLedger::MaxSuspects; ++K) {
+  for (unsigned I = 0; I < CrashLedgerBounds{}.Crashes; ++I)
+    for (unsigned K = 0; K < CrashLedgerBounds{}.Suspects; ++K) {
       PromptParts Parts;
       for (std::size_t P = 0; P < CrashLedger::MaxParts; ++P)
         Parts.push_back(fmt::format("{:04x}{:04x}{:08x}", I, K, P));
@@ -190,7 +190,7 @@
     Other.fillDelta("first", Answer, O.Now);
     O.Ledger.applyDelta("other", Answer, O.Now);
   }
-  REQUIRE(Other.crashCount() == CrashLedger::MaxCrashes);
+  REQUIRE(Other.crashCount() == CrashLedgerBounds{}.Crashes);
 }
 
 // Guards against copies that differ after lost, late and repeated deltas.
@@ -253,4 +253,34 @@
   REQUIRE(MuchLater.crashCount() == 0);
 }
 
+// Guards against blaming a part that is in use everywhere when many engines
+// crash at once for another reason.
+TEST_CASE("an answered part is not blamed for crashes at the same time") {
+  const bool AtOnce = GENERATE(true, false);
+  Observed O;
+  O.answer({"part"});
+  for (unsigned I = 0; I < 6; ++I) {
+    O.Now += milliseconds(AtOnce ? 50 : 500);
+    O.Ledger.recordCrash(engine(I), {"part"}, O.Now);
+  }
+  REQUIRE(O.blames({"part"}) != AtOnce);
+}
+
+// Guards against blaming a request that was in a queue at the same crashes as
+// the cause, before the next crash tells the two apart.
+TEST_CASE("of two requests at the same crashes none is blamed at first") {
+  Observed O;
+  for (unsigned I = 0; I < 3; ++I) {
+    O.crash(I, {"bad"});
+    O.Ledger.recordCrash(engine(I), {"queued"}, O.Now);
+  }
+  REQUIRE(O.Ledger.quarantined(O.Now).empty());
+  if (GENERATE(true, false))
+    O.crash(3, {"bad"});
+  else
+    O.answer({"queued"});
+  REQUIRE(O.blames({"bad"}));
+  REQUIRE_FALSE(O.blames({"queued"}));
+}
+
 } // namespace hyssoprail::routing
--- /dev/null
+++ b/src/hyssoprail/routing/request_crash_test.cpp
@@ -0,0 +1,166 @@
+// Calls that crash plain endpoints.
+#include <catch2/catch.hpp>
+
+#include "test_support.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::answered;
+using testing::endedLeg;
+using testing::FlowFixture;
+using testing::service;
+
+/// The connection broke before the head of an answer arrived.
+LegResult brokenConnection() {
+  LegResult R = endedLeg(LegOutcome::Broken);
+  R.Response.Status = 0;
+  return R;
+}
+
+/// An entry before four plain endpoints, each of which comes back under a new
+/// id after a crash.
+struct CrashingCalls : FlowFixture {
+  CrashingCalls() {
+    for (unsigned I = 0; I < 4; ++I)
+      add(service("e-" + std::to_string(I)));
+  }
+
+  std::unique_ptr<Flow> startCall(RouteKind Kind,
+                                  const std::string &Fingerprint) {
+    FlowRequest R = request(Kind, std::to_string(++LastCall));
+    R.Info.Fingerprint = Fingerprint;
+    auto F = makeCallFlow(sharedState(), std::move(R), Io);
+    F->start(Now);
+    return F;
+  }
+
+  /// The endpoint of the last leg crashes under \p F.
+  void crash(Flow &F) {
+    const std::string Crashed = Io.Legs.back().EndpointId;
+    F.onLegResult(Io.lastLeg(), brokenConnection(), Now);
+    Table.remove(Crashed);
+    add(service(Crashed + "'"));
+    Now += milliseconds(1'000);
+  }
+
+  /// A call with \p Fingerprint is sent once and crashes its endpoint.
+  void crashUnder(const std::string &Fingerprint) {
+    const auto F = startCall(RouteKind::Call, Fingerprint);
+    crash(*F);
+  }
+
+  bool blames(const std::string &Fingerprint) {
+    return Crashes.Requests.isQuarantined({Fingerprint}, Now);
+  }
+
+  unsigned LastCall = 0;
+};
+
+} // namespace
+
+// Guards against a call that crashes one plain endpoint after the other, and
+// against refusing other calls of the same account with it.
+TEST_CASE("a call that crashed three plain endpoints is not sent again") {
+  CrashingCalls B;
+  for (unsigned I = 0; I < 3; ++I) {
+    REQUIRE_FALSE(B.blames("bad"));
+    B.crashUnder("bad");
+  }
+  const std::size_t Sent = B.Io.Legs.size();
+  const auto F = B.startCall(RouteKind::Call, "bad");
+  REQUIRE(B.Io.Legs.size() == Sent);
+  REQUIRE(B.Io.RejectedWith == RejectReason::Quarantined);
+  REQUIRE(B.Io.SentRetryAfter == QuarantineRetryAfter);
+  REQUIRE_FALSE(F->mayHaveRun());
+  B.startCall(RouteKind::Call, "sound");
+  REQUIRE(B.Io.Legs.size() == Sent + 1);
+  // The parts of prompts are watched apart.
+  REQUIRE(B.Crashes.Prompts.crashCount() == 0);
+}
+
+// Guards against an entry that crashes endpoints by its own repeats.
+TEST_CASE("a call is not repeated after two crashes") {
+  CrashingCalls B;
+  FlowRequest R = B.request(RouteKind::IdempotentCall);
+  R.Info.Fingerprint = "bad";
+  R.Route.MaxAttempts = 4;
+  const auto F = makeCallFlow(B.sharedState(), std::move(R), B.Io);
+  F->start(B.Now);
+  B.crash(*F);
+  REQUIRE(B.Io.Legs.size() == 2);
+  B.crash(*F);
+  REQUIRE(B.Io.Legs.size() == 2);
+  REQUIRE(B.Io.RejectedWith == RejectReason::OutcomeUnknown);
+}
+
+// Guards against a repeat that is sent although other entries have seen the
+// third crash meanwhile, and against a false "not run".
+TEST_CASE("a call that is blamed while it runs is not repeated") {
+  CrashingCalls B;
+  B.crashUnder("bad");
+  B.crashUnder("bad");
+  const auto F = B.startCall(RouteKind::IdempotentCall, "bad");
+  const std::size_t Sent = B.Io.Legs.size();
+  B.crash(*F);
+  REQUIRE(B.Io.Legs.size() == Sent);
+  REQUIRE(B.Io.RejectedWith == RejectReason::OutcomeUnknown);
+}
+
+// Guards against blaming a request that every caller sends, as some of them are
+// in the queue of each endpoint that crashes.
+TEST_CASE("a call that is answered between crashes is not blamed") {
+  CrashingCalls B;
+  for (unsigned I = 0; I < 8; ++I) {
+    B.crashUnder("frequent");
+    const auto F = B.startCall(RouteKind::Call, "frequent");
+    F->onLegResult(B.Io.lastLeg(), answered(I % 2 == 0 ? 200 : 500), B.Now);
+  }
+  REQUIRE_FALSE(B.blames("frequent"));
+}
+
+// Guards against missing the guilty call among all that break in the slots and
+// in the queue of an endpoint.
+TEST_CASE("the guilty call is found among all that were in the queue") {
+  CrashingCalls B;
+  for (unsigned I = 0; I < 3; ++I) {
+    const EndpointRecord Endpoint = service("q-" + std::to_string(I));
+    for (unsigned K = 0; K < 30; ++K)
+      B.Crashes.Requests.recordCrash(
+          Endpoint, {K == 29 ? "bad" : "queued-" + std::to_string(I * 100 + K)},
+          B.Now);
+    B.Now += milliseconds(1'000);
+  }
+  REQUIRE(B.blames("bad"));
+  REQUIRE(B.Crashes.Requests.quarantined(B.Now).size() == 1);
+}
+
+// Guards against taking broken answers and broken connections of running
+// endpoints for crashes.
+TEST_CASE("a broken connection is no crash if the endpoint runs on") {
+  const bool AnswerBegan = GENERATE(true, false);
+  CrashingCalls B;
+  for (unsigned I = 0; I < 4; ++I) {
+    B.Now += milliseconds(1'000);
+    const TimePoint Connected = B.Now;
+    const auto F = B.startCall(RouteKind::Call, "call");
+    const std::string Id = B.Io.Legs.back().EndpointId;
+    const auto Leg = B.Io.lastLeg();
+    const auto Other = B.startCall(RouteKind::Call, "other");
+    LegResult Broken = brokenConnection();
+    Broken.AnswerBegan = AnswerBegan;
+    F->onLegResult(Leg, Broken, B.Now);
+    B.Now += milliseconds(400);
+    if (!AnswerBegan)
+      B.Crashes.Requests.recordAlive(Id, Connected - milliseconds(10), B.Now);
+    B.Table.remove(Id);
+    B.add(service(Id + "'"));
+    LegResult Refused = endedLeg(LegOutcome::NotRun);
+    Refused.ConnectedAt = Connected;
+    Other->onLegResult(B.Io.lastLeg(), Refused, B.Now);
+    Other->onCallerDisconnected(B.Now);
+  }
+  REQUIRE_FALSE(B.blames("call"));
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/run_crash_watch.cpp
+++ b/src/hyssoprail/routing/run_crash_watch.cpp
@@ -27,6 +27,10 @@
     recordAnswer(Now);
 }
 
+void RunCrashWatch::alive(TimePoint Since, TimePoint Now) {
+  Ledger.recordAlive(Engine.Id, Since, Now);
+}
+
 void RunCrashWatch::completed(TimePoint Now) { recordAnswer(Now); }
 
 void RunCrashWatch::recordAnswer(TimePoint Now) {
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -6,7 +6,6 @@
 #include "hyssoprail/routing/held_cache.hpp"
 #include "hyssoprail/routing/leg_budget.hpp"
 #include "hyssoprail/routing/leg_health_signal.hpp"
-#include "hyssoprail/routing/run_crash_watch.hpp"
 #include "hyssoprail/routing/stream_progress.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 #include "hyssoprail/routing/stream_timeouts.hpp"
@@ -38,7 +37,7 @@
       : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
         Cache(this->Request.HandleRetention),
         Budget(this->Shared.Retries, this->Request.Service),
-        Crashes(this->Shared.Crashes, this->Request.Info.PromptParts) {
+        Crashes(this->Shared.Crashes.watch(this->Request.Info)) {
     if (this->Request.Info.Resumes)
       Progress.resumeAfter(this->Request.Info.LastEventId);
   }
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -280,7 +280,7 @@
     B.poll(*F);
   }
   REQUIRE(Decodes == 2);
-  REQUIRE(B.Crashes.crashCount() == 2);
+  REQUIRE(B.Crashes.Prompts.crashCount() == 2);
   REQUIRE(B.Io.FinalAnswers == 1);
 }
 
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -166,7 +166,7 @@
   TimePoint Now = Start;
   EndpointTable Table;
   HealthSignalLog EngineSignals{Table};
-  CrashLedger Crashes{1};
+  CrashLedgers Crashes{1};
   StreamScheduler Scheduler{{}, Table};
   CallGrantClient Calls{Table};
   RetryLimiter Retries{{0.2, 100, milliseconds(10'000)}};
