--- a/src/hyssoprail/routing/request_fingerprint_test.cpp
+++ b/src/hyssoprail/routing/request_fingerprint_test.cpp
@@ -9,7 +9,7 @@
 // Guards against counting different requests as one, and one request that comes
 // again with another id as two.
 TEST_CASE("a fingerprint tells requests apart by what endpoints process") {
-  const HttpRequest R{"POST", "/o/1?a=1", {{"X-Attempt-Id", "1"}}, "body"};
+  const HttpRequest R{"POST", "/o/1?a=1", {{"X-Id", "1"}}, "body"};
   const auto With = [&](auto Change) {
     HttpRequest Changed = R;
     Change(Changed);
