--- a/src/hyssoprail/routing/request_crash_test.cpp
+++ b/src/hyssoprail/routing/request_crash_test.cpp
@@ -163,4 +163,52 @@
   REQUIRE_FALSE(B.blames("call"));
 }
 
+// Guards against streams without prompt parts that crash one engine after the
+// other.
+TEST_CASE("a stream without prompt parts is watched as a whole") {
+  FlowFixture B;
+  for (unsigned I = 0; I < 3; ++I)
+    B.add(testing::engine("d-" + std::to_string(I), EngineStage::Decode));
+  for (unsigned I = 0; I < 2; ++I) {
+    FlowRequest R = B.request(RouteKind::Stream, std::to_string(I));
+    R.Info.Fingerprint = "bad";
+    R.Route.MaxAttempts = 1;
+    const auto F = B.startStream(std::move(R));
+    REQUIRE(B.Io.Legs.back().Kind == LegKind::Decode);
+    B.Table.remove(B.Io.Legs.back().EndpointId);
+    B.answer(*F, B.Io.lastLeg(), brokenConnection());
+    B.Now += milliseconds(1'000);
+  }
+  REQUIRE(B.Crashes.Requests.crashCount() == 2);
+  REQUIRE(B.Crashes.Prompts.crashCount() == 0);
+}
+
+// Guards against a record whose requests are taken for parts of prompts, and
+// against losing either when all processes end. A record of an older build has
+// no requests.
+TEST_CASE("a record in the store has both ledgers") {
+  const TimePoint Now = testing::Start;
+  CrashLedgers Written{1};
+  CrashLedgers Old{2};
+  for (unsigned I = 0; I < 3; ++I) {
+    const EndpointRecord Endpoint = service("e-" + std::to_string(I));
+    Written.Prompts.recordCrash(Endpoint, {"part"}, Now);
+    Written.Requests.recordCrash(Endpoint, {"call"}, Now);
+    Old.Prompts.recordCrash(Endpoint, {"old"}, Now);
+  }
+  CrashLedgers Read{3};
+  Read.merge(Written.encode(Now, 0), Now, 0);
+  REQUIRE(Read.Prompts.isQuarantined({"part"}, Now));
+  REQUIRE(Read.Requests.isQuarantined({"call"}, Now));
+  REQUIRE_FALSE(Read.Requests.isQuarantined({"part"}, Now));
+  CrashLedgers Newer{4};
+  Newer.merge(Old.Prompts.encode(Now, 0), Now, 0);
+  REQUIRE(Newer.Prompts.isQuarantined({"old"}, Now));
+  // An older build reads what a newer one has written.
+  CrashLedger Older{5};
+  Older.merge(Written.encode(Now, 0), Now, 0);
+  REQUIRE(Older.isQuarantined({"part"}, Now));
+  REQUIRE_FALSE(Older.isQuarantined({"call"}, Now));
+}
+
 } // namespace hyssoprail::routing
