--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -101,10 +101,10 @@
     LastTotals = Now;
   Server.fillUpdate(Entry, U, WithTotals);
   Grants.fillUpdate(Entry, U, Now);
-  if (Entry != Settings.Name)
-    Leavers.fill(Entry, U);
-  if (Entry != Settings.Name && State.Crashes.hasNewsFor(Entry))
-    State.Crashes.fillDelta(Entry, *U.mutable_crashes(), Now);
+  if (Entry == Settings.Name)
+    return U;
+  Leavers.fill(Entry, U);
+  State.Crashes.fillNews(Entry, U, Now);
   return U;
 }
 
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -10,6 +10,7 @@
 
 #include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
+#include "hyssoprail/routing/request_fingerprint.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 
 namespace hyssoprail::gateway {
@@ -205,7 +206,10 @@
       Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Info.ApiKey);
   if (!Account && Config->requiresKeys() && !Route.AllowAnonymous)
     return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
-  if (Crashes.isQuarantined(Info.PromptParts, Time.now()))
+  if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
+    Info.Fingerprint = routing::requestFingerprint(
+        Caller->request(), Info.Host, Account ? Account->Name : "");
+  if (Crashes.watch(Info).isQuarantined(Time.now()))
     return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
                         routing::QuarantineRetryAfter);
   double Tokens = 0;
@@ -273,6 +277,7 @@
              {"deadline_ms", Request.Info.Deadline},
              {"tokens", QuotaTokens},
              {"parts", boost::algorithm::join(Request.Info.PromptParts, ",")},
+             {"fingerprint", Request.Info.Fingerprint},
              {"beyond_quota", Request.BeyondQuota},
              {"version", Config->Version},
              {"version_age_ms", Time.now() - ConfigAppliedAt}});
@@ -453,9 +458,14 @@
                std::min<Duration>(Feed.dataAge(), MaxReportedAge))
                .count());
   Counters.gauge("store_calls").set(double(Feed.storeCalls()));
-  Counters.gauge("engine_crashes_remembered").set(double(Crashes.crashCount()));
+  Counters.gauge("engine_crashes_remembered")
+      .set(double(Crashes.Prompts.crashCount()));
   Counters.gauge("prompt_parts_quarantined")
-      .set(double(Crashes.quarantined(Now).size()));
+      .set(double(Crashes.Prompts.quarantined(Now).size()));
+  Counters.gauge("request_crashes_remembered")
+      .set(double(Crashes.Requests.crashCount()));
+  Counters.gauge("requests_quarantined")
+      .set(double(Crashes.Requests.quarantined(Now).size()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
   Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -187,7 +187,7 @@
   Coordination &coordination(const std::string &Name) {
     return Entries.at(Name)->Fleet;
   }
-  routing::CrashLedger &crashes(const std::string &Name) {
+  routing::CrashLedgers &crashes(const std::string &Name) {
     return Entries.at(Name)->Crashes;
   }
 
@@ -325,7 +325,7 @@
     routing::EndpointTable Table;
     routing::HealthSignalLog Engines{Table};
     const std::uint64_t Incarnation;
-    routing::CrashLedger Crashes;
+    routing::CrashLedgers Crashes;
     std::set<std::string> ToldToLeave; ///< endpoints, by their own responses
     std::map<std::string, TimePoint> ToldToPause; ///< until then
     routing::SharedQuota Quota{routing::QuotaTolerance{}};
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -419,7 +419,7 @@
           "crash") {
   SilentStream B({"first", "own"});
   B.F->onStreamEnd(2, false, B.Now);
-  REQUIRE(B.Crashes.crashCount() == 1);
+  REQUIRE(B.Crashes.Prompts.crashCount() == 1);
 }
 
 // Guards against a request that ends a third engine: the second crash is that
@@ -443,7 +443,7 @@
   B.poll(*F);
   REQUIRE(B.Io.Legs.size() == 5);
   B.answer(*F, 4, Crash);
-  REQUIRE(B.Crashes.crashCount() == 2);
+  REQUIRE(B.Crashes.Prompts.crashCount() == 2);
   if (B.leg(5).Kind == LegKind::Prefill)
     B.answer(*F, 5, answered(200, "handle-3"));
   REQUIRE(B.Io.Legs.size() == 5);
@@ -597,7 +597,7 @@
     B.poll(*F);
   }
   REQUIRE(Decodes == 2);
-  REQUIRE(B.Crashes.crashCount() == 2);
+  REQUIRE(B.Crashes.Prompts.crashCount() == 2);
   REQUIRE(B.Io.FinalAnswers == 1);
 }
 
