Parts with few crashes are not compared with all others

The rule on parts at the same crashes compared each suspected part with every other one before the count of its crashes was looked at: quadratic in the suspects, up to 8,192 requests.

--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -102,6 +102,8 @@
   std::set<std::string> Left;
   std::set_difference(S.Crashes.begin(), S.Crashes.end(), Explained.begin(),
                       Explained.end(), std::inserter(Left, Left.end()));
+  if (Left.size() < MinCrashes)
+    return false; // most parts; the comparison with all others costs time
   const bool NeedsMore = S.Answered || isAmbiguous(S, All);
   const std::size_t Needed = NeedsMore ? MinCrashesAfterAnswer : MinCrashes;
   if (Left.size() < Needed ||
