Two requests that crash endpoints are both refused

Besides, a call that was sent to a worker which was down already became a suspect of its crash, so most crashes had both.

A whole request that has been blamed for 0.5 s now stays blamed while its own crashes are enough; and a request that was sent after the crash is no suspect of it. The first does not hold for parts of prompts, of which another one may turn out to be the cause ("a single prompt that crashes engines is blamed alone"). Both new tests failed before: 11 crashes instead of 8, and the sound call was blamed in place of the bad one.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -29,6 +29,7 @@
   std::string Part;
   std::size_t Crashes = 0; ///< engines that crashed since its last answer
   TimePoint Until{};
+  TimePoint Since{}; ///< when this copy of the ledger first blamed it
 };
 
 /// Bounds of the memory and of the messages of a CrashLedger.
@@ -74,9 +75,10 @@
   explicit CrashLedger(std::uint64_t Incarnation, CrashLedgerBounds Bounds = {})
       : Incarnation(Incarnation), Bounds(Bounds) {}
 
-  /// An engine's connection broke as it was about to answer a prompt.
+  /// An engine's connection broke as it was about to answer a prompt that was
+  /// sent at \p SentAt. Nothing is recorded if the engine had crashed before.
   void recordCrash(const EndpointRecord &Engine, const PromptParts &Parts,
-                   TimePoint Now);
+                   TimePoint Now, TimePoint SentAt = {});
 
   /// An engine has answered a prompt with these parts without a crash.
   void recordAnswer(const PromptParts &Parts, TimePoint Now);
@@ -150,6 +152,7 @@
     std::set<std::string> LastParts; ///< of the prompts at these crashes
     std::size_t Depth = 0;           ///< its position in the prompts
     bool Answered = false;           ///< before these crashes
+    bool IsWhole = true;             ///< it is the only part wherever it occurs
     TimePoint FirstCrashAt = TimePoint::max();
     TimePoint LastCrashAt{};
   };
@@ -179,6 +182,9 @@
                           const std::vector<Suspicion> &All);
   bool isBlamed(const Suspicion &S, const std::vector<Suspicion> &All,
                 const std::set<std::string> &Explained) const;
+  static std::optional<TimePoint>
+  settled(const std::vector<QuarantinedPart> &Before, const Suspicion &S,
+          TimePoint Now);
   void refresh(TimePoint Now);
   void fillCrash(const Crash &C, wire::EngineCrash &Out, TimePoint Now) const;
   void mergeCrash(const wire::EngineCrash &In, Duration Delay, TimePoint Now);
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -65,10 +65,15 @@
 }
 
 void CrashLedger::recordCrash(const EndpointRecord &Engine,
-                              const PromptParts &Parts, TimePoint Now) {
+                              const PromptParts &Parts, TimePoint Now,
+                              TimePoint SentAt) {
   if (Parts.empty())
     return;
   expire(Now);
+  const auto Known = Crashes.find(keyOf(Engine.Id, Engine.StartedAtMs));
+  if (Known != Crashes.end() && !Known->second.AliveAfter &&
+      Known->second.At < SentAt)
+    return;
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
   makeRoom();
 }
--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -27,6 +27,18 @@
 /// So many parts are not bad at the same time: the one that they share is.
 constexpr std::size_t MaxLikelierParts = 3;
 
+/// A request that has been blamed for this time stays blamed although another
+/// one explains its crashes, too. By then all entries have told what they saw.
+constexpr milliseconds SettleTime{500};
+
+std::optional<TimePoint> blamedSince(const std::vector<QuarantinedPart> &Parts,
+                                     const std::string &Part) {
+  for (const QuarantinedPart &Q : Parts)
+    if (Q.Part == Part)
+      return Q.Since;
+  return std::nullopt;
+}
+
 } // namespace
 
 bool CrashLedger::countsAgainst(const Crash &C, const std::string &Part) const {
@@ -64,6 +76,7 @@
         S.Part = Parts[I];
         S.Crashes.insert(Key);
         S.LastParts.insert(Parts.back());
+        S.IsWhole = S.IsWhole && Parts.size() == 1;
         S.Depth = std::max(S.Depth, I);
         S.Answered = Answers.contains(Parts[I]);
         S.FirstCrashAt = std::min(S.FirstCrashAt, C.At);
@@ -122,23 +135,43 @@
   return Left.size() >= Needed || Likelier > MaxLikelierParts;
 }
 
+/// Since when \p S is blamed, if it stays so; \p Before was blamed until now.
+/// Two requests that crash endpoints are often in progress together: if the
+/// newer crashes under one of them released the other, it would crash more.
+/// Only a whole request can stay blamed in this way: of the parts of a prompt,
+/// another one may turn out to be the cause.
+std::optional<TimePoint>
+CrashLedger::settled(const std::vector<QuarantinedPart> &Before,
+                     const Suspicion &S, TimePoint Now) {
+  if (!S.IsWhole || S.Crashes.size() < MinCrashes)
+    return std::nullopt;
+  const auto Since = blamedSince(Before, S.Part);
+  return Since && Now - *Since >= SettleTime ? Since : std::nullopt;
+}
+
 void CrashLedger::refresh(TimePoint Now) {
   if (Crashes.empty() && Quarantine.empty())
     return;
   expire(Now);
   if (!std::exchange(Dirty, false))
     return;
-  Quarantine.clear();
+  const std::vector<QuarantinedPart> Before = std::exchange(Quarantine, {});
   MostCrashes = 0;
   std::set<std::string> Explained; // keys of crashes under blamed parts
   const std::vector<Suspicion> All = suspicions();
+  const auto Blame = [&](const Suspicion &S, TimePoint Since) {
+    Explained.insert(S.Crashes.begin(), S.Crashes.end());
+    Quarantine.push_back(
+        {S.Part, S.Crashes.size(), S.LastCrashAt + Lifetime, Since});
+  };
   for (const Suspicion &S : All) {
     MostCrashes = std::max(MostCrashes, S.Crashes.size());
-    if (!isBlamed(S, All, Explained))
-      continue;
-    Explained.insert(S.Crashes.begin(), S.Crashes.end());
-    Quarantine.push_back({S.Part, S.Crashes.size(), S.LastCrashAt + Lifetime});
+    if (const auto Since = settled(Before, S, Now))
+      Blame(S, *Since);
   }
+  for (const Suspicion &S : All)
+    if (!settled(Before, S, Now) && isBlamed(S, All, Explained))
+      Blame(S, blamedSince(Before, S.Part).value_or(Now));
 }
 
 bool CrashLedger::isQuarantined(const PromptParts &Parts, TimePoint Now) {
--- a/src/hyssoprail/routing/request_crash_test.cpp
+++ b/src/hyssoprail/routing/request_crash_test.cpp
@@ -59,6 +59,51 @@
 
 } // namespace
 
+// Guards against two calls that crash endpoints and are in progress together:
+// the newest crash under one released the other, so that each went on to crash
+// endpoints in turn (soak, seed 5002).
+TEST_CASE("two calls that crash endpoints together are both refused") {
+  CrashLedger Ledger{1, CallLedgerBounds};
+  TimePoint Now = testing::Start;
+  unsigned Crashes = 0;
+  const auto Refused = [&](const char *Call) {
+    return Ledger.isQuarantined({Call}, Now);
+  };
+  for (unsigned Round = 0; Round < 20; ++Round) {
+    Now += milliseconds(700);
+    const bool SendA = !Refused("a");
+    const bool SendB = !Refused("b");
+    if (!SendA && !SendB)
+      continue;
+    const EndpointRecord E = service("e-" + std::to_string(++Crashes));
+    if (SendA)
+      Ledger.recordCrash(E, {"a"}, Now);
+    if (SendB)
+      Ledger.recordCrash(E, {"b"}, Now);
+  }
+  // Five under both, and three under the one that was blamed later.
+  CHECK(Crashes == 8);
+  CHECK(Refused("a"));
+  CHECK(Refused("b"));
+}
+
+// Guards against blaming a call for the crash of an endpoint that was down
+// already when the call was sent there.
+TEST_CASE("a call that is sent to a crashed endpoint is no suspect") {
+  CrashLedger Ledger{1, CallLedgerBounds};
+  TimePoint Now = testing::Start;
+  for (unsigned I = 0; I < 6; ++I) {
+    Now += milliseconds(1'000);
+    const EndpointRecord E = service("e-" + std::to_string(I));
+    Ledger.recordCrash(E, {"bad"}, Now, Now - milliseconds(30));
+    const TimePoint SentAt = Now + milliseconds(100);
+    Ledger.recordCrash(E, {"a sound one"}, SentAt + milliseconds(1), SentAt);
+  }
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Ledger.isQuarantined({"a sound one"}, Now));
+  CHECK(Ledger.quarantined(Now).size() == 1);
+}
+
 // Guards against a call that crashes one plain endpoint after the other, and
 // against refusing other calls of the same account with it.
 TEST_CASE("a call that crashed three plain endpoints is not sent again") {
--- a/src/hyssoprail/routing/run_crash_watch.cpp
+++ b/src/hyssoprail/routing/run_crash_watch.cpp
@@ -39,7 +39,7 @@
   if (Current.Events >= EventsOfBegunAnswer)
     return;
   ++SuspectedCrashes;
-  Ledger.recordCrash(Current.Engine, Parts, Now);
+  Ledger.recordCrash(Current.Engine, Parts, Now, Current.BeganAt);
 }
 
 bool RunCrashWatch::mayRunAgain() const {
