StreamFlow stands in a header and three files by subject

The class is in stream_flow.hpp; events and the end of a request are in stream_flow.cpp, engines and legs in stream_flow_legs.cpp, the run of a silent engine in stream_flow_silent.cpp. The code is moved, not changed; routing_test passes (178 cases).

--- /dev/null
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -0,0 +1,241 @@
+// The part of StreamFlow that asks for engines, sends legs to them and decides
+// what follows when a leg has ended.
+#include <algorithm>
+#include <utility>
+
+#include "hyssoprail/routing/stream_flow.hpp"
+#include "hyssoprail/routing/stream_request.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// After this many refusals by decode engines, a KV cache counts as lost.
+constexpr unsigned MaxCacheRefusals = 2;
+
+constexpr unsigned MaxPrefillLegs = 2;
+constexpr unsigned MaxDecodeLegs = 4;
+
+/// Legs that reach no engine do not count as sent until there are this many,
+/// since they take little time and none of the retry budget. When a zone is
+/// lost, a third of the engines may be gone before their registrations expire.
+constexpr unsigned MaxUnreachedLegs = 12;
+constexpr unsigned MaxRequeues = 16;
+constexpr milliseconds NotRunRetryAfter{400};
+
+/// Time reserved before a caller without an event leaves, for the final answer
+/// to reach it.
+constexpr milliseconds CallerEventMargin{100};
+
+/// A run whose engine was silent ends this long after another engine was sent
+/// the request and has not refused it, so that not both generate for long. An
+/// engine that cannot be reached is known to be so after 250 ms.
+constexpr milliseconds SilentRunOverlap{300};
+
+} // namespace
+
+TimePoint StreamFlow::answerDeadline() const {
+  const TimePoint Latest = Request.AnswerBy - AnswerMargin;
+  if (StreamStarted)
+    return Latest;
+  return std::min(Latest, Request.Arrival + callerEventTimeout(Request.Route) -
+                              CallerEventMargin);
+}
+
+LegRequest StreamFlow::makeLeg(LegKind Kind, const Endpoint &E,
+                               TimePoint Now) const {
+  LegRequest Out;
+  Out.Kind = Kind;
+  Out.EndpointId = E.Record.Id;
+  Out.Address = E.Record.Address;
+  Out.StartedAtMs = E.Record.StartedAtMs;
+  Out.Deadline =
+      std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
+  return Out;
+}
+
+bool StreamFlow::takesWork(const std::string &Id, TimePoint Now) const {
+  const Endpoint *E = Shared.Table.find(Id);
+  return !E || Shared.Table.takesWork(*E, Now);
+}
+
+void StreamFlow::submit(StreamRequest Submission, TimePoint Now) {
+  if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+    return finish(MayHaveRun       ? RejectReason::OutcomeUnknown
+                  : DecodeLegs > 0 ? RejectReason::NotRun
+                                   : RejectReason::NoCapacity,
+                  *Wait, Now);
+  Submission.ExcludedEndpoints = Shared.Table.refusing(Request.Service, Now);
+  CurrentPhase = StreamPhase::Waiting;
+  Submission.Id = PlacementId;
+  Submission.Zone = Shared.Zone;
+  for (const std::string &Failed : {FailedDecode, FailedPrefill})
+    if (!Failed.empty())
+      Submission.ExcludedEndpoints.push_back(Failed);
+  if (Silent)
+    Submission.ExcludedEndpoints.push_back(Silent->Endpoint);
+  SubmittedWithCache = Submission.HasKvCache;
+  Shared.Admission.submit(std::move(Submission));
+}
+
+void StreamFlow::sendPrefill(const StreamPlacement &Place, TimePoint Now) {
+  Endpoint *E = Shared.Table.find(Place.Prefill);
+  if (E && !takesWork(Place.Prefill, Now)) {
+    FailedPrefill = Place.Prefill;
+    return repeatPrefill(Now);
+  }
+  if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
+    Shared.Admission.prefillEnded(PlacementId, Now);
+    return sendDecode(Now);
+  }
+  CurrentPhase = StreamPhase::Prefilling;
+  PrefillEndpoint = Place.Prefill;
+  LastProgressAt = Now;
+  PrefillDeadline = Now + prefillTimeout(Place.PrefillBacklog);
+  LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
+  Leg.IsRetry = PrefillLegs++ > 0;
+  ActiveLeg = Io.startLeg(Leg);
+}
+
+void StreamFlow::onPrefillResult(const LegResult &R, TimePoint Now) {
+  if (R.Outcome == LegOutcome::Answered && !R.Handle.empty()) {
+    if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
+      Cache.store({E->Record.Address, R.Handle}, Now);
+    Shared.Admission.prefillEnded(PlacementId, Now);
+    return sendDecode(Now);
+  }
+  retryPrefill(Now);
+}
+
+void StreamFlow::retryPrefill(TimePoint Now) {
+  FailedPrefill = PrefillEndpoint;
+  if (PrefillLegs < MaxPrefillLegs && !StreamStarted)
+    return repeatPrefill(Now);
+  Shared.Admission.prefillEnded(PlacementId, Now);
+  sendDecode(Now);
+}
+
+void StreamFlow::sendDecode(TimePoint Now) {
+  if (!Io.stillAllowed())
+    return finish(RejectReason::NoKey, {}, Now);
+  if (Crashes.isQuarantined(Now))
+    return finishQuarantined(Now);
+  if (!Crashes.mayRunAgain())
+    return giveUp(Now);
+  Endpoint *E = Shared.Table.find(DecodeEndpoint);
+  if (!E || !Shared.Table.mayReceive(*E, Now))
+    return retryDecode(Now);
+  if (!Budget.tryBegin(LegKind::Decode, Now))
+    return giveUp(Now);
+  CurrentPhase = StreamPhase::Starting;
+  Crashes.begin(E->Record, Now);
+  LastProgressAt = Now;
+  LegRequest Leg = makeLeg(LegKind::Decode, *E, Now);
+  Leg.Source = Cache.usable(Now);
+  Leg.ResumeAfter = Progress.lastEventId();
+  Leg.IsRetry = DecodeLegs++ > 0;
+  ActiveLeg = Io.startLeg(Leg);
+  if (Silent)
+    Silent->EndAt = Now + SilentRunOverlap;
+}
+
+void StreamFlow::requeue(bool WithCache, std::string_view Cause,
+                         TimePoint Now) {
+  if (DecodeLegs >= MaxDecodeLegs || ++Requeues > MaxRequeues)
+    return giveUp(Now);
+  Io.logDecision("requeue", {{"reason", Cause}, {"has_cache", WithCache}});
+  releasePlacement(Now);
+  StreamRequest N = makeStreamRequest(Request, Shared.Lengths, Request.Arrival);
+  N.IsRetry = true;
+  N.HasKvCache = WithCache;
+  if (StreamStarted)
+    N.GiveUpAt = std::min(LastProgressAt + callerEventTimeout(Request.Route),
+                          answerDeadline());
+  submit(std::move(N), Now);
+}
+
+void StreamFlow::onDecodeResult(const LegResult &R, TimePoint Now) {
+  switch (R.Outcome) {
+  case LegOutcome::NotSent:
+    if (DecodeLegs >= MaxDecodeLegs)
+      return giveUp(Now);
+    return retryDecode(Now);
+  case LegOutcome::NotRun:
+    return onDecodeRefused(R, Now);
+  case LegOutcome::Answered:
+    MayHaveRun = true;
+    if (resumable() && R.Response.Status >= 500)
+      return resumeElsewhere("failed", Now);
+    if (StreamStarted)
+      return finish(RejectReason::OutcomeUnknown, {}, Now);
+    Io.respond(R.Response);
+    return end(Now);
+  case LegOutcome::Broken:
+  case LegOutcome::TimedOut:
+    MayHaveRun = true;
+    return resumeElsewhere(legOutcomeName(R.Outcome), Now);
+  }
+}
+
+void StreamFlow::onDecodeRefused(const LegResult &R, TimePoint Now) {
+  if (DecodeLegs >= MaxDecodeLegs)
+    return giveUp(Now);
+  if (!Cache.held() || R.WrongEndpoint)
+    return retryDecode(Now);
+  if (Cache.recordRefusal() < MaxCacheRefusals && Cache.usable(Now))
+    return retryDecode(Now);
+  Shared.EngineSignals.record(PrefillEndpoint, HealthSignal::CacheLost, Now);
+  FailedPrefill = PrefillEndpoint;
+  repeatPrefill(Now);
+}
+
+void StreamFlow::onNotSent(TimePoint Now) {
+  Budget.notSent(Now);
+  if (++UnreachedLegs < MaxUnreachedLegs)
+    --(CurrentPhase == StreamPhase::Prefilling ? PrefillLegs : DecodeLegs);
+}
+
+void StreamFlow::giveUp(TimePoint Now) {
+  finish(MayHaveRun ? RejectReason::OutcomeUnknown : RejectReason::NotRun,
+         NotRunRetryAfter, Now);
+}
+
+void StreamFlow::retryDecode(TimePoint Now) {
+  FailedDecode = DecodeEndpoint;
+  if (!Cache.usable(Now))
+    return repeatPrefill(Now);
+  requeue(true, "decode_elsewhere", Now);
+}
+
+void StreamFlow::repeatPrefill(TimePoint Now) {
+  dropCache();
+  requeue(false, "read_prompt", Now);
+}
+
+void StreamFlow::resumeElsewhere(std::string_view Cause, TimePoint Now) {
+  ++FailedRuns;
+  const bool Allowed = resumable() && FailedRuns < Request.Route.MaxAttempts &&
+                       DecodeLegs < MaxDecodeLegs && Crashes.mayRunAgain();
+  Io.logDecision("continue",
+                 {{"why", Cause},
+                  {"allowed", Allowed},
+                  {"endpoint", DecodeEndpoint},
+                  {"events", Crashes.events()},
+                  {"last_event", Progress.lastEventId().value_or(0)},
+                  {"runs", FailedRuns}});
+  if (!Allowed)
+    return finish(RejectReason::OutcomeUnknown, {}, Now);
+  FailedDecode = DecodeEndpoint;
+  repeatPrefill(Now);
+}
+
+bool StreamFlow::canContinue(TimePoint Now) {
+  return FailedRuns + 1 < Request.Route.MaxAttempts &&
+         DecodeLegs < MaxDecodeLegs &&
+         Shared.Retries.available(Request.Service, Now) &&
+         Shared.Admission.hasRoom(
+             Request.Service,
+             makeStreamRequest(Request, Shared.Lengths, Now).PromptTokens,
+             DecodeEndpoint, Now);
+}
+
+} // namespace hyssoprail::routing
