Agent: report no slots until the work on the engine is known

Callers saw: an entry took a freshly started engine for usable and sent it reservations, which were refused with COLD.

Cause: fillLoad reported slots as soon as the engine had answered its status query, but refusalOfNewWork() refuses new work until the list of work held by the engine has arrived, too. Between the two answers the report contradicted the agent.

Ruled out by reading: an expired lease and an expired grant send Failed, which ends the test at once; a restart of the engine fails its running work.

Change: the report has slots only once the held work is known. The unit test failed before ("2 == 0"). The process test ends with a refused reservation instead of waiting for 20 s.

--- a/src/hyssoprail/agent/agent_process_test.cpp
+++ b/src/hyssoprail/agent/agent_process_test.cpp
@@ -146,6 +146,8 @@
   REQUIRE(PrefillReplies.size() == Burst);
   std::size_t Finished = 0;
   const auto OnMessage = [&](const wire::Envelope &E) {
+    if (E.has_reserve_reply() && !E.reserve_reply().granted())
+      return true;
     const std::string &Granted = E.reserve_reply().work().request_id();
     if (E.reserve_reply().granted())
       ToDecode.send(
@@ -165,6 +167,7 @@
   Heartbeats.join();
   INFO(Last.ShortDebugString());
   CHECK_FALSE(Last.has_failed());
+  CHECK_FALSE(Last.has_reserve_reply());
   CHECK(Finished == Burst);
 }
 
--- a/src/hyssoprail/process/agent_core.cpp
+++ b/src/hyssoprail/process/agent_core.cpp
@@ -158,7 +158,7 @@
 }
 
 void AgentCore::fillLoad(wire::LoadReport &Load, TimePoint Now) const {
-  Load.set_slots(EngineUp && !OrderPending ? slotLimit() : 0);
+  Load.set_slots(EngineUp && HeldWorkKnown && !OrderPending ? slotLimit() : 0);
   Load.set_slots_used(SlotsUsed);
   Load.set_pieces(Engine.Pieces);
   Load.set_pieces_used(PiecesUsed);
--- a/src/hyssoprail/process/agent_core_test.cpp
+++ b/src/hyssoprail/process/agent_core_test.cpp
@@ -37,6 +37,30 @@
   CHECK(H.Core.stats().PiecesUsed == 0);
 }
 
+// Guards against an agent that reports free slots while it still refuses new
+// work: an entry then sends requests that are refused.
+TEST_CASE("an agent reports no slots until it knows the work on its engine") {
+  Harness H;
+  TestEntry Entry{1, "p1"};
+  const auto ReportedSlots = [&] {
+    H.heartbeat(Entry);
+    return H.lastSent(wire::Envelope::kHeartbeatAck)
+        ->heartbeat_ack()
+        .load()
+        .slots();
+  };
+  CHECK(ReportedSlots() == 0);
+  H.answerStatus("decode");
+  CHECK(ReportedSlots() == 0);
+  H.deliver(Entry, H.reserve(Entry, "r1", 1'000));
+  CHECK_FALSE(
+      H.lastSent(wire::Envelope::kReserveReply)->reserve_reply().granted());
+  H.answerHeld();
+  CHECK(ReportedSlots() > 0);
+  H.deliver(Entry, H.reserve(Entry, "r2", 1'000));
+  CHECK(H.lastSent(wire::Envelope::kReserveReply)->reserve_reply().granted());
+}
+
 // Guards against KV caches that stay on a prefill engine after their transfer.
 TEST_CASE("a KV cache is cancelled when the entry no longer lists it") {
   Harness H;
