StreamFlow: pass the head of an answer on with its first event

The entry had begun the answer and could only break it off.

Cause: onStreamHead began the caller's answer, although nothing of the stream was there yet and a route that may not be resumed has no other engine to go to.

Change: the head is kept and sent with the first event. Until then the request can be answered with an error, and the time limit for callers without an event holds also after the head. The time of generation is still measured from the head.

Evidence: the new test failed before (status 200 was sent at the head).

--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -94,9 +94,8 @@
   CurrentPhase = StreamPhase::Streaming;
   if (StreamStarted)
     return;
-  StreamStarted = true;
+  AnswerHead = Head;
   StreamStartedAt = Now;
-  Io.beginStream(Head);
 }
 
 void StreamFlow::onStreamData(FlowIo::LegId Leg, std::string_view Data,
@@ -115,6 +114,9 @@
   Crashes.received(Progress.events() - EventsBefore, Now);
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
+  if (!StreamStarted)
+    Io.beginStream(AnswerHead);
+  StreamStarted = true;
   Io.forward(NewEvents);
 }
 
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -197,8 +197,11 @@
   unsigned UnreachedLegs = 0; ///< legs that reached no engine
   unsigned Requeues = 0; ///< how often the request was put back into the queue
   unsigned FailedRuns = 0; ///< runs, certain or possible, that did not complete
-  bool StreamStarted = false; ///< the head of the answer was sent to the caller
-  TimePoint StreamStartedAt{};
+  /// The head and the first event of the answer were sent to the caller. Until
+  /// then the request can still be answered with an error.
+  bool StreamStarted = false;
+  HttpResponse AnswerHead;     ///< sent with the first event
+  TimePoint StreamStartedAt{}; ///< arrival of AnswerHead
   bool MayHaveRun = false;
 };
 
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -57,6 +57,29 @@
   REQUIRE(Early.Io.RejectedWith == RejectReason::OutcomeUnknown);
 }
 
+// Guards against a broken answer instead of an error: an engine sends the head
+// of its answer and breaks before the first event.
+TEST_CASE("an answer without an event can still become an error") {
+  StreamFixture B;
+  const auto F = B.startStream(B.stream(false));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  F->onStreamHead(2, head(), B.Now);
+  REQUIRE(B.Io.Status == 0);
+  F->onStreamEnd(2, false, B.Now);
+  REQUIRE_FALSE(B.Io.Aborted);
+  REQUIRE(B.Io.RejectedWith == RejectReason::OutcomeUnknown);
+  REQUIRE(B.Io.FinalAnswers == 1);
+
+  StreamFixture Silent;
+  const auto G = Silent.startStream(Silent.stream(false));
+  Silent.answer(*G, 1, answered(200, "handle-1"));
+  G->onStreamHead(2, head(), Silent.Now);
+  Silent.Now = G->nextDeadline();
+  G->onTimer(Silent.Now);
+  REQUIRE_FALSE(Silent.Io.Aborted);
+  REQUIRE(Silent.Io.RejectedWith == RejectReason::TimedOut);
+}
+
 // Guards against missing or duplicated events when a stream resumes at another
 // engine.
 TEST_CASE("a resumable stream continues after its last event") {
