A call waits for its silent endpoint until another one has answered

The leg to a silent endpoint now goes on beside its replacement (SilentLeg), as the run of a stream does. The first answer below 500 ends the call and cancels the other legs. If the replacement refuses, fails, cannot be reached or may not be sent as the key was revoked, the call waits for the silent endpoint until its deadline. Silent legs count as runs, so the route's MaxAttempts still bounds them; non-idempotent calls have no silent legs. A silent endpoint that refuses has not run the call, and one whose connection breaks counts as a crash.

--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -30,6 +30,14 @@
 /// does without a grant.
 constexpr milliseconds GrantTimeout{60};
 
+/// A leg to an endpoint that has fallen silent. It goes on until the call is
+/// answered, as the endpoint may still answer it.
+struct SilentLeg {
+  FlowIo::LegId Leg;
+  std::string Endpoint;
+  RunCrashWatch::Run Watched;
+};
+
 /// State machine of a plain call.
 class CallFlow : public Flow {
 public:
@@ -40,10 +48,12 @@
   void start(TimePoint Now) override { send(Now); }
 
   void onLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) override {
-    if (Done || Leg != ActiveLeg)
+    if (Done)
       return;
+    if (Leg != ActiveLeg)
+      return onSilentLegResult(Leg, std::move(R), Now);
     endLeg();
-    recordHealth(R, Now);
+    recordHealth(ActiveEndpoint, R, Now);
     recordCrashEvidence(R, Now);
     switch (R.Outcome) {
     case LegOutcome::NotSent:
@@ -77,7 +87,7 @@
       return;
     AwaitsGrant = false;
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {}, Now);
+      return onRevokedKey(Now);
     Endpoint *E = Shared.Table.find(Grant.EndpointId);
     if (!E || !Shared.Table.mayReceive(*E, Now))
       return sendWithoutGrant(Now);
@@ -91,16 +101,11 @@
     Io.logDecision("grant_denied", {{"retry_after_ms", Denial.RetryAfter}});
     DeniedRetryAfter = Denial.RetryAfter;
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {}, Now);
+      return onRevokedKey(Now);
     sendWithoutGrant(Now);
   }
 
-  void onCallerDisconnected(TimePoint Now) override {
-    stopWaiting();
-    stopLeg();
-    refundRetry(Now);
-    Done = true;
-  }
+  void onCallerDisconnected(TimePoint Now) override { end(Now); }
 
   void endBy(TimePoint Deadline) override {
     Request.AnswerBy = std::min(Request.AnswerBy, Deadline);
@@ -116,7 +121,9 @@
   }
 
   bool done() const override { return Done; }
-  bool mayHaveRun() const override { return MayHaveRun || ActiveLeg; }
+  bool mayHaveRun() const override {
+    return MayHaveRun || ActiveLeg || !SilentLegs.empty();
+  }
 
 private:
   bool idempotent() const {
@@ -127,7 +134,7 @@
 
   void send(TimePoint Now) {
     if (!Io.stillAllowed())
-      return finish(RejectReason::NoKey, {}, Now);
+      return onRevokedKey(Now);
     Endpoint *E = chooseUsable(Now);
     if (!shouldAskForGrant(E, Now))
       return E ? sendTo(*E, Now) : giveUp(Now);
@@ -190,7 +197,7 @@
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     Leg.IsRetry = LegCount > 1;
     LegDeadline =
-        idempotent() && RunCount + 1 < Request.Route.MaxAttempts
+        idempotent() && runs() + 1 < Request.Route.MaxAttempts
             ? Now + Request.Route.LatencyObjective * LegTimeoutInObjectives
             : TimePoint::max();
     ActiveLeg = Io.startLeg(Leg);
@@ -201,16 +208,23 @@
     Shared.Table.release(ActiveEndpoint, {1, 0, 0});
   }
 
-  void stopLeg() {
-    if (!ActiveLeg)
-      return;
-    MayHaveRun = true;
-    Io.cancelLeg(*ActiveLeg);
-    endLeg();
+  /// Cancels all legs.
+  void stopLegs() {
+    if (ActiveLeg) {
+      MayHaveRun = true;
+      Io.cancelLeg(*ActiveLeg);
+      endLeg();
+    }
+    for (const SilentLeg &L : std::exchange(SilentLegs, {})) {
+      MayHaveRun = true;
+      Io.cancelLeg(L.Leg);
+      Shared.Table.release(L.Endpoint, {1, 0, 0});
+    }
   }
 
-  void recordHealth(const LegResult &R, TimePoint Now) {
-    if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
+  void recordHealth(const std::string &EndpointId, const LegResult &R,
+                    TimePoint Now) {
+    if (Endpoint *E = Shared.Table.find(EndpointId))
       E->Health.record(healthSignalOf(R, HealthSignal::RouteTimeout), Now);
   }
 
@@ -252,9 +266,11 @@
   void onAnswered(HttpResponse Response, TimePoint Now) {
     MayHaveRun = true;
     ++RunCount;
-    if (Response.Status < 500 || !canRunAgain(Now))
-      return finishWith(Response);
+    if (Response.Status < 500)
+      return finishWith(Response, Now);
     FailedResponse = std::move(Response);
+    if (!canRunAgain(Now))
+      return giveUp(Now);
     send(Now);
   }
 
@@ -265,8 +281,14 @@
     giveUp(Now);
   }
 
+  /// Endpoints that ran the call or may have, and those that may run it now.
+  unsigned runs() const {
+    return RunCount + static_cast<unsigned>(SilentLegs.size()) +
+           (ActiveLeg ? 1 : 0);
+  }
+
   bool canRunAgain(TimePoint Now) {
-    return idempotent() && RunCount < Request.Route.MaxAttempts &&
+    return idempotent() && runs() < Request.Route.MaxAttempts &&
            LegCount < MaxLegs && Crashes.mayRunAgain() &&
            !Crashes.isQuarantined(Now) && chooseUsable(Now) && chargeRetry(Now);
   }
@@ -274,25 +296,75 @@
   /// The endpoint has not answered by LegDeadline: it is slow or unresponsive.
   void onLegTimeout(TimePoint Now) {
     LegDeadline = TimePoint::max();
-    ++RunCount;
-    if (!canRunAgain(Now)) {
-      --RunCount;
+    if (!canRunAgain(Now))
       return;
-    }
-    MayHaveRun = true;
     Io.logDecision("impatient", {{"endpoint", ActiveEndpoint}});
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
       E->Health.record(HealthSignal::RouteTimeout, Now);
-    stopLeg();
+    SilentLegs.push_back({*std::exchange(ActiveLeg, std::nullopt),
+                          ActiveEndpoint, Crashes.run()});
     send(Now);
   }
 
-  /// Gives the best available answer: that of an endpoint that failed, or else
-  /// a rejection.
-  void giveUp(TimePoint Now) {
+  /// A silent endpoint goes on or fails. Unless it gives the answer, the search
+  /// for another endpoint, or the leg to that one, goes on.
+  void onSilentLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) {
+    const auto It =
+        std::find_if(SilentLegs.begin(), SilentLegs.end(),
+                     [&](const SilentLeg &L) { return L.Leg == Leg; });
+    if (It == SilentLegs.end())
+      return;
+    SilentLeg Ended = std::move(*It);
+    SilentLegs.erase(It);
+    Shared.Table.release(Ended.Endpoint, {1, 0, 0});
+    recordHealth(Ended.Endpoint, R, Now);
+    RunCrashWatch::Run Present = Crashes.run();
+    Crashes.restore(std::move(Ended.Watched));
+    recordCrashEvidence(R, Now);
+    Crashes.restore(std::move(Present));
+    const bool NeverRan =
+        R.Outcome == LegOutcome::NotSent || R.Outcome == LegOutcome::NotRun;
+    if (!NeverRan) {
+      MayHaveRun = true;
+      ++RunCount;
+    }
+    if (R.Outcome == LegOutcome::Answered) {
+      if (R.Response.Status < 500) {
+        Io.logDecision("return", {{"endpoint", Ended.Endpoint}});
+        return finishWith(R.Response, Now);
+      }
+      FailedResponse = std::move(R.Response);
+    }
+    if (ActiveLeg || AwaitsGrant)
+      return;
+    if (NeverRan)
+      return sendToAnother(R.Outcome, Now);
+    canRunAgain(Now) ? send(Now) : giveUp(Now);
+  }
+
+  void onRevokedKey(TimePoint Now) {
+    if (!awaitSilentLegs(Now))
+      finish(RejectReason::NoKey, {}, Now);
+  }
+
+  /// No other endpoint takes the call over, but a silent one may still answer
+  /// it until the deadline. Returns false if there is none.
+  bool awaitSilentLegs(TimePoint Now) {
+    if (SilentLegs.empty())
+      return false;
     refundRetry(Now);
+    for (const SilentLeg &L : SilentLegs)
+      Io.logDecision("return", {{"endpoint", L.Endpoint}});
+    return true;
+  }
+
+  /// Gives the best available answer, unless a silent endpoint may still give a
+  /// better one: that of an endpoint that failed, or else a rejection.
+  void giveUp(TimePoint Now) {
+    if (awaitSilentLegs(Now))
+      return;
     if (FailedResponse)
-      return finishWith(*FailedResponse);
+      return finishWith(*FailedResponse, Now);
     if (MayHaveRun)
       return finish(RejectReason::OutcomeUnknown, {}, Now);
     const milliseconds RetryAfter = std::max(
@@ -308,37 +380,38 @@
 
   /// Endpoints have crashed under this call since it was admitted.
   void finishQuarantined(TimePoint Now) {
-    Io.logDecision("quarantine", {{"runs", RunCount}});
-    if (MayHaveRun)
+    Io.logDecision("quarantine", {{"runs", runs()}});
+    if (mayHaveRun())
       return giveUp(Now);
     finish(RejectReason::Quarantined, QuarantineRetryAfter, Now);
   }
 
   void onDeadline(TimePoint Now) {
-    const bool WasActive = ActiveLeg.has_value();
-    stopWaiting();
-    refundRetry(Now);
-    if (WasActive) {
+    if (ActiveLeg)
       if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
         E->Health.record(HealthSignal::RouteTimeout, Now);
-      stopLeg();
-    }
     if (FailedResponse)
-      return finishWith(*FailedResponse);
-    finish(MayHaveRun || WasActive ? RejectReason::TimedOut
-                                   : RejectReason::NotRunInTime,
+      return finishWith(*FailedResponse, Now);
+    finish(mayHaveRun() ? RejectReason::TimedOut : RejectReason::NotRunInTime,
            {}, Now);
   }
 
-  void finishWith(const HttpResponse &Response) {
-    Done = true;
+  void finishWith(const HttpResponse &Response, TimePoint Now) {
+    end(Now);
     Io.respond(Response);
   }
 
   void finish(RejectReason Reason, milliseconds RetryAfter, TimePoint Now) {
+    end(Now);
+    Io.reject(Reason, RetryAfter);
+  }
+
+  /// Releases all that the call holds.
+  void end(TimePoint Now) {
+    stopWaiting();
+    stopLegs();
     refundRetry(Now);
     Done = true;
-    Io.reject(Reason, RetryAfter);
   }
 
   SharedFlowState Shared;
@@ -348,10 +421,11 @@
   std::set<std::string, std::less<>> TriedEndpoints;
   std::optional<FlowIo::LegId> ActiveLeg;
   std::string ActiveEndpoint;
+  std::vector<SilentLeg> SilentLegs;
   /// 5xx answer of an earlier leg.
   std::optional<HttpResponse> FailedResponse;
   unsigned LegCount = 0;
-  unsigned RunCount = 0; ///< endpoints that ran the call, or may have
+  unsigned RunCount = 0; ///< ended legs that ran the call, or may have
   TimePoint LegDeadline = TimePoint::max();
   bool AwaitsGrant = false;
   TimePoint GrantDeadline{};
