An engine that restarts keeps its stated limit until it responds

A worker that stated 4 requests a second could get more than the rule allows (1.5 times the limit in 4 s, and 5 more). A registration with a newer start time discarded the limit, though the new process may be in the same need. Until its first response had come back, the coordinator placed all generations that waited for a limited engine on it at once, and every entry sent calls there without grants.

The limit of the earlier process now counts until the first response of the new one: a response without a limit ends it at once, without the delay for responses that overtake each other; a response with one replaces it. Each entry may send one request at once, so that the first response comes soon even at an entry without a share ("the limit of an endpoint ends with its process" is unchanged and passes). The bucket goes on at the rate of the coordinator's share, and an entry without a share asks for grants.

"generations keep to the limit of an engine that restarts" placed 33 generations in 4 s before, where 29 are allowed, and 17 now. The two cases for EndpointLimit failed with the former reset() in place of restart(). routing_test (192 cases, 3,457 assertions), gateway, gateway_endpoint_limit and platform_endpoint_limit pass.

--- a/include/hyssoprail/routing/endpoint_limit.hpp
+++ b/include/hyssoprail/routing/endpoint_limit.hpp
@@ -20,11 +20,14 @@
   void recordStated(double PerSecond, TimePoint At);
 
   /// A response that arrived at \p At stated no limit. The limit ends if this
-  /// is later by some margin than the last response that stated it.
+  /// is later by some margin than the last response that stated it, or if the
+  /// endpoint has restarted since then.
   void recordNone(TimePoint At);
 
-  /// Discards the limit, as the endpoint has restarted.
-  void reset() { Stated.reset(); }
+  /// The endpoint has restarted. Its new process may state another limit or
+  /// none, which its first response tells. Until then the limit of the earlier
+  /// process counts, with one request at once from every entry.
+  void restart();
 
   /// Sets the share of the limit that this entry may grant, 0 to 1.
   void setShare(double To, TimePoint Now);
@@ -59,7 +62,8 @@
   TimePoint StatedAt{};
   TimePoint EndedAt{};
   double Share = 0;
-  double Tokens = 0; ///< requests that may be granted now
+  double Tokens = 0;      ///< requests that may be granted now
+  bool Restarted = false; ///< after the response that stated the limit
   TimePoint RefilledAt{};
 };
 
--- a/src/hyssoprail/routing/endpoint_limit.cpp
+++ b/src/hyssoprail/routing/endpoint_limit.cpp
@@ -33,17 +33,26 @@
     RefilledAt = At;
   }
   refill(At);
+  Restarted = false;
   Stated = PerSecond;
   StatedAt = At;
 }
 
 void EndpointLimit::recordNone(TimePoint At) {
-  if (!Stated || At < StatedAt + EndDelay)
+  if (!Stated || At < StatedAt + (Restarted ? milliseconds(0) : EndDelay))
     return;
   Stated.reset();
+  Restarted = false;
   EndedAt = At;
 }
 
+void EndpointLimit::restart() {
+  if (!Stated)
+    return;
+  Restarted = true;
+  Tokens = std::max(1.0, Tokens);
+}
+
 void EndpointLimit::setShare(double To, TimePoint Now) {
   refill(Now);
   Share = To;
@@ -70,7 +79,7 @@
   if (!Stated)
     return true;
   refill(Now);
-  return grantRate() > 0 && Tokens >= 1;
+  return (Restarted || grantRate() > 0) && Tokens >= 1;
 }
 
 void EndpointLimit::take(TimePoint Now) {
--- a/src/hyssoprail/routing/endpoint_limit_test.cpp
+++ b/src/hyssoprail/routing/endpoint_limit_test.cpp
@@ -206,6 +206,89 @@
   CHECK(Placed <= 10);
 }
 
+// Guards against all waiting generations being placed at once on an engine that
+// restarts, before its first response states the limit again. The bound is that
+// of the platform: 1.5 times the limit in 4 s, and 5 more.
+TEST_CASE("generations keep to the limit of an engine that restarts") {
+  constexpr double PerSecond = 4;
+  constexpr milliseconds Window{4'000};
+  constexpr milliseconds ResponseTime{100};
+  CoordinatorFixture B;
+  EndpointRecord Engine = engine("d1", EngineStage::Decode);
+  B.add(Engine);
+  B.limit("d1", PerSecond);
+  const TimePoint From = B.Now;
+  std::vector<TimePoint> Placed;
+  std::size_t Answered = 0;
+  for (int I = 0; B.Now < From + Window; ++I, B.Now += milliseconds(20)) {
+    if (B.Now - From == milliseconds(1'000)) {
+      ++Engine.StartedAtMs;
+      B.Table.apply(Engine);
+    }
+    for (; Answered < Placed.size() && Placed[Answered] + ResponseTime <= B.Now;
+         ++Answered)
+      B.Table.recordLimit("d1", PerSecond, B.Now);
+    const std::string Id = std::to_string(I);
+    FlowRequest R = B.request(RouteKind::Stream, Id);
+    R.Info.Tokens = TokenCounts{100, 40};
+    R.Info.OutputHint = 20;
+    B.Scheduler.submit(makeStreamRequest(R, B.Lengths, B.Now));
+    for (const StreamDecision &D : B.Scheduler.poll(B.Now))
+      if (const auto *Place = std::get_if<StreamPlacement>(&D)) {
+        Placed.push_back(B.Now);
+        B.Scheduler.release(Place->Id, B.Now);
+      }
+  }
+  CHECK(Placed.size() >= 12);
+  CHECK(Placed.size() <= 29);
+}
+
+// Guards against a restarted endpoint that stays limited although its new
+// process states no limit, and against a limit that the first responses of the
+// new process do not keep in force.
+TEST_CASE("the first response after a restart decides on the limit") {
+  EndpointLimit L = statedLimit(4, 1);
+  L.take(Start + milliseconds(100));
+  L.restart();
+  const TimePoint At = Start + milliseconds(150);
+  CHECK(L.allows(At));
+  L.take(At);
+  CHECK_FALSE(L.allows(At));
+  SECTION("it states none") {
+    L.recordNone(Start - milliseconds(10));
+    CHECK(L.perSecond() == 4);
+    L.recordNone(At);
+    CHECK_FALSE(L.perSecond());
+    CHECK(L.allows(At));
+  }
+  SECTION("it states one") {
+    L.recordStated(2, At);
+    L.recordNone(At + milliseconds(100));
+    CHECK(L.perSecond() == 2);
+    CHECK_FALSE(L.allows(At));
+  }
+  SECTION("none arrives, and requests go on at the former rate") {
+    CHECK(L.allows(At + milliseconds(250)));
+  }
+}
+
+// Guards against an entry without a share that keeps sending without grants, or
+// sends nothing, until it hears from a restarted endpoint.
+TEST_CASE("an entry without a share sends one request after a restart") {
+  EndpointLimit L = statedLimit(4, 0);
+  L.restart();
+  CHECK(L.waitTime(Start) == Duration{0});
+  L.take(Start);
+  CHECK_FALSE(L.allows(Start + std::chrono::hours(1)));
+  EndpointLimit Confirmed = statedLimit(4, 0);
+  Confirmed.restart();
+  Confirmed.recordStated(4, Start + milliseconds(100));
+  CHECK_FALSE(Confirmed.allows(Start + milliseconds(100)));
+  EndpointLimit Unlimited;
+  Unlimited.restart();
+  CHECK_FALSE(Unlimited.perSecond());
+}
+
 // Guards against generations that wait until their callers give up, although
 // the limits of all engines admit only some of them in time.
 TEST_CASE(
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -76,7 +76,7 @@
     return false;
   if (Record.StartedAtMs > E.Record.StartedAtMs) {
     E.Health = {};
-    E.Limit.reset();
+    E.Limit.restart();
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
