A crash of an endpoint with a long id counts once

Callers saw: where ids of endpoints are longer than 16 bytes (names of pods, for example), requests can be refused with 503 after two crashes instead of three, as the entry that saw a crash counts it twice. A connection that broke while its endpoint ran on counts as a crash for ten minutes, and the coordinator takes crashes of endpoints with the same start time whose ids begin alike for one.

Cause: CrashLedger keeps a crash under the whole id and tells others only the first 16 bytes. The echo of its own crash has another key, and recordAlive compares the whole id with the cut one.

Fix: an id of more than 16 bytes is replaced by its hash wherever it is used, as is done for the parts of prompts. All copies then use the same short id, and the bounds on memory and messages hold as before.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -67,7 +67,7 @@
   /// What is remembered of a crash, and so a quarantine, ends after this time.
   static constexpr std::chrono::minutes Lifetime{10};
 
-  /// Bounds of the memory: parts of a prompt, and bytes of a part's id.
+  /// Bounds of the memory: parts of a prompt, and bytes of an id.
   static constexpr std::size_t MaxParts = 64;
   static constexpr std::size_t MaxIdBytes = 16;
 
@@ -165,6 +165,7 @@
     bool ConfirmationDue = false;
   };
 
+  static std::string shortId(std::string_view EngineId);
   static std::string keyOf(std::string_view EngineId, std::int64_t StartedAtMs);
   static PromptParts bounded(const PromptParts &Parts);
   Crash &crash(const std::string &EngineId, std::int64_t StartedAtMs,
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "hyssoprail/core/hash.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -15,9 +17,17 @@
 
 } // namespace
 
+/// An id of more than MaxIdBytes is replaced by its hash, which is the same at
+/// all entries, so that the copies know a crash by the same key.
+std::string CrashLedger::shortId(std::string_view EngineId) {
+  return EngineId.size() > MaxIdBytes
+             ? fmt::format("{:016x}", stableHash(EngineId))
+             : std::string(EngineId);
+}
+
 std::string CrashLedger::keyOf(std::string_view EngineId,
                                std::int64_t StartedAtMs) {
-  return fmt::format("{}@{}", EngineId, StartedAtMs);
+  return fmt::format("{}@{}", shortId(EngineId), StartedAtMs);
 }
 
 PromptParts CrashLedger::bounded(const PromptParts &Parts) {
@@ -39,7 +49,7 @@
   const auto [It, New] = Crashes.try_emplace(keyOf(EngineId, StartedAtMs));
   Crash &C = It->second;
   if (New) {
-    C.EngineId = EngineId.substr(0, MaxIdBytes);
+    C.EngineId = shortId(EngineId);
     C.StartedAtMs = StartedAtMs;
     C.At = At;
     NextExpiry = std::min(NextExpiry, At + Lifetime);
@@ -110,8 +120,9 @@
                               TimePoint Now) {
   if (Since > NewestCrashAt)
     return;
+  const std::string Id = shortId(EngineId);
   for (auto &[Key, C] : Crashes)
-    if (C.EngineId == EngineId && !C.AliveAfter && Since < C.At &&
+    if (C.EngineId == Id && !C.AliveAfter && Since < C.At &&
         Now - C.At > AliveAfter) {
       C.AliveAfter = true;
       noteChange(C.Revision);
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include "hyssoprail/routing/crash_ledgers.hpp"
 #include "test_support.hpp"
 
 namespace hyssoprail::routing {
@@ -283,4 +284,34 @@
   REQUIRE_FALSE(O.blames({"queued"}));
 }
 
+// Guards against ids of endpoints that are longer than what is told of them,
+// such as names of pods: the entry that saw a crash counted it twice, crashes
+// of endpoints whose ids begin alike counted as one, and an endpoint that ran
+// on stayed crashed, so that sound requests were blamed.
+TEST_CASE("a crash of an endpoint with a long id counts once") {
+  const auto Long = [](unsigned Number) {
+    return testing::service("orders-7d9f8b6c5d-" + std::to_string(Number));
+  };
+  TimePoint Now = Start;
+  CrashLedger Seen{1, CallLedgerBounds};
+  CrashLedger Told{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 2; ++I) {
+    Now += milliseconds(1'000);
+    Seen.recordCrash(Long(I), {"call"}, Now);
+    wire::CrashDelta There;
+    Seen.fillDelta("told", There, Now);
+    Told.applyDelta("seen", There, Now);
+    wire::CrashDelta Back;
+    Told.fillDelta("seen", Back, Now);
+    Seen.applyDelta("told", Back, Now);
+  }
+  CHECK(Seen.crashCount() == 2);
+  CHECK(Told.crashCount() == 2);
+  CHECK_FALSE(Seen.isQuarantined({"call"}, Now));
+  Seen.recordCrash(Long(2), {"call"}, Now);
+  CHECK(Seen.isQuarantined({"call"}, Now));
+  Seen.recordAlive(Long(2).Id, Start, Now + milliseconds(400));
+  CHECK_FALSE(Seen.isQuarantined({"call"}, Now + milliseconds(400)));
+}
+
 } // namespace hyssoprail::routing
