Crashes under a blamed request are kept when the ledger is full

Callers saw: a request that had crashed three workers was sent again within its ten minutes, and crashed more, after about 126 other crashes in the fleet (a zone that ends, for example). A fleet that started anew could miss it after about 50.

Cause: a full CrashLedger drops the oldest crash that counts against any part. Calls whose bodies differ each time are never answered under the same fingerprint again, so nearly every crash counts against one, and the crashes under the blamed request, the oldest ones, went first. A record in the store had the newest crashes that fit into it, with the same effect.

Fix: crashes that count against blamed parts are dropped last, and are written first. The bounds stay as they were.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -40,7 +40,8 @@
   /// A delta ends after the crash with which it exceeds this size, so that it
   /// fits into a datagram.
   std::size_t DeltaBytes = 16'384;
-  /// A record in the store has the newest crashes up to this size.
+  /// A record in the store has crashes up to this size, those under blamed
+  /// parts and then the newest ones.
   std::size_t RecordBytes = 131'072;
 };
 
@@ -176,8 +177,9 @@
   bool isEvidence(const Crash &C) const;
   bool countsAgainst(const Crash &C, const std::string &Part) const;
   void expire(TimePoint Now);
-  void makeRoom();
+  void makeRoom(TimePoint Now);
   void findSuspectedParts();
+  std::set<std::string> crashesUnderBlame() const;
   std::vector<Suspicion> suspicions() const;
   static bool isAmbiguous(const Suspicion &S,
                           const std::vector<Suspicion> &All);
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -85,7 +85,7 @@
       Known->second.At < SentAt)
     return;
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
-  makeRoom();
+  makeRoom(Now);
 }
 
 /// An answer is news only if a crash counts against the part until then.
@@ -152,16 +152,22 @@
       SuspectedParts.insert(Parts.begin(), Parts.end());
 }
 
-/// Crashes that count against no part any more go first, then the oldest ones.
-void CrashLedger::makeRoom() {
+/// Crashes that count against no part any more go first, then the oldest ones,
+/// and those under blamed parts last.
+void CrashLedger::makeRoom(TimePoint Now) {
   const bool Full = Crashes.size() > Bounds.Crashes;
+  if (Full)
+    refresh(Now);
+  const std::set<std::string> Kept =
+      Full ? crashesUnderBlame() : std::set<std::string>{};
+  const auto Rank = [&](const auto &Item) {
+    return std::tuple(Kept.contains(Item.first), isEvidence(Item.second),
+                      Item.second.At);
+  };
   while (Crashes.size() > Bounds.Crashes) {
-    const auto Least = std::min_element(
-        Crashes.begin(), Crashes.end(), [&](const auto &A, const auto &B) {
-          return std::tuple(isEvidence(A.second), A.second.At) <
-                 std::tuple(isEvidence(B.second), B.second.At);
-        });
-    Crashes.erase(Least);
+    Crashes.erase(std::min_element(
+        Crashes.begin(), Crashes.end(),
+        [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); }));
     Dirty = true;
   }
   if (Full)
--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -62,6 +62,25 @@
   return false;
 }
 
+/// Keys of the newest crashes that count against blamed parts: without them the
+/// parts would be released. They fill at most half of the memory, so that
+/// further parts can be blamed.
+std::set<std::string> CrashLedger::crashesUnderBlame() const {
+  std::vector<std::pair<TimePoint, std::string>> Found;
+  for (const auto &Item : Crashes) {
+    const Crash &C = Item.second;
+    if (std::any_of(Quarantine.begin(), Quarantine.end(),
+                    [&](const auto &Q) { return countsAgainst(C, Q.Part); }))
+      Found.emplace_back(C.At, Item.first);
+  }
+  std::sort(Found.rbegin(), Found.rend());
+  Found.resize(std::min(Found.size(), Bounds.Crashes / 2));
+  std::set<std::string> Out;
+  for (auto &[At, Key] : Found)
+    Out.insert(std::move(Key));
+  return Out;
+}
+
 /// The suspected parts in the order in which they are to be blamed: those
 /// without any answer first, then those with more crashes, then those nearer to
 /// the end of the prompts.
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -1,5 +1,6 @@
 // The part of CrashLedger that exchanges its content with other entries.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "hyssoprail/routing/crash_ledger.hpp"
@@ -120,7 +121,7 @@
   for (const wire::AnsweredPart &A : In.answered())
     addAnswer(A.part().substr(0, MaxIdBytes),
               Now - milliseconds(A.age_ms()) - Delay);
-  makeRoom();
+  makeRoom(Now);
 }
 
 void CrashLedger::applyDelta(const std::string &Name,
@@ -145,13 +146,13 @@
   refresh(Now);
   Out.set_incarnation(Incarnation);
   Out.set_written_at_unix_ms(UnixMicros / MicrosPerMilli);
-  std::vector<const Crash *> Evidence;
+  const std::set<std::string> UnderBlame = crashesUnderBlame();
+  std::vector<std::tuple<bool, TimePoint, const Crash *>> Evidence;
   for (const auto &[Key, C] : Crashes)
     if (isEvidence(C))
-      Evidence.push_back(&C);
-  std::sort(Evidence.begin(), Evidence.end(),
-            [](const Crash *A, const Crash *B) { return A->At > B->At; });
-  for (const Crash *C : Evidence)
+      Evidence.emplace_back(UnderBlame.contains(Key), C.At, &C);
+  std::sort(Evidence.rbegin(), Evidence.rend());
+  for (const auto &[Blamed, At, C] : Evidence)
     if (Out.ByteSizeLong() < Bounds.RecordBytes)
       fillCrash(*C, *Out.add_crashes(), Now);
   for (const auto &[Part, At] : Answers) {
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -314,4 +314,62 @@
   CHECK_FALSE(Seen.isQuarantined({"call"}, Now + milliseconds(400)));
 }
 
+// Guards against a request that is released and crashes endpoints again, as the
+// crashes under it are forgotten when many endpoints end under other requests,
+// for example with a zone.
+TEST_CASE("crashes under a blamed request are kept while many others come") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  const auto Crash = [&](unsigned Endpoint, const std::string &Call) {
+    Now += milliseconds(100);
+    Ledger.recordCrash(engine(Endpoint), {Call}, Now);
+  };
+  for (unsigned I = 0; I < 3; ++I)
+    Crash(I, "bad");
+  for (unsigned I = 3; I < 3 * CallLedgerBounds.Crashes; ++I)
+    Crash(I, "call-" + std::to_string(I));
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK(Ledger.crashCount() == CallLedgerBounds.Crashes);
+  // The newest crashes are kept, too: a further request is found.
+  for (unsigned I = 0; I < 3; ++I)
+    Crash(1'000 + I, "bad-2");
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK(Ledger.isQuarantined({"bad-2"}, Now));
+}
+
+// Guards against a memory that is full of crashes under blamed requests, so
+// that a further request that crashes endpoints is not found.
+TEST_CASE("crashes under blamed requests leave room for others") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  for (unsigned Call = 0; Call < CallLedgerBounds.Crashes; ++Call) {
+    const PromptParts Parts{"bad-" + std::to_string(Call)};
+    for (unsigned I = 0; I < 3; ++I) {
+      Now += milliseconds(100);
+      Ledger.recordCrash(engine(Call * 3 + I), Parts, Now);
+    }
+    REQUIRE(Ledger.isQuarantined(Parts, Now));
+  }
+  CHECK(Ledger.crashCount() == CallLedgerBounds.Crashes);
+}
+
+// Guards against a record without the crashes under a blamed request: a fleet
+// that starts anew would not know of it.
+TEST_CASE("a full record has the crashes under a blamed request") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  for (unsigned I = 0; I < CallLedgerBounds.Crashes; ++I) {
+    Now += milliseconds(100);
+    if (I < 3)
+      Ledger.recordCrash(engine(I), {"bad"}, Now);
+    for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
+      Ledger.recordCrash(engine(I), {fmt::format("{:08x}{:08x}", I, K)}, Now);
+  }
+  REQUIRE(Ledger.isQuarantined({"bad"}, Now));
+  CrashLedger Read{2, CallLedgerBounds};
+  Read.merge(Ledger.encode(Now, 0), Now, 0);
+  CHECK(Read.crashCount() < CallLedgerBounds.Crashes);
+  CHECK(Read.isQuarantined({"bad"}, Now));
+}
+
 } // namespace hyssoprail::routing
