A late report clears a request that was blamed in place of another

Callers saw: a sound request got 503 for ten minutes, and the guilty one was sent on to three more workers. It takes a sound request that was in progress at three crashes, and reports of the guilty one, or of an answer to the sound one, that are late by over half a second: entries that are cut off, or without a coordinator.

Cause: a request that has been blamed for 0.5 s stays blamed while it has three crashes, whatever is learned later. The crashes that it was at count as explained, so they do not count against the guilty request. As the sound one is refused everywhere, no answer can clear it.

Evidence: before, the ledger of the new tests blamed "sound" and not "bad", which was at all of its crashes and at one more; and it blamed "sound" after it had learned of an answer before the crashes.

Fix: a blamed request stays blamed with five crashes, as is needed to blame it, if it was answered before or another request that was not answered is at all of its crashes. The price: a guilty request at three crashes that a late report shows under another one, too, may be sent until the next crashes or answers tell the two apart.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -187,7 +187,8 @@
                 const std::set<std::string> &Explained) const;
   static std::optional<TimePoint>
   settled(const std::vector<QuarantinedPart> &Before, const Suspicion &S,
-          TimePoint Now);
+          const std::vector<Suspicion> &All, TimePoint Now);
+  static bool isCovered(const Suspicion &S, const std::vector<Suspicion> &All);
   void refresh(TimePoint Now);
   void fillCrash(const Crash &C, wire::EngineCrash &Out, TimePoint Now) const;
   void mergeCrash(const wire::EngineCrash &In, Duration Delay, TimePoint Now);
--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -158,14 +158,31 @@
 /// Two requests that crash endpoints are often in progress together: if the
 /// newer crashes under one of them released the other, it would crash more.
 /// Only a whole request can stay blamed in this way: of the parts of a prompt,
-/// another one may turn out to be the cause.
+/// another one may turn out to be the cause. A late report of an answer, or of
+/// another request at all of its crashes, makes it as doubtful as if that had
+/// been known at first.
 std::optional<TimePoint>
 CrashLedger::settled(const std::vector<QuarantinedPart> &Before,
-                     const Suspicion &S, TimePoint Now) {
+                     const Suspicion &S, const std::vector<Suspicion> &All,
+                     TimePoint Now) {
   if (!S.IsWhole || S.Crashes.size() < MinCrashes)
     return std::nullopt;
   const auto Since = blamedSince(Before, S.Part);
-  return Since && Now - *Since >= SettleTime ? Since : std::nullopt;
+  if (!Since || Now - *Since < SettleTime)
+    return std::nullopt;
+  const bool NeedsMore = S.Answered || isCovered(S, All);
+  return NeedsMore && S.Crashes.size() < MinCrashesAfterAnswer ? std::nullopt
+                                                               : Since;
+}
+
+/// True if another part that was not answered is at all crashes of \p S.
+bool CrashLedger::isCovered(const Suspicion &S,
+                            const std::vector<Suspicion> &All) {
+  return std::any_of(All.begin(), All.end(), [&](const Suspicion &Other) {
+    return Other.Part != S.Part && !Other.Answered &&
+           std::includes(Other.Crashes.begin(), Other.Crashes.end(),
+                         S.Crashes.begin(), S.Crashes.end());
+  });
 }
 
 void CrashLedger::refresh(TimePoint Now) {
@@ -185,11 +202,11 @@
   };
   for (const Suspicion &S : All) {
     MostCrashes = std::max(MostCrashes, S.Crashes.size());
-    if (const auto Since = settled(Before, S, Now))
+    if (const auto Since = settled(Before, S, All, Now))
       Blame(S, *Since);
   }
   for (const Suspicion &S : All)
-    if (!settled(Before, S, Now) && isBlamed(S, All, Explained))
+    if (!settled(Before, S, All, Now) && isBlamed(S, All, Explained))
       Blame(S, blamedSince(Before, S.Part).value_or(Now));
 }
 
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -372,4 +372,46 @@
   CHECK(Read.isQuarantined({"bad"}, Now));
 }
 
+// Guards against a sound call that stays blamed for the lifetime of its crashes
+// although a late report of another entry shows the guilty one at them all. The
+// call is refused everywhere, so no answer can ever clear it.
+TEST_CASE("a late report clears a call that was blamed in place of another") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  CrashLedger CutOff{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    Now += milliseconds(1'000);
+    Ledger.recordCrash(engine(I), {"sound"}, Now);
+    CutOff.recordCrash(engine(I), {"bad"}, Now);
+  }
+  REQUIRE(Ledger.isQuarantined({"sound"}, Now));
+  Now += milliseconds(2'000);
+  CutOff.recordCrash(engine(3), {"bad"}, Now);
+  wire::CrashDelta Late;
+  CutOff.fillDelta("first", Late, Now);
+  Ledger.applyDelta("cut-off", Late, Now);
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Ledger.isQuarantined({"sound"}, Now));
+}
+
+// Guards against a sound call that stays blamed although a late report of
+// another entry shows that it was answered before the crashes.
+TEST_CASE("a late report of an answer clears a call that was blamed") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  CrashLedger CutOff{2, CallLedgerBounds};
+  CutOff.recordAnswer({"sound"}, Now);
+  for (unsigned I = 0; I < 3; ++I) {
+    Now += milliseconds(1'000);
+    Ledger.recordCrash(engine(I), {"sound"}, Now);
+  }
+  REQUIRE(Ledger.isQuarantined({"sound"}, Now));
+  Now += milliseconds(2'000);
+  CutOff.recordCrash(engine(2), {"sound"}, Now);
+  wire::CrashDelta Late;
+  CutOff.fillDelta("first", Late, Now);
+  Ledger.applyDelta("cut-off", Late, Now);
+  CHECK_FALSE(Ledger.isQuarantined({"sound"}, Now));
+}
+
 } // namespace hyssoprail::routing
