A record with an extreme time of writing is merged by its age

Callers saw: nothing yet. A record in the store whose time of writing is damaged, or from a writer of another kind, is read as written just now, so that requests are refused for ten minutes because of it.

Cause: the difference between the present time and the time of writing overflowed before it was clamped.

Evidence: before, the new test merged three crashes of a record written at the smallest time that the field can hold.

Fix: the time of writing is clamped to the lifetime of crashes before the subtraction. All other records are merged as before.

--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -166,12 +166,12 @@
                               std::int64_t UnixMicros) {
   if (In.incarnation() == Incarnation)
     return;
-  const std::int64_t DelayMs =
-      UnixMicros / MicrosPerMilli - In.written_at_unix_ms();
-  mergeContent(In,
-               milliseconds(std::clamp<std::int64_t>(
-                   DelayMs, 0, Lifetime / milliseconds(1))),
-               Now);
+  // Clamped before the subtraction, which would overflow with extreme times.
+  const std::int64_t PresentMs = UnixMicros / MicrosPerMilli;
+  const std::int64_t WrittenMs =
+      std::clamp(In.written_at_unix_ms(),
+                 PresentMs - Lifetime / milliseconds(1), PresentMs);
+  mergeContent(In, milliseconds(PresentMs - WrittenMs), Now);
 }
 
 std::string CrashLedger::encode(TimePoint Now, std::int64_t UnixMicros) {
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/routing/crash_ledger.hpp"
 
+#include <limits>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -414,4 +415,22 @@
   CHECK_FALSE(Ledger.isQuarantined({"sound"}, Now));
 }
 
+// Guards against a record with a time that cannot be: its difference to the
+// present time overflowed, and a record of the distant past was merged as new.
+TEST_CASE("a record with an extreme time of writing is merged by its age") {
+  constexpr std::int64_t Present = 1'700'000'000'000'000;
+  Observed O;
+  for (unsigned I = 0; I < 3; ++I)
+    O.crash(I, {"first", "bad", "own"});
+  wire::CrashDelta Record;
+  O.Ledger.fillRecord(Record, O.Now, Present);
+  Record.set_written_at_unix_ms(std::numeric_limits<std::int64_t>::min());
+  CrashLedger Later(2);
+  Later.mergeRecord(Record, O.Now, Present);
+  CHECK(Later.crashCount() == 0);
+  Record.set_written_at_unix_ms(std::numeric_limits<std::int64_t>::max());
+  Later.mergeRecord(Record, O.Now, -Present);
+  CHECK(Later.crashCount() == 3);
+}
+
 } // namespace hyssoprail::routing
