A record of crashes in the store is bounded with its answers

Callers saw: nothing. A coordinator may write such a record every 0.5 s while endpoints crash, and others read it.

Cause: RecordBytes bounded the crashes of a record only. All answers to suspected requests went with them, up to 16,384.

Fix: the newest answers are written up to RecordBytes. The oldest ones matter least: they clear only crashes that are older. The record of parts of prompts has room for all its answers as before.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -41,7 +41,7 @@
   /// fits into a datagram.
   std::size_t DeltaBytes = 16'384;
   /// A record in the store has crashes up to this size, those under blamed
-  /// parts and then the newest ones.
+  /// parts and then the newest ones, and as many bytes of the newest answers.
   std::size_t RecordBytes = 131'072;
 };
 
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -155,10 +155,18 @@
   for (const auto &[Blamed, At, C] : Evidence)
     if (Out.ByteSizeLong() < Bounds.RecordBytes)
       fillCrash(*C, *Out.add_crashes(), Now);
-  for (const auto &[Part, At] : Answers) {
+  std::vector<std::pair<TimePoint, std::string_view>> Newest;
+  for (const auto &[Part, A] : Answers)
+    Newest.emplace_back(A.At, Part);
+  std::sort(Newest.rbegin(), Newest.rend());
+  std::size_t AnswerBytes = 0;
+  for (const auto &[At, Part] : Newest) {
+    if (AnswerBytes >= Bounds.RecordBytes)
+      break;
     wire::AnsweredPart *A = Out.add_answered();
-    A->set_part(Part);
-    A->set_age_ms(ageMillis(At.At, Now));
+    A->set_part(std::string(Part));
+    A->set_age_ms(ageMillis(At, Now));
+    AnswerBytes += A->ByteSizeLong();
   }
 }
 
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -433,4 +433,22 @@
   CHECK(Later.crashCount() == 3);
 }
 
+// Guards against a record in the store that grows with the answers which come
+// after crashes, to several times the bound of its crashes.
+TEST_CASE("a record in the store is bounded with its answers") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  const auto Call = [](unsigned Crash, unsigned Suspect) {
+    return PromptParts{fmt::format("{:08x}{:08x}", Crash, Suspect)};
+  };
+  for (unsigned I = 0; I < 2 * CallLedgerBounds.Crashes; ++I) {
+    Now += milliseconds(100);
+    for (unsigned K = 0; K < CallLedgerBounds.Suspects; ++K)
+      Ledger.recordCrash(engine(I), Call(I, K), Now);
+    for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
+      Ledger.recordAnswer(Call(I, K), Now);
+  }
+  CHECK(Ledger.encode(Now, 0).size() < 5 * CallLedgerBounds.RecordBytes / 2);
+}
+
 } // namespace hyssoprail::routing
