A fingerprint ignores the port and the case of the host

Callers saw: a request that crashes workers could crash three of them for each name under which callers reach the entries, for example with the port of each entry in the Host header.

Cause: routes ignore the case and the port of the host, the fingerprint of a request did not, so one request with the same path, caller and body counted as several.

Evidence: before, the fingerprints of one request with the hosts orders.example, orders.example:8001 and Orders.Example:8002 differed.

Fix: the fingerprint uses the host in the form in which routes are compared. Requests to hosts of different routes still differ.

--- a/include/hyssoprail/routing/fleet_config.hpp
+++ b/include/hyssoprail/routing/fleet_config.hpp
@@ -76,6 +76,9 @@
   milliseconds IdleTimeout{15'000};
 };
 
+/// Returns \p Host in lower case and without its port.
+std::string normalizeHost(std::string_view Host);
+
 /// One version of the operator's configuration.
 class FleetConfig {
 public:
--- a/src/hyssoprail/routing/fleet_config.cpp
+++ b/src/hyssoprail/routing/fleet_config.cpp
@@ -4,7 +4,6 @@
 #include <cctype>
 
 namespace hyssoprail::routing {
-namespace {
 
 std::string normalizeHost(std::string_view Host) {
   const std::size_t Port = Host.rfind(':');
@@ -15,8 +14,6 @@
   return Out;
 }
 
-} // namespace
-
 const RoutePolicy *FleetConfig::route(std::string_view Host,
                                       std::string_view Path) const {
   const std::string NormalizedHost = normalizeHost(Host);
--- a/src/hyssoprail/routing/request_fingerprint.cpp
+++ b/src/hyssoprail/routing/request_fingerprint.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "hyssoprail/core/hash.hpp"
+#include "hyssoprail/routing/fleet_config.hpp"
 
 namespace hyssoprail::routing {
 
@@ -14,7 +15,7 @@
                                std::string_view Host,
                                std::string_view Account) {
   std::uint64_t Hash = stableHash(Account);
-  Hash = stableHash(Host, Hash);
+  Hash = stableHash(normalizeHost(Host), Hash);
   Hash = stableHash(Request.Method, Hash);
   Hash = stableHash(Request.Target, Hash);
   Hash = stableHash(Request.Body, Hash);
--- a/src/hyssoprail/routing/request_fingerprint_test.cpp
+++ b/src/hyssoprail/routing/request_fingerprint_test.cpp
@@ -34,4 +34,13 @@
   REQUIRE(All.size() == 8);
 }
 
+// Guards against counting one request as several, as callers reach the entries
+// under names that differ in port or case, which routes ignore.
+TEST_CASE("a fingerprint ignores the port and the case of the host") {
+  const HttpRequest R{"POST", "/o/1", {}, "body"};
+  const std::string Original = requestFingerprint(R, "orders.example", "t1");
+  CHECK(requestFingerprint(R, "orders.example:8001", "t1") == Original);
+  CHECK(requestFingerprint(R, "Orders.Example:8002", "t1") == Original);
+}
+
 } // namespace hyssoprail::routing
