Prompts that crash prefill engines are kept from them

Callers saw: a stream whose prompt crashes the prefill engine that reads it reached prefill engine after prefill engine, two with each attempt, at every entry.

Cause: only the legs of decode engines were watched. The connection of a prefill leg that broke was a sign about the engine alone, as with calls before.

Fix: a prefill leg is watched as the legs of decode engines are. A connection that breaks before its answer begins counts as a crash under the request, and a response on a connection from before shows that the engine runs on. A prefill that succeeds is no answer to the request, which may still crash a decode engine. After two crashes a stream is not sent on, as before with decode engines.

--- a/src/hyssoprail/routing/request_crash_test.cpp
+++ b/src/hyssoprail/routing/request_crash_test.cpp
@@ -1,7 +1,7 @@
 // Calls that crash plain endpoints.
 #include <catch2/catch.hpp>
 
-#include "test_support.hpp"
+#include "stream_fixture.hpp"
 
 namespace hyssoprail::routing {
 namespace {
@@ -256,4 +256,104 @@
   REQUIRE_FALSE(Older.isQuarantined({"call"}, Now));
 }
 
+// Guards against a prompt that crashes one prefill engine after the other: the
+// connections of prefill legs that broke were counted for nobody.
+TEST_CASE("a stream that crashed three prefill engines is not sent again") {
+  FlowFixture B;
+  B.add(testing::engine("d1", EngineStage::Decode));
+  const bool HasParts = GENERATE(true, false);
+  unsigned Crashes = 0;
+  const auto Send = [&](const std::string &Key) {
+    B.add(testing::engine("p" + std::to_string(Crashes), EngineStage::Prefill));
+    FlowRequest R = B.request(RouteKind::Stream, Key);
+    R.Route.MaxAttempts = 1;
+    if (HasParts)
+      R.Info.PromptParts = {"bad"};
+    else
+      R.Info.Fingerprint = "bad";
+    return B.startStream(std::move(R));
+  };
+  for (unsigned I = 0; I < 12; ++I) {
+    const std::size_t Before = B.Io.Legs.size();
+    const auto F = Send(std::to_string(I));
+    while (B.Io.Legs.size() > Before &&
+           B.Io.Legs.back().Kind == LegKind::Prefill && !F->done()) {
+      ++Crashes;
+      const auto Leg = B.Io.lastLeg();
+      B.Table.remove(B.Io.Legs.back().EndpointId);
+      B.add(
+          testing::engine("p" + std::to_string(Crashes), EngineStage::Prefill));
+      B.answer(*F, Leg, brokenConnection());
+      if (B.Io.lastLeg() == Leg)
+        break;
+    }
+    if (!F->done())
+      F->onCallerDisconnected(B.Now);
+    B.Now += milliseconds(1'000);
+  }
+  CHECK(Crashes >= 3);
+  CHECK(Crashes <= 4);
+  CHECK(B.Io.RejectedWith == RejectReason::Quarantined);
+}
+
+// Guards against blaming a prompt for the crashes of prefill engines which load
+// has caused, if the prompt is answered in between.
+TEST_CASE("an answered stream is not blamed for a crashed prefill engine") {
+  testing::StreamFixture B;
+  for (unsigned I = 0; I < 6; ++I) {
+    FlowRequest R = B.request(RouteKind::Stream, std::to_string(I));
+    R.Info.Fingerprint = "sound";
+    const auto F = B.startStream(std::move(R));
+    REQUIRE(B.Io.Legs.back().Kind == LegKind::Prefill);
+    const std::string Crashed = B.Io.Legs.back().EndpointId;
+    B.Table.remove(Crashed);
+    B.add(testing::engine("p" + std::to_string(3 + I), EngineStage::Prefill));
+    B.answer(*F, B.Io.lastLeg(), brokenConnection());
+    while (B.Io.Legs.back().Kind == LegKind::Prefill)
+      B.answer(*F, B.Io.lastLeg(), answered(200, "handle"));
+    F->onStreamHead(B.Io.lastLeg(), testing::head(), B.Now);
+    F->onStreamData(B.Io.lastLeg(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                    B.Now);
+    F->onStreamEnd(B.Io.lastLeg(), true, B.Now);
+    REQUIRE(F->done());
+    B.Now += milliseconds(1'000);
+  }
+  CHECK(B.Crashes.Requests.crashCount() == 6);
+  CHECK(B.Crashes.Requests.quarantined(B.Now).empty());
+}
+
+// Guards against taking the broken connection of a prefill engine that runs on
+// for a crash.
+TEST_CASE("a prefill engine that answers on an older connection runs on") {
+  FlowFixture B;
+  B.add(testing::engine("d1", EngineStage::Decode));
+  const auto Send = [&](unsigned Number, const char *Fingerprint) {
+    FlowRequest R = B.request(RouteKind::Stream, std::to_string(Number));
+    R.Info.Fingerprint = Fingerprint;
+    return B.startStream(std::move(R));
+  };
+  for (unsigned I = 0; I < 4; ++I) {
+    const std::string Id = "p" + std::to_string(I);
+    B.add(testing::engine(Id, EngineStage::Prefill));
+    const TimePoint Connected = B.Now;
+    B.Now += milliseconds(1'000);
+    const auto Other = Send(2 * I, "other");
+    const auto OtherLeg = B.Io.lastLeg();
+    const auto F = Send(2 * I + 1, "broken");
+    const auto Leg = B.Io.lastLeg();
+    REQUIRE(B.Io.Legs.at(OtherLeg - 1).EndpointId == Id);
+    REQUIRE(B.Io.Legs.at(Leg - 1).EndpointId == Id);
+    B.Table.remove(Id);
+    B.answer(*F, Leg, brokenConnection());
+    F->onCallerDisconnected(B.Now);
+    B.Now += milliseconds(400);
+    LegResult R = answered(200, "handle");
+    R.ConnectedAt = Connected;
+    B.answer(*Other, OtherLeg, R);
+    Other->onCallerDisconnected(B.Now);
+  }
+  CHECK(B.Crashes.Requests.crashCount() == 4);
+  CHECK(B.Crashes.Requests.quarantined(B.Now).empty());
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -66,10 +66,7 @@
   if (Silent)
     onReplacementEnded(R.Outcome);
   recordHealth(R, Now);
-  const bool ConnectionBroke =
-      R.Outcome == LegOutcome::Broken && R.Response.Status == 0;
-  if (ConnectionBroke && CurrentPhase == StreamPhase::Starting)
-    Crashes.broke(Now);
+  recordCrashEvidence(R, Now);
   if (R.Outcome == LegOutcome::NotSent)
     onNotSent(Now);
   else if (R.Outcome != LegOutcome::Answered)
@@ -212,6 +209,22 @@
       currentEndpoint(), healthSignalOf(R, HealthSignal::Unresponsive), Now);
 }
 
+/// A connection that breaks before the answer to a leg begins may be a crash
+/// under this request. The response to a prefill on a connection from before a
+/// crash proves that there was none; it is no answer to the request.
+void StreamFlow::recordCrashEvidence(const LegResult &R, TimePoint Now) {
+  const bool Prefills = CurrentPhase == StreamPhase::Prefilling;
+  const bool Responded =
+      R.Outcome == LegOutcome::Answered || R.Outcome == LegOutcome::NotRun;
+  if (Prefills && Responded && !R.WrongEndpoint && R.ConnectedAt)
+    Crashes.alive(*R.ConnectedAt, Now);
+  const bool ConnectionBroke =
+      R.Outcome == LegOutcome::Broken && R.Response.Status == 0;
+  if (ConnectionBroke &&
+      (CurrentPhase == StreamPhase::Starting || (Prefills && !R.AnswerBegan)))
+    Crashes.broke(Now);
+}
+
 const std::string &StreamFlow::currentEndpoint() const {
   return CurrentPhase == StreamPhase::Prefilling ? PrefillEndpoint
                                                  : DecodeEndpoint;
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -144,6 +144,8 @@
   /// What an engine refuses to this entry alone says nothing to the others.
   void recordHealth(const LegResult &R, TimePoint Now);
 
+  void recordCrashEvidence(const LegResult &R, TimePoint Now);
+
   const std::string &currentEndpoint() const;
 
   /// True if another engine may be able to take over the stream.
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -89,6 +89,7 @@
   }
   CurrentPhase = StreamPhase::Prefilling;
   PrefillEndpoint = Place.Prefill;
+  Crashes.begin(E->Record, Now);
   LastProgressAt = Now;
   PrefillDeadline = Now + prefillTimeout(Place.PrefillBacklog);
   LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
