--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -40,7 +40,8 @@
   /// A delta ends after the crash with which it exceeds this size, so that it
   /// fits into a datagram.
   std::size_t DeltaBytes = 16'384;
-  /// A record in the store has the newest crashes up to this size.
+  /// A record in the store has crashes up to this size, those under blamed
+  /// parts and then the newest ones, and as many bytes of the newest answers.
   std::size_t RecordBytes = 131'072;
 };
 
@@ -67,7 +68,7 @@
   /// What is remembered of a crash, and so a quarantine, ends after this time.
   static constexpr std::chrono::minutes Lifetime{10};
 
-  /// Bounds of the memory: parts of a prompt, and bytes of a part's id.
+  /// Bounds of the memory: parts of a prompt, and bytes of an id.
   static constexpr std::size_t MaxParts = 64;
   static constexpr std::size_t MaxIdBytes = 16;
 
@@ -165,6 +166,7 @@
     bool ConfirmationDue = false;
   };
 
+  static std::string shortId(std::string_view EngineId);
   static std::string keyOf(std::string_view EngineId, std::int64_t StartedAtMs);
   static PromptParts bounded(const PromptParts &Parts);
   Crash &crash(const std::string &EngineId, std::int64_t StartedAtMs,
@@ -175,8 +177,9 @@
   bool isEvidence(const Crash &C) const;
   bool countsAgainst(const Crash &C, const std::string &Part) const;
   void expire(TimePoint Now);
-  void makeRoom();
+  void makeRoom(TimePoint Now);
   void findSuspectedParts();
+  std::set<std::string> crashesUnderBlame() const;
   std::vector<Suspicion> suspicions() const;
   static bool isAmbiguous(const Suspicion &S,
                           const std::vector<Suspicion> &All);
@@ -184,7 +187,8 @@
                 const std::set<std::string> &Explained) const;
   static std::optional<TimePoint>
   settled(const std::vector<QuarantinedPart> &Before, const Suspicion &S,
-          TimePoint Now);
+          const std::vector<Suspicion> &All, TimePoint Now);
+  static bool isCovered(const Suspicion &S, const std::vector<Suspicion> &All);
   void refresh(TimePoint Now);
   void fillCrash(const Crash &C, wire::EngineCrash &Out, TimePoint Now) const;
   void mergeCrash(const wire::EngineCrash &In, Duration Delay, TimePoint Now);
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "hyssoprail/core/hash.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -15,9 +17,17 @@
 
 } // namespace
 
+/// An id of more than MaxIdBytes is replaced by its hash, which is the same at
+/// all entries, so that the copies know a crash by the same key.
+std::string CrashLedger::shortId(std::string_view EngineId) {
+  return EngineId.size() > MaxIdBytes
+             ? fmt::format("{:016x}", stableHash(EngineId))
+             : std::string(EngineId);
+}
+
 std::string CrashLedger::keyOf(std::string_view EngineId,
                                std::int64_t StartedAtMs) {
-  return fmt::format("{}@{}", EngineId, StartedAtMs);
+  return fmt::format("{}@{}", shortId(EngineId), StartedAtMs);
 }
 
 PromptParts CrashLedger::bounded(const PromptParts &Parts) {
@@ -39,7 +49,7 @@
   const auto [It, New] = Crashes.try_emplace(keyOf(EngineId, StartedAtMs));
   Crash &C = It->second;
   if (New) {
-    C.EngineId = EngineId.substr(0, MaxIdBytes);
+    C.EngineId = shortId(EngineId);
     C.StartedAtMs = StartedAtMs;
     C.At = At;
     NextExpiry = std::min(NextExpiry, At + Lifetime);
@@ -75,7 +85,7 @@
       Known->second.At < SentAt)
     return;
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
-  makeRoom();
+  makeRoom(Now);
 }
 
 /// An answer is news only if a crash counts against the part until then.
@@ -110,8 +120,9 @@
                               TimePoint Now) {
   if (Since > NewestCrashAt)
     return;
+  const std::string Id = shortId(EngineId);
   for (auto &[Key, C] : Crashes)
-    if (C.EngineId == EngineId && !C.AliveAfter && Since < C.At &&
+    if (C.EngineId == Id && !C.AliveAfter && Since < C.At &&
         Now - C.At > AliveAfter) {
       C.AliveAfter = true;
       noteChange(C.Revision);
@@ -141,16 +152,22 @@
       SuspectedParts.insert(Parts.begin(), Parts.end());
 }
 
-/// Crashes that count against no part any more go first, then the oldest ones.
-void CrashLedger::makeRoom() {
+/// Crashes that count against no part any more go first, then the oldest ones,
+/// and those under blamed parts last.
+void CrashLedger::makeRoom(TimePoint Now) {
   const bool Full = Crashes.size() > Bounds.Crashes;
+  if (Full)
+    refresh(Now);
+  const std::set<std::string> Kept =
+      Full ? crashesUnderBlame() : std::set<std::string>{};
+  const auto Rank = [&](const auto &Item) {
+    return std::tuple(Kept.contains(Item.first), isEvidence(Item.second),
+                      Item.second.At);
+  };
   while (Crashes.size() > Bounds.Crashes) {
-    const auto Least = std::min_element(
-        Crashes.begin(), Crashes.end(), [&](const auto &A, const auto &B) {
-          return std::tuple(isEvidence(A.second), A.second.At) <
-                 std::tuple(isEvidence(B.second), B.second.At);
-        });
-    Crashes.erase(Least);
+    Crashes.erase(std::min_element(
+        Crashes.begin(), Crashes.end(),
+        [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); }));
     Dirty = true;
   }
   if (Full)
--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -62,6 +62,25 @@
   return false;
 }
 
+/// Keys of the newest crashes that count against blamed parts: without them the
+/// parts would be released. They fill at most half of the memory, so that
+/// further parts can be blamed.
+std::set<std::string> CrashLedger::crashesUnderBlame() const {
+  std::vector<std::pair<TimePoint, std::string>> Found;
+  for (const auto &Item : Crashes) {
+    const Crash &C = Item.second;
+    if (std::any_of(Quarantine.begin(), Quarantine.end(),
+                    [&](const auto &Q) { return countsAgainst(C, Q.Part); }))
+      Found.emplace_back(C.At, Item.first);
+  }
+  std::sort(Found.rbegin(), Found.rend());
+  Found.resize(std::min(Found.size(), Bounds.Crashes / 2));
+  std::set<std::string> Out;
+  for (auto &[At, Key] : Found)
+    Out.insert(std::move(Key));
+  return Out;
+}
+
 /// The suspected parts in the order in which they are to be blamed: those
 /// without any answer first, then those with more crashes, then those nearer to
 /// the end of the prompts.
@@ -139,14 +158,31 @@
 /// Two requests that crash endpoints are often in progress together: if the
 /// newer crashes under one of them released the other, it would crash more.
 /// Only a whole request can stay blamed in this way: of the parts of a prompt,
-/// another one may turn out to be the cause.
+/// another one may turn out to be the cause. A late report of an answer, or of
+/// another request at all of its crashes, makes it as doubtful as if that had
+/// been known at first.
 std::optional<TimePoint>
 CrashLedger::settled(const std::vector<QuarantinedPart> &Before,
-                     const Suspicion &S, TimePoint Now) {
+                     const Suspicion &S, const std::vector<Suspicion> &All,
+                     TimePoint Now) {
   if (!S.IsWhole || S.Crashes.size() < MinCrashes)
     return std::nullopt;
   const auto Since = blamedSince(Before, S.Part);
-  return Since && Now - *Since >= SettleTime ? Since : std::nullopt;
+  if (!Since || Now - *Since < SettleTime)
+    return std::nullopt;
+  const bool NeedsMore = S.Answered || isCovered(S, All);
+  return NeedsMore && S.Crashes.size() < MinCrashesAfterAnswer ? std::nullopt
+                                                               : Since;
+}
+
+/// True if another part that was not answered is at all crashes of \p S.
+bool CrashLedger::isCovered(const Suspicion &S,
+                            const std::vector<Suspicion> &All) {
+  return std::any_of(All.begin(), All.end(), [&](const Suspicion &Other) {
+    return Other.Part != S.Part && !Other.Answered &&
+           std::includes(Other.Crashes.begin(), Other.Crashes.end(),
+                         S.Crashes.begin(), S.Crashes.end());
+  });
 }
 
 void CrashLedger::refresh(TimePoint Now) {
@@ -166,11 +202,11 @@
   };
   for (const Suspicion &S : All) {
     MostCrashes = std::max(MostCrashes, S.Crashes.size());
-    if (const auto Since = settled(Before, S, Now))
+    if (const auto Since = settled(Before, S, All, Now))
       Blame(S, *Since);
   }
   for (const Suspicion &S : All)
-    if (!settled(Before, S, Now) && isBlamed(S, All, Explained))
+    if (!settled(Before, S, All, Now) && isBlamed(S, All, Explained))
       Blame(S, blamedSince(Before, S.Part).value_or(Now));
 }
 
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -1,5 +1,6 @@
 // The part of CrashLedger that exchanges its content with other entries.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "hyssoprail/routing/crash_ledger.hpp"
@@ -120,7 +121,7 @@
   for (const wire::AnsweredPart &A : In.answered())
     addAnswer(A.part().substr(0, MaxIdBytes),
               Now - milliseconds(A.age_ms()) - Delay);
-  makeRoom();
+  makeRoom(Now);
 }
 
 void CrashLedger::applyDelta(const std::string &Name,
@@ -145,19 +146,27 @@
   refresh(Now);
   Out.set_incarnation(Incarnation);
   Out.set_written_at_unix_ms(UnixMicros / MicrosPerMilli);
-  std::vector<const Crash *> Evidence;
+  const std::set<std::string> UnderBlame = crashesUnderBlame();
+  std::vector<std::tuple<bool, TimePoint, const Crash *>> Evidence;
   for (const auto &[Key, C] : Crashes)
     if (isEvidence(C))
-      Evidence.push_back(&C);
-  std::sort(Evidence.begin(), Evidence.end(),
-            [](const Crash *A, const Crash *B) { return A->At > B->At; });
-  for (const Crash *C : Evidence)
+      Evidence.emplace_back(UnderBlame.contains(Key), C.At, &C);
+  std::sort(Evidence.rbegin(), Evidence.rend());
+  for (const auto &[Blamed, At, C] : Evidence)
     if (Out.ByteSizeLong() < Bounds.RecordBytes)
       fillCrash(*C, *Out.add_crashes(), Now);
-  for (const auto &[Part, At] : Answers) {
+  std::vector<std::pair<TimePoint, std::string_view>> Newest;
+  for (const auto &[Part, A] : Answers)
+    Newest.emplace_back(A.At, Part);
+  std::sort(Newest.rbegin(), Newest.rend());
+  std::size_t AnswerBytes = 0;
+  for (const auto &[At, Part] : Newest) {
+    if (AnswerBytes >= Bounds.RecordBytes)
+      break;
     wire::AnsweredPart *A = Out.add_answered();
-    A->set_part(Part);
-    A->set_age_ms(ageMillis(At.At, Now));
+    A->set_part(std::string(Part));
+    A->set_age_ms(ageMillis(At, Now));
+    AnswerBytes += A->ByteSizeLong();
   }
 }
 
@@ -165,12 +174,12 @@
                               std::int64_t UnixMicros) {
   if (In.incarnation() == Incarnation)
     return;
-  const std::int64_t DelayMs =
-      UnixMicros / MicrosPerMilli - In.written_at_unix_ms();
-  mergeContent(In,
-               milliseconds(std::clamp<std::int64_t>(
-                   DelayMs, 0, Lifetime / milliseconds(1))),
-               Now);
+  // Clamped before the subtraction, which would overflow with extreme times.
+  const std::int64_t PresentMs = UnixMicros / MicrosPerMilli;
+  const std::int64_t WrittenMs =
+      std::clamp(In.written_at_unix_ms(),
+                 PresentMs - Lifetime / milliseconds(1), PresentMs);
+  mergeContent(In, milliseconds(PresentMs - WrittenMs), Now);
 }
 
 std::string CrashLedger::encode(TimePoint Now, std::int64_t UnixMicros) {
