CrashLedger: a crash counts after a break that was none

Callers saw: requests of a kind that crashes workers were sent to more workers than allowed after connections had been reset before. Each worker whose connection had broken while it ran on could be lost once without being counted, for ten minutes.

Cause: a break is kept under the incarnation of its endpoint. Once a sign of life has disproved it, AliveAfter stays set, so the real crash of the same incarnation later counts against nobody.

Change: a request that was sent after a disproved break and breaks replaces it, with its own time and suspects. Copies tell the two breaks apart by their times: a later one replaces a disproved one, and what is told of an earlier one is ignored.

Both new tests failed before (three crashes, the request was not blamed).

What remains: a break that is never disproved still hides a later crash of the same incarnation, as requests sent to an endpoint that is down must not become suspects.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -137,6 +137,9 @@
     std::int64_t StartedAtMs = 0;
     TimePoint At{};
     bool AliveAfter = false; ///< the engine sent data later: no crash
+    /// An earlier break of this incarnation proved to be no crash, so what
+    /// others tell of that one is out of date.
+    bool BrokeBefore = false;
     std::set<PromptParts> Suspects;
     std::uint64_t Revision = 0; ///< of its last change
   };
@@ -171,6 +174,7 @@
   static PromptParts bounded(const PromptParts &Parts);
   Crash &crash(const std::string &EngineId, std::int64_t StartedAtMs,
                TimePoint At);
+  void restart(Crash &C, TimePoint At);
   void addSuspect(Crash &C, PromptParts Parts);
   void addAnswer(const std::string &Part, TimePoint At);
   void noteChange(std::uint64_t &ItemRevision);
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -58,6 +58,17 @@
   return C;
 }
 
+/// An engine whose connection had broken without a crash crashes later, in the
+/// same incarnation: the new break replaces the old one.
+void CrashLedger::restart(Crash &C, TimePoint At) {
+  C.At = At;
+  C.AliveAfter = false;
+  C.BrokeBefore = true;
+  C.Suspects.clear();
+  NewestCrashAt = std::max(NewestCrashAt, At);
+  noteChange(C.Revision);
+}
+
 /// Adds a prompt that the engine was about to answer. What this entry has seen
 /// of its parts before becomes known to the others with it.
 void CrashLedger::addSuspect(Crash &C, PromptParts Parts) {
@@ -81,9 +92,11 @@
     return;
   expire(Now);
   const auto Known = Crashes.find(keyOf(Engine.Id, Engine.StartedAtMs));
-  if (Known != Crashes.end() && !Known->second.AliveAfter &&
-      Known->second.At < SentAt)
-    return;
+  if (Known != Crashes.end() && Known->second.At < SentAt) {
+    if (!Known->second.AliveAfter)
+      return;
+    restart(Known->second, Now);
+  }
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
   makeRoom(Now);
 }
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::int64_t MicrosPerMilli = 1'000;
 
+/// Times that entries tell of the same break differ by less than this.
+constexpr milliseconds SameBreak{1'000};
+
 std::uint32_t ageMillis(TimePoint At, TimePoint Now) {
   return static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, (Now - At) / milliseconds(1)));
@@ -105,6 +108,10 @@
   if (Now - At >= Lifetime)
     return;
   Crash &C = crash(In.endpoint(), In.started_at_ms(), At);
+  if (C.BrokeBefore && At + SameBreak < C.At)
+    return;
+  if (C.AliveAfter && At > C.At + SameBreak)
+    restart(C, At);
   for (const wire::CrashSuspect &S : In.suspects())
     addSuspect(C, bounded({S.parts().begin(), S.parts().end()}));
   if (!In.alive_after() || C.AliveAfter)
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -451,4 +451,72 @@
   CHECK(Ledger.encode(Now, 0).size() < 5 * CallLedgerBounds.RecordBytes / 2);
 }
 
+// Guards against a crash that is not counted because a connection to the same
+// incarnation of the endpoint had broken before without a crash.
+TEST_CASE("a crash counts after a break that was none") {
+  TimePoint Now = Start;
+  CrashLedger Seen{1, CallLedgerBounds};
+  CrashLedger Told{2, CallLedgerBounds};
+  const auto Exchange = [&] {
+    wire::CrashDelta There;
+    Seen.fillDelta("told", There, Now);
+    Told.applyDelta("seen", There, Now);
+    wire::CrashDelta Back;
+    Told.fillDelta("seen", Back, Now);
+    Seen.applyDelta("told", Back, Now);
+  };
+  for (unsigned I = 0; I < 3; ++I) {
+    const TimePoint Connected = Now;
+    Now += milliseconds(1'000);
+    Seen.recordCrash(engine(I), {"reset"}, Now, Now - milliseconds(10));
+    if (I > 0)
+      Exchange();
+    Now += milliseconds(400);
+    Seen.recordAlive(engine(I).Id, Connected, Now);
+    if (I > 1)
+      Exchange();
+  }
+  for (unsigned I = 0; I < 3; ++I) {
+    Now += milliseconds(5'000);
+    Seen.recordCrash(engine(I), {"bad"}, Now, Now - milliseconds(10));
+    Exchange();
+  }
+  CHECK(Seen.isQuarantined({"bad"}, Now));
+  CHECK(Told.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Seen.isQuarantined({"reset"}, Now));
+  CHECK_FALSE(Told.isQuarantined({"reset"}, Now));
+  // The disproof of the first break does not concern the crash.
+  Seen.recordAlive(engine(0).Id, Now - milliseconds(1), Now);
+  CHECK(Seen.isQuarantined({"bad"}, Now));
+  CHECK(Seen.crashCount() == 3);
+  CHECK(Told.crashCount() == 3);
+}
+
+// Guards against the disproof of a break that arrives late and is taken for one
+// of the crash that followed.
+TEST_CASE("a late disproof of a break does not disprove a later crash") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  First.recordCrash(engine(0), {"reset"}, Now, Now - milliseconds(10));
+  First.recordAlive(engine(0).Id, Start - milliseconds(500),
+                    Now + milliseconds(400));
+  CrashLedger Second{2, CallLedgerBounds};
+  Second.recordCrash(engine(0), {"reset"}, Now, Now - milliseconds(10));
+  Second.recordAlive(engine(0).Id, Start - milliseconds(500),
+                     Now + milliseconds(400));
+  for (unsigned I = 0; I < 3; ++I) {
+    Now += milliseconds(5'000);
+    Second.recordCrash(engine(I), {"bad"}, Now, Now - milliseconds(10));
+  }
+  REQUIRE(Second.isQuarantined({"bad"}, Now));
+  wire::CrashDelta Late;
+  First.fillDelta("second", Late, Now);
+  Second.applyDelta("first", Late, Now);
+  CHECK(Second.isQuarantined({"bad"}, Now));
+  wire::CrashDelta Back;
+  Second.fillDelta("first", Back, Now);
+  First.applyDelta("second", Back, Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+}
+
 } // namespace hyssoprail::routing
