Quota: charge what peers grant before their first report of an account

Callers of an account that overloads a fleet of 30 entries were served more than its rate and burst in the first 8 s.

Cause: an entry reports an account only after it has granted tokens to it. SharedQuota took the first total of each account for tokens of unknown date, and charged only later changes. So neither the coordinator nor the other entries charged what was granted to an account before its first report, and the excess of the first moments was never made up for.

SharedQuota now records whole reports. Only the first report of an incarnation is of unknown date; an account that first appears in a later report was granted all its tokens since then, and is charged with them. The same holds for the first totals of a coordinator's term.

--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -54,14 +54,18 @@
   /// Refunds the tokens of a request that did not run.
   void refund(std::string_view Account, double Tokens, TimePoint Now);
 
+  /// Tokens by account.
+  using AccountTotals = std::map<std::string, double, std::less<>>;
+
   /// Tokens that this entry has granted since its start, less refunds, by
-  /// account.
-  std::map<std::string, double, std::less<>> grantedTotals() const;
+  /// account. Accounts without any are left out.
+  AccountTotals grantedTotals() const;
 
-  /// Records the grantedTotals() of a peer for \p Account. \p Incarnation tells
-  /// a restart of the peer from a decrease by refunds.
-  void recordPeerTotal(std::string_view Peer, std::uint64_t Incarnation,
-                       std::string_view Account, double Total, TimePoint Now);
+  /// Records the grantedTotals() of a peer. An account that \p Totals leaves
+  /// out for the first time has been granted nothing by then. \p Incarnation
+  /// tells a restart of the peer from a decrease by refunds.
+  void recordPeerTotals(std::string_view Peer, std::uint64_t Incarnation,
+                        const AccountTotals &Totals, TimePoint Now);
 
 private:
   struct Bucket {
@@ -73,9 +77,9 @@
     TimePoint RefilledAt{};
   };
 
-  struct PeerTotal {
+  struct PeerTotals {
     std::uint64_t Incarnation = 0;
-    double Total = 0;
+    AccountTotals Totals;
   };
 
   void refill(Bucket &B, TimePoint Now) const;
@@ -89,7 +93,7 @@
   double BurstShare = 1;  ///< share of each burst that this entry may use
   TimePoint CompleteAt{}; ///< when all reports last arrived
   std::map<std::string, Bucket, std::less<>> Buckets;
-  std::map<std::pair<std::string, std::string>, PeerTotal> PeerTotals;
+  std::map<std::string, PeerTotals, std::less<>> Peers;
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -305,10 +305,12 @@
     for (const wire::CallUse &Use : Update.calls())
       Calls[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
     State.Table.setPeerLoad(FleetPeer, std::move(Calls));
+    routing::SharedQuota::AccountTotals Totals;
+    for (const wire::AccountUse &Use : Update.accounts())
+      Totals[Use.account()] = Use.tokens();
+    State.Quota.recordPeerTotals(
+        FleetPeer, Update.incarnation() ^ Update.term(), Totals, Now);
   }
-  for (const wire::AccountUse &Use : Update.accounts())
-    State.Quota.recordPeerTotal(FleetPeer, Update.incarnation() ^ Update.term(),
-                                Use.account(), Use.tokens(), Now);
   applyDecisions(Update, Now);
   if (hasUnreportedChange())
     notifyStateChanged();
--- a/src/hyssoprail/gateway/coordination_test.cpp
+++ b/src/hyssoprail/gateway/coordination_test.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/gateway/limit_fleet.hpp"
 #include "hyssoprail/gateway/peer_socket.hpp"
 
 #include <algorithm>
@@ -186,4 +187,30 @@
     CHECK(E->FleetCoordination.knownEntries() == 6);
 }
 
+// Guards against totals of other entries that are never charged: what each
+// entry had granted to an account when it first reported it stayed free, so the
+// excess of the first moments was never made up for.
+TEST_CASE("the quota of an account holds from its first request on",
+          "[quota]") {
+  constexpr double Rate = 4'000;
+  constexpr double Burst = 6'000;
+  constexpr double RequestTokens = 400;
+  constexpr double OfferedRate = 30'000;
+  constexpr int Seconds = 8;
+  constexpr double ReportTime = 0.4; // until all entries know of a grant
+  for (const std::size_t EntryCount : {3, 30, 300}) {
+    testing::LimitFleet F(EntryCount, {});
+    F.Config.Accounts["acme"] = {"acme", std::nullopt, Rate, Burst, 1};
+    F.run(milliseconds(2'000), 0);
+    F.Load = {"acme", OfferedRate / RequestTokens, RequestTokens};
+    F.run(std::chrono::seconds(Seconds), 0);
+    double Granted = 0;
+    for (const testing::TokenGrant &G : F.Grants)
+      Granted += G.Tokens;
+    CAPTURE(EntryCount);
+    CHECK(Granted <= Burst + Rate * (Seconds + ReportTime));
+    CHECK(Granted >= Rate * Seconds);
+  }
+}
+
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -107,6 +107,20 @@
   std::vector<Send> Sends;
 };
 
+/// Requests of one client account that arrive at random entries and take its
+/// quota.
+struct AccountLoad {
+  std::string Account;
+  double RequestsPerSecond = 0;
+  double RequestTokens = 0;
+};
+
+/// Tokens that an entry has granted.
+struct TokenGrant {
+  TimePoint At;
+  double Tokens = 0;
+};
+
 /// Outcomes of the calls of a run.
 struct CallOutcomes {
   unsigned Served = 0;
@@ -131,6 +145,8 @@
 
   /// Runs for \p Span with \p CallsPerSecond calls over all entries.
   void run(milliseconds Span, double CallsPerSecond) {
+    for (auto &[Name, E] : Entries)
+      E->Quota.configure(Config, now());
     for (milliseconds At{0}; At < Span; At += Step) {
       Time.advance(Step);
       PendingCalls +=
@@ -143,6 +159,10 @@
           tick(*E);
       for (; PendingCalls >= 1; PendingCalls -= 1)
         startCall();
+      for (PendingGrants +=
+           Load.RequestsPerSecond * std::chrono::duration<double>(Step).count();
+           PendingGrants >= 1; PendingGrants -= 1)
+        takeTokens();
       runPosted();
     }
   }
@@ -214,6 +234,8 @@
   routing::FleetConfig Config;
   std::vector<LimitedEndpoint> Endpoints;
   CallOutcomes Outcomes;
+  AccountLoad Load;
+  std::vector<TokenGrant> Grants; ///< to the account of the load
 
 private:
   ManualClock Time;
@@ -406,12 +428,21 @@
       return;
     E.TickedAt = now();
     E.Fleet.tick();
+    E.Quota.setReportingShare(E.Fleet.reportingShare(), now());
     E.Table.setLimitShare(E.Fleet.limitShare(), now());
     applyStartLimits(E.Table, Config, {},
                      {E.Fleet.knownEntries(), E.Fleet.reportingShare(),
                       E.Fleet.isCoordinator()});
   }
 
+  void takeTokens() {
+    const std::string &Name = Names[Random() % Names.size()];
+    if (runs(Name) && Entries.at(Name)
+                          ->Quota.take(Load.Account, Load.RequestTokens, now())
+                          .Granted)
+      Grants.push_back({now(), Load.RequestTokens});
+  }
+
   void startCall() {
     const std::string &Name = Names[Random() % Names.size()];
     const std::string Id = std::to_string(++LastCall);
@@ -527,6 +558,7 @@
   std::deque<Response> Responses;
   std::mt19937 Random{1};
   double PendingCalls = 0;
+  double PendingGrants = 0;
   std::uint64_t LastCall = 0;
   std::uint64_t LastIncarnation = 0;
 };
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -208,18 +208,19 @@
                                     bool NewIncarnation,
                                     const wire::EntryReport &Report,
                                     TimePoint Now) {
+  SharedQuota::AccountTotals Totals;
   for (const wire::AccountUse &Use : Report.accounts()) {
     if (!std::isfinite(Use.tokens()))
       continue;
+    Totals[Use.account()] = Use.tokens();
     double &Last = E.ReportedTotals[Use.account()];
     const double Growth = NewIncarnation ? 0 : Use.tokens() - Last;
     Last = Use.tokens();
     E.GrantedInTerm[Use.account()] += Growth;
     TotalGrantedInTerm[Use.account()] += Growth;
-    if (Name != OwnName)
-      Quota.recordPeerTotal(Name, E.Incarnation, Use.account(), Use.tokens(),
-                            Now);
   }
+  if (Name != OwnName)
+    Quota.recordPeerTotals(Name, E.Incarnation, Totals, Now);
 }
 
 void AdmissionServer::removeRequest(const std::string &Name, Entry &E,
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -113,31 +113,38 @@
   Found->second.Granted -= Tokens;
 }
 
-std::map<std::string, double, std::less<>> SharedQuota::grantedTotals() const {
-  std::map<std::string, double, std::less<>> Out;
+SharedQuota::AccountTotals SharedQuota::grantedTotals() const {
+  AccountTotals Out;
   for (const auto &[Name, B] : Buckets)
     if (B.Granted != 0)
       Out[Name] = B.Granted;
   return Out;
 }
 
-void SharedQuota::recordPeerTotal(std::string_view Peer,
-                                  std::uint64_t Incarnation,
-                                  std::string_view Account, double Total,
-                                  TimePoint Now) {
-  if (!std::isfinite(Total))
-    return;
-  PeerTotal &Last = PeerTotals[{std::string(Peer), std::string(Account)}];
-  // The incarnation may have been up before this entry, and when the tokens of
-  // its first report were granted is unknown. Only later changes are charged.
-  const bool Known = Last.Incarnation == Incarnation;
-  const double Change = Known ? Total - Last.Total : 0;
-  Last = {Incarnation, Total};
-  const auto Found = Buckets.find(Account);
-  if (Found == Buckets.end())
-    return;
-  refill(Found->second, Now);
-  charge(Found->second, Change);
+/// The incarnation may have been up before this entry, and when the tokens of
+/// its first report were granted is unknown. Only later changes are charged. An
+/// account that appears in a later report was granted all its tokens since the
+/// first one.
+void SharedQuota::recordPeerTotals(std::string_view Peer,
+                                   std::uint64_t Incarnation,
+                                   const AccountTotals &Totals, TimePoint Now) {
+  const auto [It, New] = Peers.try_emplace(std::string(Peer));
+  PeerTotals &Known = It->second;
+  const bool First = New || Known.Incarnation != Incarnation;
+  if (First)
+    Known = {Incarnation, {}};
+  for (const auto &[Account, Total] : Totals) {
+    if (!std::isfinite(Total))
+      continue;
+    double &Last = Known.Totals[Account];
+    const double Change = First ? 0 : Total - Last;
+    Last = Total;
+    const auto Found = Buckets.find(Account);
+    if (Found == Buckets.end())
+      continue;
+    refill(Found->second, Now);
+    charge(Found->second, Change);
+  }
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -39,8 +39,8 @@
   SharedQuota B({});
   A.configure(*testConfig(), Start);
   B.configure(*testConfig(), Start);
-  A.recordPeerTotal("b", 1, "acme", 0, Start);
-  B.recordPeerTotal("a", 1, "acme", 0, Start);
+  A.recordPeerTotals("b", 1, {{"acme", 0}}, Start);
+  B.recordPeerTotals("a", 1, {{"acme", 0}}, Start);
   double Granted = 0;
   constexpr int Seconds = 8;
   constexpr double ReportLagTokens = 1'000; // granted between two reports
@@ -51,8 +51,8 @@
         Granted += 50;
     if (Ms % 100 != 0)
       continue;
-    A.recordPeerTotal("b", 1, "acme", B.grantedTotals()["acme"], Now);
-    B.recordPeerTotal("a", 1, "acme", A.grantedTotals()["acme"], Now);
+    A.recordPeerTotals("b", 1, {{"acme", B.grantedTotals()["acme"]}}, Now);
+    B.recordPeerTotals("a", 1, {{"acme", A.grantedTotals()["acme"]}}, Now);
   }
   REQUIRE(Granted <= Burst + Rate * Seconds + ReportLagTokens);
 }
@@ -146,19 +146,39 @@
 TEST_CASE("the smaller total of a restarted peer is not a refund") {
   SharedQuota Quota({});
   Quota.configure(*testConfig(), Start);
-  Quota.recordPeerTotal("b", 1, "acme", 0, Start);
-  Quota.recordPeerTotal("b", 1, "acme", 1'000, Start);
-  Quota.recordPeerTotal("b", 2, "acme", 0, Start);
+  Quota.recordPeerTotals("b", 1, {{"acme", 0}}, Start);
+  Quota.recordPeerTotals("b", 1, {{"acme", 1'000}}, Start);
+  Quota.recordPeerTotals("b", 2, {{"acme", 0}}, Start);
   REQUIRE_FALSE(Quota.take("acme", 100, Start).Granted);
 }
 
+// Guards against taking the first tokens that a peer grants to an account for
+// tokens that it granted before this entry knew it.
+TEST_CASE(
+    "an account that a known peer reports for the first time is charged") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.recordPeerTotals("b", 1, {}, Start);
+  Quota.recordPeerTotals("b", 1, {{"acme", 1'000}}, Start);
+  REQUIRE_FALSE(Quota.take("acme", 100, Start).Granted);
+}
+
+// Guards against charging what a peer granted at some time before this entry
+// started.
+TEST_CASE("the totals of a peer's first report are not charged") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.recordPeerTotals("b", 1, {{"acme", 1'000}}, Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+}
+
 // Guards against a malformed report that removes the limit of an account.
 TEST_CASE("totals that are not finite numbers change nothing") {
   SharedQuota Quota{QuotaTolerance{}};
   Quota.configure(*testing::testConfig(), testing::Start);
   REQUIRE(Quota.take("acme", 1'000, testing::Start).Granted);
   for (const double Total : {0.0, std::nan(""), 0.0, HUGE_VAL, 0.0})
-    Quota.recordPeerTotal("p", 1, "acme", Total, testing::Start);
+    Quota.recordPeerTotals("p", 1, {{"acme", Total}}, testing::Start);
   CHECK_FALSE(Quota.take("acme", 1'000, testing::Start).Granted);
   const TimePoint Later = testing::Start + milliseconds(1'100);
   CHECK(Quota.take("acme", 1'000, Later).Granted);
