Quota: don't charge grants between two terms of a coordinator again

An entry that became the coordinator for the second time refused requests of accounts that were within their rates.

Cause: SharedQuota kept the totals that peers had reported in the coordinator's earlier term. The first report in the new term was charged with everything granted since then, though the entry had charged it meanwhile, from the updates of the other coordinators. The debt grows with the time between the terms.

The start of a term now forgets the reported totals, as it forgets the other state of the peers, so that the first report of a peer is the baseline.

The new test (50,000 tokens granted between two terms, at a rate of 1,000 per second) failed before: 1,000 tokens were refused. routing_test and gateway_test pass. Not seen in a run of processes; found while the totals were traced.

--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -67,6 +67,9 @@
   void recordPeerTotals(std::string_view Peer, std::uint64_t Incarnation,
                         const AccountTotals &Totals, TimePoint Now);
 
+  /// Forgets what peers have reported; their next reports count as first ones.
+  void forgetPeers() { Peers.clear(); }
+
 private:
   struct Bucket {
     double Rate = 0;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -78,6 +78,9 @@
   endTerm(Now);
   TermStart = Now;
   Expected = ExpectedEntries;
+  // What the peers have granted since an earlier term of this coordinator was
+  // charged meanwhile, from the updates of the other coordinators.
+  Quota.forgetPeers();
 }
 
 void AdmissionServer::endTerm(TimePoint Now) {
--- a/src/hyssoprail/routing/admission_test.cpp
+++ b/src/hyssoprail/routing/admission_test.cpp
@@ -192,6 +192,29 @@
   CHECK(C.update(B).accounts(0).tokens() == 300);
 }
 
+// Guards against charging twice what entries granted between two terms of the
+// same coordinator: it refused an account within its quota until the whole
+// amount had been refilled.
+TEST_CASE("what was granted between two terms is not charged again") {
+  Coordinator C;
+  Follower A("entry-a");
+  const auto ReportWith = [&](double Tokens) {
+    wire::EntryReport R = A.report(C.Now);
+    wire::AccountUse *Use = R.add_accounts();
+    Use->set_account("acme");
+    Use->set_tokens(Tokens);
+    C.Server.handleReport(R, C.Now);
+  };
+  ReportWith(0);
+  C.Server.endTerm(C.Now);
+  C.Now += std::chrono::seconds(60);
+  C.Server.startTerm(1, C.Now);
+  ReportWith(50'000); // charged from the updates of another coordinator
+  CHECK(C.Quota.take("acme", 1'000, C.Now).Granted);
+  ReportWith(50'400);
+  CHECK_FALSE(C.Quota.take("acme", 100, C.Now).Granted);
+}
+
 // Guards against the loss of a zone that takes away the coordinator and all of
 // its deputies.
 TEST_CASE("deputies are spread over zones") {
