Quota: charge what entries granted before their first reports

An account that overloaded a fleet of 30 entries from its start was served up to 54,023 tokens in 8 s, where 53,800 are allowed. An entry that started again offered the account a whole unused burst as well.

Cause: the tokens in the first report of an entry were granted at an unknown time and so were never charged. Totals of the fleet that an entry got first were not charged, either. The totals could come 200 ms late, as an update that could not contain them counted as sent.

Entries now state how much of the tokens they granted is not refilled yet, which needs no date. The coordinator charges it with the first report of a peer. A follower raises its debt to that of the coordinator with the first totals of a term; it is raised and not added to, so what it had charged before is not charged twice. While a burst is reduced, the debt has been scaled to include those of other parts and nothing is charged, so parts that meet again don't starve an account.

--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -55,7 +55,7 @@
   /// Fills the update for \p Entry and marks it as sent. \p WithTotals adds the
   /// totals of accounts and calls.
   void fillUpdate(const std::string &Entry, wire::CoordinatorUpdate &Update,
-                  bool WithTotals);
+                  bool WithTotals, TimePoint Now);
 
   /// Addresses by name of all reporting entries except this one.
   std::map<std::string, std::string> addresses() const;
@@ -127,7 +127,8 @@
                   const wire::EntryReport &Report);
   void applyAccounts(const std::string &Name, Entry &E, bool NewIncarnation,
                      const wire::EntryReport &Report, TimePoint Now);
-  void fillTotals(const Entry &E, wire::CoordinatorUpdate &Update);
+  void fillTotals(const Entry &E, wire::CoordinatorUpdate &Update,
+                  TimePoint Now);
   void releaseAll(const std::string &Name, Entry &E, TimePoint Now);
   bool reportsComplete(TimePoint Now) const;
   void record(const StreamPlacement &Placement);
--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -63,10 +63,25 @@
 
   /// Records the grantedTotals() of a peer. An account that \p Totals leaves
   /// out for the first time has been granted nothing by then. \p Incarnation
-  /// tells a restart of the peer from a decrease by refunds.
-  void recordPeerTotals(std::string_view Peer, std::uint64_t Incarnation,
+  /// tells a restart of the peer from a decrease by refunds. Returns true for
+  /// its first report, of which nothing is charged, as it cannot be dated.
+  bool recordPeerTotals(std::string_view Peer, std::uint64_t Incarnation,
                         const AccountTotals &Totals, TimePoint Now);
 
+  /// The part of the tokens granted by this entry that is not refilled yet.
+  double ownDebt(std::string_view Account, TimePoint Now);
+
+  /// The same of all entries, as far as known, scaled to the whole burst.
+  double fleetDebt(std::string_view Account, TimePoint Now);
+
+  /// Charges the ownDebt() that a peer states in its first report. Returns the
+  /// charged tokens: none while the burst is reduced, because the debt has then
+  /// been scaled to include those of other parts of the fleet.
+  double chargePeerDebt(std::string_view Account, double Tokens, TimePoint Now);
+
+  /// Raises the debt to the fleetDebt() of the coordinator.
+  void raiseDebt(std::string_view Account, double FleetDebt, TimePoint Now);
+
   /// Forgets what peers have reported; their next reports count as first ones.
   void forgetPeers() { Peers.clear(); }
 
@@ -76,6 +91,7 @@
     double Burst = 0;
     double Debt = 0;      ///< refilled at the rate with tolerance
     double QuotaDebt = 0; ///< refilled at the rate of the quota alone
+    double OwnDebt = 0;   ///< part of the debt granted by this entry
     double Granted = 0;
     TimePoint RefilledAt{};
   };
@@ -85,6 +101,7 @@
     AccountTotals Totals;
   };
 
+  Bucket *refilled(std::string_view Account, TimePoint Now);
   void refill(Bucket &B, TimePoint Now) const;
   void setBurstShare(double Share);
   static void charge(Bucket &B, double Tokens);
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -308,8 +308,11 @@
     routing::SharedQuota::AccountTotals Totals;
     for (const wire::AccountUse &Use : Update.accounts())
       Totals[Use.account()] = Use.tokens();
-    State.Quota.recordPeerTotals(
+    const bool FirstTotals = State.Quota.recordPeerTotals(
         FleetPeer, Update.incarnation() ^ Update.term(), Totals, Now);
+    if (FirstTotals)
+      for (const wire::AccountUse &Use : Update.accounts())
+        State.Quota.raiseDebt(Use.account(), Use.debt(), Now);
   }
   applyDecisions(Update, Now);
   if (hasUnreportedChange())
@@ -342,6 +345,7 @@
     wire::AccountUse *Use = R.add_accounts();
     Use->set_account(Name);
     Use->set_tokens(Tokens);
+    Use->set_debt(State.Quota.ownDebt(Name, Now));
   }
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -97,9 +97,9 @@
     *U.add_rooms() = Room;
   TimePoint &LastTotals = TotalsSentAt[Entry];
   const bool WithTotals = Now - LastTotals >= TotalsInterval;
-  if (WithTotals)
+  Server.fillUpdate(Entry, U, WithTotals, Now);
+  if (U.has_totals())
     LastTotals = Now;
-  Server.fillUpdate(Entry, U, WithTotals);
   Grants.fillUpdate(Entry, U, Now);
   if (Entry == Settings.Name)
     return U;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -206,24 +206,29 @@
 }
 
 /// What an entry granted before its first report in this term cannot be dated,
-/// so only the growth of its totals counts.
+/// so its stated debt counts, and then the growth of its totals.
 void AdmissionServer::applyAccounts(const std::string &Name, Entry &E,
                                     bool NewIncarnation,
                                     const wire::EntryReport &Report,
                                     TimePoint Now) {
   SharedQuota::AccountTotals Totals;
+  for (const wire::AccountUse &Use : Report.accounts())
+    if (std::isfinite(Use.tokens()))
+      Totals[Use.account()] = Use.tokens();
+  const bool FirstReport =
+      Name != OwnName &&
+      Quota.recordPeerTotals(Name, E.Incarnation, Totals, Now);
   for (const wire::AccountUse &Use : Report.accounts()) {
     if (!std::isfinite(Use.tokens()))
       continue;
-    Totals[Use.account()] = Use.tokens();
+    const double Undated =
+        FirstReport ? Quota.chargePeerDebt(Use.account(), Use.debt(), Now) : 0;
     double &Last = E.ReportedTotals[Use.account()];
-    const double Growth = NewIncarnation ? 0 : Use.tokens() - Last;
+    const double Growth = NewIncarnation ? Undated : Use.tokens() - Last;
     Last = Use.tokens();
     E.GrantedInTerm[Use.account()] += Growth;
     TotalGrantedInTerm[Use.account()] += Growth;
   }
-  if (Name != OwnName)
-    Quota.recordPeerTotals(Name, E.Incarnation, Totals, Now);
 }
 
 void AdmissionServer::removeRequest(const std::string &Name, Entry &E,
@@ -316,7 +321,7 @@
 
 void AdmissionServer::fillUpdate(const std::string &Name,
                                  wire::CoordinatorUpdate &Update,
-                                 bool WithTotals) {
+                                 bool WithTotals, TimePoint Now) {
   Update.set_queued(static_cast<std::uint32_t>(Scheduler.queued()));
   const auto It = Entries.find(Name);
   if (It == Entries.end())
@@ -330,17 +335,19 @@
   for (const auto &[Key, Denial] : E.Denied)
     *Update.add_denials() = Denial;
   if (WithTotals)
-    fillTotals(E, Update);
+    fillTotals(E, Update, Now);
 }
 
 void AdmissionServer::fillTotals(const Entry &E,
-                                 wire::CoordinatorUpdate &Update) {
+                                 wire::CoordinatorUpdate &Update,
+                                 TimePoint Now) {
   Update.set_has_totals(true);
   for (const auto &[Account, Tokens] : TotalGrantedInTerm) {
     const auto Own = E.GrantedInTerm.find(Account);
     wire::AccountUse *Use = Update.add_accounts();
     Use->set_account(Account);
     Use->set_tokens(Tokens - (Own == E.GrantedInTerm.end() ? 0 : Own->second));
+    Use->set_debt(Quota.fleetDebt(Account, Now));
   }
   Table.forEach([&](Endpoint &ServiceEndpoint) {
     if (ServiceEndpoint.Record.Stage != EngineStage::None)
--- a/src/hyssoprail/routing/admission_test_support.hpp
+++ b/src/hyssoprail/routing/admission_test_support.hpp
@@ -68,7 +68,7 @@
 
   wire::CoordinatorUpdate update(const Follower &F) {
     wire::CoordinatorUpdate U;
-    Server.fillUpdate(F.Name, U, true);
+    Server.fillUpdate(F.Name, U, true, Now);
     return U;
   }
 
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -74,6 +74,7 @@
     return;
   const double Elapsed = seconds(Now - B.RefilledAt);
   B.Debt = std::max(0.0, B.Debt - refillRate(B) * Elapsed);
+  B.OwnDebt = std::max(0.0, B.OwnDebt - refillRate(B) * Elapsed);
   B.QuotaDebt = std::max(0.0, B.QuotaDebt - B.Rate * Elapsed);
   B.RefilledAt = Now;
 }
@@ -99,18 +100,54 @@
   }
   const bool Beyond = B.QuotaDebt + Tokens > B.Burst;
   charge(B, Tokens);
+  B.OwnDebt += Tokens;
   B.Granted += Tokens;
   return {true, Beyond, B.Debt, maxDebt(B), {}};
 }
 
 void SharedQuota::refund(std::string_view Account, double Tokens,
                          TimePoint Now) {
+  Bucket *B = refilled(Account, Now);
+  if (!B)
+    return;
+  charge(*B, -Tokens);
+  B->OwnDebt = std::max(0.0, B->OwnDebt - Tokens);
+  B->Granted -= Tokens;
+}
+
+SharedQuota::Bucket *SharedQuota::refilled(std::string_view Account,
+                                           TimePoint Now) {
   const auto Found = Buckets.find(Account);
   if (Found == Buckets.end())
-    return;
+    return nullptr;
   refill(Found->second, Now);
-  charge(Found->second, -Tokens);
-  Found->second.Granted -= Tokens;
+  return &Found->second;
+}
+
+double SharedQuota::ownDebt(std::string_view Account, TimePoint Now) {
+  const Bucket *B = refilled(Account, Now);
+  return B ? B->OwnDebt : 0;
+}
+
+double SharedQuota::fleetDebt(std::string_view Account, TimePoint Now) {
+  const Bucket *B = refilled(Account, Now);
+  return B ? B->Debt / BurstShare : 0;
+}
+
+double SharedQuota::chargePeerDebt(std::string_view Account, double Tokens,
+                                   TimePoint Now) {
+  Bucket *B = refilled(Account, Now);
+  if (!B || !std::isfinite(Tokens) || Tokens <= 0 || BurstShare < 1)
+    return 0;
+  charge(*B, Tokens);
+  return Tokens;
+}
+
+void SharedQuota::raiseDebt(std::string_view Account, double FleetDebt,
+                            TimePoint Now) {
+  Bucket *B = refilled(Account, Now);
+  if (B && std::isfinite(FleetDebt))
+    B->Debt = std::max(B->Debt, FleetDebt * BurstShare);
 }
 
 SharedQuota::AccountTotals SharedQuota::grantedTotals() const {
@@ -125,7 +162,7 @@
 /// its first report were granted is unknown. Only later changes are charged. An
 /// account that appears in a later report was granted all its tokens since the
 /// first one.
-void SharedQuota::recordPeerTotals(std::string_view Peer,
+bool SharedQuota::recordPeerTotals(std::string_view Peer,
                                    std::uint64_t Incarnation,
                                    const AccountTotals &Totals, TimePoint Now) {
   const auto [It, New] = Peers.try_emplace(std::string(Peer));
@@ -145,6 +182,7 @@
     refill(Found->second, Now);
     charge(Found->second, Change);
   }
+  return First;
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -172,6 +172,54 @@
   REQUIRE(Quota.take("acme", 1'000, Start).Granted);
 }
 
+// Guards against a start of the fleet in which the tokens that each entry
+// grants before there is a coordinator stay free.
+TEST_CASE("the debt that a peer states first is charged") {
+  SharedQuota A({});
+  SharedQuota B({});
+  for (SharedQuota *Q : {&A, &B}) {
+    Q->configure(*testConfig(), Start);
+    Q->setReportingShare(0.5, Start);
+  }
+  REQUIRE(B.take("acme", 1'000, Start).Granted);
+  const TimePoint Later = Start + milliseconds(200);
+  const double Debt = B.ownDebt("acme", Later);
+  CHECK(Debt == Approx(900)); // refilled at half the rate
+  REQUIRE(A.recordPeerTotals("b", 1, B.grantedTotals(), Later));
+  CHECK(A.chargePeerDebt("acme", Debt, Later) == Debt);
+  CHECK_FALSE(A.take("acme", 200, Later).Granted);
+  CHECK(A.take("acme", 100, Later).Granted);
+  CHECK_FALSE(A.recordPeerTotals("b", 1, B.grantedTotals(), Later));
+}
+
+// Guards against charging other parts of a fleet twice when they meet again:
+// the debt of this part was scaled to include theirs.
+TEST_CASE("the debts of other parts are not charged to a reduced burst") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.setReportingShare(0.5, Start);
+  const TimePoint Later = Start + std::chrono::seconds(3);
+  Quota.setReportingShare(0.5, Later);
+  CHECK(Quota.chargePeerDebt("acme", 500, Later) == 0);
+  CHECK(Quota.take("acme", 500, Later).Granted);
+}
+
+// Guards against an entry that starts with an unused burst while the account
+// has used it at the others, and against charging a grant twice when an entry
+// hears of it from a new coordinator.
+TEST_CASE("a debt is raised to that of the coordinator") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  REQUIRE(Quota.take("acme", 300, Start).Granted);
+  Quota.raiseDebt("acme", 800, Start);
+  Quota.raiseDebt("acme", 800, Start);
+  Quota.raiseDebt("acme", std::nan(""), Start);
+  Quota.raiseDebt("acme", 100, Start);
+  CHECK(Quota.fleetDebt("acme", Start) == 800);
+  CHECK_FALSE(Quota.take("acme", 300, Start).Granted);
+  CHECK(Quota.take("acme", 200, Start).Granted);
+}
+
 // Guards against a malformed report that removes the limit of an account.
 TEST_CASE("totals that are not finite numbers change nothing") {
   SharedQuota Quota{QuotaTolerance{}};
