--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -54,14 +54,36 @@
   /// Refunds the tokens of a request that did not run.
   void refund(std::string_view Account, double Tokens, TimePoint Now);
 
+  /// Tokens by account.
+  using AccountTotals = std::map<std::string, double, std::less<>>;
+
   /// Tokens that this entry has granted since its start, less refunds, by
-  /// account.
-  std::map<std::string, double, std::less<>> grantedTotals() const;
+  /// account. Accounts without any are left out.
+  AccountTotals grantedTotals() const;
+
+  /// Records the grantedTotals() of a peer. An account that \p Totals leaves
+  /// out for the first time has been granted nothing by then. \p Incarnation
+  /// tells a restart of the peer from a decrease by refunds. Returns true for
+  /// its first report, of which nothing is charged, as it cannot be dated.
+  bool recordPeerTotals(std::string_view Peer, std::uint64_t Incarnation,
+                        const AccountTotals &Totals, TimePoint Now);
+
+  /// The part of the tokens granted by this entry that is not refilled yet.
+  double ownDebt(std::string_view Account, TimePoint Now);
+
+  /// The same of all entries, as far as known, scaled to the whole burst.
+  double fleetDebt(std::string_view Account, TimePoint Now);
+
+  /// Charges the ownDebt() that a peer states in its first report. Returns the
+  /// charged tokens: none while the burst is reduced, because the debt has then
+  /// been scaled to include those of other parts of the fleet.
+  double chargePeerDebt(std::string_view Account, double Tokens, TimePoint Now);
+
+  /// Raises the debt to the fleetDebt() of the coordinator.
+  void raiseDebt(std::string_view Account, double FleetDebt, TimePoint Now);
 
-  /// Records the grantedTotals() of a peer for \p Account. \p Incarnation tells
-  /// a restart of the peer from a decrease by refunds.
-  void recordPeerTotal(std::string_view Peer, std::uint64_t Incarnation,
-                       std::string_view Account, double Total, TimePoint Now);
+  /// Forgets what peers have reported; their next reports count as first ones.
+  void forgetPeers() { Peers.clear(); }
 
 private:
   struct Bucket {
@@ -69,15 +91,17 @@
     double Burst = 0;
     double Debt = 0;      ///< refilled at the rate with tolerance
     double QuotaDebt = 0; ///< refilled at the rate of the quota alone
+    double OwnDebt = 0;   ///< part of the debt granted by this entry
     double Granted = 0;
     TimePoint RefilledAt{};
   };
 
-  struct PeerTotal {
+  struct PeerTotals {
     std::uint64_t Incarnation = 0;
-    double Total = 0;
+    AccountTotals Totals;
   };
 
+  Bucket *refilled(std::string_view Account, TimePoint Now);
   void refill(Bucket &B, TimePoint Now) const;
   void setBurstShare(double Share);
   static void charge(Bucket &B, double Tokens);
@@ -89,7 +113,7 @@
   double BurstShare = 1;  ///< share of each burst that this entry may use
   TimePoint CompleteAt{}; ///< when all reports last arrived
   std::map<std::string, Bucket, std::less<>> Buckets;
-  std::map<std::pair<std::string, std::string>, PeerTotal> PeerTotals;
+  std::map<std::string, PeerTotals, std::less<>> Peers;
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -305,10 +305,15 @@
     for (const wire::CallUse &Use : Update.calls())
       Calls[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
     State.Table.setPeerLoad(FleetPeer, std::move(Calls));
+    routing::SharedQuota::AccountTotals Totals;
+    for (const wire::AccountUse &Use : Update.accounts())
+      Totals[Use.account()] = Use.tokens();
+    const bool FirstTotals = State.Quota.recordPeerTotals(
+        FleetPeer, Update.incarnation() ^ Update.term(), Totals, Now);
+    if (FirstTotals)
+      for (const wire::AccountUse &Use : Update.accounts())
+        State.Quota.raiseDebt(Use.account(), Use.debt(), Now);
   }
-  for (const wire::AccountUse &Use : Update.accounts())
-    State.Quota.recordPeerTotal(FleetPeer, Update.incarnation() ^ Update.term(),
-                                Use.account(), Use.tokens(), Now);
   applyDecisions(Update, Now);
   if (hasUnreportedChange())
     notifyStateChanged();
@@ -340,6 +345,7 @@
     wire::AccountUse *Use = R.add_accounts();
     Use->set_account(Name);
     Use->set_tokens(Tokens);
+    Use->set_debt(State.Quota.ownDebt(Name, Now));
   }
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
