Started streams wait for the end of a pause

Callers saw a resumable stream broken off at once when its engine failed while all other engines of the service had asked the entry for a pause, however short.

Cause: StreamFlow::submit ended every request while EndpointTable::pauseWait gave a time. The same happened to a started stream in the queue when the last engine asked for a pause (AdmissionClient::refusePaused).

A started, resumable stream without a silent run now waits while a pause ends at least MinServiceTime before its caller leaves; else it ends as before. It holds no placement and no queue place meanwhile, and keeps a KV cache only if that is still usable at the end of the pause. Every 100 ms it looks for engines that have become ready. An engine that failed last is no longer excluded if it was paused, as it may be the only one.

--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -12,6 +12,9 @@
 
 namespace hyssoprail::routing {
 
+/// A request whose caller gives up sooner than this can no longer be served.
+constexpr milliseconds MinServiceTime{400};
+
 /// A request to admit a generation and to assign engines to it.
 struct StreamRequest {
   std::string Id;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -50,6 +50,11 @@
 void StreamFlow::onRefused(const StreamRefusal &Refusal, TimePoint Now) {
   Io.logDecision("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
                             {"expected_wait_ms", Refusal.ExpectedWait}});
+  // The request is not refused for a long queue, as it is a retry.
+  if (Refusal.Reason == StreamRefusalReason::QueueTooLong)
+    if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+      if (waitForPause(*Wait, Now))
+        return;
   finish(MayHaveRun ? RejectReason::OutcomeUnknown : RejectReason::NoCapacity,
          Refusal.RetryAfter, Now);
 }
@@ -149,6 +154,8 @@
     return onDeadline(Now);
   if (Silent && Now >= Silent->EndAt)
     endSilentRun(Now);
+  if (Now >= PauseCheckAt)
+    return resubmit(Cache.usable(Now).has_value(), Now);
   if (!ActiveLeg || Now < legDeadline())
     return;
   const bool CanReplace = CurrentPhase == StreamPhase::Prefilling
@@ -185,7 +192,7 @@
 }
 
 TimePoint StreamFlow::nextDeadline() const {
-  TimePoint Next = answerDeadline();
+  TimePoint Next = std::min(answerDeadline(), PauseCheckAt);
   if (ActiveLeg)
     Next = std::min(Next, legDeadline());
   if (Silent)
@@ -258,6 +265,7 @@
   endSilentRun(Now);
   dropCache();
   releasePlacement(Now);
+  PauseCheckAt = TimePoint::max();
   CurrentPhase = StreamPhase::Done;
 }
 
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -75,6 +75,17 @@
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission, TimePoint Now);
 
+  /// Submits the request again, ahead of those that have not been placed yet.
+  void resubmit(bool WithCache, TimePoint Now);
+
+  /// Holds a started stream back until an engine takes work of this entry
+  /// again, at the latest after \p Wait. Returns false if its caller does not
+  /// stay for so long or a silent engine may still answer.
+  bool waitForPause(milliseconds Wait, TimePoint Now);
+
+  /// The caller of a started stream leaves if it has received no event by then.
+  TimePoint giveUpAt() const;
+
   void sendPrefill(const StreamPlacement &Place, TimePoint Now);
 
   void onPrefillResult(const LegResult &R, TimePoint Now);
@@ -191,7 +202,9 @@
   std::optional<SilentRun> Silent;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
-  TimePoint PrefillDeadline{};  ///< a prefill counts as hanging after this
+  /// While the request waits for the end of a pause: the next time to try.
+  TimePoint PauseCheckAt = TimePoint::max();
+  TimePoint PrefillDeadline{}; ///< a prefill counts as hanging after this
   unsigned PrefillLegs = 0;
   unsigned DecodeLegs = 0;
   unsigned UnreachedLegs = 0; ///< legs that reached no engine
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -31,6 +31,10 @@
 /// engine that cannot be reached is known to be so after 250 ms.
 constexpr milliseconds SilentRunOverlap{300};
 
+/// How often a request that waits for the end of a pause looks for engines that
+/// have become ready before that.
+constexpr milliseconds PauseCheckInterval{100};
+
 } // namespace
 
 TimePoint StreamFlow::answerDeadline() const {
@@ -59,11 +63,15 @@
 }
 
 void StreamFlow::submit(StreamRequest Submission, TimePoint Now) {
-  if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+  if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now)) {
+    if (waitForPause(*Wait, Now))
+      return;
     return finish(MayHaveRun       ? RejectReason::OutcomeUnknown
                   : DecodeLegs > 0 ? RejectReason::NotRun
                                    : RejectReason::NoCapacity,
                   *Wait, Now);
+  }
+  PauseCheckAt = TimePoint::max();
   Submission.ExcludedEndpoints = Shared.Table.refusing(Request.Service, Now);
   CurrentPhase = StreamPhase::Waiting;
   Submission.Id = PlacementId;
@@ -144,15 +152,40 @@
     return giveUp(Now);
   Io.logDecision("requeue", {{"reason", Cause}, {"has_cache", WithCache}});
   releasePlacement(Now);
+  resubmit(WithCache, Now);
+}
+
+void StreamFlow::resubmit(bool WithCache, TimePoint Now) {
   StreamRequest N = makeStreamRequest(Request, Shared.Lengths, Request.Arrival);
   N.IsRetry = true;
   N.HasKvCache = WithCache;
   if (StreamStarted)
-    N.GiveUpAt = std::min(LastProgressAt + callerEventTimeout(Request.Route),
-                          answerDeadline());
+    N.GiveUpAt = giveUpAt();
   submit(std::move(N), Now);
 }
 
+TimePoint StreamFlow::giveUpAt() const {
+  return std::min(LastProgressAt + callerEventTimeout(Request.Route),
+                  answerDeadline());
+}
+
+bool StreamFlow::waitForPause(milliseconds Wait, TimePoint Now) {
+  if (!StreamStarted || !resumable() || Silent ||
+      Now + Wait + MinServiceTime >= giveUpAt())
+    return false;
+  if (PauseCheckAt == TimePoint::max())
+    Io.logDecision("wait_for_pause", {{"wait_ms", Wait}});
+  CurrentPhase = StreamPhase::Waiting;
+  PauseCheckAt = Now + std::min(Wait, PauseCheckInterval);
+  if (!Cache.usable(Now + Wait))
+    dropCache();
+  // A pause keeps the request from its engine while it lasts, but not longer.
+  for (std::string *Failed : {&FailedDecode, &FailedPrefill})
+    if (!takesWork(*Failed, Now))
+      Failed->clear();
+  return true;
+}
+
 void StreamFlow::onDecodeResult(const LegResult &R, TimePoint Now) {
   switch (R.Outcome) {
   case LegOutcome::NotSent:
--- /dev/null
+++ b/src/hyssoprail/routing/stream_pause_test.cpp
@@ -0,0 +1,228 @@
+// Streams of an entry whose engines have asked it for pauses.
+#include <catch2/catch.hpp>
+
+#include "stream_fixture.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+using testing::answered;
+using testing::endedLeg;
+using testing::engine;
+using testing::head;
+using testing::StreamFixture;
+
+/// A started stream; its decode engine is Own, the only other one is Other.
+struct PausedStream : StreamFixture {
+  explicit PausedStream(bool Resumable = true)
+      : F(startedStream(Resumable)), Own(leg(2).EndpointId),
+        Other(Own == "d1" ? "d2" : "d1") {}
+
+  void pause(const std::string &Id, milliseconds Span) {
+    REQUIRE(Table.recordPause(Id, 0, Now + Span));
+  }
+
+  void breakRun() {
+    F->onStreamEnd(2, false, Now);
+    poll(*F);
+  }
+
+  /// Lets \p Span pass. Timers are late by up to 10 ms.
+  void pass(milliseconds Span) {
+    for (const TimePoint End = Now + Span; Now < End && !F->done();) {
+      Now += milliseconds(10);
+      if (F->nextDeadline() <= Now)
+        F->onTimer(Now);
+      poll(*F);
+    }
+  }
+
+  /// The run of the last leg gives the rest of the stream.
+  void goOn() {
+    const FlowIo::LegId Leg = Io.lastLeg();
+    F->onStreamHead(Leg, head(), Now);
+    F->onStreamData(Leg, "id: 2\ndata: b\n\n", Now);
+    F->onStreamEnd(Leg, true, Now);
+  }
+
+  void requireWhole() const {
+    REQUIRE(Io.Forwarded == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    requireEnded(false);
+  }
+
+  void requireEnded(bool Aborted) const {
+    REQUIRE(F->done());
+    REQUIRE(Io.FinalAnswers == 1);
+    REQUIRE(Io.Aborted == Aborted);
+    requireNothingHeld();
+  }
+
+  void requireNothingHeld() const {
+    REQUIRE(Table.ownLoads().empty());
+    REQUIRE(Scheduler.queued() == 0);
+  }
+
+  std::unique_ptr<Flow> F;
+  std::string Own;
+  std::string Other;
+};
+
+} // namespace
+
+// Guards against a stream that is broken off because all engines are paused,
+// although the shortest pause ends before its caller leaves.
+TEST_CASE("a started stream waits for the end of the shortest pause") {
+  PausedStream B;
+  B.pause(B.Own, milliseconds(3'000));
+  B.pause(B.Other, milliseconds(500));
+  B.breakRun();
+  B.pass(milliseconds(490));
+  REQUIRE(B.Io.FinalAnswers == 0);
+  REQUIRE(B.Io.Legs.size() == 2);
+  B.requireNothingHeld();
+  B.pass(milliseconds(30));
+  REQUIRE(B.Io.Legs.size() == 3);
+  B.answer(*B.F, 3, answered(200, "handle-2"));
+  REQUIRE(B.Io.Legs.size() == 4);
+  REQUIRE(B.leg(4).EndpointId == B.Other);
+  REQUIRE(B.leg(4).ResumeAfter == 1);
+  B.goOn();
+  B.requireWhole();
+}
+
+// Guards against an engine that stays excluded after the pause with which it
+// refused the stream, as the only one that could continue it.
+TEST_CASE("a stream continues at the engine that asked for the pause") {
+  PausedStream B;
+  B.pause(B.Own, milliseconds(30'000));
+  B.breakRun();
+  B.answer(*B.F, 3, answered(200, "handle-2"));
+  REQUIRE(B.leg(4).EndpointId == B.Other);
+  B.pause(B.Other, milliseconds(1'000));
+  LegResult R = endedLeg(LegOutcome::NotRun);
+  R.PausesSender = true;
+  B.answer(*B.F, 4, R);
+  B.pass(milliseconds(980));
+  REQUIRE(B.Io.FinalAnswers == 0);
+  REQUIRE(B.Io.Legs.size() == 4);
+  B.requireNothingHeld();
+  // The engines keep a KV cache for 500 ms.
+  REQUIRE(B.Io.Dropped == std::vector<std::string>{"handle-2"});
+  B.pass(milliseconds(50));
+  REQUIRE(B.Io.Legs.size() == 5);
+  B.answer(*B.F, 5, answered(200, "handle-3"));
+  REQUIRE(B.leg(6).EndpointId == B.Other);
+  B.goOn();
+  B.requireWhole();
+}
+
+// Guards against a second prefill after a pause that is shorter than the time
+// for which the KV cache is kept.
+TEST_CASE("a short pause does not cost a stream its KV cache") {
+  PausedStream B;
+  B.pause(B.Own, milliseconds(30'000));
+  B.breakRun();
+  B.answer(*B.F, 3, answered(200, "handle-2"));
+  B.pause(B.Other, milliseconds(200));
+  LegResult R = endedLeg(LegOutcome::NotRun);
+  R.PausesSender = true;
+  B.answer(*B.F, 4, R);
+  B.pass(milliseconds(220));
+  REQUIRE(B.Io.Legs.size() == 5);
+  REQUIRE(B.leg(5).Kind == LegKind::Decode);
+  REQUIRE(B.leg(5).Source->Handle == "handle-2");
+  B.goOn();
+  B.requireWhole();
+}
+
+// Guards against callers that wait for nothing: no pause ends while they stay.
+TEST_CASE("a started stream ends at once if all pauses are too long") {
+  PausedStream B;
+  for (const std::string &Id : {B.Own, B.Other})
+    B.pause(Id, milliseconds(3'500)); // callers leave after 3.6 s
+  B.breakRun();
+  B.requireEnded(true);
+  REQUIRE(B.Io.AbortedWith == RejectReason::OutcomeUnknown);
+  REQUIRE(B.Io.Legs.size() == 2);
+}
+
+// Guards against two answers, or work that is left, when a request ends while
+// it waits for the end of a pause.
+TEST_CASE("a stream that waits for the end of a pause ends once") {
+  PausedStream B;
+  for (const std::string &Id : {B.Own, B.Other})
+    B.pause(Id, milliseconds(1'000));
+  B.breakRun();
+  REQUIRE_FALSE(B.F->done());
+  B.pass(milliseconds(300));
+  SECTION("its caller leaves") {
+    B.F->onCallerDisconnected(B.Now);
+    REQUIRE(B.Io.FinalAnswers == 0);
+  }
+  SECTION("the process stops") {
+    B.F->endBy(B.Now + milliseconds(200));
+    B.pass(milliseconds(200));
+    REQUIRE(B.Io.FinalAnswers == 1);
+    REQUIRE(B.Io.Aborted);
+  }
+  SECTION("the engines ask for longer pauses") {
+    for (const std::string &Id : {B.Own, B.Other})
+      B.pause(Id, milliseconds(10'000));
+    B.pass(milliseconds(1'000));
+    REQUIRE(B.Io.FinalAnswers == 1);
+    REQUIRE(B.Io.Aborted);
+  }
+  REQUIRE(B.F->done());
+  REQUIRE(B.Io.Legs.size() == 2);
+  B.requireNothingHeld();
+  const unsigned Answers = B.Io.FinalAnswers;
+  B.pass(milliseconds(2'000));
+  REQUIRE(B.Io.FinalAnswers == Answers);
+  REQUIRE(B.Io.Legs.size() == 2);
+}
+
+// Guards against a stream that waits for the end of a pause although another
+// engine has become ready.
+TEST_CASE("a stream that waits for the end of a pause uses a new engine") {
+  PausedStream B;
+  for (const std::string &Id : {B.Own, B.Other})
+    B.pause(Id, milliseconds(3'000));
+  B.breakRun();
+  B.pass(milliseconds(200));
+  B.add(engine("d3", EngineStage::Decode));
+  B.pass(milliseconds(150));
+  REQUIRE(B.Io.Legs.size() == 3);
+  B.answer(*B.F, 3, answered(200, "handle-2"));
+  REQUIRE(B.leg(4).EndpointId == "d3");
+  B.goOn();
+  B.requireWhole();
+}
+
+// Guards against a stream that is broken off because the last engine asks for a
+// pause while the stream is queued: AdmissionClient then refuses it.
+TEST_CASE("a queued stream waits for the end of a pause") {
+  PausedStream B;
+  B.F->onStreamEnd(2, false, B.Now);
+  for (const std::string &Id : {B.Own, B.Other})
+    B.pause(Id, milliseconds(500));
+  B.Scheduler.cancel("1/0");
+  StreamRefusal R;
+  R.Id = "1/0";
+  SECTION("refused because of the pauses") {
+    R.Reason = StreamRefusalReason::QueueTooLong;
+    B.F->onRefused(R, B.Now);
+    REQUIRE(B.Io.FinalAnswers == 0);
+    B.pass(milliseconds(520));
+    REQUIRE(B.Io.Legs.size() == 3);
+    B.answer(*B.F, 3, answered(200, "handle-2"));
+    B.goOn();
+    B.requireWhole();
+  }
+  SECTION("refused for another reason") {
+    R.Reason = StreamRefusalReason::TooLarge;
+    B.F->onRefused(R, B.Now);
+    B.requireEnded(true);
+  }
+}
+
+} // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -13,9 +13,6 @@
 /// and the first decode step.
 constexpr milliseconds TimeToFirstEvent{250};
 
-/// A request whose caller gives up sooner than this can no longer be served.
-constexpr milliseconds MinServiceTime{400};
-
 /// Callers honour a retry-after time up to this share of the time they have
 /// left.
 constexpr double MaxRetryAfterShare = 1.0 / 3;
