Silent engines are not left for engines that refuse this entry

An entry gave up a silent engine although the only others with room had asked it for a pause. It counted the engine as unresponsive, so that with the others paused it also rejected new requests at once, and kept its request in a queue in which no engine that it may use was free.

Cause: StreamFlow::canContinue asked the admission for room at any engine but the silent one; the admission knows nothing of this entry's pauses.

hasRoom now takes a filter, with which canContinue leaves out the silent engine and those that take no work of this entry. An entry that is not the coordinator knows the name of the engine with the most room only, so it also has to know an engine that passes the filter; if the two engines with the most room are the paused and the silent one, others may still be thought to have room.

Evidence: "a silent engine is not left for engines that refuse this entry" failed before in two of three sections (the endpoint's health was not usable); it passed for leaving engines, which the scheduler skips. The tests of AdmissionClient were written with the new interface and not run without it.

--- a/include/hyssoprail/routing/admission_client.hpp
+++ b/include/hyssoprail/routing/admission_client.hpp
@@ -27,7 +27,7 @@
   void outputGrew(std::string_view Id, std::uint64_t Tokens) override;
   void prefillEnded(std::string_view Id, TimePoint Now) override;
   bool hasRoom(std::string_view Service, std::int64_t Tokens,
-               std::string_view Except, TimePoint Now) override;
+               const EngineFilter &MayUse, TimePoint Now) override;
 
   /// Adds the pending requests and the running generations to \p Report, whose
   /// sequence number must be set.
--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -126,6 +126,12 @@
   std::optional<milliseconds> pauseWait(std::string_view Service,
                                         TimePoint Now) const;
 
+  /// True if an engine of \p Service that may decode, for which \p MayUse
+  /// returns true, takes work of this entry.
+  bool hasDecodeEngine(std::string_view Service,
+                       const std::function<bool(const std::string &)> &MayUse,
+                       TimePoint Now) const;
+
   /// Endpoints of \p Service that the coordinator may choose although they take
   /// no work of this entry: those that are paused for it, and those that leave.
   std::vector<std::string> refusing(std::string_view Service,
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_STREAM_ADMISSION_HPP
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -82,6 +83,9 @@
 
 using StreamDecision = std::variant<StreamPlacement, StreamRefusal>;
 
+/// Selects engines by id.
+using EngineFilter = std::function<bool(const std::string &)>;
+
 /// Assigns engines to generations. Decisions are delivered later, as placements
 /// and refusals. An id is unique among the requests that are queued or hold
 /// engines.
@@ -104,10 +108,10 @@
   /// Frees the prefill engine of a placement; its decode engine stays reserved.
   virtual void prefillEnded(std::string_view Id, TimePoint Now) = 0;
 
-  /// True if, as far as is known, a decode engine of \p Service other than \p
-  /// Except has room for \p Tokens.
+  /// True if, as far as is known, a decode engine of \p Service for which \p
+  /// MayUse returns true has room for \p Tokens.
   virtual bool hasRoom(std::string_view Service, std::int64_t Tokens,
-                       std::string_view Except, TimePoint Now) = 0;
+                       const EngineFilter &MayUse, TimePoint Now) = 0;
 };
 
 } // namespace hyssoprail::routing
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -61,7 +61,7 @@
   void outputGrew(std::string_view Id, std::uint64_t Tokens) override;
   void prefillEnded(std::string_view Id, TimePoint Now) override;
   bool hasRoom(std::string_view Service, std::int64_t Tokens,
-               std::string_view Except, TimePoint Now) override;
+               const EngineFilter &MayUse, TimePoint Now) override;
 
   /// Takes over a placement made by another scheduler.
   void adopt(const StreamReservation &Reservation, TimePoint Now);
@@ -83,14 +83,14 @@
   /// Total memory that the queued requests need, in tokens.
   std::int64_t waitingTokens() const;
 
-  /// The decode engine of \p Service with the most free memory, other than \p
-  /// Except, and that memory in tokens.
+  /// The decode engine of \p Service with the most free memory for which \p
+  /// MayUse returns true, and that memory in tokens.
   struct Room {
     std::string Endpoint; ///< empty: none
     std::int64_t Free = 0;
   };
-  Room emptiestDecodeEngine(std::string_view Service, std::string_view Except,
-                            TimePoint Now);
+  Room emptiestDecodeEngine(std::string_view Service,
+                            const EngineFilter &MayUse, TimePoint Now);
 
   /// Samples how busy the engines are. Must be called several times per second.
   void sampleUtilization(TimePoint Now);
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -67,12 +67,18 @@
     if (!Service.Engine)
       continue;
     wire::ServiceRoom &Room = Rooms.emplace_back();
-    const auto Emptiest = Scheduler.emptiestDecodeEngine(Name, "", Now);
+    const auto Emptiest = Scheduler.emptiestDecodeEngine(
+        Name, [](const std::string &) { return true; }, Now);
     Room.set_service(Name);
     Room.set_endpoint(Emptiest.Endpoint);
     Room.set_largest_free(static_cast<std::uint64_t>(Emptiest.Free));
     Room.set_second_largest_free(static_cast<std::uint64_t>(
-        Scheduler.emptiestDecodeEngine(Name, Emptiest.Endpoint, Now).Free));
+        Scheduler
+            .emptiestDecodeEngine(
+                Name,
+                [&](const std::string &Id) { return Id != Emptiest.Endpoint; },
+                Now)
+            .Free));
   }
 }
 
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -97,15 +97,17 @@
   Changed = true;
 }
 
+/// The coordinator names only the engine with the most room. If that one may
+/// not be used, the next one is taken to be usable.
 bool AdmissionClient::hasRoom(std::string_view Service, std::int64_t Tokens,
-                              std::string_view Except, TimePoint) {
+                              const EngineFilter &MayUse, TimePoint) {
   const auto It = Rooms.find(Service);
   if (It == Rooms.end())
     return false;
   const wire::ServiceRoom &Room = It->second;
-  const std::uint64_t Free = Room.endpoint() == Except
-                                 ? Room.second_largest_free()
-                                 : Room.largest_free();
+  const std::uint64_t Free = MayUse(Room.endpoint())
+                                 ? Room.largest_free()
+                                 : Room.second_largest_free();
   return static_cast<std::int64_t>(Free) >= Tokens;
 }
 
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -283,6 +283,18 @@
   return std::chrono::ceil<milliseconds>(End - Now);
 }
 
+bool EndpointTable::hasDecodeEngine(
+    std::string_view Service,
+    const std::function<bool(const std::string &)> &MayUse,
+    TimePoint Now) const {
+  return std::any_of(ById.begin(), ById.end(), [&](const auto &Item) {
+    const Endpoint &E = Item.second;
+    return E.Record.Service == Service &&
+           E.Record.Stage != EngineStage::Prefill && takesWork(E, Now) &&
+           MayUse(Item.first);
+  });
+}
+
 std::vector<std::string> EndpointTable::refusing(std::string_view Service,
                                                  TimePoint Now) const {
   std::vector<std::string> Out;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -262,13 +262,17 @@
 }
 
 bool StreamFlow::canContinue(TimePoint Now) {
+  const EngineFilter MayUse = [&](const std::string &Id) {
+    return Id != DecodeEndpoint && takesWork(Id, Now);
+  };
   return FailedRuns + 1 < Request.Route.MaxAttempts &&
          DecodeLegs < MaxDecodeLegs &&
          Shared.Retries.available(Request.Service, Now) &&
          Shared.Admission.hasRoom(
              Request.Service,
              makeStreamRequest(Request, Shared.Lengths, Now).PromptTokens,
-             DecodeEndpoint, Now);
+             MayUse, Now) &&
+         Shared.Table.hasDecodeEngine(Request.Service, MayUse, Now);
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_pause_test.cpp
+++ b/src/hyssoprail/routing/stream_pause_test.cpp
@@ -1,6 +1,8 @@
 // Streams of an entry whose engines have asked it for pauses.
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/routing/admission_client.hpp"
+
 #include "stream_fixture.hpp"
 
 namespace hyssoprail::routing {
@@ -225,4 +227,80 @@
   }
 }
 
+// Guards against a silent engine that is left for engines to which this entry
+// may not send: they have room, but are paused or leave.
+TEST_CASE("a silent engine is not left for engines that refuse this entry") {
+  PausedStream B;
+  SECTION("they are paused") { B.pause(B.Other, milliseconds(5'000)); }
+  SECTION("they leave") { B.Table.recordLeaving(B.Other, 0); }
+  SECTION("one is paused, one is full") {
+    B.pause(B.Other, milliseconds(5'000));
+    B.add(engine("d4", EngineStage::Decode));
+    B.Table.reserve("d4", {1, 9'500, 0});
+  }
+  B.pass(milliseconds(1'500));
+  REQUIRE(B.Table.find(B.Own)->Health.usable(B.Now));
+  REQUIRE(B.Io.Legs.size() == 2);
+  REQUIRE(B.Io.Cancelled.empty());
+  REQUIRE(B.Scheduler.queued() == 0);
+  B.add(engine("d3", EngineStage::Decode));
+  B.pass(milliseconds(350));
+  REQUIRE(B.Io.Legs.size() == 3);
+  B.answer(*B.F, 3, answered(200, "handle-2"));
+  REQUIRE(B.leg(4).EndpointId == "d3");
+  B.goOn();
+  B.Table.release("d4", {1, 9'500, 0});
+  B.requireWhole();
+}
+
+// Guards against room that the coordinator tells of at an engine that refuses
+// this entry, when it tells of no other one with enough.
+TEST_CASE("room at an engine that refuses this entry does not count") {
+  AdmissionClient Client;
+  wire::CoordinatorUpdate Update;
+  wire::ServiceRoom &Room = *Update.add_rooms();
+  Room.set_service("assistant");
+  Room.set_endpoint("d1");
+  Room.set_largest_free(9'000);
+  Room.set_second_largest_free(2'000);
+  Client.applyUpdate(Update, testing::Start);
+  const auto HasRoom = [&](std::int64_t Tokens, const std::string &Refusing) {
+    return Client.hasRoom(
+        "assistant", Tokens,
+        [&](const std::string &Id) { return Id != Refusing; }, testing::Start);
+  };
+  REQUIRE(HasRoom(9'000, "d2"));
+  REQUIRE_FALSE(HasRoom(9'000, "d1"));
+  REQUIRE(HasRoom(2'000, "d1"));
+}
+
+// Guards against the same at an entry that is not the coordinator: of two
+// engines, the second most room is that of the silent one itself.
+TEST_CASE("a silent engine is not left for its own room") {
+  StreamFixture B;
+  AdmissionClient Client;
+  SharedFlowState State{B.Table, B.EngineSignals, B.Crashes, Client,
+                        B.Calls, B.Retries,       B.Lengths, "zone-a"};
+  const auto F = makeStreamFlow(State, B.stream(true), B.Io);
+  F->start(B.Now);
+  wire::CoordinatorUpdate Update;
+  wire::StreamGrant &Grant = *Update.add_grants();
+  Grant.set_key(1);
+  Grant.set_decode("d1");
+  wire::ServiceRoom &Room = *Update.add_rooms();
+  Room.set_service("assistant");
+  Room.set_endpoint("d2");
+  Room.set_largest_free(9'000);
+  Room.set_second_largest_free(8'000);
+  const auto Decisions = Client.applyUpdate(Update, B.Now);
+  F->onPlaced(std::get<StreamPlacement>(Decisions.at(0)), B.Now);
+  F->onStreamHead(1, head(), B.Now);
+  F->onStreamData(1, "id: 1\ndata: a\n\n", B.Now);
+  REQUIRE(B.Table.recordPause("d2", 0, B.Now + milliseconds(5'000)));
+  B.Now = F->nextDeadline();
+  F->onTimer(B.Now);
+  REQUIRE(B.Table.find("d1")->Health.usable(B.Now));
+  REQUIRE(Client.pendingCount() == 0);
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -286,9 +286,8 @@
   }
 }
 
-StreamScheduler::Room
-StreamScheduler::emptiestDecodeEngine(std::string_view Service,
-                                      std::string_view Except, TimePoint Now) {
+StreamScheduler::Room StreamScheduler::emptiestDecodeEngine(
+    std::string_view Service, const EngineFilter &MayUse, TimePoint Now) {
   Room Out;
   if (!Config)
     return Out;
@@ -297,7 +296,7 @@
     const EndpointLoad Load = E->totalLoad();
     const std::int64_t Free = P.Bound - Load.Tokens;
     if (Load.Runs >= static_cast<std::int32_t>(E->Record.Slots) ||
-        Free <= Out.Free || E->Record.Id == Except)
+        Free <= Out.Free || !MayUse(E->Record.Id))
       continue;
     Out = {E->Record.Id, Free};
   }
@@ -305,8 +304,8 @@
 }
 
 bool StreamScheduler::hasRoom(std::string_view Service, std::int64_t Tokens,
-                              std::string_view Except, TimePoint Now) {
-  return emptiestDecodeEngine(Service, Except, Now).Free >= Tokens;
+                              const EngineFilter &MayUse, TimePoint Now) {
+  return emptiestDecodeEngine(Service, MayUse, Now).Free >= Tokens;
 }
 
 StreamScheduler::Verdict
