KV caches are not freed at engines that are paused or leave

Engines that had asked an entry for a pause, or that leave, still got requests to free KV caches from it, up to one for each stream that ended early.

They are now sent only to an engine that is known, has kept its address and takes work of this entry; an engine whose registration was removed may have left. Elsewhere the engine frees the cache when it expires.

Evidence: three of the five sections of "an engine that refuses this entry is not told to free a KV cache" failed before: paused, leaving, removed after leaving.

--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -97,7 +97,8 @@
   /// Cancels a leg. Nothing is reported about it afterwards.
   virtual void cancelLeg(LegId Leg) = 0;
 
-  /// Tells an engine to free a KV cache that will not be fetched.
+  /// Tells an engine to free a KV cache that will not be fetched. The engine
+  /// must take work of this entry.
   virtual void dropHandle(const KvSource &Source) = 0;
 
   /// Passes an endpoint's complete answer to the caller.
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -250,8 +250,13 @@
   ActiveLeg.reset();
 }
 
-void StreamFlow::dropCache() {
-  if (const auto Source = Cache.discard())
+void StreamFlow::dropCache(TimePoint Now) {
+  const auto Source = Cache.discard();
+  if (!Source)
+    return;
+  const Endpoint *E = Shared.Table.find(PrefillEndpoint);
+  if (E && E->Record.Address == Source->Address &&
+      Shared.Table.takesWork(*E, Now))
     Io.dropHandle(*Source);
 }
 
@@ -263,7 +268,7 @@
 
 void StreamFlow::end(TimePoint Now) {
   endSilentRun(Now);
-  dropCache();
+  dropCache(Now);
   releasePlacement(Now);
   PauseCheckAt = TimePoint::max();
   CurrentPhase = StreamPhase::Done;
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -168,7 +168,9 @@
 
   void stopLeg();
 
-  void dropCache();
+  /// Forgets the KV cache. Its engine is told to free it only if it takes work
+  /// of this entry, as that is a request, too; else the cache expires there.
+  void dropCache(TimePoint Now);
 
   void releasePlacement(TimePoint Now);
 
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -178,7 +178,7 @@
   CurrentPhase = StreamPhase::Waiting;
   PauseCheckAt = Now + std::min(Wait, PauseCheckInterval);
   if (!Cache.usable(Now + Wait))
-    dropCache();
+    dropCache(Now);
   // A pause keeps the request from its engine while it lasts, but not longer.
   for (std::string *Failed : {&FailedDecode, &FailedPrefill})
     if (!takesWork(*Failed, Now))
@@ -240,7 +240,7 @@
 }
 
 void StreamFlow::repeatPrefill(TimePoint Now) {
-  dropCache();
+  dropCache(Now);
   requeue(false, "read_prompt", Now);
 }
 
--- a/src/hyssoprail/routing/stream_flow_silent.cpp
+++ b/src/hyssoprail/routing/stream_flow_silent.cpp
@@ -36,7 +36,7 @@
     --FailedRuns; // the silent run has not failed, and is the only one
   Shared.Admission.cancel(PlacementId);
   stopLeg();
-  dropCache();
+  dropCache(Now);
   releasePlacement(Now);
   SilentRun Run = *std::exchange(Silent, std::nullopt);
   ActiveLeg = Run.Leg;
--- a/src/hyssoprail/routing/stream_pause_test.cpp
+++ b/src/hyssoprail/routing/stream_pause_test.cpp
@@ -303,4 +303,31 @@
   REQUIRE(Client.pendingCount() == 0);
 }
 
+// Guards against requests that free a KV cache at an engine that has asked this
+// entry for a pause or leaves, or that may do so: its registration was removed.
+TEST_CASE("an engine that refuses this entry is not told to free a KV cache") {
+  StreamFixture B;
+  const auto F = B.startStream(B.stream(true));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  REQUIRE(B.leg(2).Kind == LegKind::Decode);
+  const std::string Prefill = B.leg(1).EndpointId;
+  std::vector<std::string> Expected;
+  SECTION("it is paused") {
+    B.Table.recordPause(Prefill, 0, B.Now + milliseconds(100));
+  }
+  SECTION("its pause has ended") {
+    B.Table.recordPause(Prefill, 0, B.Now + milliseconds(100));
+    B.Now += milliseconds(100);
+    Expected = {"handle-1"};
+  }
+  SECTION("it leaves") { B.Table.recordLeaving(Prefill, 0); }
+  SECTION("it left and its registration was removed") {
+    B.Table.recordLeaving(Prefill, 0);
+    B.Table.remove(Prefill);
+  }
+  SECTION("it takes work") { Expected = {"handle-1"}; }
+  F->onCallerDisconnected(B.Now);
+  REQUIRE(B.Io.Dropped == Expected);
+}
+
 } // namespace hyssoprail::routing
