Simulated network and endpoints of the limit tests have their own headers

PeerNetwork moves to memory_peer_network.hpp, the simulated endpoints and the outcomes of calls to limited_endpoint.hpp. No behaviour changes.

--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -16,105 +16,13 @@
 
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/gateway/limited_endpoint.hpp"
+#include "hyssoprail/gateway/memory_peer_network.hpp"
 #include "hyssoprail/gateway/start_limits.hpp"
 #include "hyssoprail/routing/flow.hpp"
 
 namespace hyssoprail::gateway::testing {
 
-/// Delivers messages between entries in memory after a fixed delay. Links can
-/// be cut.
-class PeerNetwork {
-public:
-  explicit PeerNetwork(const Clock &Time) : Time(Time) {}
-
-  /// One entry's access to the network. Its address is the entry's name.
-  class Port : public PeerTransport {
-  public:
-    explicit Port(PeerNetwork &Network) : Network(Network) {}
-    ~Port() override { Network.Handlers.erase(Address); }
-
-    Status start(const std::string &NewAddress, Handler OnMessage) override {
-      Address = NewAddress;
-      Network.Handlers[Address] = std::move(OnMessage);
-      return std::monostate{};
-    }
-
-    void send(const wire::CoordinationMessage &Message,
-              const std::string &To) override {
-      if (!Network.IsCut || !Network.IsCut(Address, To))
-        Network.InTransit.push_back(
-            {Network.Time.now() + Delay, To, Message.SerializeAsString()});
-    }
-
-  private:
-    PeerNetwork &Network;
-    std::string Address;
-  };
-
-  /// Messages between two entries for which \p Cut returns true are lost.
-  void cut(std::function<bool(const std::string &, const std::string &)> Cut) {
-    IsCut = std::move(Cut);
-  }
-
-  /// Delivers what is due. Messages to entries for which \p Runs returns false
-  /// are lost.
-  void deliver(const std::function<bool(const std::string &)> &Runs) {
-    while (!InTransit.empty() && InTransit.front().At <= Time.now()) {
-      const Datagram D = std::move(InTransit.front());
-      InTransit.pop_front();
-      const auto It = Handlers.find(D.To);
-      wire::CoordinationMessage Message;
-      if (It != Handlers.end() && Runs(D.To) &&
-          Message.ParseFromString(D.Bytes))
-        It->second(Message);
-    }
-  }
-
-private:
-  static constexpr milliseconds Delay{2};
-
-  struct Datagram {
-    TimePoint At;
-    std::string To;
-    std::string Bytes;
-  };
-
-  const Clock &Time;
-  std::map<std::string, PeerTransport::Handler> Handlers;
-  std::deque<Datagram> InTransit;
-  std::function<bool(const std::string &, const std::string &)> IsCut;
-};
-
-/// A request as an entry sends it.
-struct Send {
-  TimePoint At;
-  std::uint64_t Process = 0; ///< incarnation of the entry
-  bool KnewLeaving = false;  ///< the process had read that the endpoint leaves
-  bool KnewPause = false;    ///< it had read of a pause that has not ended
-};
-
-/// An endpoint of the service "orders" that answers every request after a fixed
-/// time and may state a limit.
-struct LimitedEndpoint {
-  std::string Id;
-  std::optional<double> PerSecond;
-  std::vector<TimePoint> Arrivals;
-  bool Leaving = false; ///< what its responses state
-  std::int64_t StartedAtMs = 1;
-  /// It turns requests away and asks for this pause.
-  std::optional<milliseconds> Pause;
-  std::string PausedEntry; ///< only this entry is turned away; empty: all
-  std::vector<Send> Sends;
-};
-
-/// Outcomes of the calls of a run.
-struct CallOutcomes {
-  unsigned Served = 0;
-  unsigned Rejected = 0;
-  Duration LongestRejection{}; ///< from a call's arrival to its rejection
-  milliseconds ShortestRetryAfter = milliseconds::max();
-};
-
 /// Entries of a fleet with their real coordination and call flows, before
 /// simulated endpoints, on a clock that the test advances.
 class LimitFleet {
