--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -50,6 +50,11 @@
 void StreamFlow::onRefused(const StreamRefusal &Refusal, TimePoint Now) {
   Io.logDecision("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
                             {"expected_wait_ms", Refusal.ExpectedWait}});
+  // The request is not refused for a long queue, as it is a retry.
+  if (Refusal.Reason == StreamRefusalReason::QueueTooLong)
+    if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
+      if (waitForPause(*Wait, Now))
+        return;
   finish(MayHaveRun ? RejectReason::OutcomeUnknown : RejectReason::NoCapacity,
          Refusal.RetryAfter, Now);
 }
@@ -148,6 +153,8 @@
     return onDeadline(Now);
   if (Silent && Now >= Silent->EndAt)
     endSilentRun(Now);
+  if (Now >= PauseCheckAt)
+    return resubmit(Cache.usable(Now).has_value(), Now);
   if (!ActiveLeg || Now < legDeadline())
     return;
   const bool CanReplace = CurrentPhase == StreamPhase::Prefilling
@@ -184,7 +191,7 @@
 }
 
 TimePoint StreamFlow::nextDeadline() const {
-  TimePoint Next = answerDeadline();
+  TimePoint Next = std::min(answerDeadline(), PauseCheckAt);
   if (ActiveLeg)
     Next = std::min(Next, legDeadline());
   if (Silent)
@@ -258,8 +265,13 @@
   ActiveLeg.reset();
 }
 
-void StreamFlow::dropCache() {
-  if (const auto Source = Cache.discard())
+void StreamFlow::dropCache(TimePoint Now) {
+  const auto Source = Cache.discard();
+  if (!Source)
+    return;
+  const Endpoint *E = Shared.Table.find(PrefillEndpoint);
+  if (E && E->Record.Address == Source->Address &&
+      Shared.Table.takesWork(*E, Now))
     Io.dropHandle(*Source);
 }
 
@@ -271,8 +283,9 @@
 
 void StreamFlow::end(TimePoint Now) {
   endSilentRun(Now);
-  dropCache();
+  dropCache(Now);
   releasePlacement(Now);
+  PauseCheckAt = TimePoint::max();
   CurrentPhase = StreamPhase::Done;
 }
 
