HTTP server: an aborted response sends what was written before

Callers saw: a connection that ended without any response. An engine sent the head of its answer and the first event and broke within the same millisecond; the entry began the caller's response, wrote the event and aborted, and the abort dropped what had not been sent yet.

Cause: HttpSession::sendResponse looked for an abort first and closed the connection, whatever had been queued.

Change: the head and the data from before the abort are written first, without the last chunk, and the connection is closed as after a response, so that they arrive. A response that was aborted before it had begun still has no head, and one that exceeds MaxUnsentBytes drops its data, as its client does not read it.

Evidence: the new test failed before (nothing was received).

--- a/src/hyssoprail/connection/http_server_test.cpp
+++ b/src/hyssoprail/connection/http_server_test.cpp
@@ -256,6 +256,29 @@
   CHECK(Client.readAll().empty());
 }
 
+// Guards against a connection that ends without a response, if the response is
+// aborted before its beginning has been written.
+TEST_CASE("a response that is aborted at once arrives as an incomplete one") {
+  EchoServer S;
+  RawSocket Client(S.port());
+  Client.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto Exchange = S.held();
+  Exchange->begin(200, {{"X-Part", "1"}});
+  Exchange->write("part");
+  Exchange->abort();
+  const std::string Received = Client.readAll();
+  REQUIRE(Received.rfind("HTTP/1.1 200", 0) == 0);
+  REQUIRE(Received.find("part") != std::string::npos);
+  REQUIRE(Received.find("\r\n0\r\n") == std::string::npos);
+
+  RawSocket Other(S.port());
+  Other.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto NotBegun = S.held();
+  NotBegun->abort();
+  NotBegun->begin(200, {});
+  REQUIRE(Other.readAll().empty());
+}
+
 // Guards against an aborted response that looks complete to an HTTP/1.0 client,
 // for which the end of the connection is the end of the response.
 TEST_CASE("an aborted response without chunks ends with a reset") {
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -254,12 +254,12 @@
   const bool HeadOnly = Exchange.request().Method == "HEAD";
   for (;;) {
     ServerExchange::Update Update = Exchange.takeUpdate();
-    if (Update.Aborted || Update.Disconnected) {
-      // Without chunked framing, a normal close would make the response look
-      // complete.
-      ResetOnClose = HeadSent && !Chunked;
+    // Without chunked framing, a normal close would make the response look
+    // complete.
+    ResetOnClose = !Chunked && (Update.Aborted || Update.Disconnected) &&
+                   (HeadSent || Update.Started);
+    if (Update.Disconnected || (Update.Aborted && Update.FullResponse))
       co_return false;
-    }
     if (Update.FullResponse)
       co_return co_await writeComplete(Exchange.head(), KeepAlive, Version,
                                        HeadOnly);
@@ -268,10 +268,17 @@
       if (!co_await writeHead(Exchange.head(), KeepAlive && Chunked, Version))
         co_return false;
     }
-    const bool HasData = !Update.Data.empty() || (Update.Finished && Chunked);
+    const bool Last = Update.Finished && !Update.Aborted;
+    const bool HasData = !Update.Data.empty() || (Last && Chunked);
     if (HasData && !HeadOnly &&
-        !co_await writeData(std::move(Update.Data), Chunked, Update.Finished))
+        !co_await writeData(std::move(Update.Data), Chunked, Last))
+      co_return false;
+    if (Update.Aborted) {
+      // What was sent before must arrive, so that the client sees an incomplete
+      // response and not a connection that ends without one.
+      Linger = HeadSent && Chunked;
       co_return false;
+    }
     if (Update.Finished) {
       Linger = true;
       co_return Chunked;
--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -4,7 +4,7 @@
 
 void ServerExchange::respond(HttpResponse Response) {
   std::lock_guard Lock(Mutex);
-  if (Started)
+  if (Started || Aborted)
     return;
   Started = Finished = FullResponse = true;
   Head = std::move(Response);
@@ -13,7 +13,7 @@
 
 void ServerExchange::begin(unsigned Status, HttpHeaders Headers) {
   std::lock_guard Lock(Mutex);
-  if (Started)
+  if (Started || Aborted)
     return;
   Started = true;
   Head.Status = Status;
@@ -31,6 +31,7 @@
     Unsent.append(Data);
   if (Unsent.size() <= MaxUnsentBytes)
     return wake();
+  Unsent.clear();
   Aborted = Finished = true;
   forceWake();
 }
@@ -45,7 +46,7 @@
 
 void ServerExchange::abort() {
   std::lock_guard Lock(Mutex);
-  Aborted = Started = Finished = true;
+  Aborted = Finished = true;
   forceWake();
 }
 
