--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -1,41 +1,19 @@
 #include "hyssoprail/routing/crash_ledger.hpp"
 
-#include <limits>
 #include <random>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include "hyssoprail/routing/crash_ledgers.hpp"
-#include "test_support.hpp"
+#include "crash_ledger_fixture.hpp"
 
 namespace hyssoprail::routing {
 namespace {
 
+using testing::crashed;
+using testing::Observed;
 using testing::Start;
 
-EndpointRecord engine(unsigned Number) {
-  return testing::engine("i-" + std::to_string(Number), EngineStage::Decode);
-}
-
-/// One ledger whose clock moves on by a second with each observation.
-struct Observed {
-  void crash(unsigned Engine, const PromptParts &Parts) {
-    Now += milliseconds(1'000);
-    Ledger.recordCrash(engine(Engine), Parts, Now);
-  }
-  void answer(const PromptParts &Parts) {
-    Now += milliseconds(1'000);
-    Ledger.recordAnswer(Parts, Now);
-  }
-  bool blames(const PromptParts &Parts) {
-    return Ledger.isQuarantined(Parts, Now);
-  }
-
-  CrashLedger Ledger{1};
-  TimePoint Now = Start;
-};
-
 } // namespace
 
 // Guards against a part that crashes one engine after the other, and against
@@ -94,9 +72,9 @@
   for (unsigned I = 0; I < 5; ++I) {
     O.crash(I, {"first", "part", "own-" + std::to_string(I)});
     const TimePoint Since = O.Now + milliseconds(Older ? -50 : 50);
-    O.Ledger.recordAlive(engine(I).Id, Since, O.Now + milliseconds(100));
+    O.Ledger.recordAlive(crashed(I).Id, Since, O.Now + milliseconds(100));
     if (I > 1)
-      O.Ledger.recordAlive(engine(I).Id, Since, O.Now + milliseconds(600));
+      O.Ledger.recordAlive(crashed(I).Id, Since, O.Now + milliseconds(600));
   }
   REQUIRE(O.Ledger.quarantined(O.Now).empty() == Older);
 }
@@ -178,7 +156,7 @@
       for (std::size_t P = 0; P < CrashLedger::MaxParts; ++P)
         Parts.push_back(fmt::format("{:04x}{:04x}{:08x}", I, K, P));
       Parts[50] = "bad";
-      O.Ledger.recordCrash(engine(I), Parts, O.Now);
+      O.Ledger.recordCrash(crashed(I), Parts, O.Now);
     }
   REQUIRE(O.blames({"bad"}));
   REQUIRE(O.Ledger.encode(O.Now, 0).size() < 262'144);
@@ -213,7 +191,8 @@
   for (unsigned I = 0; I < 60; ++I) {
     Now += milliseconds(100);
     CrashLedger &Seen = Random() % 2 == 0 ? A : B;
-    Seen.recordCrash(engine(I), {"f", "p" + std::to_string(Random() % 5)}, Now);
+    Seen.recordCrash(crashed(I), {"f", "p" + std::to_string(Random() % 5)},
+                     Now);
     if (Random() % 8 == 0)
       Seen.recordAnswer({"p" + std::to_string(Random() % 5)}, Now);
     Send(A, "b", B, "a", Random() % 3 == 0);
@@ -263,7 +242,7 @@
   O.answer({"part"});
   for (unsigned I = 0; I < 6; ++I) {
     O.Now += milliseconds(AtOnce ? 50 : 500);
-    O.Ledger.recordCrash(engine(I), {"part"}, O.Now);
+    O.Ledger.recordCrash(crashed(I), {"part"}, O.Now);
   }
   REQUIRE(O.blames({"part"}) != AtOnce);
 }
@@ -274,7 +253,7 @@
   Observed O;
   for (unsigned I = 0; I < 3; ++I) {
     O.crash(I, {"bad"});
-    O.Ledger.recordCrash(engine(I), {"queued"}, O.Now);
+    O.Ledger.recordCrash(crashed(I), {"queued"}, O.Now);
   }
   REQUIRE(O.Ledger.quarantined(O.Now).empty());
   if (GENERATE(true, false))
@@ -285,238 +264,4 @@
   REQUIRE_FALSE(O.blames({"queued"}));
 }
 
-// Guards against ids of endpoints that are longer than what is told of them,
-// such as names of pods: the entry that saw a crash counted it twice, crashes
-// of endpoints whose ids begin alike counted as one, and an endpoint that ran
-// on stayed crashed, so that sound requests were blamed.
-TEST_CASE("a crash of an endpoint with a long id counts once") {
-  const auto Long = [](unsigned Number) {
-    return testing::service("orders-7d9f8b6c5d-" + std::to_string(Number));
-  };
-  TimePoint Now = Start;
-  CrashLedger Seen{1, CallLedgerBounds};
-  CrashLedger Told{2, CallLedgerBounds};
-  for (unsigned I = 0; I < 2; ++I) {
-    Now += milliseconds(1'000);
-    Seen.recordCrash(Long(I), {"call"}, Now);
-    wire::CrashDelta There;
-    Seen.fillDelta("told", There, Now);
-    Told.applyDelta("seen", There, Now);
-    wire::CrashDelta Back;
-    Told.fillDelta("seen", Back, Now);
-    Seen.applyDelta("told", Back, Now);
-  }
-  CHECK(Seen.crashCount() == 2);
-  CHECK(Told.crashCount() == 2);
-  CHECK_FALSE(Seen.isQuarantined({"call"}, Now));
-  Seen.recordCrash(Long(2), {"call"}, Now);
-  CHECK(Seen.isQuarantined({"call"}, Now));
-  Seen.recordAlive(Long(2).Id, Start, Now + milliseconds(400));
-  CHECK_FALSE(Seen.isQuarantined({"call"}, Now + milliseconds(400)));
-}
-
-// Guards against a request that is released and crashes endpoints again, as the
-// crashes under it are forgotten when many endpoints end under other requests,
-// for example with a zone.
-TEST_CASE("crashes under a blamed request are kept while many others come") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  const auto Crash = [&](unsigned Endpoint, const std::string &Call) {
-    Now += milliseconds(100);
-    Ledger.recordCrash(engine(Endpoint), {Call}, Now);
-  };
-  for (unsigned I = 0; I < 3; ++I)
-    Crash(I, "bad");
-  for (unsigned I = 3; I < 3 * CallLedgerBounds.Crashes; ++I)
-    Crash(I, "call-" + std::to_string(I));
-  CHECK(Ledger.isQuarantined({"bad"}, Now));
-  CHECK(Ledger.crashCount() == CallLedgerBounds.Crashes);
-  // The newest crashes are kept, too: a further request is found.
-  for (unsigned I = 0; I < 3; ++I)
-    Crash(1'000 + I, "bad-2");
-  CHECK(Ledger.isQuarantined({"bad"}, Now));
-  CHECK(Ledger.isQuarantined({"bad-2"}, Now));
-}
-
-// Guards against a memory that is full of crashes under blamed requests, so
-// that a further request that crashes endpoints is not found.
-TEST_CASE("crashes under blamed requests leave room for others") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  for (unsigned Call = 0; Call < CallLedgerBounds.Crashes; ++Call) {
-    const PromptParts Parts{"bad-" + std::to_string(Call)};
-    for (unsigned I = 0; I < 3; ++I) {
-      Now += milliseconds(100);
-      Ledger.recordCrash(engine(Call * 3 + I), Parts, Now);
-    }
-    REQUIRE(Ledger.isQuarantined(Parts, Now));
-  }
-  CHECK(Ledger.crashCount() == CallLedgerBounds.Crashes);
-}
-
-// Guards against a record without the crashes under a blamed request: a fleet
-// that starts anew would not know of it.
-TEST_CASE("a full record has the crashes under a blamed request") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  for (unsigned I = 0; I < CallLedgerBounds.Crashes; ++I) {
-    Now += milliseconds(100);
-    if (I < 3)
-      Ledger.recordCrash(engine(I), {"bad"}, Now);
-    for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
-      Ledger.recordCrash(engine(I), {fmt::format("{:08x}{:08x}", I, K)}, Now);
-  }
-  REQUIRE(Ledger.isQuarantined({"bad"}, Now));
-  CrashLedger Read{2, CallLedgerBounds};
-  Read.merge(Ledger.encode(Now, 0), Now, 0);
-  CHECK(Read.crashCount() < CallLedgerBounds.Crashes);
-  CHECK(Read.isQuarantined({"bad"}, Now));
-}
-
-// Guards against a sound call that stays blamed for the lifetime of its crashes
-// although a late report of another entry shows the guilty one at them all. The
-// call is refused everywhere, so no answer can ever clear it.
-TEST_CASE("a late report clears a call that was blamed in place of another") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  CrashLedger CutOff{2, CallLedgerBounds};
-  for (unsigned I = 0; I < 3; ++I) {
-    Now += milliseconds(1'000);
-    Ledger.recordCrash(engine(I), {"sound"}, Now);
-    CutOff.recordCrash(engine(I), {"bad"}, Now);
-  }
-  REQUIRE(Ledger.isQuarantined({"sound"}, Now));
-  Now += milliseconds(2'000);
-  CutOff.recordCrash(engine(3), {"bad"}, Now);
-  wire::CrashDelta Late;
-  CutOff.fillDelta("first", Late, Now);
-  Ledger.applyDelta("cut-off", Late, Now);
-  CHECK(Ledger.isQuarantined({"bad"}, Now));
-  CHECK_FALSE(Ledger.isQuarantined({"sound"}, Now));
-}
-
-// Guards against a sound call that stays blamed although a late report of
-// another entry shows that it was answered before the crashes.
-TEST_CASE("a late report of an answer clears a call that was blamed") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  CrashLedger CutOff{2, CallLedgerBounds};
-  CutOff.recordAnswer({"sound"}, Now);
-  for (unsigned I = 0; I < 3; ++I) {
-    Now += milliseconds(1'000);
-    Ledger.recordCrash(engine(I), {"sound"}, Now);
-  }
-  REQUIRE(Ledger.isQuarantined({"sound"}, Now));
-  Now += milliseconds(2'000);
-  CutOff.recordCrash(engine(2), {"sound"}, Now);
-  wire::CrashDelta Late;
-  CutOff.fillDelta("first", Late, Now);
-  Ledger.applyDelta("cut-off", Late, Now);
-  CHECK_FALSE(Ledger.isQuarantined({"sound"}, Now));
-}
-
-// Guards against a record with a time that cannot be: its difference to the
-// present time overflowed, and a record of the distant past was merged as new.
-TEST_CASE("a record with an extreme time of writing is merged by its age") {
-  constexpr std::int64_t Present = 1'700'000'000'000'000;
-  Observed O;
-  for (unsigned I = 0; I < 3; ++I)
-    O.crash(I, {"first", "bad", "own"});
-  wire::CrashDelta Record;
-  O.Ledger.fillRecord(Record, O.Now, Present);
-  Record.set_written_at_unix_ms(std::numeric_limits<std::int64_t>::min());
-  CrashLedger Later(2);
-  Later.mergeRecord(Record, O.Now, Present);
-  CHECK(Later.crashCount() == 0);
-  Record.set_written_at_unix_ms(std::numeric_limits<std::int64_t>::max());
-  Later.mergeRecord(Record, O.Now, -Present);
-  CHECK(Later.crashCount() == 3);
-}
-
-// Guards against a record in the store that grows with the answers which come
-// after crashes, to several times the bound of its crashes.
-TEST_CASE("a record in the store is bounded with its answers") {
-  TimePoint Now = Start;
-  CrashLedger Ledger{1, CallLedgerBounds};
-  const auto Call = [](unsigned Crash, unsigned Suspect) {
-    return PromptParts{fmt::format("{:08x}{:08x}", Crash, Suspect)};
-  };
-  for (unsigned I = 0; I < 2 * CallLedgerBounds.Crashes; ++I) {
-    Now += milliseconds(100);
-    for (unsigned K = 0; K < CallLedgerBounds.Suspects; ++K)
-      Ledger.recordCrash(engine(I), Call(I, K), Now);
-    for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
-      Ledger.recordAnswer(Call(I, K), Now);
-  }
-  CHECK(Ledger.encode(Now, 0).size() < 5 * CallLedgerBounds.RecordBytes / 2);
-}
-
-// Guards against a crash that is not counted because a connection to the same
-// incarnation of the endpoint had broken before without a crash.
-TEST_CASE("a crash counts after a break that was none") {
-  TimePoint Now = Start;
-  CrashLedger Seen{1, CallLedgerBounds};
-  CrashLedger Told{2, CallLedgerBounds};
-  const auto Exchange = [&] {
-    wire::CrashDelta There;
-    Seen.fillDelta("told", There, Now);
-    Told.applyDelta("seen", There, Now);
-    wire::CrashDelta Back;
-    Told.fillDelta("seen", Back, Now);
-    Seen.applyDelta("told", Back, Now);
-  };
-  for (unsigned I = 0; I < 3; ++I) {
-    const TimePoint Connected = Now;
-    Now += milliseconds(1'000);
-    Seen.recordCrash(engine(I), {"reset"}, Now, Now - milliseconds(10));
-    if (I > 0)
-      Exchange();
-    Now += milliseconds(400);
-    Seen.recordAlive(engine(I).Id, Connected, Now);
-    if (I > 1)
-      Exchange();
-  }
-  for (unsigned I = 0; I < 3; ++I) {
-    Now += milliseconds(5'000);
-    Seen.recordCrash(engine(I), {"bad"}, Now, Now - milliseconds(10));
-    Exchange();
-  }
-  CHECK(Seen.isQuarantined({"bad"}, Now));
-  CHECK(Told.isQuarantined({"bad"}, Now));
-  CHECK_FALSE(Seen.isQuarantined({"reset"}, Now));
-  CHECK_FALSE(Told.isQuarantined({"reset"}, Now));
-  // The disproof of the first break does not concern the crash.
-  Seen.recordAlive(engine(0).Id, Now - milliseconds(1), Now);
-  CHECK(Seen.isQuarantined({"bad"}, Now));
-  CHECK(Seen.crashCount() == 3);
-  CHECK(Told.crashCount() == 3);
-}
-
-// Guards against the disproof of a break that arrives late and is taken for one
-// of the crash that followed.
-TEST_CASE("a late disproof of a break does not disprove a later crash") {
-  TimePoint Now = Start;
-  CrashLedger First{1, CallLedgerBounds};
-  First.recordCrash(engine(0), {"reset"}, Now, Now - milliseconds(10));
-  First.recordAlive(engine(0).Id, Start - milliseconds(500),
-                    Now + milliseconds(400));
-  CrashLedger Second{2, CallLedgerBounds};
-  Second.recordCrash(engine(0), {"reset"}, Now, Now - milliseconds(10));
-  Second.recordAlive(engine(0).Id, Start - milliseconds(500),
-                     Now + milliseconds(400));
-  for (unsigned I = 0; I < 3; ++I) {
-    Now += milliseconds(5'000);
-    Second.recordCrash(engine(I), {"bad"}, Now, Now - milliseconds(10));
-  }
-  REQUIRE(Second.isQuarantined({"bad"}, Now));
-  wire::CrashDelta Late;
-  First.fillDelta("second", Late, Now);
-  Second.applyDelta("first", Late, Now);
-  CHECK(Second.isQuarantined({"bad"}, Now));
-  wire::CrashDelta Back;
-  Second.fillDelta("first", Back, Now);
-  First.applyDelta("second", Back, Now);
-  CHECK(First.isQuarantined({"bad"}, Now));
-}
-
 } // namespace hyssoprail::routing
