--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -31,6 +31,8 @@
     Unsent.append(Data);
   if (Unsent.size() <= MaxUnsentBytes)
     return wake();
+  // The client does not read, so the connection would wait for it before it
+  // ends.
   Unsent.clear();
   Aborted = Finished = true;
   forceWake();
@@ -44,6 +46,7 @@
   wake();
 }
 
+/// What was written before is kept: the connection sends it, without an end.
 void ServerExchange::abort() {
   std::lock_guard Lock(Mutex);
   Aborted = Finished = true;
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -11,7 +11,7 @@
 namespace hyssoprail::routing {
 namespace {
 
-using testing::crashed;
+using testing::numberedEngine;
 using testing::Observed;
 using testing::Start;
 
@@ -55,7 +55,7 @@
   CrashLedger Ledger{1, CallLedgerBounds};
   const auto Crash = [&](unsigned Endpoint, const std::string &Call) {
     Now += milliseconds(100);
-    Ledger.recordCrash(crashed(Endpoint), {Call}, Now);
+    Ledger.recordCrash(numberedEngine(Endpoint), {Call}, Now);
   };
   for (unsigned I = 0; I < 3; ++I)
     Crash(I, "bad");
@@ -79,7 +79,7 @@
     const PromptParts Parts{"bad-" + std::to_string(Call)};
     for (unsigned I = 0; I < 3; ++I) {
       Now += milliseconds(100);
-      Ledger.recordCrash(crashed(Call * 3 + I), Parts, Now);
+      Ledger.recordCrash(numberedEngine(Call * 3 + I), Parts, Now);
     }
     REQUIRE(Ledger.isQuarantined(Parts, Now));
   }
@@ -94,9 +94,10 @@
   for (unsigned I = 0; I < CallLedgerBounds.Crashes; ++I) {
     Now += milliseconds(100);
     if (I < 3)
-      Ledger.recordCrash(crashed(I), {"bad"}, Now);
+      Ledger.recordCrash(numberedEngine(I), {"bad"}, Now);
     for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
-      Ledger.recordCrash(crashed(I), {fmt::format("{:08x}{:08x}", I, K)}, Now);
+      Ledger.recordCrash(numberedEngine(I), {fmt::format("{:08x}{:08x}", I, K)},
+                         Now);
   }
   REQUIRE(Ledger.isQuarantined({"bad"}, Now));
   CrashLedger Read{2, CallLedgerBounds};
@@ -114,12 +115,12 @@
   CrashLedger CutOff{2, CallLedgerBounds};
   for (unsigned I = 0; I < 3; ++I) {
     Now += milliseconds(1'000);
-    Ledger.recordCrash(crashed(I), {"sound"}, Now);
-    CutOff.recordCrash(crashed(I), {"bad"}, Now);
+    Ledger.recordCrash(numberedEngine(I), {"sound"}, Now);
+    CutOff.recordCrash(numberedEngine(I), {"bad"}, Now);
   }
   REQUIRE(Ledger.isQuarantined({"sound"}, Now));
   Now += milliseconds(2'000);
-  CutOff.recordCrash(crashed(3), {"bad"}, Now);
+  CutOff.recordCrash(numberedEngine(3), {"bad"}, Now);
   wire::CrashDelta Late;
   CutOff.fillDelta("first", Late, Now);
   Ledger.applyDelta("cut-off", Late, Now);
@@ -136,11 +137,11 @@
   CutOff.recordAnswer({"sound"}, Now);
   for (unsigned I = 0; I < 3; ++I) {
     Now += milliseconds(1'000);
-    Ledger.recordCrash(crashed(I), {"sound"}, Now);
+    Ledger.recordCrash(numberedEngine(I), {"sound"}, Now);
   }
   REQUIRE(Ledger.isQuarantined({"sound"}, Now));
   Now += milliseconds(2'000);
-  CutOff.recordCrash(crashed(2), {"sound"}, Now);
+  CutOff.recordCrash(numberedEngine(2), {"sound"}, Now);
   wire::CrashDelta Late;
   CutOff.fillDelta("first", Late, Now);
   Ledger.applyDelta("cut-off", Late, Now);
@@ -176,7 +177,7 @@
   for (unsigned I = 0; I < 2 * CallLedgerBounds.Crashes; ++I) {
     Now += milliseconds(100);
     for (unsigned K = 0; K < CallLedgerBounds.Suspects; ++K)
-      Ledger.recordCrash(crashed(I), Call(I, K), Now);
+      Ledger.recordCrash(numberedEngine(I), Call(I, K), Now);
     for (unsigned K = 1; K < CallLedgerBounds.Suspects; ++K)
       Ledger.recordAnswer(Call(I, K), Now);
   }
@@ -200,17 +201,17 @@
   for (unsigned I = 0; I < 3; ++I) {
     const TimePoint Connected = Now;
     Now += milliseconds(1'000);
-    Seen.recordCrash(crashed(I), {"reset"}, Now, Now - milliseconds(10));
+    Seen.recordCrash(numberedEngine(I), {"reset"}, Now, Now - milliseconds(10));
     if (I > 0)
       Exchange();
     Now += milliseconds(400);
-    Seen.recordAlive(crashed(I).Id, Connected, Now);
+    Seen.recordAlive(numberedEngine(I).Id, Connected, Now);
     if (I > 1)
       Exchange();
   }
   for (unsigned I = 0; I < 3; ++I) {
     Now += milliseconds(5'000);
-    Seen.recordCrash(crashed(I), {"bad"}, Now, Now - milliseconds(10));
+    Seen.recordCrash(numberedEngine(I), {"bad"}, Now, Now - milliseconds(10));
     Exchange();
   }
   CHECK(Seen.isQuarantined({"bad"}, Now));
@@ -218,7 +219,7 @@
   CHECK_FALSE(Seen.isQuarantined({"reset"}, Now));
   CHECK_FALSE(Told.isQuarantined({"reset"}, Now));
   // The disproof of the first break does not concern the crash.
-  Seen.recordAlive(crashed(0).Id, Now - milliseconds(1), Now);
+  Seen.recordAlive(numberedEngine(0).Id, Now - milliseconds(1), Now);
   CHECK(Seen.isQuarantined({"bad"}, Now));
   CHECK(Seen.crashCount() == 3);
   CHECK(Told.crashCount() == 3);
@@ -229,16 +230,16 @@
 TEST_CASE("a late disproof of a break does not disprove a later crash") {
   TimePoint Now = Start;
   CrashLedger First{1, CallLedgerBounds};
-  First.recordCrash(crashed(0), {"reset"}, Now, Now - milliseconds(10));
-  First.recordAlive(crashed(0).Id, Start - milliseconds(500),
+  First.recordCrash(numberedEngine(0), {"reset"}, Now, Now - milliseconds(10));
+  First.recordAlive(numberedEngine(0).Id, Start - milliseconds(500),
                     Now + milliseconds(400));
   CrashLedger Second{2, CallLedgerBounds};
-  Second.recordCrash(crashed(0), {"reset"}, Now, Now - milliseconds(10));
-  Second.recordAlive(crashed(0).Id, Start - milliseconds(500),
+  Second.recordCrash(numberedEngine(0), {"reset"}, Now, Now - milliseconds(10));
+  Second.recordAlive(numberedEngine(0).Id, Start - milliseconds(500),
                      Now + milliseconds(400));
   for (unsigned I = 0; I < 3; ++I) {
     Now += milliseconds(5'000);
-    Second.recordCrash(crashed(I), {"bad"}, Now, Now - milliseconds(10));
+    Second.recordCrash(numberedEngine(I), {"bad"}, Now, Now - milliseconds(10));
   }
   REQUIRE(Second.isQuarantined({"bad"}, Now));
   wire::CrashDelta Late;
--- a/src/hyssoprail/routing/crash_ledger_fixture.hpp
+++ b/src/hyssoprail/routing/crash_ledger_fixture.hpp
@@ -8,7 +8,8 @@
 
 namespace hyssoprail::routing::testing {
 
-inline EndpointRecord crashed(unsigned Number) {
+/// A decode engine with an id of its own for each \p Number.
+inline EndpointRecord numberedEngine(unsigned Number) {
   return engine("i-" + std::to_string(Number), EngineStage::Decode);
 }
 
@@ -16,7 +17,7 @@
 struct Observed {
   void crash(unsigned Engine, const PromptParts &Parts) {
     Now += milliseconds(1'000);
-    Ledger.recordCrash(crashed(Engine), Parts, Now);
+    Ledger.recordCrash(numberedEngine(Engine), Parts, Now);
   }
   void answer(const PromptParts &Parts) {
     Now += milliseconds(1'000);
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -10,7 +10,7 @@
 namespace hyssoprail::routing {
 namespace {
 
-using testing::crashed;
+using testing::numberedEngine;
 using testing::Observed;
 using testing::Start;
 
@@ -72,9 +72,11 @@
   for (unsigned I = 0; I < 5; ++I) {
     O.crash(I, {"first", "part", "own-" + std::to_string(I)});
     const TimePoint Since = O.Now + milliseconds(Older ? -50 : 50);
-    O.Ledger.recordAlive(crashed(I).Id, Since, O.Now + milliseconds(100));
+    O.Ledger.recordAlive(numberedEngine(I).Id, Since,
+                         O.Now + milliseconds(100));
     if (I > 1)
-      O.Ledger.recordAlive(crashed(I).Id, Since, O.Now + milliseconds(600));
+      O.Ledger.recordAlive(numberedEngine(I).Id, Since,
+                           O.Now + milliseconds(600));
   }
   REQUIRE(O.Ledger.quarantined(O.Now).empty() == Older);
 }
@@ -156,7 +158,7 @@
       for (std::size_t P = 0; P < CrashLedger::MaxParts; ++P)
         Parts.push_back(fmt::format("{:04x}{:04x}{:08x}", I, K, P));
       Parts[50] = "bad";
-      O.Ledger.recordCrash(crashed(I), Parts, O.Now);
+      O.Ledger.recordCrash(numberedEngine(I), Parts, O.Now);
     }
   REQUIRE(O.blames({"bad"}));
   REQUIRE(O.Ledger.encode(O.Now, 0).size() < 262'144);
@@ -191,8 +193,8 @@
   for (unsigned I = 0; I < 60; ++I) {
     Now += milliseconds(100);
     CrashLedger &Seen = Random() % 2 == 0 ? A : B;
-    Seen.recordCrash(crashed(I), {"f", "p" + std::to_string(Random() % 5)},
-                     Now);
+    Seen.recordCrash(numberedEngine(I),
+                     {"f", "p" + std::to_string(Random() % 5)}, Now);
     if (Random() % 8 == 0)
       Seen.recordAnswer({"p" + std::to_string(Random() % 5)}, Now);
     Send(A, "b", B, "a", Random() % 3 == 0);
@@ -242,7 +244,7 @@
   O.answer({"part"});
   for (unsigned I = 0; I < 6; ++I) {
     O.Now += milliseconds(AtOnce ? 50 : 500);
-    O.Ledger.recordCrash(crashed(I), {"part"}, O.Now);
+    O.Ledger.recordCrash(numberedEngine(I), {"part"}, O.Now);
   }
   REQUIRE(O.blames({"part"}) != AtOnce);
 }
@@ -253,7 +255,7 @@
   Observed O;
   for (unsigned I = 0; I < 3; ++I) {
     O.crash(I, {"bad"});
-    O.Ledger.recordCrash(crashed(I), {"queued"}, O.Now);
+    O.Ledger.recordCrash(numberedEngine(I), {"queued"}, O.Now);
   }
   REQUIRE(O.Ledger.quarantined(O.Now).empty());
   if (GENERATE(true, false))
