A stream avoids all engines that its entry cannot use

Callers got 503 "not run" within 2 ms while other engines were idle.

The coordinator knew the new registrations, the entry did not yet. The coordinator prefers empty engines, so it placed the request at i-1-1; the entry sent it back and excluded that one only; the next placement was i-2-1, then i-1-1 again, until the 16 requeues were used up after 1.3 ms. Any entry that is behind the coordinator shows this after a start or a scale-out of two engines, for as long as it is behind.

Now a request excludes all engines that were chosen and that its entry cannot use, as long as it cannot. While it is queued, it looks every 100 ms whether an excluded engine has become usable and then asks again without it; before, a queued request stayed excluded from an engine whose pause had ended until it was given up.

--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -39,10 +39,10 @@
   if (Crashes.isQuarantined(Now))
     return finishQuarantined(Now);
   if (!takesWork(Place.Decode, Now))
-    return retryDecode(Now);
+    return onUnusableDecode(Now);
   if (!Place.Prefill.empty())
     return sendPrefill(Place, Now);
-  if (SubmittedWithCache && !Cache.usable(Now))
+  if (Submitted.HasKvCache && !Cache.usable(Now))
     return repeatPrefill(Now);
   sendDecode(Now);
 }
@@ -155,6 +155,8 @@
     endSilentRun(Now);
   if (Now >= PauseCheckAt)
     return resubmit(Cache.usable(Now).has_value(), Now);
+  if (Now >= nextExclusionCheck())
+    return updateExclusions(Now);
   if (!ActiveLeg || Now < legDeadline())
     return;
   const bool CanReplace = CurrentPhase == StreamPhase::Prefilling
@@ -191,7 +193,8 @@
 }
 
 TimePoint StreamFlow::nextDeadline() const {
-  TimePoint Next = std::min(answerDeadline(), PauseCheckAt);
+  TimePoint Next =
+      std::min({answerDeadline(), PauseCheckAt, nextExclusionCheck()});
   if (ActiveLeg)
     Next = std::min(Next, legDeadline());
   if (Silent)
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_STREAM_FLOW_HPP
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "hyssoprail/routing/flow.hpp"
@@ -75,6 +76,17 @@
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission, TimePoint Now);
 
+  /// Engines that must not be chosen although the coordinator may know no
+  /// reason: this entry does not know them, or they take no work of it.
+  std::set<std::string> unusableEngines(TimePoint Now);
+
+  /// Submits the queued request again if one of the engines that it excludes
+  /// has become usable.
+  void updateExclusions(TimePoint Now);
+
+  /// When to call updateExclusions().
+  TimePoint nextExclusionCheck() const;
+
   /// Submits the request again, ahead of those that have not been placed yet.
   void resubmit(bool WithCache, TimePoint Now);
 
@@ -117,6 +129,11 @@
   /// Tries another decode engine, with the KV cache if it is still usable.
   void retryDecode(TimePoint Now);
 
+  /// The same, as this entry cannot use the chosen one for now.
+  void onUnusableDecode(TimePoint Now);
+
+  void requeueForDecode(TimePoint Now);
+
   /// Discards the KV cache and asks for a prefill engine again. It processes
   /// the prompt twice as fast as a decode engine, and without delaying other
   /// generations.
@@ -194,9 +211,14 @@
   std::string DecodeEndpoint;
   std::string FailedDecode; ///< failed last, avoided by the next placement
   std::string FailedPrefill;
+  /// Decode engines that were chosen but could not be used by this entry. All
+  /// of them are excluded: without the earlier ones, a request would go back
+  /// and forth between two engines that have just registered.
+  std::set<std::string> Unusable;
   bool HasPlacement = false;
-  /// The submitted request has a KV cache, so it gets no prefill engine.
-  bool SubmittedWithCache = false;
+  StreamRequest Submitted;        ///< the last admission request
+  std::set<std::string> Excluded; ///< unusableEngines() when it was made
+  TimePoint ExclusionCheckAt{};
   HeldCache Cache;
   LegBudget Budget;
   StreamProgress Progress;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -35,6 +35,10 @@
 /// have become ready before that.
 constexpr milliseconds PauseCheckInterval{100};
 
+/// How often a queued request looks whether the engines that it excludes have
+/// become usable.
+constexpr milliseconds ExclusionCheckInterval{100};
+
 } // namespace
 
 TimePoint StreamFlow::answerDeadline() const {
@@ -62,6 +66,17 @@
   return !E || Shared.Table.takesWork(*E, Now);
 }
 
+std::set<std::string> StreamFlow::unusableEngines(TimePoint Now) {
+  std::erase_if(Unusable, [&](const std::string &Id) {
+    const Endpoint *E = Shared.Table.find(Id);
+    return E && Shared.Table.mayReceive(*E, Now);
+  });
+  std::set<std::string> Out = Unusable;
+  for (std::string &Id : Shared.Table.refusing(Request.Service, Now))
+    Out.insert(std::move(Id));
+  return Out;
+}
+
 void StreamFlow::submit(StreamRequest Submission, TimePoint Now) {
   if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now)) {
     if (waitForPause(*Wait, Now))
@@ -72,19 +87,37 @@
                   *Wait, Now);
   }
   PauseCheckAt = TimePoint::max();
-  Submission.ExcludedEndpoints = Shared.Table.refusing(Request.Service, Now);
+  Excluded = unusableEngines(Now);
+  ExclusionCheckAt = Now + ExclusionCheckInterval;
   CurrentPhase = StreamPhase::Waiting;
   Submission.Id = PlacementId;
   Submission.Zone = Shared.Zone;
+  Submission.ExcludedEndpoints.assign(Excluded.begin(), Excluded.end());
   for (const std::string &Failed : {FailedDecode, FailedPrefill})
     if (!Failed.empty())
       Submission.ExcludedEndpoints.push_back(Failed);
   if (Silent)
     Submission.ExcludedEndpoints.push_back(Silent->Endpoint);
-  SubmittedWithCache = Submission.HasKvCache;
+  Submitted = Submission;
   Shared.Admission.submit(std::move(Submission));
 }
 
+TimePoint StreamFlow::nextExclusionCheck() const {
+  const bool Queued =
+      CurrentPhase == StreamPhase::Waiting && PauseCheckAt == TimePoint::max();
+  return Queued && !Excluded.empty() ? ExclusionCheckAt : TimePoint::max();
+}
+
+void StreamFlow::updateExclusions(TimePoint Now) {
+  ExclusionCheckAt = Now + ExclusionCheckInterval;
+  const std::set<std::string> Present = unusableEngines(Now);
+  if (std::includes(Present.begin(), Present.end(), Excluded.begin(),
+                    Excluded.end()))
+    return;
+  Shared.Admission.cancel(PlacementId);
+  submit(Submitted, Now);
+}
+
 void StreamFlow::sendPrefill(const StreamPlacement &Place, TimePoint Now) {
   Endpoint *E = Shared.Table.find(Place.Prefill);
   if (E && !takesWork(Place.Prefill, Now)) {
@@ -132,7 +165,7 @@
     return giveUp(Now);
   Endpoint *E = Shared.Table.find(DecodeEndpoint);
   if (!E || !Shared.Table.mayReceive(*E, Now))
-    return retryDecode(Now);
+    return onUnusableDecode(Now);
   if (!Budget.tryBegin(LegKind::Decode, Now))
     return giveUp(Now);
   CurrentPhase = StreamPhase::Starting;
@@ -233,8 +266,17 @@
          NotRunRetryAfter, Now);
 }
 
+void StreamFlow::onUnusableDecode(TimePoint Now) {
+  Unusable.insert(DecodeEndpoint);
+  requeueForDecode(Now);
+}
+
 void StreamFlow::retryDecode(TimePoint Now) {
   FailedDecode = DecodeEndpoint;
+  requeueForDecode(Now);
+}
+
+void StreamFlow::requeueForDecode(TimePoint Now) {
   if (!Cache.usable(Now))
     return repeatPrefill(Now);
   requeue(true, "decode_elsewhere", Now);
