Test: one link for two ensure() calls, on a paused clock

"a link is opened once and closed by drop()" failed once beside a load of 17: the proxy had accepted 3 connections instead of 1. Cause: the test ran on the real clock, and a link without an ack for 200 ms is replaced on purpose, which is right on a machine that stands still for so long.

The test now runs its links on a paused clock, so each further connection is a fault. It checks as much as before.

--- a/src/hyssoprail/connection/peer_links_test.cpp
+++ b/src/hyssoprail/connection/peer_links_test.cpp
@@ -58,7 +58,10 @@
 /// Process that opens links, with a thread that calls tick().
 class Opener {
 public:
-  Opener() : MessageBus(makeZmqBus({"opener", 1, ""}, Time)) {
+  /// \p LinkTime, or the running clock, decides when a link without acks is
+  /// replaced.
+  explicit Opener(const Clock *LinkTime = nullptr)
+      : MessageBus(makeZmqBus({"opener", 1, ""}, RunningTime)) {
     PeerLinkOptions Options;
     Options.HeartbeatInterval = HeartbeatInterval;
     Options.SuspectAfter = SuspectAfter;
@@ -74,7 +77,8 @@
       Incarnations[0] = Old;
       Incarnations[1] = New;
     };
-    Links.emplace(*MessageBus, Time, Options, Callbacks);
+    Links.emplace(*MessageBus, LinkTime ? *LinkTime : RunningTime, Options,
+                  Callbacks);
     REQUIRE(succeeded(MessageBus->start(
         [this](const BusSource &From, wire::Envelope Message) {
           Links->receive(From, std::move(Message));
@@ -101,7 +105,7 @@
     return waitUntil([&] { return LastEcho == Number; });
   }
 
-  SteadyClock Time;
+  SteadyClock RunningTime;
   std::unique_ptr<Bus> MessageBus;
   std::optional<PeerLinks> Links;
   std::atomic<unsigned> LastEcho{0};
@@ -129,11 +133,11 @@
   CHECK(Process.Replaced == 0);
 
   for (unsigned Round = 1; Round <= 3; ++Round) {
-    const auto Start = Process.Time.now();
+    const auto Start = Process.RunningTime.now();
     Proxy.silenceOpen();
     REQUIRE(waitUntil([&] { return Process.Replaced == Round; }));
     REQUIRE(Process.echo(Address, Round + 1));
-    const auto Elapsed = Process.Time.now() - Start;
+    const auto Elapsed = Process.RunningTime.now() - Start;
     // The suspect timeout, one heartbeat and one tick, plus a margin for a busy
     // machine.
     CHECK(Elapsed < SuspectAfter + HeartbeatInterval + milliseconds(500));
@@ -167,7 +171,9 @@
   EchoPeer Echo(11);
   testing::TcpProxy Proxy(Echo.port());
   const std::string Address = "tcp://127.0.0.1:" + std::to_string(Proxy.port());
-  Opener Process;
+  // Without acks for SuspectAfter a second link would be opened on purpose.
+  ManualClock Paused;
+  Opener Process(&Paused);
   Process.Links->ensure(Address);
   Process.Links->ensure(Address);
   REQUIRE(waitUntil([&] { return Process.Links->reachable(Address); }));
