A stream returns to an engine whose pause for it has ended

Callers saw a stream wait until it was given up, although the pause of the only engine with room had ended 100 ms after it.

Cause: the engine that refused a decode leg with a pause was remembered in FailedDecode, which stays excluded until another engine fails. The look at the excluded engines each 100 ms saw the end of the pause and asked again, but still without that engine. A started stream that waited for a pause was freed of it, a queued one was not.

Now a failed engine that takes no work for now is excluded like the other unusable ones, until it takes work again.

--- a/src/hyssoprail/routing/stream_exclusion_test.cpp
+++ b/src/hyssoprail/routing/stream_exclusion_test.cpp
@@ -132,6 +132,27 @@
   }
 }
 
+// Guards against a request that stays excluded from the engine which refused it
+// with a pause until it is given up, although the pause has ended.
+TEST_CASE("a stream returns to the engine that paused it") {
+  RemoteCoordinator B;
+  B.fill("d2");
+  const auto F = B.start();
+  B.answer(*F, 1, answered(200, "handle-1"));
+  REQUIRE(B.leg(2).EndpointId == "d1");
+  REQUIRE(B.Table.recordPause("d1", 0, B.Now + milliseconds(300)));
+  LegResult Refusal = endedLeg(LegOutcome::NotRun);
+  Refusal.PausesSender = true;
+  B.answer(*F, 2, Refusal);
+  B.pass(*F, milliseconds(290));
+  REQUIRE(B.Io.Legs.size() == 2);
+  REQUIRE(B.Coordinator.queued() == 1);
+  B.pass(*F, milliseconds(120));
+  REQUIRE(B.Io.Legs.size() == 3);
+  REQUIRE(B.leg(3).EndpointId == "d1");
+  B.complete(*F, 3);
+}
+
 // Guards against work that is left in the queue when a request ends while it
 // waits for an engine that its entry does not know.
 TEST_CASE("a stream that waits for an unknown engine ends once") {
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -80,6 +80,10 @@
   /// reason: this entry does not know them, or they take no work of it.
   std::set<std::string> unusableEngines(TimePoint Now);
 
+  /// Engines that failed and take no work for now are excluded until they take
+  /// work again, and not for the rest of the request.
+  void excludeWhilePaused(TimePoint Now);
+
   /// Submits the queued request again if one of the engines that it excludes
   /// has become usable.
   void updateExclusions(TimePoint Now);
@@ -211,9 +215,9 @@
   std::string DecodeEndpoint;
   std::string FailedDecode; ///< failed last, avoided by the next placement
   std::string FailedPrefill;
-  /// Decode engines that were chosen but could not be used by this entry. All
-  /// of them are excluded: without the earlier ones, a request would go back
-  /// and forth between two engines that have just registered.
+  /// Engines that were chosen but could not be used by this entry, or paused
+  /// it. All of them are excluded: without the earlier ones, a request would go
+  /// back and forth between two engines that have just registered.
   std::set<std::string> Unusable;
   bool HasPlacement = false;
   StreamRequest Submitted;        ///< the last admission request
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -77,7 +77,14 @@
   return Out;
 }
 
+void StreamFlow::excludeWhilePaused(TimePoint Now) {
+  for (std::string *Failed : {&FailedDecode, &FailedPrefill})
+    if (!takesWork(*Failed, Now))
+      Unusable.insert(std::exchange(*Failed, {}));
+}
+
 void StreamFlow::submit(StreamRequest Submission, TimePoint Now) {
+  excludeWhilePaused(Now);
   if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now)) {
     if (waitForPause(*Wait, Now))
       return;
@@ -213,10 +220,7 @@
   PauseCheckAt = Now + std::min(Wait, PauseCheckInterval);
   if (!Cache.usable(Now + Wait))
     dropCache(Now);
-  // A pause keeps the request from its engine while it lasts, but not longer.
-  for (std::string *Failed : {&FailedDecode, &FailedPrefill})
-    if (!takesWork(*Failed, Now))
-      Failed->clear();
+  excludeWhilePaused(Now);
   return true;
 }
 
