A stream avoids prefill engines that its entry does not know yet

Callers saw late first events: the decode engine processed the prompt, which takes twice as long and delays the other generations there, although a prefill engine was free.

The coordinator prefers prefill engines that have just registered; an entry that does not know the chosen one let the decode engine process the prompt at once.

Now such an engine is excluded and another one is asked for, up to four times; then the decode engine processes the prompt, so that no request is rejected for it. A stream that has begun keeps its decode engine, as before.

Evidence: "a stream avoids all prefill engines that its entry cannot use" got a decode leg first instead of a prefill leg at p1 before.

--- a/src/hyssoprail/routing/stream_exclusion_test.cpp
+++ b/src/hyssoprail/routing/stream_exclusion_test.cpp
@@ -153,6 +153,49 @@
   B.complete(*F, 3);
 }
 
+// Guards against a request that goes back and forth between prefill engines
+// that its entry cannot use until it is rejected, and against a prompt that its
+// decode engine reads although a prefill engine is free.
+TEST_CASE("a stream avoids all prefill engines that its entry cannot use") {
+  RemoteCoordinator B;
+  SECTION("the entry does not know them yet") {
+    for (const std::string Id : {"p3", "p4"})
+      B.CoordinatorTable.apply(engine(Id, EngineStage::Prefill));
+    B.CoordinatorTable.reserve("p1", {1, 0, 2'000});
+  }
+  SECTION("the coordinator does not know yet that they are draining") {
+    for (const std::string Id : {"p3", "p4"}) {
+      EndpointRecord E = engine(Id, EngineStage::Prefill);
+      B.CoordinatorTable.apply(E);
+      E.Draining = true;
+      ++E.Sequence;
+      B.Table.apply(E);
+    }
+    B.CoordinatorTable.reserve("p1", {1, 0, 2'000});
+  }
+  const auto F = B.start();
+  REQUIRE(B.Io.FinalAnswers == 0);
+  REQUIRE(B.leg(1).Kind == LegKind::Prefill);
+  REQUIRE(B.leg(1).EndpointId == "p1");
+  B.answer(*F, 1, answered(200, "handle-1"));
+  B.complete(*F, 2);
+}
+
+// Guards against a request that is rejected because it was placed at too many
+// prefill engines which its entry does not know.
+TEST_CASE("a decode engine reads the prompt if many prefill engines are new") {
+  RemoteCoordinator B;
+  B.CoordinatorTable.reserve("p1", {1, 0, 4'000});
+  B.CoordinatorTable.reserve("p2", {1, 0, 4'000});
+  for (unsigned I = 0; I < 40; ++I)
+    B.CoordinatorTable.apply(
+        engine("new-" + std::to_string(I), EngineStage::Prefill));
+  const auto F = B.start();
+  REQUIRE(B.Io.FinalAnswers == 0);
+  REQUIRE(B.leg(1).Kind == LegKind::Decode);
+  B.complete(*F, 1);
+}
+
 // Guards against work that is left in the queue when a request ends while it
 // waits for an engine that its entry does not know.
 TEST_CASE("a stream that waits for an unknown engine ends once") {
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -102,6 +102,7 @@
   /// The caller of a started stream leaves if it has received no event by then.
   TimePoint giveUpAt() const;
 
+  /// Another prefill engine is chosen if this entry cannot use this one.
   void sendPrefill(const StreamPlacement &Place, TimePoint Now);
 
   void onPrefillResult(const LegResult &R, TimePoint Now);
@@ -239,6 +240,7 @@
   unsigned DecodeLegs = 0;
   unsigned UnreachedLegs = 0; ///< legs that reached no engine
   unsigned Requeues = 0; ///< how often the request was put back into the queue
+  unsigned UnusablePrefills = 0; ///< placements at unusable prefill engines
   unsigned FailedRuns = 0; ///< runs, certain or possible, that did not complete
   /// The head and the first event of the answer were sent to the caller. Until
   /// then the request can still be answered with an error.
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -20,6 +20,10 @@
 /// lost, a third of the engines may be gone before their registrations expire.
 constexpr unsigned MaxUnreachedLegs = 12;
 constexpr unsigned MaxRequeues = 16;
+
+/// Prefill engines that were chosen but cannot be used by this entry, before
+/// the decode engine processes the prompt.
+constexpr unsigned MaxUnusablePrefills = 4;
 constexpr milliseconds NotRunRetryAfter{400};
 
 /// Time reserved before a caller without an event leaves, for the final answer
@@ -127,11 +131,13 @@
 
 void StreamFlow::sendPrefill(const StreamPlacement &Place, TimePoint Now) {
   Endpoint *E = Shared.Table.find(Place.Prefill);
-  if (E && !takesWork(Place.Prefill, Now)) {
-    FailedPrefill = Place.Prefill;
+  const bool Usable = E && Shared.Table.takesWork(*E, Now);
+  const bool KeepsDecode = !E && StreamStarted;
+  if (!Usable && !KeepsDecode && ++UnusablePrefills <= MaxUnusablePrefills) {
+    Unusable.insert(Place.Prefill);
     return repeatPrefill(Now);
   }
-  if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
+  if (!Usable || !Budget.tryBegin(LegKind::Prefill, Now)) {
     Shared.Admission.prefillEnded(PlacementId, Now);
     return sendDecode(Now);
   }
