A stream waits while its entry learns of many new engines

Callers got 503 within 2 ms while engines were free, after a start or scale-out of more than 16 engines that the coordinator knew and their entry did not yet.

Cause: each placement at such an engine counts as one of 16 requeues, and with all chosen engines excluded 16 new ones use them up.

Now the request then waits 100 ms and asks again, without the engines that it has met and that its entry still cannot use; after three such waits it is rejected as before, which bounds the ids that travel with a request. A silent engine that goes on ends the wait. The decision log has `wait_for_engines`.

Evidence: "a stream waits while its entry learns of many engines" (40 of them) ended with a rejection before; the three sections pass now.

--- a/src/hyssoprail/routing/stream_exclusion_test.cpp
+++ b/src/hyssoprail/routing/stream_exclusion_test.cpp
@@ -196,6 +196,69 @@
   B.complete(*F, 1);
 }
 
+// Guards against requests that are rejected while engines are free, because a
+// zone of engines has just registered and their entry does not know them yet.
+TEST_CASE("a stream waits while its entry learns of many engines") {
+  RemoteCoordinator B;
+  B.CoordinatorTable.reserve("d1", {1, 4'000, 0});
+  B.CoordinatorTable.reserve("d2", {1, 4'000, 0});
+  for (unsigned I = 0; I < 40; ++I)
+    B.registerAtCoordinator("new-" + std::to_string(I));
+  const auto F = B.start();
+  B.answer(*F, 1, answered(200, "handle-1"));
+  B.pass(*F, milliseconds(50));
+  REQUIRE(B.Io.FinalAnswers == 0);
+  SECTION("until it has found one that its entry knows") {
+    B.pass(*F, milliseconds(600));
+    REQUIRE(B.Io.Legs.size() == 2);
+    REQUIRE(B.leg(2).EndpointId == "d1");
+    B.complete(*F, 2);
+  }
+  SECTION("until its entry knows them") {
+    for (unsigned I = 0; I < 40; ++I)
+      B.add(engine("new-" + std::to_string(I), EngineStage::Decode));
+    B.pass(*F, milliseconds(110));
+    REQUIRE(B.Io.Legs.size() == 2);
+    B.complete(*F, 2);
+  }
+  SECTION("until its caller leaves") {
+    F->onCallerDisconnected(B.Now);
+    REQUIRE(F->done());
+    REQUIRE(B.Coordinator.queued() == 0);
+    REQUIRE_FALSE(B.Coordinator.isRunning("1/0"));
+  }
+}
+
+// Guards against a stream that is resumed at another engine although its silent
+// one goes on while the request waits for engines that its entry knows.
+TEST_CASE("a silent engine that goes on ends the wait for known engines") {
+  RemoteCoordinator B;
+  const auto F = B.start();
+  B.answer(*F, 1, answered(200, "handle-1"));
+  REQUIRE(B.leg(2).EndpointId == "d1");
+  F->onStreamHead(2, head(), B.Now);
+  F->onStreamData(2, "id: 1\ndata: a\n\n", B.Now);
+  B.CoordinatorTable.reserve("d2", {1, 4'000, 0});
+  for (unsigned I = 0; I < 20; ++I)
+    B.registerAtCoordinator("new-" + std::to_string(I));
+  B.add(engine("d3", EngineStage::Decode));
+  B.pass(*F, milliseconds(1'110));
+  REQUIRE(B.Io.Legs.size() == 3);
+  REQUIRE(B.leg(3).Kind == LegKind::Prefill);
+  B.answer(*F, 3, answered(200, "handle-2"));
+  B.pass(*F, milliseconds(50));
+  REQUIRE(B.Io.FinalAnswers == 0);
+  F->onStreamData(2, "id: 2\ndata: b\n\n", B.Now);
+  B.pass(*F, milliseconds(300));
+  REQUIRE(B.Io.Legs.size() == 3);
+  REQUIRE_FALSE(B.Coordinator.isRunning("1/1"));
+  REQUIRE(B.Coordinator.queued() == 0);
+  F->onStreamEnd(2, true, B.Now);
+  REQUIRE(F->done());
+  REQUIRE(B.Io.FinalAnswers == 1);
+  REQUIRE_FALSE(B.Io.Aborted);
+}
+
 // Guards against work that is left in the queue when a request ends while it
 // waits for an engine that its entry does not know.
 TEST_CASE("a stream that waits for an unknown engine ends once") {
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -153,7 +153,7 @@
     return onDeadline(Now);
   if (Silent && Now >= Silent->EndAt)
     endSilentRun(Now);
-  if (Now >= PauseCheckAt)
+  if (Now >= ResubmitAt)
     return resubmit(Cache.usable(Now).has_value(), Now);
   if (Now >= nextExclusionCheck())
     return updateExclusions(Now);
@@ -194,7 +194,7 @@
 
 TimePoint StreamFlow::nextDeadline() const {
   TimePoint Next =
-      std::min({answerDeadline(), PauseCheckAt, nextExclusionCheck()});
+      std::min({answerDeadline(), ResubmitAt, nextExclusionCheck()});
   if (ActiveLeg)
     Next = std::min(Next, legDeadline());
   if (Silent)
@@ -288,7 +288,7 @@
   endSilentRun(Now);
   dropCache(Now);
   releasePlacement(Now);
-  PauseCheckAt = TimePoint::max();
+  ResubmitAt = TimePoint::max();
   CurrentPhase = StreamPhase::Done;
 }
 
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -233,13 +233,16 @@
   std::optional<SilentRun> Silent;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
-  /// While the request waits for the end of a pause: the next time to try.
-  TimePoint PauseCheckAt = TimePoint::max();
+  /// While the request waits for engines outside of the queue, for example for
+  /// the end of a pause: the next time to try.
+  TimePoint ResubmitAt = TimePoint::max();
   TimePoint PrefillDeadline{}; ///< a prefill counts as hanging after this
   unsigned PrefillLegs = 0;
   unsigned DecodeLegs = 0;
   unsigned UnreachedLegs = 0; ///< legs that reached no engine
-  unsigned Requeues = 0; ///< how often the request was put back into the queue
+  /// How often the request was put back into the queue since it waited last.
+  unsigned Requeues = 0;
+  unsigned ExclusionWaits = 0;   ///< see MaxExclusionWaits
   unsigned UnusablePrefills = 0; ///< placements at unusable prefill engines
   unsigned FailedRuns = 0; ///< runs, certain or possible, that did not complete
   /// The head and the first event of the answer were sent to the caller. Until
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -43,6 +43,11 @@
 /// become usable.
 constexpr milliseconds ExclusionCheckInterval{100};
 
+/// How often a request waits for this time because engines that its entry
+/// cannot use were chosen MaxRequeues times. Bounds the excluded engines, whose
+/// ids travel with the request.
+constexpr unsigned MaxExclusionWaits = 3;
+
 } // namespace
 
 TimePoint StreamFlow::answerDeadline() const {
@@ -97,7 +102,7 @@
                                    : RejectReason::NoCapacity,
                   *Wait, Now);
   }
-  PauseCheckAt = TimePoint::max();
+  ResubmitAt = TimePoint::max();
   Excluded = unusableEngines(Now);
   ExclusionCheckAt = Now + ExclusionCheckInterval;
   CurrentPhase = StreamPhase::Waiting;
@@ -115,7 +120,7 @@
 
 TimePoint StreamFlow::nextExclusionCheck() const {
   const bool Queued =
-      CurrentPhase == StreamPhase::Waiting && PauseCheckAt == TimePoint::max();
+      CurrentPhase == StreamPhase::Waiting && ResubmitAt == TimePoint::max();
   return Queued && !Excluded.empty() ? ExclusionCheckAt : TimePoint::max();
 }
 
@@ -220,10 +225,10 @@
   if (!StreamStarted || !resumable() || Silent ||
       Now + Wait + MinServiceTime >= giveUpAt())
     return false;
-  if (PauseCheckAt == TimePoint::max())
+  if (ResubmitAt == TimePoint::max())
     Io.logDecision("wait_for_pause", {{"wait_ms", Wait}});
   CurrentPhase = StreamPhase::Waiting;
-  PauseCheckAt = Now + std::min(Wait, PauseCheckInterval);
+  ResubmitAt = Now + std::min(Wait, PauseCheckInterval);
   if (!Cache.usable(Now + Wait))
     dropCache(Now);
   excludeWhilePaused(Now);
@@ -276,9 +281,19 @@
          NotRunRetryAfter, Now);
 }
 
+/// A zone of engines that comes back may be known to the coordinator before it
+/// is known here, so a request that has met many of them waits for a moment.
 void StreamFlow::onUnusableDecode(TimePoint Now) {
   Unusable.insert(DecodeEndpoint);
-  requeueForDecode(Now);
+  if (Requeues < MaxRequeues)
+    return requeueForDecode(Now);
+  if (++ExclusionWaits > MaxExclusionWaits)
+    return giveUp(Now);
+  Requeues = 0;
+  Io.logDecision("wait_for_engines", {{"unusable", Unusable.size()}});
+  releasePlacement(Now);
+  CurrentPhase = StreamPhase::Waiting;
+  ResubmitAt = Now + ExclusionCheckInterval;
 }
 
 void StreamFlow::retryDecode(TimePoint Now) {
--- a/src/hyssoprail/routing/stream_flow_silent.cpp
+++ b/src/hyssoprail/routing/stream_flow_silent.cpp
@@ -35,6 +35,7 @@
   if (!Silent->ReplacementRan && !ReplacementRuns)
     --FailedRuns; // the silent run has not failed, and is the only one
   Shared.Admission.cancel(PlacementId);
+  ResubmitAt = TimePoint::max();
   stopLeg();
   dropCache(Now);
   releasePlacement(Now);
