Queued streams look only at the engines that they exclude

Callers could lose a decision that was on its way: when an engine that states that it leaves had ended, all queued requests of its service were sent to the coordinator anew, under new keys, although no engine had become usable.

Now it looks up the engines that it excludes, and asks again only if one of them can be sent work.

Evidence: "a queued stream keeps its request when an excluded engine ends" had key 2 instead of 1 before.

--- a/src/hyssoprail/routing/stream_exclusion_test.cpp
+++ b/src/hyssoprail/routing/stream_exclusion_test.cpp
@@ -1,6 +1,7 @@
 // Streams whose entry cannot use the engines that the coordinator chooses.
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/routing/admission_client.hpp"
 #include "stream_fixture.hpp"
 
 namespace hyssoprail::routing {
@@ -259,6 +260,31 @@
   REQUIRE_FALSE(B.Io.Aborted);
 }
 
+// Guards against all queued requests being sent to the coordinator anew, and
+// against the loss of a decision that is on its way, when an engine that they
+// exclude has ended.
+TEST_CASE("a queued stream keeps its request when an excluded engine ends") {
+  RemoteCoordinator B;
+  B.fill("d2");
+  REQUIRE(B.Table.recordPause("d1", 0, B.Now + milliseconds(2'000)));
+  B.add(engine("d4", EngineStage::Decode)); // takes work, as far as is known
+  AdmissionClient Client;
+  SharedFlowState State{B.Table, B.EngineSignals, B.Crashes, Client,
+                        B.Calls, B.Retries,       B.Lengths, "zone-a"};
+  const auto F = makeStreamFlow(State, B.stream(true), B.Io);
+  F->start(B.Now);
+  const auto Key = [&] {
+    wire::EntryReport Report;
+    Client.fillReport(Report, B.Now);
+    REQUIRE(Report.wants_size() == 1);
+    return Report.wants(0).key();
+  };
+  const std::uint64_t Before = Key();
+  B.Table.remove("d1");
+  B.pass(*F, milliseconds(250));
+  REQUIRE(Key() == Before);
+}
+
 // Guards against work that is left in the queue when a request ends while it
 // waits for an engine that its entry does not know.
 TEST_CASE("a stream that waits for an unknown engine ends once") {
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -126,9 +126,12 @@
 
 void StreamFlow::updateExclusions(TimePoint Now) {
   ExclusionCheckAt = Now + ExclusionCheckInterval;
-  const std::set<std::string> Present = unusableEngines(Now);
-  if (std::includes(Present.begin(), Present.end(), Excluded.begin(),
-                    Excluded.end()))
+  const bool Changed =
+      std::any_of(Excluded.begin(), Excluded.end(), [&](const std::string &Id) {
+        const Endpoint *E = Shared.Table.find(Id);
+        return E && Shared.Table.mayReceive(*E, Now);
+      });
+  if (!Changed)
     return;
   Shared.Admission.cancel(PlacementId);
   submit(Submitted, Now);
