A call asks again if its entry cannot use the granted endpoint

Callers got 503 "no capacity" although the coordinator could have granted a request to another endpoint.

An endpoint that the coordinator knows before the entry, or that has just asked the entry for a pause, was granted; the entry then looked only for endpoints that need no grant.

Now the call asks again without that endpoint, up to four grants.

--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -30,6 +30,10 @@
 /// does without a grant.
 constexpr milliseconds GrantTimeout{60};
 
+/// After so many grants for endpoints that this entry cannot use, a call does
+/// without a grant.
+constexpr unsigned MaxUnusableGrants = 4;
+
 /// A leg to an endpoint that has fallen silent. It goes on until the call is
 /// answered, as the endpoint may still answer it.
 struct SilentLeg {
@@ -89,9 +93,12 @@
     if (!Io.stillAllowed())
       return onRevokedKey(Now);
     Endpoint *E = Shared.Table.find(Grant.EndpointId);
-    if (!E || !Shared.Table.mayReceive(*E, Now))
-      return sendWithoutGrant(Now);
-    sendTo(*E, Now);
+    if (E && Shared.Table.mayReceive(*E, Now))
+      return sendTo(*E, Now);
+    // The coordinator may know an endpoint before this entry, or not know yet
+    // that it takes no work, so it would grant the same one again.
+    TriedEndpoints.insert(Grant.EndpointId);
+    ++UnusableGrants < MaxUnusableGrants ? send(Now) : sendWithoutGrant(Now);
   }
 
   void onCallDenied(const CallDenial &Denial, TimePoint Now) override {
@@ -418,7 +425,10 @@
   FlowRequest Request;
   FlowIo &Io;
   RunCrashWatch Crashes;
+  /// Endpoints that the call was sent to, or that were granted and cannot be
+  /// used by this entry.
   std::set<std::string, std::less<>> TriedEndpoints;
+  unsigned UnusableGrants = 0;
   std::optional<FlowIo::LegId> ActiveLeg;
   std::string ActiveEndpoint;
   std::vector<SilentLeg> SilentLegs;
--- a/src/hyssoprail/routing/call_flow_test.cpp
+++ b/src/hyssoprail/routing/call_flow_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "test_support.hpp"
@@ -151,4 +153,43 @@
   REQUIRE(Full.Io.SentRetryAfter < milliseconds(100));
 }
 
+// Guards against a call that is rejected although an endpoint can be granted,
+// because the coordinator granted one that its entry does not know yet.
+TEST_CASE("a call asks again if its entry cannot use the granted endpoint") {
+  FlowFixture B;
+  B.add(service("a"));
+  B.Table.recordLimit("a", 4, B.Now);
+  const auto F =
+      makeCallFlow(B.sharedState(), B.request(RouteKind::Call), B.Io);
+  F->start(B.Now);
+  const auto Grant = [&](const std::string &Id) {
+    wire::EntryReport Report;
+    B.Calls.fillReport(Report, B.Now);
+    REQUIRE(Report.call_wants_size() == 1);
+    const auto &Excluded = Report.call_wants(0).avoid();
+    REQUIRE(std::find(Excluded.begin(), Excluded.end(), Id) == Excluded.end());
+    wire::CoordinatorUpdate Update;
+    wire::CallGrant *G = Update.add_call_grants();
+    G->set_key(Report.call_wants(0).key());
+    G->set_endpoint(Id);
+    for (const CallDecision &D : B.Calls.applyUpdate(Update, B.Now))
+      F->onCallGranted(std::get<CallGrant>(D), B.Now);
+  };
+  SECTION("and gets one that it knows") {
+    Grant("new-1");
+    REQUIRE(B.Io.FinalAnswers == 0);
+    Grant("new-2");
+    Grant("a");
+    REQUIRE(B.Io.Legs.at(0).EndpointId == "a");
+    F->onLegResult(1, answered(200), B.Now);
+    REQUIRE(B.Io.Status == 200);
+  }
+  SECTION("but not without end") {
+    for (unsigned I = 0; I < 4; ++I)
+      Grant("new-" + std::to_string(I));
+    REQUIRE(B.Io.RejectedWith == RejectReason::NoCapacity);
+  }
+  REQUIRE(B.Io.FinalAnswers == 1);
+}
+
 } // namespace hyssoprail::routing
