A retry of a call that reaches no endpoint is not charged

Callers got no retries while endpoints were down: each call that was refused once and then found only endpoints that cannot be reached used up one retry of the service's budget for ten seconds.

Cause: the charge counted as used when its leg was started. If the leg reached no endpoint, the next leg went out for the same charge, but if there was none, it was not refunded; nor when the first leg, which is free, turned out later to have reached none.

Now the charge of such a leg is kept for the next one and refunded when the call ends or waits for a silent endpoint only.

Evidence: three of the four sections of "a retry that reaches no endpoint is not charged" failed before; the fourth, in which a later leg reaches an endpoint, passes before and after. 235 tests of the library pass.

--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -59,6 +59,8 @@
     endLeg();
     recordHealth(ActiveEndpoint, R, Now);
     recordCrashEvidence(R, Now);
+    if (R.Outcome == LegOutcome::NotSent)
+      regainRetryCharge(Now);
     switch (R.Outcome) {
     case LegOutcome::NotSent:
     case LegOutcome::NotRun:
@@ -184,7 +186,8 @@
   void sendTo(Endpoint &E, TimePoint Now) {
     if (Crashes.isQuarantined(Now))
       return finishQuarantined(Now);
-    RetryCharged = false;
+    if (std::exchange(RetryCharged, false))
+      ++SentRetryCharges;
     Io.logDecision("place", {{"endpoint", E.Record.Id},
                              {"zone", E.Record.Zone},
                              {"runs", E.totalLoad().Runs},
@@ -260,10 +263,20 @@
   }
 
   bool chargeRetry(TimePoint Now) {
-    RetryCharged = Shared.Retries.take(Request.Service, Now);
+    RetryCharged = RetryCharged || Shared.Retries.take(Request.Service, Now);
     return RetryCharged;
   }
 
+  /// A leg reached no endpoint: its charge is for the next leg. If the first
+  /// leg, which is free, turns out so after others, one of these is the first.
+  void regainRetryCharge(TimePoint Now) {
+    if (SentRetryCharges == 0)
+      return;
+    --SentRetryCharges;
+    refundRetry(Now);
+    RetryCharged = true;
+  }
+
   /// Refunds a retry for which no endpoint was found.
   void refundRetry(TimePoint Now) {
     if (std::exchange(RetryCharged, false))
@@ -329,6 +342,8 @@
     Crashes.restore(std::move(Ended.Watched));
     recordCrashEvidence(R, Now);
     Crashes.restore(std::move(Present));
+    if (R.Outcome == LegOutcome::NotSent)
+      regainRetryCharge(Now);
     const bool NeverRan =
         R.Outcome == LegOutcome::NotSent || R.Outcome == LegOutcome::NotRun;
     if (!NeverRan) {
@@ -441,7 +456,8 @@
   TimePoint GrantDeadline{};
   /// Time to return if no endpoint is found, from the last denial of a grant.
   milliseconds DeniedRetryAfter{0};
-  bool RetryCharged = false; ///< for a leg that has not been sent yet
+  bool RetryCharged = false;     ///< for a leg that has not been sent yet
+  unsigned SentRetryCharges = 0; ///< of legs that were sent
   bool MayHaveRun = false;
   bool Done = false;
 };
--- a/src/hyssoprail/routing/call_silent_test.cpp
+++ b/src/hyssoprail/routing/call_silent_test.cpp
@@ -276,4 +276,59 @@
   REQUIRE_FALSE(B.Retries.available("orders", B.Now));
 }
 
+// Guards against retries that are charged although they reached no endpoint:
+// while endpoints are down, they would use up the budget of the other calls.
+TEST_CASE("a retry that reaches no endpoint is not charged") {
+  FlowFixture B;
+  B.Retries = RetryLimiter({0, 2, milliseconds(10'000)}); // one retry
+  for (const char *Id : {"w1", "w2", "w3"})
+    B.add(service(Id));
+  FlowRequest R = B.request(RouteKind::IdempotentCall);
+  R.Route.MaxAttempts = 4;
+  const auto F = makeCallFlow(B.sharedState(), std::move(R), B.Io);
+  F->start(B.Now);
+  const auto End = [&](FlowIo::LegId Leg, LegOutcome Outcome) {
+    F->onLegResult(Leg, endedLeg(Outcome), B.Now);
+  };
+  SECTION("no endpoint is left") {
+    End(1, LegOutcome::NotRun);
+    REQUIRE(B.Io.Legs.size() == 2);
+    REQUIRE_FALSE(B.Retries.available("orders", B.Now));
+    End(2, LegOutcome::NotSent);
+    REQUIRE(B.Io.Legs.size() == 3);
+    REQUIRE_FALSE(B.Retries.available("orders", B.Now));
+    End(3, LegOutcome::NotSent);
+    REQUIRE(B.Io.RejectedWith == RejectReason::NotRun);
+  }
+  SECTION("a later leg uses the charge") {
+    End(1, LegOutcome::NotRun);
+    End(2, LegOutcome::NotSent);
+    F->onLegResult(3, answered(200), B.Now);
+    REQUIRE_FALSE(B.Retries.available("orders", B.Now));
+    return;
+  }
+  SECTION("the leg that was silent had reached none") {
+    B.Now = F->nextDeadline();
+    F->onTimer(B.Now);
+    REQUIRE(B.Io.Legs.size() == 2);
+    REQUIRE_FALSE(B.Retries.available("orders", B.Now));
+    End(1, LegOutcome::NotSent);
+    F->onLegResult(2, answered(200), B.Now);
+  }
+  SECTION("the silent endpoint goes on") {
+    B.Now = F->nextDeadline();
+    F->onTimer(B.Now);
+    B.Table.remove("w1");
+    B.Table.remove("w2");
+    B.Table.remove("w3");
+    End(2, LegOutcome::NotSent);
+    REQUIRE(B.Io.FinalAnswers == 0);
+    REQUIRE(B.Retries.available("orders", B.Now));
+    F->onLegResult(1, answered(200), B.Now);
+  }
+  REQUIRE(B.Io.FinalAnswers == 1);
+  REQUIRE(B.Retries.take("orders", B.Now));
+  REQUIRE_FALSE(B.Retries.available("orders", B.Now));
+}
+
 } // namespace hyssoprail::routing
