A response without chunks that is cut off always ends with a reset

HTTP/1.0 callers took half an answer for a whole one: for them the end of the connection is the end of the response.

Cause: the connection is reset only if the abort was seen before a write began. If a write was pending because the client reads slowly, the abort, the time limit of the write or the limit of unsent bytes cancelled it, and the connection was closed normally.

Now it is reset on close from the head of such a response on, until its last write has succeeded.

--- a/src/hyssoprail/connection/http_server_test.cpp
+++ b/src/hyssoprail/connection/http_server_test.cpp
@@ -294,6 +294,36 @@
   CHECK(Client.wasReset());
 }
 
+// Guards against a response without chunks that looks complete although it was
+// cut off while its client read slowly: by an abort, by the time limit of a
+// write, or because too much was unsent.
+TEST_CASE("a write that fails in a response without chunks ends with a reset") {
+  HttpServerOptions Options;
+  Options.WriteTimeout = std::chrono::milliseconds(2'000);
+  Options.MaxUnsentBytes = 64U << 20U;
+  constexpr std::size_t Size = 12'000'000;
+  const auto Cut = GENERATE(0, 1, 2);
+  if (Cut == 1)
+    Options.WriteTimeout = std::chrono::milliseconds(200);
+  EchoServer S(Options);
+  RawSocket Client(S.port());
+  Client.setReceiveBuffer(64 * 1024);
+  Client.send("GET /held HTTP/1.0\r\nHost: a\r\n\r\n");
+  const auto Exchange = S.held();
+  Exchange->begin(200, {});
+  Exchange->write(std::string(Size, 'x'));
+  REQUIRE(waitUntil([&] { return Exchange->unsentBytes() == 0; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  if (Cut == 0)
+    Exchange->abort();
+  if (Cut == 2)
+    for (int I = 0; I < 7; ++I)
+      Exchange->write(std::string(Size, 'x'));
+  CHECK(waitUntil([&] { return S.Server->openExchanges() == 0; }));
+  CHECK(Client.readAll().size() < Size);
+  CHECK(Client.wasReset());
+}
+
 // Guards against aborting a slow upload that makes progress, and against an
 // upload that sends single bytes and never ends.
 TEST_CASE("a request body may be slow if it keeps the minimum rate") {
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -255,14 +255,15 @@
   for (;;) {
     ServerExchange::Update Update = Exchange.takeUpdate();
     // Without chunked framing, a normal close would make the response look
-    // complete.
-    ResetOnClose = !Chunked && (Update.Aborted || Update.Disconnected) &&
-                   (HeadSent || Update.Started);
+    // complete, so it is reset unless its last write succeeds.
+    ResetOnClose = !Chunked && (HeadSent || Update.Started);
     if (Update.Disconnected || (Update.Aborted && Update.FullResponse))
       co_return false;
-    if (Update.FullResponse)
+    if (Update.FullResponse) {
+      ResetOnClose = false; // it has a Content-Length
       co_return co_await writeComplete(Exchange.head(), KeepAlive, Version,
                                        HeadOnly);
+    }
     if (Update.Started && !HeadSent) {
       HeadSent = true;
       if (!co_await writeHead(Exchange.head(), KeepAlive && Chunked, Version))
@@ -280,6 +281,7 @@
       co_return false;
     }
     if (Update.Finished) {
+      ResetOnClose = false;
       Linger = true;
       co_return Chunked;
     }
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -99,7 +99,7 @@
   /// Whether the last response header announced a persistent connection.
   bool AnnouncedKeepAlive = false;
   bool Linger = false; ///< a response was sent and must arrive before closing
-  /// An unchunked response was aborted after its head was sent.
+  /// An unchunked response has begun and its end has not been sent.
   bool ResetOnClose = false;
 };
 
