--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -174,7 +174,7 @@
   static PromptParts bounded(const PromptParts &Parts);
   Crash &crash(const std::string &EngineId, std::int64_t StartedAtMs,
                TimePoint At);
-  void restart(Crash &C, TimePoint At);
+  void replaceDisproved(Crash &C, TimePoint At);
   void addSuspect(Crash &C, PromptParts Parts);
   void addAnswer(const std::string &Part, TimePoint At);
   void noteChange(std::uint64_t &ItemRevision);
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -60,7 +60,7 @@
 
 /// An engine whose connection had broken without a crash crashes later, in the
 /// same incarnation: the new break replaces the old one.
-void CrashLedger::restart(Crash &C, TimePoint At) {
+void CrashLedger::replaceDisproved(Crash &C, TimePoint At) {
   C.At = At;
   C.AliveAfter = false;
   C.BrokeBefore = true;
@@ -95,7 +95,7 @@
   if (Known != Crashes.end() && Known->second.At < SentAt) {
     if (!Known->second.AliveAfter)
       return;
-    restart(Known->second, Now);
+    replaceDisproved(Known->second, Now);
   }
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
   makeRoom(Now);
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -111,7 +111,7 @@
   if (C.BrokeBefore && At + SameBreak < C.At)
     return;
   if (C.AliveAfter && At > C.At + SameBreak)
-    restart(C, At);
+    replaceDisproved(C, At);
   for (const wire::CrashSuspect &S : In.suspects())
     addSuspect(C, bounded({S.parts().begin(), S.parts().end()}));
   if (!In.alive_after() || C.AliveAfter)
