CrashLedger: the disproof of a break spares a later crash

Engines went on crashing under a request that had been blamed: its crashes were taken back at all entries.

Cause: an entry that had seen a break, and that it was none, told the others late, for example after a partition. An entry that had only seen the crash which followed in the same incarnation merged both as one, so the crash was disproved, and its copy then told everyone so.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -175,6 +175,7 @@
   Crash &crash(const std::string &EngineId, std::int64_t StartedAtMs,
                TimePoint At);
   void replaceDisproved(Crash &C, TimePoint At);
+  void noteBrokeBefore(Crash &C);
   void addSuspect(Crash &C, PromptParts Parts);
   void addAnswer(const std::string &Part, TimePoint At);
   void noteChange(std::uint64_t &ItemRevision);
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -102,14 +102,19 @@
   Out.set_revision(UpTo);
 }
 
+void CrashLedger::noteBrokeBefore(Crash &C) {
+  if (!std::exchange(C.BrokeBefore, true))
+    noteChange(C.Revision);
+}
+
 void CrashLedger::mergeCrash(const wire::EngineCrash &In, Duration Delay,
                              TimePoint Now) {
   const TimePoint At = Now - milliseconds(In.age_ms()) - Delay;
   if (Now - At >= Lifetime)
     return;
   Crash &C = crash(In.endpoint(), In.started_at_ms(), At);
-  if (C.BrokeBefore && At + SameBreak < C.At)
-    return;
+  if (At + SameBreak < C.At && (C.BrokeBefore || In.alive_after()))
+    return noteBrokeBefore(C);
   if (C.AliveAfter && At > C.At + SameBreak)
     replaceDisproved(C, At);
   for (const wire::CrashSuspect &S : In.suspects())
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -15,6 +15,14 @@
 using testing::Observed;
 using testing::Start;
 
+/// Tells \p To, the ledger of \p ToName, what \p From knows.
+void tell(CrashLedger &From, const std::string &FromName, CrashLedger &To,
+          const std::string &ToName, TimePoint Now) {
+  wire::CrashDelta Delta;
+  From.fillDelta(ToName, Delta, Now);
+  To.applyDelta(FromName, Delta, Now);
+}
+
 } // namespace
 
 // Guards against ids of endpoints that are longer than what is told of them,
@@ -252,4 +260,26 @@
   CHECK(First.isQuarantined({"bad"}, Now));
 }
 
+// Guards against a crash that is taken back everywhere because an entry that
+// knows no earlier break of the endpoint hears late that it was none.
+TEST_CASE("a disproof of a break that an entry has not seen spares the crash") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  CrashLedger Second{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    First.recordCrash(numberedEngine(I), {"reset"}, Now, Now);
+    First.recordAlive(numberedEngine(I).Id, Now - milliseconds(500),
+                      Now + milliseconds(400));
+  }
+  Now += milliseconds(5'000);
+  for (unsigned I = 0; I < 3; ++I)
+    Second.recordCrash(numberedEngine(I), {"bad"}, Now, Now);
+  REQUIRE(Second.isQuarantined({"bad"}, Now));
+  tell(First, "first", Second, "second", Now);
+  CHECK(Second.isQuarantined({"bad"}, Now));
+  tell(Second, "second", First, "first", Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(First.isQuarantined({"reset"}, Now));
+}
+
 } // namespace hyssoprail::routing
