--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -30,6 +30,10 @@
 /// does without a grant.
 constexpr milliseconds GrantTimeout{60};
 
+/// After so many grants for endpoints that this entry cannot use, a call does
+/// without a grant.
+constexpr unsigned MaxUnusableGrants = 4;
+
 /// A leg to an endpoint that has fallen silent. It goes on until the call is
 /// answered, as the endpoint may still answer it.
 struct SilentLeg {
@@ -55,6 +59,8 @@
     endLeg();
     recordHealth(ActiveEndpoint, R, Now);
     recordCrashEvidence(R, Now);
+    if (R.Outcome == LegOutcome::NotSent)
+      regainRetryCharge(Now);
     switch (R.Outcome) {
     case LegOutcome::NotSent:
     case LegOutcome::NotRun:
@@ -89,9 +95,12 @@
     if (!Io.stillAllowed())
       return onRevokedKey(Now);
     Endpoint *E = Shared.Table.find(Grant.EndpointId);
-    if (!E || !Shared.Table.mayReceive(*E, Now))
-      return sendWithoutGrant(Now);
-    sendTo(*E, Now);
+    if (E && Shared.Table.mayReceive(*E, Now))
+      return sendTo(*E, Now);
+    // The coordinator may know an endpoint before this entry, or not know yet
+    // that it takes no work, so it would grant the same one again.
+    TriedEndpoints.insert(Grant.EndpointId);
+    ++UnusableGrants < MaxUnusableGrants ? send(Now) : sendWithoutGrant(Now);
   }
 
   void onCallDenied(const CallDenial &Denial, TimePoint Now) override {
@@ -177,7 +186,8 @@
   void sendTo(Endpoint &E, TimePoint Now) {
     if (Crashes.isQuarantined(Now))
       return finishQuarantined(Now);
-    RetryCharged = false;
+    if (std::exchange(RetryCharged, false))
+      ++SentRetryCharges;
     Io.logDecision("place", {{"endpoint", E.Record.Id},
                              {"zone", E.Record.Zone},
                              {"runs", E.totalLoad().Runs},
@@ -253,10 +263,20 @@
   }
 
   bool chargeRetry(TimePoint Now) {
-    RetryCharged = Shared.Retries.take(Request.Service, Now);
+    RetryCharged = RetryCharged || Shared.Retries.take(Request.Service, Now);
     return RetryCharged;
   }
 
+  /// A leg reached no endpoint: its charge is for the next leg. If the first
+  /// leg, which is free, turns out so after others, one of these is the first.
+  void regainRetryCharge(TimePoint Now) {
+    if (SentRetryCharges == 0)
+      return;
+    --SentRetryCharges;
+    refundRetry(Now);
+    RetryCharged = true;
+  }
+
   /// Refunds a retry for which no endpoint was found.
   void refundRetry(TimePoint Now) {
     if (std::exchange(RetryCharged, false))
@@ -322,6 +342,8 @@
     Crashes.restore(std::move(Ended.Watched));
     recordCrashEvidence(R, Now);
     Crashes.restore(std::move(Present));
+    if (R.Outcome == LegOutcome::NotSent)
+      regainRetryCharge(Now);
     const bool NeverRan =
         R.Outcome == LegOutcome::NotSent || R.Outcome == LegOutcome::NotRun;
     if (!NeverRan) {
@@ -418,7 +440,10 @@
   FlowRequest Request;
   FlowIo &Io;
   RunCrashWatch Crashes;
+  /// Endpoints that the call was sent to, or that were granted and cannot be
+  /// used by this entry.
   std::set<std::string, std::less<>> TriedEndpoints;
+  unsigned UnusableGrants = 0;
   std::optional<FlowIo::LegId> ActiveLeg;
   std::string ActiveEndpoint;
   std::vector<SilentLeg> SilentLegs;
@@ -431,7 +456,8 @@
   TimePoint GrantDeadline{};
   /// Time to return if no endpoint is found, from the last denial of a grant.
   milliseconds DeniedRetryAfter{0};
-  bool RetryCharged = false; ///< for a leg that has not been sent yet
+  bool RetryCharged = false;     ///< for a leg that has not been sent yet
+  unsigned SentRetryCharges = 0; ///< of legs that were sent
   bool MayHaveRun = false;
   bool Done = false;
 };
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -80,6 +80,10 @@
   /// reason: this entry does not know them, or they take no work of it.
   std::set<std::string> unusableEngines(TimePoint Now);
 
+  /// Engines that failed and take no work for now are excluded until they take
+  /// work again, and not for the rest of the request.
+  void excludeWhilePaused(TimePoint Now);
+
   /// Submits the queued request again if one of the engines that it excludes
   /// has become usable.
   void updateExclusions(TimePoint Now);
@@ -98,6 +102,7 @@
   /// The caller of a started stream leaves if it has received no event by then.
   TimePoint giveUpAt() const;
 
+  /// Another prefill engine is chosen if this entry cannot use this one.
   void sendPrefill(const StreamPlacement &Place, TimePoint Now);
 
   void onPrefillResult(const LegResult &R, TimePoint Now);
@@ -211,9 +216,9 @@
   std::string DecodeEndpoint;
   std::string FailedDecode; ///< failed last, avoided by the next placement
   std::string FailedPrefill;
-  /// Decode engines that were chosen but could not be used by this entry. All
-  /// of them are excluded: without the earlier ones, a request would go back
-  /// and forth between two engines that have just registered.
+  /// Engines that were chosen but could not be used by this entry, or paused
+  /// it. All of them are excluded: without the earlier ones, a request would go
+  /// back and forth between two engines that have just registered.
   std::set<std::string> Unusable;
   bool HasPlacement = false;
   StreamRequest Submitted;        ///< the last admission request
@@ -228,13 +233,17 @@
   std::optional<SilentRun> Silent;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
-  /// While the request waits for the end of a pause: the next time to try.
-  TimePoint PauseCheckAt = TimePoint::max();
+  /// While the request waits for engines outside of the queue, for example for
+  /// the end of a pause: the next time to try.
+  TimePoint ResubmitAt = TimePoint::max();
   TimePoint PrefillDeadline{}; ///< a prefill counts as hanging after this
   unsigned PrefillLegs = 0;
   unsigned DecodeLegs = 0;
   unsigned UnreachedLegs = 0; ///< legs that reached no engine
-  unsigned Requeues = 0; ///< how often the request was put back into the queue
+  /// How often the request was put back into the queue since it waited last.
+  unsigned Requeues = 0;
+  unsigned ExclusionWaits = 0;   ///< see MaxExclusionWaits
+  unsigned UnusablePrefills = 0; ///< placements at unusable prefill engines
   unsigned FailedRuns = 0; ///< runs, certain or possible, that did not complete
   /// The head and the first event of the answer were sent to the caller. Until
   /// then the request can still be answered with an error.
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -20,6 +20,10 @@
 /// lost, a third of the engines may be gone before their registrations expire.
 constexpr unsigned MaxUnreachedLegs = 12;
 constexpr unsigned MaxRequeues = 16;
+
+/// Prefill engines that were chosen but cannot be used by this entry, before
+/// the decode engine processes the prompt.
+constexpr unsigned MaxUnusablePrefills = 4;
 constexpr milliseconds NotRunRetryAfter{400};
 
 /// Time reserved before a caller without an event leaves, for the final answer
@@ -39,6 +43,11 @@
 /// become usable.
 constexpr milliseconds ExclusionCheckInterval{100};
 
+/// How often a request waits for this time because engines that its entry
+/// cannot use were chosen MaxRequeues times. Bounds the excluded engines, whose
+/// ids travel with the request.
+constexpr unsigned MaxExclusionWaits = 3;
+
 } // namespace
 
 TimePoint StreamFlow::answerDeadline() const {
@@ -77,7 +86,14 @@
   return Out;
 }
 
+void StreamFlow::excludeWhilePaused(TimePoint Now) {
+  for (std::string *Failed : {&FailedDecode, &FailedPrefill})
+    if (!takesWork(*Failed, Now))
+      Unusable.insert(std::exchange(*Failed, {}));
+}
+
 void StreamFlow::submit(StreamRequest Submission, TimePoint Now) {
+  excludeWhilePaused(Now);
   if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now)) {
     if (waitForPause(*Wait, Now))
       return;
@@ -86,7 +102,7 @@
                                    : RejectReason::NoCapacity,
                   *Wait, Now);
   }
-  PauseCheckAt = TimePoint::max();
+  ResubmitAt = TimePoint::max();
   Excluded = unusableEngines(Now);
   ExclusionCheckAt = Now + ExclusionCheckInterval;
   CurrentPhase = StreamPhase::Waiting;
@@ -104,15 +120,18 @@
 
 TimePoint StreamFlow::nextExclusionCheck() const {
   const bool Queued =
-      CurrentPhase == StreamPhase::Waiting && PauseCheckAt == TimePoint::max();
+      CurrentPhase == StreamPhase::Waiting && ResubmitAt == TimePoint::max();
   return Queued && !Excluded.empty() ? ExclusionCheckAt : TimePoint::max();
 }
 
 void StreamFlow::updateExclusions(TimePoint Now) {
   ExclusionCheckAt = Now + ExclusionCheckInterval;
-  const std::set<std::string> Present = unusableEngines(Now);
-  if (std::includes(Present.begin(), Present.end(), Excluded.begin(),
-                    Excluded.end()))
+  const bool Changed =
+      std::any_of(Excluded.begin(), Excluded.end(), [&](const std::string &Id) {
+        const Endpoint *E = Shared.Table.find(Id);
+        return E && Shared.Table.mayReceive(*E, Now);
+      });
+  if (!Changed)
     return;
   Shared.Admission.cancel(PlacementId);
   submit(Submitted, Now);
@@ -120,11 +139,13 @@
 
 void StreamFlow::sendPrefill(const StreamPlacement &Place, TimePoint Now) {
   Endpoint *E = Shared.Table.find(Place.Prefill);
-  if (E && !takesWork(Place.Prefill, Now)) {
-    FailedPrefill = Place.Prefill;
+  const bool Usable = E && Shared.Table.takesWork(*E, Now);
+  const bool KeepsDecode = !E && StreamStarted;
+  if (!Usable && !KeepsDecode && ++UnusablePrefills <= MaxUnusablePrefills) {
+    Unusable.insert(Place.Prefill);
     return repeatPrefill(Now);
   }
-  if (!E || !Budget.tryBegin(LegKind::Prefill, Now)) {
+  if (!Usable || !Budget.tryBegin(LegKind::Prefill, Now)) {
     Shared.Admission.prefillEnded(PlacementId, Now);
     return sendDecode(Now);
   }
@@ -207,16 +228,13 @@
   if (!StreamStarted || !resumable() || Silent ||
       Now + Wait + MinServiceTime >= giveUpAt())
     return false;
-  if (PauseCheckAt == TimePoint::max())
+  if (ResubmitAt == TimePoint::max())
     Io.logDecision("wait_for_pause", {{"wait_ms", Wait}});
   CurrentPhase = StreamPhase::Waiting;
-  PauseCheckAt = Now + std::min(Wait, PauseCheckInterval);
+  ResubmitAt = Now + std::min(Wait, PauseCheckInterval);
   if (!Cache.usable(Now + Wait))
     dropCache(Now);
-  // A pause keeps the request from its engine while it lasts, but not longer.
-  for (std::string *Failed : {&FailedDecode, &FailedPrefill})
-    if (!takesWork(*Failed, Now))
-      Failed->clear();
+  excludeWhilePaused(Now);
   return true;
 }
 
@@ -266,9 +284,19 @@
          NotRunRetryAfter, Now);
 }
 
+/// A zone of engines that comes back may be known to the coordinator before it
+/// is known here, so a request that has met many of them waits for a moment.
 void StreamFlow::onUnusableDecode(TimePoint Now) {
   Unusable.insert(DecodeEndpoint);
-  requeueForDecode(Now);
+  if (Requeues < MaxRequeues)
+    return requeueForDecode(Now);
+  if (++ExclusionWaits > MaxExclusionWaits)
+    return giveUp(Now);
+  Requeues = 0;
+  Io.logDecision("wait_for_engines", {{"unusable", Unusable.size()}});
+  releasePlacement(Now);
+  CurrentPhase = StreamPhase::Waiting;
+  ResubmitAt = Now + ExclusionCheckInterval;
 }
 
 void StreamFlow::retryDecode(TimePoint Now) {
