--- /dev/null
+++ b/src/hyssoprail/routing/stream_scheduler_reservations.cpp
@@ -0,0 +1,118 @@
+// The part of StreamScheduler that keeps reservations and samples utilization.
+#include <chrono>
+#include <utility>
+
+#include "hyssoprail/routing/stream_scheduler.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+constexpr double RunTimeSmoothing = 0.1;
+
+EndpointLoad decodeLoad(const StreamReservation &Reservation) {
+  return {1, Reservation.Tokens, 0};
+}
+
+EndpointLoad prefillLoad(const StreamReservation &Reservation) {
+  return {1, 0, Reservation.PromptTokens};
+}
+
+} // namespace
+
+void StreamScheduler::reserveEngines(StreamReservation Reservation,
+                                     std::int64_t Backlog, TimePoint Now) {
+  Table.reserve(Reservation.Decode, decodeLoad(Reservation));
+  if (!Reservation.Prefill.empty())
+    Table.reserve(Reservation.Prefill, prefillLoad(Reservation));
+  AccountTokens[Reservation.Account] += Reservation.Tokens;
+  std::string Id = Reservation.Id;
+  Running.insert_or_assign(std::move(Id),
+                           Placed{std::move(Reservation), Now, Backlog});
+}
+
+void StreamScheduler::adopt(const StreamReservation &Reservation,
+                            TimePoint Now) {
+  cancel(Reservation.Id);
+  if (!isRunning(Reservation.Id))
+    reserveEngines(Reservation, 0, Now);
+}
+
+void StreamScheduler::release(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return;
+  Placed &P = It->second;
+  releasePrefill(P);
+  Table.release(P.Reservation.Decode, decodeLoad(P.Reservation));
+  AccountTokens[P.Reservation.Account] -= P.Reservation.Tokens;
+  const std::chrono::duration<double> RunTime = Now - P.Since;
+  MeanRunSeconds += RunTimeSmoothing * (RunTime.count() - MeanRunSeconds);
+  Running.erase(It);
+}
+
+void StreamScheduler::clear(TimePoint Now) {
+  Waiting.clear();
+  const double KeptMean = MeanRunSeconds;
+  while (!Running.empty())
+    release(std::string(Running.begin()->first), Now);
+  MeanRunSeconds = KeptMean;
+}
+
+void StreamScheduler::outputGrew(std::string_view Id, std::uint64_t Tokens) {
+  const auto It = Running.find(Id);
+  if (It == Running.end())
+    return;
+  const StreamReservation &H = It->second.Reservation;
+  if (H.PromptTokens + Tokens >= H.Tokens)
+    resize(Id, extendedKvTokens(H.PromptTokens, Tokens));
+}
+
+void StreamScheduler::resize(std::string_view Id, std::uint32_t Tokens) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || It->second.Reservation.Tokens == Tokens)
+    return;
+  StreamReservation &H = It->second.Reservation;
+  Table.release(H.Decode, decodeLoad(H));
+  AccountTokens[H.Account] += std::int64_t{Tokens} - H.Tokens;
+  H.Tokens = Tokens;
+  Table.reserve(H.Decode, decodeLoad(H));
+}
+
+void StreamScheduler::prefillEnded(std::string_view Id, TimePoint Now) {
+  const auto It = Running.find(Id);
+  if (It == Running.end() || It->second.Reservation.Prefill.empty())
+    return;
+  Placed &P = It->second;
+  Utilization[P.Reservation.Service].recordPrefill(
+      P.Reservation.PromptTokens, Now - P.Since,
+      P.Backlog == P.Reservation.PromptTokens);
+  releasePrefill(P);
+}
+
+void StreamScheduler::releasePrefill(Placed &P) {
+  if (!P.Reservation.Prefill.empty())
+    Table.release(P.Reservation.Prefill, prefillLoad(P.Reservation));
+  P.Reservation.Prefill.clear();
+}
+
+void StreamScheduler::sampleUtilization(TimePoint Now) {
+  std::map<std::string_view, std::int64_t> Held;
+  for (const auto &[Id, P] : Running)
+    Held[P.Reservation.Service] += P.Reservation.Tokens;
+  if (!Config)
+    return;
+  for (const auto &[Name, Service] : Config->Services)
+    if (Service.Engine)
+      Utilization[Name].sample(static_cast<double>(Held[Name]) /
+                                   static_cast<double>(memoryBound(Name)),
+                               Now);
+}
+
+const EngineUtilization &
+StreamScheduler::utilization(std::string_view Service) const {
+  static const EngineUtilization Unknown;
+  const auto It = Utilization.find(Service);
+  return It == Utilization.end() ? Unknown : It->second;
+}
+
+} // namespace hyssoprail::routing
