AdmissionServer: files for updates and for the choice of entries

It keeps terms and reports (255 lines); decisions with the updates that carry them, and the counts of entries with the choice of deputies and sources, have files of their own. Functions are moved whole. nonNegativeMillis, which two of the files need and the client had again, is in message_time.hpp.

--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "hyssoprail/routing/message_time.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -15,10 +17,6 @@
   return std::chrono::duration_cast<milliseconds>(D).count();
 }
 
-std::uint32_t nonNegativeMillis(Duration D) {
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis(D)));
-}
-
 wire::StreamWant toWire(const StreamRequest &Request, std::uint64_t Key,
                         TimePoint Now) {
   wire::StreamWant W;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -1,19 +1,16 @@
+// The part of AdmissionServer that begins and ends terms and applies reports.
 #include "hyssoprail/routing/admission_server.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 #include <fmt/format.h>
 
-#include "hyssoprail/core/hash.hpp"
-
 namespace hyssoprail::routing {
 namespace {
 
-/// An entry that has not reported for this time is partitioned from the
-/// coordinator, paused or dead.
-constexpr milliseconds SilenceTimeout{700};
-
 /// Reservations of a silent entry are kept for this time: an entry behind a
 /// network partition continues the work that it has placed, and a killed one
 /// restarts sooner and reports anew. The shorter time is for an entry that has
@@ -30,17 +27,6 @@
 /// killed.
 constexpr milliseconds MinRestartTime{200};
 
-/// Zones with fewer followers fetch fleet changes from the fleet-wide source.
-constexpr std::size_t MinFollowersForNearbySource = 8;
-
-/// Time that a new coordinator gives the entries to report their reservations.
-constexpr milliseconds ReportCollectionTime{150};
-
-std::uint32_t nonNegativeMillis(Duration D) {
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(
-      0, std::chrono::duration_cast<milliseconds>(D).count()));
-}
-
 std::string requestId(const std::string &Entry, std::uint64_t Incarnation,
                       std::uint64_t Key) {
   return fmt::format("{}/{:x}/{}", Entry, Incarnation, Key);
@@ -266,210 +252,4 @@
   });
 }
 
-// ---- Decisions ------------------------------------------------------------
-
-bool AdmissionServer::reportsComplete(TimePoint Now) const {
-  return Now - TermStart >= ReportCollectionTime || Entries.size() >= Expected;
-}
-
-void AdmissionServer::decide(TimePoint Now) {
-  if (!reportsComplete(Now))
-    return;
-  Scheduler.setKnownLoadShare(
-      static_cast<double>(liveEntryCount(Now)) /
-      static_cast<double>(std::max<std::size_t>(
-          {knownEntryCount(), Expected, std::size_t{1}})));
-  for (const StreamDecision &D : Scheduler.poll(Now))
-    std::visit([this](const auto &Decision) { record(Decision); }, D);
-}
-
-void AdmissionServer::record(const StreamPlacement &Placement) {
-  const auto &[Name, Key] = Requests.at(Placement.Id);
-  Entry &E = Entries.at(Name);
-  wire::StreamGrant &G = E.Granted[Key];
-  G.set_key(Key);
-  G.set_decode(Placement.Decode);
-  G.set_prefill(Placement.Prefill);
-  G.set_decode_runs(static_cast<std::uint32_t>(Placement.DecodeLoad.Runs));
-  G.set_decode_tokens(static_cast<std::uint64_t>(Placement.DecodeLoad.Tokens));
-  G.set_prefill_backlog(static_cast<std::uint64_t>(Placement.PrefillBacklog));
-  E.UpdateDue = true;
-}
-
-void AdmissionServer::record(const StreamRefusal &Refusal) {
-  const auto [Name, Key] = Requests.at(Refusal.Id);
-  Entry &E = Entries.at(Name);
-  wire::StreamDenial &D = E.Denied[Key];
-  D.set_key(Key);
-  D.set_reason(static_cast<std::uint32_t>(Refusal.Reason));
-  D.set_retry_after_ms(nonNegativeMillis(Refusal.RetryAfter));
-  D.set_expected_wait_ms(nonNegativeMillis(Refusal.ExpectedWait));
-  E.ActiveKeys.erase(Key);
-  E.UpdateDue = true;
-  Requests.erase(Refusal.Id);
-}
-
-// ---- Updates --------------------------------------------------------------
-
-std::vector<std::string> AdmissionServer::entriesDueUpdate() const {
-  std::vector<std::string> Out;
-  for (const auto &[Name, E] : Entries)
-    if (E.UpdateDue)
-      Out.push_back(Name);
-  return Out;
-}
-
-void AdmissionServer::fillUpdate(const std::string &Name,
-                                 wire::CoordinatorUpdate &Update,
-                                 bool WithTotals, TimePoint Now) {
-  Update.set_queued(static_cast<std::uint32_t>(Scheduler.queued()));
-  const auto It = Entries.find(Name);
-  if (It == Entries.end())
-    return;
-  Entry &E = It->second;
-  E.UpdateDue = false;
-  Update.set_heard_incarnation(E.Incarnation);
-  Update.set_heard_sequence(E.Sequence);
-  for (const auto &[Key, Grant] : E.Granted)
-    *Update.add_grants() = Grant;
-  for (const auto &[Key, Denial] : E.Denied)
-    *Update.add_denials() = Denial;
-  if (WithTotals)
-    fillTotals(E, Update, Now);
-}
-
-void AdmissionServer::fillTotals(const Entry &E,
-                                 wire::CoordinatorUpdate &Update,
-                                 TimePoint Now) {
-  Update.set_has_totals(true);
-  for (const auto &[Account, Tokens] : TotalGrantedInTerm) {
-    const auto Own = E.GrantedInTerm.find(Account);
-    wire::AccountUse *Use = Update.add_accounts();
-    Use->set_account(Account);
-    Use->set_tokens(Tokens - (Own == E.GrantedInTerm.end() ? 0 : Own->second));
-    Use->set_debt(Quota.fleetDebt(Account, Now));
-  }
-  Table.forEach([&](Endpoint &ServiceEndpoint) {
-    if (ServiceEndpoint.Record.Stage != EngineStage::None)
-      return;
-    const auto Own = E.Calls.find(ServiceEndpoint.Record.Id);
-    const auto All =
-        static_cast<unsigned>(std::max(0, ServiceEndpoint.totalLoad().Runs));
-    const unsigned Others =
-        All - std::min(All, Own == E.Calls.end() ? 0U : Own->second);
-    if (Others == 0)
-      return;
-    wire::CallUse *Use = Update.add_calls();
-    Use->set_endpoint(ServiceEndpoint.Record.Id);
-    Use->set_runs(Others);
-  });
-}
-
-std::map<std::string, std::string> AdmissionServer::addresses() const {
-  std::map<std::string, std::string> Out;
-  for (const auto &[Name, E] : Entries)
-    if (Name != OwnName)
-      Out.emplace(Name, E.Address);
-  return Out;
-}
-
-std::size_t AdmissionServer::liveEntryCount(TimePoint Now) const {
-  std::size_t Count = hasOwnEntry() ? 0 : 1;
-  for (const auto &[Name, E] : Entries)
-    Count += Name == OwnName || Now - E.LastReportAt < SilenceTimeout ? 1 : 0;
-  return Count;
-}
-
-/// Among entries on VMs of one size, zones with fewer deputies come first, so
-/// that the loss of a zone leaves some deputies.
-std::vector<std::string> AdmissionServer::deputies(std::size_t Count,
-                                                   TimePoint Now) const {
-  std::vector<const std::pair<const std::string, Entry> *> Candidates;
-  std::map<std::string, std::size_t> Chosen; ///< by zone
-  for (const auto &Item : Entries) {
-    const Entry &E = Item.second;
-    if (Item.first == OwnName)
-      ++Chosen[E.Zone];
-    else if (!E.Leaving && Now - E.LastReportAt < SilenceTimeout)
-      Candidates.push_back(&Item);
-  }
-  std::vector<std::string> Out;
-  while (Out.size() < Count && !Candidates.empty()) {
-    const auto Rank = [&](const auto *C) {
-      return std::tuple(-C->second.Weight, Chosen[C->second.Zone],
-                        stableHash(C->first), C->first);
-    };
-    const auto Best = std::min_element(
-        Candidates.begin(), Candidates.end(),
-        [&](const auto *A, const auto *B) { return Rank(A) < Rank(B); });
-    ++Chosen[(*Best)->second.Zone];
-    Out.push_back((*Best)->first);
-    Candidates.erase(Best);
-  }
-  return Out;
-}
-
-/// True if other entries may fetch fleet changes from the entry.
-bool AdmissionServer::isSource(const std::string &Name, const Entry &E,
-                               TimePoint Now) const {
-  return Name != OwnName && !E.Leaving &&
-         Now - E.LastReportAt < SilenceTimeout && !E.State.address().empty();
-}
-
-std::optional<wire::FleetSource>
-AdmissionServer::newestConfigSource(TimePoint Now) const {
-  const Entry *Best = nullptr;
-  for (const auto &[Name, E] : Entries)
-    if (isSource(Name, E, Now) &&
-        (!Best || E.State.config_version() > Best->State.config_version()))
-      Best = &E;
-  return Best ? std::optional(Best->State) : std::nullopt;
-}
-
-std::optional<wire::FleetSource>
-AdmissionServer::freshestSource(TimePoint Now) const {
-  std::optional<wire::FleetSource> Best;
-  for (const auto &[Name, E] : Entries) {
-    if (!isSource(Name, E, Now))
-      continue;
-    wire::FleetSource Source = E.State;
-    Source.set_age_ms(Source.age_ms() +
-                      nonNegativeMillis(Now - E.LastReportAt));
-    if (!Best || Source.age_ms() < Best->age_ms())
-      Best = std::move(Source);
-  }
-  return Best;
-}
-
-/// Load pattern: a zone with hundreds of endpoints is lost and comes back.
-/// Without sources in the zones, one entry would send the changes to hundreds
-/// of others, mostly across zones; the coordinator's updates would queue behind
-/// them until its followers consider it silent.
-void AdmissionServer::chooseNearbySources(TimePoint Now) {
-  NearbySources.clear();
-  std::map<std::string, std::size_t> Followers;
-  for (const auto &[Name, E] : Entries) {
-    if (!isSource(Name, E, Now))
-      continue;
-    ++Followers[E.Zone];
-    std::string &Chosen = NearbySources[E.Zone];
-    if (Chosen.empty() || E.Weight > Entries.at(Chosen).Weight)
-      Chosen = Name;
-  }
-  std::erase_if(NearbySources, [&](const auto &Item) {
-    return Followers.at(Item.first) < MinFollowersForNearbySource;
-  });
-}
-
-std::string AdmissionServer::nearbySource(const std::string &Entry) const {
-  const auto It = Entries.find(Entry);
-  if (It == Entries.end())
-    return "";
-  const auto Chosen = NearbySources.find(It->second.Zone);
-  if (Chosen == NearbySources.end() || Chosen->second == Entry)
-    return "";
-  const auto Source = Entries.find(Chosen->second);
-  return Source == Entries.end() ? "" : Source->second.State.address();
-}
-
 } // namespace hyssoprail::routing
