--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -34,6 +34,14 @@
   return R;
 }
 
+/// The registration \p R of the incarnation that started at \p StartedAtMs.
+inline EndpointRecord started(EndpointRecord R, std::int64_t StartedAtMs,
+                              std::int64_t Sequence = 1) {
+  R.StartedAtMs = StartedAtMs;
+  R.Sequence = Sequence;
+  return R;
+}
+
 /// One account with a quota of 1,000 tokens a second and a burst of 1,000, one
 /// service of engines with memory for 10,000 tokens, and a plain service.
 inline std::shared_ptr<FleetConfig> testConfig() {
