EndpointTable::hasDecodeEngine takes an EngineFilter

It took a std::function of the same type, as EngineFilter was declared in stream_admission.hpp, which the table does not need. The type now has a header of its own.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -17,6 +17,7 @@
 #include "hyssoprail/routing/endpoint_limit.hpp"
 #include "hyssoprail/routing/endpoint_load.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
+#include "hyssoprail/routing/engine_filter.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
 #include "hyssoprail/routing/leaving_endpoints.hpp"
 #include "hyssoprail/routing/start_rate_limiter.hpp"
@@ -128,8 +129,7 @@
 
   /// True if an engine of \p Service that may decode, for which \p MayUse
   /// returns true, takes work of this entry.
-  bool hasDecodeEngine(std::string_view Service,
-                       const std::function<bool(const std::string &)> &MayUse,
+  bool hasDecodeEngine(std::string_view Service, const EngineFilter &MayUse,
                        TimePoint Now) const;
 
   /// Endpoints of \p Service that the coordinator may choose although they take
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -2,7 +2,6 @@
 #define HYSSOPRAIL_ROUTING_STREAM_ADMISSION_HPP
 
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -10,6 +9,7 @@
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/endpoint_load.hpp"
+#include "hyssoprail/routing/engine_filter.hpp"
 
 namespace hyssoprail::routing {
 
@@ -83,9 +83,6 @@
 
 using StreamDecision = std::variant<StreamPlacement, StreamRefusal>;
 
-/// Selects engines by id.
-using EngineFilter = std::function<bool(const std::string &)>;
-
 /// Assigns engines to generations. Decisions are delivered later, as placements
 /// and refusals. An id is unique among the requests that are queued or hold
 /// engines.
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -283,10 +283,9 @@
   return std::chrono::ceil<milliseconds>(End - Now);
 }
 
-bool EndpointTable::hasDecodeEngine(
-    std::string_view Service,
-    const std::function<bool(const std::string &)> &MayUse,
-    TimePoint Now) const {
+bool EndpointTable::hasDecodeEngine(std::string_view Service,
+                                    const EngineFilter &MayUse,
+                                    TimePoint Now) const {
   return std::any_of(ById.begin(), ById.end(), [&](const auto &Item) {
     const Endpoint &E = Item.second;
     return E.Record.Service == Service &&
