Names and comments in the files that were divided

Conversions name the message that they read (Want, Run) instead of a letter, reservations are not called H, and a health signal is not called What.

--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -32,30 +32,30 @@
   return fmt::format("{}/{:x}/{}", Entry, Incarnation, Key);
 }
 
-StreamRequest toStreamRequest(const wire::StreamWant &W, std::string Id,
+StreamRequest toStreamRequest(const wire::StreamWant &Want, std::string Id,
                               const std::string &Zone, TimePoint Now) {
-  StreamRequest N;
-  N.Id = std::move(Id);
-  N.Service = W.service();
-  N.Account = W.account();
-  N.Zone = Zone;
-  N.Priority = W.priority();
-  N.PromptTokens = W.prompt_tokens();
-  N.OutputTokens = W.output_tokens();
-  N.Arrival = Now - milliseconds(W.waited_ms());
-  N.ObjectiveDeadline = Now + milliseconds(W.on_time_ms());
-  N.GiveUpAt = Now + milliseconds(W.give_up_ms());
-  N.CallerBudget = milliseconds(W.time_left_ms());
-  N.BeyondQuota = W.beyond_quota();
-  N.IsRetry = W.returning();
-  N.HasKvCache = W.has_cache();
-  N.ExcludedEndpoints.assign(W.avoid().begin(), W.avoid().end());
-  return N;
+  StreamRequest Out;
+  Out.Id = std::move(Id);
+  Out.Service = Want.service();
+  Out.Account = Want.account();
+  Out.Zone = Zone;
+  Out.Priority = Want.priority();
+  Out.PromptTokens = Want.prompt_tokens();
+  Out.OutputTokens = Want.output_tokens();
+  Out.Arrival = Now - milliseconds(Want.waited_ms());
+  Out.ObjectiveDeadline = Now + milliseconds(Want.on_time_ms());
+  Out.GiveUpAt = Now + milliseconds(Want.give_up_ms());
+  Out.CallerBudget = milliseconds(Want.time_left_ms());
+  Out.BeyondQuota = Want.beyond_quota();
+  Out.IsRetry = Want.returning();
+  Out.HasKvCache = Want.has_cache();
+  Out.ExcludedEndpoints.assign(Want.avoid().begin(), Want.avoid().end());
+  return Out;
 }
 
-StreamReservation toReservation(const wire::StreamRun &R, std::string Id) {
-  return {std::move(Id), R.service(), R.account(),      R.decode(),
-          R.prefill(),   R.tokens(),  R.prompt_tokens()};
+StreamReservation toReservation(const wire::StreamRun &Run, std::string Id) {
+  return {std::move(Id), Run.service(), Run.account(),      Run.decode(),
+          Run.prefill(), Run.tokens(),  Run.prompt_tokens()};
 }
 
 } // namespace
@@ -173,9 +173,9 @@
     if (Item.serial() <= E.LastSignalSerial)
       continue;
     E.LastSignalSerial = Item.serial();
-    const auto What = healthSignalFromNumber(Item.kind());
-    if (What && Name != OwnName)
-      Table.recordFromPeer(Name, Item.endpoint(), *What, Now);
+    const auto Signal = healthSignalFromNumber(Item.kind());
+    if (Signal && Name != OwnName)
+      Table.recordFromPeer(Name, Item.endpoint(), *Signal, Now);
   }
 }
 
--- a/src/hyssoprail/routing/stream_scheduler_engines.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_engines.cpp
@@ -15,6 +15,8 @@
 
 /// Extra cost of a decode engine in another zone, as a share of its memory.
 constexpr double CrossZoneCost = 0.12;
+
+/// Extra cost of a decode engine that always fails, as a share of its memory.
 constexpr double FailureCost = 1.0;
 
 /// Extra cost of an engine that another entry could not reach: for decode as a
--- a/src/hyssoprail/routing/stream_scheduler_reservations.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_reservations.cpp
@@ -7,6 +7,7 @@
 namespace hyssoprail::routing {
 namespace {
 
+/// Weight of the newest run time in its moving average.
 constexpr double RunTimeSmoothing = 0.1;
 
 EndpointLoad decodeLoad(const StreamReservation &Reservation) {
@@ -62,20 +63,21 @@
   const auto It = Running.find(Id);
   if (It == Running.end())
     return;
-  const StreamReservation &H = It->second.Reservation;
-  if (H.PromptTokens + Tokens >= H.Tokens)
-    resize(Id, extendedKvTokens(H.PromptTokens, Tokens));
+  const StreamReservation &Reservation = It->second.Reservation;
+  if (Reservation.PromptTokens + Tokens >= Reservation.Tokens)
+    resize(Id, extendedKvTokens(Reservation.PromptTokens, Tokens));
 }
 
 void StreamScheduler::resize(std::string_view Id, std::uint32_t Tokens) {
   const auto It = Running.find(Id);
   if (It == Running.end() || It->second.Reservation.Tokens == Tokens)
     return;
-  StreamReservation &H = It->second.Reservation;
-  Table.release(H.Decode, decodeLoad(H));
-  AccountTokens[H.Account] += std::int64_t{Tokens} - H.Tokens;
-  H.Tokens = Tokens;
-  Table.reserve(H.Decode, decodeLoad(H));
+  StreamReservation &Reservation = It->second.Reservation;
+  Table.release(Reservation.Decode, decodeLoad(Reservation));
+  AccountTokens[Reservation.Account] +=
+      std::int64_t{Tokens} - Reservation.Tokens;
+  Reservation.Tokens = Tokens;
+  Table.reserve(Reservation.Decode, decodeLoad(Reservation));
 }
 
 void StreamScheduler::prefillEnded(std::string_view Id, TimePoint Now) {
