CrashLedger: copies tell each other that an earlier break was none

Entries that had seen an earlier, harmless break of an endpoint never blamed the request that crashed it later, and suspected the requests of that break.

Cause: the entry that had seen both replaced the break with the crash when the break had proved to be none, and told the others only of the crash. A copy that still held the break added the crash's requests to it, with the break's time; so did a copy that learned of the break later.

Now the message of a crash says that an earlier break of the same incarnation was none (EngineCrash.broke_before; without it, as in records of older builds, the merge is as before).

--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -66,6 +66,7 @@
   Out.set_started_at_ms(C.StartedAtMs);
   Out.set_age_ms(ageMillis(C.At, Now));
   Out.set_alive_after(C.AliveAfter);
+  Out.set_broke_before(C.BrokeBefore);
   for (const PromptParts &Parts : C.Suspects) {
     wire::CrashSuspect *S = Out.add_suspects();
     for (const std::string &Part : Parts)
@@ -115,8 +116,10 @@
   Crash &C = crash(In.endpoint(), In.started_at_ms(), At);
   if (At + SameBreak < C.At && (C.BrokeBefore || In.alive_after()))
     return noteBrokeBefore(C);
-  if (C.AliveAfter && At > C.At + SameBreak)
+  if (At > C.At + SameBreak && (C.AliveAfter || In.broke_before()))
     replaceDisproved(C, At);
+  else if (In.broke_before())
+    noteBrokeBefore(C);
   for (const wire::CrashSuspect &S : In.suspects())
     addSuspect(C, bounded({S.parts().begin(), S.parts().end()}));
   if (!In.alive_after() || C.AliveAfter)
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -282,4 +282,37 @@
   CHECK_FALSE(First.isQuarantined({"reset"}, Now));
 }
 
+// Guards against a crash that is added to an earlier break, because the entry
+// that has seen both knows that the first was none, and others do not.
+TEST_CASE("an entry learns that a break was none with the crash that follows") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  CrashLedger Second{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I)
+    for (CrashLedger *Ledger : {&First, &Second})
+      Ledger->recordCrash(numberedEngine(I), {"reset"}, Now, Now);
+  for (unsigned I = 0; I < 3; ++I)
+    Second.recordAlive(numberedEngine(I).Id, Now - milliseconds(500),
+                       Now + milliseconds(400));
+  Now += milliseconds(5'000);
+  for (unsigned I = 0; I < 3; ++I)
+    Second.recordCrash(numberedEngine(I), {"bad"}, Now, Now);
+  const bool ByRecord = GENERATE(false, true);
+  if (ByRecord)
+    First.merge(Second.encode(Now, 0), Now, 0);
+  else
+    tell(Second, "second", First, "first", Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(First.isQuarantined({"reset"}, Now));
+  // A further entry that has learned only of the crash hears of the break.
+  CrashLedger Third{3, CallLedgerBounds};
+  CrashLedger Late{4, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I)
+    Late.recordCrash(numberedEngine(I), {"reset"}, Start, Start);
+  tell(First, "first", Third, "third", Now);
+  tell(Late, "late", Third, "third", Now);
+  CHECK(Third.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Third.isQuarantined({"reset"}, Now));
+}
+
 } // namespace hyssoprail::routing
