CrashLedger: a crash counts if its request was sent before a harmless break

A request that crashes endpoints after some time was not blamed if a connection to the same incarnation had broken harmlessly while it was under way.

Cause: a disproved break was replaced only by the crash of a request that was sent after it; the crash of an earlier one was added to the disproved break and did not count.

Now a break more than a second after a disproved one replaces it whenever the request was sent. Nearer ones may be the same break seen by another connection.

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -132,6 +132,10 @@
                    std::int64_t UnixMicros);
 
 private:
+  /// Times of the same break, at one entry or told by several, differ by less
+  /// than this.
+  static constexpr std::chrono::milliseconds SameBreak{1'000};
+
   struct Crash {
     std::string EngineId;
     std::int64_t StartedAtMs = 0;
--- a/src/hyssoprail/routing/crash_ledger.cpp
+++ b/src/hyssoprail/routing/crash_ledger.cpp
@@ -92,10 +92,13 @@
     return;
   expire(Now);
   const auto Known = Crashes.find(keyOf(Engine.Id, Engine.StartedAtMs));
-  if (Known != Crashes.end() && Known->second.At < SentAt) {
-    if (!Known->second.AliveAfter)
+  if (Known != Crashes.end()) {
+    Crash &C = Known->second;
+    const bool SentLater = C.At < SentAt;
+    if (C.AliveAfter && (SentLater || Now - C.At > SameBreak))
+      replaceDisproved(C, Now);
+    else if (SentLater)
       return;
-    replaceDisproved(Known->second, Now);
   }
   addSuspect(crash(Engine.Id, Engine.StartedAtMs, Now), bounded(Parts));
   makeRoom(Now);
--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -13,9 +13,6 @@
 
 constexpr std::int64_t MicrosPerMilli = 1'000;
 
-/// Times that entries tell of the same break differ by less than this.
-constexpr milliseconds SameBreak{1'000};
-
 std::uint32_t ageMillis(TimePoint At, TimePoint Now) {
   return static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, (Now - At) / milliseconds(1)));
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -315,4 +315,21 @@
   CHECK_FALSE(Third.isQuarantined({"reset"}, Now));
 }
 
+// Guards against a crash that is not counted because its request was sent
+// before an earlier break of the same incarnation, which was none.
+TEST_CASE("a crash counts if its request was sent before an earlier break") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    const TimePoint Sent = Now;
+    Now += milliseconds(100);
+    Ledger.recordCrash(numberedEngine(I), {"reset"}, Now, Sent);
+    Ledger.recordAlive(numberedEngine(I).Id, Sent, Now + milliseconds(400));
+    Now += milliseconds(2'000);
+    Ledger.recordCrash(numberedEngine(I), {"bad"}, Now, Sent);
+  }
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Ledger.isQuarantined({"reset"}, Now));
+}
+
 } // namespace hyssoprail::routing
