HTTP server: an abort after the end of a response has no effect

A caller of HttpExchange that aborts after finish() or respond() cut off a complete response if the connection had not sent it yet, although calls after the end have no effect by its documentation. No caller in the gateway does so at present.

--- a/src/hyssoprail/connection/http_server_test.cpp
+++ b/src/hyssoprail/connection/http_server_test.cpp
@@ -45,6 +45,17 @@
       Held = Exchange;
       return;
     }
+    if (Request.path() == "/abort-late") {
+      // On the connection's thread, so before anything has been sent.
+      Exchange->begin(200, {});
+      Exchange->write("whole");
+      Exchange->finish();
+      return Exchange->abort();
+    }
+    if (Request.path() == "/abort-answered") {
+      Exchange->respond({200, {}, "answer"});
+      return Exchange->abort();
+    }
     if (Request.path() == "/throw")
       throw std::runtime_error("handler");
     Exchange->respond(
@@ -324,6 +335,16 @@
   CHECK(Client.wasReset());
 }
 
+// Guards against a complete response that is cut off by a late abort.
+TEST_CASE("an abort after the end of a response has no effect") {
+  EchoServer S;
+  RawSocket Client(S.port());
+  Client.send(get("/abort-late"));
+  REQUIRE(Client.readUntil("\r\n0\r\n\r\n").ends_with("whole\r\n0\r\n\r\n"));
+  Client.send(get("/abort-answered", "Connection: close\r\n"));
+  REQUIRE(Client.readAll().ends_with("answer"));
+}
+
 // Guards against aborting a slow upload that makes progress, and against an
 // upload that sends single bytes and never ends.
 TEST_CASE("a request body may be slow if it keeps the minimum rate") {
--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -49,6 +49,8 @@
 /// What was written before is kept: the connection sends it, without an end.
 void ServerExchange::abort() {
   std::lock_guard Lock(Mutex);
+  if (Finished)
+    return;
   Aborted = Finished = true;
   forceWake();
 }
