--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -13,9 +13,6 @@
 
 constexpr std::int64_t MicrosPerMilli = 1'000;
 
-/// Times that entries tell of the same break differ by less than this.
-constexpr milliseconds SameBreak{1'000};
-
 std::uint32_t ageMillis(TimePoint At, TimePoint Now) {
   return static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, (Now - At) / milliseconds(1)));
@@ -66,6 +63,7 @@
   Out.set_started_at_ms(C.StartedAtMs);
   Out.set_age_ms(ageMillis(C.At, Now));
   Out.set_alive_after(C.AliveAfter);
+  Out.set_broke_before(C.BrokeBefore);
   for (const PromptParts &Parts : C.Suspects) {
     wire::CrashSuspect *S = Out.add_suspects();
     for (const std::string &Part : Parts)
@@ -115,8 +113,13 @@
   Crash &C = crash(In.endpoint(), In.started_at_ms(), At);
   if (At + SameBreak < C.At && (C.BrokeBefore || In.alive_after()))
     return noteBrokeBefore(C);
-  if (C.AliveAfter && At > C.At + SameBreak)
+  // If both copies know of an earlier break, a later time is that of a message
+  // that was delayed, for example behind a network partition.
+  const bool Disproved = C.AliveAfter || (In.broke_before() && !C.BrokeBefore);
+  if (At > C.At + SameBreak && Disproved)
     replaceDisproved(C, At);
+  else if (In.broke_before())
+    noteBrokeBefore(C);
   for (const wire::CrashSuspect &S : In.suspects())
     addSuspect(C, bounded({S.parts().begin(), S.parts().end()}));
   if (!In.alive_after() || C.AliveAfter)
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -282,4 +282,80 @@
   CHECK_FALSE(First.isQuarantined({"reset"}, Now));
 }
 
+// Guards against a crash that is added to an earlier break, because the entry
+// that has seen both knows that the first was none, and others do not.
+TEST_CASE("an entry learns that a break was none with the crash that follows") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  CrashLedger Second{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I)
+    for (CrashLedger *Ledger : {&First, &Second})
+      Ledger->recordCrash(numberedEngine(I), {"reset"}, Now, Now);
+  for (unsigned I = 0; I < 3; ++I)
+    Second.recordAlive(numberedEngine(I).Id, Now - milliseconds(500),
+                       Now + milliseconds(400));
+  Now += milliseconds(5'000);
+  for (unsigned I = 0; I < 3; ++I)
+    Second.recordCrash(numberedEngine(I), {"bad"}, Now, Now);
+  const bool ByRecord = GENERATE(false, true);
+  if (ByRecord)
+    First.merge(Second.encode(Now, 0), Now, 0);
+  else
+    tell(Second, "second", First, "first", Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(First.isQuarantined({"reset"}, Now));
+  // A further entry that has learned only of the crash hears of the break.
+  CrashLedger Third{3, CallLedgerBounds};
+  CrashLedger Late{4, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I)
+    Late.recordCrash(numberedEngine(I), {"reset"}, Start, Start);
+  tell(First, "first", Third, "third", Now);
+  tell(Late, "late", Third, "third", Now);
+  CHECK(Third.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Third.isQuarantined({"reset"}, Now));
+}
+
+// Guards against a crash that is not counted because its request was sent
+// before an earlier break of the same incarnation, which was none.
+TEST_CASE("a crash counts if its request was sent before an earlier break") {
+  TimePoint Now = Start;
+  CrashLedger Ledger{1, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    const TimePoint Sent = Now;
+    Now += milliseconds(100);
+    Ledger.recordCrash(numberedEngine(I), {"reset"}, Now, Sent);
+    Ledger.recordAlive(numberedEngine(I).Id, Sent, Now + milliseconds(400));
+    Now += milliseconds(2'000);
+    Ledger.recordCrash(numberedEngine(I), {"bad"}, Now, Sent);
+  }
+  CHECK(Ledger.isQuarantined({"bad"}, Now));
+  CHECK_FALSE(Ledger.isQuarantined({"reset"}, Now));
+}
+
+// Guards against suspects that are forgotten because a message of the same
+// crash arrives late, or once more, and is taken for a later crash.
+TEST_CASE("a late message of a crash does not replace what is known of it") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  CrashLedger Second{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    Second.recordCrash(numberedEngine(I), {"reset"}, Now, Now);
+    Second.recordAlive(numberedEngine(I).Id, Now - milliseconds(500),
+                       Now + milliseconds(400));
+  }
+  Now += milliseconds(5'000);
+  for (unsigned I = 0; I < 3; ++I) {
+    Second.recordCrash(numberedEngine(I), {"own-" + std::to_string(I)}, Now,
+                       Now);
+    First.recordCrash(numberedEngine(I), {"bad"}, Now, Now);
+  }
+  wire::CrashDelta Delta;
+  Second.fillDelta("first", Delta, Now);
+  First.applyDelta("second", Delta, Now);
+  REQUIRE(First.isQuarantined({"bad"}, Now));
+  Now += milliseconds(3'000);
+  First.applyDelta("second", Delta, Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+}
+
 } // namespace hyssoprail::routing
