--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -1,3 +1,4 @@
+#include "hyssoprail/routing/endpoint_choice.hpp"
 #include "hyssoprail/routing/flow.hpp"
 #include "hyssoprail/routing/leg_health_signal.hpp"
 
--- a/src/hyssoprail/routing/call_grant_server.cpp
+++ b/src/hyssoprail/routing/call_grant_server.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/routing/call_grant_server.hpp"
+#include "hyssoprail/routing/endpoint_choice.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/routing/endpoint_choice.hpp"
+
 #include "test_support.hpp"
 
 namespace hyssoprail::routing {
