A registration gets no work once a newer process has its address

Cause: endpoints were kept apart by their ids only. The removal of a registration may be known later than the next registration at the address, for example up to 2 s later after an outage of the store. Until then the entry took both for endpoints of their own, and what the newer one stated did not concern the earlier one.

Now the table keeps the registered endpoints with known start times by address. Of those at one address, only the ones with the newest start time are in service. The others stay out until they register with a newer start time or another address, also if the newer one is removed, as nobody answers there, and if their registration lapses and returns; for endpoints that are not in the table this is kept with their statements, 1,024 at most. Unknown start times are not compared, equal ones replace nobody. Work that runs at a replaced endpoint is counted until it ends.

The endpoints of LimitFleet shared one address although one of them restarts with a newer start time, so they would replace each other; each has its own now.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/endpoint_addresses.hpp"
 #include "hyssoprail/routing/endpoint_availability.hpp"
 #include "hyssoprail/routing/endpoint_health.hpp"
 #include "hyssoprail/routing/endpoint_limit.hpp"
@@ -79,6 +80,9 @@
 class EndpointTable {
 public:
   /// Applies a registration; one that is older than the known one is ignored.
+  /// Of several endpoints at an address, only those that started last get new
+  /// work; the others stay out until they register with a newer start time or
+  /// another address. Endpoints of unknown start time are not compared.
   /// Returns true if the endpoint is new or listed again, or if its
   /// incarnation, draining flag, stage, address or cold state changed.
   bool apply(const EndpointRecord &Record);
@@ -183,7 +187,8 @@
   }
 
   /// True unless the endpoint is draining or has stated that it leaves, its
-  /// registration was removed, or its zone is excluded.
+  /// registration was removed, another process has its address, or its zone is
+  /// excluded.
   bool inService(const Endpoint &E) const;
 
   void forEach(const std::function<void(Endpoint &)> &Visit);
@@ -205,7 +210,11 @@
 
   std::size_t size() const { return ById.size(); }
 
-  /// Endpoints that are not in the table and have stated something.
+  /// Addresses of registered endpoints with known start times.
+  std::size_t addressCount() const { return Addresses.size(); }
+
+  /// Endpoints that are not in the table and of which a statement or a
+  /// replacement is known.
   std::size_t unregisteredCount() const { return Unregistered.size(); }
 
 private:
@@ -215,6 +224,7 @@
   EndpointAvailability &availabilityOf(const std::string &Id);
   void forgetUnregistered(const std::string &Id);
   void listLeaving(const Endpoint &E);
+  void takeAddress(Endpoint &E);
 
   std::map<std::string, Endpoint, std::less<>> ById;
   std::map<std::string, LoadMap, std::less<>> PeerLoads;
@@ -223,7 +233,8 @@
   double LimitShare = 0;
   LeavingEndpoints Leaving;
   TimePoint LastPauseEnd{}; ///< no endpoint is paused after this time
-  /// What endpoints that are not in the table have stated. Their registrations
+  EndpointAddresses Addresses;
+  /// What is known of endpoints that are not in the table. Their registrations
   /// may return, and other entries tell of endpoints that are not known yet.
   std::map<std::string, EndpointAvailability, std::less<>> Unregistered;
   std::deque<std::string> UnregisteredOrder; ///< oldest first
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -287,7 +287,7 @@
     routing::EndpointRecord R;
     R.Id = Id;
     R.Service = "orders";
-    R.Address = "10.0.0.1:80";
+    R.Address = Id + ":80";
     R.Zone = "zone";
     R.Slots = 6;
     R.StartedAtMs = StartedAtMs;
--- a/src/hyssoprail/routing/endpoint_availability.cpp
+++ b/src/hyssoprail/routing/endpoint_availability.cpp
@@ -1,5 +1,7 @@
 #include "hyssoprail/routing/endpoint_availability.hpp"
 
+#include <utility>
+
 namespace hyssoprail::routing {
 
 bool EndpointAvailability::recordLeaving(std::int64_t StartedAtMs) {
@@ -18,11 +20,23 @@
   return true;
 }
 
-void EndpointAvailability::registered(std::int64_t StartedAtMs) {
+void EndpointAvailability::recordReplaced(std::string Address,
+                                          std::int64_t StartedAtMs) {
+  ReplacedIncarnation = StartedAtMs;
+  ReplacedAt = std::move(Address);
+}
+
+void EndpointAvailability::registered(std::int64_t StartedAtMs,
+                                      std::string_view Address) {
   if (PausedIncarnation < StartedAtMs)
     PausedUntil = {};
   if (LeavingIncarnation && *LeavingIncarnation < StartedAtMs)
     LeavingIncarnation.reset();
+  if (ReplacedIncarnation < StartedAtMs || StartedAtMs == 0 ||
+      ReplacedAt != Address) {
+    ReplacedIncarnation = 0;
+    ReplacedAt.clear();
+  }
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -64,7 +64,8 @@
       E.Availability = Known->second;
       forgetUnregistered(Record.Id);
     }
-    E.Availability.registered(Record.StartedAtMs);
+    E.Availability.registered(Record.StartedAtMs, Record.Address);
+    takeAddress(E);
     listLeaving(E);
     return true;
   }
@@ -79,7 +80,6 @@
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
-    E.Availability.registered(Record.StartedAtMs);
   }
   const bool Changed =
       !E.Registered || Record.StartedAtMs != E.Record.StartedAtMs ||
@@ -87,18 +87,37 @@
       Record.Address != E.Record.Address ||
       (Record.ColdFor > milliseconds(0)) !=
           (E.Record.ColdFor > milliseconds(0));
+  if (Changed)
+    Addresses.remove(E.Record);
   E.Record = Record;
   E.Registered = true;
+  if (Changed) {
+    E.Availability.registered(Record.StartedAtMs, Record.Address);
+    takeAddress(E);
+  }
   listLeaving(E);
   return Changed;
 }
 
+/// An address belongs to the process that started last.
+void EndpointTable::takeAddress(Endpoint &E) {
+  const EndpointRecord &Record = E.Record;
+  Addresses.add(Record);
+  if (Addresses.hasNewer(Record))
+    E.Availability.recordReplaced(Record.Address, Record.StartedAtMs);
+  for (const std::string &Id : Addresses.replacedBy(Record))
+    if (Endpoint *Earlier = find(Id))
+      Earlier->Availability.recordReplaced(Record.Address,
+                                           Earlier->Record.StartedAtMs);
+}
+
 void EndpointTable::remove(std::string_view Id) {
   const auto It = ById.find(Id);
   if (It == ById.end())
     return;
   Endpoint &E = It->second;
   E.Registered = false;
+  Addresses.remove(E.Record);
   // Without a start time, a later incarnation could not be told apart.
   if (E.Record.StartedAtMs == 0)
     E.Availability = {};
@@ -227,7 +246,7 @@
 
 bool EndpointTable::inService(const Endpoint &E) const {
   return E.Registered && !E.Record.Draining && !E.Availability.leaving() &&
-         !ExcludedZones.contains(E.Record.Zone);
+         !E.Availability.replaced() && !ExcludedZones.contains(E.Record.Zone);
 }
 
 bool EndpointTable::mayStart(Endpoint &E, TimePoint Now, Sender From) const {
