Quota: an entry keeps to its part while most of a burst is used

Cause: entries hear of each other's grants 0.2 to 0.4 s late. When the debt fell below the burst, it did so at all entries at once, and each granted what was free: 729,958 tokens in 0.3 s from 60 entries. Refused callers had been told to come back at this moment.

Change: while more than half of a burst is used, the tokens that an entry has granted and that are not refilled stay within its part of rate and burst, which is its part of what all entries granted in the last seconds. The parts add up to the whole, so the free tokens are granted about once, however late the totals arrive. Below half of the burst an entry may exceed its part, so that a few entries with all requests still grant the whole rate. Retry-After follows the part as well.

--- a/include/hyssoprail/routing/shared_quota.hpp
+++ b/include/hyssoprail/routing/shared_quota.hpp
@@ -34,6 +34,12 @@
 /// are missing, it refills only at the share of the rate that corresponds to
 /// the reporting entries. Load pattern: one account sends several times its
 /// quota through all entries.
+///
+/// Reports arrive some time after the grants. If each entry granted all free
+/// tokens meanwhile, the account would get them once for each entry. While more
+/// than half of the burst is used, an entry therefore keeps its own grants to
+/// its part of the rate and the burst: its part of what all entries have
+/// granted lately.
 class SharedQuota {
 public:
   explicit SharedQuota(QuotaTolerance Tolerance) : Tolerance(Tolerance) {}
@@ -92,6 +98,10 @@
     double Debt = 0;      ///< refilled at the rate with tolerance
     double QuotaDebt = 0; ///< refilled at the rate of the quota alone
     double OwnDebt = 0;   ///< part of the debt granted by this entry
+    double PartDebt = 0;  ///< the same, refilled at this entry's part of the
+                          ///< rate
+    double OwnRecent = 0; ///< granted lately by this entry
+    double AllRecent = 0; ///< granted lately by all entries, as far as known
     double Granted = 0;
     TimePoint RefilledAt{};
   };
@@ -105,8 +115,11 @@
   void refill(Bucket &B, TimePoint Now) const;
   void setBurstShare(double Share);
   static void charge(Bucket &B, double Tokens);
+  static void chargeOwn(Bucket &B, double Tokens);
   double refillRate(const Bucket &B) const;
   double maxDebt(const Bucket &B) const;
+  double maxPartDebt(const Bucket &B, double Tokens) const;
+  Duration waitForTokens(const Bucket &B, double Tokens) const;
 
   QuotaTolerance Tolerance;
   double ReportingShare = 1;
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -29,12 +29,16 @@
   std::string Account;
   double RequestsPerSecond = 0;
   double RequestTokens = 0;
+  unsigned Returns = 0; ///< times that a refused request comes again, when its
+                        ///< refusal says
+  std::size_t Entries = 0; ///< that receive the requests; 0: all
 };
 
 /// Tokens that an entry has granted.
 struct TokenGrant {
   TimePoint At;
   double Tokens = 0;
+  std::string EntryName;
 };
 
 /// Entries of a fleet with their real coordination and call flows, before
@@ -70,7 +74,8 @@
       for (PendingGrants +=
            Load.RequestsPerSecond * std::chrono::duration<double>(Step).count();
            PendingGrants >= 1; PendingGrants -= 1)
-        takeTokens();
+        takeTokens(Names[Random() % loadedEntries()], Load.Returns);
+      takeReturned();
       runPosted();
     }
   }
@@ -157,6 +162,7 @@
   static constexpr milliseconds TickInterval{50};
   static constexpr milliseconds TransitTime{1};
   static constexpr milliseconds ServiceTime{30};
+  static constexpr milliseconds MinReturn{100};
 
   struct Entry;
 
@@ -343,12 +349,28 @@
                       E.Fleet.isCoordinator()});
   }
 
-  void takeTokens() {
-    const std::string &Name = Names[Random() % Names.size()];
-    if (runs(Name) && Entries.at(Name)
-                          ->Quota.take(Load.Account, Load.RequestTokens, now())
-                          .Granted)
-      Grants.push_back({now(), Load.RequestTokens});
+  std::size_t loadedEntries() const {
+    return Load.Entries > 0 ? Load.Entries : Names.size();
+  }
+
+  void takeTokens(const std::string &Name, unsigned Returns) {
+    if (!runs(Name))
+      return;
+    const routing::QuotaDecision D =
+        Entries.at(Name)->Quota.take(Load.Account, Load.RequestTokens, now());
+    if (D.Granted)
+      Grants.push_back({now(), Load.RequestTokens, Name});
+    else if (Returns > 0)
+      Returning.emplace(now() + std::max<Duration>(D.RetryAfter, MinReturn),
+                        std::pair(Name, Returns - 1));
+  }
+
+  void takeReturned() {
+    while (!Returning.empty() && Returning.begin()->first <= now()) {
+      const auto [Name, Returns] = Returning.begin()->second;
+      Returning.erase(Returning.begin());
+      takeTokens(Name, Returns);
+    }
   }
 
   void startCall() {
@@ -467,6 +489,8 @@
   std::mt19937 Random{1};
   double PendingCalls = 0;
   double PendingGrants = 0;
+  /// Entry and further returns of refused requests, by their time of return.
+  std::multimap<TimePoint, std::pair<std::string, unsigned>> Returning;
   std::uint64_t LastCall = 0;
   std::uint64_t LastIncarnation = 0;
 };
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -17,8 +17,25 @@
 /// each grant one.
 constexpr double MajorityShare = 0.5;
 
+/// An entry keeps to its part of the burst while more than this share of the
+/// burst is used.
+constexpr double SharedBurst = 0.5;
+
+/// Share of the tokens below SharedBurst that each entry may grant beyond its
+/// part before it hears of the others' grants.
+constexpr double FreeTokenShare = 0.5;
+
+/// Grants count as recent for about this time. It is longer than the time
+/// without grants after an account has exceeded its quota.
+constexpr double RecentSeconds = 4;
+
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
+/// This entry's part of the recent grants.
+double part(double Own, double All) {
+  return All > 0 ? std::min(1.0, Own / All) : 1;
+}
+
 } // namespace
 
 double SharedQuota::refillRate(const Bucket &B) const {
@@ -76,12 +93,49 @@
   B.Debt = std::max(0.0, B.Debt - refillRate(B) * Elapsed);
   B.OwnDebt = std::max(0.0, B.OwnDebt - refillRate(B) * Elapsed);
   B.QuotaDebt = std::max(0.0, B.QuotaDebt - B.Rate * Elapsed);
+  const double PartRate = refillRate(B) * part(B.OwnRecent, B.AllRecent);
+  B.PartDebt = std::clamp(B.PartDebt - PartRate * Elapsed, 0.0, B.Debt);
+  const double Kept = std::exp(-Elapsed / RecentSeconds);
+  B.OwnRecent *= Kept;
+  B.AllRecent *= Kept;
   B.RefilledAt = Now;
 }
 
 void SharedQuota::charge(Bucket &B, double Tokens) {
   B.Debt = std::max(0.0, B.Debt + Tokens);
   B.QuotaDebt = std::max(0.0, B.QuotaDebt + Tokens);
+  B.AllRecent = std::max(0.0, B.AllRecent + Tokens);
+}
+
+void SharedQuota::chargeOwn(Bucket &B, double Tokens) {
+  charge(B, Tokens);
+  B.OwnDebt = std::max(0.0, B.OwnDebt + Tokens);
+  B.PartDebt = std::max(0.0, B.PartDebt + Tokens);
+  B.OwnRecent = std::max(0.0, B.OwnRecent + Tokens);
+  B.Granted += Tokens;
+}
+
+/// Own tokens that may be granted and not yet refilled, if \p Tokens are
+/// granted now.
+double SharedQuota::maxPartDebt(const Bucket &B, double Tokens) const {
+  const double Free = std::max(0.0, SharedBurst * maxDebt(B) - B.Debt);
+  return maxDebt(B) * part(B.OwnRecent + Tokens, B.AllRecent + Tokens) +
+         FreeTokenShare * Free;
+}
+
+/// Time until the bucket has room for the tokens. A request of more than this
+/// entry's part is granted when the part is unused.
+Duration SharedQuota::waitForTokens(const Bucket &B, double Tokens) const {
+  const double Excess = std::max(0.0, B.Debt + Tokens - maxDebt(B));
+  const double PartExcess =
+      std::clamp(B.PartDebt + Tokens - maxPartDebt(B, Tokens), 0.0, B.PartDebt);
+  const double PartRate = refillRate(B) * part(B.OwnRecent, B.AllRecent);
+  double Wait = Excess / refillRate(B);
+  if (PartExcess > 0)
+    Wait =
+        std::max(Wait, std::min(PartExcess / PartRate, B.Debt / refillRate(B)));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Wait));
 }
 
 QuotaDecision SharedQuota::take(std::string_view Account, double Tokens,
@@ -91,17 +145,12 @@
     return {true, false, 0, 0, {}};
   Bucket &B = Found->second;
   refill(B, Now);
-  const double Excess = B.Debt + Tokens - maxDebt(B);
   const bool MayExceedBurst = B.Debt <= 0 && BurstShare > MajorityShare;
-  if (Excess > 0 && !MayExceedBurst) {
-    const std::chrono::duration<double> Wait(Excess / refillRate(B));
-    return {false, false, B.Debt, maxDebt(B),
-            std::chrono::duration_cast<Duration>(Wait)};
-  }
+  const Duration Wait = waitForTokens(B, Tokens);
+  if (Wait > Duration{0} && !MayExceedBurst)
+    return {false, false, B.Debt, maxDebt(B), Wait};
   const bool Beyond = B.QuotaDebt + Tokens > B.Burst;
-  charge(B, Tokens);
-  B.OwnDebt += Tokens;
-  B.Granted += Tokens;
+  chargeOwn(B, Tokens);
   return {true, Beyond, B.Debt, maxDebt(B), {}};
 }
 
@@ -110,9 +159,7 @@
   Bucket *B = refilled(Account, Now);
   if (!B)
     return;
-  charge(*B, -Tokens);
-  B->OwnDebt = std::max(0.0, B->OwnDebt - Tokens);
-  B->Granted -= Tokens;
+  chargeOwn(*B, -Tokens);
 }
 
 SharedQuota::Bucket *SharedQuota::refilled(std::string_view Account,
@@ -146,8 +193,11 @@
 void SharedQuota::raiseDebt(std::string_view Account, double FleetDebt,
                             TimePoint Now) {
   Bucket *B = refilled(Account, Now);
-  if (B && std::isfinite(FleetDebt))
-    B->Debt = std::max(B->Debt, FleetDebt * BurstShare);
+  if (!B || !std::isfinite(FleetDebt))
+    return;
+  const double Raise = std::max(0.0, FleetDebt * BurstShare - B->Debt);
+  B->Debt += Raise;
+  B->AllRecent += Raise;
 }
 
 SharedQuota::AccountTotals SharedQuota::grantedTotals() const {
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -220,6 +220,38 @@
   CHECK(Quota.take("acme", 200, Start).Granted);
 }
 
+// Guards against entries that each grant all free tokens before they hear of
+// each other, and against a RetryAfter at which such a refusal is repeated.
+TEST_CASE("an entry keeps to its part while most of the burst is used") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  TimePoint Now = Start;
+  double PeerTotal = 0;
+  for (int I = 0; I < 5; ++I) {
+    Quota.recordPeerTotals("b", 1, {{"acme", PeerTotal}}, Now);
+    PeerTotal += 700;
+    Now += milliseconds(700);
+  }
+  Quota.recordPeerTotals("b", 1, {{"acme", PeerTotal}}, Now);
+  CHECK(Quota.take("acme", 100, Now).Granted);
+  const QuotaDecision D = Quota.take("acme", 100, Now);
+  CHECK_FALSE(D.Granted);
+  CHECK(D.Debt + 100 < D.Burst);
+  CHECK(Quota.take("acme", 100, Now + D.RetryAfter).Granted);
+}
+
+// Guards against a part of the burst that an entry keeps to although most of
+// the burst is free.
+TEST_CASE("an entry exceeds its part while most of the burst is free") {
+  SharedQuota Quota({});
+  Quota.configure(*testConfig(), Start);
+  Quota.recordPeerTotals("b", 1, {}, Start);
+  Quota.recordPeerTotals("b", 1, {{"acme", 1'000}}, Start);
+  const TimePoint Later = Start + milliseconds(900);
+  CHECK(Quota.take("acme", 100, Later).Granted);
+  CHECK(Quota.take("acme", 100, Later).Granted);
+}
+
 // Guards against a malformed report that removes the limit of an account.
 TEST_CASE("totals that are not finite numbers change nothing") {
   SharedQuota Quota{QuotaTolerance{}};
