CrashLedger: a late message of a crash replaces nothing

A copy of the ledger forgot the guilty request: its own suspects of a crash were replaced by those of another entry.

Cause: since a message that knows of an earlier break replaces an older one. Ages count from the sending, so a message that arrives more than a second late, or once more, looks like a later crash.

Now it does so only if the copy that receives it knows of no earlier break.

Evidence: "a late message of a crash does not replace what is known of it" released the request before; 239 tests of the library pass.

--- a/src/hyssoprail/routing/crash_ledger_exchange.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange.cpp
@@ -113,7 +113,10 @@
   Crash &C = crash(In.endpoint(), In.started_at_ms(), At);
   if (At + SameBreak < C.At && (C.BrokeBefore || In.alive_after()))
     return noteBrokeBefore(C);
-  if (At > C.At + SameBreak && (C.AliveAfter || In.broke_before()))
+  // If both copies know of an earlier break, a later time is that of a message
+  // that was delayed, for example behind a network partition.
+  const bool Disproved = C.AliveAfter || (In.broke_before() && !C.BrokeBefore);
+  if (At > C.At + SameBreak && Disproved)
     replaceDisproved(C, At);
   else if (In.broke_before())
     noteBrokeBefore(C);
--- a/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_exchange_test.cpp
@@ -332,4 +332,30 @@
   CHECK_FALSE(Ledger.isQuarantined({"reset"}, Now));
 }
 
+// Guards against suspects that are forgotten because a message of the same
+// crash arrives late, or once more, and is taken for a later crash.
+TEST_CASE("a late message of a crash does not replace what is known of it") {
+  TimePoint Now = Start;
+  CrashLedger First{1, CallLedgerBounds};
+  CrashLedger Second{2, CallLedgerBounds};
+  for (unsigned I = 0; I < 3; ++I) {
+    Second.recordCrash(numberedEngine(I), {"reset"}, Now, Now);
+    Second.recordAlive(numberedEngine(I).Id, Now - milliseconds(500),
+                       Now + milliseconds(400));
+  }
+  Now += milliseconds(5'000);
+  for (unsigned I = 0; I < 3; ++I) {
+    Second.recordCrash(numberedEngine(I), {"own-" + std::to_string(I)}, Now,
+                       Now);
+    First.recordCrash(numberedEngine(I), {"bad"}, Now, Now);
+  }
+  wire::CrashDelta Delta;
+  Second.fillDelta("first", Delta, Now);
+  First.applyDelta("second", Delta, Now);
+  REQUIRE(First.isQuarantined({"bad"}, Now));
+  Now += milliseconds(3'000);
+  First.applyDelta("second", Delta, Now);
+  CHECK(First.isQuarantined({"bad"}, Now));
+}
+
 } // namespace hyssoprail::routing
