A stated limit outlasts a lapse of the endpoint's registration

An endpoint that states a limit got more requests than it allows after its registration had lapsed and come back while its process went on: for an entry, all requests of the time until the endpoint's next response.

Cause: the table erases an endpoint whose registration is removed once no work of this entry runs there, and its limit with it. What the endpoint states about leaving and pauses was kept for the return of the registration, the limit was not.

The same incarnation returns with its limit and grants; a later one begins as after a restart, with one request before its first response. While the registration is away, the limit follows changes of the entry's share, so that no grants build up for a new coordinator. Without a start time the limit is forgotten as before, as a later incarnation could not be told apart.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -213,7 +213,7 @@
   /// Addresses of registered endpoints with known start times.
   std::size_t addressCount() const { return Addresses.size(); }
 
-  /// Endpoints that are not in the table and of which a statement or a
+  /// Endpoints that are not in the table and of which a statement, a limit or a
   /// replacement is known.
   std::size_t unregisteredCount() const { return Unregistered.size(); }
 
@@ -221,7 +221,15 @@
   bool isWithinStartRate(Endpoint &E, TimePoint Now) const;
   bool startsByGrant(std::string_view Service) const;
   void eraseIfIdle(const std::string &Id);
-  EndpointAvailability &availabilityOf(const std::string &Id);
+  /// What is known of an endpoint that is not in the table.
+  struct UnregisteredEndpoint {
+    EndpointAvailability Availability;
+    EndpointLimit Limit;
+    std::int64_t LimitedIncarnation = 0; ///< start time of that one
+  };
+
+  UnregisteredEndpoint &unregistered(const std::string &Id);
+  void restoreUnregistered(Endpoint &E);
   void forgetUnregistered(const std::string &Id);
   void listLeaving(const Endpoint &E);
   void takeAddress(Endpoint &E);
@@ -234,9 +242,9 @@
   LeavingEndpoints Leaving;
   TimePoint LastPauseEnd{}; ///< no endpoint is paused after this time
   EndpointAddresses Addresses;
-  /// What is known of endpoints that are not in the table. Their registrations
-  /// may return, and other entries tell of endpoints that are not known yet.
-  std::map<std::string, EndpointAvailability, std::less<>> Unregistered;
+  /// Registrations may return, and other entries tell of endpoints that are not
+  /// known yet.
+  std::map<std::string, UnregisteredEndpoint, std::less<>> Unregistered;
   std::deque<std::string> UnregisteredOrder; ///< oldest first
   /// Services of which an endpoint may have stated a limit.
   std::set<std::string, std::less<>> LimitedServices;
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -55,15 +55,11 @@
   Endpoint &E = It->second;
   if (New) {
     E.Record = Record;
+    restoreUnregistered(E);
     E.Limit.setShare(LimitShare, TimePoint{});
     for (const auto &[Peer, Loads] : PeerLoads)
       if (const auto Load = Loads.find(Record.Id); Load != Loads.end())
         E.PeerLoad += Load->second;
-    if (const auto Known = Unregistered.find(Record.Id);
-        Known != Unregistered.end()) {
-      E.Availability = Known->second;
-      forgetUnregistered(Record.Id);
-    }
     E.Availability.registered(Record.StartedAtMs, Record.Address);
     takeAddress(E);
     listLeaving(E);
@@ -129,13 +125,37 @@
   const auto It = ById.find(Id);
   if (It == ById.end() || It->second.Registered || It->second.OwnLoad.Runs != 0)
     return;
-  if (It->second.Availability.hasStatement())
-    availabilityOf(Id) = It->second.Availability;
+  const Endpoint &E = It->second;
+  if (E.Availability.hasStatement())
+    unregistered(Id).Availability = E.Availability;
+  // Without a start time, a later incarnation could not be told apart.
+  if (E.Limit.perSecond() && E.Record.StartedAtMs > 0) {
+    UnregisteredEndpoint &Kept = unregistered(Id);
+    Kept.Limit = E.Limit;
+    Kept.LimitedIncarnation = E.Record.StartedAtMs;
+  }
   ById.erase(It);
 }
 
-/// Statements of an endpoint that is not in the table.
-EndpointAvailability &EndpointTable::availabilityOf(const std::string &Id) {
+/// The process may have gone on while its registration was not listed, so what
+/// it has stated still holds.
+void EndpointTable::restoreUnregistered(Endpoint &E) {
+  const auto It = Unregistered.find(E.Record.Id);
+  if (It == Unregistered.end())
+    return;
+  const UnregisteredEndpoint &Known = It->second;
+  E.Availability = Known.Availability;
+  if (Known.Limit.perSecond() && E.Record.StartedAtMs > 0) {
+    E.Limit = Known.Limit;
+    if (E.Record.StartedAtMs > Known.LimitedIncarnation)
+      E.Limit.restart();
+    LimitedServices.insert(E.Record.Service);
+  }
+  forgetUnregistered(E.Record.Id);
+}
+
+EndpointTable::UnregisteredEndpoint &
+EndpointTable::unregistered(const std::string &Id) {
   const auto [It, New] = Unregistered.try_emplace(Id);
   if (New)
     UnregisteredOrder.push_back(Id);
@@ -161,8 +181,8 @@
                                   std::int64_t StartedAtMs) {
   Endpoint *E = find(Id);
   if (!E)
-    return StartedAtMs > 0 &&
-           availabilityOf(std::string(Id)).recordLeaving(StartedAtMs);
+    return StartedAtMs > 0 && unregistered(std::string(Id))
+                                  .Availability.recordLeaving(StartedAtMs);
   if (StartedAtMs < E->Record.StartedAtMs ||
       !E->Availability.recordLeaving(StartedAtMs))
     return false;
@@ -237,6 +257,8 @@
   LimitShare = Share;
   for (auto &[Id, E] : ById)
     E.Limit.setShare(Share, Now);
+  for (auto &[Id, Known] : Unregistered)
+    Known.Limit.setShare(Share, Now);
 }
 
 Endpoint *EndpointTable::find(std::string_view Id) {
