A disconnect for too much unsent data is always reported

Cause: a client with too much unsent data is cut off by an abort of the server's own. Since an aborted response sends what was written before, the connection lingers after it and does not report a disconnect, as a handler that aborts needs none. If no write was pending at that moment, for which a busy machine is enough, the abort of the server was taken for one of the handler.

Now the exchange says that it overflowed, and the connection ends at once with a report.

--- a/src/hyssoprail/connection/echo_server.hpp
+++ b/src/hyssoprail/connection/echo_server.hpp
@@ -20,8 +20,9 @@
 /// Keeps the exchange of the path /held for the test.
 class EchoServer {
 public:
-  explicit EchoServer(HttpServerOptions Options = {})
-      : Server(makeHttpServer(withErrors(std::move(Options)),
+  explicit EchoServer(const HttpServerOptions &Options = {})
+      : Options(Options),
+        Server(makeHttpServer(withErrors(Options),
                               [this](const auto &E) { handle(E); })) {
     REQUIRE(succeeded(Server->start()));
   }
@@ -55,6 +56,12 @@
       Exchange->respond({200, {}, "answer"});
       return Exchange->abort();
     }
+    if (Request.path() == "/overflow") {
+      // On the connection's thread, so while no write is pending.
+      Exchange->onDisconnect([this] { ++Disconnects; });
+      Exchange->begin(200, {});
+      return Exchange->write(std::string(Options.MaxUnsentBytes + 1, 'x'));
+    }
     if (Request.path() == "/throw")
       throw std::runtime_error("handler");
     Exchange->respond(
@@ -74,6 +81,7 @@
 
   std::uint16_t port() const { return Server->port(); }
 
+  const HttpServerOptions Options;
   std::mutex Mutex;
   std::shared_ptr<HttpExchange> Held;
   std::atomic<unsigned> Requests{0};
--- a/src/hyssoprail/connection/http_connection_end_test.cpp
+++ b/src/hyssoprail/connection/http_connection_end_test.cpp
@@ -176,6 +176,18 @@
     CHECK(hasStatus(Client.readUntil("\r\n\r\n"), "200"));
 }
 
+// Guards against work that goes on for a client that was disconnected, because
+// too much was unsent while no write was pending.
+TEST_CASE("a disconnect for too much unsent data is reported") {
+  HttpServerOptions Options;
+  Options.MaxUnsentBytes = 100'000;
+  EchoServer S(Options);
+  RawSocket Client(S.port());
+  Client.send(get("/overflow"));
+  CHECK_FALSE(Client.readAll().ends_with("0\r\n\r\n"));
+  CHECK(waitUntil([&] { return S.Disconnects == 1; }));
+}
+
 // Guards against work that goes on for a client that was disconnected, because
 // its request was pipelined behind another one that was answered.
 TEST_CASE("a disconnect of a pipelined request is reported") {
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -257,7 +257,8 @@
     // Without chunked framing, a normal close would make the response look
     // complete, so it is reset unless its last write succeeds.
     ResetOnClose = !Chunked && (HeadSent || Update.Started);
-    if (Update.Disconnected || (Update.Aborted && Update.FullResponse))
+    if (Update.Disconnected || Update.Overflowed ||
+        (Update.Aborted && Update.FullResponse))
       co_return false;
     if (Update.FullResponse) {
       ResetOnClose = false; // it has a Content-Length
--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -34,7 +34,7 @@
   // The client does not read, so the connection would wait for it before it
   // ends.
   Unsent.clear();
-  Aborted = Finished = true;
+  Overflowed = Aborted = Finished = true;
   forceWake();
 }
 
@@ -76,7 +76,8 @@
 ServerExchange::Update ServerExchange::takeUpdate() {
   std::lock_guard Lock(Mutex);
   WakePending = false;
-  Update S{Started, FullResponse, Finished, Aborted, Disconnected, {}};
+  Update S{Started,      FullResponse, Finished, Aborted,
+           Disconnected, Overflowed,   {}};
   S.Data.swap(Unsent);
   return S;
 }
--- a/src/hyssoprail/connection/server_exchange.hpp
+++ b/src/hyssoprail/connection/server_exchange.hpp
@@ -36,6 +36,7 @@
     bool Finished = false;
     bool Aborted = false;
     bool Disconnected = false;
+    bool Overflowed = false; ///< the client does not read
     std::string Data;
   };
 
@@ -74,6 +75,7 @@
   bool FullResponse = false; ///< set by respond(): head and body at once
   bool Aborted = false;
   bool Disconnected = false;
+  bool Overflowed = false;
   bool Complete = false;
   bool WakePending = false;
 };
