Quota: the time to return is bounded

By reading: the decision of take() now depends on a wait that is converted from seconds. At a tiny rate it exceeds the range of the type; the conversion is then undefined, and where it gives a negative number the account would get everything. On arm64 it gives the largest one, so the new test checks the bound of one hour there; nothing was run on x86-64.

--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -29,6 +29,10 @@
 /// without grants after an account has exceeded its quota.
 constexpr double RecentSeconds = 4;
 
+/// Longest time to return. Without a limit, the wait at a tiny rate exceeds the
+/// range of Duration, and the conversion could make it negative.
+constexpr double MaxWaitSeconds = 3'600;
+
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
 /// This entry's part of the recent grants.
@@ -135,7 +139,7 @@
     Wait =
         std::max(Wait, std::min(PartExcess / PartRate, B.Debt / refillRate(B)));
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Wait));
+      std::chrono::duration<double>(std::min(Wait, MaxWaitSeconds)));
 }
 
 QuotaDecision SharedQuota::take(std::string_view Account, double Tokens,
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -133,6 +133,19 @@
   REQUIRE(Quota.take("acme", 500, Start + D.RetryAfter).Granted);
 }
 
+// Guards against a wait that is too long for its type: negative, it would grant
+// an account with a tiny rate everything.
+TEST_CASE("an account with a tiny rate gets no more than its burst") {
+  auto Config = testConfig();
+  Config->Accounts.at("acme").RatePerSecond = 1e-12;
+  SharedQuota Quota({});
+  Quota.configure(*Config, Start);
+  REQUIRE(Quota.take("acme", 1'000, Start).Granted);
+  const QuotaDecision D = Quota.take("acme", 100, Start);
+  REQUIRE_FALSE(D.Granted);
+  REQUIRE(D.RetryAfter == std::chrono::hours(1));
+}
+
 // Guards against granting the tolerance a second time after all entries were
 // lost.
 TEST_CASE("a new bucket starts with its tolerance used up") {
