--- a/src/hyssoprail/load/soak.cpp
+++ b/src/hyssoprail/load/soak.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <fmt/format.h>
+#include <sys/wait.h>
 
 #include "hyssoprail/load/caller.hpp"
 #include "hyssoprail/load/fault.hpp"
@@ -227,8 +228,16 @@
   /// has violated an invariant or crashed.
   void checkProcesses() {
     for (const std::string &Name : processNames())
-      if (!F.process(Name).running())
-        fail(Name + " ended by itself; its log says why");
+      if (const auto Status = F.process(Name).wait(milliseconds(0)))
+        fail(fmt::format("{} ended by itself, {}; its log may say why", Name,
+                         describeEnd(*Status)));
+  }
+
+  /// \p Status as waitpid() gives it.
+  static std::string describeEnd(int Status) {
+    return WIFSIGNALED(Status)
+               ? fmt::format("by signal {}", WTERMSIG(Status))
+               : fmt::format("with exit code {}", WEXITSTATUS(Status));
   }
 
   void checkVersions() {
