StreamFlow: clearer comments on excluded engines

Read-through. The comment on MaxExclusionWaits left open what is waited for and what happens after it. Comments and a blank line only, no change of behaviour.

--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -76,12 +76,12 @@
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission, TimePoint Now);
 
-  /// Engines that must not be chosen although the coordinator may know no
-  /// reason: this entry does not know them, or they take no work of it.
+  /// Engines that this entry does not know yet or that take no work of it. The
+  /// coordinator may know of no reason not to choose them.
   std::set<std::string> unusableEngines(TimePoint Now);
 
-  /// Engines that failed and take no work for now are excluded until they take
-  /// work again, and not for the rest of the request.
+  /// Excludes failed engines that take no work for now only until they take
+  /// work again, not for the rest of the request.
   void excludeWhilePaused(TimePoint Now);
 
   /// Submits the queued request again if one of the engines that it excludes
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -24,6 +24,7 @@
 /// Prefill engines that were chosen but cannot be used by this entry, before
 /// the decode engine processes the prompt.
 constexpr unsigned MaxUnusablePrefills = 4;
+
 constexpr milliseconds NotRunRetryAfter{400};
 
 /// Time reserved before a caller without an event leaves, for the final answer
@@ -43,9 +44,9 @@
 /// become usable.
 constexpr milliseconds ExclusionCheckInterval{100};
 
-/// How often a request waits for this time because engines that its entry
-/// cannot use were chosen MaxRequeues times. Bounds the excluded engines, whose
-/// ids travel with the request.
+/// Waits of ExclusionCheckInterval before a request is rejected. It waits after
+/// MaxRequeues placements at engines that its entry cannot use. Their ids
+/// travel with the request, so their number is bounded.
 constexpr unsigned MaxExclusionWaits = 3;
 
 } // namespace
