--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -72,8 +72,8 @@
     socklen_t Size = sizeof Address;
     bool Free = ::bind(Tcp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
     ::getsockname(Tcp, reinterpret_cast<sockaddr *>(&Address), &Size);
-    Free = Free &&
-           ::bind(Udp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
+    Free =
+        Free && ::bind(Udp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
     ::close(Tcp);
     ::close(Udp);
     if (Free)
@@ -208,23 +208,22 @@
     const auto Loopback = [](std::uint16_t Port) {
       return "127.0.0.1:" + std::to_string(Port);
     };
-    const nlohmann::json Settings{
-        {"name", this->Name},
-        {"zone", Zone},
-        {"caller_address", Loopback(CallerPort)},
-        {"ready_address", Loopback(ReadyPort)},
-        {"peer_address", Loopback(freePort())},
-        {"metrics_address", Loopback(freePort())},
-        {"store", Store},
-        {"cpu_share", 0.19},
-        {"stop_grace_s", 8},
-        {"retry_ratio", 0.2},
-        {"retry_slack", 58},
-        {"retry_window_s", 10},
-        {"quota_overage", 0.1},
-        {"quota_slack_tokens", 140000},
-        {"cold_overage", 1.5},
-        {"cold_slack", 5}};
+    const nlohmann::json Settings{{"name", this->Name},
+                                  {"zone", Zone},
+                                  {"caller_address", Loopback(CallerPort)},
+                                  {"ready_address", Loopback(ReadyPort)},
+                                  {"peer_address", Loopback(freePort())},
+                                  {"metrics_address", Loopback(freePort())},
+                                  {"store", Store},
+                                  {"cpu_share", 0.19},
+                                  {"stop_grace_s", 8},
+                                  {"retry_ratio", 0.2},
+                                  {"retry_slack", 58},
+                                  {"retry_window_s", 10},
+                                  {"quota_overage", 0.1},
+                                  {"quota_slack_tokens", 140000},
+                                  {"cold_overage", 1.5},
+                                  {"cold_slack", 5}};
     std::ofstream(settingsPath()) << Settings.dump(2);
   }
   ~Gateway() { kill(); }
--- a/review/standins/upload_burst.cpp
+++ b/review/standins/upload_burst.cpp
@@ -1,12 +1,7 @@
 // Case: callers that upload long documents, within the limits of the
 // configuration, become twice as many for some seconds.
-#include <algorithm>
-#include <filesystem>
-#include <map>
-#include <set>
-
+#include "engine.hpp"
 #include "harness.hpp"
-#include "hyssoprail/connection/http_server.hpp"
 #include "testing/fake_store.hpp"
 
 using namespace hyssoprail;
@@ -22,8 +17,6 @@
 constexpr std::size_t DocumentBytes = 4'000'000;
 
 constexpr unsigned EngineCount = 3;
-constexpr unsigned EventCount = 70;
-constexpr milliseconds EventGap{14};
 
 constexpr unsigned UsualCallers = 8;
 constexpr unsigned BurstCallers = 8; // with them twice the usual ones
@@ -56,94 +49,6 @@
       .dump();
 }
 
-/// What the workers have seen of a request.
-struct Arrival {
-  std::string Worker;
-  bool Whole = false; ///< the worker has written its whole answer
-};
-
-class Seen {
-public:
-  void arrived(const std::string &Id, const std::string &Worker) {
-    std::lock_guard Lock(Mutex);
-    Arrivals[Id] = {Worker, false};
-  }
-  bool hasArrived(const std::string &Id) {
-    std::lock_guard Lock(Mutex);
-    return Arrivals.contains(Id);
-  }
-
-private:
-  std::mutex Mutex;
-  std::map<std::string, Arrival> Arrivals;
-};
-
-/// A sound decode engine: each answer is a stream of EventCount events.
-class Engine {
-public:
-  Engine(std::string Id, Seen &Found, Record &Out)
-      : Id(std::move(Id)), Found(Found), Out(Out),
-        Server(makeHttpServer({}, [this](auto E) { serve(E); })) {
-    Server->start();
-  }
-  ~Engine() {
-    Stopping = true;
-    Server->stop();
-    for (std::thread &T : Streams)
-      T.join();
-  }
-
-  std::string registration() const {
-    return nlohmann::json{
-        {"service", "assistant"},
-        {"address", "127.0.0.1:" + std::to_string(Server->port())},
-        {"zone", "z1"},
-        {"version", "v1"},
-        {"slots", 64},
-        {"state", "ready"},
-        {"sequence", 1},
-        {"cold_remaining_ms", 0},
-        {"born", 1},
-        {"stage", "decode"}}
-        .dump();
-  }
-  const std::string &id() const { return Id; }
-
-private:
-  void serve(const std::shared_ptr<HttpExchange> &E) {
-    const HttpHeaders &H = E->request().Headers;
-    const std::string Request(headerValue(H, "X-Attempt-Id"));
-    if (headerValue(H, "X-Expect-Instance") != Id)
-      return E->respond({421, {{"X-Attempt-Id", Request}}, "{}"});
-    Found.arrived(Request, Id);
-    Out.line("run      " + Request + " at " + Id + ", body " +
-             std::to_string(E->request().Body.size()) + " bytes");
-    const std::string Last(headerValue(H, "Last-Event-Id"));
-    const unsigned First = Last.empty() ? 1 : std::stoul(Last) + 1;
-    auto Left = std::make_shared<std::atomic<bool>>(false);
-    E->onDisconnect([Left] { *Left = true; });
-    E->begin(200, {{"X-Attempt-Id", Request},
-                   {"X-Response-Signature", "signed-by-" + Id},
-                   {"Content-Type", "text/event-stream"}});
-    std::lock_guard Lock(Mutex);
-    Streams.emplace_back([this, E, Left, First] {
-      for (unsigned I = First; I <= EventCount && !*Left && !Stopping; ++I) {
-        std::this_thread::sleep_for(EventGap);
-        E->write("id: " + std::to_string(I) + "\ndata: token\n\n");
-      }
-      E->finish();
-    });
-  }
-
-  const std::string Id;
-  Seen &Found;
-  Record &Out;
-  std::atomic<bool> Stopping{false};
-  std::mutex Mutex;
-  std::vector<std::thread> Streams;
-  std::unique_ptr<HttpServer> Server;
-};
-
 /// A caller that keeps its connection and sends one document after the other.
 class Caller {
 public:
