--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -22,6 +23,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -35,6 +37,9 @@
 /// Exit codes of a case.
 enum class Verdict { Held = 0, Broken = 1, CouldNotRun = 2 };
 
+/// limits.file_descriptors of the front VMs of the site.
+constexpr rlim_t DescriptorLimit = 4'100;
+
 /// False if the case runs without its disruption.
 inline bool withTrouble() {
   const char *Value = std::getenv("TROUBLE");
@@ -235,6 +240,8 @@
     if (Pid != 0)
       return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const rlimit Descriptors{DescriptorLimit, DescriptorLimit};
+    ::setrlimit(RLIMIT_NOFILE, &Descriptors);
     const int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Out, STDOUT_FILENO);
     ::dup2(Out, STDERR_FILENO);
@@ -293,6 +300,17 @@
     return 0;
   }
 
+  /// Descriptors that the process has open.
+  std::size_t descriptors() const {
+    std::error_code Code;
+    std::size_t Count = 0;
+    for ([[maybe_unused]] const auto &Item :
+         std::filesystem::directory_iterator(
+             "/proc/" + std::to_string(Pid) + "/fd", Code))
+      ++Count;
+    return Count;
+  }
+
   std::uint16_t callerPort() const { return CallerPort; }
   const std::string &name() const { return Name; }
 
