Agent and limits: refunds and engine queries are written once

OwnerLimits built the same refund message at two places, and EngineClient had three copies of one query that differ in path and result.

--- a/include/hyssoprail/process/owner_limits.hpp
+++ b/include/hyssoprail/process/owner_limits.hpp
@@ -62,6 +62,8 @@
   Decision decideDebit(TimePoint Now, const std::string &DebitId,
                        const std::string &Account, std::uint64_t Tokens);
   void creditRefund(TimePoint Now, const LimitRefund &Refund);
+  void sendRefund(std::uint64_t Owner, const LimitRefund &Refund,
+                  LimitActions &Out) const;
   void sendPending(TimePoint Now, PendingDebit &Debit, LimitActions &Out);
   void answer(const std::string &DebitId, Decision D, LimitActions &Out);
   void answerExpired(const PendingDebit &Debit, LimitActions &Out);
--- a/src/hyssoprail/agent/engine_client.cpp
+++ b/src/hyssoprail/agent/engine_client.cpp
@@ -242,40 +242,31 @@
       });
 }
 
-void EngineClient::perform(const QueryCall &Call) {
+/// Asks the engine for a document and passes a result of type T, filled by
+/// \p Read, to the handler.
+template <typename T, typename Reader>
+void EngineClient::query(CallId Id, std::string Target, Reader Read) {
   HttpCall Get;
   Get.Authority = Authority;
   Get.Request.Method = "GET";
+  Get.Request.Target = std::move(Target);
   Get.Timeout = ControlCallTimeout;
-  const CallId Id = Call.Call;
+  Client.call(std::move(Get), [this, Id, Read](const Result<HttpResponse> &R) {
+    T Out;
+    Out.Call = Id;
+    readResponse(R, Out, Read);
+    OnResult(std::move(Out));
+  });
+}
+
+void EngineClient::perform(const QueryCall &Call) {
   switch (Call.Query) {
   case EngineQuery::Status:
-    Get.Request.Target = "/status";
-    Client.call(std::move(Get), [this, Id](const Result<HttpResponse> &R) {
-      StatusResult Out;
-      Out.Call = Id;
-      readResponse(R, Out, readStatus);
-      OnResult(std::move(Out));
-    });
-    return;
+    return query<StatusResult>(Call.Call, "/status", readStatus);
   case EngineQuery::Load:
-    Get.Request.Target = "/load";
-    Client.call(std::move(Get), [this, Id](const Result<HttpResponse> &R) {
-      LoadResult Out;
-      Out.Call = Id;
-      readResponse(R, Out, readLoad);
-      OnResult(Out);
-    });
-    return;
+    return query<LoadResult>(Call.Call, "/load", readLoad);
   case EngineQuery::Held:
-    Get.Request.Target = "/held";
-    Client.call(std::move(Get), [this, Id](const Result<HttpResponse> &R) {
-      HeldResult Out;
-      Out.Call = Id;
-      readResponse(R, Out, readHeld);
-      OnResult(std::move(Out));
-    });
-    return;
+    return query<HeldResult>(Call.Call, "/held", readHeld);
   }
 }
 
--- a/src/hyssoprail/agent/engine_client.hpp
+++ b/src/hyssoprail/agent/engine_client.hpp
@@ -35,6 +35,8 @@
 
   HttpCall makePostCall(std::string Target, std::string Body,
                         milliseconds Timeout) const;
+  template <typename T, typename Reader>
+  void query(CallId Id, std::string Target, Reader Read);
   void onStreamData(DecodeStream &Stream, std::string_view Data);
   void onStreamEnd(CallId Call, const Status &End);
   void finishStream(DecodeStream &Stream, DecodeEnd End);
--- a/src/hyssoprail/process/owner_limits.cpp
+++ b/src/hyssoprail/process/owner_limits.cpp
@@ -190,13 +190,18 @@
     creditRefund(Now, Refund);
     return;
   }
+  sendRefund(Current.Owner, Refund, Out);
+}
+
+void OwnerLimits::sendRefund(std::uint64_t Owner, const LimitRefund &Refund,
+                             LimitActions &Out) const {
   wire::Envelope E;
   wire::Refund *Message = E.mutable_refund();
   Message->set_debit_id(Refund.DebitId);
   Message->set_account(Refund.Account);
   Message->set_tokens(Refund.Tokens);
   Message->set_epoch(Refund.Epoch);
-  send(Current.Owner, std::move(E), Out);
+  send(Owner, std::move(E), Out);
 }
 
 /// Credits a refund of the current epoch. A refund of an earlier epoch is
@@ -253,13 +258,12 @@
          {.Result = Debit.LastResult, .RetryAfter = NoOwnerRetryAfter}, Out);
   if (Debit.SentTo == 0)
     return;
-  wire::Envelope E;
-  wire::Refund *Message = E.mutable_refund();
-  Message->set_debit_id(Debit.Id);
-  Message->set_account(Debit.Account);
-  Message->set_tokens(Debit.Tokens);
-  Message->set_epoch(Debit.SentEpoch);
-  send(Debit.SentTo, std::move(E), Out);
+  sendRefund(Debit.SentTo,
+             {.DebitId = Debit.Id,
+              .Account = Debit.Account,
+              .Tokens = Debit.Tokens,
+              .Epoch = Debit.SentEpoch},
+             Out);
 }
 
 void OwnerLimits::handleMessage(TimePoint Now, std::uint64_t From,
