Tests of answers that are cut at any byte

Another operator's clients got a 200 with an empty or short body, framed as whole, after a worker had stopped in the middle of its answer's head. UpstreamClient is tested with each prefix of answers with a length, with chunks and a trailer, and without framing; the gateway with sixteen cuts of a call's answer, with HTTP/1.1 and HTTP/1.0 callers. Answers without framing are served whole, also on kept connections and as streams, unless their connection is reset, and a stream that ends inside an event is broken off with a length, with chunks and without both.

RawFleet and the sender of the tests of UpstreamClient move to headers of their own, unchanged but for their names; RawWorker can end a connection with a reset.

--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -1,10 +1,8 @@
 #include "hyssoprail/connection/upstream_client.hpp"
 
-#include <future>
-#include <optional>
-
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/connection/upstream_sender.hpp"
 #include "hyssoprail/testing/endless_server.hpp"
 #include "hyssoprail/testing/scripted_server.hpp"
 
@@ -12,15 +10,10 @@
 namespace {
 
 using testing::EndlessServer;
-using testing::LoopThread;
 using testing::ScriptedAnswer;
 using testing::ScriptedServer;
-
-struct Outcome {
-  UpstreamEnd End = UpstreamEnd::Broken;
-  unsigned Status = 0;
-  std::string Body;
-};
+using Outcome = testing::UpstreamOutcome;
+using Sender = testing::UpstreamSender;
 
 std::string response(const std::string &Id, const std::string &Body) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
@@ -28,45 +21,6 @@
          Body;
 }
 
-/// Sends requests and waits for each to end.
-class Sender {
-public:
-  Sender() : Client(makeUpstreamClient(Loop.context())) {}
-  ~Sender() { Loop.stop(); }
-
-  Outcome send(const std::string &Authority, const std::string &Id,
-               std::chrono::milliseconds Timeout = std::chrono::seconds(5),
-               const std::string &Incarnation = "",
-               const std::string &RequestId = "") {
-    std::promise<Outcome> Done;
-    auto Result = Done.get_future();
-    auto Seen = std::make_shared<Outcome>();
-    UpstreamCall Call;
-    Call.Authority = Authority;
-    Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
-    Call.HeadTimeout = Timeout;
-    Call.Incarnation = Incarnation;
-    Call.RequestId = RequestId;
-    UpstreamHandlers H;
-    H.MatchesRequest = [Id](const HttpResponse &Head) {
-      return headerValue(Head.Headers, "Request-Id") == Id;
-    };
-    H.OnHead = [Seen](const HttpResponse &Head) { Seen->Status = Head.Status; };
-    H.OnData = [Seen](std::string_view Data) { Seen->Body += Data; };
-    H.OnEnd = [Seen, &Done](UpstreamEnd End, const std::string &) {
-      Seen->End = End;
-      Done.set_value(*Seen);
-    };
-    boost::asio::post(Loop.context(),
-                      [&] { Client->send(std::move(Call), std::move(H)); });
-    return Result.get();
-  }
-
-private:
-  LoopThread Loop;
-  std::unique_ptr<UpstreamClient> Client;
-};
-
 } // namespace
 
 // Guards against a new connection for every request.
