UpstreamClient: an exchange without handlers ends at its timeout

A request that frees a KV cache is sent without handlers, as nobody needs its answer. Its timeout ended with the head of the answer, and nothing else ended the exchange: an engine that sent a body without end, or none after its head, kept the entry reading and a descriptor open for good.

The timeout now holds for the whole answer if there is no OnEnd, and a body that nobody gets is bounded like that of an answer to another request (1 MiB).

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -46,7 +46,9 @@
   std::string RequestId;
   HttpRequest Request; ///< its Host header is sent as given
   std::chrono::milliseconds ConnectTimeout{300};
-  /// From the start of the exchange to the end of the response head.
+  /// From the start of the exchange to the end of the response head. If there
+  /// is no OnEnd, nobody can tell when to cancel the exchange, and this holds
+  /// for the whole response.
   std::chrono::milliseconds HeadTimeout{15'000};
 };
 
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -44,7 +44,10 @@
 
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr unsigned MaxSkippedResponses = 4;
-constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
+
+/// Limit of body bytes that nobody gets: of responses to other requests, and of
+/// those to requests without handlers.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{1024} * 1024;
 
 /// Limit of received bytes that cannot be parsed yet: an incomplete response
 /// head, or the size and the extensions of a chunk.
@@ -273,7 +276,8 @@
           ResponseParser->need_eof())
         return end(UpstreamEnd::Broken, "received responses to other requests");
     } else {
-      Active->Stream.expires_never();
+      if (Handlers.OnEnd)
+        Active->Stream.expires_never();
       if (Handlers.OnHead)
         Handlers.OnHead(std::move(Head));
     }
@@ -299,9 +303,9 @@
       return;
     const std::size_t BytesRead =
         Data.size() - ResponseParser->get().body().size;
-    if (Skipping && (SkippedBytes += BytesRead) > MaxSkippedBytes)
-      return end(UpstreamEnd::Broken,
-                 "the response to another request is too large");
+    const bool Discarded = Skipping || !Handlers.OnEnd;
+    if (Discarded && (DiscardedBytes += BytesRead) > MaxDiscardedBytes)
+      return end(UpstreamEnd::Broken, "the response is too large to discard");
     if (BytesRead > 0 && !Skipping && Handlers.OnData)
       Handlers.OnData(std::string_view(Data.data(), BytesRead));
     if (Ended)
@@ -371,7 +375,7 @@
   std::array<char, 4096> Data{};
   milliseconds IdleTimeLimit{0};
   unsigned SkippedResponses = 0;
-  std::size_t SkippedBytes = 0;
+  std::size_t DiscardedBytes = 0;
   bool Skipping = false;
   bool Written = false;
   bool WriteEnded = false;
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -1,20 +1,27 @@
-// Answers that are cut at any byte.
+// Answers that are cut at any byte, and endpoints that send without end where
+// nobody waits for an answer.
 #include "hyssoprail/connection/upstream_client.hpp"
 
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/connection/upstream_sender.hpp"
+#include "hyssoprail/testing/endless_server.hpp"
 #include "hyssoprail/testing/scripted_server.hpp"
 
 namespace hyssoprail {
 namespace {
 
+using testing::EndlessServer;
 using testing::ScriptedServer;
 using testing::UpstreamOutcome;
 using testing::UpstreamSender;
+using testing::waitUntil;
 
 constexpr std::chrono::milliseconds Timeout{2'000};
 
+/// Far more than a client may read of an answer that it does not need.
+constexpr std::size_t MaxEndlessBytes = 12'000'000;
+
 const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
                          "Signature: s\r\n";
 
@@ -65,4 +72,34 @@
   }
 }
 
+// Guards against a connection that stays open for good, because nobody waits
+// for the end of its exchange: the endpoint sends an answer without end, or
+// none after its head.
+TEST_CASE("an exchange without handlers ends at its timeout") {
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Endless {
+    std::string Prefix;
+    std::string Block;
+    std::chrono::milliseconds Pause{0};
+  };
+  const std::vector<Endless> Servers{
+      {Head + "\r\n", std::string(10'000, 'x')},
+      {Chunked, "3e8\r\n" + std::string(1'000, 'x') + "\r\n"},
+      {Head + "Content-Length: 1000\r\n\r\n", "x",
+       std::chrono::milliseconds(100)}};
+  for (const Endless &E : Servers) {
+    CAPTURE(E.Prefix, E.Block.substr(0, 10));
+    EndlessServer Server(E.Prefix, E.Block, E.Pause);
+    UpstreamSender S;
+    UpstreamCall Call;
+    Call.Authority = Server.authority();
+    Call.Request = {"DELETE", "/", {}, ""};
+    Call.HeadTimeout = std::chrono::milliseconds(400);
+    S.run([&] { S.client().send(std::move(Call), {}); });
+    CHECK(waitUntil([&] { return Server.requests() == 1; }));
+    CHECK(waitUntil([&] { return Server.closed(); }, Timeout));
+    CHECK(Server.sentBytes() < MaxEndlessBytes);
+  }
+}
+
 } // namespace hyssoprail
