UpstreamClient: interim answers and odd statuses are not answers

An interim answer of a worker (100, 102, 103) counted as its answer: callers got 502 although the worker ran the request, and the answer that followed lay on a connection that was idle then. A worker that sent interim answers without end went on doing so on that connection.

"interim answers of a worker are not its answer" failed before (502 for each call, no events for each stream), as did two cases of "endless answers of all kinds are given up" (the connection was still open after 10 s). Up to 16 interim answers are read and skipped within the timeout of the head. Other statuses outside of 200 to 599, 101 among them, break the exchange. 204, 205 and 304 with a body are passed on as before.

--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -45,6 +45,12 @@
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr unsigned MaxSkippedResponses = 4;
 
+/// Endpoints send one or two interim responses before a response, if any.
+constexpr unsigned MaxInterimResponses = 16;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
+
 /// Limit of body bytes that nobody gets: of responses to other requests, and of
 /// those to requests without handlers.
 constexpr std::size_t MaxDiscardedBytes = std::size_t{1024} * 1024;
@@ -167,6 +173,12 @@
   std::map<std::string, std::deque<ConnectionPtr>> Idle;
 };
 
+/// True for an interim response, which another one follows on the same
+/// connection. An upgrade was not asked for, so 101 is none.
+bool isInterim(unsigned Status) {
+  return Status / 100 == 1 && Status != SwitchingProtocols;
+}
+
 class BeastExchange : public UpstreamExchange,
                       public std::enable_shared_from_this<BeastExchange> {
 public:
@@ -264,8 +276,14 @@
       return end(UpstreamEnd::TimedOut, "no response before the timeout");
     if (Code)
       return end(UpstreamEnd::Broken, Code.message());
+    const unsigned Status = ResponseParser->get().result_int();
+    if (isInterim(Status) && ++InterimResponses <= MaxInterimResponses)
+      return readHead();
+    if (Status < FirstFinalStatus || Status > LastStatus)
+      return end(UpstreamEnd::Broken,
+                 "received the status " + std::to_string(Status));
     HttpResponse Head;
-    Head.Status = ResponseParser->get().result_int();
+    Head.Status = Status;
     for (const auto &Field : ResponseParser->get())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
@@ -375,6 +393,7 @@
   std::array<char, 4096> Data{};
   milliseconds IdleTimeLimit{0};
   unsigned SkippedResponses = 0;
+  unsigned InterimResponses = 0;
   std::size_t DiscardedBytes = 0;
   bool Skipping = false;
   bool Written = false;
