--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -44,7 +44,16 @@
 
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr unsigned MaxSkippedResponses = 4;
-constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
+
+/// Endpoints send one or two interim responses before a response, if any.
+constexpr unsigned MaxInterimResponses = 16;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
+
+/// Limit of body bytes that nobody gets: of responses to other requests, and of
+/// those to requests without handlers.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{1024} * 1024;
 
 /// Limit of received bytes that cannot be parsed yet: an incomplete response
 /// head, or the size and the extensions of a chunk.
@@ -164,6 +173,20 @@
   std::map<std::string, std::deque<ConnectionPtr>> Idle;
 };
 
+/// True for an interim response, which another one follows on the same
+/// connection. An upgrade was not asked for, so 101 is none.
+bool isInterim(unsigned Status) {
+  return Status / 100 == 1 && Status != SwitchingProtocols;
+}
+
+/// True for methods whose requests state a length even if they have no body.
+/// message::prepare_payload() is not used, as it throws for some methods with
+/// a body, such as TRACE.
+bool expectsLength(http::verb Method) {
+  return Method == http::verb::options || Method == http::verb::put ||
+         Method == http::verb::post;
+}
+
 class BeastExchange : public UpstreamExchange,
                       public std::enable_shared_from_this<BeastExchange> {
 public:
@@ -227,7 +250,8 @@
       if (mayForwardHeader(H))
         Message.insert(H.Name, H.Value);
     Message.body() = std::move(Call.Request.Body);
-    Message.prepare_payload();
+    if (!Message.body().empty() || expectsLength(Message.method()))
+      Message.content_length(Message.body().size());
     if (!Call.RequestId.empty())
       Active->SentIds.push_back(hashOfId(Call.RequestId));
     Active->Stream.expires_at(Deadline);
@@ -261,8 +285,14 @@
       return end(UpstreamEnd::TimedOut, "no response before the timeout");
     if (Code)
       return end(UpstreamEnd::Broken, Code.message());
+    const unsigned Status = ResponseParser->get().result_int();
+    if (isInterim(Status) && ++InterimResponses <= MaxInterimResponses)
+      return readHead();
+    if (Status < FirstFinalStatus || Status > LastStatus)
+      return end(UpstreamEnd::Broken,
+                 "received the status " + std::to_string(Status));
     HttpResponse Head;
-    Head.Status = ResponseParser->get().result_int();
+    Head.Status = Status;
     for (const auto &Field : ResponseParser->get())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
@@ -273,7 +303,8 @@
           ResponseParser->need_eof())
         return end(UpstreamEnd::Broken, "received responses to other requests");
     } else {
-      Active->Stream.expires_never();
+      if (Handlers.OnEnd)
+        Active->Stream.expires_never();
       if (Handlers.OnHead)
         Handlers.OnHead(std::move(Head));
     }
@@ -299,9 +330,9 @@
       return;
     const std::size_t BytesRead =
         Data.size() - ResponseParser->get().body().size;
-    if (Skipping && (SkippedBytes += BytesRead) > MaxSkippedBytes)
-      return end(UpstreamEnd::Broken,
-                 "the response to another request is too large");
+    const bool Discarded = Skipping || !Handlers.OnEnd;
+    if (Discarded && (DiscardedBytes += BytesRead) > MaxDiscardedBytes)
+      return end(UpstreamEnd::Broken, "the response is too large to discard");
     if (BytesRead > 0 && !Skipping && Handlers.OnData)
       Handlers.OnData(std::string_view(Data.data(), BytesRead));
     if (Ended)
@@ -371,7 +402,8 @@
   std::array<char, 4096> Data{};
   milliseconds IdleTimeLimit{0};
   unsigned SkippedResponses = 0;
-  std::size_t SkippedBytes = 0;
+  unsigned InterimResponses = 0;
+  std::size_t DiscardedBytes = 0;
   bool Skipping = false;
   bool Written = false;
   bool WriteEnded = false;
--- /dev/null
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -0,0 +1,105 @@
+// Answers that are cut at any byte, and endpoints that send without end where
+// nobody waits for an answer.
+#include "hyssoprail/connection/upstream_client.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/connection/upstream_sender.hpp"
+#include "hyssoprail/testing/endless_server.hpp"
+#include "hyssoprail/testing/scripted_server.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using testing::EndlessServer;
+using testing::ScriptedServer;
+using testing::UpstreamOutcome;
+using testing::UpstreamSender;
+using testing::waitUntil;
+
+constexpr std::chrono::milliseconds Timeout{2'000};
+
+/// Far more than a client may read of an answer that it does not need.
+constexpr std::size_t MaxEndlessBytes = 12'000'000;
+
+const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+                         "Signature: s\r\n";
+
+/// Sends one request to an endpoint that closes after the first \p Size bytes
+/// of \p Answer.
+UpstreamOutcome sendToCut(UpstreamSender &S, const std::string &Answer,
+                          std::size_t Size) {
+  ScriptedServer Server({{Answer.substr(0, Size), true}});
+  return S.send(Server.authority(), "1", Timeout);
+}
+
+} // namespace
+
+// Guards against an answer that was cut and counts as complete: its caller
+// would get a 200 with an empty or short body, framed as whole.
+TEST_CASE("an answer that is cut at any byte is not complete") {
+  const std::vector<std::string> Answers{
+      Head + "Content-Length: 5\r\n\r\nabcde",
+      Head + "Content-Length: 0\r\n\r\n",
+      Head + "Transfer-Encoding: chunked\r\n\r\n"
+             "2\r\nab\r\n3;name=value\r\ncde\r\n0\r\nTrailer: value\r\n\r\n"};
+  UpstreamSender S;
+  for (const std::string &Answer : Answers) {
+    for (std::size_t Size = 0; Size < Answer.size(); ++Size) {
+      CAPTURE(Answer, Size);
+      CHECK(sendToCut(S, Answer, Size).End == UpstreamEnd::Broken);
+    }
+    CHECK(sendToCut(S, Answer, Answer.size()).End == UpstreamEnd::Complete);
+  }
+}
+
+// As above, for an answer that ends with its connection: it is complete as soon
+// as its head is, and what was sent must arrive.
+TEST_CASE("an answer without framing is complete if its head is") {
+  const std::string Body = "abcde";
+  UpstreamSender S;
+  for (const std::string Version : {"1", "0"}) {
+    std::string Answer = Head + "\r\n" + Body;
+    Answer.replace(7, 1, Version);
+    for (std::size_t Size = 0; Size <= Answer.size(); ++Size) {
+      CAPTURE(Answer, Size);
+      const UpstreamOutcome O = sendToCut(S, Answer, Size);
+      const std::size_t HeadSize = Answer.size() - Body.size();
+      CHECK((O.End == UpstreamEnd::Complete) == (Size >= HeadSize));
+      if (Size >= HeadSize)
+        CHECK(O.Body == Body.substr(0, Size - HeadSize));
+    }
+  }
+}
+
+// Guards against a connection that stays open for good, because nobody waits
+// for the end of its exchange: the endpoint sends an answer without end, or
+// none after its head.
+TEST_CASE("an exchange without handlers ends at its timeout") {
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Endless {
+    std::string Prefix;
+    std::string Block;
+    std::chrono::milliseconds Pause{0};
+  };
+  const std::vector<Endless> Servers{
+      {Head + "\r\n", std::string(10'000, 'x')},
+      {Chunked, "3e8\r\n" + std::string(1'000, 'x') + "\r\n"},
+      {Head + "Content-Length: 1000\r\n\r\n", "x",
+       std::chrono::milliseconds(100)}};
+  for (const Endless &E : Servers) {
+    CAPTURE(E.Prefix, E.Block.substr(0, 10));
+    EndlessServer Server(E.Prefix, E.Block, E.Pause);
+    UpstreamSender S;
+    UpstreamCall Call;
+    Call.Authority = Server.authority();
+    Call.Request = {"DELETE", "/", {}, ""};
+    Call.HeadTimeout = std::chrono::milliseconds(400);
+    S.run([&] { S.client().send(std::move(Call), {}); });
+    CHECK(waitUntil([&] { return Server.requests() == 1; }));
+    CHECK(waitUntil([&] { return Server.closed(); }, Timeout));
+    CHECK(Server.sentBytes() < MaxEndlessBytes);
+  }
+}
+
+} // namespace hyssoprail
