--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -1,11 +1,14 @@
 #include "hyssoprail/gateway/gateway_settings.hpp"
 
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <sstream>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "hyssoprail/connection/ip_port.hpp"
 #include "hyssoprail/process/schema_check.hpp"
 #include "hyssoprail/process/schemas.hpp"
 
@@ -25,6 +28,26 @@
         std::chrono::duration<double>(In.at(Name).get<double>()));
 }
 
+/// The schema checks only the form of an address.
+Status checkAddresses(const Json &In) {
+  constexpr std::array<const char *, 5> Names{"caller_address", "ready_address",
+                                              "metrics_address", "peer_address",
+                                              "store"};
+  for (const char *Name : Names) {
+    const std::string Address = In.value(Name, "");
+    if (!In.contains(Name) || parseIpPort(Address))
+      continue;
+    constexpr std::size_t MaxShownChars = 120;
+    return Error{ErrorKind::InvalidSettings,
+                 fmt::format("the field \"{}\" has the invalid value \"{}\"",
+                             Name, Address.substr(0, MaxShownChars)),
+                 "use IP:PORT with a port between 1 and 65535",
+                 Name,
+                 {}};
+  }
+  return std::monostate{};
+}
+
 } // namespace
 
 Result<GatewaySettings> parseGatewaySettings(std::string_view Text) {
@@ -35,6 +58,9 @@
   const Status Checked = checkAgainstSchema(In, schemas::hyssoprail_gateway);
   if (const Error *E = errorOf(Checked))
     return *E;
+  const Status Usable = checkAddresses(In);
+  if (const Error *E = errorOf(Usable))
+    return *E;
   GatewaySettings Out;
   read(In, "name", Out.Name);
   read(In, "zone", Out.Zone);
