Errors of settings are short and name the field

An unknown field with a long name, or text that is no JSON, was repeated as a whole in the message: 10,040 and 10,216 bytes for a name of 10,000 in the new test "an error of the settings is short", which failed. An unknown field whose name is empty gave an error that names none; a mutated settings file showed it. Names and messages of the parser are truncated, and such a field is called "(unnamed)".

--- a/src/hyssoprail/gateway/gateway_settings_test.cpp
+++ b/src/hyssoprail/gateway/gateway_settings_test.cpp
@@ -56,4 +56,19 @@
     }
 }
 
+// Guards against a message that fills the terminal or the log.
+TEST_CASE("an error of the settings is short") {
+  constexpr std::size_t MaxBytes = 1'000;
+  const std::string Long(10'000, 'x');
+  CHECK(errorWith(Long, 1).Message.size() < MaxBytes);
+  CHECK(errorWith("store", Long).Message.size() < MaxBytes);
+  const auto Unfinished = parseGatewaySettings("{\"" + Long);
+  CHECK(errorOf(Unfinished)->Message.size() < MaxBytes);
+}
+
+// Guards against an error that does not tell which field is meant.
+TEST_CASE("an unknown field without a name is named in the error") {
+  CHECK(errorWith("", 1).Field == "(unnamed)");
+}
+
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/process/schema_check.cpp
+++ b/src/hyssoprail/process/schema_check.cpp
@@ -15,9 +15,18 @@
 
 using Json = nlohmann::json;
 
-/// Longer values are truncated in error messages.
+/// Longer names and values are truncated in error messages.
 constexpr std::size_t MaxShownChars = 120;
 
+/// Longer messages of the JSON parser, which name what it read, are truncated.
+constexpr std::size_t MaxParserMessageChars = 300;
+
+std::string truncated(std::string Text, std::size_t MaxChars = MaxShownChars) {
+  if (Text.size() > MaxChars)
+    Text = Text.substr(0, MaxChars) + "...";
+  return Text;
+}
+
 /// A value in a document and the part of the schema that applies to it.
 struct SchemaLocation {
   std::string Path;
@@ -40,10 +49,7 @@
 std::string displayValue(const Json &Value, const Json &Subschema) {
   if (Subschema.value("writeOnly", false))
     return "(hidden)";
-  std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
-  if (Text.size() > MaxShownChars)
-    Text = Text.substr(0, MaxShownChars) + "...";
-  return Text;
+  return truncated(Value.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
 std::string expectedValue(const Json &Subschema) {
@@ -81,9 +87,9 @@
   for (const auto &[Name, Value] : P.Value->items())
     if (!Properties.contains(Name))
       return invalidSettings(
-          joinPath(P.Path, Name),
+          Name.empty() ? joinPath(P.Path, "(unnamed)") : joinPath(P.Path, Name),
           fmt::format("the field \"{}\" is unknown (its value is {})",
-                      joinPath(P.Path, Name),
+                      truncated(joinPath(P.Path, Name)),
                       displayValue(Value, Json::object())),
           fmt::format("remove it, or use one of: {}", fieldNames(Properties)));
   for (const Json &Name : P.Subschema->value("required", Json::array())) {
@@ -141,7 +147,9 @@
     return Json::parse(Text);
   } catch (const Json::exception &E) {
     return invalidSettings(
-        "(document)", fmt::format("the text is not valid JSON: {}", E.what()),
+        "(document)",
+        fmt::format("the text is not valid JSON: {}",
+                    truncated(E.what(), MaxParserMessageChars)),
         "correct the text at that position");
   }
 }
