Loads that peers report do not overflow

A report with calls of 4,294,967,295 runs at an endpoint counted as -1, and two peers with 2,147,483,647 each as -2: a full endpoint looked empty to the entry that adds them up (and the sum overflowed a signed number). Loads of peers are held between 0 and 1,000,000 runs where they enter the table, which every reader of reports and updates uses.

Coordination::applyUpdate() still converts the number of an update without a bound, so that 4,294,967,295 counts as 0.

--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include <fmt/format.h>
@@ -185,7 +186,10 @@
   LoadMap Loads;
   for (const wire::CallUse &Use : Report.calls()) {
     E.Calls[Use.endpoint()] = Use.runs();
-    Loads[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
+    Loads[Use.endpoint()] = {
+        static_cast<std::int32_t>(std::min<std::uint32_t>(
+            Use.runs(), std::numeric_limits<std::int32_t>::max())),
+        0, 0};
   }
   if (Name != OwnName)
     Table.setPeerLoad(Name, std::move(Loads));
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -194,7 +194,17 @@
   ExcludedZones = std::move(Zones);
 }
 
+/// Numbers beyond these are errors of the peer. The sum over all peers must not
+/// overflow, or a full endpoint would look empty.
 void EndpointTable::setPeerLoad(const std::string &Peer, LoadMap Loads) {
+  constexpr std::int32_t MaxRuns = 1'000'000;
+  constexpr std::int64_t MaxTokens = 1'000'000'000'000;
+  for (auto &[Id, Load] : Loads) {
+    Load.Runs = std::clamp(Load.Runs, 0, MaxRuns);
+    Load.Tokens = std::clamp<std::int64_t>(Load.Tokens, 0, MaxTokens);
+    Load.PrefillTokens =
+        std::clamp<std::int64_t>(Load.PrefillTokens, 0, MaxTokens);
+  }
   LoadMap &Last = PeerLoads[Peer];
   for (const auto &[Id, Load] : Last)
     if (Endpoint *E = find(Id))
--- a/src/hyssoprail/routing/endpoint_table_test.cpp
+++ b/src/hyssoprail/routing/endpoint_table_test.cpp
@@ -1,5 +1,7 @@
 #include "hyssoprail/routing/endpoint_table.hpp"
 
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/routing/endpoint_choice.hpp"
@@ -50,6 +52,22 @@
   REQUIRE(Table.usable("orders", Start).size() == 1);
 }
 
+// Guards against numbers of a peer that overflow: the sum became negative, so a
+// full endpoint looked empty to all others.
+TEST_CASE("huge loads of peers do not make an endpoint look empty") {
+  constexpr std::int32_t Most = std::numeric_limits<std::int32_t>::max();
+  EndpointTable Table;
+  Table.apply(service("a"));
+  for (const char *Peer : {"p", "q"})
+    Table.setPeerLoad(Peer, {{"a", {Most, 0, 0}}});
+  CHECK(Table.find("a")->totalLoad().Runs > 1'000);
+  Table.setPeerLoad("s", {{"a", {-5, 0, 0}}});
+  CHECK(Table.find("a")->totalLoad().Runs > 1'000);
+  for (const char *Peer : {"p", "q", "s"})
+    Table.setPeerLoad(Peer, {});
+  CHECK(Table.find("a")->totalLoad() == EndpointLoad{});
+}
+
 // Guards against load that is lost or counted twice as peer reports change.
 TEST_CASE("a peer's report replaces its earlier one") {
   EndpointTable Table;
