Totals of tokens that overflow are ignored

Totals of an account that a peer reports were checked to be finite, but not their difference: after -1.7e308 and 1.7e308 the debt was infinite, the account got nothing any more at any entry, and the updates of the coordinator passed the infinite total on.

--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -9,6 +9,8 @@
 
 #include <fmt/format.h>
 
+#include "hyssoprail/routing/usable_total.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -203,13 +205,13 @@
                                     TimePoint Now) {
   SharedQuota::AccountTotals Totals;
   for (const wire::AccountUse &Use : Report.accounts())
-    if (std::isfinite(Use.tokens()))
+    if (isUsableTotal(Use.tokens()))
       Totals[Use.account()] = Use.tokens();
   const bool FirstReport =
       Name != OwnName &&
       Quota.recordPeerTotals(Name, E.Incarnation, Totals, Now);
   for (const wire::AccountUse &Use : Report.accounts()) {
-    if (!std::isfinite(Use.tokens()))
+    if (!isUsableTotal(Use.tokens()))
       continue;
     const double Undated =
         FirstReport ? Quota.chargePeerDebt(Use.account(), Use.debt(), Now) : 0;
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "hyssoprail/routing/usable_total.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -188,7 +190,7 @@
 double SharedQuota::chargePeerDebt(std::string_view Account, double Tokens,
                                    TimePoint Now) {
   Bucket *B = refilled(Account, Now);
-  if (!B || !std::isfinite(Tokens) || Tokens <= 0 || BurstShare < 1)
+  if (!B || !isUsableTotal(Tokens) || Tokens <= 0 || BurstShare < 1)
     return 0;
   charge(*B, Tokens);
   return Tokens;
@@ -197,7 +199,7 @@
 void SharedQuota::raiseDebt(std::string_view Account, double FleetDebt,
                             TimePoint Now) {
   Bucket *B = refilled(Account, Now);
-  if (!B || !std::isfinite(FleetDebt))
+  if (!B || !isUsableTotal(FleetDebt))
     return;
   const double Raise = std::max(0.0, FleetDebt * BurstShare - B->Debt);
   B->Debt += Raise;
@@ -225,7 +227,7 @@
   if (First)
     Known = {Incarnation, {}};
   for (const auto &[Account, Total] : Totals) {
-    if (!std::isfinite(Total))
+    if (!isUsableTotal(Total))
       continue;
     double &Last = Known.Totals[Account];
     const double Change = First ? 0 : Total - Last;
--- a/src/hyssoprail/routing/shared_quota_test.cpp
+++ b/src/hyssoprail/routing/shared_quota_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/shared_quota.hpp"
 
 #include <cmath>
+#include <limits>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -277,4 +278,20 @@
   CHECK(Quota.take("acme", 1'000, Later).Granted);
 }
 
+// Guards against numbers of a peer whose difference or sum is infinite: the
+// account got nothing any more, at any entry.
+TEST_CASE("totals that overflow change nothing") {
+  constexpr double Largest = std::numeric_limits<double>::max();
+  SharedQuota Quota{QuotaTolerance{}};
+  Quota.configure(*testing::testConfig(), testing::Start);
+  for (const double Total : {0.0, -Largest, Largest, 0.0}) {
+    Quota.recordPeerTotals("p", 1, {{"acme", Total}}, testing::Start);
+    Quota.chargePeerDebt("acme", Total, testing::Start);
+    Quota.raiseDebt("acme", Total, testing::Start);
+  }
+  const TimePoint Later = testing::Start + milliseconds(1'100);
+  CHECK(Quota.take("acme", 1'000, Later).Granted);
+  CHECK(std::isfinite(Quota.fleetDebt("acme", Later)));
+}
+
 } // namespace hyssoprail::routing
