--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -4,10 +4,13 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "hyssoprail/routing/usable_total.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -185,7 +188,10 @@
   LoadMap Loads;
   for (const wire::CallUse &Use : Report.calls()) {
     E.Calls[Use.endpoint()] = Use.runs();
-    Loads[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
+    Loads[Use.endpoint()] = {
+        static_cast<std::int32_t>(std::min<std::uint32_t>(
+            Use.runs(), std::numeric_limits<std::int32_t>::max())),
+        0, 0};
   }
   if (Name != OwnName)
     Table.setPeerLoad(Name, std::move(Loads));
@@ -199,13 +205,13 @@
                                     TimePoint Now) {
   SharedQuota::AccountTotals Totals;
   for (const wire::AccountUse &Use : Report.accounts())
-    if (std::isfinite(Use.tokens()))
+    if (isUsableTotal(Use.tokens()))
       Totals[Use.account()] = Use.tokens();
   const bool FirstReport =
       Name != OwnName &&
       Quota.recordPeerTotals(Name, E.Incarnation, Totals, Now);
   for (const wire::AccountUse &Use : Report.accounts()) {
-    if (!std::isfinite(Use.tokens()))
+    if (!isUsableTotal(Use.tokens()))
       continue;
     const double Undated =
         FirstReport ? Quota.chargePeerDebt(Use.account(), Use.debt(), Now) : 0;
