StreamFlow: a stream that has nothing left to send is complete

Callers saw a 502, or a stream that broke off after its last event, when the connection of an engine broke between the last event and the end of the stream: the engine that continued it had nothing left to send, and a run without a new event counted as broken. The second engine was also suspected of a crash under the prompt. The same happened to a caller that resumed a stream itself after its last event, and to streams with a line end after their last event.

A run that continues a stream may now end without a new event, if its length or chunks tell where it ends. A body that ends with its connection does not count, as that is how a crash after the head looks. The line end is passed on, as the body of the answer must not change.

--- a/include/hyssoprail/routing/event_splitter.hpp
+++ b/include/hyssoprail/routing/event_splitter.hpp
@@ -29,8 +29,14 @@
   /// True if the buffered data exceeds the largest size of an event.
   bool tooLong() const { return Pending.size() > MaxEventBytes; }
 
-  /// True if no incomplete event is buffered.
-  bool atBoundary() const { return Pending.empty(); }
+  /// True if no incomplete event is buffered. Line ends after the last event
+  /// are none.
+  bool atBoundary() const {
+    return Pending.find_first_not_of("\r\n") == std::string::npos;
+  }
+
+  /// What is buffered: at a boundary, line ends after the last event.
+  const std::string &rest() const { return Pending; }
 
 private:
   static constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
--- a/include/hyssoprail/routing/stream_progress.hpp
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -19,8 +19,9 @@
   void resumeAfter(std::uint64_t Event) { LastEventId = Event; }
 
   /// Prepares for the stream of another engine and discards an incomplete event
-  /// of the previous one.
-  void restart();
+  /// of the previous one. \p EndIsCertain: the engine tells where its stream
+  /// ends, by a length or by chunks.
+  void restart(bool EndIsCertain = false);
 
   /// Adds data from the engine; returns the complete events that the caller has
   /// not received yet. Nothing is returned any more once an engine that should
@@ -28,11 +29,17 @@
   std::string feed(std::string_view Data);
 
   /// True if the data so far ends with a complete event of the current engine,
-  /// and all of it belongs to the stream.
+  /// and all of it belongs to the stream. An engine that continues a stream may
+  /// have nothing left to send; it must then tell where its stream ends, as the
+  /// connection of an engine that crashes may end in the same way.
   bool atEventEnd() const {
-    return GotNewEvent && !HasForeignText && Splitter.atBoundary();
+    return (GotNewEvent || (Continues && EndIsCertain)) && !HasForeignText &&
+           Splitter.atBoundary();
   }
 
+  /// Line ends after the last event of a stream that is complete.
+  const std::string &rest() const { return Splitter.rest(); }
+
   /// True if the current engine sends an event that exceeds the size limit.
   bool eventTooLong() const { return Splitter.tooLong(); }
 
@@ -56,6 +63,7 @@
   bool GotNewEvent = false;
   /// The current engine continues a stream whose events have ids.
   bool Continues = false;
+  bool EndIsCertain = false;   ///< of the current engine's stream
   bool HasForeignText = false; ///< of the engine that continues the stream
 };
 
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -9,6 +9,16 @@
 #include "hyssoprail/routing/stream_request.hpp"
 
 namespace hyssoprail::routing {
+namespace {
+
+/// True if the end of the body is told by the protocol, not by the end of the
+/// connection.
+bool tellsItsEnd(const HttpResponse &Head) {
+  return !headerValue(Head.Headers, "Content-Length").empty() ||
+         !headerValue(Head.Headers, "Transfer-Encoding").empty();
+}
+
+} // namespace
 
 StreamFlow::StreamFlow(SharedFlowState Shared, FlowRequest Request, FlowIo &Io)
     : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
@@ -89,7 +99,7 @@
     return;
   endSilentRun(Now);
   MayHaveRun = true;
-  Progress.restart();
+  Progress.restart(tellsItsEnd(Head));
   Cache.fetched();
   LastProgressAt = Now;
   Crashes.received(0, Now);
@@ -137,8 +147,13 @@
       EndedCleanly ? HealthSignal::Success : HealthSignal::Broken, Now);
   if (EndedCleanly) {
     Crashes.completed(Now);
-    Shared.Lengths.record(Progress.events() * Request.EventTokens,
-                          Now - StreamStartedAt);
+    if (Progress.events() > 0)
+      Shared.Lengths.record(Progress.events() * Request.EventTokens,
+                            Now - StreamStartedAt);
+    if (!StreamStarted)
+      Io.beginStream(AnswerHead);
+    if (!Progress.rest().empty())
+      Io.forward(Progress.rest());
     Io.finishStream();
     return end(Now);
   }
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -12,6 +12,13 @@
 using testing::head;
 using testing::StreamFixture;
 
+/// The head of a stream whose end is told by its chunks.
+HttpResponse framedHead() {
+  HttpResponse H = head();
+  H.Headers.push_back({"Transfer-Encoding", "chunked"});
+  return H;
+}
+
 } // namespace
 
 // Guards against a decode that does not fetch the KV cache of its prefill.
@@ -101,6 +108,74 @@
   REQUIRE_FALSE(B.Io.Aborted);
 }
 
+// Guards against a whole stream that ends as broken, and an engine that counts
+// as crashed: the connection broke between the last event and the end, so the
+// engine that continues has nothing left to send.
+TEST_CASE("a stream that is resumed after its last event is complete") {
+  StreamFixture B;
+  const bool Repeats = GENERATE(false, true);
+  const auto F = B.startedStream(true, {"first", "own"});
+  F->onStreamEnd(2, false, B.Now);
+  B.poll(*F);
+  B.answer(*F, 3, answered(200, "handle-2"));
+  F->onStreamHead(4, framedHead(), B.Now);
+  if (Repeats)
+    F->onStreamData(4, "id: 1\ndata: a\n\n", B.Now);
+  F->onStreamEnd(4, true, B.Now);
+  CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\n");
+  CHECK_FALSE(B.Io.Aborted);
+  CHECK(B.Io.FinalAnswers == 1);
+  CHECK(B.Crashes.Prompts.crashCount() == 1); // of the first engine
+  CHECK(F->done());
+}
+
+// Guards against a 502 for a caller that resumes a stream of which it has
+// received all events.
+TEST_CASE("a caller that resumes after the last event gets an empty stream") {
+  StreamFixture B;
+  FlowRequest R = B.stream(true);
+  R.Info.Resumes = true;
+  R.Info.LastEventId = 7;
+  const auto F = B.startStream(std::move(R));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  F->onStreamHead(2, framedHead(), B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  CHECK(B.Io.Status == 200);
+  CHECK(B.Io.Forwarded.empty());
+  CHECK(B.Io.FinalAnswers == 1);
+  CHECK(B.Crashes.Prompts.crashCount() == 0);
+}
+
+// Guards against a stream that looks complete before its last event: an engine
+// that crashes after its head ends the connection, too, and a first engine
+// without any event has not answered.
+TEST_CASE("an empty stream is complete only if its end is certain") {
+  StreamFixture B;
+  const bool Resumed = GENERATE(true, false);
+  FlowRequest R = B.stream(false);
+  R.Info.Resumes = Resumed;
+  R.Info.LastEventId = 7;
+  const auto F = B.startStream(std::move(R));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  F->onStreamHead(2, Resumed ? head() : framedHead(), B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  CHECK(B.Io.Status == 0);
+  CHECK(B.Io.RejectedWith == RejectReason::OutcomeUnknown);
+}
+
+// Guards against a whole stream that is broken off for a line end behind its
+// last event; the caller gets it, too, as the body is passed on unchanged.
+TEST_CASE("a stream with a line end after its last event is complete") {
+  StreamFixture B;
+  const std::string Rest = GENERATE(as<std::string>{}, "\n", "\r\n");
+  const auto F = B.startedStream(false);
+  F->onStreamData(2, Rest, B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\n" + Rest);
+  CHECK_FALSE(B.Io.Aborted);
+  CHECK(B.Io.FinalAnswers == 1);
+}
+
 // Guards against a stream that is broken off while its caller would still wait
 // for it to go on: an engine gets free 2.2 s after the last event, and callers
 // of the route wait 3.6 s.
--- a/src/hyssoprail/routing/stream_progress.cpp
+++ b/src/hyssoprail/routing/stream_progress.cpp
@@ -2,7 +2,8 @@
 
 namespace hyssoprail::routing {
 
-void StreamProgress::restart() {
+void StreamProgress::restart(bool CertainEnd) {
+  EndIsCertain = CertainEnd;
   Splitter = {};
   GotNewEvent = false;
   HasForeignText = false;
