StreamScheduler: engines of a service without a policy have a finite bound

Found by review. Without a policy, as after a configuration that removes the service, the memory bound was the largest 64-bit number: the sum over two engines overflowed, and the larger bound for requests that have a KV cache was converted outside of its range (undefined; on x86-64 it becomes the smallest number, and a stream that goes on is never placed). The test fails before for the bound; that the request is placed held on arm64 already, where the conversion saturates. x86-64 was not run.

--- a/src/hyssoprail/routing/stream_scheduler_engines.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_engines.cpp
@@ -13,6 +13,10 @@
 /// the small risk of preemption.
 constexpr double ReplacementMemoryFactor = 1.15;
 
+/// Memory of an engine whose service is not in the configuration (any more).
+/// The sum over all engines of a fleet stays within 64 bits.
+constexpr std::int64_t MaxEngineTokens = std::int64_t{1} << 40;
+
 /// Extra cost of a decode engine in another zone, as a share of its memory.
 constexpr double CrossZoneCost = 0.12;
 
@@ -96,7 +100,7 @@
 std::int64_t StreamScheduler::memoryBound(std::string_view Service) const {
   const ServicePolicy *Policy = Config->service(Service);
   if (!Policy || !Policy->Engine)
-    return std::numeric_limits<std::int64_t>::max();
+    return MaxEngineTokens;
   return static_cast<std::int64_t>(Policy->Engine->KvTokens *
                                    Options.MemoryFactor);
 }
--- a/src/hyssoprail/routing/stream_scheduler_test.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_test.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -285,6 +286,26 @@
   CHECK(B.Last.Prefill.empty());
 }
 
+// Guards against an overflow of the memory bound that keeps a stream of a
+// service that has left the configuration from going on.
+TEST_CASE("a stream goes on after its service has left the configuration") {
+  SchedulerFixture B;
+  B.add(engine("d1", EngineStage::Decode));
+  B.add(engine("d2", EngineStage::Decode));
+  auto WithoutService = testConfig();
+  WithoutService->Services.clear();
+  B.Scheduler.configure(WithoutService);
+  StreamRequest Moved = B.request("moved");
+  Moved.HasKvCache = true;
+  B.Scheduler.submit(Moved);
+  CHECK(B.pollPlacements() == Ids{"moved"});
+  const auto Emptiest = B.Scheduler.emptiestDecodeEngine(
+      "assistant", [](const std::string &) { return true; }, B.Now);
+  const std::int64_t EnginesOfLargestFleet = 7'600;
+  CHECK(Emptiest.Free <=
+        std::numeric_limits<std::int64_t>::max() / EnginesOfLargestFleet);
+}
+
 // Guards against memory that is reserved twice when an answer turns out longer
 // than estimated.
 TEST_CASE("a longer answer extends its reservation") {
