unexpected_error names its boundary and request, and is counted

HandlerGuard names the places at which the event loop hands control to a handler; the line has the boundary and the id of the request if there is one, and the metric unexpected_errors counts by boundary.

--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -59,9 +59,9 @@
                                GatewaySettings Settings, const Clock &Time,
                                const EndpointProtocol &Protocol,
                                FleetFeed &Feed, HttpClient &Http,
-                               DecisionLog &Log)
+                               DecisionLog &Log, HandlerGuard &Guard)
     : Context(Context), Settings(std::move(Settings)), Time(Time),
-      Protocol(Protocol), Feed(Feed), Http(Http), Log(Log),
+      Protocol(Protocol), Feed(Feed), Http(Http), Log(Log), Guard(Guard),
       Random(systemSeed()), Incarnation(Random.identifier()),
       StartedAt(Time.now()), Quota(quotaTolerance(this->Settings)),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
@@ -466,6 +466,7 @@
       .set(double(Crashes.Requests.crashCount()));
   Counters.gauge("requests_quarantined")
       .set(double(Crashes.Requests.quarantined(Now).size()));
+  Guard.exportTo(Counters);
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
   Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -15,6 +15,7 @@
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
+#include "hyssoprail/gateway/handler_guard.hpp"
 #include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/gateway/stage_orders.hpp"
@@ -30,7 +31,8 @@
 public:
   GatewayRuntime(boost::asio::io_context &Context, GatewaySettings Settings,
                  const Clock &Time, const EndpointProtocol &Protocol,
-                 FleetFeed &Feed, HttpClient &Http, DecisionLog &Log);
+                 FleetFeed &Feed, HttpClient &Http, DecisionLog &Log,
+                 HandlerGuard &Guard);
   ~GatewayRuntime() override;
 
   /// Binds all addresses and begins to read the store.
@@ -134,6 +136,7 @@
   FleetFeed &Feed;
   HttpClient &Http;
   DecisionLog &Log;
+  HandlerGuard &Guard;
   RandomSource Random;
   const std::uint64_t Incarnation;
   const TimePoint StartedAt;
