An exception costs only the request, record, message or step it belongs to

Callers got neither an answer nor a refusal, and a gateway ignored SIGTERM, when the handling of another request threw. The event loop caught the exception, but the rest of the work of that handler was never taken up again: decisions on other requests, records behind an odd one, the next tick, the next read of a topic or of a datagram.

A request whose step threw releases what it holds, is answered with 500, or 502 once it was sent, or its stream is broken off, and leaves the map of sessions first; quota is refunded if nothing was sent. A flow that had ended before Io.reject() threw still gets its caller an answer. A leg that cannot be started fails the request after the flow returns, so that the endpoint's load is released. Timers and reads are set again before the work. Datagrams that cannot be read are counted (peer_messages_unreadable).

Remains: an exception in the connection of an endpoint (upstream_client.cpp) is caught by the loop only; the request is then answered at its own timeout.

--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -39,6 +39,9 @@
   virtual Result<routing::RequestInfo>
   decode(const HttpRequest &Request) const = 0;
 
+  /// The id that a caller's request names; empty if it has none.
+  virtual std::string_view requestId(const HttpRequest &Request) const = 0;
+
   /// Makes the request that \p Leg sends to an endpoint from the caller's
   /// request. \p Account is empty if the caller has none.
   virtual HttpRequest encode(const HttpRequest &Caller,
@@ -87,6 +90,10 @@
   virtual HttpResponse rejection(routing::RejectReason Reason,
                                  milliseconds RetryAfter,
                                  std::string_view RequestId) const = 0;
+
+  /// Makes the response to a request whose handling failed with an exception.
+  virtual HttpResponse failure(unsigned Status,
+                               std::string_view RequestId) const = 0;
 };
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -87,6 +87,11 @@
   /// The store has come back from a copy: it has lost what was written there
   /// lately, and gives out the offsets of that again. \p Era counts how often.
   virtual void onStoreRestored(std::uint64_t Era) = 0;
+
+  /// An exception ended the handling of a record or a response of the store; \p
+  /// Where names its key or topic.
+  virtual void onUnexpectedError(std::string_view Where,
+                                 std::string_view Why) = 0;
 };
 
 /// Source of the configuration, the endpoints and the addresses of entries: the
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -66,7 +66,11 @@
       StartedAt(Time.now()), Quota(quotaTolerance(this->Settings)),
       Retries({this->Settings.RetryRatio, this->Settings.RetrySlack,
                this->Settings.RetryWindow}),
-      EngineSignals(Table), Crashes(Incarnation), Peers(Context),
+      EngineSignals(Table), Crashes(Incarnation),
+      Peers(Context,
+            [this](std::string_view Why) {
+              this->Guard.report(Boundary::Peer, "", Why);
+            }),
       FleetCoordination(
           Context, this->Settings, Incarnation, Time, Log, Peers,
           {Table, EngineSignals, Crashes, Quota, Feed},
@@ -90,7 +94,13 @@
   Options.Address = At.Ip;
   Options.Port = At.Port;
   Options.MaxUnsentBytes = MaxUnsentBytes;
-  return makeHttpServer(Context, std::move(Options), std::move(Handler));
+  return makeHttpServer(
+      Context, std::move(Options),
+      [this, Handler = std::move(Handler)](const Exchange &Caller) {
+        if (!Guard.run(Boundary::Request, Protocol.requestId(Caller->request()),
+                       [&] { Handler(Caller); }))
+          Caller->respond(HttpResponse{500, {}, ""});
+      });
 }
 
 Status GatewayRuntime::start() {
@@ -148,19 +158,6 @@
         NeedsRestart ? "budgets taken, the rest needs a restart" : "taken"}});
 }
 
-void GatewayRuntime::stop() {
-  if (Stopping)
-    return;
-  Stopping = true;
-  StopBeganAt = Time.now();
-  CallerServer->disableKeepAlive();
-  FleetCoordination.beginStop();
-  Stages.stop();
-  for (const auto &[Key, Session] : Sessions)
-    Session->endBy(stopDeadline());
-  Log.write(LogCategory::Outcome, "stop", "", {{"open", Sessions.size()}});
-}
-
 // ---- Requests -------------------------------------------------------------
 
 void GatewayRuntime::handle(const Exchange &Caller) {
@@ -285,7 +282,8 @@
   const std::string Key = Request.SessionId;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
   auto Session = std::make_shared<RequestSession>(
-      SessionServices{Context, Time, *Endpoints, Protocol, Log, BufferBudget},
+      SessionServices{Context, Time, *Endpoints, Protocol, Log, BufferBudget,
+                      Guard},
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
@@ -340,10 +338,11 @@
 
 void GatewayRuntime::sessionEnded(const std::string &Key, double QuotaTokens,
                                   const SessionResult &Result) {
-  const auto It = Sessions.find(Key);
-  if (It == Sessions.end())
+  // Taken out first: a session that stays would keep the process from ending.
+  const auto Ended = Sessions.extract(Key);
+  if (Ended.empty())
     return;
-  const FlowRequest &R = It->second->request();
+  const FlowRequest &R = Ended.mapped()->request();
   if (!Result.MayHaveRun && !R.Account.empty())
     Quota.refund(R.Account, QuotaTokens, Time.now());
   Log.write(Result.Outcome == "answered" ? LogCategory::Routine
@@ -361,7 +360,6 @@
   Counters.distribution("request_ms", {{"route", R.Route.Name}})
       .record(
           std::chrono::duration<double, std::milli>(Result.TotalTime).count());
-  Sessions.erase(It);
   if (Stopping)
     stopWhenIdle();
 }
@@ -467,6 +465,7 @@
   Counters.gauge("requests_quarantined")
       .set(double(Crashes.Requests.quarantined(Now).size()));
   Guard.exportTo(Counters);
+  Counters.gauge("peer_messages_unreadable").set(double(Peers.unreadable()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
   Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -63,6 +63,7 @@
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
   void onStoreRestored(std::uint64_t Era) override;
+  void onUnexpectedError(std::string_view Where, std::string_view Why) override;
 
 private:
   /// Path at which other entries fetch changes of the fleet from this one.
@@ -111,6 +112,8 @@
                                          HttpHandler Handler);
 
   void tick();
+  void doPeriodicWork(TimePoint Now);
+  void applyConfig();
   std::size_t entriesSharingLimits(TimePoint Now) const;
   /// Time at which a stopping process ends even if requests are in progress.
   TimePoint stopDeadline() const {
@@ -155,6 +158,7 @@
   StageOrders Stages;
   routing::FleetConfigPtr Config;
   TimePoint ConfigAppliedAt{};
+  bool ConfigIncomplete = false; ///< a step of applying it threw
   bool EndpointsComplete = false;
   std::size_t AnnouncedEntryCount = 1;
 
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -25,6 +25,9 @@
 /// fleet-wide limits, even if no message of theirs has arrived yet.
 constexpr milliseconds StartUpPeriod{6'000};
 
+/// Time after which a configuration is applied again if a step of it threw.
+constexpr milliseconds ConfigRetryDelay{1'000};
+
 constexpr milliseconds MinPullInterval{40};
 constexpr milliseconds PullTimeout{600};
 
@@ -44,13 +47,7 @@
   if (Config && Next->Version <= Config->Version)
     return;
   Config = std::move(Next);
-  ConfigAppliedAt = Time.now();
-  const routing::CallerLimits &L = Config->Limits;
-  CallerServer->setLimits(L.HeaderBytes, L.BodyBytes, L.HeaderTimeout,
-                          L.IdleTimeout);
-  Quota.configure(*Config, ConfigAppliedAt);
-  FleetCoordination.configure(Config);
-  updateColdStartLimits(ConfigAppliedAt);
+  applyConfig();
   Log.write(LogCategory::Outcome, "configuration", "",
             {{"version", Config->Version},
              {"operator_position", Feed.newestChange().Operator},
@@ -59,13 +56,32 @@
              {"accounts", Config->Accounts.size()}});
 }
 
+/// Each step is done although another one throws. All of them are repeated
+/// then, as the store does not deliver the same configuration again.
+void GatewayRuntime::applyConfig() {
+  ConfigAppliedAt = Time.now();
+  ConfigIncomplete = false;
+  const auto Step = [&](const auto &Work) {
+    if (!Guard.run(Boundary::Store, "", Work))
+      ConfigIncomplete = true;
+  };
+  Step([this] { Quota.configure(*Config, ConfigAppliedAt); });
+  Step([this] { FleetCoordination.configure(Config); });
+  Step([this] { updateColdStartLimits(ConfigAppliedAt); });
+  const routing::CallerLimits &L = Config->Limits;
+  Step([&] {
+    CallerServer->setLimits(L.HeaderBytes, L.BodyBytes, L.HeaderTimeout,
+                            L.IdleTimeout);
+  });
+}
+
 void GatewayRuntime::onZonesOut(std::set<std::string, std::less<>> Zones) {
   std::string Names;
   for (const std::string &Zone : Zones)
     Names += (Names.empty() ? "" : ",") + Zone;
-  Log.write(LogCategory::Outcome, "zones_out", "", {{"zones", Names}});
   Table.setExcludedZones(std::move(Zones));
   FleetCoordination.notifyStateChanged();
+  Log.write(LogCategory::Outcome, "zones_out", "", {{"zones", Names}});
 }
 
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
@@ -84,9 +100,9 @@
 }
 
 void GatewayRuntime::onEndpointRemoved(std::string_view Id) {
-  Log.write(LogCategory::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
   Table.remove(Id);
   FleetCoordination.notifyStateChanged();
+  Log.write(LogCategory::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
 }
 
 void GatewayRuntime::onEndpointsComplete() { EndpointsComplete = true; }
@@ -102,6 +118,11 @@
   Counters.counter("store_bad_records").add();
 }
 
+void GatewayRuntime::onUnexpectedError(std::string_view Where,
+                                       std::string_view Why) {
+  Guard.report(Boundary::Store, "", fmt::format("{}: {}", Where, Why));
+}
+
 void GatewayRuntime::onCrashRecord(std::string_view Record) {
   Crashes.merge(Record, Time.now(), Time.unixMicros());
 }
@@ -151,26 +172,39 @@
 
 // ---- Periodic work --------------------------------------------------------
 
+/// The timer is set before the work, so that an exception ends no later tick.
 void GatewayRuntime::tick() {
-  const TimePoint Now = Time.now();
-  FleetCoordination.tick();
-  if (Config && FleetCoordination.isCoordinator())
-    Stages.tick(Config);
-  else
-    Stages.stop();
-  Quota.setReportingShare(FleetCoordination.reportingShare(), Now);
-  Table.setLimitShare(FleetCoordination.limitShare(), Now);
-  Retries.setEntries(static_cast<unsigned>(entriesSharingLimits(Now)));
-  updateColdStartLimits(Now);
-  logQuarantineChanges(Now);
-  pullChanges(Now);
-  if (Stopping)
-    stopWhenIdle();
   TickTimer.expires_after(TickInterval);
   TickTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
       tick();
   });
+  doPeriodicWork(Time.now());
+}
+
+void GatewayRuntime::doPeriodicWork(TimePoint Now) {
+  const auto Step = [this](const auto &Work) {
+    Guard.run(Boundary::Timer, "", Work);
+  };
+  Step([this] { FleetCoordination.tick(); });
+  Step([this] {
+    if (Config && FleetCoordination.isCoordinator())
+      Stages.tick(Config);
+    else
+      Stages.stop();
+  });
+  Step([&] {
+    Quota.setReportingShare(FleetCoordination.reportingShare(), Now);
+    Table.setLimitShare(FleetCoordination.limitShare(), Now);
+    Retries.setEntries(static_cast<unsigned>(entriesSharingLimits(Now)));
+    updateColdStartLimits(Now);
+  });
+  if (ConfigIncomplete && Now - ConfigAppliedAt >= ConfigRetryDelay)
+    applyConfig();
+  Step([&] { logQuarantineChanges(Now); });
+  Step([&] { pullChanges(Now); });
+  if (Stopping)
+    Step([this] { stopWhenIdle(); });
 }
 
 /// An entry that does not read the store gets the changes from one that does,
@@ -205,10 +239,13 @@
                   {},
                   ""};
   Call.Timeout = PullTimeout;
-  Http.call(std::move(Call),
-            [this, Source](const Result<HttpResponse> &Response) {
-              onChangesPulled(Source, Response);
-            });
+  const auto OnDone = [this, Source](const Result<HttpResponse> &Response) {
+    Guard.run(Boundary::HttpClient, "",
+              [&] { onChangesPulled(Source, Response); });
+  };
+  if (!Guard.run(Boundary::HttpClient, "",
+                 [&] { Http.call(std::move(Call), OnDone); }))
+    Pulling = false;
 }
 
 void GatewayRuntime::onChangesPulled(const std::string &Source,
@@ -270,6 +307,21 @@
   Logged = std::move(Ids);
 }
 
+void GatewayRuntime::stop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StopBeganAt = Time.now();
+  CallerServer->disableKeepAlive();
+  Guard.run(Boundary::Signal, "", [this] { FleetCoordination.beginStop(); });
+  Guard.run(Boundary::Signal, "", [this] { Stages.stop(); });
+  // A session whose deadline cannot be set fails and is erased.
+  const auto Open = Sessions;
+  for (const auto &[Key, Session] : Open)
+    Session->endBy(stopDeadline());
+  Log.write(LogCategory::Outcome, "stop", "", {{"open", Sessions.size()}});
+}
+
 void GatewayRuntime::stopWhenIdle() {
   const TimePoint Now = Time.now();
   if (!Draining && Now - StopBeganAt >= StopAcceptPeriod) {
@@ -281,9 +333,9 @@
                     Now - StopBeganAt >= StopAcceptPeriod + MinDrainTime;
   if (!Idle && Now < stopDeadline())
     return;
+  Context.stop();
   FleetCoordination.shutDown();
   Log.write(LogCategory::Outcome, "stopped", "", {{"open", Sessions.size()}});
-  Context.stop();
 }
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/handler_guard.cpp
+++ b/src/hyssoprail/gateway/handler_guard.cpp
@@ -24,19 +24,6 @@
   return enumName(BoundaryNames, At);
 }
 
-bool HandlerGuard::run(Boundary At, std::string_view Request,
-                       const std::function<void()> &Work) noexcept {
-  try {
-    Work();
-    return true;
-  } catch (const std::exception &E) {
-    report(At, Request, E.what());
-  } catch (...) {
-    report(At, Request, "not a std::exception");
-  }
-  return false;
-}
-
 void HandlerGuard::report(Boundary At, std::string_view Request,
                           std::string_view Why) noexcept {
   ++Errors[static_cast<std::size_t>(At)];
--- a/src/hyssoprail/gateway/handler_guard.hpp
+++ b/src/hyssoprail/gateway/handler_guard.hpp
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <exception>
-#include <functional>
 #include <string_view>
 
 #include "hyssoprail/process/decision_log.hpp"
@@ -43,8 +42,18 @@
 
   /// Runs \p Work; returns false if it threw. \p Request is the id of the
   /// request concerned, or empty.
-  bool run(Boundary At, std::string_view Request,
-           const std::function<void()> &Work) noexcept;
+  template <typename Handler>
+  bool run(Boundary At, std::string_view Request, Handler &&Work) noexcept {
+    try {
+      Work();
+      return true;
+    } catch (const std::exception &E) {
+      report(At, Request, E.what());
+    } catch (...) {
+      report(At, Request, "not a std::exception");
+    }
+    return false;
+  }
 
   /// Records an exception that was caught elsewhere.
   void report(Boundary At, std::string_view Request,
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/gateway/peer_socket.hpp"
 
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -60,11 +61,24 @@
         if (Code == asio::error::operation_aborted || !Socket.is_open())
           return;
         wire::CoordinationMessage Message;
-        if (!Code &&
-            Message.ParseFromArray(Buffer.data(), static_cast<int>(Size)))
-          OnMessage(Message);
+        const bool Valid = !Code && Message.ParseFromArray(
+                                        Buffer.data(), static_cast<int>(Size));
+        // Before the handler runs: an exception must not end the receiving.
         receive();
+        if (Valid)
+          handle(Message);
+        else if (!Code)
+          ++Unreadable;
       });
 }
 
+void PeerSocket::handle(const wire::CoordinationMessage &Message) {
+  try {
+    OnMessage(Message);
+  } catch (const std::exception &E) {
+    if (OnError)
+      OnError(E.what());
+  }
+}
+
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds EngineConnectTimeout{250};
 constexpr milliseconds DropHandleTimeout{1'000};
 
+constexpr unsigned StatusInternalError = 500;
+constexpr unsigned StatusOutcomeUnknown = 502;
+constexpr std::string_view FailureReason = "internal_error";
+
 } // namespace
 
 RequestSession::RequestSession(SessionServices Services, SessionHooks Hooks,
@@ -34,27 +38,89 @@
 }
 
 void RequestSession::start(const FlowFactory &MakeFlow) {
-  ActiveFlow = MakeFlow(Request, *this);
-  Caller->onDisconnect([Weak = weak_from_this()] {
-    const auto Self = Weak.lock();
-    if (!Self || Self->Ended)
+  run(Boundary::Request, [&] {
+    ActiveFlow = MakeFlow(Request, *this);
+    Caller->onDisconnect([Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        Self->run(Boundary::Caller, [&] { Self->onCallerLeft(); });
+    });
+    if (Ended)
       return;
-    Self->Result.Outcome = "left";
-    Self->ActiveFlow->onCallerDisconnected(Self->Services.Time.now());
-    Self->afterEvent();
+    ActiveFlow->start(Services.Time.now());
+    afterEvent();
   });
-  ActiveFlow->start(Services.Time.now());
+}
+
+void RequestSession::onCallerLeft() {
+  Result.Outcome = "left";
+  ActiveFlow->onCallerDisconnected(Services.Time.now());
   afterEvent();
 }
 
 void RequestSession::endBy(TimePoint Deadline) {
-  ActiveFlow->endBy(Deadline);
-  armTimer();
+  run(Boundary::Signal, [&] {
+    ActiveFlow->endBy(Deadline);
+    armTimer();
+  });
+}
+
+/// Releases what the request holds and answers its caller, unless the caller
+/// already has an answer. The flow may have ended: then only the answer failed.
+void RequestSession::fail(Boundary At) {
+  if (Ended)
+    return;
+  Failed = true;
+  const auto Step = [&](void (RequestSession::*Work)()) {
+    Services.Guard.run(At, Request.Info.Id, [&] { (this->*Work)(); });
+  };
+  if (ActiveFlow && !ActiveFlow->done())
+    Services.Guard.run(At, Request.Info.Id, [&] {
+      ActiveFlow->onCallerDisconnected(Services.Time.now());
+    });
+  Step(&RequestSession::cancelAllLegs);
+  if (!Answered)
+    Step(&RequestSession::answerFailure);
+  Step(&RequestSession::finish);
+}
+
+void RequestSession::cancelAllLegs() {
+  while (!Legs.empty()) {
+    const Leg L = removeLeg(Legs.begin());
+    if (L.Exchange)
+      L.Exchange->cancel();
+  }
+}
+
+/// Tells the caller that the request failed here: before it was sent to an
+/// endpoint, or when it may have run.
+void RequestSession::answerFailure() {
+  Answered = true;
+  Result.Reason = FailureReason;
+  if (StreamHead) {
+    Result.Outcome = "broken_off";
+    return Caller->abort();
+  }
+  Result.Outcome = "failed";
+  Result.Status = Sent ? StatusOutcomeUnknown : StatusInternalError;
+  HttpResponse Response{Result.Status, {}, ""};
+  Services.Guard.run(Boundary::Answer, Request.Info.Id, [&] {
+    Response = Services.Protocol.failure(Result.Status, Request.Info.Id);
+  });
+  Caller->respond(std::move(Response));
 }
 
 routing::FlowIo::LegId
 RequestSession::startLeg(const routing::LegRequest &Spec) {
   const LegId Id = NextLeg++;
+  // The flow releases the endpoint's capacity with the leg, so an exception
+  // must not leave from here. The request fails when the flow returns.
+  if (!Services.Guard.run(Boundary::Request, Request.Info.Id,
+                          [&] { sendLeg(Id, Spec); }))
+    LegFailed = true;
+  return Id;
+}
+
+void RequestSession::sendLeg(LegId Id, const routing::LegRequest &Spec) {
   Leg &L = Legs[Id];
   L.Kind = Spec.Kind;
   L.EndpointId = Spec.EndpointId;
@@ -76,22 +142,29 @@
                        {"has_cache", Spec.Source.has_value()},
                        {"repeat", Spec.IsRetry}});
   Hooks.OnLegStart(Spec.EndpointId);
+  Sent = true;
   L.Exchange = Services.Endpoints.send(std::move(Call), legHandlers(Id));
-  return Id;
 }
 
 UpstreamHandlers RequestSession::legHandlers(LegId Id) {
   UpstreamHandlers H;
   const auto Self = shared_from_this();
   H.MatchesRequest = [Self](const HttpResponse &Head) {
-    return Self->Services.Protocol.isResponseTo(Head, Self->Request.Info.Id);
+    bool Matches = false;
+    Self->run(Boundary::Answer, [&] {
+      Matches =
+          Self->Services.Protocol.isResponseTo(Head, Self->Request.Info.Id);
+    });
+    return Matches;
   };
   H.OnHead = [Self, Id](HttpResponse Head) {
-    Self->onLegHead(Id, std::move(Head));
+    Self->run(Boundary::Answer, [&] { Self->onLegHead(Id, std::move(Head)); });
+  };
+  H.OnData = [Self, Id](std::string_view Data) {
+    Self->run(Boundary::Answer, [&] { Self->onLegData(Id, Data); });
   };
-  H.OnData = [Self, Id](std::string_view Data) { Self->onLegData(Id, Data); };
   H.OnEnd = [Self, Id](UpstreamEnd End, const std::string &Detail) {
-    Self->onLegEnd(Id, End, Detail);
+    Self->run(Boundary::Answer, [&] { Self->onLegEnd(Id, End, Detail); });
   };
   return H;
 }
@@ -224,8 +297,9 @@
   if (It == Legs.end())
     return;
   const Leg L = removeLeg(It);
+  if (L.Exchange)
+    L.Exchange->cancel();
   logLegEnd(L, "cancelled", 0, "");
-  L.Exchange->cancel();
 }
 
 void RequestSession::dropHandle(const routing::KvSource &Source) {
@@ -240,6 +314,7 @@
   Result.Outcome = "answered";
   Result.Status = Response.Status;
   Caller->respond(Response);
+  Answered = true;
 }
 
 void RequestSession::reject(routing::RejectReason Reason,
@@ -257,6 +332,7 @@
                       {"account", Request.Account},
                       {"route", Request.Route.Name}});
   Caller->respond(std::move(Response));
+  Answered = true;
 }
 
 void RequestSession::beginStream(const HttpResponse &Head) {
@@ -273,6 +349,7 @@
 void RequestSession::finishStream() {
   Result.Outcome = "answered";
   Caller->finish();
+  Answered = true;
 }
 
 void RequestSession::abort(routing::RejectReason Reason) {
@@ -282,6 +359,7 @@
                      {{"reason", Result.Reason},
                       {"age_ms", Services.Time.now() - Request.Arrival}});
   Caller->abort();
+  Answered = true;
 }
 
 void RequestSession::logDecision(std::string_view What, LogFields Fields) {
@@ -289,7 +367,7 @@
 }
 
 void RequestSession::afterEvent() {
-  if (Ended)
+  if (Ended || LegFailed)
     return;
   if (ActiveFlow->done())
     return finish();
@@ -306,20 +384,22 @@
   TimerExpiry = Next;
   Timer.expires_at(Next);
   Timer.async_wait([Weak = weak_from_this()](boost::system::error_code Code) {
-    const auto Self = Weak.lock();
-    if (Code || !Self || Self->Ended)
-      return;
-    Self->TimerExpiry = TimePoint::max();
-    Self->ActiveFlow->onTimer(Self->Services.Time.now());
-    Self->afterEvent();
+    if (const auto Self = Weak.lock(); Self && !Code)
+      Self->run(Boundary::Timer, [&] { Self->onTimer(); });
   });
 }
 
+void RequestSession::onTimer() {
+  TimerExpiry = TimePoint::max();
+  ActiveFlow->onTimer(Services.Time.now());
+  afterEvent();
+}
+
 void RequestSession::finish() {
   Ended = true;
   Timer.cancel();
   Result.TotalTime = Services.Time.now() - Request.Arrival;
-  Result.MayHaveRun = ActiveFlow->mayHaveRun();
+  Result.MayHaveRun = Failed ? Sent : ActiveFlow->mayHaveRun();
   const auto Self = shared_from_this();
   Hooks.OnEnd(Result);
   Hooks.AdmissionChanged();
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -12,6 +12,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/upstream_client.hpp"
 #include "hyssoprail/gateway/endpoint_protocol.hpp"
+#include "hyssoprail/gateway/handler_guard.hpp"
 #include "hyssoprail/process/decision_log.hpp"
 #include "hyssoprail/routing/flow.hpp"
 
@@ -19,9 +20,10 @@
 
 /// How a request ended, for logs and metrics.
 struct SessionResult {
-  std::string_view Outcome; ///< "answered", "rejected", "broken_off" or "left"
-  std::string_view Reason;  ///< of a rejection, or why it was broken off
-  unsigned Status = 0;      ///< HTTP status of the response; 0: none was sent
+  /// "answered", "rejected", "failed", "broken_off" or "left"
+  std::string_view Outcome;
+  std::string_view Reason;    ///< of a rejection, or why it was broken off
+  unsigned Status = 0;        ///< HTTP status of the response; 0: none was sent
   Duration FirstEventDelay{}; ///< of a stream, from arrival
   Duration TotalTime{};
   bool MayHaveRun = false;
@@ -58,6 +60,7 @@
   const EndpointProtocol &Protocol;
   DecisionLog &Log;
   ResponseBufferBudget &BufferBudget;
+  HandlerGuard &Guard;
 };
 
 /// Functions of the gateway that a session calls.
@@ -82,7 +85,9 @@
 };
 
 /// One request of a caller: connects the flow that decides on it with the
-/// caller's connection and the endpoints. Used on the event loop thread only.
+/// caller's connection and the endpoints. An exception in one of its steps ends
+/// this request only, with an answer to its caller. Used on the event loop
+/// thread only.
 class RequestSession : public routing::FlowIo,
                        public std::enable_shared_from_this<RequestSession> {
 public:
@@ -144,10 +149,28 @@
   template <typename Decision>
   void deliver(void (routing::Flow::*Handler)(const Decision &, TimePoint),
                const Decision &D) {
-    (ActiveFlow.get()->*Handler)(D, Services.Time.now());
-    afterEvent();
+    run(Boundary::Decision, [&] {
+      (ActiveFlow.get()->*Handler)(D, Services.Time.now());
+      afterEvent();
+    });
   }
 
+  /// Does one step of the request. If it throws, the request fails.
+  template <typename Step> void run(Boundary At, Step &&Work) {
+    if (Ended)
+      return;
+    const auto Self = shared_from_this(); // the step may end the session
+    if (!Services.Guard.run(At, Request.Info.Id, Work) || LegFailed)
+      fail(At);
+  }
+
+  void fail(Boundary At);
+  void answerFailure();
+  void cancelAllLegs();
+
+  void onCallerLeft();
+  void onTimer();
+  void sendLeg(LegId Id, const routing::LegRequest &Spec);
   UpstreamHandlers legHandlers(LegId Id);
   void onLegHead(LegId Id, HttpResponse Head);
   bool isPartOfStream(routing::LegKind Kind, const HttpResponse &Head) const;
@@ -175,6 +198,10 @@
   SessionResult Result;
   /// Head of the stream that the caller receives.
   std::optional<HttpResponse> StreamHead;
+  bool Sent = false;      ///< a leg was handed to the connections
+  bool LegFailed = false; ///< a leg could not be started
+  bool Failed = false;    ///< an exception has ended the request
+  bool Answered = false;  ///< the caller has the final answer
   bool Ended = false;
 };
 
