HttpClient: a call that throws ends with an error

A call that the HTTP library refuses to send (a header of 70,000 bytes) never called back: its coroutine was spawned with asio::detached, which drops an exception without a word. The store, other entries and engines are called in this way, so a read of a topic or a fetch of changes could wait for ever.

Test: "a call ends with an error if it cannot be sent"; before, no result within 3 s (without the second half of the test, which needs the new parameter).

--- a/include/hyssoprail/connection/http_client.hpp
+++ b/include/hyssoprail/connection/http_client.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -60,8 +61,14 @@
                                              HttpStreamHandlers Handlers) = 0;
 };
 
-/// Creates a client on \p Context, which must outlive it.
-std::unique_ptr<HttpClient> makeHttpClient(boost::asio::io_context &Context);
+/// Called with the text of an exception that left a callback.
+using HttpCallbackErrorHandler = std::function<void(std::string_view Why)>;
+
+/// Creates a client on \p Context, which must outlive it. An exception that
+/// leaves a callback ends its call only; without \p OnError it is logged.
+std::unique_ptr<HttpClient>
+makeHttpClient(boost::asio::io_context &Context,
+               HttpCallbackErrorHandler OnError = nullptr);
 
 } // namespace hyssoprail
 
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <map>
 #include <optional>
 #include <vector>
@@ -10,6 +11,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <spdlog/spdlog.h>
 
 namespace hyssoprail {
 namespace {
@@ -54,6 +56,16 @@
           {}};
 }
 
+/// The HTTP library throws for a message that cannot be sent, such as one with
+/// a header that is too long.
+Error callFailed(const std::string &Authority, const std::exception &Cause) {
+  return {ErrorKind::UpstreamFailed,
+          "the call to " + Authority + " failed: " + Cause.what(),
+          "report the text to the developers",
+          "",
+          {}};
+}
+
 Result<tcp::endpoint> parseAuthority(const std::string &Authority) {
   const auto Parsed = parseIpPort(Authority);
   if (!Parsed)
@@ -219,7 +231,12 @@
 
   asio::awaitable<void> run() {
     auto Self = shared_from_this();
-    Status End = co_await transfer();
+    Status End = std::monostate{};
+    try {
+      End = co_await transfer();
+    } catch (const std::exception &E) {
+      End = callFailed(Call.Authority, E);
+    }
     Active.reset();
     if (!Cancelled && Handlers.OnEnd)
       Handlers.OnEnd(std::move(End));
@@ -277,21 +294,45 @@
 asio::awaitable<void> callAndReport(std::shared_ptr<ConnectionPool> Connections,
                                     HttpCall Call,
                                     HttpClient::Callback OnDone) {
-  Result<HttpResponse> Response =
-      co_await runCall(std::move(Connections), std::move(Call));
+  const std::string Authority = Call.Authority;
+  Result<HttpResponse> Response = HttpResponse{};
+  try {
+    Response = co_await runCall(std::move(Connections), std::move(Call));
+  } catch (const std::exception &E) {
+    Response = callFailed(Authority, E);
+  }
   OnDone(std::move(Response));
 }
 
+/// Reports an exception that left the callback of a call.
+struct CallbackEnd {
+  HttpCallbackErrorHandler OnError;
+
+  void operator()(const std::exception_ptr &Thrown) const {
+    if (!Thrown)
+      return;
+    try {
+      std::rethrow_exception(Thrown);
+    } catch (const std::exception &E) {
+      if (OnError)
+        OnError(E.what());
+      else
+        spdlog::error("[http] A callback threw an exception: {}.", E.what());
+    }
+  }
+};
+
 class BeastHttpClient : public HttpClient {
 public:
-  explicit BeastHttpClient(asio::io_context &Context)
+  BeastHttpClient(asio::io_context &Context, HttpCallbackErrorHandler OnError)
       : Context(Context),
-        Connections(std::make_shared<ConnectionPool>(Context)) {}
+        Connections(std::make_shared<ConnectionPool>(Context)),
+        OnError(std::move(OnError)) {}
 
   void call(HttpCall Call, Callback OnDone) override {
     asio::co_spawn(
         Context, callAndReport(Connections, std::move(Call), std::move(OnDone)),
-        asio::detached);
+        CallbackEnd{OnError});
   }
 
   std::shared_ptr<HttpStream> stream(HttpCall Call,
@@ -299,19 +340,21 @@
     auto Stream = std::make_shared<ClientStream>(Connections, std::move(Call),
                                                  std::move(Handlers));
     asio::co_spawn(
-        Context, [Stream] { return Stream->run(); }, asio::detached);
+        Context, [Stream] { return Stream->run(); }, CallbackEnd{OnError});
     return Stream;
   }
 
 private:
   asio::io_context &Context;
   std::shared_ptr<ConnectionPool> Connections;
+  HttpCallbackErrorHandler OnError;
 };
 
 } // namespace
 
-std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Context) {
-  return std::make_unique<BeastHttpClient>(Context);
+std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Context,
+                                           HttpCallbackErrorHandler OnError) {
+  return std::make_unique<BeastHttpClient>(Context, std::move(OnError));
 }
 
 } // namespace hyssoprail
--- a/src/hyssoprail/connection/http_client_test.cpp
+++ b/src/hyssoprail/connection/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -202,4 +203,35 @@
   }
 }
 
+// Guards against a caller that waits for ever because the HTTP library refuses
+// to send its request, and against an exception of a callback that nobody sees.
+TEST_CASE("a call ends with an error if it cannot be sent") {
+  testing::LoopThread Loop;
+  std::promise<std::string> Thrown;
+  std::promise<ErrorKind> Kind;
+  std::unique_ptr<HttpClient> Client;
+  ScriptedServer Server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
+  boost::asio::post(Loop.context(), [&] {
+    Client = makeHttpClient(Loop.context(), [&](std::string_view Why) {
+      Thrown.set_value(std::string(Why));
+    });
+    constexpr std::size_t TooLong = 70'000;
+    HttpCall Call;
+    Call.Authority = Server.authority();
+    Call.Request = {"GET", "/", {{"X-Long", std::string(TooLong, 'a')}}, ""};
+    Client->call(Call, [&](const Result<HttpResponse> &R) {
+      Kind.set_value(errorOf(R) ? errorOf(R)->Kind : ErrorKind::Internal);
+      throw std::runtime_error("callback");
+    });
+  });
+  auto Ended = Kind.get_future();
+  REQUIRE(Ended.wait_for(std::chrono::seconds(3)) == std::future_status::ready);
+  CHECK(Ended.get() == ErrorKind::UpstreamFailed);
+  auto Reported = Thrown.get_future();
+  REQUIRE(Reported.wait_for(std::chrono::seconds(3)) ==
+          std::future_status::ready);
+  CHECK(Reported.get() == "callback");
+  Loop.stop();
+}
+
 } // namespace hyssoprail
