--- a/src/hyssoprail/gateway/handler_guard_test.cpp
+++ b/src/hyssoprail/gateway/handler_guard_test.cpp
@@ -27,7 +27,7 @@
        (Size = ::read(Pipe[0], Data.data(), Data.size())) > 0;)
     Lines.append(Data.data(), static_cast<std::size_t>(Size));
   ::close(Pipe[0]);
-  CHECK(Lines.find(R"("request":"r)") != std::string::npos);
+  CHECK(Lines.find(R"("request":"r\\xfc")") != std::string::npos);
   CHECK(Lines.find(R"("boundary":"timer","why":"odd")") != std::string::npos);
   CHECK(Lines.find(R"("boundary":"peer")") != std::string::npos);
   CHECK(Guard.errors(Boundary::Timer) == 1);
--- a/src/hyssoprail/process/decision_log.cpp
+++ b/src/hyssoprail/process/decision_log.cpp
@@ -7,6 +7,8 @@
 #include <spdlog/sinks/sink.h>
 #include <unistd.h>
 
+#include "hyssoprail/core/utf8.hpp"
+
 namespace hyssoprail {
 namespace {
 
@@ -21,6 +23,9 @@
 
 constexpr milliseconds ReportInterval{1'000};
 
+template <typename Value> Value jsonValue(Value Number) { return Number; }
+std::string jsonValue(std::string_view Text) { return escapeNonUtf8(Text); }
+
 } // namespace
 
 /// Writes lines to a descriptor and drops those that it does not accept at
@@ -87,9 +92,9 @@
   nlohmann::ordered_json Line{
       {"time_us", Time.unixMicros()}, {"process", Process}, {"what", Decision}};
   if (!Request.empty())
-    Line["request"] = Request;
+    Line["request"] = escapeNonUtf8(Request);
   for (const LogField &F : Fields)
-    std::visit([&](const auto &V) { Line[std::string(F.Name)] = V; },
+    std::visit([&](const auto &V) { Line[std::string(F.Name)] = jsonValue(V); },
                F.Content);
   const std::string Text =
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
