--- a/src/hyssoprail/gateway/crash_ledger_test.cpp
+++ b/src/hyssoprail/gateway/crash_ledger_test.cpp
@@ -79,6 +79,22 @@
   REQUIRE(F.blaming("sound") == 0);
 }
 
+// Guards against messages that their recipients cannot read as a whole because
+// a part of a prompt is not valid UTF-8: reports, decisions and claims are lost
+// with them.
+TEST_CASE("parts with any bytes are told to all entries") {
+  CrashFleet F(5, &CrashLedgers::Prompts);
+  for (std::size_t Entry = 0; Entry < 3; ++Entry)
+    F.crash(Entry, "\xfc"
+                   "1");
+  F.run(ElectionTime, 0);
+  CHECK(F.blaming("\xfc"
+                  "1") == F.Names.size());
+  CHECK(F.coordinatorCount() == 1);
+  for (const std::string &Name : F.Names)
+    CHECK(F.coordination(Name).reportingShare() == 1);
+}
+
 // Guards against crashes that are forgotten when the coordinator ends or
 // changes, or when the entry that saw them starts again.
 TEST_CASE("crashes are remembered while coordinators and entries end") {
