Routes open to all: an unknown key is refused with 401

A request with an unknown or revoked key ran on an allow_anonymous route, as if it had no key; PROTOCOL.md asks for 401. Without a key it still runs there.

--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -201,7 +201,8 @@
                            const RoutePolicy &Route) {
   const AccountPolicy *Account =
       Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Info.ApiKey);
-  if (!Account && Config->requiresKeys() && !Route.AllowAnonymous)
+  const bool MayRunWithoutKey = Info.ApiKey.empty() && Route.AllowAnonymous;
+  if (!Account && Config->requiresKeys() && !MayRunWithoutKey)
     return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
   if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
     Info.Fingerprint = routing::requestFingerprint(
