--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -15,6 +15,7 @@
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
+#include "hyssoprail/gateway/handler_guard.hpp"
 #include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/gateway/stage_orders.hpp"
@@ -30,7 +31,8 @@
 public:
   GatewayRuntime(boost::asio::io_context &Context, GatewaySettings Settings,
                  const Clock &Time, const EndpointProtocol &Protocol,
-                 FleetFeed &Feed, HttpClient &Http, DecisionLog &Log);
+                 FleetFeed &Feed, HttpClient &Http, DecisionLog &Log,
+                 HandlerGuard &Guard);
   ~GatewayRuntime() override;
 
   /// Binds all addresses and begins to read the store.
@@ -61,6 +63,7 @@
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
   void onStoreRestored(std::uint64_t Era) override;
+  void onUnexpectedError(std::string_view Where, std::string_view Why) override;
 
 private:
   /// Path at which other entries fetch changes of the fleet from this one.
@@ -109,6 +112,8 @@
                                          HttpHandler Handler);
 
   void tick();
+  void doPeriodicWork(TimePoint Now);
+  void applyConfig();
   std::size_t entriesSharingLimits(TimePoint Now) const;
   /// Time at which a stopping process ends even if requests are in progress.
   TimePoint stopDeadline() const {
@@ -134,6 +139,7 @@
   FleetFeed &Feed;
   HttpClient &Http;
   DecisionLog &Log;
+  HandlerGuard &Guard;
   RandomSource Random;
   const std::uint64_t Incarnation;
   const TimePoint StartedAt;
@@ -152,6 +158,7 @@
   StageOrders Stages;
   routing::FleetConfigPtr Config;
   TimePoint ConfigAppliedAt{};
+  bool ConfigIncomplete = false; ///< a step of applying it threw
   bool EndpointsComplete = false;
   std::size_t AnnouncedEntryCount = 1;
 
