UpstreamClient: idle connections end with their endpoints

Up to 24 idle connections were kept for each address and incarnation, and only a further request with the same key closed them. Nobody sends to an endpoint that has left, so its connections stayed open, most of them in CLOSE_WAIT, until no descriptor was left: the entry then accepted no caller any more. What an endpoint sent on an idle connection stayed in the kernel's buffers.

IdleConnections, in files of its own, closes a connection at once when its peer closes it or sends on it, within a second when its time is over, and when there are more than the bounds allow (24 for a peer, 256 in all if nothing else is set), the one that was unused for longest first. A request that gets no descriptor takes that of an idle connection.

Tests that failed before, with 300 endpoints: "connections to endpoints that have ended are closed" (308 descriptors, 10 allowed), "connections that are idle for long are closed" (612, 14 allowed); and "an idle connection is closed when its endpoint sends on it" (3.9 MB in its buffers). The tests of idle_connections_test.cpp use functions that are new. The client itself is not told yet of endpoints that leave.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "hyssoprail/connection/http_message.hpp"
+#include "hyssoprail/connection/idle_bounds.hpp"
 
 namespace hyssoprail {
 
@@ -78,8 +79,9 @@
 /// HTTP/1.1 client for endpoints that may be faulty: a response is accepted
 /// only if its framing is complete, a connection is reused only if no data
 /// followed the last response, and late responses to earlier requests are
-/// skipped. A request is never sent twice. Must be used on the thread of its
-/// io_context.
+/// skipped. A request is never sent twice. An idle connection is closed when
+/// the endpoint closes it or sends on it, and when its time is over. Must be
+/// used on the thread of its io_context.
 class UpstreamClient {
 public:
   virtual ~UpstreamClient() = default;
@@ -87,7 +89,21 @@
   virtual std::shared_ptr<UpstreamExchange> send(UpstreamCall Call,
                                                  UpstreamHandlers Handlers) = 0;
 
-  virtual const UpstreamCounters &counters() const = 0;
+  /// Closes the idle connections to an incarnation that has left, or those to
+  /// other addresses than \p KeptAuthority if it is not empty.
+  virtual void closeIdle(const std::string &Incarnation,
+                         const std::string &KeptAuthority) = 0;
+
+  /// Closes the \p Count idle connections that were unused for longest; returns
+  /// how many there were.
+  virtual std::size_t closeOldestIdle(std::size_t Count) = 0;
+
+  /// Idle connections beyond the bounds are closed.
+  virtual void setIdleBounds(IdleBounds Bounds) = 0;
+
+  virtual std::size_t idleConnections() const = 0;
+
+  virtual UpstreamCounters counters() const = 0;
 };
 
 std::unique_ptr<UpstreamClient>
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -1,19 +1,15 @@
 #include "hyssoprail/connection/upstream_client.hpp"
-#include "hyssoprail/connection/ip_port.hpp"
 
-#include <algorithm>
 #include <array>
-#include <charconv>
-#include <deque>
-#include <functional>
-#include <map>
 #include <optional>
-#include <vector>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <netinet/tcp.h>
+
+#include "hyssoprail/connection/descriptors.hpp"
+#include "hyssoprail/connection/ip_port.hpp"
+#include "hyssoprail/connection/upstream_pool.hpp"
 
 namespace hyssoprail {
 namespace {
@@ -25,23 +21,6 @@
 using std::chrono::milliseconds;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr std::size_t MaxIdlePerAuthority = 24;
-
-/// A connection is closed after this many named requests, because their ids are
-/// remembered with it. A new one for every 256 requests costs little.
-constexpr std::size_t MaxRequestsPerConnection = 256;
-
-/// Idle time after which a connection is not reused if the endpoint announces
-/// none; a request sent while the endpoint closes the connection would be lost.
-constexpr milliseconds DefaultIdleTime{2'500};
-/// Subtracted from the idle timeout that the endpoint announces.
-constexpr milliseconds IdleMargin{700};
-constexpr milliseconds MaxIdleTime{20'000};
-
-/// A connection fails if sent data stays unacknowledged for this time, because
-/// a peer behind a network partition sends no reset.
-constexpr int UserTimeoutMs = 3'000;
-
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 constexpr unsigned MaxSkippedResponses = 4;
 
@@ -55,124 +34,6 @@
 /// those to requests without handlers.
 constexpr std::size_t MaxDiscardedBytes = std::size_t{1024} * 1024;
 
-/// Limit of received bytes that cannot be parsed yet: an incomplete response
-/// head, or the size and the extensions of a chunk.
-constexpr std::size_t MaxBufferedBytes = std::size_t{128} * 1024;
-
-struct Connection {
-  explicit Connection(asio::io_context &Context) : Stream(Context) {}
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer{MaxBufferedBytes};
-  SteadyTime UsableUntil;
-  SteadyTime ConnectedAt;
-  std::vector<std::size_t> SentIds; ///< hashes of the ids that were sent on it
-
-  /// Also true, rarely, for an id whose hash is the same.
-  bool hasSent(std::size_t IdHash) const {
-    return std::find(SentIds.begin(), SentIds.end(), IdHash) != SentIds.end();
-  }
-};
-
-/// 0 for a request without an id.
-std::size_t hashOfId(const std::string &RequestId) {
-  return RequestId.empty() ? 0 : std::hash<std::string>()(RequestId);
-}
-
-using ConnectionPtr = std::shared_ptr<Connection>;
-
-void setSocketOptions(tcp::socket &Socket) {
-  beast::error_code Ignored;
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  using UserTimeout =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  Socket.set_option(UserTimeout(UserTimeoutMs), Ignored);
-}
-
-/// Returns how long a connection with this Keep-Alive header value
-/// ("timeout=N") may stay idle and still be reused.
-milliseconds reusableIdleTime(std::string_view KeepAlive) {
-  constexpr std::string_view Name = "timeout=";
-  const auto At = KeepAlive.find(Name);
-  if (At == std::string_view::npos)
-    return DefaultIdleTime;
-  int Seconds = 0;
-  const char *Begin = KeepAlive.data() + At + Name.size();
-  std::from_chars(Begin, KeepAlive.data() + KeepAlive.size(), Seconds);
-  const milliseconds Announced = std::chrono::seconds(Seconds);
-  return std::min(MaxIdleTime, Announced - IdleMargin);
-}
-
-/// Idle connections by authority and incarnation, the most recently used last.
-class ConnectionPool {
-public:
-  explicit ConnectionPool(asio::io_context &Context) : Context(Context) {}
-
-  /// Returns an idle connection on which no request with the id \p IdHash was
-  /// sent; nullptr if there is none.
-  ConnectionPtr take(const std::string &Peer, std::size_t IdHash) {
-    const auto Found = Idle.find(Peer);
-    if (Found == Idle.end())
-      return nullptr;
-    auto &Connections = Found->second;
-    for (std::size_t I = Connections.size(); I-- > 0;) {
-      if (IdHash != 0 && Connections[I]->hasSent(IdHash))
-        continue;
-      ConnectionPtr C = std::move(Connections[I]);
-      Connections.erase(Connections.begin() + static_cast<std::ptrdiff_t>(I));
-      if (usable(*C)) {
-        ++Counters.Reuses;
-        return C;
-      }
-    }
-    if (Connections.empty())
-      Idle.erase(Found);
-    return nullptr;
-  }
-
-  ConnectionPtr create() {
-    ++Counters.Connects;
-    return std::make_shared<Connection>(Context);
-  }
-
-  void keep(const std::string &Peer, ConnectionPtr C, milliseconds IdleTime) {
-    if (IdleTime <= milliseconds(0) ||
-        C->SentIds.size() >= MaxRequestsPerConnection)
-      return;
-    auto &Connections = Idle[Peer];
-    C->Stream.expires_never();
-    C->UsableUntil = std::chrono::steady_clock::now() + IdleTime;
-    if (Connections.size() >= MaxIdlePerAuthority)
-      Connections.pop_front();
-    Connections.push_back(std::move(C));
-  }
-
-  /// Closes the idle connections to a peer that has failed.
-  void drop(const std::string &Peer) { Idle.erase(Peer); }
-
-  asio::io_context::executor_type executor() { return Context.get_executor(); }
-
-  UpstreamCounters Counters;
-
-private:
-  /// Returns false if the idle time is over, or the peer closed the connection
-  /// or sent data that belongs to no request.
-  bool usable(Connection &C) {
-    if (std::chrono::steady_clock::now() > C.UsableUntil)
-      return false;
-    char Byte = 0;
-    beast::error_code Code;
-    C.Stream.socket().non_blocking(true, Code);
-    C.Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
-                              Code);
-    if (!Code)
-      ++Counters.StrayDataConnections;
-    return Code == asio::error::would_block;
-  }
-
-  asio::io_context &Context;
-  std::map<std::string, std::deque<ConnectionPtr>> Idle;
-};
-
 /// True for an interim response, which another one follows on the same
 /// connection. An upgrade was not asked for, so 101 is none.
 bool isInterim(unsigned Status) {
@@ -190,10 +51,11 @@
 class BeastExchange : public UpstreamExchange,
                       public std::enable_shared_from_this<BeastExchange> {
 public:
-  BeastExchange(std::shared_ptr<ConnectionPool> Connections, UpstreamCall Call,
+  BeastExchange(std::shared_ptr<UpstreamPool> Connections, UpstreamCall Call,
                 UpstreamHandlers Handlers)
-      : Connections(std::move(Connections)), Call(std::move(Call)),
-        Peer(this->Call.Authority + "/" + this->Call.Incarnation),
+      : Connections(std::move(Connections)),
+        Call(std::move(Call)), Peer{this->Call.Incarnation,
+                                    this->Call.Authority},
         Handlers(std::move(Handlers)), Executor(this->Connections->executor()),
         Deadline(std::chrono::steady_clock::now() + this->Call.HeadTimeout) {}
 
@@ -206,6 +68,22 @@
     Active = Connections->take(Peer, hashOfId(Call.RequestId));
     if (Active)
       return write();
+    connect();
+  }
+
+  /// May be called from a handler, so the handlers are destroyed later.
+  void cancel() override {
+    Ended = true;
+    closeActive();
+    asio::post(Executor,
+               [Self = shared_from_this(), Unused = std::move(Handlers)] {});
+    Handlers = {};
+  }
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  void connect() {
     const auto Endpoint = parseIpPort(Call.Authority);
     Active = Connections->create();
     if (!Endpoint)
@@ -217,28 +95,23 @@
     Active->Stream.async_connect(
         tcp::endpoint(Endpoint->Ip, Endpoint->Port),
         [Self = shared_from_this()](beast::error_code Code) {
-          if (Code)
-            return Self->end(UpstreamEnd::NotSent, Code.message());
-          if (Self->Ended)
-            return;
-          setSocketOptions(Self->Active->Stream.socket());
-          Self->Active->ConnectedAt = std::chrono::steady_clock::now();
-          Self->write();
+          Self->onConnect(Code);
         });
   }
 
-  /// May be called from a handler, so the handlers are destroyed later.
-  void cancel() override {
-    Ended = true;
-    closeActive();
-    asio::post(Executor,
-               [Self = shared_from_this(), Unused = std::move(Handlers)] {});
-    Handlers = {};
+  /// A request goes before idle connections to other endpoints.
+  void onConnect(beast::error_code Code) {
+    if (Ended)
+      return;
+    if (isDescriptorShortage(Code) && Connections->closeOldestIdle(1) > 0)
+      return connect();
+    if (Code)
+      return end(UpstreamEnd::NotSent, Code.message());
+    setUpstreamOptions(Active->Stream.socket());
+    Active->ConnectedAt = std::chrono::steady_clock::now();
+    write();
   }
 
-private:
-  using Parser = http::response_parser<http::buffer_body>;
-
   /// Writes the request and reads the response concurrently: an endpoint may
   /// respond before it has read a long body.
   void write() {
@@ -389,13 +262,13 @@
     Handlers = {};
   }
 
-  std::shared_ptr<ConnectionPool> Connections;
+  std::shared_ptr<UpstreamPool> Connections;
   UpstreamCall Call;
-  std::string Peer; ///< key of its idle connections
+  IdlePeer Peer;
   UpstreamHandlers Handlers;
   asio::io_context::executor_type Executor;
   SteadyTime Deadline;
-  ConnectionPtr Active;
+  ClientConnectionPtr Active;
   std::optional<SteadyTime> ConnectedAt; ///< of the connection in use
   http::request<http::string_body> Message;
   std::optional<Parser> ResponseParser;
@@ -414,7 +287,7 @@
 class BeastUpstreamClient : public UpstreamClient {
 public:
   explicit BeastUpstreamClient(asio::io_context &Context)
-      : Connections(std::make_shared<ConnectionPool>(Context)) {}
+      : Connections(std::make_shared<UpstreamPool>(Context)) {}
 
   std::shared_ptr<UpstreamExchange> send(UpstreamCall Call,
                                          UpstreamHandlers Handlers) override {
@@ -424,12 +297,27 @@
     return Exchange;
   }
 
-  const UpstreamCounters &counters() const override {
-    return Connections->Counters;
+  void closeIdle(const std::string &Incarnation,
+                 const std::string &KeptAuthority) override {
+    Connections->idle().closeIncarnation(Incarnation, KeptAuthority);
+  }
+
+  std::size_t closeOldestIdle(std::size_t Count) override {
+    return Connections->closeOldestIdle(Count);
+  }
+
+  void setIdleBounds(IdleBounds Bounds) override {
+    Connections->idle().setBounds(Bounds);
+  }
+
+  std::size_t idleConnections() const override {
+    return Connections->idle().size();
   }
 
+  UpstreamCounters counters() const override { return Connections->counters(); }
+
 private:
-  std::shared_ptr<ConnectionPool> Connections;
+  std::shared_ptr<UpstreamPool> Connections;
 };
 
 } // namespace
--- /dev/null
+++ b/src/hyssoprail/connection/upstream_pool.cpp
@@ -0,0 +1,95 @@
+#include "hyssoprail/connection/upstream_pool.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <utility>
+
+#include <netinet/tcp.h>
+
+namespace hyssoprail {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// A connection is closed after this many named requests, because their ids are
+/// remembered with it. A new one for every 256 requests costs little.
+constexpr std::size_t MaxRequestsPerConnection = 256;
+
+/// Idle time after which a connection is not reused if the endpoint announces
+/// none; a request sent while the endpoint closes the connection would be lost.
+constexpr milliseconds DefaultIdleTime{2'500};
+/// Subtracted from the idle timeout that the endpoint announces.
+constexpr milliseconds IdleMargin{700};
+constexpr milliseconds MaxIdleTime{20'000};
+
+/// A connection fails if sent data stays unacknowledged for this time, because
+/// a peer behind a network partition sends no reset.
+constexpr int UserTimeoutMs = 3'000;
+
+/// Limit of received bytes that cannot be parsed yet: an incomplete response
+/// head, or the size and the extensions of a chunk.
+constexpr std::size_t MaxBufferedBytes = std::size_t{128} * 1024;
+
+} // namespace
+
+std::size_t hashOfId(const std::string &RequestId) {
+  return RequestId.empty() ? 0 : std::hash<std::string>()(RequestId);
+}
+
+void setUpstreamOptions(tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  using UserTimeout =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_USER_TIMEOUT>;
+  Socket.set_option(UserTimeout(UserTimeoutMs), Ignored);
+}
+
+milliseconds reusableIdleTime(std::string_view KeepAlive) {
+  constexpr std::string_view Name = "timeout=";
+  const auto At = KeepAlive.find(Name);
+  if (At == std::string_view::npos)
+    return DefaultIdleTime;
+  int Seconds = 0;
+  const char *Begin = KeepAlive.data() + At + Name.size();
+  std::from_chars(Begin, KeepAlive.data() + KeepAlive.size(), Seconds);
+  const milliseconds Announced = std::chrono::seconds(Seconds);
+  return std::min(MaxIdleTime, Announced - IdleMargin);
+}
+
+UpstreamPool::UpstreamPool(boost::asio::io_context &Context)
+    : Context(Context),
+      Idle(std::make_shared<IdleConnections>(Context, IdleBounds(),
+                                             IdleConnections::Watch::Always)) {}
+
+ClientConnectionPtr UpstreamPool::take(const IdlePeer &Peer,
+                                       std::size_t IdHash) {
+  ClientConnectionPtr C =
+      Idle->take(Peer, [IdHash](const ClientConnection &Candidate) {
+        return IdHash == 0 || !Candidate.hasSent(IdHash);
+      });
+  if (C)
+    ++Counters.Reuses;
+  return C;
+}
+
+ClientConnectionPtr UpstreamPool::create() {
+  ++Counters.Connects;
+  return std::make_shared<ClientConnection>(Context, MaxBufferedBytes);
+}
+
+void UpstreamPool::keep(const IdlePeer &Peer, ClientConnectionPtr C,
+                        milliseconds IdleTime) {
+  if (C->SentIds.size() < MaxRequestsPerConnection)
+    Idle->keep(Peer, std::move(C), IdleTime);
+}
+
+UpstreamCounters UpstreamPool::counters() const {
+  UpstreamCounters Out = Counters;
+  Out.StrayDataConnections += Idle->strayData();
+  return Out;
+}
+
+} // namespace hyssoprail
