HttpClient: idle connections, interim answers and a bound for each call

The pool of the client for the store, other entries and stage orders kept connections to servers that had left, as that of UpstreamClient did. It is now an IdleConnections, too, which is swept when the client is used, as command line programs run their event loop until nothing is left to wait for.

An interim answer counted as the answer, and the next request on the connection got the real one. Interim answers are skipped, 16 at most. The answer to a stage order could take up 16 MiB of an entry that has 110 MB; HttpCall now has a bound for its answer, 64 KiB for orders.

--- a/include/hyssoprail/connection/http_client.hpp
+++ b/include/hyssoprail/connection/http_client.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_CONNECTION_HTTP_CLIENT_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,6 +22,8 @@
   std::chrono::milliseconds Timeout{5'000};
   /// Opens a new connection and closes it after the call.
   bool FreshConnection = false;
+  /// A larger response body is not read; the call fails.
+  std::size_t MaxResponseBytes = std::size_t{16} * 1024 * 1024;
 };
 
 /// Callbacks of a streamed call.
@@ -58,6 +61,12 @@
   /// Sends a request and passes on the response body as it arrives.
   virtual std::shared_ptr<HttpStream> stream(HttpCall Call,
                                              HttpStreamHandlers Handlers) = 0;
+
+  /// Closes the \p Count idle connections that were unused for longest; returns
+  /// how many there were.
+  virtual std::size_t closeOldestIdle(std::size_t Count) = 0;
+
+  virtual std::size_t idleConnections() const = 0;
 };
 
 /// Creates a client on \p Context, which must outlive it.
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -1,9 +1,7 @@
 #include "hyssoprail/connection/http_client.hpp"
-#include "hyssoprail/connection/ip_port.hpp"
 
 #include <algorithm>
 #include <array>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -11,6 +9,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "hyssoprail/connection/descriptors.hpp"
+#include "hyssoprail/connection/idle_connections.hpp"
+#include "hyssoprail/connection/ip_port.hpp"
+
 namespace hyssoprail {
 namespace {
 
@@ -20,12 +22,15 @@
 using asio::ip::tcp;
 
 constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t MaxIdlePerAuthority = 64;
+constexpr IdleBounds Bounds{64, 256};
 
 /// Shorter than the idle timeout of servers, so that a server does not close a
 /// pooled connection while a request is in flight.
 constexpr std::chrono::seconds MaxIdleTime{20};
-constexpr std::uint64_t MaxResponseBytes = 16ULL * 1024 * 1024;
+
+/// Servers send one or two interim responses before a response, if any.
+constexpr unsigned MaxInterimResponses = 16;
+constexpr unsigned FirstFinalStatus = 200;
 
 /// Limit of received bytes that cannot be parsed yet, such as an incomplete
 /// response head.
@@ -76,60 +81,39 @@
   return Message;
 }
 
-struct Connection {
-  explicit Connection(asio::io_context &Context) : Stream(Context) {}
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer{MaxBufferedBytes};
-  std::chrono::steady_clock::time_point IdleSince;
-};
-
-using ConnectionPtr = std::shared_ptr<Connection>;
+using ConnectionPtr = ClientConnectionPtr;
 
-/// Idle connections by authority.
+/// Connections by authority. The idle ones are looked at when the client is
+/// used, as programs run the event loop until nothing is left to do.
 class ConnectionPool {
 public:
-  explicit ConnectionPool(asio::io_context &Context) : Context(Context) {}
+  explicit ConnectionPool(asio::io_context &Context)
+      : Context(Context), Idle(std::make_shared<IdleConnections>(
+                              Context, Bounds, IdleConnections::Watch::OnUse)) {
+  }
 
   ConnectionPtr take(const std::string &Authority) {
-    auto &Connections = Idle[Authority];
-    while (!Connections.empty()) {
-      ConnectionPtr C = std::move(Connections.back());
-      Connections.pop_back();
-      if (usable(*C))
-        return C;
-    }
-    return nullptr;
+    return Idle->take({"", Authority});
   }
 
-  ConnectionPtr create() { return std::make_shared<Connection>(Context); }
+  ConnectionPtr create() {
+    return std::make_shared<ClientConnection>(Context, MaxBufferedBytes);
+  }
 
   void keep(const std::string &Authority, ConnectionPtr C) {
-    auto &Connections = Idle[Authority];
-    if (Connections.size() < MaxIdlePerAuthority && C->Buffer.size() == 0) {
-      C->Stream.expires_never();
-      C->IdleSince = std::chrono::steady_clock::now();
-      Connections.push_back(std::move(C));
-    }
+    if (C->Buffer.size() == 0)
+      Idle->keep({"", Authority}, std::move(C), MaxIdleTime);
   }
 
-private:
-  /// Returns false if the connection exceeded MaxIdleTime or the peer closed
-  /// it.
-  static bool usable(Connection &C) {
-    if (std::chrono::steady_clock::now() - C.IdleSince > MaxIdleTime)
-      return false;
-    char Byte = 0;
-    beast::error_code Code;
-    C.Stream.socket().non_blocking(true, Code);
-    C.Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
-                              Code);
-    return Code == asio::error::would_block;
-  }
+  IdleConnections &idle() { return *Idle; }
 
+private:
   asio::io_context &Context;
-  std::map<std::string, std::vector<ConnectionPtr>> Idle;
+  std::shared_ptr<IdleConnections> Idle;
 };
 
+bool isInterim(unsigned Status) { return Status < FirstFinalStatus; }
+
 /// Rejects a method or target that would break the framing of the request.
 std::optional<Error> validateCall(const HttpCall &Call) {
   const auto Unsafe = [](char C) {
@@ -158,11 +142,17 @@
   Result<tcp::endpoint> Endpoint = parseAuthority(Call.Authority);
   if (const Error *E = errorOf(Endpoint))
     co_return *E;
-  ConnectionPtr C = Connections->create();
-  C->Stream.expires_after(Call.Timeout);
-  auto [Code] = co_await C->Stream.async_connect(valueOf(Endpoint), NoThrow);
-  if (Code)
-    co_return unavailable(Call.Authority, Code.message());
+  ConnectionPtr C;
+  beast::error_code Failure;
+  do {
+    C = Connections->create();
+    C->Stream.expires_after(Call.Timeout);
+    auto [Code] = co_await C->Stream.async_connect(valueOf(Endpoint), NoThrow);
+    Failure = Code;
+  } while (isDescriptorShortage(Failure) &&
+           Connections->idle().closeOldest(1) > 0);
+  if (Failure)
+    co_return unavailable(Call.Authority, Failure.message());
   beast::error_code Ignored;
   C->Stream.socket().set_option(tcp::no_delay(true), Ignored);
   co_return C;
@@ -181,20 +171,25 @@
       co_await http::async_write(C->Stream, Message, NoThrow);
   if (WriteCode)
     co_return connectionFailed(Call.Authority, WriteCode);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxResponseBytes);
-  Parser.skip(Call.Request.Method == "HEAD");
-  auto [ReadCode, Read] =
-      co_await http::async_read(C->Stream, C->Buffer, Parser, NoThrow);
-  if (ReadCode)
-    co_return connectionFailed(Call.Authority, ReadCode);
+  std::optional<http::response_parser<http::string_body>> Parser;
+  for (unsigned I = 0; !Parser || isInterim(Parser->get().result_int()); ++I) {
+    if (I > MaxInterimResponses)
+      co_return connectionFailed(Call.Authority, http::error::bad_status);
+    Parser.emplace();
+    Parser->body_limit(Call.MaxResponseBytes);
+    Parser->skip(Call.Request.Method == "HEAD");
+    auto [ReadCode, Read] =
+        co_await http::async_read(C->Stream, C->Buffer, *Parser, NoThrow);
+    if (ReadCode)
+      co_return connectionFailed(Call.Authority, ReadCode);
+  }
   HttpResponse Response;
-  Response.Status = Parser.get().result_int();
-  for (const auto &Field : Parser.get())
+  Response.Status = Parser->get().result_int();
+  for (const auto &Field : Parser->get())
     Response.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
-  Response.Body = std::move(Parser.get().body());
-  if (Parser.keep_alive())
+  Response.Body = std::move(Parser->get().body());
+  if (Parser->keep_alive())
     Connections->keep(Call.Authority, std::move(C));
   co_return Response;
 }
@@ -303,6 +298,14 @@
     return Stream;
   }
 
+  std::size_t closeOldestIdle(std::size_t Count) override {
+    return Connections->idle().closeOldest(Count);
+  }
+
+  std::size_t idleConnections() const override {
+    return Connections->idle().size();
+  }
+
 private:
   asio::io_context &Context;
   std::shared_ptr<ConnectionPool> Connections;
--- /dev/null
+++ b/src/hyssoprail/connection/http_descriptors_test.cpp
@@ -0,0 +1,73 @@
+// Idle connections of the HTTP client, and what it reads of answers that are
+// none.
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "hyssoprail/connection/descriptors.hpp"
+#include "hyssoprail/testing/endless_server.hpp"
+#include "hyssoprail/testing/http_fixture.hpp"
+#include "hyssoprail/testing/scripted_server.hpp"
+
+namespace hyssoprail {
+namespace {
+
+using testing::EndlessServer;
+using testing::ScriptedServer;
+using testing::TestClient;
+using testing::waitUntil;
+
+} // namespace
+
+// Guards against connections to servers that have ended, such as engines that
+// were ordered to change their stage: they stayed open for good.
+TEST_CASE("the HTTP client closes connections to servers that have ended") {
+  constexpr unsigned Servers = 60;
+  TestClient Client;
+  const std::size_t Before = openDescriptors();
+  for (unsigned I = 0; I < Servers; ++I) {
+    ScriptedServer Server({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+    REQUIRE(Client.answer(Server.authority(), "GET", "/").Status == 200);
+  }
+  constexpr std::size_t Tolerance = 5;
+  CHECK(waitUntil(
+      [&] {
+        ScriptedServer Server(
+            {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+        Client.answer(Server.authority(), "GET", "/");
+        return openDescriptors() <= Before + 2 * Tolerance;
+      },
+      std::chrono::seconds(3)));
+}
+
+// Guards against a faulty worker that answers an order without end.
+TEST_CASE("the HTTP client does not keep more of an answer than it may") {
+  EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(10'000, 'x'));
+  TestClient Client;
+  HttpCall Call;
+  Call.Authority = Server.authority();
+  Call.Request = {"GET", "/", {}, ""};
+  Call.MaxResponseBytes = 64 * 1024;
+  CHECK_FALSE(succeeded(Client.begin(Call).get()));
+  CHECK(waitUntil([&] { return Server.closed(); }));
+  CHECK(Server.sentBytes() < 12'000'000);
+}
+
+// Guards against an interim answer that is taken for the answer, after which
+// each further request on the connection gets the answer to the one before.
+TEST_CASE("the HTTP client skips interim answers") {
+  ScriptedServer Server(
+      {{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"},
+       {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"}});
+  TestClient Client;
+  const HttpResponse First = Client.answer(Server.authority(), "GET", "/");
+  CHECK(First.Status == 200);
+  CHECK(First.Body == "a");
+  CHECK(Client.answer(Server.authority(), "GET", "/").Body == "b");
+  EndlessServer Endless("", "HTTP/1.1 100 Continue\r\n\r\n");
+  CHECK(Client.answer(Endless.authority(), "GET", "/").Status == 0);
+  CHECK(waitUntil([&] { return Endless.closed(); }));
+}
+
+} // namespace hyssoprail
--- a/src/hyssoprail/gateway/stage_orders.cpp
+++ b/src/hyssoprail/gateway/stage_orders.cpp
@@ -8,6 +8,9 @@
 constexpr milliseconds LeaseRequestInterval{900};
 constexpr milliseconds OrderTimeout{1'500};
 
+/// Engines answer an order with a few words.
+constexpr std::size_t MaxOrderResponseBytes = std::size_t{64} * 1024;
+
 } // namespace
 
 void StageOrders::tick(const routing::FleetConfigPtr &Config) {
@@ -58,6 +61,7 @@
   Call.Request =
       Protocol.stageOrderRequest(Record.Id, Change.To, Holder, Fence);
   Call.Timeout = OrderTimeout;
+  Call.MaxResponseBytes = MaxOrderResponseBytes;
   Http.call(std::move(Call),
             [this, Id = Record.Id, StartedAtMs = Record.StartedAtMs,
              To = Change.To, Fence](Result<HttpResponse> Response) {
