Gateway: descriptors follow the fleet, and callers come first

The idle connections to an endpoint are closed when its registration is removed, drains or moves to another address. Idle connections take up a quarter of the descriptors at most; if fewer than an eighth of them are free, or a caller cannot be accepted for lack of one, the connections that were unused for longest are closed (DescriptorGuard). Gauges show descriptors and idle connections.

The option of "a caller is accepted after a descriptor was freed for it" is new.

What remains: connections that are accepted from the backlog at the end of a planned stop free no descriptors for themselves.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -74,6 +74,9 @@
   /// Builds the response to a request that could not be read or whose handler
   /// threw.
   std::function<HttpResponse(const Error &)> ErrorResponse;
+  /// Called on the thread of the acceptor if a connection cannot be accepted
+  /// for lack of descriptors; returns true if it has closed some.
+  std::function<bool()> FreeDescriptors;
 };
 
 /// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
--- a/src/hyssoprail/connection/http_descriptors_test.cpp
+++ b/src/hyssoprail/connection/http_descriptors_test.cpp
@@ -1,17 +1,25 @@
-// Idle connections of the HTTP client, and what it reads of answers that are
-// none.
-#include <string>
+// The HTTP server and the HTTP client while descriptors are short, and what the
+// client reads of answers that are none.
+#include <array>
+#include <future>
+#include <vector>
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "hyssoprail/connection/descriptors.hpp"
+#include "hyssoprail/connection/echo_server.hpp"
+#include "hyssoprail/testing/descriptor_shortage.hpp"
 #include "hyssoprail/testing/endless_server.hpp"
-#include "hyssoprail/testing/http_fixture.hpp"
 #include "hyssoprail/testing/scripted_server.hpp"
 
 namespace hyssoprail {
 namespace {
 
+using testing::EchoServer;
 using testing::EndlessServer;
 using testing::ScriptedServer;
 using testing::TestClient;
@@ -19,6 +27,47 @@
 
 } // namespace
 
+// Guards against callers that are not accepted while descriptors are held for
+// less important things.
+TEST_CASE("a caller is accepted after a descriptor was freed for it") {
+  std::vector<int> Held;
+  HttpServerOptions Options;
+  Options.FreeDescriptors = [&] {
+    if (Held.empty())
+      return false;
+    ::close(Held.back());
+    Held.pop_back();
+    return true;
+  };
+  EchoServer Server(Options);
+  const int Caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  for (int I = 0; I < 3; ++I)
+    Held.push_back(::dup(STDERR_FILENO));
+  std::string Got;
+  {
+    const testing::DescriptorShortage Shortage;
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Server.port());
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(Caller, reinterpret_cast<sockaddr *>(&Address),
+                      sizeof Address) == 0);
+    const std::string Request = testing::get("/", "Connection: close\r\n");
+    REQUIRE(::send(Caller, Request.data(), Request.size(), 0) ==
+            static_cast<ssize_t>(Request.size()));
+    const timeval Limit{2, 0};
+    ::setsockopt(Caller, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+    std::array<char, 512> Data{};
+    const ssize_t Size = ::recv(Caller, Data.data(), Data.size(), 0);
+    if (Size > 0)
+      Got.assign(Data.data(), static_cast<std::size_t>(Size));
+  }
+  CHECK(testing::hasStatus(Got, "200"));
+  ::close(Caller);
+  for (const int Descriptor : Held)
+    ::close(Descriptor);
+}
+
 // Guards against connections to servers that have ended, such as engines that
 // were ordered to change their stage: they stayed open for good.
 TEST_CASE("the HTTP client closes connections to servers that have ended") {
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -11,6 +11,7 @@
 #include <linux/filter.h>
 #include <sys/socket.h>
 
+#include "hyssoprail/connection/descriptors.hpp"
 #include "hyssoprail/connection/http_session.hpp"
 
 namespace hyssoprail {
@@ -234,12 +235,17 @@
             addConnection(std::move(Socket));
           if (!Acceptor->is_open())
             return;
-          if (Code)
+          if (Code && !freedDescriptors(Code))
             return retryAcceptLater();
           accept();
         });
   }
 
+  bool freedDescriptors(const beast::error_code &Code) {
+    const auto &Free = State->Options.FreeDescriptors;
+    return isDescriptorShortage(Code) && Free && Free();
+  }
+
   /// Closes the acceptor when all handshakes that have begun are complete and
   /// accepted.
   void closeAcceptor() {
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -8,6 +8,7 @@
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/post.hpp>
 
+#include "hyssoprail/connection/descriptors.hpp"
 #include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
 #include "hyssoprail/routing/request_fingerprint.hpp"
@@ -78,8 +79,10 @@
                     const AvailabilityStatement &Statement) {
                onAvailabilityStatement(Id, StartedAtMs, Statement);
              }),
-      Endpoints(makeUpstreamClient(Context)), BufferBudget(ResponseBufferBytes),
-      TickTimer(Context) {}
+      Endpoints(makeUpstreamClient(Context)),
+      Descriptors(descriptorLimit(this->Settings.FileDescriptors), *Endpoints,
+                  Http),
+      BufferBudget(ResponseBufferBytes), TickTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
 
@@ -90,6 +93,7 @@
   Options.Address = At.Ip;
   Options.Port = At.Port;
   Options.MaxUnsentBytes = MaxUnsentBytes;
+  Options.FreeDescriptors = [this] { return Descriptors.makeRoom(); };
   return makeHttpServer(Context, std::move(Options), std::move(Handler));
 }
 
@@ -467,11 +471,12 @@
   Counters.gauge("requests_quarantined")
       .set(double(Crashes.Requests.quarantined(Now).size()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
-  const UpstreamCounters &U = Endpoints->counters();
+  const UpstreamCounters U = Endpoints->counters();
   Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
   Counters.gauge("endpoint_connects").set(double(U.Connects));
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleResponses));
+  Descriptors.updateGauges(Counters);
   Table.forEach([&](routing::Endpoint &E) {
     const MetricLabels Label{{"endpoint", E.Record.Id}};
     Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -13,6 +13,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/core/random.hpp"
 #include "hyssoprail/gateway/coordination.hpp"
+#include "hyssoprail/gateway/descriptor_guard.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
 #include "hyssoprail/gateway/peer_socket.hpp"
@@ -157,6 +158,7 @@
 
   Metrics Counters;
   std::unique_ptr<UpstreamClient> Endpoints;
+  DescriptorGuard Descriptors;
   ResponseBufferBudget BufferBudget;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -71,6 +71,7 @@
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
   if (!Table.apply(Record))
     return;
+  Endpoints->closeIdle(Record.Id, Record.Draining ? "" : Record.Address);
   Log.write(LogCategory::Outcome, "endpoint", "",
             {{"endpoint", Record.Id},
              {"service", Record.Service},
@@ -86,6 +87,7 @@
 void GatewayRuntime::onEndpointRemoved(std::string_view Id) {
   Log.write(LogCategory::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
   Table.remove(Id);
+  Endpoints->closeIdle(std::string(Id), "");
   FleetCoordination.notifyStateChanged();
 }
 
@@ -154,6 +156,7 @@
 void GatewayRuntime::tick() {
   const TimePoint Now = Time.now();
   FleetCoordination.tick();
+  Descriptors.tick(Now);
   if (Config && FleetCoordination.isCoordinator())
     Stages.tick(Config);
   else
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef HYSSOPRAIL_GATEWAY_GATEWAY_SETTINGS_HPP
 #define HYSSOPRAIL_GATEWAY_GATEWAY_SETTINGS_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -34,6 +35,9 @@
   double ColdOverage = 1;
   double ColdSlack = 0;
   bool UsePrefillEngines = true;
+  /// Descriptors that the process may open, if fewer than its resource limit
+  /// allows; 0: as many as that.
+  std::size_t FileDescriptors = 0;
 };
 
 /// Parses settings from JSON text. Fails with InvalidSettings; the error names
