--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -87,6 +87,7 @@
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
   if (!Table.apply(Record))
     return;
+  Endpoints->closeIdle(Record.Id, Record.Draining ? "" : Record.Address);
   Log.write(LogCategory::Outcome, "endpoint", "",
             {{"endpoint", Record.Id},
              {"service", Record.Service},
@@ -101,6 +102,7 @@
 
 void GatewayRuntime::onEndpointRemoved(std::string_view Id) {
   Table.remove(Id);
+  Endpoints->closeIdle(std::string(Id), "");
   FleetCoordination.notifyStateChanged();
   Log.write(LogCategory::Outcome, "endpoint_gone", "", {{"endpoint", Id}});
 }
@@ -187,6 +189,7 @@
     Guard.run(Boundary::Timer, "", Work);
   };
   Step([this] { FleetCoordination.tick(); });
+  Step([&] { Descriptors.tick(Now); });
   Step([this] {
     if (Config && FleetCoordination.isCoordinator())
       Stages.tick(Config);
