Trailer fields of a request do not become header fields

A caller could send X-Tenant, or any other header that only the gateway may set, as a trailer field of a chunked request: the HTTP parser adds trailer fields to the header fields, and toHttpRequest() copied them after the body had been read. The head is now taken before the body is read. The reading part of HttpSession moves to a file of its own.

--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -18,59 +18,6 @@
 
 constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Size of the first read of a request. Small, because an idle keep-alive
-/// connection holds a buffer of this size.
-constexpr std::size_t ReadChunkBytes = 2048;
-
-/// Limits for reading and discarding data after the last response.
-constexpr std::size_t MaxLingerBytes = std::size_t{1024} * 1024;
-constexpr std::chrono::milliseconds LingerTime{1'000};
-
-HttpRequest toHttpRequest(http::request<http::string_body> &&Message) {
-  HttpRequest Out;
-  Out.Method = std::string(Message.method_string());
-  Out.Target = std::string(Message.target());
-  for (const auto &Field : Message)
-    Out.Headers.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  Out.Body = std::move(Message.body());
-  return Out;
-}
-
-Error readError(const beast::error_code &Code) {
-  if (Code == http::error::body_limit)
-    return {ErrorKind::TooLarge,
-            "the request body is too large",
-            "send a smaller body",
-            "body",
-            {}};
-  if (Code == http::error::header_limit || Code == http::error::buffer_overflow)
-    return {ErrorKind::TooLarge,
-            "the request headers are too large",
-            "send fewer or smaller headers",
-            "headers",
-            {}};
-  if (Code == beast::error::timeout)
-    return {ErrorKind::RequestTimeout,
-            "the request took too long to arrive",
-            "send the request without pauses",
-            "",
-            {}};
-  return {ErrorKind::InvalidRequest,
-          "the request is not valid HTTP/1.1",
-          "send a request line, headers and a body as RFC 9112 describes",
-          "",
-          {}};
-}
-
-/// Returns true if the connection is closed, so that no response can be sent.
-bool connectionEnded(const beast::error_code &Code) {
-  return Code == http::error::end_of_stream ||
-         Code == http::error::partial_message || Code == asio::error::eof ||
-         Code == asio::error::operation_aborted ||
-         Code == asio::error::connection_reset;
-}
-
 template <typename Message>
 void addHeaders(Message &Out, const HttpHeaders &Headers) {
   for (const HttpHeader &H : Headers)
@@ -134,39 +81,21 @@
   close();
 }
 
-/// Lingering close: reads and discards what the client still sends, because
-/// closing with unread data would reset the connection and the client could
-/// lose the response.
-asio::awaitable<void> HttpSession::linger() {
-  Code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  setDeadline(LingerTime);
-  std::size_t Discarded = 0;
-  while (Discarded < MaxLingerBytes) {
-    Buffer.clear();
-    auto [Failure, Size] = co_await Socket.async_read_some(
-        Buffer.prepare(ReadChunkBytes), NoThrow);
-    if (Failure)
-      break;
-    Discarded += Size;
-  }
-}
-
 /// Reads one request and sends its response. Returns false if the connection
 /// must be closed.
 asio::awaitable<bool> HttpSession::serveRequest() {
   if (!co_await waitForFirstByte())
     co_return false;
-  std::optional<Parser> P(std::in_place);
-  const Code Failure = co_await readRequest(*P);
+  std::optional<Incoming> In(std::in_place);
+  const Code Failure = co_await readRequest(*In);
   if (Failure) {
     co_await sendReadError(Failure);
     co_return false;
   }
-  const bool KeepAlive = P->keep_alive();
-  const unsigned Version = P->get().version();
-  const auto Exchange = makeExchange(toHttpRequest(P->release()));
-  P.reset(); // frees its memory while the response is being produced
+  const bool KeepAlive = In->KeepAlive;
+  const unsigned Version = In->P.get().version();
+  const auto Exchange = makeExchange(std::move(In->Request));
+  In.reset(); // frees its memory while the response is being produced
   if (Buffer.size() == 0)
     Buffer.shrink_to_fit();
   Current = Exchange;
@@ -185,67 +114,6 @@
   co_return Sent &&AnnouncedKeepAlive;
 }
 
-asio::awaitable<bool> HttpSession::waitForFirstByte() {
-  if (Buffer.size() > 0)
-    co_return true;
-  Buffer.shrink_to_fit();
-  Idle = true;
-  setDeadline(State->Draining ? State->Options.DrainGrace
-                              : State->Options.IdleTimeout);
-  Linger = false;
-  auto [Failure, Size] =
-      co_await Socket.async_read_some(Buffer.prepare(ReadChunkBytes), NoThrow);
-  Idle = false;
-  if (Failure)
-    co_return false;
-  Buffer.commit(Size);
-  co_return true;
-}
-
-asio::awaitable<HttpSession::Code> HttpSession::readRequest(Parser &P) {
-  P.header_limit(State->Options.MaxHeaderBytes);
-  P.body_limit(State->Options.MaxBodyBytes);
-  setDeadline(State->Options.ReadTimeout);
-  auto [Failure, HeaderBytes] =
-      co_await http::async_read_header(Socket, Buffer, P, NoThrow);
-  if (!Failure && !P.is_done()) {
-    if (beast::iequals(P.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> Continue{http::status::continue_, 11};
-      co_await http::async_write(Socket, Continue, NoThrow);
-    }
-    Failure = co_await readBody(P);
-  }
-  clearDeadline();
-  co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
-}
-
-/// A body may take longer than ReadTimeout while it keeps the minimum rate. One
-/// that trickles in more slowly times out.
-asio::awaitable<HttpSession::Code> HttpSession::readBody(Parser &P) {
-  Code Failure;
-  Progress Transfer{Clock::now(), State->Options.ReadTimeout,
-                    State->Options.MinBodyBytesPerSecond, 0};
-  while (!Failure && !P.is_done()) {
-    setDeadlineAt(Transfer.deadline());
-    auto [StepFailure, Size] =
-        co_await http::async_read_some(Socket, Buffer, P, NoThrow);
-    Failure = StepFailure;
-    Transfer.Bytes += Size;
-  }
-  co_return Failure;
-}
-
-asio::awaitable<void> HttpSession::sendReadError(Code Failure) {
-  if (connectionEnded(Failure))
-    co_return;
-  TimedOut = false;
-  const Error E = readError(Failure);
-  HttpResponse Response = State->Options.ErrorResponse
-                              ? State->Options.ErrorResponse(E)
-                              : HttpResponse{httpStatus(E.Kind), {}, E.Message};
-  Linger = co_await writeComplete(Response, false, 11, false);
-}
-
 asio::awaitable<bool> HttpSession::sendResponse(ServerExchange &Exchange,
                                                 bool KeepAlive,
                                                 unsigned Version) {
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -47,6 +47,13 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Clock = std::chrono::steady_clock;
 
+  /// A request that is being read.
+  struct Incoming {
+    Parser P;
+    HttpRequest Request;
+    bool KeepAlive = false;
+  };
+
   /// Progress of a transfer, which fails if it pauses for longer than Tolerance
   /// or falls behind MinRate by more than Tolerance.
   struct Progress {
@@ -61,7 +68,7 @@
   Awaitable<void> run();
   Awaitable<bool> serveRequest();
   Awaitable<bool> waitForFirstByte();
-  Awaitable<Code> readRequest(Parser &P);
+  Awaitable<Code> readRequest(Incoming &In);
   Awaitable<Code> readBody(Parser &P);
   Awaitable<void> sendReadError(Code Failure);
   Awaitable<void> linger();
