Chunk extensions and trailers are bounded by max_header_bytes

A chunked request whose chunk extension or trailer did not end was held in HttpSession::Buffer without a bound, before its key was looked at: the parser leaves both in the buffer until they are complete. The size of the buffer is now bounded by MaxHeaderBytes and the size of the first read. The caller gets 413, like for a header that is too large, and the connection is closed.

--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -114,6 +114,10 @@
   Parser &P = In.P;
   P.header_limit(State->Options.MaxHeaderBytes);
   P.body_limit(State->Options.MaxBodyBytes);
+  // The parser leaves a chunk extension and the trailer in the buffer until
+  // they are complete.
+  Buffer.max_size(std::max(Buffer.size(), std::size_t{ReadChunkBytes} +
+                                              State->Options.MaxHeaderBytes));
   setDeadline(State->Options.ReadTimeout);
   auto [Failure, HeaderBytes] =
       co_await http::async_read_header(Socket, Buffer, P, NoThrow);
--- a/src/hyssoprail/connection/request_framing_test.cpp
+++ b/src/hyssoprail/connection/request_framing_test.cpp
@@ -8,6 +8,7 @@
 namespace hyssoprail {
 namespace {
 
+using testing::EchoServer;
 using testing::hasStatus;
 using testing::Post;
 using testing::RawSocket;
@@ -36,4 +37,22 @@
   CHECK(Response.find("X-Forged") == std::string::npos);
 }
 
+// Guards against a client that exhausts memory with a part of a chunked request
+// that the limit of the header did not bound.
+TEST_CASE("endless chunk extensions and trailers get a 413") {
+  EchoServer S; // reads headers of up to 4,096 bytes
+  const std::string Endless(200'000, 'a');
+  for (const std::string &Begin : {std::string("1;"), std::string("0;"),
+                                   std::string("1\r\nx\r\n0\r\nX: ")}) {
+    INFO(Begin);
+    RawSocket Client(S.port());
+    Client.setReadLimit(std::chrono::seconds(3));
+    Client.send(Post + "Transfer-Encoding: chunked\r\n\r\n" + Begin + Endless);
+    const std::string Response = Client.readAll();
+    CHECK(hasStatus(Response, "413"));
+    CHECK(Response.ends_with("too_large"));
+  }
+  CHECK(S.Requests == 0);
+}
+
 } // namespace hyssoprail
