The sends of a request share its body

A request in progress took twice the memory of its body: EndpointProtocol::encode copied the body of the caller's request for each leg. UpstreamCall has a shared body now; a leg refers to the body in the caller's exchange, which lives as long as one of them needs it, and lets go of it when it has been sent.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -45,6 +45,9 @@
   /// response could not be told from the response to this request.
   std::string RequestId;
   HttpRequest Request; ///< its Host header is sent as given
+  /// Sent instead of Request.Body unless it is nullptr. All sends of a request
+  /// share it.
+  std::shared_ptr<const std::string> Body;
   std::chrono::milliseconds ConnectTimeout{300};
   /// From the start of the exchange to the end of the response head.
   std::chrono::milliseconds HeadTimeout{15'000};
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -226,7 +226,8 @@
     for (const HttpHeader &H : Call.Request.Headers)
       if (mayForwardHeader(H))
         Message.insert(H.Name, H.Value);
-    Message.body() = std::move(Call.Request.Body);
+    const std::string &Body = Call.Body ? *Call.Body : Call.Request.Body;
+    Message.body() = {Body.data(), Body.size()};
     Message.prepare_payload();
     if (!Call.RequestId.empty())
       Active->SentIds.push_back(hashOfId(Call.RequestId));
@@ -234,6 +235,7 @@
     http::async_write(
         Active->Stream, Message,
         [Self = shared_from_this()](beast::error_code Code, std::size_t) {
+          Self->Call.Body.reset();
           Self->Written = !Code;
           Self->WriteEnded = true;
           if (Self->ResponseEnded)
@@ -366,7 +368,7 @@
   SteadyTime Deadline;
   ConnectionPtr Active;
   std::optional<SteadyTime> ConnectedAt; ///< of the connection in use
-  http::request<http::string_body> Message;
+  http::request<http::span_body<const char>> Message;
   std::optional<Parser> ResponseParser;
   std::array<char, 4096> Data{};
   milliseconds IdleTimeLimit{0};
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -40,7 +40,8 @@
   decode(const HttpRequest &Request) const = 0;
 
   /// Makes the request that \p Leg sends to an endpoint from the caller's
-  /// request. \p Account is empty if the caller has none.
+  /// request, without the body, which is passed on as it is. \p Account is
+  /// empty if the caller has none.
   virtual HttpRequest encode(const HttpRequest &Caller,
                              const routing::LegRequest &Leg,
                              std::string_view Account) const = 0;
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -66,6 +66,9 @@
   Call.RequestId = Request.Info.Id;
   Call.Request =
       Services.Protocol.encode(Caller->request(), Spec, Request.Account);
+  // Shares the body with the caller's exchange and the other legs.
+  Call.Body =
+      std::shared_ptr<const std::string>(Caller, &Caller->request().Body);
   Call.ConnectTimeout =
       Spec.Kind == LegKind::Call ? CallConnectTimeout : EngineConnectTimeout;
   Call.HeadTimeout = Spec.Deadline;
