Key, route and quota are looked at before a body is read

Bodies were held before the key and the quota of their requests were looked at: 40 uploads of 4 MB that had not ended held 170 MB. HttpServerOptions::OnHead decides on a request by its head; the gateway judges configuration, route, key, prompt parts and quota there (gateway_runtime_requests.cpp). A rejection is sent at once. A 100 is sent only for an accepted head.

Quota that was taken for a body which does not arrive is given back by QuotaGrant. A request is judged again if the configuration changed while its body was read. The caller's deadline now counts from the arrival of the head.

What is left: requests that crash endpoints are known again by their bodies, so these are still looked up after the body has been read, unless the request has prompt parts.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -46,10 +47,26 @@
   /// Returns the bytes of the response that the connection has not yet taken
   /// over for writing.
   virtual std::size_t unsentBytes() const = 0;
+
+  /// Returns what the head handler has decided (HeadDecision::Admission).
+  virtual std::shared_ptr<void> admission() const { return nullptr; }
 };
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+/// What is decided on a request before its body is read.
+struct HeadDecision {
+  /// Sent at once; the body is not read. nullopt: the request is accepted.
+  std::optional<HttpResponse> Rejection;
+  /// Kept until the exchange ends, and destroyed at once if the body does not
+  /// arrive.
+  std::shared_ptr<void> Admission;
+};
+
+/// Decides on a request whose body has not been read; the body of \p Head is
+/// empty.
+using HeadHandler = std::function<HeadDecision(const HttpRequest &Head)>;
+
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0; ///< 0: any free port
@@ -74,6 +91,9 @@
   /// Builds the response to a request that could not be read or whose handler
   /// threw.
   std::function<HttpResponse(const Error &)> ErrorResponse;
+  /// Called on the thread of the connection before a body is read and before a
+  /// 100 is sent; empty: all requests are accepted.
+  HeadHandler OnHead;
 };
 
 /// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -87,14 +87,21 @@
   if (!co_await waitForFirstByte())
     co_return false;
   std::optional<Incoming> In(std::in_place);
-  const Code Failure = co_await readRequest(*In);
+  Code Failure = co_await readHead(*In);
+  if (!Failure) {
+    In->Decision = callHeadHandler(In->Request);
+    if (In->Decision.Rejection)
+      co_return co_await reject(*In);
+    Failure = co_await readBody(*In);
+  }
   if (Failure) {
+    In.reset(); // gives back what was taken for a body that does not arrive
     co_await sendReadError(Failure);
     co_return false;
   }
   const bool KeepAlive = In->KeepAlive;
   const unsigned Version = In->P.get().version();
-  const auto Exchange = makeExchange(std::move(In->Request));
+  const auto Exchange = makeExchange(*In);
   In.reset(); // frees its memory while the response is being produced
   if (Buffer.size() == 0)
     Buffer.shrink_to_fit();
@@ -247,18 +254,25 @@
     State->Handler(Exchange);
   } catch (const std::exception &E) {
     spdlog::error("[http] A request handler threw an exception: {}.", E.what());
-    const Error Defect{ErrorKind::Internal,
-                       "the request failed",
-                       "report the request id to the operator",
-                       "",
-                       {}};
-    Exchange->respond(State->Options.ErrorResponse
-                          ? State->Options.ErrorResponse(Defect)
-                          : HttpResponse{500, {}, Defect.Message});
+    Exchange->respond(errorResponse(requestFailed()));
   }
 }
 
-std::shared_ptr<ServerExchange> HttpSession::makeExchange(HttpRequest Request) {
+HttpResponse HttpSession::errorResponse(const Error &E) const {
+  return State->Options.ErrorResponse
+             ? State->Options.ErrorResponse(E)
+             : HttpResponse{httpStatus(E.Kind), {}, E.Message};
+}
+
+Error HttpSession::requestFailed() {
+  return {ErrorKind::Internal,
+          "the request failed",
+          "report the request id to the operator",
+          "",
+          {}};
+}
+
+std::shared_ptr<ServerExchange> HttpSession::makeExchange(Incoming &In) {
   auto Wake = [Executor = Socket.get_executor(), Weak = weak_from_this()] {
     asio::post(Executor, [Weak] {
       if (const auto Self = Weak.lock())
@@ -266,7 +280,8 @@
     });
   };
   return std::make_shared<ServerExchange>(
-      std::move(Request), State->Options.MaxUnsentBytes, std::move(Wake));
+      std::move(In.Request), std::move(In.Decision.Admission),
+      State->Options.MaxUnsentBytes, std::move(Wake));
 }
 
 void HttpSession::wakeResponse() {
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -51,7 +51,12 @@
   struct Incoming {
     Parser P;
     HttpRequest Request;
+    HeadDecision Decision;
     bool KeepAlive = false;
+
+    /// True if the body is short enough to be read and discarded, so that the
+    /// connection stays open after a rejection.
+    bool canSkipBody() const;
   };
 
   /// Progress of a transfer, which fails if it pauses for longer than Tolerance
@@ -68,8 +73,13 @@
   Awaitable<void> run();
   Awaitable<bool> serveRequest();
   Awaitable<bool> waitForFirstByte();
-  Awaitable<Code> readRequest(Incoming &In);
-  Awaitable<Code> readBody(Parser &P);
+  Awaitable<Code> readHead(Incoming &In);
+  Awaitable<Code> readBody(Incoming &In);
+  Awaitable<bool> reject(Incoming &In);
+  Awaitable<bool> skipBody(Parser &P);
+  HeadDecision callHeadHandler(const HttpRequest &Head) const;
+  HttpResponse errorResponse(const Error &E) const;
+  static Error requestFailed(); ///< for a defect of this program
   Awaitable<void> sendReadError(Code Failure);
   Awaitable<void> linger();
   Awaitable<bool> sendResponse(ServerExchange &Exchange, bool KeepAlive,
@@ -80,7 +90,7 @@
                             unsigned Version);
   Awaitable<bool> writeData(std::string Data, bool Chunked, bool Last);
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
-  std::shared_ptr<ServerExchange> makeExchange(HttpRequest Request);
+  std::shared_ptr<ServerExchange> makeExchange(Incoming &In);
   bool decideKeepAlive(bool Requested);
   void wakeResponse();
   void watchForDisconnect();
--- a/src/hyssoprail/connection/server_exchange.hpp
+++ b/src/hyssoprail/connection/server_exchange.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_CONNECTION_SERVER_EXCHANGE_HPP
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 
@@ -15,10 +16,10 @@
 public:
   /// \p Wake is called with the mutex held when there is an update for the
   /// connection; it must only post to the connection's thread.
-  ServerExchange(HttpRequest Request, std::size_t MaxUnsentBytes,
-                 std::function<void()> Wake)
-      : Request(std::move(Request)), MaxUnsentBytes(MaxUnsentBytes),
-        Wake(std::move(Wake)) {}
+  ServerExchange(HttpRequest Request, std::shared_ptr<void> Admission,
+                 std::size_t MaxUnsentBytes, std::function<void()> Wake)
+      : Request(std::move(Request)), Admission(std::move(Admission)),
+        MaxUnsentBytes(MaxUnsentBytes), Wake(std::move(Wake)) {}
 
   const HttpRequest &request() const override { return Request; }
   void respond(HttpResponse Response) override;
@@ -28,6 +29,7 @@
   void abort() override;
   void onDisconnect(std::function<void()> Callback) override;
   std::size_t unsentBytes() const override;
+  std::shared_ptr<void> admission() const override { return Admission; }
 
   /// State of the response, and the data added since the last update.
   struct Update {
@@ -64,6 +66,7 @@
   void forceWake();
 
   const HttpRequest Request;
+  const std::shared_ptr<void> Admission;
   const std::size_t MaxUnsentBytes;
   mutable std::mutex Mutex;
   std::function<void()> Wake;
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -8,9 +8,7 @@
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/post.hpp>
 
-#include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
-#include "hyssoprail/routing/request_fingerprint.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 
 namespace hyssoprail::gateway {
@@ -18,10 +16,7 @@
 
 using routing::AccountPolicy;
 using routing::FlowRequest;
-using routing::RejectReason;
-using routing::RequestInfo;
 using routing::RouteKind;
-using routing::RoutePolicy;
 
 /// Shares of the configured quota tolerance that this entry grants. The rest is
 /// kept in reserve for the grants of other entries, which become known late, or
@@ -29,19 +24,6 @@
 constexpr double QuotaOverageShare = 0;
 constexpr double QuotaSlackShare = 0.05;
 
-constexpr milliseconds NoConfigurationRetryAfter{400};
-constexpr milliseconds MinQuotaRetryAfter{100};
-constexpr milliseconds DrainingRetryAfter{20};
-
-/// Time to allow for a stream from its arrival to its first event, and the
-/// factor by which it may run longer than estimated.
-constexpr milliseconds ExpectedFirstEventTime{400};
-constexpr double RunTimeSafetyFactor = 1.5;
-
-/// Longest run time of nearly all calls, in multiples of their route's
-/// objective.
-constexpr int CallRunTimeInObjectives = 3;
-
 /// A streamed response is aborted if its caller has this much left to read.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
@@ -85,8 +67,13 @@
 
 std::unique_ptr<HttpServer>
 GatewayRuntime::makeServer(const std::string &Address, HttpHandler Handler) {
+  return makeServer(Address, {}, std::move(Handler));
+}
+
+std::unique_ptr<HttpServer>
+GatewayRuntime::makeServer(const std::string &Address,
+                           HttpServerOptions Options, HttpHandler Handler) {
   const HostPort At = splitHostPort(Address);
-  HttpServerOptions Options;
   Options.Address = At.Ip;
   Options.Port = At.Port;
   Options.MaxUnsentBytes = MaxUnsentBytes;
@@ -94,7 +81,11 @@
 }
 
 Status GatewayRuntime::start() {
-  CallerServer = makeServer(Settings.CallerAddress,
+  HttpServerOptions CallerOptions;
+  CallerOptions.OnHead = [this](const HttpRequest &Head) {
+    return judgeHead(Head);
+  };
+  CallerServer = makeServer(Settings.CallerAddress, std::move(CallerOptions),
                             [this](const Exchange &E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
                            [this](const Exchange &E) { handleReadiness(E); });
@@ -163,110 +154,6 @@
 
 // ---- Requests -------------------------------------------------------------
 
-void GatewayRuntime::handle(const Exchange &Caller) {
-  Result<RequestInfo> Decoded = Protocol.decode(Caller->request());
-  if (const Error *E = errorOf(Decoded)) {
-    Log.write(LogCategory::Outcome, "bad_request", "", {{"field", E->Field}});
-    return Caller->respond(jsonResponse(400, "{\"error\":\"bad request\"}"));
-  }
-  RequestInfo &Info = valueOf(Decoded);
-  if (!Config)
-    return rejectAtOnce(Caller, Info, RejectReason::NoConfiguration,
-                        NoConfigurationRetryAfter);
-  const RoutePolicy *Route = Config->route(Info.Host, Info.Path);
-  if (!Route)
-    return rejectAtOnce(Caller, Info, RejectReason::NoRoute, {});
-  if (cannotFinishBeforeStop(*Route, Info))
-    return rejectAtOnce(Caller, Info, RejectReason::Draining,
-                        DrainingRetryAfter);
-  admit(Caller, std::move(Info), *Route);
-}
-
-/// After a stop has begun, callers still send requests on their open
-/// connections. Requests that would not end within the stop grace are rejected,
-/// so that the caller sends them to another entry.
-bool GatewayRuntime::cannotFinishBeforeStop(const RoutePolicy &Route,
-                                            const RequestInfo &Info) const {
-  if (!Stopping)
-    return false;
-  if (Route.Kind != RouteKind::Stream)
-    return Time.now() + Route.LatencyObjective * CallRunTimeInObjectives >
-           stopDeadline();
-  const std::uint32_t Tokens = Lengths.estimate(
-      Info.OutputHint, Info.Tokens ? Info.Tokens->MaxOutput : 0);
-  const auto RunTime = std::chrono::duration_cast<Duration>(
-      Lengths.generationTime(Tokens) * RunTimeSafetyFactor);
-  return Draining ||
-         Time.now() + ExpectedFirstEventTime + RunTime > stopDeadline();
-}
-
-void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
-                           const RoutePolicy &Route) {
-  const AccountPolicy *Account =
-      Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Info.ApiKey);
-  if (!Account && Config->requiresKeys() && !Route.AllowAnonymous)
-    return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
-  if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
-    Info.Fingerprint = routing::requestFingerprint(
-        Caller->request(), Info.Host, Account ? Account->Name : "");
-  if (Crashes.watch(Info).isQuarantined(Time.now()))
-    return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
-                        routing::QuarantineRetryAfter);
-  double Tokens = 0;
-  bool BeyondQuota = false;
-  if (Account) {
-    Tokens = Info.Tokens ? double(Info.Tokens->Prompt) + Info.Tokens->MaxOutput
-                         : Account->DefaultTokens;
-    const routing::QuotaDecision D =
-        Quota.take(Account->Name, Tokens, Time.now());
-    if (!D.Granted) {
-      Log.write(LogCategory::Outcome, "over_quota", Info.Id,
-                {{"account", Account->Name},
-                 {"tokens", Tokens},
-                 {"debt", D.Debt},
-                 {"burst", D.Burst},
-                 {"version", Config->Version}});
-      return rejectAtOnce(
-          Caller, Info, RejectReason::OverQuota,
-          std::max(MinQuotaRetryAfter,
-                   std::chrono::duration_cast<milliseconds>(D.RetryAfter)));
-    }
-    BeyondQuota = D.BeyondQuota;
-  }
-  FlowRequest Request = flowRequest(std::move(Info), Route, Account);
-  Request.BeyondQuota = BeyondQuota;
-  startSession(Caller, std::move(Request), Tokens);
-}
-
-FlowRequest GatewayRuntime::flowRequest(RequestInfo Info,
-                                        const RoutePolicy &Route,
-                                        const AccountPolicy *Account) const {
-  FlowRequest R;
-  R.SessionId = std::to_string(NextSessionKey);
-  R.Route = Route;
-  R.Service = chooseService(Route, stableHash(Info.Id));
-  if (Account)
-    R.Account = Account->Name;
-  R.Priority =
-      Account && Account->Priority ? *Account->Priority : Route.Priority;
-  R.Arrival = Time.now();
-  const milliseconds CallerTimeout =
-      Info.Deadline > milliseconds(0) ? std::min(Info.Deadline, Route.Timeout)
-                                      : Route.Timeout;
-  R.AnswerBy = R.Arrival + CallerTimeout;
-  // The process ends at that time even if the endpoint has not answered, so the
-  // caller gets a final answer before it.
-  if (Stopping)
-    R.AnswerBy = std::min(R.AnswerBy, stopDeadline());
-  const routing::ServicePolicy *Service = Config->service(R.Service);
-  if (Service && Service->Engine) {
-    R.HandleRetention = Service->Engine->HandleRetention;
-    R.EventTokens = Service->Engine->EventTokens;
-  }
-  R.Info = std::move(Info);
-  return R;
-}
-
 void GatewayRuntime::startSession(const Exchange &Caller, FlowRequest Request,
                                   double QuotaTokens) {
   ++NextSessionKey;
@@ -366,20 +253,6 @@
     stopWhenIdle();
 }
 
-void GatewayRuntime::rejectAtOnce(const Exchange &Caller,
-                                  const RequestInfo &Info, RejectReason Reason,
-                                  milliseconds RetryAfter) {
-  Log.write(LogCategory::Outcome, "reject", Info.Id,
-            {{"reason", rejectReasonName(Reason)},
-             {"retry_after_ms", RetryAfter},
-             {"version", Config ? Config->Version : 0}});
-  Counters
-      .counter("rejections",
-               {{"reason", std::string(rejectReasonName(Reason))}})
-      .add();
-  Caller->respond(Protocol.rejection(Reason, RetryAfter, Info.Id));
-}
-
 // ---- Admission ------------------------------------------------------------
 
 template <typename Decision>
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -12,6 +13,7 @@
 #include "hyssoprail/connection/http_client.hpp"
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/core/random.hpp"
+#include "hyssoprail/gateway/accepted_request.hpp"
 #include "hyssoprail/gateway/coordination.hpp"
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
@@ -74,22 +76,26 @@
 
   using Exchange = std::shared_ptr<HttpExchange>;
 
+  /// Decides on a request by its head, before its body is read.
+  HeadDecision judgeHead(const HttpRequest &Head);
+  std::optional<HttpResponse> judge(const HttpRequest &Head,
+                                    AcceptedRequest &Out);
+  std::optional<HttpResponse> takeQuota(AcceptedRequest &Request);
+  /// Runs an accepted request, whose body has arrived.
   void handle(const Exchange &Caller);
+  Duration expectedRunTime(const routing::RoutePolicy &Route,
+                           const routing::RequestInfo &Info) const;
   bool cannotFinishBeforeStop(const routing::RoutePolicy &Route,
                               const routing::RequestInfo &Info) const;
-  void admit(const Exchange &Caller, routing::RequestInfo Info,
-             const routing::RoutePolicy &Route);
-  routing::FlowRequest flowRequest(routing::RequestInfo Info,
-                                   const routing::RoutePolicy &Route,
-                                   const routing::AccountPolicy *Account) const;
+  routing::FlowRequest flowRequest(const AcceptedRequest &Accepted) const;
   void startSession(const Exchange &Caller, routing::FlowRequest Request,
                     double QuotaTokens);
   SessionHooks sessionHooks(const std::string &Key, double QuotaTokens);
   bool stillAllowed(const std::string &Key) const;
   void sessionEnded(const std::string &Key, double QuotaTokens,
                     const SessionResult &Result);
-  void rejectAtOnce(const Exchange &Caller, const routing::RequestInfo &Info,
-                    routing::RejectReason Reason, milliseconds RetryAfter);
+  HttpResponse rejection(const routing::RequestInfo &Info,
+                         routing::RejectReason Reason, milliseconds RetryAfter);
 
   /// Delivers decisions on generations or calls to their sessions.
   template <typename Decision>
@@ -107,6 +113,9 @@
   void handleMetrics(const Exchange &Caller);
   std::unique_ptr<HttpServer> makeServer(const std::string &Address,
                                          HttpHandler Handler);
+  std::unique_ptr<HttpServer> makeServer(const std::string &Address,
+                                         HttpServerOptions Options,
+                                         HttpHandler Handler);
 
   void tick();
   std::size_t entriesSharingLimits(TimePoint Now) const;
@@ -163,6 +172,9 @@
   std::unique_ptr<HttpServer> MetricsServer;
   std::map<std::string, std::shared_ptr<RequestSession>> Sessions;
   std::uint64_t NextSessionKey = 1;
+  /// Ends with this object; connections may outlive it for a moment.
+  const std::shared_ptr<GatewayRuntime *> Self =
+      std::make_shared<GatewayRuntime *>(this);
 
   boost::asio::steady_timer TickTimer;
   bool Pulling = false;
--- /dev/null
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -0,0 +1,204 @@
+// The part of GatewayRuntime that judges requests of callers.
+#include <algorithm>
+#include <utility>
+
+#include "hyssoprail/core/hash.hpp"
+#include "hyssoprail/gateway/gateway_runtime.hpp"
+#include "hyssoprail/routing/request_fingerprint.hpp"
+
+namespace hyssoprail::gateway {
+namespace {
+
+using routing::AccountPolicy;
+using routing::FlowRequest;
+using routing::RejectReason;
+using routing::RequestInfo;
+using routing::RouteKind;
+using routing::RoutePolicy;
+
+constexpr milliseconds NoConfigurationRetryAfter{400};
+constexpr milliseconds MinQuotaRetryAfter{100};
+constexpr milliseconds DrainingRetryAfter{20};
+
+/// Time to allow for a stream from its arrival to its first event, and the
+/// factor by which it may run longer than estimated.
+constexpr milliseconds ExpectedFirstEventTime{400};
+constexpr double RunTimeSafetyFactor = 1.5;
+
+/// Longest run time of nearly all calls, in multiples of their route's
+/// objective.
+constexpr int CallRunTimeInObjectives = 3;
+
+/// Without prompt parts, a request is known again by its body.
+bool needsFingerprint(const AcceptedRequest &Request) {
+  return Request.Route->Kind != RouteKind::Stream ||
+         Request.Info.PromptParts.empty();
+}
+
+} // namespace
+
+HeadDecision GatewayRuntime::judgeHead(const HttpRequest &Head) {
+  auto Accepted = std::make_shared<AcceptedRequest>();
+  if (auto Rejection = judge(Head, *Accepted))
+    return {std::move(Rejection), nullptr};
+  return {std::nullopt, std::move(Accepted)};
+}
+
+/// Returns the response to a request that is rejected.
+std::optional<HttpResponse> GatewayRuntime::judge(const HttpRequest &Head,
+                                                  AcceptedRequest &Out) {
+  Result<RequestInfo> Decoded = Protocol.decode(Head);
+  if (const Error *E = errorOf(Decoded)) {
+    Log.write(LogCategory::Outcome, "bad_request", "", {{"field", E->Field}});
+    return jsonResponse(400, "{\"error\":\"bad request\"}");
+  }
+  Out.Info = std::move(valueOf(Decoded));
+  Out.BeyondQuota = false;
+  Out.HeadArrival = Time.now();
+  Out.Config = Config;
+  if (!Config)
+    return rejection(Out.Info, RejectReason::NoConfiguration,
+                     NoConfigurationRetryAfter);
+  Out.Route = Config->route(Out.Info.Host, Out.Info.Path);
+  if (!Out.Route)
+    return rejection(Out.Info, RejectReason::NoRoute, {});
+  if (cannotFinishBeforeStop(*Out.Route, Out.Info))
+    return rejection(Out.Info, RejectReason::Draining, DrainingRetryAfter);
+  Out.Account =
+      Out.Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Out.Info.ApiKey);
+  if (!Out.Account && Config->requiresKeys() && !Out.Route->AllowAnonymous)
+    return rejection(Out.Info, RejectReason::NoKey, {});
+  if (!needsFingerprint(Out) &&
+      Crashes.watch(Out.Info).isQuarantined(Time.now()))
+    return rejection(Out.Info, RejectReason::Quarantined,
+                     routing::QuarantineRetryAfter);
+  return Out.Account ? takeQuota(Out) : std::nullopt;
+}
+
+std::optional<HttpResponse>
+GatewayRuntime::takeQuota(AcceptedRequest &Request) {
+  const RequestInfo &Info = Request.Info;
+  const std::string &Account = Request.Account->Name;
+  const double Tokens =
+      Info.Tokens ? double(Info.Tokens->Prompt) + Info.Tokens->MaxOutput
+                  : Request.Account->DefaultTokens;
+  const routing::QuotaDecision D = Quota.take(Account, Tokens, Time.now());
+  if (!D.Granted) {
+    Log.write(LogCategory::Outcome, "over_quota", Info.Id,
+              {{"account", Account},
+               {"tokens", Tokens},
+               {"debt", D.Debt},
+               {"burst", D.Burst},
+               {"version", Config->Version}});
+    return rejection(
+        Info, RejectReason::OverQuota,
+        std::max(MinQuotaRetryAfter,
+                 std::chrono::duration_cast<milliseconds>(D.RetryAfter)));
+  }
+  Request.BeyondQuota = D.BeyondQuota;
+  const std::weak_ptr<GatewayRuntime *> Weak = Self;
+  Request.Quota = QuotaGrant(Tokens, [Weak, Account, Tokens] {
+    if (const auto Runtime = Weak.lock())
+      (*Runtime)->Quota.refund(Account, Tokens, (*Runtime)->Time.now());
+  });
+  return std::nullopt;
+}
+
+/// The configuration may have changed, and a stop may have begun, while the
+/// body was read.
+void GatewayRuntime::handle(const Exchange &Caller) {
+  const auto Accepted =
+      std::static_pointer_cast<AcceptedRequest>(Caller->admission());
+  if (Accepted->Config != Config) {
+    Accepted->Quota.giveBack();
+    const TimePoint HeadArrival = Accepted->HeadArrival;
+    if (auto Rejection = judge(Caller->request(), *Accepted))
+      return Caller->respond(std::move(*Rejection));
+    Accepted->HeadArrival = HeadArrival;
+  }
+  RequestInfo &Info = Accepted->Info;
+  const auto RejectUnspent = [&](RejectReason Reason, milliseconds RetryAfter) {
+    Accepted->Quota.giveBack();
+    Caller->respond(rejection(Info, Reason, RetryAfter));
+  };
+  if (cannotFinishBeforeStop(*Accepted->Route, Info))
+    return RejectUnspent(RejectReason::Draining, DrainingRetryAfter);
+  if (needsFingerprint(*Accepted))
+    Info.Fingerprint = routing::requestFingerprint(
+        Caller->request(), Info.Host,
+        Accepted->Account ? Accepted->Account->Name : "");
+  if (Crashes.watch(Info).isQuarantined(Time.now()))
+    return RejectUnspent(RejectReason::Quarantined,
+                         routing::QuarantineRetryAfter);
+  startSession(Caller, flowRequest(*Accepted), Accepted->Quota.spend());
+}
+
+Duration GatewayRuntime::expectedRunTime(const RoutePolicy &Route,
+                                         const RequestInfo &Info) const {
+  if (Route.Kind != RouteKind::Stream)
+    return Route.LatencyObjective * CallRunTimeInObjectives;
+  const std::uint32_t Tokens = Lengths.estimate(
+      Info.OutputHint, Info.Tokens ? Info.Tokens->MaxOutput : 0);
+  return ExpectedFirstEventTime +
+         std::chrono::duration_cast<Duration>(Lengths.generationTime(Tokens) *
+                                              RunTimeSafetyFactor);
+}
+
+/// After a stop has begun, callers still send requests on their open
+/// connections. Requests that would not end within the stop grace are rejected,
+/// so that the caller sends them to another entry.
+bool GatewayRuntime::cannotFinishBeforeStop(const RoutePolicy &Route,
+                                            const RequestInfo &Info) const {
+  if (!Stopping)
+    return false;
+  if (Draining && Route.Kind == RouteKind::Stream)
+    return true;
+  return Time.now() + expectedRunTime(Route, Info) > stopDeadline();
+}
+
+FlowRequest GatewayRuntime::flowRequest(const AcceptedRequest &Accepted) const {
+  const RoutePolicy &Route = *Accepted.Route;
+  const AccountPolicy *Account = Accepted.Account;
+  FlowRequest R;
+  R.SessionId = std::to_string(NextSessionKey);
+  R.Route = Route;
+  R.Service = chooseService(Route, stableHash(Accepted.Info.Id));
+  if (Account)
+    R.Account = Account->Name;
+  R.Priority =
+      Account && Account->Priority ? *Account->Priority : Route.Priority;
+  R.BeyondQuota = Accepted.BeyondQuota;
+  R.Arrival = Time.now();
+  R.AnswerBy = R.Arrival + Route.Timeout;
+  // The caller waits from the time at which it sent the head.
+  if (Accepted.Info.Deadline > milliseconds(0))
+    R.AnswerBy =
+        std::min(R.AnswerBy, Accepted.HeadArrival + Accepted.Info.Deadline);
+  // The process ends at that time even if the endpoint has not answered, so the
+  // caller gets a final answer before it.
+  if (Stopping)
+    R.AnswerBy = std::min(R.AnswerBy, stopDeadline());
+  const routing::ServicePolicy *Service = Config->service(R.Service);
+  if (Service && Service->Engine) {
+    R.HandleRetention = Service->Engine->HandleRetention;
+    R.EventTokens = Service->Engine->EventTokens;
+  }
+  R.Info = Accepted.Info;
+  return R;
+}
+
+HttpResponse GatewayRuntime::rejection(const RequestInfo &Info,
+                                       RejectReason Reason,
+                                       milliseconds RetryAfter) {
+  Log.write(LogCategory::Outcome, "reject", Info.Id,
+            {{"reason", rejectReasonName(Reason)},
+             {"retry_after_ms", RetryAfter},
+             {"version", Config ? Config->Version : 0}});
+  Counters
+      .counter("rejections",
+               {{"reason", std::string(rejectReasonName(Reason))}})
+      .add();
+  return Protocol.rejection(Reason, RetryAfter, Info.Id);
+}
+
+} // namespace hyssoprail::gateway
