An exception in a connection no longer drops its request silently

HttpSession::run is a detached coroutine. An exception in it, for example because a header field of a response is too long to be serialised, closed the connection without an answer and left ServerState::OpenExchanges counted, so that a planned stop lasted its whole grace. The exception is now caught in run(): the caller gets 500, or a reset if the response has begun; OpenExchange counts by its lifetime; HttpServerOptions::OnDefect reports the reason, which the gateway logs as unexpected_error.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -94,6 +95,9 @@
   /// Called on the thread of the connection before a body is read and before a
   /// 100 is sent; empty: all requests are accepted.
   HeadHandler OnHead;
+  /// Called on the thread of a connection with the reason for which a request
+  /// failed inside the server; empty: the reason is logged with spdlog.
+  std::function<void(std::string_view Reason)> OnDefect;
 };
 
 /// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -72,20 +72,55 @@
 
 asio::awaitable<void> HttpSession::run() {
   Code Ignored;
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  bool KeepOpen = true;
-  while (KeepOpen)
-    KeepOpen = co_await serveRequest();
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  std::string Defect;
+  try {
+    co_await serveRequests();
+  } catch (const std::exception &E) {
+    Defect = E.what();
+    Defect = Defect.empty() ? "unknown exception" : Defect;
+  }
+  if (!Defect.empty())
+    co_await endDefectiveRequest(std::move(Defect));
   if (Linger)
     co_await linger();
   close();
 }
 
+asio::awaitable<void> HttpSession::serveRequests() {
+  bool KeepOpen = true;
+  while (KeepOpen)
+    KeepOpen = co_await serveRequest();
+}
+
+/// An exception ended a request, for example because its response cannot be
+/// serialised. The caller gets a 500, or a reset if the response has begun.
+asio::awaitable<void> HttpSession::endDefectiveRequest(std::string Reason) {
+  reportDefect(Reason);
+  if (const auto Exchange = std::exchange(Current, nullptr)) {
+    Exchange->disconnect();
+    Exchange->complete();
+  }
+  Linger = false;
+  ResetOnClose = ResponseBegun;
+  if (ResponseBegun)
+    co_return;
+  HttpResponse Response = errorResponse(requestFailed());
+  Linger = co_await writeComplete(Response, false, 11, false);
+}
+
+void HttpSession::reportDefect(std::string_view Reason) const {
+  if (State->Options.OnDefect)
+    return State->Options.OnDefect(Reason);
+  spdlog::error("[http] A request failed inside the server: {}.", Reason);
+}
+
 /// Reads one request and sends its response. Returns false if the connection
 /// must be closed.
 asio::awaitable<bool> HttpSession::serveRequest() {
   if (!co_await waitForFirstByte())
     co_return false;
+  ResponseBegun = false;
   std::optional<Incoming> In(std::in_place);
   Code Failure = co_await readHead(*In);
   if (!Failure) {
@@ -106,13 +141,12 @@
   if (Buffer.size() == 0)
     Buffer.shrink_to_fit();
   Current = Exchange;
-  ++State->OpenExchanges;
+  const OpenExchange Counted(*State);
   watchForDisconnect();
   callHandler(Exchange);
   // Behind a pipelined request, Linger still concerns the response before.
   const bool LingerBefore = std::exchange(Linger, false);
   const bool Sent = co_await sendResponse(*Exchange, KeepAlive, Version);
-  --State->OpenExchanges;
   if (!Sent && !Linger)
     Exchange->disconnect();
   Exchange->complete();
@@ -177,6 +211,7 @@
   Message.keep_alive(decideKeepAlive(KeepAlive));
   Message.prepare_payload();
   http::response_serializer<http::string_body> Serializer{Message};
+  ResponseBegun = true;
   if (HeadOnly) {
     setDeadline(State->Options.WriteTimeout);
     auto [Failure, Size] =
@@ -206,6 +241,7 @@
   if (Version >= 11)
     Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer{Message};
+  ResponseBegun = true;
   setDeadline(State->Options.WriteTimeout);
   auto [Failure, Size] =
       co_await http::async_write_header(Socket, Serializer, NoThrow);
@@ -253,7 +289,7 @@
   try {
     State->Handler(Exchange);
   } catch (const std::exception &E) {
-    spdlog::error("[http] A request handler threw an exception: {}.", E.what());
+    reportDefect(E.what());
     Exchange->respond(errorResponse(requestFailed()));
   }
 }
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -26,6 +26,20 @@
   std::atomic<std::size_t> OpenExchanges{0};
 };
 
+/// Counts an exchange as open while it exists.
+class OpenExchange {
+public:
+  explicit OpenExchange(ServerState &State) : Count(State.OpenExchanges) {
+    ++Count;
+  }
+  OpenExchange(const OpenExchange &) = delete;
+  OpenExchange &operator=(const OpenExchange &) = delete;
+  ~OpenExchange() { --Count; }
+
+private:
+  std::atomic<std::size_t> &Count;
+};
+
 /// One connection of the HTTP server. Must be used on the thread of its socket.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
@@ -71,13 +85,16 @@
   };
 
   Awaitable<void> run();
+  Awaitable<void> serveRequests();
   Awaitable<bool> serveRequest();
+  Awaitable<void> endDefectiveRequest(std::string Reason);
   Awaitable<bool> waitForFirstByte();
   Awaitable<Code> readHead(Incoming &In);
   Awaitable<Code> readBody(Incoming &In);
   Awaitable<bool> reject(Incoming &In);
   Awaitable<bool> skipBody(Parser &P);
   HeadDecision callHeadHandler(const HttpRequest &Head) const;
+  void reportDefect(std::string_view Reason) const;
   HttpResponse errorResponse(const Error &E) const;
   static Error requestFailed(); ///< for a defect of this program
   Awaitable<void> sendReadError(Code Failure);
@@ -115,6 +132,7 @@
   bool Idle = false;
   /// Whether the last response header announced a persistent connection.
   bool AnnouncedKeepAlive = false;
+  bool ResponseBegun = false; ///< bytes of the response may have been sent
   bool Linger = false; ///< a response was sent and must arrive before closing
   /// An unchunked response has begun and its end has not been sent.
   bool ResetOnClose = false;
--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <spdlog/spdlog.h>
 
 namespace hyssoprail {
 namespace {
@@ -174,6 +173,7 @@
 /// Sends the response to a request whose body has not been read. Returns false
 /// if the connection must be closed.
 asio::awaitable<bool> HttpSession::reject(Incoming &In) {
+  const OpenExchange Counted(*State);
   const bool KeepAlive = In.KeepAlive && In.canSkipBody();
   const bool Sent =
       co_await writeComplete(*In.Decision.Rejection, KeepAlive,
@@ -204,7 +204,7 @@
   try {
     return State->Options.OnHead(Head);
   } catch (const std::exception &E) {
-    spdlog::error("[http] A head handler threw an exception: {}.", E.what());
+    reportDefect(E.what());
     return {errorResponse(requestFailed()), nullptr};
   }
 }
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -85,6 +85,9 @@
   CallerOptions.OnHead = [this](const HttpRequest &Head) {
     return judgeHead(Head);
   };
+  CallerOptions.OnDefect = [this](std::string_view Reason) {
+    Log.write(LogCategory::Outcome, "unexpected_error", "", {{"why", Reason}});
+  };
   CallerServer = makeServer(Settings.CallerAddress, std::move(CallerOptions),
                             [this](const Exchange &E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
