The memory that a gateway holds for callers is bounded

Nothing bounded the sum of the bodies over all connections: 16 callers with bodies of 4,000,000 bytes ended a gateway of 110 MB. One MemoryAccount now bounds heads, bodies, complete responses of endpoints (instead of ResponseBufferBudget) and what callers have not read. Its limit is the setting memory_mb, 110 if it is missing, less 40 MB for the process itself.

BodyAdmission admits a request as a whole before its body is read, so that half-read bodies never wait for each other. A request without room waits unread for as long as its deadline leaves time to run it, else it gets 503 with a Retry-After from the rate at which memory is given back. A complete response is charged even if the account is full, as the request may have run; a streamed response that the account has no room for is aborted.

Gauges caller_memory_bytes, caller_memory_limit_bytes and caller_memory_waiting replace answer_bytes_held; memory_full and memory_free are logged.

The tests of MemoryAccount are kept; reservations share the account now, because coroutines of connections may outlive the gateway object for a moment.

What remains: a request that waits for memory when a planned stop begins may wait beyond the end of the process; memory of connections to endpoints is not charged.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -16,6 +16,8 @@
 
 namespace hyssoprail {
 
+class BodyAdmission;
+
 /// One request and its response. The functions that send the response are
 /// thread-safe; calls after the response is complete have no effect.
 class HttpExchange {
@@ -62,6 +64,10 @@
   /// Kept until the exchange ends, and destroyed at once if the body does not
   /// arrive.
   std::shared_ptr<void> Admission;
+  /// How long the request may wait for memory, and the response if that is not
+  /// long enough; empty: HttpServerOptions::ErrorResponse makes it.
+  std::chrono::milliseconds MaxWait{0};
+  std::function<HttpResponse(std::chrono::milliseconds RetryAfter)> OnNoMemory;
 };
 
 /// Decides on a request whose body has not been read; the body of \p Head is
@@ -95,6 +101,9 @@
   /// Called on the thread of the connection before a body is read and before a
   /// 100 is sent; empty: all requests are accepted.
   HeadHandler OnHead;
+  /// Bounds the memory of requests and responses; nullptr: nothing does. Only
+  /// for a server with a single thread.
+  std::shared_ptr<BodyAdmission> Bodies;
   /// Called on the thread of a connection with the reason for which a request
   /// failed inside the server; empty: the reason is logged with spdlog.
   std::function<void(std::string_view Reason)> OnDefect;
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/connection/http_session.hpp"
+#include "hyssoprail/connection/body_admission.hpp"
 
 #include <array>
 #include <utility>
@@ -127,7 +128,11 @@
     In->Decision = callHeadHandler(In->Request);
     if (In->Decision.Rejection)
       co_return co_await reject(*In);
-    Failure = co_await readBody(*In);
+    co_await reserveRequest(*In);
+    if (!In->Decision.Rejection)
+      Failure = co_await readBody(*In);
+    if (In->Decision.Rejection)
+      co_return co_await reject(*In);
   }
   if (Failure) {
     In.reset(); // gives back what was taken for a body that does not arrive
@@ -316,7 +321,9 @@
     });
   };
   return std::make_shared<ServerExchange>(
-      std::move(In.Request), std::move(In.Decision.Admission),
+      ReceivedRequest{std::move(In.Memory), std::move(In.Decision.Admission),
+                      std::move(In.Request)},
+      State->Options.Bodies ? State->Options.Bodies->account() : nullptr,
       State->Options.MaxUnsentBytes, std::move(Wake));
 }
 
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -64,9 +64,13 @@
   /// A request that is being read.
   struct Incoming {
     Parser P;
+    MemoryReservation Memory; ///< for the head, and the body if accepted
     HttpRequest Request;
     HeadDecision Decision;
+    Clock::time_point HeadArrival{};
+    std::size_t HeadBytes = 0;
     bool KeepAlive = false;
+    bool HasRoomToGrow = false; ///< for the largest chunked body
 
     /// True if the body is short enough to be read and discarded, so that the
     /// connection stays open after a rejection.
@@ -91,6 +95,13 @@
   Awaitable<bool> waitForFirstByte();
   Awaitable<Code> readHead(Incoming &In);
   Awaitable<Code> readBody(Incoming &In);
+  bool reserveLongHead(Incoming &In);
+  bool needsRoomToGrow(const Incoming &In) const;
+  Awaitable<void> reserveRequest(Incoming &In);
+  Awaitable<void> reserveGrowth(Incoming &In);
+  Awaitable<void> reserve(Incoming &In, std::size_t Bytes, bool Grows);
+  HttpResponse memoryRejection(const HeadDecision &Decision,
+                               std::chrono::milliseconds RetryAfter) const;
   Awaitable<bool> reject(Incoming &In);
   Awaitable<bool> skipBody(Parser &P);
   HeadDecision callHeadHandler(const HttpRequest &Head) const;
--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -1,4 +1,5 @@
 // The part of HttpSession that reads requests.
+#include "hyssoprail/connection/body_admission.hpp"
 #include "hyssoprail/connection/http_session.hpp"
 
 #include <algorithm>
@@ -25,6 +26,14 @@
 constexpr std::uint64_t MinLingerBytes = std::uint64_t{1024} * 1024;
 constexpr std::chrono::milliseconds LingerTime{1'000};
 
+/// Copies of a head that exist at a time: in the parser and in the request.
+constexpr std::size_t HeadCopies = 2;
+
+/// Time to return for a request that got no memory: at least, and if the rate
+/// at which memory is given back is not known.
+constexpr std::chrono::milliseconds MinMemoryRetryAfter{100};
+constexpr std::chrono::milliseconds UnknownMemoryRetryAfter{1'000};
+
 /// Largest body of a rejected request that is read and discarded, so that its
 /// connection stays open. The requests of usual callers are shorter.
 constexpr std::uint64_t MaxSkippedBodyBytes = std::uint64_t{128} * 1024;
@@ -40,6 +49,14 @@
   return Out;
 }
 
+Error noMemory() {
+  return {ErrorKind::Unavailable,
+          "the server has no memory for the request now",
+          "send the request again later",
+          "",
+          {}};
+}
+
 Error readError(const beast::error_code &Code) {
   if (Code == http::error::body_limit)
     return {ErrorKind::TooLarge,
@@ -128,6 +145,8 @@
   // they are complete.
   Buffer.max_size(std::max(Buffer.size(), std::size_t{ReadChunkBytes} +
                                               State->Options.MaxHeaderBytes));
+  if (!reserveLongHead(In))
+    co_return Code(asio::error::no_memory);
   setDeadline(State->Options.ReadTimeout);
   auto [Failure, HeaderBytes] =
       co_await http::async_read_header(Socket, Buffer, In.P, NoThrow);
@@ -135,6 +154,8 @@
   if (!Failure) {
     In.Request = toHttpRequest(In.P.get());
     In.KeepAlive = In.P.keep_alive();
+    In.HeadArrival = Clock::now();
+    In.HeadBytes = HeaderBytes * HeadCopies;
   }
   co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
 }
@@ -157,12 +178,110 @@
         co_await http::async_read_some(Socket, Buffer, In.P, NoThrow);
     Failure = StepFailure;
     Transfer.Bytes += Size;
+    if (!Failure && needsRoomToGrow(In)) {
+      clearDeadline();
+      co_await reserveGrowth(In);
+      if (In.Decision.Rejection)
+        co_return Code();
+      Transfer.Start = Clock::now();
+      Transfer.Bytes = 0;
+    }
   }
   clearDeadline();
+  In.Memory.shrinkTo(In.HeadBytes + In.P.get().body().size());
   In.Request.Body = std::move(In.P.get().body());
   co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
 }
 
+/// A head that did not arrive at once may take MaxHeaderBytes until it is
+/// complete.
+bool HttpSession::reserveLongHead(Incoming &In) {
+  const auto &Bodies = State->Options.Bodies;
+  const std::string_view Start(static_cast<const char *>(Buffer.data().data()),
+                               Buffer.size());
+  if (!Bodies || Start.find("\r\n\r\n") != std::string_view::npos)
+    return true;
+  In.Memory = MemoryReservation(Bodies->account());
+  return In.Memory.grow(State->Options.MaxHeaderBytes);
+}
+
+/// Reserves memory for an accepted request, whose body has not been read. The
+/// request waits if there is none, and is rejected if it would wait too long.
+asio::awaitable<void> HttpSession::reserveRequest(Incoming &In) {
+  In.Memory.clear();
+  std::size_t BodyBytes = 0;
+  if (!In.P.is_done()) // the length is within MaxBodyBytes
+    BodyBytes = In.P.content_length()
+                    ? static_cast<std::size_t>(*In.P.content_length())
+                    : BodyAdmission::SmallBytes -
+                          std::min(BodyAdmission::SmallBytes, In.HeadBytes);
+  co_await reserve(In, In.HeadBytes + BodyBytes, false);
+}
+
+/// A chunked body may become as large as any, so it goes on with room for the
+/// largest one. It holds no more than a small request while it waits.
+asio::awaitable<void> HttpSession::reserveGrowth(Incoming &In) {
+  const auto Bytes = static_cast<std::size_t>(State->Options.MaxBodyBytes);
+  co_await reserve(In, In.HeadBytes + Bytes, true);
+  if (In.Decision.Rejection)
+    co_return;
+  In.HasRoomToGrow = true;
+  In.P.get().body().reserve(Bytes);
+}
+
+asio::awaitable<void> HttpSession::reserve(Incoming &In, std::size_t Bytes,
+                                           bool Grows) {
+  const auto &Bodies = State->Options.Bodies;
+  if (!Bodies)
+    co_return;
+  if (!Bodies->fits(Bytes)) {
+    In.Decision.Rejection = errorResponse(readError(http::error::body_limit));
+    co_return;
+  }
+  if (auto Memory = Bodies->admit(Bytes)) {
+    In.Memory = std::move(*Memory);
+    co_return;
+  }
+  const auto WaitUntil = In.HeadArrival + In.Decision.MaxWait;
+  const auto Expected =
+      Bodies->expectedWait(Bytes).value_or(std::chrono::milliseconds(0));
+  if (Clock::now() + Expected < WaitUntil) {
+    const OpenExchange Counted(*State); // a planned stop does not cut it off
+    asio::steady_timer Turn(Socket.get_executor(), WaitUntil);
+    const auto Place = Bodies->wait(Bytes, Grows, [&Turn] { Turn.cancel(); });
+    if (Place)
+      co_await Turn.async_wait(NoThrow);
+    if (Place && Place->Admitted) {
+      In.Memory = std::move(Place->Memory);
+      co_return;
+    }
+  }
+  In.Decision.Rejection = memoryRejection(
+      In.Decision,
+      std::max(MinMemoryRetryAfter,
+               Bodies->expectedWait(Bytes).value_or(UnknownMemoryRetryAfter)));
+}
+
+HttpResponse
+HttpSession::memoryRejection(const HeadDecision &Decision,
+                             std::chrono::milliseconds RetryAfter) const {
+  if (Decision.OnNoMemory)
+    return Decision.OnNoMemory(RetryAfter);
+  HttpResponse Out = errorResponse(noMemory());
+  Out.Headers.push_back(
+      {"Retry-After",
+       std::to_string(
+           std::chrono::ceil<std::chrono::seconds>(RetryAfter).count())});
+  return Out;
+}
+
+/// True if a chunked body outgrows a small request. It is checked before the
+/// string that holds it could need more than SmallBytes to grow.
+bool HttpSession::needsRoomToGrow(const Incoming &In) const {
+  return State->Options.Bodies && !In.HasRoomToGrow && In.P.chunked() &&
+         In.P.get().body().size() > BodyAdmission::SmallBytes / 4;
+}
+
 bool HttpSession::Incoming::canSkipBody() const {
   if (P.is_done())
     return true;
@@ -173,11 +292,15 @@
 /// Sends the response to a request whose body has not been read. Returns false
 /// if the connection must be closed.
 asio::awaitable<bool> HttpSession::reject(Incoming &In) {
-  const OpenExchange Counted(*State);
-  const bool KeepAlive = In.KeepAlive && In.canSkipBody();
-  const bool Sent =
-      co_await writeComplete(*In.Decision.Rejection, KeepAlive,
-                             In.P.get().version(), In.Request.Method == "HEAD");
+  In.Memory.clear();
+  In.Decision.Admission.reset();
+  bool Sent = false;
+  {
+    const OpenExchange Counted(*State);
+    Sent = co_await writeComplete(
+        *In.Decision.Rejection, In.KeepAlive && In.canSkipBody(),
+        In.P.get().version(), In.Request.Method == "HEAD");
+  }
   // Behind a pipelined request, Linger may still concern the response before.
   Linger = Linger || Sent;
   if (!Sent || !AnnouncedKeepAlive)
@@ -205,7 +328,9 @@
     return State->Options.OnHead(Head);
   } catch (const std::exception &E) {
     reportDefect(E.what());
-    return {errorResponse(requestFailed()), nullptr};
+    HeadDecision Out;
+    Out.Rejection = errorResponse(requestFailed());
+    return Out;
   }
 }
 
@@ -213,7 +338,9 @@
   if (connectionEnded(Failure))
     co_return;
   TimedOut = false;
-  HttpResponse Response = errorResponse(readError(Failure));
+  HttpResponse Response = Failure == asio::error::no_memory
+                              ? memoryRejection({}, UnknownMemoryRetryAfter)
+                              : errorResponse(readError(Failure));
   Linger = co_await writeComplete(Response, false, 11, false);
 }
 
--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -8,6 +8,8 @@
     return;
   Started = Finished = FullResponse = true;
   Head = std::move(Response);
+  // A complete response is not refused: the request may have run.
+  ResponseMemory.charge(Head.Body.size());
   wake();
 }
 
@@ -25,15 +27,17 @@
   std::lock_guard Lock(Mutex);
   if (!Started || Finished || Disconnected || Complete)
     return;
+  const bool HasMemory = ResponseMemory.grow(Data.size());
   if (Unsent.empty())
     Unsent = std::move(Data);
   else
     Unsent.append(Data);
-  if (Unsent.size() <= MaxUnsentBytes)
+  if (HasMemory && Unsent.size() <= MaxUnsentBytes)
     return wake();
   // The client does not read, so the connection would wait for it before it
   // ends.
-  Unsent.clear();
+  std::string().swap(Unsent);
+  ResponseMemory.clear();
   Overflowed = Aborted = Finished = true;
   forceWake();
 }
@@ -79,6 +83,9 @@
   Update S{Started,      FullResponse, Finished, Aborted,
            Disconnected, Overflowed,   {}};
   S.Data.swap(Unsent);
+  // The data of the update before has been sent.
+  if (!FullResponse)
+    ResponseMemory.shrinkTo(S.Data.size());
   return S;
 }
 
@@ -111,6 +118,7 @@
   std::function<void()> WakeCallback;
   std::lock_guard Lock(Mutex);
   Complete = true;
+  ResponseMemory.clear();
   // Destroyed after the mutex is released, because they may hold the last
   // reference to this exchange.
   Callback.swap(DisconnectCallback);
--- a/src/hyssoprail/connection/server_exchange.hpp
+++ b/src/hyssoprail/connection/server_exchange.hpp
@@ -7,21 +7,30 @@
 #include <string>
 
 #include "hyssoprail/connection/http_server.hpp"
+#include "hyssoprail/core/memory_account.hpp"
 
 namespace hyssoprail {
 
+/// A request and what is held for it.
+struct ReceivedRequest {
+  MemoryReservation Memory; ///< given back after Request is destroyed
+  std::shared_ptr<void> Admission;
+  HttpRequest Request;
+};
+
 /// Passes the response of one exchange from any thread to its connection. May
 /// outlive the connection and the server.
 class ServerExchange : public HttpExchange {
 public:
   /// \p Wake is called with the mutex held when there is an update for the
   /// connection; it must only post to the connection's thread.
-  ServerExchange(HttpRequest Request, std::shared_ptr<void> Admission,
+  ServerExchange(ReceivedRequest Received,
+                 std::shared_ptr<MemoryAccount> Account,
                  std::size_t MaxUnsentBytes, std::function<void()> Wake)
-      : Request(std::move(Request)), Admission(std::move(Admission)),
-        MaxUnsentBytes(MaxUnsentBytes), Wake(std::move(Wake)) {}
+      : Received(std::move(Received)), MaxUnsentBytes(MaxUnsentBytes),
+        Wake(std::move(Wake)), ResponseMemory(std::move(Account)) {}
 
-  const HttpRequest &request() const override { return Request; }
+  const HttpRequest &request() const override { return Received.Request; }
   void respond(HttpResponse Response) override;
   void begin(unsigned Status, HttpHeaders Headers) override;
   void write(std::string Data) override;
@@ -29,7 +38,9 @@
   void abort() override;
   void onDisconnect(std::function<void()> Callback) override;
   std::size_t unsentBytes() const override;
-  std::shared_ptr<void> admission() const override { return Admission; }
+  std::shared_ptr<void> admission() const override {
+    return Received.Admission;
+  }
 
   /// State of the response, and the data added since the last update.
   struct Update {
@@ -38,7 +49,7 @@
     bool Finished = false;
     bool Aborted = false;
     bool Disconnected = false;
-    bool Overflowed = false; ///< the client does not read
+    bool Overflowed = false; ///< the client does not read, or memory is full
     std::string Data;
   };
 
@@ -65,14 +76,15 @@
   void wake();
   void forceWake();
 
-  const HttpRequest Request;
-  const std::shared_ptr<void> Admission;
+  const ReceivedRequest Received;
   const std::size_t MaxUnsentBytes;
   mutable std::mutex Mutex;
   std::function<void()> Wake;
   std::function<void()> DisconnectCallback;
   HttpResponse Head;
   std::string Unsent;
+  /// For Unsent, and for the data of the last update while it is being sent.
+  MemoryReservation ResponseMemory;
   bool Started = false;
   bool Finished = false;
   bool FullResponse = false; ///< set by respond(): head and body at once
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -27,8 +27,20 @@
 /// A streamed response is aborted if its caller has this much left to read.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
-/// Memory for buffered responses of endpoints that are not complete yet.
-constexpr std::size_t ResponseBufferBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t BytesPerMb = std::size_t{1024} * 1024;
+
+/// Memory of the process itself: 10 MB for the program and what it knows of the
+/// fleet, 17 MB for 3,000 idle connections, and what the allocator and the
+/// connections to endpoints need besides.
+constexpr std::size_t ProcessBaseMb = 40;
+
+/// With less than this, no large request would be served.
+constexpr std::size_t MinCallerMemoryMb = 8;
+
+std::size_t callerMemoryBytes(const GatewaySettings &S) {
+  const std::size_t Base = ProcessBaseMb + MinCallerMemoryMb;
+  return (std::max(S.MemoryMb, Base) - ProcessBaseMb) * BytesPerMb;
+}
 
 routing::QuotaTolerance quotaTolerance(const GatewaySettings &S) {
   return {S.QuotaOverage * QuotaOverageShare,
@@ -60,7 +72,9 @@
                     const AvailabilityStatement &Statement) {
                onAvailabilityStatement(Id, StartedAtMs, Statement);
              }),
-      Endpoints(makeUpstreamClient(Context)), BufferBudget(ResponseBufferBytes),
+      Endpoints(makeUpstreamClient(Context)),
+      CallerMemory(
+          std::make_shared<MemoryAccount>(callerMemoryBytes(this->Settings))),
       TickTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
@@ -81,14 +95,7 @@
 }
 
 Status GatewayRuntime::start() {
-  HttpServerOptions CallerOptions;
-  CallerOptions.OnHead = [this](const HttpRequest &Head) {
-    return judgeHead(Head);
-  };
-  CallerOptions.OnDefect = [this](std::string_view Reason) {
-    Log.write(LogCategory::Outcome, "unexpected_error", "", {{"why", Reason}});
-  };
-  CallerServer = makeServer(Settings.CallerAddress, std::move(CallerOptions),
+  CallerServer = makeServer(Settings.CallerAddress, callerServerOptions(),
                             [this](const Exchange &E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
                            [this](const Exchange &E) { handleReadiness(E); });
@@ -127,7 +134,7 @@
   const auto Fixed = [](const GatewaySettings &S) {
     return std::tie(S.Name, S.Zone, S.CallerAddress, S.ReadyAddress,
                     S.MetricsAddress, S.PeerAddress, S.Store, S.Weight,
-                    S.RetryWindow, S.UsePrefillEngines);
+                    S.RetryWindow, S.UsePrefillEngines, S.MemoryMb);
   };
   const bool NeedsRestart = Fixed(N) != Fixed(Settings);
   Settings.StopGrace = N.StopGrace;
@@ -175,7 +182,7 @@
   const std::string Key = Request.SessionId;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
   auto Session = std::make_shared<RequestSession>(
-      SessionServices{Context, Time, *Endpoints, Protocol, Log, BufferBudget},
+      SessionServices{Context, Time, *Endpoints, Protocol, Log, CallerMemory},
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
@@ -344,7 +351,10 @@
       .set(double(Crashes.Requests.quarantined(Now).size()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters &U = Endpoints->counters();
-  Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
+  Counters.gauge("caller_memory_bytes").set(double(CallerMemory->reserved()));
+  Counters.gauge("caller_memory_limit_bytes")
+      .set(double(CallerMemory->limit()));
+  Counters.gauge("caller_memory_waiting").set(double(Bodies->waiting()));
   Counters.gauge("endpoint_connects").set(double(U.Connects));
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleResponses));
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "hyssoprail/connection/body_admission.hpp"
 #include "hyssoprail/connection/http_client.hpp"
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/core/random.hpp"
@@ -81,6 +82,8 @@
   std::optional<HttpResponse> judge(const HttpRequest &Head,
                                     AcceptedRequest &Out);
   std::optional<HttpResponse> takeQuota(AcceptedRequest &Request);
+  HttpResponse rejectForMemory(const std::string &Id, milliseconds RetryAfter);
+  HttpServerOptions callerServerOptions();
   /// Runs an accepted request, whose body has arrived.
   void handle(const Exchange &Caller);
   Duration expectedRunTime(const routing::RoutePolicy &Route,
@@ -166,7 +169,8 @@
 
   Metrics Counters;
   std::unique_ptr<UpstreamClient> Endpoints;
-  ResponseBufferBudget BufferBudget;
+  const std::shared_ptr<MemoryAccount> CallerMemory;
+  std::shared_ptr<BodyAdmission> Bodies;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -37,11 +37,55 @@
 
 } // namespace
 
+HttpServerOptions GatewayRuntime::callerServerOptions() {
+  const std::weak_ptr<GatewayRuntime *> Weak = Self;
+  Bodies =
+      std::make_shared<BodyAdmission>(CallerMemory, Time, [Weak](bool Full) {
+        const auto Runtime = Weak.lock();
+        if (!Runtime)
+          return;
+        const MemoryAccount &Memory = *(*Runtime)->CallerMemory;
+        (*Runtime)->Log.write(
+            LogCategory::Outcome, Full ? "memory_full" : "memory_free", "",
+            {{"bytes", Memory.reserved()}, {"limit", Memory.limit()}});
+      });
+  HttpServerOptions Options;
+  Options.Bodies = Bodies;
+  Options.OnHead = [this](const HttpRequest &Head) { return judgeHead(Head); };
+  Options.OnDefect = [this](std::string_view Reason) {
+    Log.write(LogCategory::Outcome, "unexpected_error", "", {{"why", Reason}});
+  };
+  return Options;
+}
+
 HeadDecision GatewayRuntime::judgeHead(const HttpRequest &Head) {
   auto Accepted = std::make_shared<AcceptedRequest>();
-  if (auto Rejection = judge(Head, *Accepted))
-    return {std::move(Rejection), nullptr};
-  return {std::nullopt, std::move(Accepted)};
+  HeadDecision Out;
+  Out.Rejection = judge(Head, *Accepted);
+  if (Out.Rejection)
+    return Out;
+  // The request must still run after it has waited for memory.
+  const RequestInfo &Info = Accepted->Info;
+  const RoutePolicy &Route = *Accepted->Route;
+  const Duration Timeout = Info.Deadline > milliseconds(0)
+                               ? std::min(Info.Deadline, Route.Timeout)
+                               : Route.Timeout;
+  const Duration MaxWait =
+      std::max(Duration{0}, Timeout - expectedRunTime(Route, Info));
+  Out.Admission = Accepted;
+  Out.MaxWait = std::chrono::duration_cast<milliseconds>(MaxWait);
+  Out.OnNoMemory = [this, Id = Info.Id](milliseconds RetryAfter) {
+    return rejectForMemory(Id, RetryAfter);
+  };
+  return Out;
+}
+
+HttpResponse GatewayRuntime::rejectForMemory(const std::string &Id,
+                                             milliseconds RetryAfter) {
+  Log.write(LogCategory::Outcome, "reject", Id,
+            {{"reason", "memory"}, {"retry_after_ms", RetryAfter}});
+  Counters.counter("rejections", {{"reason", "memory"}}).add();
+  return Protocol.rejection(RejectReason::NoCapacity, RetryAfter, Id);
 }
 
 /// Returns the response to a request that is rejected.
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -53,6 +53,7 @@
   read(In, "cold_overage", Out.ColdOverage);
   read(In, "cold_slack", Out.ColdSlack);
   read(In, "use_prefill_engines", Out.UsePrefillEngines);
+  read(In, "memory_mb", Out.MemoryMb);
   return Out;
 }
 
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -34,6 +34,7 @@
   double ColdOverage = 1;
   double ColdSlack = 0;
   bool UsePrefillEngines = true;
+  std::size_t MemoryMb = 110; ///< memory of the process; more ends it
 };
 
 /// Parses settings from JSON text. Fails with InvalidSettings; the error names
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -57,6 +57,7 @@
   const LegId Id = NextLeg++;
   Leg &L = Legs[Id];
   L.Kind = Spec.Kind;
+  L.Buffered = MemoryReservation(Services.Memory);
   L.EndpointId = Spec.EndpointId;
   L.EndpointStartedAtMs = Spec.StartedAtMs;
   L.StartedAt = Services.Time.now();
@@ -144,14 +145,13 @@
 }
 
 /// Appends to the buffered response. Returns false if the response becomes too
-/// large or the buffers of all sessions are full.
+/// large or the memory for callers is full.
 bool RequestSession::bufferResponse(Leg &L, std::string_view Data) {
   const std::size_t Limit =
       L.Kind == LegKind::Prefill ? MaxPrefillResponseBytes : MaxResponseBytes;
   if (L.Response.Body.size() + Data.size() > Limit ||
-      !Services.BufferBudget.reserve(Data.size()))
+      !L.Buffered.grow(Data.size()))
     return false;
-  L.BufferedBytes += Data.size();
   L.Response.Body.append(Data);
   return true;
 }
@@ -160,7 +160,6 @@
 RequestSession::removeLeg(std::map<LegId, Leg>::iterator It) {
   Leg L = std::move(It->second);
   Legs.erase(It);
-  Services.BufferBudget.release(L.BufferedBytes);
   return L;
 }
 
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -11,6 +11,7 @@
 
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/upstream_client.hpp"
+#include "hyssoprail/core/memory_account.hpp"
 #include "hyssoprail/gateway/endpoint_protocol.hpp"
 #include "hyssoprail/process/decision_log.hpp"
 #include "hyssoprail/routing/flow.hpp"
@@ -27,29 +28,6 @@
   bool MayHaveRun = false;
 };
 
-/// Memory budget, shared by all sessions, for responses that are buffered until
-/// they are complete.
-class ResponseBufferBudget {
-public:
-  explicit ResponseBufferBudget(std::size_t Limit) : Limit(Limit) {}
-
-  /// Reserves \p Bytes; returns false if they would exceed the limit.
-  bool reserve(std::size_t Bytes) {
-    if (Reserved + Bytes > Limit)
-      return false;
-    Reserved += Bytes;
-    return true;
-  }
-
-  void release(std::size_t Bytes) { Reserved -= Bytes; }
-
-  std::size_t reserved() const { return Reserved; }
-
-private:
-  std::size_t Limit;
-  std::size_t Reserved = 0;
-};
-
 /// References that every session needs.
 struct SessionServices {
   boost::asio::io_context &Context;
@@ -57,7 +35,7 @@
   UpstreamClient &Endpoints;
   const EndpointProtocol &Protocol;
   DecisionLog &Log;
-  ResponseBufferBudget &BufferBudget;
+  std::shared_ptr<MemoryAccount> Memory;
 };
 
 /// Functions of the gateway that a session calls.
@@ -135,8 +113,8 @@
     TimePoint StartedAt{};
     std::shared_ptr<UpstreamExchange> Exchange;
     HttpResponse Response;
-    std::size_t BufferedBytes = 0; ///< size of Response, reserved in the budget
-    bool HasHead = false;          ///< the head of the response has arrived
+    MemoryReservation Buffered; ///< for Response
+    bool HasHead = false;       ///< the head of the response has arrived
     bool Streaming = false;
     std::optional<LimitStatement> Limit; ///< what the response states
   };
