--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -14,6 +16,8 @@
 
 namespace hyssoprail {
 
+class BodyAdmission;
+
 /// One request and its response. The functions that send the response are
 /// thread-safe; calls after the response is complete have no effect.
 class HttpExchange {
@@ -46,10 +50,30 @@
   /// Returns the bytes of the response that the connection has not yet taken
   /// over for writing.
   virtual std::size_t unsentBytes() const = 0;
+
+  /// Returns what the head handler has decided (HeadDecision::Admission).
+  virtual std::shared_ptr<void> admission() const { return nullptr; }
 };
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+/// What is decided on a request before its body is read.
+struct HeadDecision {
+  /// Sent at once; the body is not read. nullopt: the request is accepted.
+  std::optional<HttpResponse> Rejection;
+  /// Kept until the exchange ends, and destroyed at once if the body does not
+  /// arrive.
+  std::shared_ptr<void> Admission;
+  /// How long the request may wait for memory, and the response if that is not
+  /// long enough; empty: HttpServerOptions::ErrorResponse makes it.
+  std::chrono::milliseconds MaxWait{0};
+  std::function<HttpResponse(std::chrono::milliseconds RetryAfter)> OnNoMemory;
+};
+
+/// Decides on a request whose body has not been read; the body of \p Head is
+/// empty.
+using HeadHandler = std::function<HeadDecision(const HttpRequest &Head)>;
+
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0; ///< 0: any free port
@@ -77,6 +101,15 @@
   /// Called on the thread of the acceptor if a connection cannot be accepted
   /// for lack of descriptors; returns true if it has closed some.
   std::function<bool()> FreeDescriptors;
+  /// Called on the thread of the connection before a body is read and before a
+  /// 100 is sent; empty: all requests are accepted.
+  HeadHandler OnHead;
+  /// Bounds the memory of requests and responses; nullptr: nothing does. Only
+  /// for a server with a single thread.
+  std::shared_ptr<BodyAdmission> Bodies;
+  /// Called on the thread of a connection with the reason for which a request
+  /// failed inside the server; empty: the reason is logged with spdlog.
+  std::function<void(std::string_view Reason)> OnDefect;
 };
 
 /// HTTP/1.1 server with keep-alive and pipelining. Each connection stays on
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -1,4 +1,5 @@
 #include "hyssoprail/connection/http_session.hpp"
+#include "hyssoprail/connection/body_admission.hpp"
 
 #include <array>
 #include <utility>
@@ -18,59 +19,6 @@
 
 constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Size of the first read of a request. Small, because an idle keep-alive
-/// connection holds a buffer of this size.
-constexpr std::size_t ReadChunkBytes = 2048;
-
-/// Limits for reading and discarding data after the last response.
-constexpr std::size_t MaxLingerBytes = std::size_t{1024} * 1024;
-constexpr std::chrono::milliseconds LingerTime{1'000};
-
-HttpRequest toHttpRequest(http::request<http::string_body> &&Message) {
-  HttpRequest Out;
-  Out.Method = std::string(Message.method_string());
-  Out.Target = std::string(Message.target());
-  for (const auto &Field : Message)
-    Out.Headers.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  Out.Body = std::move(Message.body());
-  return Out;
-}
-
-Error readError(const beast::error_code &Code) {
-  if (Code == http::error::body_limit)
-    return {ErrorKind::TooLarge,
-            "the request body is too large",
-            "send a smaller body",
-            "body",
-            {}};
-  if (Code == http::error::header_limit || Code == http::error::buffer_overflow)
-    return {ErrorKind::TooLarge,
-            "the request headers are too large",
-            "send fewer or smaller headers",
-            "headers",
-            {}};
-  if (Code == beast::error::timeout)
-    return {ErrorKind::RequestTimeout,
-            "the request took too long to arrive",
-            "send the request without pauses",
-            "",
-            {}};
-  return {ErrorKind::InvalidRequest,
-          "the request is not valid HTTP/1.1",
-          "send a request line, headers and a body as RFC 9112 describes",
-          "",
-          {}};
-}
-
-/// Returns true if the connection is closed, so that no response can be sent.
-bool connectionEnded(const beast::error_code &Code) {
-  return Code == http::error::end_of_stream ||
-         Code == http::error::partial_message || Code == asio::error::eof ||
-         Code == asio::error::operation_aborted ||
-         Code == asio::error::connection_reset;
-}
-
 template <typename Message>
 void addHeaders(Message &Out, const HttpHeaders &Headers) {
   for (const HttpHeader &H : Headers)
@@ -125,31 +73,47 @@
 
 asio::awaitable<void> HttpSession::run() {
   Code Ignored;
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  bool KeepOpen = true;
-  while (KeepOpen)
-    KeepOpen = co_await serveRequest();
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  std::string Defect;
+  try {
+    co_await serveRequests();
+  } catch (const std::exception &E) {
+    Defect = E.what();
+    Defect = Defect.empty() ? "unknown exception" : Defect;
+  }
+  if (!Defect.empty())
+    co_await endDefectiveRequest(std::move(Defect));
   if (Linger)
     co_await linger();
   close();
 }
 
-/// Lingering close: reads and discards what the client still sends, because
-/// closing with unread data would reset the connection and the client could
-/// lose the response.
-asio::awaitable<void> HttpSession::linger() {
-  Code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  setDeadline(LingerTime);
-  std::size_t Discarded = 0;
-  while (Discarded < MaxLingerBytes) {
-    Buffer.clear();
-    auto [Failure, Size] = co_await Socket.async_read_some(
-        Buffer.prepare(ReadChunkBytes), NoThrow);
-    if (Failure)
-      break;
-    Discarded += Size;
+asio::awaitable<void> HttpSession::serveRequests() {
+  bool KeepOpen = true;
+  while (KeepOpen)
+    KeepOpen = co_await serveRequest();
+}
+
+/// An exception ended a request, for example because its response cannot be
+/// serialised. The caller gets a 500, or a reset if the response has begun.
+asio::awaitable<void> HttpSession::endDefectiveRequest(std::string Reason) {
+  reportDefect(Reason);
+  if (const auto Exchange = std::exchange(Current, nullptr)) {
+    Exchange->disconnect();
+    Exchange->complete();
   }
+  Linger = false;
+  ResetOnClose = ResponseBegun;
+  if (ResponseBegun)
+    co_return;
+  HttpResponse Response = errorResponse(requestFailed());
+  Linger = co_await writeComplete(Response, false, 11, false);
+}
+
+void HttpSession::reportDefect(std::string_view Reason) const {
+  if (State->Options.OnDefect)
+    return State->Options.OnDefect(Reason);
+  spdlog::error("[http] A request failed inside the server: {}.", Reason);
 }
 
 /// Reads one request and sends its response. Returns false if the connection
@@ -157,26 +121,37 @@
 asio::awaitable<bool> HttpSession::serveRequest() {
   if (!co_await waitForFirstByte())
     co_return false;
-  std::optional<Parser> P(std::in_place);
-  const Code Failure = co_await readRequest(*P);
+  ResponseBegun = false;
+  std::optional<Incoming> In(std::in_place);
+  Code Failure = co_await readHead(*In);
+  if (!Failure) {
+    In->Decision = callHeadHandler(In->Request);
+    if (In->Decision.Rejection)
+      co_return co_await reject(*In);
+    co_await reserveRequest(*In);
+    if (!In->Decision.Rejection)
+      Failure = co_await readBody(*In);
+    if (In->Decision.Rejection)
+      co_return co_await reject(*In);
+  }
   if (Failure) {
+    In.reset(); // gives back what was taken for a body that does not arrive
     co_await sendReadError(Failure);
     co_return false;
   }
-  const bool KeepAlive = P->keep_alive();
-  const unsigned Version = P->get().version();
-  const auto Exchange = makeExchange(toHttpRequest(P->release()));
-  P.reset(); // frees its memory while the response is being produced
+  const bool KeepAlive = In->KeepAlive;
+  const unsigned Version = In->P.get().version();
+  const auto Exchange = makeExchange(*In);
+  In.reset(); // frees its memory while the response is being produced
   if (Buffer.size() == 0)
     Buffer.shrink_to_fit();
   Current = Exchange;
-  ++State->OpenExchanges;
+  const OpenExchange Counted(*State);
   watchForDisconnect();
   callHandler(Exchange);
   // Behind a pipelined request, Linger still concerns the response before.
   const bool LingerBefore = std::exchange(Linger, false);
   const bool Sent = co_await sendResponse(*Exchange, KeepAlive, Version);
-  --State->OpenExchanges;
   if (!Sent && !Linger)
     Exchange->disconnect();
   Exchange->complete();
@@ -185,67 +160,6 @@
   co_return Sent &&AnnouncedKeepAlive;
 }
 
-asio::awaitable<bool> HttpSession::waitForFirstByte() {
-  if (Buffer.size() > 0)
-    co_return true;
-  Buffer.shrink_to_fit();
-  Idle = true;
-  setDeadline(State->Draining ? State->Options.DrainGrace
-                              : State->Options.IdleTimeout);
-  Linger = false;
-  auto [Failure, Size] =
-      co_await Socket.async_read_some(Buffer.prepare(ReadChunkBytes), NoThrow);
-  Idle = false;
-  if (Failure)
-    co_return false;
-  Buffer.commit(Size);
-  co_return true;
-}
-
-asio::awaitable<HttpSession::Code> HttpSession::readRequest(Parser &P) {
-  P.header_limit(State->Options.MaxHeaderBytes);
-  P.body_limit(State->Options.MaxBodyBytes);
-  setDeadline(State->Options.ReadTimeout);
-  auto [Failure, HeaderBytes] =
-      co_await http::async_read_header(Socket, Buffer, P, NoThrow);
-  if (!Failure && !P.is_done()) {
-    if (beast::iequals(P.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> Continue{http::status::continue_, 11};
-      co_await http::async_write(Socket, Continue, NoThrow);
-    }
-    Failure = co_await readBody(P);
-  }
-  clearDeadline();
-  co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
-}
-
-/// A body may take longer than ReadTimeout while it keeps the minimum rate. One
-/// that trickles in more slowly times out.
-asio::awaitable<HttpSession::Code> HttpSession::readBody(Parser &P) {
-  Code Failure;
-  Progress Transfer{Clock::now(), State->Options.ReadTimeout,
-                    State->Options.MinBodyBytesPerSecond, 0};
-  while (!Failure && !P.is_done()) {
-    setDeadlineAt(Transfer.deadline());
-    auto [StepFailure, Size] =
-        co_await http::async_read_some(Socket, Buffer, P, NoThrow);
-    Failure = StepFailure;
-    Transfer.Bytes += Size;
-  }
-  co_return Failure;
-}
-
-asio::awaitable<void> HttpSession::sendReadError(Code Failure) {
-  if (connectionEnded(Failure))
-    co_return;
-  TimedOut = false;
-  const Error E = readError(Failure);
-  HttpResponse Response = State->Options.ErrorResponse
-                              ? State->Options.ErrorResponse(E)
-                              : HttpResponse{httpStatus(E.Kind), {}, E.Message};
-  Linger = co_await writeComplete(Response, false, 11, false);
-}
-
 asio::awaitable<bool> HttpSession::sendResponse(ServerExchange &Exchange,
                                                 bool KeepAlive,
                                                 unsigned Version) {
@@ -302,6 +216,7 @@
   Message.keep_alive(decideKeepAlive(KeepAlive));
   Message.prepare_payload();
   http::response_serializer<http::string_body> Serializer{Message};
+  ResponseBegun = true;
   if (HeadOnly) {
     setDeadline(State->Options.WriteTimeout);
     auto [Failure, Size] =
@@ -331,6 +246,7 @@
   if (Version >= 11)
     Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer{Message};
+  ResponseBegun = true;
   setDeadline(State->Options.WriteTimeout);
   auto [Failure, Size] =
       co_await http::async_write_header(Socket, Serializer, NoThrow);
@@ -378,19 +294,26 @@
   try {
     State->Handler(Exchange);
   } catch (const std::exception &E) {
-    spdlog::error("[http] A request handler threw an exception: {}.", E.what());
-    const Error Defect{ErrorKind::Internal,
-                       "the request failed",
-                       "report the request id to the operator",
-                       "",
-                       {}};
-    Exchange->respond(State->Options.ErrorResponse
-                          ? State->Options.ErrorResponse(Defect)
-                          : HttpResponse{500, {}, Defect.Message});
+    reportDefect(E.what());
+    Exchange->respond(errorResponse(requestFailed()));
   }
 }
 
-std::shared_ptr<ServerExchange> HttpSession::makeExchange(HttpRequest Request) {
+HttpResponse HttpSession::errorResponse(const Error &E) const {
+  return State->Options.ErrorResponse
+             ? State->Options.ErrorResponse(E)
+             : HttpResponse{httpStatus(E.Kind), {}, E.Message};
+}
+
+Error HttpSession::requestFailed() {
+  return {ErrorKind::Internal,
+          "the request failed",
+          "report the request id to the operator",
+          "",
+          {}};
+}
+
+std::shared_ptr<ServerExchange> HttpSession::makeExchange(Incoming &In) {
   auto Wake = [Executor = Socket.get_executor(), Weak = weak_from_this()] {
     asio::post(Executor, [Weak] {
       if (const auto Self = Weak.lock())
@@ -398,7 +321,10 @@
     });
   };
   return std::make_shared<ServerExchange>(
-      std::move(Request), State->Options.MaxUnsentBytes, std::move(Wake));
+      ReceivedRequest{std::move(In.Memory), std::move(In.Decision.Admission),
+                      std::move(In.Request)},
+      State->Options.Bodies ? State->Options.Bodies->account() : nullptr,
+      State->Options.MaxUnsentBytes, std::move(Wake));
 }
 
 void HttpSession::wakeResponse() {
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -26,6 +26,20 @@
   std::atomic<std::size_t> OpenExchanges{0};
 };
 
+/// Counts an exchange as open while it exists.
+class OpenExchange {
+public:
+  explicit OpenExchange(ServerState &State) : Count(State.OpenExchanges) {
+    ++Count;
+  }
+  OpenExchange(const OpenExchange &) = delete;
+  OpenExchange &operator=(const OpenExchange &) = delete;
+  ~OpenExchange() { --Count; }
+
+private:
+  std::atomic<std::size_t> &Count;
+};
+
 /// One connection of the HTTP server. Must be used on the thread of its socket.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
@@ -47,6 +61,22 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Clock = std::chrono::steady_clock;
 
+  /// A request that is being read.
+  struct Incoming {
+    Parser P;
+    MemoryReservation Memory; ///< for the head, and the body if accepted
+    HttpRequest Request;
+    HeadDecision Decision;
+    Clock::time_point HeadArrival{};
+    std::size_t HeadBytes = 0;
+    bool KeepAlive = false;
+    bool HasRoomToGrow = false; ///< for the largest chunked body
+
+    /// True if the body is short enough to be read and discarded, so that the
+    /// connection stays open after a rejection.
+    bool canSkipBody() const;
+  };
+
   /// Progress of a transfer, which fails if it pauses for longer than Tolerance
   /// or falls behind MinRate by more than Tolerance.
   struct Progress {
@@ -59,10 +89,25 @@
   };
 
   Awaitable<void> run();
+  Awaitable<void> serveRequests();
   Awaitable<bool> serveRequest();
+  Awaitable<void> endDefectiveRequest(std::string Reason);
   Awaitable<bool> waitForFirstByte();
-  Awaitable<Code> readRequest(Parser &P);
-  Awaitable<Code> readBody(Parser &P);
+  Awaitable<Code> readHead(Incoming &In);
+  Awaitable<Code> readBody(Incoming &In);
+  bool reserveLongHead(Incoming &In);
+  bool needsRoomToGrow(const Incoming &In) const;
+  Awaitable<void> reserveRequest(Incoming &In);
+  Awaitable<void> reserveGrowth(Incoming &In);
+  Awaitable<void> reserve(Incoming &In, std::size_t Bytes, bool Grows);
+  HttpResponse memoryRejection(const HeadDecision &Decision,
+                               std::chrono::milliseconds RetryAfter) const;
+  Awaitable<bool> reject(Incoming &In);
+  Awaitable<bool> skipBody(Parser &P);
+  HeadDecision callHeadHandler(const HttpRequest &Head) const;
+  void reportDefect(std::string_view Reason) const;
+  HttpResponse errorResponse(const Error &E) const;
+  static Error requestFailed(); ///< for a defect of this program
   Awaitable<void> sendReadError(Code Failure);
   Awaitable<void> linger();
   Awaitable<bool> sendResponse(ServerExchange &Exchange, bool KeepAlive,
@@ -73,7 +118,7 @@
                             unsigned Version);
   Awaitable<bool> writeData(std::string Data, bool Chunked, bool Last);
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
-  std::shared_ptr<ServerExchange> makeExchange(HttpRequest Request);
+  std::shared_ptr<ServerExchange> makeExchange(Incoming &In);
   bool decideKeepAlive(bool Requested);
   void wakeResponse();
   void watchForDisconnect();
@@ -98,6 +143,7 @@
   bool Idle = false;
   /// Whether the last response header announced a persistent connection.
   bool AnnouncedKeepAlive = false;
+  bool ResponseBegun = false; ///< bytes of the response may have been sent
   bool Linger = false; ///< a response was sent and must arrive before closing
   /// An unchunked response has begun and its end has not been sent.
   bool ResetOnClose = false;
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -122,15 +122,17 @@
     for (const HttpHeader &H : Call.Request.Headers)
       if (mayForwardHeader(H))
         Message.insert(H.Name, H.Value);
-    Message.body() = std::move(Call.Request.Body);
-    if (!Message.body().empty() || expectsLength(Message.method()))
-      Message.content_length(Message.body().size());
+    const std::string &Body = Call.Body ? *Call.Body : Call.Request.Body;
+    Message.body() = {Body.data(), Body.size()};
+    if (!Body.empty() || expectsLength(Message.method()))
+      Message.content_length(Body.size());
     if (!Call.RequestId.empty())
       Active->SentIds.push_back(hashOfId(Call.RequestId));
     Active->Stream.expires_at(Deadline);
     http::async_write(
         Active->Stream, Message,
         [Self = shared_from_this()](beast::error_code Code, std::size_t) {
+          Self->Call.Body.reset();
           Self->Written = !Code;
           Self->WriteEnded = true;
           if (Self->ResponseEnded)
@@ -270,7 +272,7 @@
   SteadyTime Deadline;
   ClientConnectionPtr Active;
   std::optional<SteadyTime> ConnectedAt; ///< of the connection in use
-  http::request<http::string_body> Message;
+  http::request<http::span_body<const char>> Message;
   std::optional<Parser> ResponseParser;
   std::array<char, 4096> Data{};
   milliseconds IdleTimeLimit{0};
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -9,9 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include "hyssoprail/connection/descriptors.hpp"
-#include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/process/query.hpp"
-#include "hyssoprail/routing/request_fingerprint.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 
 namespace hyssoprail::gateway {
@@ -19,10 +17,7 @@
 
 using routing::AccountPolicy;
 using routing::FlowRequest;
-using routing::RejectReason;
-using routing::RequestInfo;
 using routing::RouteKind;
-using routing::RoutePolicy;
 
 /// Shares of the configured quota tolerance that this entry grants. The rest is
 /// kept in reserve for the grants of other entries, which become known late, or
@@ -30,24 +25,25 @@
 constexpr double QuotaOverageShare = 0;
 constexpr double QuotaSlackShare = 0.05;
 
-constexpr milliseconds NoConfigurationRetryAfter{400};
-constexpr milliseconds MinQuotaRetryAfter{100};
-constexpr milliseconds DrainingRetryAfter{20};
-
-/// Time to allow for a stream from its arrival to its first event, and the
-/// factor by which it may run longer than estimated.
-constexpr milliseconds ExpectedFirstEventTime{400};
-constexpr double RunTimeSafetyFactor = 1.5;
-
-/// Longest run time of nearly all calls, in multiples of their route's
-/// objective.
-constexpr int CallRunTimeInObjectives = 3;
+constexpr unsigned StatusInternalError = 500;
 
 /// A streamed response is aborted if its caller has this much left to read.
 constexpr std::size_t MaxUnsentBytes = std::size_t{1024} * 1024;
 
-/// Memory for buffered responses of endpoints that are not complete yet.
-constexpr std::size_t ResponseBufferBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t BytesPerMb = std::size_t{1024} * 1024;
+
+/// Memory of the process itself: 10 MB for the program and what it knows of the
+/// fleet, 17 MB for 3,000 idle connections, and what the allocator and the
+/// connections to endpoints need besides.
+constexpr std::size_t ProcessBaseMb = 40;
+
+/// With less than this, no large request would be served.
+constexpr std::size_t MinCallerMemoryMb = 8;
+
+std::size_t callerMemoryBytes(const GatewaySettings &S) {
+  const std::size_t Base = ProcessBaseMb + MinCallerMemoryMb;
+  return (std::max(S.MemoryMb, Base) - ProcessBaseMb) * BytesPerMb;
+}
 
 routing::QuotaTolerance quotaTolerance(const GatewaySettings &S) {
   return {S.QuotaOverage * QuotaOverageShare,
@@ -86,14 +82,21 @@
       Endpoints(makeUpstreamClient(Context)),
       Descriptors(descriptorLimit(this->Settings.FileDescriptors), *Endpoints,
                   Http),
-      BufferBudget(ResponseBufferBytes), TickTimer(Context) {}
+      CallerMemory(
+          std::make_shared<MemoryAccount>(callerMemoryBytes(this->Settings))),
+      TickTimer(Context) {}
 
 GatewayRuntime::~GatewayRuntime() = default;
 
 std::unique_ptr<HttpServer>
 GatewayRuntime::makeServer(const std::string &Address, HttpHandler Handler) {
+  return makeServer(Address, {}, std::move(Handler));
+}
+
+std::unique_ptr<HttpServer>
+GatewayRuntime::makeServer(const std::string &Address,
+                           HttpServerOptions Options, HttpHandler Handler) {
   const HostPort At = splitHostPort(Address);
-  HttpServerOptions Options;
   Options.Address = At.Ip;
   Options.Port = At.Port;
   Options.MaxUnsentBytes = MaxUnsentBytes;
@@ -103,12 +106,13 @@
       [this, Handler = std::move(Handler)](const Exchange &Caller) {
         if (!Guard.run(Boundary::Request, Protocol.requestId(Caller->request()),
                        [&] { Handler(Caller); }))
-          Caller->respond(HttpResponse{500, {}, ""});
+          Caller->respond(Protocol.failure(
+              StatusInternalError, Protocol.requestId(Caller->request())));
       });
 }
 
 Status GatewayRuntime::start() {
-  CallerServer = makeServer(Settings.CallerAddress,
+  CallerServer = makeServer(Settings.CallerAddress, callerServerOptions(),
                             [this](const Exchange &E) { handle(E); });
   ReadyServer = makeServer(Settings.ReadyAddress,
                            [this](const Exchange &E) { handleReadiness(E); });
@@ -147,7 +151,7 @@
   const auto Fixed = [](const GatewaySettings &S) {
     return std::tie(S.Name, S.Zone, S.CallerAddress, S.ReadyAddress,
                     S.MetricsAddress, S.PeerAddress, S.Store, S.Weight,
-                    S.RetryWindow, S.UsePrefillEngines);
+                    S.RetryWindow, S.UsePrefillEngines, S.MemoryMb);
   };
   const bool NeedsRestart = Fixed(N) != Fixed(Settings);
   Settings.StopGrace = N.StopGrace;
@@ -164,111 +168,6 @@
 
 // ---- Requests -------------------------------------------------------------
 
-void GatewayRuntime::handle(const Exchange &Caller) {
-  Result<RequestInfo> Decoded = Protocol.decode(Caller->request());
-  if (const Error *E = errorOf(Decoded)) {
-    Log.write(LogCategory::Outcome, "bad_request", "", {{"field", E->Field}});
-    return Caller->respond(jsonResponse(400, "{\"error\":\"bad request\"}"));
-  }
-  RequestInfo &Info = valueOf(Decoded);
-  if (!Config)
-    return rejectAtOnce(Caller, Info, RejectReason::NoConfiguration,
-                        NoConfigurationRetryAfter);
-  const RoutePolicy *Route = Config->route(Info.Host, Info.Path);
-  if (!Route)
-    return rejectAtOnce(Caller, Info, RejectReason::NoRoute, {});
-  if (cannotFinishBeforeStop(*Route, Info))
-    return rejectAtOnce(Caller, Info, RejectReason::Draining,
-                        DrainingRetryAfter);
-  admit(Caller, std::move(Info), *Route);
-}
-
-/// After a stop has begun, callers still send requests on their open
-/// connections. Requests that would not end within the stop grace are rejected,
-/// so that the caller sends them to another entry.
-bool GatewayRuntime::cannotFinishBeforeStop(const RoutePolicy &Route,
-                                            const RequestInfo &Info) const {
-  if (!Stopping)
-    return false;
-  if (Route.Kind != RouteKind::Stream)
-    return Time.now() + Route.LatencyObjective * CallRunTimeInObjectives >
-           stopDeadline();
-  const std::uint32_t Tokens = Lengths.estimate(
-      Info.OutputHint, Info.Tokens ? Info.Tokens->MaxOutput : 0);
-  const auto RunTime = std::chrono::duration_cast<Duration>(
-      Lengths.generationTime(Tokens) * RunTimeSafetyFactor);
-  return Draining ||
-         Time.now() + ExpectedFirstEventTime + RunTime > stopDeadline();
-}
-
-void GatewayRuntime::admit(const Exchange &Caller, RequestInfo Info,
-                           const RoutePolicy &Route) {
-  const AccountPolicy *Account =
-      Info.ApiKey.empty() ? nullptr : Config->accountOfKey(Info.ApiKey);
-  const bool MayRunWithoutKey = Info.ApiKey.empty() && Route.AllowAnonymous;
-  if (!Account && Config->requiresKeys() && !MayRunWithoutKey)
-    return rejectAtOnce(Caller, Info, RejectReason::NoKey, {});
-  if (Route.Kind != RouteKind::Stream || Info.PromptParts.empty())
-    Info.Fingerprint = routing::requestFingerprint(
-        Caller->request(), Info.Host, Account ? Account->Name : "");
-  if (Crashes.watch(Info).isQuarantined(Time.now()))
-    return rejectAtOnce(Caller, Info, RejectReason::Quarantined,
-                        routing::QuarantineRetryAfter);
-  double Tokens = 0;
-  bool BeyondQuota = false;
-  if (Account) {
-    Tokens = Info.Tokens ? double(Info.Tokens->Prompt) + Info.Tokens->MaxOutput
-                         : Account->DefaultTokens;
-    const routing::QuotaDecision D =
-        Quota.take(Account->Name, Tokens, Time.now());
-    if (!D.Granted) {
-      Log.write(LogCategory::Outcome, "over_quota", Info.Id,
-                {{"account", Account->Name},
-                 {"tokens", Tokens},
-                 {"debt", D.Debt},
-                 {"burst", D.Burst},
-                 {"version", Config->Version}});
-      return rejectAtOnce(
-          Caller, Info, RejectReason::OverQuota,
-          std::max(MinQuotaRetryAfter,
-                   std::chrono::duration_cast<milliseconds>(D.RetryAfter)));
-    }
-    BeyondQuota = D.BeyondQuota;
-  }
-  FlowRequest Request = flowRequest(std::move(Info), Route, Account);
-  Request.BeyondQuota = BeyondQuota;
-  startSession(Caller, std::move(Request), Tokens);
-}
-
-FlowRequest GatewayRuntime::flowRequest(RequestInfo Info,
-                                        const RoutePolicy &Route,
-                                        const AccountPolicy *Account) const {
-  FlowRequest R;
-  R.SessionId = std::to_string(NextSessionKey);
-  R.Route = Route;
-  R.Service = chooseService(Route, stableHash(Info.Id));
-  if (Account)
-    R.Account = Account->Name;
-  R.Priority =
-      Account && Account->Priority ? *Account->Priority : Route.Priority;
-  R.Arrival = Time.now();
-  const milliseconds CallerTimeout =
-      Info.Deadline > milliseconds(0) ? std::min(Info.Deadline, Route.Timeout)
-                                      : Route.Timeout;
-  R.AnswerBy = R.Arrival + CallerTimeout;
-  // The process ends at that time even if the endpoint has not answered, so the
-  // caller gets a final answer before it.
-  if (Stopping)
-    R.AnswerBy = std::min(R.AnswerBy, stopDeadline());
-  const routing::ServicePolicy *Service = Config->service(R.Service);
-  if (Service && Service->Engine) {
-    R.HandleRetention = Service->Engine->HandleRetention;
-    R.EventTokens = Service->Engine->EventTokens;
-  }
-  R.Info = std::move(Info);
-  return R;
-}
-
 void GatewayRuntime::startSession(const Exchange &Caller, FlowRequest Request,
                                   double QuotaTokens) {
   ++NextSessionKey;
@@ -287,7 +186,7 @@
   const std::string Key = Request.SessionId;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
   auto Session = std::make_shared<RequestSession>(
-      SessionServices{Context, Time, *Endpoints, Protocol, Log, BufferBudget,
+      SessionServices{Context, Time, *Endpoints, Protocol, Log, CallerMemory,
                       Guard},
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
@@ -369,20 +268,6 @@
     stopWhenIdle();
 }
 
-void GatewayRuntime::rejectAtOnce(const Exchange &Caller,
-                                  const RequestInfo &Info, RejectReason Reason,
-                                  milliseconds RetryAfter) {
-  Log.write(LogCategory::Outcome, "reject", Info.Id,
-            {{"reason", rejectReasonName(Reason)},
-             {"retry_after_ms", RetryAfter},
-             {"version", Config ? Config->Version : 0}});
-  Counters
-      .counter("rejections",
-               {{"reason", std::string(rejectReasonName(Reason))}})
-      .add();
-  Caller->respond(Protocol.rejection(Reason, RetryAfter, Info.Id));
-}
-
 // ---- Admission ------------------------------------------------------------
 
 template <typename Decision>
@@ -473,7 +358,10 @@
   Counters.gauge("peer_messages_unreadable").set(double(Peers.unreadable()));
   Counters.gauge("log_lines_dropped").set(double(Log.dropped()));
   const UpstreamCounters U = Endpoints->counters();
-  Counters.gauge("answer_bytes_held").set(double(BufferBudget.reserved()));
+  Counters.gauge("caller_memory_bytes").set(double(CallerMemory->reserved()));
+  Counters.gauge("caller_memory_limit_bytes")
+      .set(double(CallerMemory->limit()));
+  Counters.gauge("caller_memory_waiting").set(double(Bodies->waiting()));
   Counters.gauge("endpoint_connects").set(double(U.Connects));
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleResponses));
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -80,6 +80,7 @@
   read(In, "cold_slack", Out.ColdSlack);
   read(In, "use_prefill_engines", Out.UsePrefillEngines);
   read(In, "file_descriptors", Out.FileDescriptors);
+  read(In, "memory_mb", Out.MemoryMb);
   return Out;
 }
 
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -38,6 +38,7 @@
   /// Descriptors that the process may open, if fewer than its resource limit
   /// allows; 0: as many as that.
   std::size_t FileDescriptors = 0;
+  std::size_t MemoryMb = 110; ///< memory of the process; more ends it
 };
 
 /// Parses settings from JSON text. Fails with InvalidSettings; the error names
