Stop: requests that are still read keep the process alive, or are refused

A planned stop cut callers whose request was on its way: the process ended once no whole request was open, 3.1 s after SIGTERM, and at the latest at the end of the grace, whatever was being read or written. A caller that uploads got neither an answer nor a refusal, and an answer whose caller still sent could be lost to the reset at the end.

The server counts the connections on which a request is read or served, or which wait for the caller to take the last answer, and the process waits for all of them. From 400 ms before the end of the grace on, it refuses what is not whole with 503 and Retry-After, sends the rest of the answers, and ends 150 ms before the end of the grace at the latest.

"a stopping entry refuses an upload that does not end in time" failed before, both with a part of the head and a part of the body: no answer 12 s after the stop, with a grace of 4 s. "a stopping entry answers a request that was still uploaded" was not run in its present timing before the change. "requests at any moment of the grace are answered or refused" (kept and new connections, all kinds of routes, silent workers) passed before, too. 50 assertions in 9 cases of stops pass.

Remains: a stream that was accepted before the stop, or within 2.5 s of it, is broken off if its engine is at work at the end of the grace.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -111,6 +111,10 @@
   /// responses.
   virtual void drain() = 0;
 
+  /// Answers the requests that are being read with \p Response and closes their
+  /// connections. Requests that were read are not affected.
+  virtual void refuseIncomplete(const HttpResponse &Response) = 0;
+
   /// Closes all open connections, idle ones too, as the end of the process
   /// would. Later ones are accepted.
   virtual void closeConnections() = 0;
@@ -123,6 +127,10 @@
 
   /// Returns the number of requests whose response is not complete.
   virtual std::size_t openExchanges() const = 0;
+
+  /// Returns the number of connections on which a request is being read or
+  /// served, or which wait for the client to take the last response.
+  virtual std::size_t busyConnections() const = 0;
 };
 
 /// Creates a server that calls \p Handler for each request, on the thread of
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -78,6 +78,14 @@
     });
   }
 
+  void refuseIncomplete(const HttpResponse &Response) {
+    asio::post(*Context, [this, Response] {
+      for (const auto &Weak : Sessions)
+        if (auto S = Weak.lock())
+          S->refuseIncomplete(Response);
+    });
+  }
+
   void closeConnections() {
     asio::post(*Context, [this] { closeAll(); });
   }
@@ -190,6 +198,11 @@
       W->drain();
   }
 
+  void refuseIncomplete(const HttpResponse &Response) override {
+    for (auto &W : Workers)
+      W->refuseIncomplete(Response);
+  }
+
   void closeConnections() override {
     for (auto &W : Workers)
       W->closeConnections();
@@ -217,6 +230,10 @@
 
   std::size_t openExchanges() const override { return State->OpenExchanges; }
 
+  std::size_t busyConnections() const override {
+    return State->BusyConnections;
+  }
+
 private:
   void createAcceptor(asio::io_context &Context) {
     Acceptor.emplace(Context);
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -99,6 +99,7 @@
       Timer(this->Socket.get_executor()) {}
 
 HttpSession::~HttpSession() {
+  setBusy(false);
   if (Current)
     Current->complete();
 }
@@ -114,7 +115,25 @@
     setDeadline(State->Options.DrainGrace);
 }
 
+void HttpSession::refuseIncomplete(const HttpResponse &Response) {
+  if (!Reading)
+    return;
+  Refusal = Response;
+  Code Ignored;
+  Socket.cancel(Ignored);
+}
+
+void HttpSession::setBusy(bool Now) {
+  if (std::exchange(Busy, Now) == Now)
+    return;
+  if (Now)
+    ++State->BusyConnections;
+  else
+    --State->BusyConnections;
+}
+
 void HttpSession::close() {
+  setBusy(false);
   Code Ignored;
   if (ResetOnClose)
     Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
@@ -190,6 +209,7 @@
     co_return true;
   Buffer.shrink_to_fit();
   Idle = true;
+  setBusy(false);
   setDeadline(State->Draining ? State->Options.DrainGrace
                               : State->Options.IdleTimeout);
   Linger = false;
@@ -198,6 +218,7 @@
   Idle = false;
   if (Failure)
     co_return false;
+  setBusy(true);
   Buffer.commit(Size);
   co_return true;
 }
@@ -206,6 +227,7 @@
   P.header_limit(State->Options.MaxHeaderBytes);
   P.body_limit(State->Options.MaxBodyBytes);
   setDeadline(State->Options.ReadTimeout);
+  Reading = true;
   auto [Failure, HeaderBytes] =
       co_await http::async_read_header(Socket, Buffer, P, NoThrow);
   if (!Failure && !P.is_done()) {
@@ -215,6 +237,7 @@
     }
     Failure = co_await readBody(P);
   }
+  Reading = false;
   clearDeadline();
   co_return Failure &&TimedOut ? Code(beast::error::timeout) : Failure;
 }
@@ -226,6 +249,8 @@
   Progress Transfer{Clock::now(), State->Options.ReadTimeout,
                     State->Options.MinBodyBytesPerSecond, 0};
   while (!Failure && !P.is_done()) {
+    if (Refusal)
+      co_return Code(asio::error::operation_aborted);
     setDeadlineAt(Transfer.deadline());
     auto [StepFailure, Size] =
         co_await http::async_read_some(Socket, Buffer, P, NoThrow);
@@ -236,6 +261,10 @@
 }
 
 asio::awaitable<void> HttpSession::sendReadError(Code Failure) {
+  if (Refusal && Failure == asio::error::operation_aborted) {
+    Linger = co_await writeComplete(*Refusal, false, 11, false);
+    co_return;
+  }
   if (connectionEnded(Failure))
     co_return;
   TimedOut = false;
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -24,6 +24,7 @@
   std::atomic<bool> Draining{false};
   std::atomic<bool> KeepAliveDisabled{false};
   std::atomic<std::size_t> OpenExchanges{0};
+  std::atomic<std::size_t> BusyConnections{0};
 };
 
 /// One connection of the HTTP server. Must be used on the thread of its socket.
@@ -38,6 +39,9 @@
   /// Closes the connection after DrainGrace if it is idle.
   void drain();
 
+  /// Answers a request that is being read with \p Response.
+  void refuseIncomplete(const HttpResponse &Response);
+
   void close();
 
 private:
@@ -75,6 +79,7 @@
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
   std::shared_ptr<ServerExchange> makeExchange(HttpRequest Request);
   bool decideKeepAlive(bool Requested);
+  void setBusy(bool Now);
   void wakeResponse();
   void watchForDisconnect();
 
@@ -96,6 +101,9 @@
   bool TimedOut = false;
   bool WatchingForDisconnect = false;
   bool Idle = false;
+  bool Busy = false;    ///< counted in ServerState::BusyConnections
+  bool Reading = false; ///< a request has begun and is not whole
+  std::optional<HttpResponse> Refusal; ///< of the request that is being read
   /// Whether the last response header announced a persistent connection.
   bool AnnouncedKeepAlive = false;
   bool Linger = false; ///< a response was sent and must arrive before closing
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -31,7 +31,6 @@
 
 constexpr milliseconds NoConfigurationRetryAfter{400};
 constexpr milliseconds MinQuotaRetryAfter{100};
-constexpr milliseconds DrainingRetryAfter{20};
 
 /// Time to allow for a stream from its arrival to its first event, and the
 /// factor by which it may run longer than estimated.
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -72,6 +72,12 @@
   /// Part of the stop grace that is reserved for the end of the process.
   static constexpr milliseconds StopMargin{400};
 
+  /// The part of StopMargin that remains when the last answers are sent: a tick
+  /// comes up to 50 ms late.
+  static constexpr milliseconds EndMargin{150};
+
+  static constexpr milliseconds DrainingRetryAfter{20};
+
   using Exchange = std::shared_ptr<HttpExchange>;
 
   void handle(const Exchange &Caller);
@@ -110,10 +116,15 @@
 
   void tick();
   std::size_t entriesSharingLimits(TimePoint Now) const;
-  /// Time at which a stopping process ends even if requests are in progress.
+  /// Time at which a stopping process has answered all requests; it then only
+  /// sends the rest of the answers and refuses what is not whole.
   TimePoint stopDeadline() const {
     return StopBeganAt + Settings.StopGrace - StopMargin;
   }
+  /// Time at which it ends although answers are on their way.
+  TimePoint processEnd() const {
+    return StopBeganAt + Settings.StopGrace - EndMargin;
+  }
 
   std::string chooseChangeSource(TimePoint Now);
   void pullChanges(TimePoint Now);
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -272,14 +272,19 @@
 
 void GatewayRuntime::stopWhenIdle() {
   const TimePoint Now = Time.now();
-  if (!Draining && Now - StopBeganAt >= StopAcceptPeriod) {
+  const bool DeadlinePassed = Now >= stopDeadline();
+  if (!Draining && (DeadlinePassed || Now - StopBeganAt >= StopAcceptPeriod)) {
     Draining = true;
     CallerServer->drain();
   }
-  const bool Idle = Draining && Sessions.empty() &&
-                    CallerServer->openExchanges() == 0 &&
-                    Now - StopBeganAt >= StopAcceptPeriod + MinDrainTime;
-  if (!Idle && Now < stopDeadline())
+  if (DeadlinePassed)
+    CallerServer->refuseIncomplete(Protocol.rejection(
+        routing::RejectReason::Draining, DrainingRetryAfter, ""));
+  const bool MayEnd =
+      Draining &&
+      (DeadlinePassed || Now - StopBeganAt >= StopAcceptPeriod + MinDrainTime);
+  const bool Idle = Sessions.empty() && CallerServer->busyConnections() == 0;
+  if (!(MayEnd && Idle) && Now < processEnd())
     return;
   FleetCoordination.shutDown();
   Log.write(LogCategory::Outcome, "stopped", "", {{"open", Sessions.size()}});
