Stop: pipelined requests are answered before the connection closes

After SIGTERM each answer closes its connection, so requests that had arrived behind the answered one were dropped without an answer.

A connection on which a next request has arrived stays open for it; the answer to the last one closes it. At the end of the grace they are refused as all others.

"a stopping entry answers pipelined requests" failed before: of three requests, the first one was answered and run, the others were not.

--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -396,13 +396,20 @@
 }
 
 /// Decides whether the connection stays open. The response header tells the
-/// client, so a drain that begins later must not change the decision.
+/// client, so a drain that begins later must not change the decision. A
+/// connection on which a pipelined request has arrived is closed after the
+/// response to that.
 bool HttpSession::decideKeepAlive(bool Requested) {
-  AnnouncedKeepAlive =
-      Requested && !State->Draining && !State->KeepAliveDisabled;
+  const bool Closes = State->Draining || State->KeepAliveDisabled;
+  AnnouncedKeepAlive = Requested && (!Closes || hasNextRequest());
   return AnnouncedKeepAlive;
 }
 
+bool HttpSession::hasNextRequest() const {
+  Code Ignored;
+  return Buffer.size() > 0 || Socket.available(Ignored) > 0;
+}
+
 void HttpSession::callHandler(const std::shared_ptr<ServerExchange> &Exchange) {
   try {
     State->Handler(Exchange);
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -79,6 +79,7 @@
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
   std::shared_ptr<ServerExchange> makeExchange(HttpRequest Request);
   bool decideKeepAlive(bool Requested);
+  bool hasNextRequest() const;
   void setBusy(bool Now);
   void wakeResponse();
   void watchForDisconnect();
