Stop: a shorter grace after SIGHUP still answers every request

A settings file that was changed and reloaded during a stop moved the end of the process, but not the last moment of the requests in progress: with a shorter grace they were cut without an answer. With a longer one the process could outlast the grace that the platform applies.

A reload only brings a stop forward, and the requests in progress get the new last moment.

"a stop that is brought forward answers every request" failed before: no answer 10 s after the stop, with a grace of 2 s; now 504 within it.

--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -135,7 +135,13 @@
                     S.RetryWindow, S.UsePrefillEngines);
   };
   const bool NeedsRestart = Fixed(N) != Fixed(Settings);
-  Settings.StopGrace = N.StopGrace;
+  // The time of SIGKILL may follow the settings of either file, so a stop that
+  // has begun is only brought forward.
+  Settings.StopGrace =
+      Stopping ? std::min(Settings.StopGrace, N.StopGrace) : N.StopGrace;
+  if (Stopping)
+    for (const auto &[Key, Session] : Sessions)
+      Session->endBy(stopDeadline());
   Settings.ColdOverage = N.ColdOverage;
   Settings.ColdSlack = N.ColdSlack;
   Quota.setTolerance(quotaTolerance(N));
