--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -47,6 +47,7 @@
       Timer(this->Socket.get_executor()) {}
 
 HttpSession::~HttpSession() {
+  setBusy(false);
   if (Current)
     Current->complete();
 }
@@ -62,7 +63,27 @@
     setDeadline(State->Options.DrainGrace);
 }
 
+void HttpSession::refuseIncomplete(const HttpResponse &Response) {
+  if (!Reading)
+    return;
+  Refusal = Response;
+  Code Ignored;
+  Socket.cancel(Ignored);
+  if (MemoryTurn)
+    MemoryTurn->cancel();
+}
+
+void HttpSession::setBusy(bool Now) {
+  if (std::exchange(Busy, Now) == Now)
+    return;
+  if (Now)
+    ++State->BusyConnections;
+  else
+    --State->BusyConnections;
+}
+
 void HttpSession::close() {
+  setBusy(false);
   Code Ignored;
   if (ResetOnClose)
     Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
@@ -139,6 +160,7 @@
     co_await sendReadError(Failure);
     co_return false;
   }
+  Reading = false;
   const bool KeepAlive = In->KeepAlive;
   const unsigned Version = In->P.get().version();
   const auto Exchange = makeExchange(*In);
@@ -283,13 +305,20 @@
 }
 
 /// Decides whether the connection stays open. The response header tells the
-/// client, so a drain that begins later must not change the decision.
+/// client, so a drain that begins later must not change the decision. A
+/// connection on which a pipelined request has arrived is closed after the
+/// response to that.
 bool HttpSession::decideKeepAlive(bool Requested) {
-  AnnouncedKeepAlive =
-      Requested && !State->Draining && !State->KeepAliveDisabled;
+  const bool Closes = State->Draining || State->KeepAliveDisabled;
+  AnnouncedKeepAlive = Requested && (!Closes || hasNextRequest());
   return AnnouncedKeepAlive;
 }
 
+bool HttpSession::hasNextRequest() const {
+  Code Ignored;
+  return Buffer.size() > 0 || Socket.available(Ignored) > 0;
+}
+
 void HttpSession::callHandler(const std::shared_ptr<ServerExchange> &Exchange) {
   try {
     State->Handler(Exchange);
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -24,6 +24,7 @@
   std::atomic<bool> Draining{false};
   std::atomic<bool> KeepAliveDisabled{false};
   std::atomic<std::size_t> OpenExchanges{0};
+  std::atomic<std::size_t> BusyConnections{0};
 };
 
 /// Counts an exchange as open while it exists.
@@ -52,6 +53,9 @@
   /// Closes the connection after DrainGrace if it is idle.
   void drain();
 
+  /// Answers a request that is being read with \p Response.
+  void refuseIncomplete(const HttpResponse &Response);
+
   void close();
 
 private:
@@ -120,6 +124,8 @@
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
   std::shared_ptr<ServerExchange> makeExchange(Incoming &In);
   bool decideKeepAlive(bool Requested);
+  bool hasNextRequest() const;
+  void setBusy(bool Now);
   void wakeResponse();
   void watchForDisconnect();
 
@@ -141,6 +147,11 @@
   bool TimedOut = false;
   bool WatchingForDisconnect = false;
   bool Idle = false;
+  bool Busy = false;    ///< counted in ServerState::BusyConnections
+  bool Reading = false; ///< a request has begun and is not whole
+  std::optional<HttpResponse> Refusal; ///< of the request that is being read
+  /// Wakes the request that is being read while it waits for memory.
+  boost::asio::steady_timer *MemoryTurn = nullptr;
   /// Whether the last response header announced a persistent connection.
   bool AnnouncedKeepAlive = false;
   bool ResponseBegun = false; ///< bytes of the response may have been sent
--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -123,6 +123,7 @@
     co_return true;
   Buffer.shrink_to_fit();
   Idle = true;
+  setBusy(false);
   setDeadline(State->Draining ? State->Options.DrainGrace
                               : State->Options.IdleTimeout);
   Linger = false;
@@ -131,6 +132,7 @@
   Idle = false;
   if (Failure)
     co_return false;
+  setBusy(true);
   Buffer.commit(Size);
   co_return true;
 }
@@ -147,6 +149,7 @@
                                               State->Options.MaxHeaderBytes));
   if (!reserveLongHead(In))
     co_return Code(asio::error::no_memory);
+  Reading = true;
   setDeadline(State->Options.ReadTimeout);
   auto [Failure, HeaderBytes] =
       co_await http::async_read_header(Socket, Buffer, In.P, NoThrow);
@@ -173,6 +176,8 @@
   Progress Transfer{Clock::now(), State->Options.ReadTimeout,
                     State->Options.MinBodyBytesPerSecond, 0};
   while (!Failure && !In.P.is_done()) {
+    if (Refusal)
+      co_return Code(asio::error::operation_aborted);
     setDeadlineAt(Transfer.deadline());
     auto [StepFailure, Size] =
         co_await http::async_read_some(Socket, Buffer, In.P, NoThrow);
@@ -249,8 +254,14 @@
     const OpenExchange Counted(*State); // a planned stop does not cut it off
     asio::steady_timer Turn(Socket.get_executor(), WaitUntil);
     const auto Place = Bodies->wait(Bytes, Grows, [&Turn] { Turn.cancel(); });
-    if (Place)
+    MemoryTurn = &Turn;
+    if (Place && !Refusal)
       co_await Turn.async_wait(NoThrow);
+    MemoryTurn = nullptr;
+    if (Refusal) {
+      In.Decision.Rejection = *Refusal;
+      co_return;
+    }
     if (Place && Place->Admitted) {
       In.Memory = std::move(Place->Memory);
       co_return;
@@ -292,6 +303,7 @@
 /// Sends the response to a request whose body has not been read. Returns false
 /// if the connection must be closed.
 asio::awaitable<bool> HttpSession::reject(Incoming &In) {
+  Reading = false;
   In.Memory.clear();
   In.Decision.Admission.reset();
   bool Sent = false;
@@ -335,6 +347,11 @@
 }
 
 asio::awaitable<void> HttpSession::sendReadError(Code Failure) {
+  Reading = false;
+  if (Refusal && Failure == asio::error::operation_aborted) {
+    Linger = co_await writeComplete(*Refusal, false, 11, false);
+    co_return;
+  }
   if (connectionEnded(Failure))
     co_return;
   TimedOut = false;
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -16,9 +16,10 @@
 using routing::RouteKind;
 using routing::RoutePolicy;
 
+constexpr unsigned StatusInternalError = 500;
+
 constexpr milliseconds NoConfigurationRetryAfter{400};
 constexpr milliseconds MinQuotaRetryAfter{100};
-constexpr milliseconds DrainingRetryAfter{20};
 
 /// Time to allow for a stream from its arrival to its first event, and the
 /// factor by which it may run longer than estimated.
@@ -51,9 +52,15 @@
       });
   HttpServerOptions Options;
   Options.Bodies = Bodies;
-  Options.OnHead = [this](const HttpRequest &Head) { return judgeHead(Head); };
+  Options.OnHead = [this](const HttpRequest &Head) {
+    HeadDecision Out;
+    const std::string_view Id = Protocol.requestId(Head);
+    if (!Guard.run(Boundary::Request, Id, [&] { Out = judgeHead(Head); }))
+      Out.Rejection = Protocol.failure(StatusInternalError, Id);
+    return Out;
+  };
   Options.OnDefect = [this](std::string_view Reason) {
-    Log.write(LogCategory::Outcome, "unexpected_error", "", {{"why", Reason}});
+    Guard.report(Boundary::Request, "", Reason);
   };
   return Options;
 }
