--- a/src/hyssoprail/connection/http_connection_end_test.cpp
+++ b/src/hyssoprail/connection/http_connection_end_test.cpp
@@ -2,6 +2,7 @@
 #include "echo_server.hpp"
 
 #include <deque>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -46,6 +47,22 @@
   CHECK(Client.readAll().ends_with("/a 0"));
 }
 
+// Guards against a kept connection that is closed under a request which its
+// client sends within an idle timeout that has been raised meanwhile.
+TEST_CASE("a raised idle timeout holds for connections that are idle") {
+  HttpServerOptions Options;
+  Options.IdleTimeout = std::chrono::milliseconds(200);
+  EchoServer S(Options);
+  RawSocket Client(S.port());
+  Client.send(get("/a"));
+  Client.readUntil("/a 0");
+  S.Server->setLimits(4'096, 1'000, Options.ReadTimeout,
+                      std::chrono::milliseconds(5'000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  Client.send(get("/b"));
+  CHECK(Client.readUntil("/b 0").ends_with("/b 0"));
+}
+
 // Guards against work that continues after the client has disconnected.
 TEST_CASE("a disconnect is reported once, before or during the response") {
   for (const bool Streaming : {false, true}) {
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -249,7 +249,7 @@
             return;
           // Also if the acceptor was closed in the meantime.
           if (!Code)
-            addConnection(std::move(Socket));
+            tryToAddConnection(std::move(Socket));
           if (!Acceptor->is_open())
             return;
           if (Code && !freedDescriptors(Code))
@@ -288,7 +288,7 @@
       tcp::socket Socket(Acceptor->get_executor());
       Acceptor->accept(Socket, Code);
       if (!Code)
-        addConnection(std::move(Socket));
+        tryToAddConnection(std::move(Socket));
     }
   }
 
@@ -302,6 +302,16 @@
     });
   }
 
+  /// An exception costs only this connection; others are accepted.
+  void tryToAddConnection(tcp::socket Socket) {
+    try {
+      addConnection(std::move(Socket));
+    } catch (const std::exception &E) {
+      if (State->Options.OnDefect)
+        State->Options.OnDefect(E.what());
+    }
+  }
+
   /// Moves an accepted socket to the event loop of the next worker
   /// (round-robin).
   void addConnection(tcp::socket Socket) {
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -97,6 +97,7 @@
   Awaitable<bool> serveRequest();
   Awaitable<void> endDefectiveRequest(std::string Reason);
   Awaitable<bool> waitForFirstByte();
+  bool mayStayIdle(Clock::time_point IdleSince) const;
   Awaitable<Code> readHead(Incoming &In);
   Awaitable<Code> readBody(Incoming &In);
   bool reserveLongHead(Incoming &In);
--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -3,6 +3,7 @@
 #include "hyssoprail/connection/http_session.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -118,17 +119,24 @@
   }
 }
 
+/// The limit that counts is the one in force when it would be reached: clients
+/// reuse connections by a new limit as soon as it is announced.
 asio::awaitable<bool> HttpSession::waitForFirstByte() {
   if (Buffer.size() > 0)
     co_return true;
   Buffer.shrink_to_fit();
   Idle = true;
   setBusy(false);
-  setDeadline(State->Draining ? State->Options.DrainGrace
-                              : State->Options.IdleTimeout);
   Linger = false;
-  auto [Failure, Size] =
-      co_await Socket.async_read_some(Buffer.prepare(ReadChunkBytes), NoThrow);
+  const Clock::time_point IdleSince = Clock::now();
+  Code Failure;
+  std::size_t Size = 0;
+  do {
+    setDeadlineAt(IdleSince + (State->Draining ? State->Options.DrainGrace
+                                               : State->Options.IdleTimeout));
+    std::tie(Failure, Size) = co_await Socket.async_read_some(
+        Buffer.prepare(ReadChunkBytes), NoThrow);
+  } while (Failure && mayStayIdle(IdleSince));
   Idle = false;
   if (Failure)
     co_return false;
@@ -137,6 +145,12 @@
   co_return true;
 }
 
+/// True if the read ended at an idle limit that has been raised since.
+bool HttpSession::mayStayIdle(Clock::time_point IdleSince) const {
+  return TimedOut && !State->Draining && Socket.is_open() &&
+         Clock::now() < IdleSince + State->Options.IdleTimeout;
+}
+
 /// The head of the request is taken before the body is read: the parser adds
 /// the trailer fields of a chunked body to the header fields, and a caller
 /// could set headers with them that only the system may set.
