Fuzz targets: a connection that the gateway closed first leaves no port either

A response to bytes that are no request closes the connection from the gateway's side, which most mutated inputs cause: 25,416 ports were in TIME_WAIT after a further run of 50,663 inputs.

--- a/fuzz/loopback.cpp
+++ b/fuzz/loopback.cpp
@@ -1,6 +1,7 @@
 #include "loopback.hpp"
 
 #include <array>
+#include <cerrno>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -31,7 +32,9 @@
 LoopbackSocket::~LoopbackSocket() {
   if (Descriptor < 0)
     return;
-  ::shutdown(Descriptor, SHUT_WR);
+  std::string Ignored;
+  if (receive(Ignored))
+    ::shutdown(Descriptor, SHUT_WR);
   const linger Reset{1, 0};
   ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Reset, sizeof Reset);
   ::close(Descriptor);
@@ -56,13 +59,13 @@
   }
 }
 
-void LoopbackSocket::receive(std::string &Out) {
+bool LoopbackSocket::receive(std::string &Out) {
   std::array<char, 16'384> Data{};
   for (;;) {
     const auto Size =
         ::recv(Descriptor, Data.data(), Data.size(), MSG_DONTWAIT);
     if (Size <= 0)
-      return;
+      return Size < 0 && errno == EAGAIN;
     Out.append(Data.data(), static_cast<std::size_t>(Size));
   }
 }
--- a/fuzz/loopback.hpp
+++ b/fuzz/loopback.hpp
@@ -18,9 +18,10 @@
       : Descriptor(std::exchange(Other.Descriptor, -1)) {}
   LoopbackSocket &operator=(LoopbackSocket &&) = delete;
 
-  /// Ends the sending direction, then resets the connection: the other side
-  /// reads what was sent and the end of the stream. A normal close would leave
-  /// the port in TIME_WAIT, and hundreds of inputs a second use up all ports.
+  /// Ends the sending direction unless the other side has closed first, then
+  /// resets the connection: the other side reads what was sent and the end of
+  /// the stream. A normal close would leave a port in TIME_WAIT, and hundreds
+  /// of inputs a second use up all ports.
   ~LoopbackSocket();
 
   static LoopbackSocket connectTo(std::uint16_t Port);
@@ -28,8 +29,9 @@
   /// Sends what the socket buffer takes of \p Bytes.
   void send(std::string_view Bytes);
 
-  /// Appends what has arrived to \p Out.
-  void receive(std::string &Out);
+  /// Appends what has arrived to \p Out. Returns false if the other side has
+  /// closed the connection.
+  bool receive(std::string &Out);
 
 private:
   int Descriptor;
