--- a/src/hyssoprail/connection/idle_connections.hpp
+++ b/src/hyssoprail/connection/idle_connections.hpp
@@ -1,12 +1,12 @@
 #ifndef HYSSOPRAIL_CONNECTION_IDLE_CONNECTIONS_HPP
 #define HYSSOPRAIL_CONNECTION_IDLE_CONNECTIONS_HPP
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -21,7 +21,10 @@
   std::string Incarnation; ///< empty if it does not matter
   std::string Authority;   ///< "IP:PORT"
 
-  auto operator<=>(const IdlePeer &) const = default;
+  bool operator<(const IdlePeer &Other) const {
+    return std::tie(Incarnation, Authority) <
+           std::tie(Other.Incarnation, Other.Authority);
+  }
 };
 
 /// Idle connections of a client, for further requests to the same peers. One is
