CrashLedger: parts that only came together are told apart

One bad part of prompts has to be kept from engines, and sound prompts that share its other parts have to be served.

- The parts behind the bad one were alike, and none was answered before three engines had crashed.
The last of them was blamed.
- Each of the parts behind the bad one was one of four.

A second after a part is blamed, only prompts with all of the unanswered parts that came together with it are kept away. The answer to a sound prompt, or one more crash, then shows which part it is. Only two parts further back can explain crashes in place of a part, and from eight crashes on they have to explain all of them.

Not simulated: entries that lose touch with the coordinator meanwhile (gateway/crash_ledger_test.cpp has it for a single part).

--- a/include/hyssoprail/routing/crash_ledger.hpp
+++ b/include/hyssoprail/routing/crash_ledger.hpp
@@ -30,6 +30,9 @@
   std::size_t Crashes = 0; ///< engines that crashed since its last answer
   TimePoint Until{};
   TimePoint Since{}; ///< when this copy of the ledger first blamed it
+  /// Parts that were in all prompts with Part at its crashes and that no engine
+  /// has answered: any of them may be the cause instead.
+  PromptParts Companions;
 };
 
 /// Bounds of the memory and of the messages of a CrashLedger.
@@ -57,6 +60,10 @@
 /// parts behind it may be the cause. Crashes that a blamed part explains do not
 /// count against other parts.
 ///
+/// Parts that always came together cannot be told apart. Some time after the
+/// blame, only prompts with all of them are kept away: the answer to a sound
+/// prompt, or a further crash, then shows which one is the cause.
+///
 /// Every entry has a copy. The copies are merged: through the coordinator by
 /// deltas, and through the store between coordinators that cannot reach each
 /// other. What is merged only grows until it expires, so the order and the
@@ -197,6 +204,7 @@
   static std::optional<TimePoint>
   settled(const std::vector<QuarantinedPart> &Before, const Suspicion &S,
           const std::vector<Suspicion> &All, TimePoint Now);
+  PromptParts companions(const Suspicion &S) const;
   static bool isCovered(const Suspicion &S, const std::vector<Suspicion> &All);
   void refresh(TimePoint Now);
   void fillCrash(const Crash &C, wire::EngineCrash &Out, TimePoint Now) const;
--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -24,8 +24,18 @@
 /// it was at, if it was at this many, under as many different prompts.
 constexpr std::size_t CrashesOfLikelierPart = 2;
 
-/// So many parts are not bad at the same time: the one that they share is.
-constexpr std::size_t MaxLikelierParts = 3;
+/// More parts are not bad at the same time: the one that they share is. With 3,
+/// a bad part in prompts of twelve crashed up to 21 engines.
+constexpr std::size_t MaxLikelierParts = 2;
+
+/// From so many crashes on, the parts behind a part have to explain all of
+/// them; of fewer crashes, two parts that are often used are at most by chance.
+constexpr std::size_t CrashesToExplain = 8;
+
+/// A blamed part is kept from the engines in all prompts for this time; answers
+/// that are in progress then tell it from its companions. Later on, only
+/// prompts with all of its companions are.
+constexpr milliseconds CompanionDelay{1'000};
 
 /// A request that has been blamed for this time stays blamed although another
 /// one explains its crashes, too. By then all entries have told what they saw.
@@ -151,7 +161,10 @@
         Left, [&](const auto &Key) { return Other.Crashes.contains(Key); });
     Likelier += Removed > 0 ? 1 : 0;
   }
-  return Left.size() >= Needed || Likelier > MaxLikelierParts;
+  const bool Unexplained = S.Crashes.size() >= CrashesToExplain
+                               ? !Left.empty()
+                               : Left.size() >= Needed;
+  return Unexplained || Likelier > MaxLikelierParts;
 }
 
 /// Since when \p S is blamed, if it stays so; \p Before was blamed until now.
@@ -175,6 +188,27 @@
                                                                : Since;
 }
 
+/// Parts that cannot be told from \p S, see QuarantinedPart. Other parts of a
+/// whole request do not exist.
+PromptParts CrashLedger::companions(const Suspicion &S) const {
+  std::optional<std::set<std::string>> Together;
+  for (const std::string &Key : S.Crashes)
+    for (const PromptParts &Parts : Crashes.at(Key).Suspects) {
+      if (std::find(Parts.begin(), Parts.end(), S.Part) == Parts.end())
+        continue;
+      if (!Together)
+        Together.emplace(Parts.begin(), Parts.end());
+      std::erase_if(*Together, [&](const std::string &Part) {
+        return std::find(Parts.begin(), Parts.end(), Part) == Parts.end();
+      });
+    }
+  PromptParts Out;
+  for (const std::string &Part : Together.value_or(std::set<std::string>{}))
+    if (Part != S.Part && !Answers.contains(Part))
+      Out.push_back(Part);
+  return Out;
+}
+
 /// True if another part that was not answered is at all crashes of \p S.
 bool CrashLedger::isCovered(const Suspicion &S,
                             const std::vector<Suspicion> &All) {
@@ -197,8 +231,8 @@
   const std::vector<Suspicion> All = suspicions();
   const auto Blame = [&](const Suspicion &S, TimePoint Since) {
     Explained.insert(S.Crashes.begin(), S.Crashes.end());
-    Quarantine.push_back(
-        {S.Part, S.Crashes.size(), S.LastCrashAt + Lifetime, Since});
+    Quarantine.push_back({S.Part, S.Crashes.size(), S.LastCrashAt + Lifetime,
+                          Since, companions(S)});
   };
   for (const Suspicion &S : All) {
     MostCrashes = std::max(MostCrashes, S.Crashes.size());
@@ -212,8 +246,13 @@
 
 bool CrashLedger::isQuarantined(const PromptParts &Parts, TimePoint Now) {
   refresh(Now);
+  const auto Has = [&](const std::string &Part) {
+    return std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
+  };
   return std::any_of(Quarantine.begin(), Quarantine.end(), [&](const auto &Q) {
-    return std::find(Parts.begin(), Parts.end(), Q.Part) != Parts.end();
+    return Has(Q.Part) &&
+           (Now - Q.Since < CompanionDelay ||
+            std::all_of(Q.Companions.begin(), Q.Companions.end(), Has));
   });
 }
 
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -266,4 +266,19 @@
   REQUIRE_FALSE(O.blames({"queued"}));
 }
 
+// Guards against sound prompts that are kept away for good because they share a
+// part which only bad prompts have had until then.
+TEST_CASE("parts that only came together are told apart by an answer") {
+  Observed O;
+  for (unsigned I = 0; I < 3; ++I)
+    O.crash(I, {"bad", "common", "own-" + std::to_string(I)});
+  REQUIRE(O.blames({"x", "common", "own"}));
+  O.Now += milliseconds(1'000);
+  REQUIRE(O.blames({"bad", "common", "own-4"}));
+  REQUIRE_FALSE(O.blames({"x", "common", "own"}));
+  O.answer({"x", "common", "own"});
+  REQUIRE(O.blames({"bad", "other", "own-5"}));
+  REQUIRE_FALSE(O.blames({"x", "common", "own"}));
+}
+
 } // namespace hyssoprail::routing
