CrashLedger: bad parts with long ids are kept away, too

Of an id the ledger keeps 16 bytes, but it compared them with the whole ids of a prompt, so a bad part with a longer id was never kept from the engines. It compares as many bytes now.

"a bad part with a long id is blamed" failed before.

--- a/src/hyssoprail/routing/crash_ledger_blame.cpp
+++ b/src/hyssoprail/routing/crash_ledger_blame.cpp
@@ -246,8 +246,10 @@
 
 bool CrashLedger::isQuarantined(const PromptParts &Parts, TimePoint Now) {
   refresh(Now);
-  const auto Has = [&](const std::string &Part) {
-    return std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
+  const auto Has = [&](const std::string &Known) {
+    return std::any_of(Parts.begin(), Parts.end(), [&](const auto &Part) {
+      return std::string_view(Part).substr(0, MaxIdBytes) == Known;
+    });
   };
   return std::any_of(Quarantine.begin(), Quarantine.end(), [&](const auto &Q) {
     return Has(Q.Part) &&
--- a/src/hyssoprail/routing/crash_ledger_test.cpp
+++ b/src/hyssoprail/routing/crash_ledger_test.cpp
@@ -266,6 +266,17 @@
   REQUIRE_FALSE(O.blames({"queued"}));
 }
 
+// Guards against a bad part with a long id, of which the ledger keeps the
+// beginning only, that is never kept from the engines.
+TEST_CASE("a bad part with a long id is blamed") {
+  Observed O;
+  const std::string Bad(CrashLedger::MaxIdBytes + 4, 'b');
+  for (unsigned I = 0; I < 3; ++I)
+    O.crash(I, {"first", Bad, "own-" + std::to_string(I)});
+  CHECK(O.blames({"first", Bad, "own-3"}));
+  CHECK_FALSE(O.blames({"first", Bad.substr(0, 8), "own-3"}));
+}
+
 // Guards against sound prompts that are kept away for good because they share a
 // part which only bad prompts have had until then.
 TEST_CASE("parts that only came together are told apart by an answer") {
