--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -105,6 +105,10 @@
   /// still accepted.
   virtual void disableKeepAlive() = 0;
 
+  /// Sets whether streamed responses that begin from now on end with their
+  /// connection, without chunks. Emulated endpoints use this.
+  virtual void endStreamsByClose(bool Enabled) = 0;
+
   /// Stops accepting connections and closes idle ones after DrainGrace.
   /// Connections whose handshake has begun are served; later ones are refused.
   /// Requests in progress are completed, with "Connection: close" in their
--- a/src/hyssoprail/connection/http_server.cpp
+++ b/src/hyssoprail/connection/http_server.cpp
@@ -191,6 +191,10 @@
 
   void disableKeepAlive() override { State->KeepAliveDisabled = true; }
 
+  void endStreamsByClose(bool Enabled) override {
+    State->EndStreamsByClose = Enabled;
+  }
+
   void drain() override {
     State->Draining = true;
     asio::post(Acceptor->get_executor(), [this] { closeAcceptor(); });
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -279,7 +279,7 @@
                                                 bool KeepAlive,
                                                 unsigned Version) {
   bool HeadSent = false;
-  const bool Chunked = Version >= 11;
+  const bool Chunked = Version >= 11 && !State->EndStreamsByClose;
   const bool HeadOnly = Exchange.request().Method == "HEAD";
   for (;;) {
     ServerExchange::Update Update = Exchange.takeUpdate();
@@ -296,7 +296,7 @@
     }
     if (Update.Started && !HeadSent) {
       HeadSent = true;
-      if (!co_await writeHead(Exchange.head(), KeepAlive && Chunked, Version))
+      if (!co_await writeHead(Exchange.head(), KeepAlive, Chunked, Version))
         co_return false;
     }
     const bool Last = Update.Finished && !Update.Aborted;
@@ -352,12 +352,12 @@
 }
 
 asio::awaitable<bool> HttpSession::writeHead(HttpResponse &Head, bool KeepAlive,
-                                             unsigned Version) {
+                                             bool Chunked, unsigned Version) {
   http::response<http::empty_body> Message{
       static_cast<http::status>(Head.Status), Version};
   addHeaders(Message, Head.Headers);
-  Message.keep_alive(decideKeepAlive(KeepAlive));
-  if (Version >= 11)
+  Message.keep_alive(decideKeepAlive(KeepAlive && Chunked));
+  if (Chunked)
     Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer{Message};
   setDeadline(State->Options.WriteTimeout);
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -23,6 +23,7 @@
   HttpHandler Handler;
   std::atomic<bool> Draining{false};
   std::atomic<bool> KeepAliveDisabled{false};
+  std::atomic<bool> EndStreamsByClose{false};
   std::atomic<std::size_t> OpenExchanges{0};
   std::atomic<std::size_t> BusyConnections{0};
 };
@@ -73,7 +74,7 @@
                                unsigned Version);
   Awaitable<bool> writeComplete(HttpResponse &Response, bool KeepAlive,
                                 unsigned Version, bool HeadOnly);
-  Awaitable<bool> writeHead(HttpResponse &Head, bool KeepAlive,
+  Awaitable<bool> writeHead(HttpResponse &Head, bool KeepAlive, bool Chunked,
                             unsigned Version);
   Awaitable<bool> writeData(std::string Data, bool Chunked, bool Last);
   void callHandler(const std::shared_ptr<ServerExchange> &Exchange);
