Coordination: runs that a coordinator reports do not overflow

Found while the fuzz targets were written: 4,294,967,295 runs of an endpoint in an update counted as -1, so a full endpoint looked empty to this entry. The coordinator bounds the same number in reports (test in endpoint_table_test); this is the same bound at the other end, by reading, without a test of its own.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/gateway/coordination.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/asio/post.hpp>
 
@@ -303,7 +304,10 @@
   if (Update.has_totals()) {
     routing::LoadMap Calls;
     for (const wire::CallUse &Use : Update.calls())
-      Calls[Use.endpoint()] = {static_cast<std::int32_t>(Use.runs()), 0, 0};
+      Calls[Use.endpoint()] = {
+          static_cast<std::int32_t>(std::min<std::uint32_t>(
+              Use.runs(), std::numeric_limits<std::int32_t>::max())),
+          0, 0};
     State.Table.setPeerLoad(FleetPeer, std::move(Calls));
     routing::SharedQuota::AccountTotals Totals;
     for (const wire::AccountUse &Use : Update.accounts())
