--- a/src/hyssoprail/connection/http_descriptors_test.cpp
+++ b/src/hyssoprail/connection/http_descriptors_test.cpp
@@ -96,7 +96,7 @@
   HttpCall Call;
   Call.Authority = Server.authority();
   Call.Request = {"GET", "/", {}, ""};
-  Call.MaxResponseBytes = 64 * 1024;
+  Call.MaxResponseBytes = 65'536;
   CHECK_FALSE(succeeded(Client.begin(Call).get()));
   CHECK(waitUntil([&] { return Server.closed(); }));
   CHECK(Server.sentBytes() < 12'000'000);
--- a/src/hyssoprail/connection/idle_connections_test.cpp
+++ b/src/hyssoprail/connection/idle_connections_test.cpp
@@ -12,7 +12,6 @@
 
 using testing::EchoServer;
 using testing::UpstreamSender;
-using testing::waitUntil;
 
 /// Sends requests to incarnations of an endpoint, so that each leaves an idle
 /// connection of its own.
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -59,7 +59,8 @@
   const std::string Body = "abcde";
   UpstreamSender S;
   for (const std::string Version : {"1", "0"}) {
-    std::string Answer = Head + "\r\n" + Body;
+    std::string Answer = Head;
+    Answer.append("\r\n").append(Body);
     Answer.replace(7, 1, Version);
     for (std::size_t Size = 0; Size <= Answer.size(); ++Size) {
       CAPTURE(Answer, Size);
