--- a/fuzz/platform/store_target.cpp
+++ b/fuzz/platform/store_target.cpp
@@ -43,6 +43,8 @@
   std::shared_ptr<HttpStream> stream(HttpCall, HttpStreamHandlers) override {
     return nullptr;
   }
+  std::size_t closeOldestIdle(std::size_t) override { return 0; }
+  std::size_t idleConnections() const override { return 0; }
 
   std::deque<std::string_view> Bodies;
 };
@@ -101,6 +103,9 @@
   void onStoreLost(std::string_view, std::string_view) override {}
   void onStoreRegained(std::string_view) override {}
   void onStoreRestored(std::uint64_t) override {}
+  void onUnexpectedError(std::string_view, std::string_view Why) override {
+    require(false, "no record causes an exception: " + std::string(Why));
+  }
 };
 
 /// A gateway's view of the fleet.
