Responses: a stream whose client reads goes on while the account is full

Found by review. Any chunk of a stream that found no room in the account cut the stream, also if its client reads and little is unsent, so one caller's large requests could cost others their running streams. Up to 64 KB of unsent data are charged without room. The test fails without the change by reading (write() aborts when grow() fails); it was run with the change only.

--- a/src/hyssoprail/connection/http_memory_test.cpp
+++ b/src/hyssoprail/connection/http_memory_test.cpp
@@ -236,4 +236,22 @@
   CHECK(waitUntil([&] { return S.reserved() == 0; }));
 }
 
+// Guards against a stream that is cut, although its client reads, because
+// others use up the memory for callers.
+TEST_CASE("a stream whose client reads goes on while the account is full") {
+  BoundedServer S(std::chrono::milliseconds(100));
+  std::list<RawSocket> Clients;
+  for (unsigned I = 0; I < 2; ++I) {
+    Clients.emplace_back(S.port());
+    Clients.back().setReceiveBuffer(64 * 1024);
+    Clients.back().send(post("/held", "Content-Length: 0"));
+  }
+  REQUIRE(waitUntil([&] { return S.held() == 2; }));
+  S.streamToHeld(16 * Mb - 100);
+  S.streamToHeld(1'000);
+  CHECK(Clients.back().readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  CHECK(Clients.front().readUntil("0\r\n\r\n").size() > 16 * Mb - 100);
+  CHECK(waitUntil([&] { return S.reserved() == 0; }));
+}
+
 } // namespace hyssoprail
--- a/src/hyssoprail/connection/server_exchange.cpp
+++ b/src/hyssoprail/connection/server_exchange.cpp
@@ -1,6 +1,13 @@
 #include "hyssoprail/connection/server_exchange.hpp"
 
 namespace hyssoprail {
+namespace {
+
+/// Unsent bytes of a stream for which it needs no room in the account. Only
+/// what clients leave unread is cut when the account is full.
+constexpr std::size_t UnboundedUnsentBytes = std::size_t{64} * 1024;
+
+} // namespace
 
 void ServerExchange::respond(HttpResponse Response) {
   std::lock_guard Lock(Mutex);
@@ -27,7 +34,7 @@
   std::lock_guard Lock(Mutex);
   if (!Started || Finished || Disconnected || Complete)
     return;
-  const bool HasMemory = ResponseMemory.grow(Data.size());
+  const bool HasMemory = reserve(Data.size());
   if (Unsent.empty())
     Unsent = std::move(Data);
   else
@@ -42,6 +49,15 @@
   forceWake();
 }
 
+bool ServerExchange::reserve(std::size_t Bytes) {
+  if (ResponseMemory.grow(Bytes))
+    return true;
+  if (Unsent.size() + Bytes > UnboundedUnsentBytes)
+    return false;
+  ResponseMemory.charge(Bytes);
+  return true;
+}
+
 void ServerExchange::finish() {
   std::lock_guard Lock(Mutex);
   if (!Started || Finished)
--- a/src/hyssoprail/connection/server_exchange.hpp
+++ b/src/hyssoprail/connection/server_exchange.hpp
@@ -73,6 +73,7 @@
   void complete();
 
 private:
+  bool reserve(std::size_t Bytes);
   void wake();
   void forceWake();
 
