--- a/src/hyssoprail/testing/raw_socket.hpp
+++ b/src/hyssoprail/testing/raw_socket.hpp
@@ -83,6 +83,14 @@
   /// True if the connection ended with a reset.
   bool wasReset() const { return Reset; }
 
+  /// True if the connection has ended and nothing is left to read.
+  bool closedByPeer() {
+    char Byte = 0;
+    const ssize_t Size =
+        recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Size == 0 || (Size < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   /// Limits what the kernel receives ahead of reads.
   void setReceiveBuffer(int Bytes) {
     setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVBUF, &Bytes,
