--- a/include/hyssoprail/routing/stream_progress.hpp
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -20,7 +20,7 @@
 
   /// Prepares for the stream of another engine and discards an incomplete event
   /// of the previous one. \p EndIsCertain: the engine tells where its stream
-  /// ends, by a length or by chunks.
+  /// ends, by chunks.
   void restart(bool EndIsCertain = false);
 
   /// Adds data from the engine; returns the complete events that the caller has
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -11,11 +11,10 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// True if the end of the body is told by the protocol, not by the end of the
-/// connection.
-bool tellsItsEnd(const HttpResponse &Head) {
-  return !headerValue(Head.Headers, "Content-Length").empty() ||
-         !headerValue(Head.Headers, "Transfer-Encoding").empty();
+/// True if the last chunk tells the end of the stream. A length of 0 does not:
+/// an error without text looks the same.
+bool endsWithChunk(const HttpResponse &Head) {
+  return !headerValue(Head.Headers, "Transfer-Encoding").empty();
 }
 
 } // namespace
@@ -99,7 +98,7 @@
     return;
   endSilentRun(Now);
   MayHaveRun = true;
-  Progress.restart(tellsItsEnd(Head));
+  Progress.restart(endsWithChunk(Head));
   Cache.fetched();
   LastProgressAt = Now;
   Crashes.received(0, Now);
