--- a/include/hyssoprail/core/memory_account.hpp
+++ b/include/hyssoprail/core/memory_account.hpp
@@ -64,7 +64,9 @@
   explicit MemoryReservation(std::shared_ptr<MemoryAccount> Account = nullptr)
       : Account(std::move(Account)) {}
   MemoryReservation(MemoryReservation &&Other) noexcept
-      : Account(Other.Account), Bytes(std::exchange(Other.Bytes, 0)) {}
+      : Bytes(std::exchange(Other.Bytes, 0)) {
+    Account = Other.Account; // not moved: Other can be used again
+  }
   MemoryReservation &operator=(MemoryReservation &&Other) noexcept {
     if (this == &Other)
       return *this;
--- a/src/hyssoprail/connection/request_framing_test.cpp
+++ b/src/hyssoprail/connection/request_framing_test.cpp
@@ -47,7 +47,11 @@
     INFO(Begin);
     RawSocket Client(S.port());
     Client.setReadLimit(std::chrono::seconds(3));
-    Client.send(Post + "Transfer-Encoding: chunked\r\n\r\n" + Begin + Endless);
+    std::string Request = Post;
+    Request.append("Transfer-Encoding: chunked\r\n\r\n")
+        .append(Begin)
+        .append(Endless);
+    Client.send(Request);
     const std::string Response = Client.readAll();
     CHECK(hasStatus(Response, "413"));
     CHECK(Response.ends_with("too_large"));
