Fuzz targets that use the platform's names move below platform/

The rule is that only platform/ knows these names; the check of names had been given an exception for fuzz/platform instead.

--- a/cmake/hyssoprail_fuzz.cmake
+++ b/cmake/hyssoprail_fuzz.cmake
@@ -11,20 +11,20 @@
 
 add_library(hyssoprail_fuzz_support STATIC
   ${HYSSOPRAIL_FUZZ_DIR}/support.cpp ${HYSSOPRAIL_FUZZ_DIR}/loopback.cpp
-  ${HYSSOPRAIL_FUZZ_DIR}/finite.cpp ${HYSSOPRAIL_FUZZ_DIR}/platform/sent_request.cpp)
+  ${HYSSOPRAIL_FUZZ_DIR}/finite.cpp ${PROJECT_SOURCE_DIR}/platform/fuzz/sent_request.cpp)
 target_include_directories(hyssoprail_fuzz_support PUBLIC
-  ${HYSSOPRAIL_FUZZ_DIR} ${HYSSOPRAIL_FUZZ_DIR}/platform ${PROJECT_SOURCE_DIR}/platform)
+  ${HYSSOPRAIL_FUZZ_DIR} ${PROJECT_SOURCE_DIR}/platform/fuzz ${PROJECT_SOURCE_DIR}/platform)
 target_link_libraries(hyssoprail_fuzz_support PUBLIC hyssoprail_platform)
 target_compile_options(hyssoprail_fuzz_support PRIVATE ${HYSSOPRAIL_WARNINGS})
 
 # hyssoprail_fuzz_target(name)
-# Builds fuzz/<name>_target.cpp or fuzz/platform/<name>_target.cpp into the
+# Builds fuzz/<name>_target.cpp or platform/fuzz/<name>_target.cpp into the
 # program fuzz_<name>, and tests it with the inputs of fuzz/corpus/<name> and
 # fuzz/regressions/<name>.
 function(hyssoprail_fuzz_target Name)
   set(Source ${HYSSOPRAIL_FUZZ_DIR}/${Name}_target.cpp)
   if(NOT EXISTS ${Source})
-    set(Source ${HYSSOPRAIL_FUZZ_DIR}/platform/${Name}_target.cpp)
+    set(Source ${PROJECT_SOURCE_DIR}/platform/fuzz/${Name}_target.cpp)
   endif()
   add_executable(fuzz_${Name} ${Source})
   target_link_libraries(fuzz_${Name} PRIVATE hyssoprail_fuzz_support)
