make configure always configures

CMake was only run where no build.ninja was. It now runs each time, which takes a second when nothing has changed; a fresh clone was not affected.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@scripts/install_packages.sh
 
 configure: packages
-	@test -f $(BUILD)/build.ninja || cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
 
 build: configure
 	@cmake --build $(BUILD) -j $(JOBS)
