Rollouts: decisions of the coordinator and the entries, without I/O

Cause: orders to move a service's traffic to another version are not read by any part; the traffic would go to all registered versions alike. Nothing calls the library yet.

--- a/include/hyssoprail/routing/endpoint_record.hpp
+++ b/include/hyssoprail/routing/endpoint_record.hpp
@@ -25,6 +25,7 @@
   bool Draining = false;
   milliseconds ColdFor{0}; ///< remaining time for which it is cold
   EngineStage Stage = EngineStage::None;
+  std::string Version; ///< of its software; empty: not stated
   /// Start time of the incarnation, in Unix milliseconds; 0: unknown.
   std::int64_t StartedAtMs = 0;
   std::int64_t Sequence = 0; ///< increases with each report of an incarnation
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -28,6 +28,11 @@
         std::chrono::duration<double>(In.at(Name).get<double>()));
 }
 
+void readMillis(const Json &In, const char *Name, milliseconds &Out) {
+  if (In.contains(Name))
+    Out = milliseconds(In.at(Name).get<std::int64_t>());
+}
+
 /// The schema checks only the form of an address.
 Status checkAddresses(const Json &In) {
   constexpr std::array<const char *, 5> Names{"caller_address", "ready_address",
@@ -81,6 +86,16 @@
   read(In, "use_prefill_engines", Out.UsePrefillEngines);
   read(In, "file_descriptors", Out.FileDescriptors);
   read(In, "memory_mb", Out.MemoryMb);
+  if (In.contains("overload_policy")) {
+    Out.Overload =
+        *enumFromName(routing::OverloadModeNames,
+                      In.at("overload_policy").get_ref<const std::string &>());
+    Out.OverloadIsSet = true;
+  }
+  read(In, "platform_features", Out.PlatformFeatures);
+  read(In, "exposure_share", Out.ExposureShare);
+  read(In, "exposure_slack", Out.ExposureSlack);
+  readMillis(In, "rollback_ms", Out.RollbackTime);
   return Out;
 }
 
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -6,8 +6,12 @@
 #include <string>
 #include <string_view>
 
+#include <vector>
+
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/core/enum_names.hpp"
 #include "hyssoprail/core/result.hpp"
+#include "hyssoprail/routing/overload_mode.hpp"
 
 namespace hyssoprail::gateway {
 
@@ -39,6 +43,19 @@
   /// allows; 0: as many as that.
   std::size_t FileDescriptors = 0;
   std::size_t MemoryMb = 110; ///< memory of the process; more ends it
+  /// How requests are ordered and refused while there is too little room.
+  routing::OverloadMode Overload = routing::OverloadMode::Arrival;
+  bool OverloadIsSet = false; ///< the file names a mode
+  /// Features that the platform says are in use; only the adapter of the
+  /// platform knows their names.
+  std::vector<std::string> PlatformFeatures;
+  /// Largest share of a service's requests, and number beyond that share, that
+  /// a version may get before its rollout is completed. With a share of 0
+  /// rollouts are not carried out.
+  double ExposureShare = 0;
+  double ExposureSlack = 0;
+  /// From the evidence against a version until it gets no more requests.
+  milliseconds RollbackTime{5'000};
 };
 
 /// Parses settings from JSON text. Fails with InvalidSettings; the error names
--- /dev/null
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -0,0 +1,247 @@
+#include "hyssoprail/rollout/rollout_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoprail::rollout {
+namespace {
+
+/// An endpoint that has just started is slow until its caches are filled.
+constexpr milliseconds WarmUpTime{3'000};
+
+/// Answers lost at one endpoint within this time count as one failure.
+constexpr milliseconds LossWindow{500};
+
+/// A request that may not be repeated goes to the old version only if this
+/// multiple of its expected run time is left until the completion.
+constexpr int RunTimeSafetyFactor = 3;
+
+/// Run times older than this are forgotten.
+constexpr milliseconds RunTimeMemory{10'000};
+
+VersionChoice choice(VersionChoice::Kind Use, const std::string &Target) {
+  return {Use, Target, {}};
+}
+
+} // namespace
+
+RolloutGate::Rollout *RolloutGate::find(std::string_view Service) {
+  const auto It = Rollouts.find(Service);
+  return It == Rollouts.end() ? nullptr : &It->second;
+}
+
+void RolloutGate::applyDecision(const RolloutDecision &Decision) {
+  auto [It, New] = Rollouts.try_emplace(Decision.Service);
+  Rollout &R = It->second;
+  if (New || R.Decision.Order < Decision.Order) {
+    if (!New && R.Decision.Phase != RolloutPhase::Completed)
+      Rejected[Decision.Service].insert(R.Decision.Target);
+    R = {};
+    R.Decision = Decision;
+    R.Counts.Service = Decision.Service;
+    R.Counts.Order = Decision.Order;
+    Rejected[Decision.Service].erase(Decision.Target);
+  } else if (R.IsFinal) {
+    return;
+  } else if (R.Decision.Order == Decision.Order) {
+    // Late decisions must not take a rollout back to an earlier phase.
+    const RolloutPhase Phase = std::max(R.Decision.Phase, Decision.Phase);
+    const std::uint64_t Allowance =
+        std::max(R.Decision.Allowance, Decision.Allowance);
+    R.Decision = Decision;
+    R.Decision.Phase = Phase;
+    R.Decision.Allowance = Allowance;
+  } else {
+    return;
+  }
+  if (RolledBack.contains(R.Decision.Order))
+    R.Decision.Phase = RolloutPhase::RolledBack;
+  if (R.Decision.Phase == RolloutPhase::RolledBack) {
+    RolledBack.insert(R.Decision.Order);
+    Rejected[R.Decision.Service].insert(R.Decision.Target);
+  }
+}
+
+void RolloutGate::applyStored(const std::string &Service,
+                              const std::string &Target, OrderId Order,
+                              RolloutState State) {
+  if (State == RolloutState::Running)
+    return;
+  RolloutDecision D;
+  D.Service = Service;
+  D.Target = Target;
+  D.Order = Order;
+  const bool Completed = State == RolloutState::Completed;
+  D.Phase = Completed ? RolloutPhase::Completed : RolloutPhase::RolledBack;
+  // What the store has goes before a rollback that it refused.
+  if (Completed)
+    RolledBack.erase(Order);
+  applyDecision(D);
+  Rollout *R = find(Service);
+  if (!R || R->Decision.Order != Order)
+    return;
+  R->Decision.Phase = D.Phase;
+  R->IsFinal = true;
+  if (Completed)
+    Rejected[Service].erase(Target);
+}
+
+bool RolloutGate::takeAllowance(Rollout &R, unsigned Sends) {
+  if (R.Counts.TargetRequests + Sends > R.Decision.Allowance)
+    return false;
+  R.Counts.TargetRequests += Sends;
+  return true;
+}
+
+VersionChoice RolloutGate::choose(const RolloutRequest &Request,
+                                  TimePoint Now) {
+  Rollout *R = find(Request.Service);
+  if (!R)
+    return {};
+  R->Counts.Requests += Request.Sends;
+  const std::string &Target = R->Decision.Target;
+  switch (R->Decision.Phase) {
+  case RolloutPhase::Canary:
+    return choice(takeAllowance(*R, Request.Sends) ? VersionChoice::Kind::Target
+                                                   : VersionChoice::Kind::Old,
+                  Target);
+  case RolloutPhase::Shift:
+    return chooseInShift(*R, Request, Now);
+  case RolloutPhase::Completed:
+    R->Counts.TargetRequests += Request.Sends;
+    return choice(VersionChoice::Kind::Target, Target);
+  case RolloutPhase::RolledBack:
+    return choice(VersionChoice::Kind::Old, Target);
+  }
+  return {};
+}
+
+/// What the old version can end before the completion goes there without
+/// allowance. A request that may be repeated continues at the target if the
+/// completion cuts it off.
+VersionChoice RolloutGate::chooseInShift(Rollout &R,
+                                         const RolloutRequest &Request,
+                                         TimePoint Now) {
+  const std::string &Target = R.Decision.Target;
+  if (takeAllowance(R, Request.Sends))
+    return choice(VersionChoice::Kind::Target, Target);
+  const Duration Left = R.Decision.CompletesAt - Now;
+  if (Request.Repeatable || Request.ExpectedRun * RunTimeSafetyFactor < Left)
+    return choice(VersionChoice::Kind::Old, Target);
+  R.Counts.Requests -= Request.Sends;
+  VersionChoice Out = choice(VersionChoice::Kind::Later, Target);
+  Out.Wait = std::max(Left, Duration{0});
+  return Out;
+}
+
+void RolloutGate::refund(const RolloutRequest &Request,
+                         const VersionChoice &Choice) {
+  Rollout *R = find(Request.Service);
+  if (!R || Choice.Target != R->Decision.Target ||
+      Choice.Use == VersionChoice::Kind::Later)
+    return;
+  const std::uint64_t Sends = Request.Sends;
+  R->Counts.Requests -= std::min(R->Counts.Requests, Sends);
+  if (Choice.Use == VersionChoice::Kind::Target)
+    R->Counts.TargetRequests -= std::min(R->Counts.TargetRequests, Sends);
+}
+
+void RolloutGate::recordExtraSend(std::string_view Service,
+                                  std::string_view Version) {
+  Rollout *R = find(Service);
+  if (!R)
+    return;
+  ++R->Counts.Requests;
+  if (Version == R->Decision.Target)
+    ++R->Counts.TargetRequests;
+}
+
+void RolloutGate::runBegan(std::string_view Service, std::string_view Version,
+                           bool Repeatable) {
+  Rollout *R = find(Service);
+  if (!R || Version == R->Decision.Target)
+    return;
+  ++R->Counts.OldRuns;
+  if (!Repeatable)
+    ++R->Counts.OldUnrepeatable;
+}
+
+void RolloutGate::runEnded(std::string_view Service, std::string_view Version,
+                           bool Repeatable, Duration RunTime, TimePoint Now) {
+  Rollout *R = find(Service);
+  if (!R || Version == R->Decision.Target)
+    return;
+  // Runs that began before the order was known are not counted.
+  if (R->Counts.OldRuns > 0)
+    --R->Counts.OldRuns;
+  if (!Repeatable && R->Counts.OldUnrepeatable > 0)
+    --R->Counts.OldUnrepeatable;
+  R->OldRunTimes.emplace_back(Now, RunTime);
+  while (Now - R->OldRunTimes.front().first > RunTimeMemory)
+    R->OldRunTimes.pop_front();
+}
+
+void RolloutGate::recordAnswer(const VersionAnswer &Answer, TimePoint Now) {
+  Rollout *R = find(Answer.Service);
+  if (!R)
+    return;
+  auto &ByRoute = Answer.Version == R->Decision.Target
+                      ? R->Counts.Answers.Target
+                      : R->Counts.Answers.Old;
+  AnswerCounts &Counts = ByRoute[std::string(Answer.Route)];
+  switch (Answer.Outcome) {
+  case VersionAnswer::Result::Success:
+    if (Answer.EndpointAge < WarmUpTime)
+      return Counts.addUntimedSuccess();
+    return Counts.addSuccess(Answer.Latency);
+  case VersionAnswer::Result::Failure:
+    return Counts.addFailure();
+  case VersionAnswer::Result::Lost:
+    TimePoint &LostAt = R->LostAt[std::string(Answer.Endpoint)];
+    if (LostAt != TimePoint{} && Now - LostAt < LossWindow)
+      return;
+    LostAt = Now;
+    return Counts.addFailure();
+  }
+}
+
+bool RolloutGate::allows(const VersionChoice &Choice,
+                         std::string_view Version) {
+  switch (Choice.Use) {
+  case VersionChoice::Kind::Any:
+    return true;
+  case VersionChoice::Kind::Old:
+    return Version != Choice.Target;
+  case VersionChoice::Kind::Target:
+    return Version == Choice.Target;
+  case VersionChoice::Kind::Later:
+    return false;
+  }
+  return false;
+}
+
+bool RolloutGate::isUnproven(std::string_view Service,
+                             std::string_view Version) const {
+  const auto Old = Rejected.find(Service);
+  if (Old != Rejected.end() && Old->second.contains(Version))
+    return true;
+  const auto It = Rollouts.find(Service);
+  return It != Rollouts.end() && It->second.Decision.Target == Version &&
+         It->second.Decision.Phase != RolloutPhase::Completed;
+}
+
+std::vector<RolloutEvidence> RolloutGate::evidence(TimePoint Now) const {
+  std::vector<RolloutEvidence> Out;
+  for (const auto &[Service, R] : Rollouts) {
+    RolloutEvidence E = R.Counts;
+    E.Allowance = R.Decision.Allowance;
+    E.RolledBack = R.Decision.Phase == RolloutPhase::RolledBack;
+    for (const auto &[At, RunTime] : R.OldRunTimes)
+      if (Now - At <= RunTimeMemory)
+        E.LongestRun = std::max(E.LongestRun, RunTime);
+    Out.push_back(std::move(E));
+  }
+  return Out;
+}
+
+} // namespace hyssoprail::rollout
