--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -41,6 +41,9 @@
   /// Stage that the last order asked for.
   EngineStage TargetStage = EngineStage::None;
   TimePoint StageChangeDeadline{};
+  /// Speed of an engine relative to the median of its service. Exactly 1 while
+  /// it is unknown, or the engines of the service count as equally fast.
+  double SpeedFactor = 1;
   /// False after the registration was removed; work may still run.
   bool Registered = true;
 
