--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -76,6 +76,7 @@
     E.SuspectUntil = {};
     E.CacheLossUntil = {};
     E.StageChangeDeadline = {};
+    E.SpeedFactor = 1;
   }
   const bool Changed =
       !E.Registered || Record.StartedAtMs != E.Record.StartedAtMs ||
