Entries report the work of engines, the coordinator tells their speeds

Cause: the coordinator places generations but sees neither prefill times nor events. Change: EngineWorkLog and EngineWorkMeter measure prefills without a backlog and the time between events in the flows; EntryReport.engine_work has their totals, CoordinatorUpdate.speeds the factors other than 1. Under the policy arrival nothing is applied. A change of class writes the log line engine_speed, one per engine and change.

--- a/include/hyssoprail/routing/admission_server.hpp
+++ b/include/hyssoprail/routing/admission_server.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "hyssoprail/routing/engine_speeds.hpp"
+#include "hyssoprail/routing/overload_mode.hpp"
 #include "hyssoprail/routing/shared_quota.hpp"
 #include "hyssoprail/routing/stream_scheduler.hpp"
 #include "hyssoprail/wire/coordination.pb.h"
@@ -24,7 +26,11 @@
   AdmissionServer(std::string OwnName, StreamScheduler &Scheduler,
                   EndpointTable &Table, SharedQuota &Quota)
       : OwnName(std::move(OwnName)), Scheduler(Scheduler), Table(Table),
-        Quota(Quota) {}
+        Quota(Quota), Speeds(Table) {}
+
+  /// Sets the policy under overload, which decides whether the speeds of
+  /// engines are used.
+  void setOverload(OverloadMode Mode) { Overload = Mode; }
 
   /// Starts a term of this entry as coordinator of \p Expected entries, itself
   /// included.
@@ -41,6 +47,11 @@
   /// entries have reported what its predecessor granted.
   void decide(TimePoint Now);
 
+  /// Applies what the reports tell of the speeds of engines. Returns the
+  /// engines that have become fast, slow or usual. Must be called several times
+  /// per second.
+  std::vector<EngineSpeedChange> updateSpeeds(TimePoint Now);
+
   /// Releases the reservations of entries that have stopped reporting. Must be
   /// called several times per second.
   void releaseSilentEntries(TimePoint Now);
@@ -123,6 +134,7 @@
                  const wire::EntryReport &Report, TimePoint Now);
   void applyHealthSignals(const std::string &Name, Entry &E,
                           const wire::EntryReport &Report, TimePoint Now);
+  void applyEngineWork(const wire::EntryReport &Report, TimePoint Now);
   void applyCalls(const std::string &Name, Entry &E,
                   const wire::EntryReport &Report);
   void applyAccounts(const std::string &Name, Entry &E, bool NewIncarnation,
@@ -140,6 +152,8 @@
   StreamScheduler &Scheduler;
   EndpointTable &Table;
   SharedQuota &Quota;
+  EngineSpeeds Speeds;
+  OverloadMode Overload = OverloadMode::Arrival;
   TimePoint TermStart{};
   std::size_t Expected = 1;
   std::map<std::string, Entry> Entries;
--- a/include/hyssoprail/routing/engine_speeds.hpp
+++ b/include/hyssoprail/routing/engine_speeds.hpp
@@ -82,6 +82,10 @@
   /// than 1.3 or more than 1 / 1.3.
   std::vector<EngineSpeedChange> update(TimePoint Now);
 
+  /// Forgets engines that are gone and entries that are silent. Part of
+  /// update(); to be called instead of it while speeds are not applied.
+  void forgetStale(TimePoint Now);
+
   /// True while the engines of \p Service count as differing in speed.
   bool isUneven(std::string_view Service) const;
 
@@ -132,7 +136,6 @@
   void updateService(Service &S, std::vector<Known> &Engines, TimePoint Now);
   static void updateUneven(Service &S, const std::vector<Known> &Engines,
                            TimePoint Now);
-  void forgetSilentSources(TimePoint Now);
 
   EndpointTable &Table;
   std::map<std::string, Engine, std::less<>> Engines;
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -7,6 +7,7 @@
 #include "hyssoprail/routing/call_admission.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/engine_work_log.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
 #include "hyssoprail/routing/length_estimator.hpp"
@@ -28,7 +29,8 @@
   CallAdmission &Calls;
   RetryLimiter &Retries;
   LengthEstimator &Lengths;
-  std::string Zone; ///< availability zone of this entry
+  std::string Zone;                    ///< availability zone of this entry
+  EngineWorkLog *EngineWork = nullptr; ///< null: work is not measured
 };
 
 /// An admitted request with the parts of the configuration that apply to it.
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "hyssoprail/core/hash.hpp"
+#include "hyssoprail/routing/engine_speed_update.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -53,7 +54,9 @@
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
       Calls(State.Table), Grants(State.Table), Leavers(State.Table),
-      Election(Settings.Name, Incarnation), Peers(Peers) {}
+      Election(Settings.Name, Incarnation), Peers(Peers) {
+  Server.setOverload(Settings.Overload);
+}
 
 Status Coordination::start() {
   return Peers.start(
@@ -123,6 +126,7 @@
   if (Leavers.peerCount() > Server.knownEntryCount())
     Leavers.forgetPeers();
   Scheduler.sampleUtilization(Now);
+  updateSpeeds(Now);
   Deputies = Server.deputies(DeputyCount, Now);
   chooseSource(Now);
   Server.chooseNearbySources(Now);
@@ -130,6 +134,16 @@
   sendHeartbeats(Now);
 }
 
+void Coordination::updateSpeeds(TimePoint Now) {
+  for (const routing::EngineSpeedChange &C : Server.updateSpeeds(Now))
+    Log.write(LogCategory::Outcome, "engine_speed", "",
+              {{"endpoint", C.EngineId},
+               {"service", C.Service},
+               {"factor", C.Factor},
+               {"before", C.Before},
+               {"samples", C.Samples}});
+}
+
 void Coordination::beginCoordination(TimePoint Now) {
   KnownAtClaim = Election.currentClaim()->Known;
   CoordinatorSince = CompleteAt = Now;
@@ -309,6 +323,8 @@
               Use.runs(), std::numeric_limits<std::int32_t>::max())),
           0, 0};
     State.Table.setPeerLoad(FleetPeer, std::move(Calls));
+    if (Settings.Overload != routing::OverloadMode::Arrival)
+      routing::applySpeeds(Update, State.Table);
     routing::SharedQuota::AccountTotals Totals;
     for (const wire::AccountUse &Use : Update.accounts())
       Totals[Use.account()] = Use.tokens();
@@ -351,6 +367,8 @@
     Use->set_tokens(Tokens);
     Use->set_debt(State.Quota.ownDebt(Name, Now));
   }
+  if (State.EngineWork)
+    State.EngineWork->fillReport(R, Now);
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
   Leavers.fill(To, R);
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -20,6 +20,7 @@
 #include "hyssoprail/routing/call_grant_server.hpp"
 #include "hyssoprail/routing/coordinator_election.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
+#include "hyssoprail/routing/engine_work_log.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
 #include "hyssoprail/routing/leaving_exchange.hpp"
 
@@ -32,6 +33,7 @@
   routing::CrashLedgers &Crashes;
   routing::SharedQuota &Quota;
   FleetFeed &Feed;
+  routing::EngineWorkLog *EngineWork = nullptr; ///< null: none is reported
 };
 
 /// Addresses of entries from which this one can fetch changes of the fleet.
@@ -125,6 +127,7 @@
   bool confirmsRecentReport(const wire::CoordinatorUpdate &Update,
                             TimePoint Now) const;
   void applyUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
+  void updateSpeeds(TimePoint Now);
   void beginCoordination(TimePoint Now);
   void handOverIfPossible(TimePoint Now);
   void handOver(TimePoint Now);
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -70,7 +70,7 @@
             }),
       FleetCoordination(
           Context, this->Settings, Incarnation, Time, Log, Peers,
-          {Table, EngineSignals, Crashes, Quota, Feed},
+          {Table, EngineSignals, Crashes, Quota, Feed, &EngineWork},
           {[this](const auto &Decisions) { onDecisions(Decisions); },
            [this](const auto &Decisions) { onDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
@@ -204,7 +204,8 @@
                                           FleetCoordination.calls(),
                                           Retries,
                                           Lengths,
-                                          Settings.Zone};
+                                          Settings.Zone,
+                                          &EngineWork};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -173,6 +173,7 @@
   routing::RetryLimiter Retries;
   routing::LengthEstimator Lengths;
   routing::HealthSignalLog EngineSignals;
+  routing::EngineWorkLog EngineWork;
   routing::CrashLedgers Crashes;
   /// Parts of prompts and fingerprints, as last logged.
   std::set<std::string> LoggedParts;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -79,6 +79,7 @@
   Requests.clear();
   TotalGrantedInTerm.clear();
   Scheduler.clear(Now);
+  Speeds.clear();
 }
 
 // ---- Reports --------------------------------------------------------------
@@ -112,6 +113,7 @@
   applyWants(Name, E, Report, Now);
   applyCalls(Name, E, Report);
   applyAccounts(Name, E, NewIncarnation, Report, Now);
+  applyEngineWork(Report, Now);
   return true;
 }
 
--- a/src/hyssoprail/routing/admission_server_updates.cpp
+++ b/src/hyssoprail/routing/admission_server_updates.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "hyssoprail/routing/admission_server.hpp"
+#include "hyssoprail/routing/engine_speed_update.hpp"
 #include "hyssoprail/routing/message_time.hpp"
 
 namespace hyssoprail::routing {
@@ -88,6 +89,7 @@
                                  wire::CoordinatorUpdate &Update,
                                  TimePoint Now) {
   Update.set_has_totals(true);
+  fillSpeeds(Table, Update);
   for (const auto &[Account, Tokens] : TotalGrantedInTerm) {
     const auto Own = E.GrantedInTerm.find(Account);
     wire::AccountUse *Use = Update.add_accounts();
--- a/src/hyssoprail/routing/engine_speeds.cpp
+++ b/src/hyssoprail/routing/engine_speeds.cpp
@@ -146,11 +146,7 @@
 }
 
 std::vector<EngineSpeedChange> EngineSpeeds::update(TimePoint Now) {
-  forgetSilentSources(Now);
-  std::erase_if(Engines, [&](const auto &Item) {
-    const Endpoint *E = Table.find(Item.first);
-    return !E || E->Record.StartedAtMs != Item.second.StartedAtMs;
-  });
+  forgetStale(Now);
   std::map<std::string_view, std::vector<Known>> KnownEngines;
   Table.forEach([&](Endpoint &E) {
     if (E.Record.Stage == EngineStage::None)
@@ -236,7 +232,11 @@
     S.Uneven = false;
 }
 
-void EngineSpeeds::forgetSilentSources(TimePoint Now) {
+void EngineSpeeds::forgetStale(TimePoint Now) {
+  std::erase_if(Engines, [&](const auto &Item) {
+    const Endpoint *E = Table.find(Item.first);
+    return !E || E->Record.StartedAtMs != Item.second.StartedAtMs;
+  });
   if (Now - SourcesCheckedAt < SourceCheckInterval)
     return;
   SourcesCheckedAt = Now;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -24,6 +24,7 @@
       Cache(this->Request.HandleRetention),
       Budget(this->Shared.Retries, this->Request.Service),
       Crashes(this->Shared.Crashes.watch(this->Request.Info)),
+      Work(this->Shared.EngineWork),
       PlacementId(placementId(this->Request.SessionId, Placements)) {
   if (this->Request.Info.Resumes)
     Progress.resumeAfter(this->Request.Info.LastEventId);
@@ -122,7 +123,9 @@
   if (NewEvents.empty())
     return;
   LastProgressAt = Now;
-  Crashes.received(Progress.events() - EventsBefore, Now);
+  const std::uint64_t Events = Progress.events() - EventsBefore;
+  Crashes.received(Events, Now);
+  Work.received(Events * Request.EventTokens, Events, Now);
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
   if (!StreamStarted)
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -228,6 +228,7 @@
   LegBudget Budget;
   StreamProgress Progress;
   RunCrashWatch Crashes;
+  EngineWorkMeter Work;
   unsigned Placements = 0; ///< admission requests under other ids so far
   std::string PlacementId; ///< of the present admission request
   std::optional<SilentRun> Silent;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -155,6 +155,8 @@
   Crashes.begin(E->Record, Now);
   LastProgressAt = Now;
   PrefillDeadline = Now + prefillTimeout(Place.PrefillBacklog);
+  Work.beginPrefill(E->Record, Submitted.PromptTokens,
+                    Place.PrefillBacklog == Submitted.PromptTokens, Now);
   LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
   Leg.IsRetry = PrefillLegs++ > 0;
   ActiveLeg = Io.startLeg(Leg);
@@ -164,6 +166,7 @@
   if (R.Outcome == LegOutcome::Answered && !R.Handle.empty()) {
     if (const Endpoint *E = Shared.Table.find(PrefillEndpoint))
       Cache.store({E->Record.Address, R.Handle}, Now);
+    Work.prefillEnded(Now);
     Shared.Admission.prefillEnded(PlacementId, Now);
     return sendDecode(Now);
   }
@@ -192,6 +195,7 @@
     return giveUp(Now);
   CurrentPhase = StreamPhase::Starting;
   Crashes.begin(E->Record, Now);
+  Work.beginDecode(E->Record);
   LastProgressAt = Now;
   LegRequest Leg = makeLeg(LegKind::Decode, *E, Now);
   Leg.Source = Cache.usable(Now);
--- a/src/hyssoprail/routing/stream_flow_silent.cpp
+++ b/src/hyssoprail/routing/stream_flow_silent.cpp
@@ -46,6 +46,7 @@
   PlacementId = std::move(Run.PlacementId);
   HasPlacement = true;
   Crashes.restore(std::move(Run.Watched));
+  Work.stop();
   ExtendedDeadline = Now + TimeoutExtension;
   return true;
 }
