Placement by expected time over engines that differ in speed

Cause: requests spread by memory alone over engines at 0.7, 0.7 and 1.7 times the usual speed are late at the slow ones. A factor of 1 adds exactly 0.

--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -121,7 +121,8 @@
     std::vector<Endpoint *> Prefill;
     std::int64_t Bound = 0;       ///< memory that may be reserved on one engine
     std::int64_t LargestFree = 0; ///< largest free memory of a decode engine
-    std::int64_t Free = 0; ///< free memory of all decode engines together
+    std::int64_t Free = 0;  ///< free memory of all decode engines together
+    double DecodeSpeed = 0; ///< sum of the decode engines' speed factors
     /// Requests per second that decode engines can take which are left out
     /// above because their stated limits are used up.
     double LimitedPerSecond = 0;
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -205,8 +205,8 @@
       requiredKvTokens(Request) + Ahead.Tokens - Engines.Free;
   if (MissingTokens <= 0)
     return Duration{0};
-  const double Capacity = static_cast<double>(Engines.Bound) *
-                          static_cast<double>(Engines.Decode.size());
+  const double Capacity =
+      static_cast<double>(Engines.Bound) * Engines.DecodeSpeed;
   return fromSeconds(static_cast<double>(MissingTokens) * MeanRunSeconds /
                      Capacity);
 }
--- a/src/hyssoprail/routing/stream_scheduler_engines.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_engines.cpp
@@ -40,6 +40,17 @@
 constexpr double MaxDecodeJitter = 0.5;
 constexpr double MaxPrefillJitterTokens = 6'000;
 
+/// Time of a token at an empty engine that does not depend on its runs, as a
+/// share of what its runs add once its memory is full. Higher values fill fast
+/// engines before slow ones get any work.
+constexpr double EmptyEngineTime = 0.5;
+
+/// Additional cost of an engine of another speed than usual, if its cost at the
+/// usual speed is \p Cost: 0 at a factor of exactly 1.
+double speedCost(const Endpoint &E, double Cost) {
+  return Cost * (1 / E.SpeedFactor - 1);
+}
+
 bool isExcluded(const StreamRequest &Request, const Endpoint &E) {
   return std::find(Request.ExcludedEndpoints.begin(),
                    Request.ExcludedEndpoints.end(),
@@ -65,7 +76,9 @@
 void StreamScheduler::updateFreeMemory(Pool &P) {
   P.LargestFree = 0;
   P.Free = 0;
+  P.DecodeSpeed = 0;
   for (const Endpoint *E : P.Decode) {
+    P.DecodeSpeed += E->SpeedFactor;
     const EndpointLoad Load = E->totalLoad();
     if (Load.Runs >= static_cast<std::int32_t>(E->Record.Slots))
       continue;
@@ -138,6 +151,7 @@
       continue;
     double Cost =
         static_cast<double>(Load.Tokens) / static_cast<double>(Engines.Bound);
+    Cost += speedCost(*E, Cost + EmptyEngineTime);
     if (E->Record.Zone != Request.Zone)
       Cost += CrossZoneCost;
     Cost += FailureCost * E->Health.failureShare();
@@ -160,15 +174,19 @@
   double BestCost = std::numeric_limits<double>::max();
   for (Endpoint *E : Engines.Prefill) {
     const std::int64_t Backlog = E->totalLoad().PrefillTokens;
-    if (Backlog > Options.PrefillBacklog || isExcluded(Request, *E) ||
-        Now < E->CacheLossUntil || !Table.mayStart(*E, Now, Sender::AnyEntry))
+    if (static_cast<double>(Backlog) >
+            static_cast<double>(Options.PrefillBacklog) * E->SpeedFactor ||
+        isExcluded(Request, *E) || Now < E->CacheLossUntil ||
+        !Table.mayStart(*E, Now, Sender::AnyEntry))
       continue;
     const std::int64_t TokenCost =
         Backlog + (E->Record.Zone == Zone ? 0 : CrossZonePrefillTokens) +
         (E->isSuspect(Now) ? SuspectPrefillTokens : 0);
-    const double Cost = static_cast<double>(TokenCost) +
-                        FailurePrefillTokens * E->Health.failureShare() +
-                        MaxPrefillJitterTokens * placementJitter(Request, *E);
+    const double Cost =
+        static_cast<double>(TokenCost) +
+        speedCost(*E, static_cast<double>(Backlog) + Request.PromptTokens) +
+        FailurePrefillTokens * E->Health.failureShare() +
+        MaxPrefillJitterTokens * placementJitter(Request, *E);
     if (Cost >= BestCost)
       continue;
     Best = E;
