--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -377,6 +377,7 @@
     const MetricLabels Label{{"endpoint", E.Record.Id}};
     Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
     Counters.gauge("endpoint_tokens", Label).set(double(E.totalLoad().Tokens));
+    Counters.gauge("endpoint_speed", Label).set(E.SpeedFactor);
     Counters.gauge("endpoint_failure_share", Label)
         .set(E.Health.failureShare());
     Counters.gauge("endpoint_limit_per_second", Label)
