--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -70,11 +70,11 @@
             }),
       FleetCoordination(
           Context, this->Settings, Incarnation, Time, Log, Peers,
-          {Table, EngineSignals, Crashes, Quota, Feed},
+          {Table, EngineSignals, Crashes, Quota, Feed, &EngineWork},
           {[this](const auto &Decisions) { onDecisions(Decisions); },
            [this](const auto &Decisions) { onDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
-             Feed, Http, Protocol, Log,
+             Feed, Http, Protocol, Log, this->Settings.Overload,
              [this](const std::string &Id, std::int64_t StartedAtMs,
                     const AvailabilityStatement &Statement) {
                onAvailabilityStatement(Id, StartedAtMs, Statement);
@@ -204,7 +204,8 @@
                                           FleetCoordination.calls(),
                                           Retries,
                                           Lengths,
-                                          Settings.Zone};
+                                          Settings.Zone,
+                                          &EngineWork};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
@@ -376,6 +377,7 @@
     const MetricLabels Label{{"endpoint", E.Record.Id}};
     Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
     Counters.gauge("endpoint_tokens", Label).set(double(E.totalLoad().Tokens));
+    Counters.gauge("endpoint_speed", Label).set(E.SpeedFactor);
     Counters.gauge("endpoint_failure_share", Label)
         .set(E.Health.failureShare());
     Counters.gauge("endpoint_limit_per_second", Label)
