--- a/src/hyssoprail/routing/engine_speed_fixture.hpp
+++ b/src/hyssoprail/routing/engine_speed_fixture.hpp
@@ -28,7 +28,7 @@
   void setRuns(std::size_t I, int Runs) {
     Simulated &E = Engines[I];
     Table.release(E.Id, E.Load);
-    E.Load = {Runs, Runs * 400, 0};
+    E.Load = {Runs, std::int64_t{400} * Runs, 0};
     Table.reserve(E.Id, E.Load);
   }
 
--- a/src/hyssoprail/routing/engine_work_test.cpp
+++ b/src/hyssoprail/routing/engine_work_test.cpp
@@ -89,7 +89,7 @@
   const wire::EntryReport R = reportOf(Work, F.Now);
   REQUIRE(R.engine_work_size() == 1); // without the prefill, 3 s ago
   CHECK(R.engine_work(0).endpoint() == "d0");
-  CHECK(R.engine_work(0).decode_tokens() == 4 * 16);
+  CHECK(R.engine_work(0).decode_tokens() == 64);
   CHECK(R.engine_work(0).decode_us() == 150'000);
   CHECK(R.engine_work(0).samples() == 4);
 }
