--- /dev/null
+++ b/src/hyssoprail/routing/overload_policy.cpp
@@ -0,0 +1,95 @@
+#include "hyssoprail/routing/overload_policy.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <numeric>
+#include <optional>
+#include <tuple>
+
+#include "hyssoprail/routing/stream_admission.hpp"
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Longer waits are equal to callers, and their sum must not overflow.
+constexpr double MaxWaitSeconds = 3'600;
+
+} // namespace
+
+bool OverloadPolicy::canBeOnTime(const OverloadInput &Request,
+                                 Duration TimeToFirstEvent, TimePoint Now) {
+  return Request.Began || Now + TimeToFirstEvent <= Request.ObjectiveDeadline;
+}
+
+std::vector<std::size_t>
+OverloadPolicy::order(const std::vector<OverloadInput> &Queue,
+                      Duration TimeToFirstEvent, TimePoint Now) {
+  const auto Key = [&](std::size_t I) {
+    const OverloadInput &R = Queue[I];
+    return std::tuple(!canBeOnTime(R, TimeToFirstEvent, Now), R.Priority,
+                      R.RoutePriority, !R.Promised, R.BeyondQuota,
+                      R.AccountLoad, R.Work, R.Arrival, R.Id);
+  };
+  std::vector<std::size_t> Out(Queue.size());
+  std::iota(Out.begin(), Out.end(), std::size_t{0});
+  std::sort(Out.begin(), Out.end(),
+            [&](std::size_t A, std::size_t B) { return Key(A) < Key(B); });
+  return Out;
+}
+
+double OverloadPolicy::remainingRate(double TokensPerSecond, double Arrivals) {
+  // The turn of the longest waiting request is kept whatever arrives.
+  return std::max(TokensPerSecond - Arrivals, TokensPerSecond / FairTurn);
+}
+
+Duration OverloadPolicy::expectedWait(const OverloadInput &Request,
+                                      double MissingTokens,
+                                      const OverloadCapacity &Capacity,
+                                      TimePoint Now) {
+  if (MissingTokens <= 0)
+    return Duration{0};
+  const auto WaitAt = [&](double Arrivals) {
+    const double Rate = remainingRate(Capacity.TokensPerSecond, Arrivals);
+    const double Seconds =
+        Rate > 0 ? std::min(MissingTokens / Rate, MaxWaitSeconds)
+                 : MaxWaitSeconds;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Seconds));
+  };
+  const Duration Wait = WaitAt(Capacity.UrgentArrivals);
+  if (canBeOnTime(Request, Capacity.TimeToFirstEvent, Now + Wait))
+    return Wait;
+  // It will be late, and all that arrive meanwhile overtake it.
+  return WaitAt(Capacity.AllArrivals);
+}
+
+bool OverloadPolicy::mustRefuse(const OverloadInput &Request,
+                                Duration ExpectedWait, TimePoint Now) {
+  const Duration Wait = Request.Began ? Duration{0} : ExpectedWait;
+  return Now + Wait + MinServiceTime >= Request.GiveUpAt;
+}
+
+bool routesDifferInPriority(const FleetConfig &Config,
+                            std::string_view Service) {
+  std::optional<int> First;
+  for (const RoutePolicy &Route : Config.Routes) {
+    const bool Leads = std::any_of(
+        Route.Services.begin(), Route.Services.end(),
+        [&](const WeightedService &S) { return S.Service == Service; });
+    if (!Leads)
+      continue;
+    if (First.value_or(Route.Priority) != Route.Priority)
+      return true;
+    First = Route.Priority;
+  }
+  return false;
+}
+
+bool overloadPolicyConfigured(OverloadMode Mode, const FleetConfig &Config,
+                              std::string_view Service) {
+  return Mode == OverloadMode::LeastCost ||
+         (Mode == OverloadMode::Auto &&
+          routesDifferInPriority(Config, Service));
+}
+
+} // namespace hyssoprail::routing
