Generations under overload are ordered by what a delay costs, and returns are promised room

Cause: returning requests went before fresh ones and late work held back work that could still be on time; a request that could not be served waited until its deadline; all that were refused together got the same retry time. Change: StreamScheduler decides by OverloadPolicy where it is in force (Overload in its options, from the gateway's settings), ReturnSchedule hands out retry times, and a refusal carries the policy's inputs. StreamWant and StreamDenial have new fields. A service without the policy is served by the code as it was; the existing tests pass unchanged. Scheduler and schedule are one commit, because the turn of the longest waiting was tuned with both.

--- a/include/hyssoprail/routing/admission_client.hpp
+++ b/include/hyssoprail/routing/admission_client.hpp
@@ -58,6 +58,9 @@
   }
 
   std::size_t pendingCount() const { return Pending.size(); }
+  /// Adds the requests that wait, by service and priority.
+  void
+  countPending(std::map<std::pair<std::string, int>, std::size_t> &Out) const;
   std::size_t runningCount() const { return Runs.size(); }
 
 private:
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -38,7 +38,9 @@
   RoutePolicy Route;
   std::string Service;
   std::string Account; ///< empty: none
-  int Priority = 0;
+  int Priority = 0;    ///< of its account if that has one, else of its route
+  /// Engines are sent the priority: the overload policy is in force.
+  bool SendsPriority = false;
   bool BeyondQuota = false; ///< uses the tolerance of its account's quota
   TimePoint Arrival{};
   milliseconds HandleRetention{500}; ///< how long an unfetched KV cache is kept
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -37,7 +37,8 @@
   milliseconds Deadline{0};     ///< time after which the endpoint stops work
   std::optional<KvSource> Source;
   std::optional<std::uint64_t> ResumeAfter; ///< id of the last delivered event
-  bool IsRetry = false; ///< the request had an earlier leg of this kind
+  std::optional<int> Priority; ///< for the endpoint; 0 is the most urgent
+  bool IsRetry = false;        ///< the request had an earlier leg of this kind
 };
 
 /// How a leg ended, as far as the entry can tell.
--- a/include/hyssoprail/routing/overload_policy.hpp
+++ b/include/hyssoprail/routing/overload_policy.hpp
@@ -17,6 +17,7 @@
   int Priority = 0; ///< of the account if it has one, else of the route
   int RoutePriority = 0;
   bool Promised = false; ///< it returns at the time it was promised room
+  bool Returns = false;  ///< it was refused before and has no promise
   bool BeyondQuota = false;
   bool Began = false;     ///< an engine has worked on it
   double AccountLoad = 0; ///< reserved memory of its account / its rate
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -1,7 +1,9 @@
 #ifndef HYSSOPRAIL_ROUTING_STREAM_ADMISSION_HPP
 #define HYSSOPRAIL_ROUTING_STREAM_ADMISSION_HPP
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -22,7 +24,8 @@
   std::string Service;
   std::string Account;
   std::string Zone; ///< of the requesting entry
-  int Priority = 0;
+  int Priority = 0; ///< of its account if that has one, else of its route
+  int RoutePriority = 0;
   std::uint32_t PromptTokens = 0;
   std::uint32_t OutputTokens = 0; ///< estimate
   TimePoint Arrival{};
@@ -35,6 +38,7 @@
   /// Served only after all requests that are within their quotas.
   bool BeyondQuota = false;
   bool IsRetry = false; ///< the caller repeats a request that was rejected
+  bool Began = false;   ///< an engine has worked on it
   /// The prompt has been prefilled: no prefill engine is needed.
   bool HasKvCache = false;
   /// These have failed the request or refuse all requests of the entry.
@@ -74,11 +78,19 @@
 /// as QueueTooLong.
 StreamRefusalReason streamRefusalFromNumber(std::uint32_t Number);
 
+/// What the overload policy weighed when it refused a request.
+struct RefusalInputs {
+  std::size_t Place = 0; ///< in the order of dispatch, from 1
+  double Work = 0;       ///< tokens times expected seconds at an engine
+  bool Promised = false; ///< room is promised at the time to retry
+};
+
 struct StreamRefusal {
   std::string Id;
   StreamRefusalReason Reason = StreamRefusalReason::QueueTooLong;
   milliseconds RetryAfter{0};
   Duration ExpectedWait{};
+  std::optional<RefusalInputs> Inputs; ///< if the overload policy is in force
 };
 
 using StreamDecision = std::variant<StreamPlacement, StreamRefusal>;
--- a/include/hyssoprail/routing/stream_request.hpp
+++ b/include/hyssoprail/routing/stream_request.hpp
@@ -11,6 +11,9 @@
 /// How long a caller of the route waits for an event before it gives up.
 milliseconds callerEventTimeout(const RoutePolicy &Route);
 
+/// True if the caller sends the request again after a rejection.
+bool isReturning(const FlowRequest &Request);
+
 /// Id of the \p Number-th admission request of a session. A stream may ask for
 /// engines while it still holds others.
 std::string placementId(std::string_view SessionId, unsigned Number);
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -3,12 +3,17 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/arrival_rates.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
+#include "hyssoprail/routing/overload_policy.hpp"
+#include "hyssoprail/routing/return_schedule.hpp"
 #include "hyssoprail/routing/stage_planner.hpp"
 #include "hyssoprail/routing/stream_admission.hpp"
 
@@ -22,6 +27,8 @@
   /// A prefill engine with more queued prompt tokens than this gets no further
   /// prompt.
   std::int64_t PrefillBacklog = 9'000;
+  /// Order and refusals while there is too little room.
+  OverloadMode Overload = OverloadMode::Arrival;
 };
 
 /// The engines and memory that a running generation holds, as its entry reports
@@ -37,6 +44,12 @@
   std::uint32_t PromptTokens = 0;
 };
 
+/// Time from placement to the first event: prefill, transfer of the KV cache
+/// and the first decode step.
+constexpr milliseconds TimeToFirstEvent{250};
+
+constexpr milliseconds MinRetryAfter{250};
+
 /// Queueing, admission and placement of generations, without I/O. A generation
 /// is placed only when a decode engine has room for its whole estimated size,
 /// so that no prompt is prefilled for nothing. Load pattern: bursts of twice
@@ -106,6 +119,8 @@
   struct Queued {
     StreamRequest Request;
     std::uint64_t Serial = 0; ///< increases with each submission
+    /// Priority of the promise with which its caller returned.
+    std::optional<int> PromisedPriority;
   };
 
   struct Placed {
@@ -133,21 +148,45 @@
     std::size_t Requests = 0;
   };
 
+  /// What the overload policy keeps of a service between decisions.
+  struct OverloadState {
+    ArrivalRates Arrivals;
+    ReturnSchedule Returns;
+    /// Dispatches since the last turn of the longest waiting request.
+    unsigned Overtakings = 0;
+    /// Ids of waiting requests that fit nowhere when it was their turn, while
+    /// others were dispatched.
+    std::set<std::string, std::less<>> PassedOver;
+    TimePoint LastDispatchedArrival{}; ///< latest arrival of those dispatched
+  };
+
+  class PolicyRound;
+
   enum class Verdict { Placed, Refused, Waits };
 
   Pool makePool(std::string_view Service, TimePoint Now);
   static void updateFreeMemory(Pool &P);
   std::vector<const StreamRequest *> dispatchOrder(TimePoint Now) const;
+  bool usesPolicy(std::string_view Service, const Pool &Engines) const;
+  std::map<std::string_view, std::vector<const Queued *>>
+  queuesUnderPolicy(std::map<std::string_view, Pool> &Pools, TimePoint Now);
+  OverloadInput overloadInput(const Queued &Q, double RunSeconds) const;
+  void decideByPolicy(std::string_view Service,
+                      const std::vector<const Queued *> &Queue, Pool &Engines,
+                      TimePoint Now, std::vector<StreamDecision> &Out,
+                      std::vector<std::string> &Done);
   Verdict decide(const StreamRequest &Request, Pool &Engines,
                  const QueueAhead &Ahead, TimePoint Now,
                  std::vector<StreamDecision> &Out);
   StreamPlacement place(const StreamRequest &Request, Pool &Engines,
                         Endpoint &Decode, TimePoint Now);
+  static Duration maxRetryAfter(const StreamRequest &Request, TimePoint Now);
   StreamRefusal makeRefusal(const StreamRequest &Request,
                             StreamRefusalReason Reason, Duration ExpectedWait,
                             TimePoint Now) const;
-  Endpoint *chooseDecode(const StreamRequest &Request, const Pool &Engines,
-                         TimePoint Now) const;
+  Endpoint *
+  chooseDecode(const StreamRequest &Request, const Pool &Engines, TimePoint Now,
+               const std::vector<const Endpoint *> &Except = {}) const;
   Endpoint *choosePrefill(const StreamRequest &Request, const Pool &Engines,
                           std::string_view Zone, TimePoint Now) const;
   double placementJitter(const StreamRequest &Request, const Endpoint &E) const;
@@ -167,6 +206,8 @@
   std::uint64_t LastSerial = 0;
   std::map<std::string, Placed, std::less<>> Running;
   std::map<std::string, std::int64_t, std::less<>> AccountTokens;
+  /// By service for which the overload policy may come into force.
+  std::map<std::string, OverloadState, std::less<>> Overloads;
   /// Utilization of the engines, by service.
   std::map<std::string, EngineUtilization, std::less<>> Utilization;
   /// Moving average of the time that a placement lasts.
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -50,7 +50,9 @@
                            CoordinationState State, DecisionHandlers Handlers)
     : Context(Context), Settings(Settings), Incarnation(Incarnation),
       Time(Time), Log(Log), State(State), Handlers(std::move(Handlers)),
-      Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
+      Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines,
+                 .Overload = Settings.Overload},
+                State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
       Calls(State.Table), Grants(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers) {}
@@ -142,6 +144,9 @@
   Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
   logCoordinatorChange("claimed");
+  if (Settings.Overload != routing::OverloadMode::Arrival)
+    Log.write(LogCategory::Outcome, "return_schedule", "",
+              {{"term", Election.currentClaim()->Term}, {"promises", 0}});
   reportOrDecide();
 }
 
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -33,6 +33,8 @@
   W.set_time_left_ms(nonNegativeMillis(Request.CallerBudget));
   W.set_beyond_quota(Request.BeyondQuota);
   W.set_returning(Request.IsRetry);
+  W.set_route_priority(Request.RoutePriority);
+  W.set_began(Request.Began);
   W.set_has_cache(Request.HasKvCache);
   for (const std::string &Id : Request.ExcludedEndpoints)
     W.add_avoid(Id);
@@ -122,6 +124,12 @@
   Changed = false;
 }
 
+void AdmissionClient::countPending(
+    std::map<std::pair<std::string, int>, std::size_t> &Out) const {
+  for (const auto &[Id, P] : Pending)
+    ++Out[{P.Request.Service, P.Request.Priority}];
+}
+
 AdmissionClient::PendingMap::iterator
 AdmissionClient::findPending(std::uint64_t Key) {
   return std::find_if(Pending.begin(), Pending.end(),
@@ -157,10 +165,15 @@
     const auto It = findPending(Denial.key());
     if (It == Pending.end())
       continue;
-    Out.push_back(StreamRefusal{It->first,
-                                streamRefusalFromNumber(Denial.reason()),
-                                milliseconds(Denial.retry_after_ms()),
-                                milliseconds(Denial.expected_wait_ms())});
+    StreamRefusal R;
+    R.Id = It->first;
+    R.Reason = streamRefusalFromNumber(Denial.reason());
+    R.RetryAfter = milliseconds(Denial.retry_after_ms());
+    R.ExpectedWait = milliseconds(Denial.expected_wait_ms());
+    if (Denial.by_policy())
+      R.Inputs =
+          RefusalInputs{Denial.place(), Denial.work(), Denial.promised()};
+    Out.push_back(std::move(R));
     Pending.erase(It);
     Changed = true;
   }
@@ -174,7 +187,8 @@
     if (Now + RefusalMargin < Request.GiveUpAt)
       return false;
     Out.push_back(StreamRefusal{Item.first, StreamRefusalReason::WaitedTooLong,
-                                UndecidedRetryAfter, Duration{0}});
+                                UndecidedRetryAfter, Duration{0},
+                                std::nullopt});
     return true;
   });
   Changed = Changed || !Out.empty();
@@ -194,7 +208,7 @@
     if (!It->second)
       return false;
     Out.push_back(StreamRefusal{Item.first, StreamRefusalReason::QueueTooLong,
-                                *It->second, *It->second});
+                                *It->second, *It->second, std::nullopt});
     return true;
   });
   Changed = Changed || !Out.empty();
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -51,6 +51,8 @@
   Out.CallerBudget = milliseconds(Want.time_left_ms());
   Out.BeyondQuota = Want.beyond_quota();
   Out.IsRetry = Want.returning();
+  Out.RoutePriority = Want.route_priority();
+  Out.Began = Want.began();
   Out.HasKvCache = Want.has_cache();
   Out.ExcludedEndpoints.assign(Want.avoid().begin(), Want.avoid().end());
   return Out;
--- a/src/hyssoprail/routing/admission_server_updates.cpp
+++ b/src/hyssoprail/routing/admission_server_updates.cpp
@@ -50,6 +50,12 @@
   D.set_reason(static_cast<std::uint32_t>(Refusal.Reason));
   D.set_retry_after_ms(nonNegativeMillis(Refusal.RetryAfter));
   D.set_expected_wait_ms(nonNegativeMillis(Refusal.ExpectedWait));
+  if (Refusal.Inputs) {
+    D.set_by_policy(true);
+    D.set_place(static_cast<std::uint32_t>(Refusal.Inputs->Place));
+    D.set_work(Refusal.Inputs->Work);
+    D.set_promised(Refusal.Inputs->Promised);
+  }
   E.ActiveKeys.erase(Key);
   E.UpdateDue = true;
   Requests.erase(Refusal.Id);
--- a/src/hyssoprail/routing/overload_policy.cpp
+++ b/src/hyssoprail/routing/overload_policy.cpp
@@ -27,8 +27,8 @@
   const auto Key = [&](std::size_t I) {
     const OverloadInput &R = Queue[I];
     return std::tuple(!canBeOnTime(R, TimeToFirstEvent, Now), R.Priority,
-                      R.RoutePriority, !R.Promised, R.BeyondQuota,
-                      R.AccountLoad, R.Work, R.Arrival, R.Id);
+                      R.RoutePriority, R.BeyondQuota, R.Returns, R.AccountLoad,
+                      !R.Promised, R.Work, R.Arrival, R.Id);
   };
   std::vector<std::size_t> Out(Queue.size());
   std::iota(Out.begin(), Out.end(), std::size_t{0});
@@ -50,9 +50,9 @@
     return Duration{0};
   const auto WaitAt = [&](double Arrivals) {
     const double Rate = remainingRate(Capacity.TokensPerSecond, Arrivals);
-    const double Seconds =
-        Rate > 0 ? std::min(MissingTokens / Rate, MaxWaitSeconds)
-                 : MaxWaitSeconds;
+    const double Seconds = Rate > 0
+                               ? std::min(MissingTokens / Rate, MaxWaitSeconds)
+                               : MaxWaitSeconds;
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(Seconds));
   };
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -57,8 +57,19 @@
 }
 
 void StreamFlow::onRefused(const StreamRefusal &Refusal, TimePoint Now) {
-  Io.logDecision("refuse", {{"reason", streamRefusalName(Refusal.Reason)},
-                            {"expected_wait_ms", Refusal.ExpectedWait}});
+  const std::string_view Reason = streamRefusalName(Refusal.Reason);
+  if (const auto &Inputs = Refusal.Inputs)
+    Io.logDecision("refuse", {{"reason", Reason},
+                              {"expected_wait_ms", Refusal.ExpectedWait},
+                              {"priority", Request.Priority},
+                              {"route_priority", Request.Route.Priority},
+                              {"place", Inputs->Place},
+                              {"work", Inputs->Work},
+                              {"retry_after_ms", Refusal.RetryAfter},
+                              {"promised", Inputs->Promised}});
+  else
+    Io.logDecision("refuse", {{"reason", Reason},
+                              {"expected_wait_ms", Refusal.ExpectedWait}});
   // The request is not refused for a long queue, as it is a retry.
   if (Refusal.Reason == StreamRefusalReason::QueueTooLong)
     if (const auto Wait = Shared.Table.pauseWait(Request.Service, Now))
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -68,6 +68,8 @@
   Out.StartedAtMs = E.Record.StartedAtMs;
   Out.Deadline =
       std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
+  if (Request.SendsPriority)
+    Out.Priority = Request.Priority;
   return Out;
 }
 
@@ -214,6 +216,7 @@
 void StreamFlow::resubmit(bool WithCache, TimePoint Now) {
   StreamRequest N = makeStreamRequest(Request, Shared.Lengths, Request.Arrival);
   N.IsRetry = true;
+  N.Began = StreamStarted || WithCache;
   N.HasKvCache = WithCache;
   if (StreamStarted)
     N.GiveUpAt = giveUpAt();
--- a/src/hyssoprail/routing/stream_request.cpp
+++ b/src/hyssoprail/routing/stream_request.cpp
@@ -36,6 +36,11 @@
                    Route.EventGapObjective * TimeoutInGaps});
 }
 
+bool isReturning(const FlowRequest &Request) {
+  return Request.Info.Deadline > milliseconds(0) &&
+         Request.Info.Deadline < Request.Route.Timeout * FirstTryDeadlineShare;
+}
+
 StreamRequest makeStreamRequest(const FlowRequest &Request,
                                 const LengthEstimator &Lengths,
                                 TimePoint WaitingSince) {
@@ -46,6 +51,7 @@
   N.Service = Request.Service;
   N.Account = Request.Account;
   N.Priority = Request.Priority;
+  N.RoutePriority = Route.Priority;
   N.BeyondQuota = Request.BeyondQuota;
   N.PromptTokens = Tokens.Prompt;
   N.OutputTokens = Lengths.estimate(Request.Info.OutputHint, Tokens.MaxOutput);
@@ -53,8 +59,7 @@
   N.ObjectiveDeadline = Request.Arrival + Route.LatencyObjective;
   N.CallerBudget = std::chrono::duration_cast<milliseconds>(Request.AnswerBy -
                                                             Request.Arrival);
-  N.IsRetry = Request.Info.Deadline > milliseconds(0) &&
-              Request.Info.Deadline < Route.Timeout * FirstTryDeadlineShare;
+  N.IsRetry = isReturning(Request);
   N.GiveUpAt = std::min(WaitingSince + callerEventTimeout(Route),
                         Request.AnswerBy - AnswerMargin);
   return N;
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -9,14 +9,9 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// Time from placement to the first event: prefill, transfer of the KV cache
-/// and the first decode step.
-constexpr milliseconds TimeToFirstEvent{250};
-
 /// Callers honour a retry-after time up to this share of the time they have
 /// left.
 constexpr double MaxRetryAfterShare = 1.0 / 3;
-constexpr milliseconds MinRetryAfter{250};
 
 /// Order of dispatch, lower ranks first: by priority of route and account, then
 /// requests within their quotas, then retries, then requests that can still
@@ -39,9 +34,17 @@
 // ---- Queue ----------------------------------------------------------------
 
 void StreamScheduler::submit(StreamRequest Request) {
-  std::string Id = Request.Id;
-  Waiting.insert_or_assign(std::move(Id),
-                           Queued{std::move(Request), ++LastSerial});
+  if (Options.Overload != OverloadMode::Arrival && !Request.Began)
+    Overloads[Request.Service].Arrivals.record(
+        Request.Priority, requiredKvTokens(Request), Request.Arrival);
+  Queued Q{std::move(Request), ++LastSerial, std::nullopt};
+  const StreamRequest &R = Q.Request;
+  const auto State = Overloads.find(R.Service);
+  if (R.IsRetry && !R.Began && State != Overloads.end())
+    Q.PromisedPriority =
+        State->second.Returns.redeem(R.Account, R.PromptTokens, R.Arrival);
+  std::string Id = R.Id;
+  Waiting.insert_or_assign(std::move(Id), std::move(Q));
 }
 
 void StreamScheduler::cancel(std::string_view Id) {
@@ -103,8 +106,13 @@
     return Out;
   std::map<std::string_view, Pool> Pools;
   std::vector<std::string> Done;
+  const auto UnderPolicy = queuesUnderPolicy(Pools, Now);
+  for (const auto &[Service, Queue] : UnderPolicy)
+    decideByPolicy(Service, Queue, Pools.at(Service), Now, Out, Done);
   QueueAhead Ahead;
   for (const StreamRequest *Request : dispatchOrder(Now)) {
+    if (UnderPolicy.contains(Request->Service))
+      continue;
     auto Engines = Pools.find(Request->Service);
     if (Engines == Pools.end())
       Engines = Pools.emplace(Request->Service, makePool(Request->Service, Now))
@@ -174,19 +182,25 @@
   return Out;
 }
 
+/// The latest retry-after time that the caller honours.
+Duration StreamScheduler::maxRetryAfter(const StreamRequest &Request,
+                                        TimePoint Now) {
+  const Duration Left = std::max<Duration>(
+      Request.Arrival + Request.CallerBudget - Now, Duration{0});
+  return fromSeconds(seconds(Left) * MaxRetryAfterShare);
+}
+
 StreamRefusal StreamScheduler::makeRefusal(const StreamRequest &Request,
                                            StreamRefusalReason Reason,
                                            Duration ExpectedWait,
                                            TimePoint Now) const {
-  const Duration Left = std::max<Duration>(
-      Request.Arrival + Request.CallerBudget - Now, Duration{0});
-  const Duration MaxRetryAfter =
-      fromSeconds(seconds(Left) * MaxRetryAfterShare);
+  const Duration MaxRetryAfter = maxRetryAfter(Request, Now);
   const Duration RetryAfter = std::clamp<Duration>(
       ExpectedWait, std::min<Duration>(MinRetryAfter, MaxRetryAfter),
       MaxRetryAfter);
   return {Request.Id, Reason,
-          std::chrono::duration_cast<milliseconds>(RetryAfter), ExpectedWait};
+          std::chrono::duration_cast<milliseconds>(RetryAfter), ExpectedWait,
+          std::nullopt};
 }
 
 /// Time until enough memory for this request and those ahead of it is free, if
--- a/src/hyssoprail/routing/stream_scheduler_engines.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_engines.cpp
@@ -117,9 +117,9 @@
   return (1 - KnownLoadShare) * Fraction;
 }
 
-Endpoint *StreamScheduler::chooseDecode(const StreamRequest &Request,
-                                        const Pool &Engines,
-                                        TimePoint Now) const {
+Endpoint *StreamScheduler::chooseDecode(
+    const StreamRequest &Request, const Pool &Engines, TimePoint Now,
+    const std::vector<const Endpoint *> &Except) const {
   const std::int64_t Bound =
       Request.HasKvCache
           ? static_cast<std::int64_t>(static_cast<double>(Engines.Bound) *
@@ -132,7 +132,8 @@
   double BestCost = std::numeric_limits<double>::max();
   for (Endpoint *E : Engines.Decode) {
     const EndpointLoad Load = E->totalLoad();
-    if (Load.Tokens + Tokens > Bound ||
+    if (std::find(Except.begin(), Except.end(), E) != Except.end() ||
+        Load.Tokens + Tokens > Bound ||
         Load.Runs >= static_cast<std::int32_t>(E->Record.Slots) ||
         isExcluded(Request, *E) || !Table.mayStart(*E, Now, Sender::AnyEntry))
       continue;
--- a/src/hyssoprail/routing/stream_scheduler_reservations.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_reservations.cpp
@@ -53,6 +53,7 @@
 
 void StreamScheduler::clear(TimePoint Now) {
   Waiting.clear();
+  Overloads.clear();
   const double KeptMean = MeanRunSeconds;
   while (!Running.empty())
     release(std::string(Running.begin()->first), Now);
