--- a/cmake/hyssoprail_targets.cmake
+++ b/cmake/hyssoprail_targets.cmake
@@ -114,6 +114,6 @@
     get_filename_component(Name ${Bench} NAME_WE)
     add_executable(${Name} ${Bench})
     target_link_libraries(${Name} PRIVATE benchmark
-      hyssoprail_request hyssoprail_connection hyssoprail_process)
+      hyssoprail_request hyssoprail_routing hyssoprail_connection hyssoprail_process)
   endforeach()
 endfunction()
--- a/src/hyssoprail/routing/overload_policy.cpp
+++ b/src/hyssoprail/routing/overload_policy.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <numeric>
 #include <optional>
 #include <tuple>
 
@@ -24,16 +23,19 @@
 std::vector<std::size_t>
 OverloadPolicy::order(const std::vector<OverloadInput> &Queue,
                       Duration TimeToFirstEvent, TimePoint Now) {
-  const auto Key = [&](std::size_t I) {
-    const OverloadInput &R = Queue[I];
-    return std::tuple(!canBeOnTime(R, TimeToFirstEvent, Now), R.Priority,
+  using Key = std::tuple<bool, int, int, bool, bool, double, bool, double,
+                         TimePoint, std::string_view, std::size_t>;
+  std::vector<Key> Keys;
+  Keys.reserve(Queue.size());
+  for (const OverloadInput &R : Queue)
+    Keys.emplace_back(!canBeOnTime(R, TimeToFirstEvent, Now), R.Priority,
                       R.RoutePriority, R.BeyondQuota, R.Returns, R.AccountLoad,
-                      !R.Promised, R.Work, R.Arrival, R.Id);
-  };
-  std::vector<std::size_t> Out(Queue.size());
-  std::iota(Out.begin(), Out.end(), std::size_t{0});
-  std::sort(Out.begin(), Out.end(),
-            [&](std::size_t A, std::size_t B) { return Key(A) < Key(B); });
+                      !R.Promised, R.Work, R.Arrival, R.Id, Keys.size());
+  std::sort(Keys.begin(), Keys.end());
+  std::vector<std::size_t> Out;
+  Out.reserve(Keys.size());
+  for (const Key &K : Keys)
+    Out.push_back(std::get<std::size_t>(K));
   return Out;
 }
 
