Engines are sent the priority where the overload policy is in force

Cause: engines honour X-Request-Priority, but it was never sent. The entry sends it if its settings and configuration put the policy in force for the service; with auto, uneven engines alone do not. Measured: wire_protocol_test alone, 15 cases, 145 assertions, passed. The rest of platform_test was not run.

--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -220,6 +220,8 @@
     R.Account = Account->Name;
   R.Priority =
       Account && Account->Priority ? *Account->Priority : Route.Priority;
+  R.SendsPriority =
+      routing::overloadPolicyConfigured(Settings.Overload, *Config, R.Service);
   R.BeyondQuota = Accepted.BeyondQuota;
   R.Arrival = Time.now();
   R.AnswerBy = R.Arrival + Route.Timeout;
