--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -189,6 +189,12 @@
              {"version", Config->Version},
              {"version_age_ms", Time.now() - ConfigAppliedAt}});
   Retries.recordRequest(Request.Service, Time.now());
+  if (Request.SendsPriority && routing::isReturning(Request))
+    Counters
+        .counter("generations_returned",
+                 {{"service", Request.Service},
+                  {"priority", std::to_string(Request.Priority)}})
+        .add();
   const std::string Key = Request.SessionId;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
   auto Session = std::make_shared<RequestSession>(
@@ -276,6 +282,32 @@
 
 // ---- Admission ------------------------------------------------------------
 
+/// Counts decisions on generations under the overload policy.
+template <typename Decision>
+void GatewayRuntime::countDecision(const FlowRequest &R, const Decision &D) {
+  constexpr bool IsPlacement =
+      std::is_same_v<Decision, routing::StreamPlacement>;
+  constexpr bool IsRefusal = std::is_same_v<Decision, routing::StreamRefusal>;
+  if constexpr (IsPlacement || IsRefusal) {
+    if (!R.SendsPriority)
+      return;
+    std::string Result;
+    if constexpr (IsRefusal)
+      Result = routing::streamRefusalName(D.Reason);
+    else
+      Result = Time.now() + routing::TimeToFirstEvent <=
+                       R.Arrival + R.Route.LatencyObjective
+                   ? "placed_on_time"
+                   : "placed_late";
+    Counters
+        .counter("generations_decided",
+                 {{"service", R.Service},
+                  {"priority", std::to_string(R.Priority)},
+                  {"result", Result}})
+        .add();
+  }
+}
+
 template <typename Decision>
 void GatewayRuntime::onDecisions(const std::vector<Decision> &Decisions) {
   for (const Decision &Any : Decisions)
@@ -285,6 +317,7 @@
           if (It == Sessions.end())
             return;
           const auto Session = It->second; // may end and be erased
+          countDecision(Session->request(), D);
           Session->onDecision(D);
         },
         Any);
@@ -341,6 +374,15 @@
   Counters.gauge("requests_open").set(double(Sessions.size()));
   Counters.gauge("streams_waiting")
       .set(double(FleetCoordination.waitingStreams()));
+  for (auto &[Key, Waiting] : WaitingGenerations)
+    Waiting = 0;
+  FleetCoordination.countWaiting(WaitingGenerations);
+  for (const auto &[Key, Waiting] : WaitingGenerations)
+    Counters
+        .gauge(
+            "generations_waiting",
+            {{"service", Key.first}, {"priority", std::to_string(Key.second)}})
+        .set(double(Waiting));
   Counters.gauge("fleet_streams_waiting")
       .set(double(FleetCoordination.fleetQueueLength()));
   Counters.gauge("coordinates").set(FleetCoordination.isCoordinator() ? 1 : 0);
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -112,6 +112,8 @@
 
   /// Delivers decisions on generations or calls to their sessions.
   template <typename Decision>
+  void countDecision(const routing::FlowRequest &R, const Decision &D);
+  template <typename Decision>
   void onDecisions(const std::vector<Decision> &Decisions);
   void onLimitStatement(const std::string &EndpointId,
                         const LimitStatement &Statement);
@@ -187,6 +189,8 @@
   std::size_t AnnouncedEntryCount = 1;
 
   Metrics Counters;
+  /// By service and priority; keeps those of which none waits any more.
+  std::map<std::pair<std::string, int>, std::size_t> WaitingGenerations;
   std::unique_ptr<UpstreamClient> Endpoints;
   DescriptorGuard Descriptors;
   const std::shared_ptr<MemoryAccount> CallerMemory;
