--- a/src/hyssoprail/routing/overload_test.cpp
+++ b/src/hyssoprail/routing/overload_test.cpp
@@ -309,9 +309,11 @@
   const bool Passed = rc::check("order", [] {
     const int Count = *rc::gen::inRange(1, 30);
     std::vector<std::string> Ids;
+    Ids.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Ids.push_back(std::to_string(I));
     std::vector<OverloadInput> Queue;
+    Queue.reserve(Ids.size());
     for (const std::string &Id : Ids)
       Queue.push_back(input(Id));
     const auto Before = orderedIds(Queue);
