Testbed: a process that runs is not started a second time

Two faults of a soak may hit the same process (kill_agent twice, or kill_agent and stop_agent), and both end with a restart. ChildProcess::start() forgot the first child, which kept its ports, so that the second one could not start and counted as ended by itself. Fleet::restart() promised to have no effect on a process that runs.

start() fails with Conflict then, and restart() leaves the process alone.

--- a/include/hyssoprail/testbed/child_process.hpp
+++ b/include/hyssoprail/testbed/child_process.hpp
@@ -31,8 +31,9 @@
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
 
-  /// Starts the program and waits for its ready line. Must be called on a
-  /// thread that outlives the program.
+  /// Starts the program and waits for its ready line. Fails with Conflict if it
+  /// runs already: nothing would end the first one. Must be called on a thread
+  /// that outlives the program.
   Status start();
 
   /// Fields of the ready line, for example {"http": "8080"}.
--- a/src/hyssoprail/testbed/child_process.cpp
+++ b/src/hyssoprail/testbed/child_process.cpp
@@ -67,6 +67,12 @@
 }
 
 Status ChildProcess::start() {
+  if (running())
+    return Error{ErrorKind::Conflict,
+                 Program + " was not started: it runs already",
+                 "end it first",
+                 "",
+                 {}};
   std::array<int, 2> Pipe{};
   if (pipe2(Pipe.data(), O_CLOEXEC) != 0)
     return startError(Program, "no pipe");
--- a/src/hyssoprail/testbed/fleet.cpp
+++ b/src/hyssoprail/testbed/fleet.cpp
@@ -358,7 +358,12 @@
   return *Processes.at(Name);
 }
 
-Status Fleet::restart(const std::string &Name) { return process(Name).start(); }
+Status Fleet::restart(const std::string &Name) {
+  ChildProcess &Process = process(Name);
+  if (Process.running())
+    return std::monostate{};
+  return Process.start();
+}
 
 std::string Fleet::entryAddress(unsigned Index) const {
   return httpAddress(fmt::format("entry-{}", Index));
