UpstreamClient: connections in use are closed once their endpoint has left

closeIdle() closes the connections that are idle when a registration is removed, drains or moves. One that was in use at that time was kept after its response, for up to 20 s: nothing asks for it again, and only its idle time ends it. That is why 'descriptors follow the workers that are there' failed beside load: requests are then in progress more often when their worker leaves, and the connections of the last 20 s were still there at the end.

The requests in progress to a peer share a mark now (PeerUse), which closeIdle() sets; their connections are closed after the response.

"a connection in use is closed once its incarnation has left" fails without the mark (1 idle connection, 0 expected, twice) and passes.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -92,8 +92,8 @@
   virtual std::shared_ptr<UpstreamExchange> send(UpstreamCall Call,
                                                  UpstreamHandlers Handlers) = 0;
 
-  /// Closes the idle connections to an incarnation that has left, or those to
-  /// other addresses than \p KeptAuthority if it is not empty.
+  /// Closes connections to an incarnation that has left, or to other addresses
+  /// than \p KeptAuthority if not empty; those in use after their responses.
   virtual void closeIdle(const std::string &Incarnation,
                          const std::string &KeptAuthority) = 0;
 
--- a/src/hyssoprail/connection/idle_connections_test.cpp
+++ b/src/hyssoprail/connection/idle_connections_test.cpp
@@ -1,5 +1,7 @@
 #include "hyssoprail/connection/idle_connections.hpp"
 
+#include <future>
+
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/connection/descriptors.hpp"
@@ -17,11 +19,12 @@
 /// connection of its own.
 class Incarnations {
 public:
-  UpstreamEnd send(const std::string &Incarnation) {
+  UpstreamEnd send(const std::string &Incarnation,
+                   const std::string &Target = "/") {
     UpstreamCall Call;
     Call.Authority = authority();
     Call.Incarnation = Incarnation;
-    Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
+    Call.Request = {"GET", Target, {{"Host", "h"}}, ""};
     Call.ConnectTimeout = std::chrono::seconds(2);
     return Sender.send(std::move(Call)).End;
   }
@@ -31,6 +34,18 @@
       REQUIRE(send(std::to_string(I)) == UpstreamEnd::Complete);
   }
 
+  /// Sends a request during which closeIdle() is called; returns its end.
+  UpstreamEnd sendWhileLeaving(const std::string &Incarnation,
+                               const std::string &Leaving,
+                               const std::string &KeptAuthority) {
+    auto Running = std::async(std::launch::async,
+                              [&] { return send(Incarnation, "/held"); });
+    const std::shared_ptr<HttpExchange> Held = Server.held();
+    Sender.run([&] { Sender.client().closeIdle(Leaving, KeptAuthority); });
+    Held->respond({200, {}, "held"});
+    return Running.get();
+  }
+
   std::size_t idle() {
     std::size_t Out = 0;
     Sender.run([&] { Out = Sender.client().idleConnections(); });
@@ -79,6 +94,24 @@
   CHECK(All.connects() == Before + 1);
 }
 
+// Guards against a connection that is kept, up to the end of its idle time,
+// because the endpoint was removed while a request was in progress.
+TEST_CASE("a connection in use is closed once its incarnation has left") {
+  Incarnations All;
+  CHECK(All.sendWhileLeaving("0", "0", "") == UpstreamEnd::Complete);
+  CHECK(All.idle() == 0);
+  CHECK(All.sendWhileLeaving("0", "0", "127.0.0.1:1") == UpstreamEnd::Complete);
+  CHECK(All.idle() == 0);
+  // One that stays, or comes back, keeps its connection.
+  CHECK(All.sendWhileLeaving("0", "1", "") == UpstreamEnd::Complete);
+  CHECK(All.idle() == 1);
+  const std::uint64_t Before = All.connects();
+  CHECK(All.sendWhileLeaving("0", "0", All.authority()) ==
+        UpstreamEnd::Complete);
+  CHECK(All.idle() == 1);
+  CHECK(All.connects() == Before);
+}
+
 // Guards against a number of idle connections that nothing bounds, and against
 // bounds that close the connections that were used last.
 TEST_CASE("the idle connections that were unused for longest are closed") {
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -65,6 +65,7 @@
   }
 
   void start() {
+    Use = Connections->use(Peer);
     Active = Connections->take(Peer, hashOfId(Call.RequestId));
     if (Active)
       return write();
@@ -235,13 +236,14 @@
 
   /// Returns the connection to the pool unless data follows the response or the
   /// request was not written completely: the endpoint might take the next
-  /// request for the rest of this one.
+  /// request for the rest of this one. A connection to an endpoint that has
+  /// left meanwhile is closed, as nothing would use it.
   void keepConnection() {
     if (!Active)
       return;
     if (Active->Buffer.size() > 0)
       ++Connections->Counters.StrayDataConnections;
-    else if (Written)
+    else if (Written && !Use->Left)
       Connections->keep(Peer, std::move(Active), IdleTimeLimit);
     Active.reset();
   }
@@ -267,6 +269,7 @@
   std::shared_ptr<UpstreamPool> Connections;
   UpstreamCall Call;
   IdlePeer Peer;
+  std::shared_ptr<PeerUse> Use;
   UpstreamHandlers Handlers;
   asio::io_context::executor_type Executor;
   SteadyTime Deadline;
@@ -301,7 +304,7 @@
 
   void closeIdle(const std::string &Incarnation,
                  const std::string &KeptAuthority) override {
-    Connections->idle().closeIncarnation(Incarnation, KeptAuthority);
+    Connections->closeIncarnation(Incarnation, KeptAuthority);
   }
 
   std::size_t closeOldestIdle(std::size_t Count) override {
--- a/src/hyssoprail/connection/upstream_pool.cpp
+++ b/src/hyssoprail/connection/upstream_pool.cpp
@@ -86,6 +86,42 @@
     Idle->keep(Peer, std::move(C), IdleTime);
 }
 
+std::shared_ptr<PeerUse> UpstreamPool::use(const IdlePeer &Peer) {
+  if (const auto Found = Uses.find(Peer); Found != Uses.end())
+    if (auto Present = Found->second.lock())
+      return Present;
+  std::shared_ptr<PeerUse> Out(new PeerUse,
+                               [Weak = weak_from_this(), Peer](PeerUse *Ended) {
+                                 delete Ended;
+                                 if (const auto Self = Weak.lock())
+                                   Self->forget(Peer);
+                               });
+  Uses[Peer] = Out;
+  return Out;
+}
+
+void UpstreamPool::closeIncarnation(const std::string &Incarnation,
+                                    const std::string &KeptAuthority) {
+  auto It = Uses.lower_bound({Incarnation, ""});
+  while (It != Uses.end() && It->first.Incarnation == Incarnation) {
+    const auto Present = It++;
+    if (Present->first.Authority == KeptAuthority)
+      continue;
+    if (const auto Use = Present->second.lock())
+      Use->Left = true;
+    // A peer that comes back is used anew.
+    Uses.erase(Present);
+  }
+  Idle->closeIncarnation(Incarnation, KeptAuthority);
+}
+
+/// Another request may have begun to use the peer anew.
+void UpstreamPool::forget(const IdlePeer &Peer) {
+  const auto Found = Uses.find(Peer);
+  if (Found != Uses.end() && Found->second.expired())
+    Uses.erase(Found);
+}
+
 UpstreamCounters UpstreamPool::counters() const {
   UpstreamCounters Out = Counters;
   Out.StrayDataConnections += Idle->strayData();
--- a/src/hyssoprail/connection/upstream_pool.hpp
+++ b/src/hyssoprail/connection/upstream_pool.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_CONNECTION_UPSTREAM_POOL_HPP
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,8 +24,13 @@
 /// ("timeout=N") may stay idle and still be reused.
 std::chrono::milliseconds reusableIdleTime(std::string_view KeepAlive);
 
+/// What the requests in progress to one peer share.
+struct PeerUse {
+  bool Left = false; ///< the peer has left: its connections are not kept
+};
+
 /// The connections of an UpstreamClient that are not in use.
-class UpstreamPool {
+class UpstreamPool : public std::enable_shared_from_this<UpstreamPool> {
 public:
   explicit UpstreamPool(boost::asio::io_context &Context);
 
@@ -37,6 +43,14 @@
   void keep(const IdlePeer &Peer, ClientConnectionPtr C,
             std::chrono::milliseconds IdleTime);
 
+  /// Returns what a request to \p Peer holds until it ends.
+  std::shared_ptr<PeerUse> use(const IdlePeer &Peer);
+
+  /// Closes the idle connections to an incarnation, but those to \p
+  /// KeptAuthority, and marks those that are in use.
+  void closeIncarnation(const std::string &Incarnation,
+                        const std::string &KeptAuthority);
+
   /// Closes the idle connections to a peer that has failed.
   void drop(const IdlePeer &Peer) { Idle->close(Peer); }
 
@@ -56,8 +70,12 @@
   UpstreamCounters Counters;
 
 private:
+  void forget(const IdlePeer &Peer);
+
   boost::asio::io_context &Context;
   std::shared_ptr<IdleConnections> Idle;
+  /// Peers to which requests are in progress.
+  std::map<IdlePeer, std::weak_ptr<PeerUse>> Uses;
 };
 
 } // namespace hyssoprail
