UpstreamClient: a body may wait for an endpoint that reads slowly

TCP_USER_TIMEOUT (3 s) is there for peers behind a partition, but the kernel also applies it to a window that stays closed, although the peer acknowledges the probes. So a request whose endpoint read nothing for 3 s was broken off, as one that may have run, within its deadline.

A body of more than 32 KiB, which may not fit into the window, gets the time of its request instead (HeadTimeout, which the legs set to the time that is left).

--- a/src/hyssoprail/connection/client_connection.hpp
+++ b/src/hyssoprail/connection/client_connection.hpp
@@ -24,6 +24,8 @@
   boost::beast::flat_buffer Buffer;
   std::chrono::steady_clock::time_point UsableUntil; ///< while it is idle
   std::chrono::steady_clock::time_point ConnectedAt;
+  /// Time after which it fails without an acknowledgement; 0: the kernel's own.
+  std::chrono::milliseconds UserTimeout{0};
   std::vector<std::size_t> SentIds; ///< hashes of the ids that were sent on it
 
   /// Also true, rarely, for an id whose hash is the same.
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -124,6 +124,7 @@
       if (mayForwardHeader(H))
         Message.insert(H.Name, H.Value);
     const std::string &Body = Call.Body ? *Call.Body : Call.Request.Body;
+    setAcknowledgementLimit(*Active, Body.size(), Call.HeadTimeout);
     Message.body() = {Body.data(), Body.size()};
     if (!Body.empty() || expectsLength(Message.method()))
       Message.content_length(Body.size());
--- a/src/hyssoprail/connection/upstream_pool.cpp
+++ b/src/hyssoprail/connection/upstream_pool.cpp
@@ -26,12 +26,24 @@
 
 /// A connection fails if sent data stays unacknowledged for this time, because
 /// a peer behind a network partition sends no reset.
-constexpr int UserTimeoutMs = 3'000;
+constexpr milliseconds UserTimeout{3'000};
+
+/// Bodies up to this size fit into the window of an endpoint that does not read
+/// (65,535 bytes at the start of a connection), with their heads. The kernel
+/// fails a connection whose window stays closed for the user timeout, too.
+constexpr std::size_t WindowBytes = std::size_t{32} * 1024;
 
 /// Limit of received bytes that cannot be parsed yet: an incomplete response
 /// head, or the size and the extensions of a chunk.
 constexpr std::size_t MaxBufferedBytes = std::size_t{128} * 1024;
 
+void setUserTimeout(tcp::socket &Socket, milliseconds Limit) {
+  using Option = boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                             TCP_USER_TIMEOUT>;
+  boost::system::error_code Ignored;
+  Socket.set_option(Option(static_cast<int>(Limit.count())), Ignored);
+}
+
 } // namespace
 
 std::size_t hashOfId(const std::string &RequestId) {
@@ -41,10 +53,14 @@
 void setUpstreamOptions(tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
-  using UserTimeout =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                  TCP_USER_TIMEOUT>;
-  Socket.set_option(UserTimeout(UserTimeoutMs), Ignored);
+}
+
+void setAcknowledgementLimit(ClientConnection &C, std::size_t BodyBytes,
+                             milliseconds Timeout) {
+  const milliseconds Limit =
+      BodyBytes <= WindowBytes ? UserTimeout : std::max(UserTimeout, Timeout);
+  if (std::exchange(C.UserTimeout, Limit) != Limit)
+    setUserTimeout(C.Stream.socket(), Limit);
 }
 
 milliseconds reusableIdleTime(std::string_view KeepAlive) {
--- a/src/hyssoprail/connection/upstream_pool.hpp
+++ b/src/hyssoprail/connection/upstream_pool.hpp
@@ -20,6 +20,11 @@
 
 void setUpstreamOptions(boost::asio::ip::tcp::socket &Socket);
 
+/// Sets after which time without an acknowledgement the connection fails.
+/// \p BodyBytes and \p Timeout are those of the request that is sent next.
+void setAcknowledgementLimit(ClientConnection &C, std::size_t BodyBytes,
+                             std::chrono::milliseconds Timeout);
+
 /// Returns how long a connection with this Keep-Alive header value
 /// ("timeout=N") may stay idle and still be reused.
 std::chrono::milliseconds reusableIdleTime(std::string_view KeepAlive);
