--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -65,6 +65,7 @@
   }
 
   void start() {
+    Use = Connections->use(Peer);
     Active = Connections->take(Peer, hashOfId(Call.RequestId));
     if (Active)
       return write();
@@ -123,6 +124,7 @@
       if (mayForwardHeader(H))
         Message.insert(H.Name, H.Value);
     const std::string &Body = Call.Body ? *Call.Body : Call.Request.Body;
+    setAcknowledgementLimit(*Active, Body.size(), Call.HeadTimeout);
     Message.body() = {Body.data(), Body.size()};
     if (!Body.empty() || expectsLength(Message.method()))
       Message.content_length(Body.size());
@@ -235,13 +237,14 @@
 
   /// Returns the connection to the pool unless data follows the response or the
   /// request was not written completely: the endpoint might take the next
-  /// request for the rest of this one.
+  /// request for the rest of this one. A connection to an endpoint that has
+  /// left meanwhile is closed, as nothing would use it.
   void keepConnection() {
     if (!Active)
       return;
     if (Active->Buffer.size() > 0)
       ++Connections->Counters.StrayDataConnections;
-    else if (Written)
+    else if (Written && !Use->Left)
       Connections->keep(Peer, std::move(Active), IdleTimeLimit);
     Active.reset();
   }
@@ -267,6 +270,7 @@
   std::shared_ptr<UpstreamPool> Connections;
   UpstreamCall Call;
   IdlePeer Peer;
+  std::shared_ptr<PeerUse> Use;
   UpstreamHandlers Handlers;
   asio::io_context::executor_type Executor;
   SteadyTime Deadline;
@@ -301,7 +305,7 @@
 
   void closeIdle(const std::string &Incarnation,
                  const std::string &KeptAuthority) override {
-    Connections->idle().closeIncarnation(Incarnation, KeptAuthority);
+    Connections->closeIncarnation(Incarnation, KeptAuthority);
   }
 
   std::size_t closeOldestIdle(std::size_t Count) override {
