Rollout gate: a choice follows the end of its rollout

Cause: a request chooses its version once, but may be sent again after a rollback, a completion or another order. Change: RolloutGate::update() gives what an earlier choice allows now; knows() tells whether a service has a rollout.

--- a/include/hyssoprail/rollout/rollout_gate.hpp
+++ b/include/hyssoprail/rollout/rollout_gate.hpp
@@ -69,6 +69,16 @@
   /// Takes back what choose() charged for a request of which nothing was sent.
   void refund(const RolloutRequest &Request, const VersionChoice &Choice);
 
+  /// What a request that chose \p Chosen for \p Service may use now: the old
+  /// version after a rollback, the target after a completion.
+  VersionChoice update(std::string_view Service,
+                       const VersionChoice &Chosen) const;
+
+  /// True if a rollout of \p Service is known, whatever its state.
+  bool knows(std::string_view Service) const {
+    return Rollouts.contains(Service);
+  }
+
   /// Charges a send beyond those planned in choose().
   void recordExtraSend(std::string_view Service, std::string_view Version);
 
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -146,6 +146,22 @@
     R->Counts.TargetRequests -= std::min(R->Counts.TargetRequests, Sends);
 }
 
+VersionChoice RolloutGate::update(std::string_view Service,
+                                  const VersionChoice &Chosen) const {
+  const auto It = Rollouts.find(Service);
+  if (It == Rollouts.end())
+    return Chosen;
+  const RolloutDecision &D = It->second.Decision;
+  if (D.Phase == RolloutPhase::Completed)
+    return choice(VersionChoice::Kind::Target, D.Target);
+  const bool StaysAtTarget = Chosen.Use == VersionChoice::Kind::Target &&
+                             Chosen.Target == D.Target &&
+                             D.Phase != RolloutPhase::RolledBack;
+  if (StaysAtTarget || Chosen.Use == VersionChoice::Kind::Later)
+    return Chosen;
+  return choice(VersionChoice::Kind::Old, D.Target);
+}
+
 void RolloutGate::recordExtraSend(std::string_view Service,
                                   std::string_view Version) {
   Rollout *R = find(Service);
