Rollouts: orders and states travel between the store, the entries and the coordinator

Cause: nothing read rollout orders or wrote their states, and the library rollout was not connected. Change: StoreFeed reads orders (also from other entries' /state) and states, and writes a state under a condition on the end of the topic; a final state, or that of a newer order, is never overwritten. An order keeps its id when the store comes back from a copy. RolloutExchange, owned by Coordination, carries evidence and decisions, polls the controller, writes states and logs each step. No request is divided between versions yet.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -53,7 +53,8 @@
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
       Calls(State.Table), Grants(State.Table), Leavers(State.Table),
-      Election(Settings.Name, Incarnation), Peers(Peers) {}
+      Election(Settings.Name, Incarnation), Peers(Peers),
+      Rollouts(Settings, Incarnation, State.Feed, Log) {}
 
 Status Coordination::start() {
   return Peers.start(
@@ -110,6 +111,7 @@
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
+  State.Feed.setReadsRolloutStates(Rollouts.enabled() && ReadsStore);
   if (!Election.isCoordinator()) {
     if (reportDue(Now) && Election.currentClaim())
       sendReport(*Election.currentClaim(), Now);
@@ -124,6 +126,7 @@
     Leavers.forgetPeers();
   Scheduler.sampleUtilization(Now);
   Deputies = Server.deputies(DeputyCount, Now);
+  decideRollouts(Now);
   chooseSource(Now);
   Server.chooseNearbySources(Now);
   reportOrDecide();
@@ -138,6 +141,7 @@
   // Does not wait for a report of the previous coordinator.
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
+  Rollouts.startTerm(Now);
   forgetCrashPeers();
   Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
@@ -213,6 +217,7 @@
     takeLeaving(Report);
   }
   Grants.handleReport(Report, Now);
+  Rollouts.takeReport(Report);
 }
 
 /// Merges what a report or an update tells of endpoints that leave.
@@ -318,6 +323,7 @@
       for (const wire::AccountUse &Use : Update.accounts())
         State.Quota.raiseDebt(Use.account(), Use.debt(), Now);
   }
+  Rollouts.applyUpdate(Update, Now);
   applyDecisions(Update, Now);
   if (hasUnreportedChange())
     notifyStateChanged();
@@ -354,6 +360,7 @@
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
   Leavers.fill(To, R);
+  Rollouts.fillReport(R, Now);
   ReportedAt = Now;
   return R;
 }
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -13,6 +13,7 @@
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
 #include "hyssoprail/gateway/peer_transport.hpp"
+#include "hyssoprail/gateway/rollout_exchange.hpp"
 #include "hyssoprail/process/decision_log.hpp"
 #include "hyssoprail/routing/admission_client.hpp"
 #include "hyssoprail/routing/admission_server.hpp"
@@ -81,7 +82,12 @@
   void shutDown();
 
   /// The store may have lost what this entry has published.
-  void storeRestored() { CrashesPublished = 0; }
+  void storeRestored() {
+    CrashesPublished = 0;
+    Rollouts.storeRestored();
+  }
+
+  RolloutExchange &rollouts() { return Rollouts; }
 
   routing::StreamAdmission &admission() { return Client; }
   routing::CallGrantClient &calls() { return Calls; }
@@ -145,6 +151,7 @@
 
   void reportOrDecide();
   void decide(TimePoint Now);
+  void decideRollouts(TimePoint Now);
   void measureRooms(TimePoint Now);
   wire::FleetSource ownSource() const;
   FeedPosition sourcePosition() const;
@@ -183,6 +190,7 @@
   routing::LeavingExchange Leavers;
   routing::CoordinatorElection Election;
   PeerTransport &Peers;
+  RolloutExchange Rollouts;
 
   std::map<std::string, PeerEntry> Entries; ///< by name, without this one
   bool ElectionStarted = false;
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -58,6 +58,20 @@
     notifyStateChanged();
 }
 
+void Coordination::decideRollouts(TimePoint Now) {
+  Rollouts.decide(
+      [&](std::string_view Service, std::string_view Version) {
+        std::size_t Count = 0;
+        State.Table.forEach([&](const routing::Endpoint &E) {
+          if (E.Record.Service == Service && E.Record.Version == Version &&
+              State.Table.takesWork(E, Now, routing::Sender::AnyEntry))
+            ++Count;
+        });
+        return Count;
+      },
+      Now);
+}
+
 void Coordination::measureRooms(TimePoint Now) {
   if (!Config || Now - RoomsMeasuredAt < RoomsInterval)
     return;
@@ -109,6 +123,7 @@
   Grants.fillUpdate(Entry, U, Now);
   if (Entry == Settings.Name)
     return U;
+  Rollouts.fillUpdate(Entry, U, Now);
   Leavers.fill(Entry, U);
   State.Crashes.fillNews(Entry, U, Now);
   return U;
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -31,6 +31,9 @@
   void setReadsCrashRecords(bool) override {}
   void publishCrashRecord(const std::string &,
                           std::function<void(bool)>) override {}
+  void setReadsRolloutStates(bool) override {}
+  void writeRolloutState(const rollout::StatusRecord &,
+                         std::function<void(bool)>) override {}
   void withOrderLease(std::function<void(std::uint64_t)>) override {}
   void releaseOrderLease() override {}
   std::uint64_t storeCalls() const override { return 0; }
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hyssoprail/rollout/rollout_controller.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
 
@@ -80,6 +81,18 @@
   /// A coordinator has published what it knows of crashes of engines.
   virtual void onCrashRecord(std::string_view Record) = 0;
 
+  /// The operator ordered a rollout, first known to this entry or to the one
+  /// that it follows \p Age ago. A newer order for a service has a greater id.
+  virtual void onRolloutOrder(const rollout::RolloutOrder &Order,
+                              Duration Age) = 0;
+
+  /// The operator removed the order for \p Service.
+  virtual void onRolloutWithdrawn(std::string_view Service) = 0;
+
+  /// The store has \p State of an order, or a state of a newer order for the
+  /// same service in its place.
+  virtual void onRolloutState(const rollout::StatusRecord &State) = 0;
+
   /// The store stopped answering calls on \p Topic, or answers them again.
   virtual void onStoreLost(std::string_view Topic, std::string_view Why) = 0;
   virtual void onStoreRegained(std::string_view Topic) = 0;
@@ -157,6 +170,16 @@
   virtual void publishCrashRecord(const std::string &Record,
                                   std::function<void(bool Written)> OnDone) = 0;
 
+  /// Sets whether this entry reads the stored states of rollouts.
+  virtual void setReadsRolloutStates(bool Reads) = 0;
+
+  /// Writes a state of a rollout. Does not overwrite a final state of the same
+  /// order, nor a state of a newer one. The listener is told what the store has
+  /// then. \p OnDone tells whether that is known; if not, the state may or may
+  /// not have been written, and the call is to be repeated.
+  virtual void writeRolloutState(const rollout::StatusRecord &State,
+                                 std::function<void(bool Known)> OnDone) = 0;
+
   /// Requests or renews the lease on sending orders to engines. Calls \p Use
   /// with its fencing token if this entry holds it and no other entry can have
   /// sent an order shortly before. To be repeated while the lease is needed.
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -64,6 +64,10 @@
   void onEntries(const std::vector<EntryAddress> &Entries) override;
   void onBadRecord(std::string_view Key, std::string_view Field) override;
   void onCrashRecord(std::string_view Record) override;
+  void onRolloutOrder(const rollout::RolloutOrder &Order,
+                      Duration Age) override;
+  void onRolloutWithdrawn(std::string_view Service) override;
+  void onRolloutState(const rollout::StatusRecord &State) override;
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
   void onStoreRestored(std::uint64_t Era) override;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -129,6 +129,19 @@
   Crashes.merge(Record, Time.now(), Time.unixMicros());
 }
 
+void GatewayRuntime::onRolloutOrder(const rollout::RolloutOrder &Order,
+                                    Duration Age) {
+  FleetCoordination.rollouts().order(Order, Age, Time.now());
+}
+
+void GatewayRuntime::onRolloutWithdrawn(std::string_view Service) {
+  FleetCoordination.rollouts().withdraw(Service);
+}
+
+void GatewayRuntime::onRolloutState(const rollout::StatusRecord &State) {
+  FleetCoordination.rollouts().applyStored(State);
+}
+
 void GatewayRuntime::onStoreLost(std::string_view Topic, std::string_view Why) {
   Log.write(LogCategory::Outcome, "store_lost", "",
             {{"topic", Topic}, {"why", Why}});
