Rollouts: each request keeps to the version that it chose

Cause: calls and generations used all registered endpoints of a service, whatever their version. Change: RequestVersion binds a request to a version at the start of its flow, filters endpoints, grants and placements (StreamWant.version), and counts sends, runs and answers. What the target does not serve falls back to the old version until an event has reached the caller. The scheduler gives engines of unproven versions only to requests that name them. An endpoint of a version that is new to its service gets no work for 2 s, unless its order is known.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -44,6 +44,11 @@
   /// Speed of an engine relative to the median of its service. Exactly 1 while
   /// it is unknown, or the engines of the service count as equally fast.
   double SpeedFactor = 1;
+  /// When this entry first saw the incarnation; not set if that was at its own
+  /// start or is unknown.
+  TimePoint SeenAt{};
+  /// Gets no work before: the order for its version may still be on its way.
+  TimePoint HeldUntil{};
   /// False after the registration was removed; work may still run.
   bool Registered = true;
 
@@ -91,6 +96,10 @@
   /// incarnation, draining flag, stage, address or cold state changed.
   bool apply(const EndpointRecord &Record);
 
+  /// Records that the present incarnation of the endpoint was first seen at \p
+  /// SeenAt and gets no work before \p HeldUntil.
+  void noteSeen(std::string_view Id, TimePoint SeenAt, TimePoint HeldUntil);
+
   /// Handles the removal of a registration.
   void remove(std::string_view Id);
 
@@ -179,7 +188,7 @@
   /// True if \p E takes new work, as far as is known without its health.
   bool takesWork(const Endpoint &E, TimePoint Now,
                  Sender From = Sender::ThisEntry) const {
-    return inService(E) &&
+    return inService(E) && Now >= E.HeldUntil &&
            (From == Sender::AnyEntry || !E.Availability.paused(Now));
   }
 
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "hyssoprail/rollout/rollout_gate.hpp"
 #include "hyssoprail/routing/call_admission.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
@@ -29,6 +30,8 @@
   RetryLimiter &Retries;
   LengthEstimator &Lengths;
   std::string Zone; ///< availability zone of this entry
+  /// Divides requests between versions; null if no rollouts are carried out.
+  rollout::RolloutGate *Rollouts = nullptr;
 };
 
 /// An admitted request with the parts of the configuration that apply to it.
--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -37,6 +37,8 @@
   bool IsRetry = false; ///< the caller repeats a request that was rejected
   /// The prompt has been prefilled: no prefill engine is needed.
   bool HasKvCache = false;
+  /// Version that the engines must have; empty: any proven one.
+  std::string Version;
   /// These have failed the request or refuse all requests of the entry.
   std::vector<std::string> ExcludedEndpoints;
 };
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_STREAM_SCHEDULER_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -48,6 +49,12 @@
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
+  /// Sets the function that tells versions of a service which only requests
+  /// that name them may use.
+  using VersionTest =
+      std::function<bool(std::string_view Service, std::string_view Version)>;
+  void setUnproven(VersionTest Test) { IsUnproven = std::move(Test); }
+
   /// Sets the share of the fleet's load that this scheduler knows of, 0 to 1.
   /// The smaller it is, the more placements are randomized, so that schedulers
   /// which do not receive each other's reports do not all choose the same
@@ -135,7 +142,9 @@
 
   enum class Verdict { Placed, Refused, Waits };
 
-  Pool makePool(std::string_view Service, TimePoint Now);
+  Pool makePool(std::string_view Service, std::string_view Version,
+                TimePoint Now);
+  bool hasVersion(const Endpoint &E, std::string_view Version) const;
   static void updateFreeMemory(Pool &P);
   std::vector<const StreamRequest *> dispatchOrder(TimePoint Now) const;
   Verdict decide(const StreamRequest &Request, Pool &Engines,
@@ -162,6 +171,7 @@
   StreamSchedulerOptions Options;
   EndpointTable &Table;
   FleetConfigPtr Config;
+  VersionTest IsUnproven;
   double KnownLoadShare = 1;
   std::map<std::string, Queued, std::less<>> Waiting;
   std::uint64_t LastSerial = 0;
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -54,7 +54,12 @@
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
       Calls(State.Table), Grants(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers),
-      Rollouts(Settings, Incarnation, State.Feed, Log) {}
+      Rollouts(Settings, Incarnation, State.Feed, Log) {
+  Scheduler.setUnproven(
+      [this](std::string_view Service, std::string_view Version) {
+        return Rollouts.gate().isUnproven(Service, Version);
+      });
+}
 
 Status Coordination::start() {
   return Peers.start(
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -197,14 +197,16 @@
       sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
-    const routing::SharedFlowState Shared{Table,
-                                          EngineSignals,
-                                          Crashes,
-                                          FleetCoordination.admission(),
-                                          FleetCoordination.calls(),
-                                          Retries,
-                                          Lengths,
-                                          Settings.Zone};
+    const routing::SharedFlowState Shared{
+        Table,
+        EngineSignals,
+        Crashes,
+        FleetCoordination.admission(),
+        FleetCoordination.calls(),
+        Retries,
+        Lengths,
+        Settings.Zone,
+        FleetCoordination.rollouts().usedGate()};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -85,8 +85,19 @@
 }
 
 void GatewayRuntime::onEndpoint(const routing::EndpointRecord &Record) {
+  const routing::Endpoint *Known = Table.find(Record.Id);
+  const bool NewIncarnation = !Known ||
+                              Known->Record.StartedAtMs != Record.StartedAtMs ||
+                              Known->Record.Version != Record.Version;
   if (!Table.apply(Record))
     return;
+  if (NewIncarnation) {
+    const TimePoint Now = Time.now();
+    Table.noteSeen(
+        Record.Id, EndpointsComplete ? Now : TimePoint{},
+        FleetCoordination.rollouts().noteVersion(Record.Service, Record.Version,
+                                                 !EndpointsComplete, Now));
+  }
   Endpoints->closeIdle(Record.Id, Record.Draining ? "" : Record.Address);
   Log.write(LogCategory::Outcome, "endpoint", "",
             {{"endpoint", Record.Id},
@@ -132,6 +143,10 @@
 void GatewayRuntime::onRolloutOrder(const rollout::RolloutOrder &Order,
                                     Duration Age) {
   FleetCoordination.rollouts().order(Order, Age, Time.now());
+  Table.forEach([&](routing::Endpoint &E) {
+    if (E.Record.Service == Order.Service && E.Record.Version == Order.Target)
+      E.HeldUntil = {};
+  });
 }
 
 void GatewayRuntime::onRolloutWithdrawn(std::string_view Service) {
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -34,6 +34,7 @@
   W.set_beyond_quota(Request.BeyondQuota);
   W.set_returning(Request.IsRetry);
   W.set_has_cache(Request.HasKvCache);
+  W.set_version(Request.Version);
   for (const std::string &Id : Request.ExcludedEndpoints)
     W.add_avoid(Id);
   return W;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -52,6 +52,7 @@
   Out.BeyondQuota = Want.beyond_quota();
   Out.IsRetry = Want.returning();
   Out.HasKvCache = Want.has_cache();
+  Out.Version = Want.version();
   Out.ExcludedEndpoints.assign(Want.avoid().begin(), Want.avoid().end());
   return Out;
 }
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/routing/endpoint_choice.hpp"
 #include "hyssoprail/routing/flow.hpp"
 #include "hyssoprail/routing/leg_health_signal.hpp"
+#include "hyssoprail/routing/request_version.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -41,6 +42,7 @@
   FlowIo::LegId Leg;
   std::string Endpoint;
   RunCrashWatch::Run Watched;
+  RequestVersion::Run VersionRun;
 };
 
 /// State machine of a plain call.
@@ -48,9 +50,16 @@
 public:
   CallFlow(SharedFlowState Shared, FlowRequest Request, FlowIo &Io)
       : Shared(std::move(Shared)), Request(std::move(Request)), Io(Io),
-        Crashes(this->Shared.Crashes.watch(this->Request.Info)) {}
-
-  void start(TimePoint Now) override { send(Now); }
+        Crashes(this->Shared.Crashes.watch(this->Request.Info)),
+        Version(this->Shared.Rollouts, this->Shared.Table,
+                this->Request.Service, this->Request.Route.Name, idempotent(),
+                1) {}
+
+  void start(TimePoint Now) override {
+    if (const auto Wait = Version.choose(Request.Route.LatencyObjective, Now))
+      return finish(RejectReason::NoCapacity, *Wait, Now);
+    send(Now);
+  }
 
   void onLegResult(FlowIo::LegId Leg, LegResult R, TimePoint Now) override {
     if (Done)
@@ -58,6 +67,7 @@
     if (Leg != ActiveLeg)
       return onSilentLegResult(Leg, std::move(R), Now);
     endLeg();
+    Version.end(ActiveRun, versionEvidence(R), Now);
     recordHealth(ActiveEndpoint, R, Now);
     recordCrashEvidence(R, Now);
     if (R.Outcome == LegOutcome::NotSent)
@@ -96,7 +106,7 @@
     if (!Io.stillAllowed())
       return onRevokedKey(Now);
     Endpoint *E = Shared.Table.find(Grant.EndpointId);
-    if (E && Shared.Table.mayReceive(*E, Now))
+    if (E && Shared.Table.mayReceive(*E, Now) && Version.allows(*E))
       return sendTo(*E, Now);
     // The coordinator may know an endpoint before this entry, or not know yet
     // that it takes no work, so it would grant the same one again.
@@ -152,22 +162,33 @@
     GrantDeadline = Now + GrantTimeout;
     std::vector<std::string> Excluded =
         Shared.Table.refusing(Request.Service, Now);
-    Excluded.insert(Excluded.end(), TriedEndpoints.begin(),
-                    TriedEndpoints.end());
+    const auto Skipped = skippedEndpoints();
+    Excluded.insert(Excluded.end(), Skipped.begin(), Skipped.end());
     Shared.Calls.submit(
         {Request.SessionId, Request.Service, std::move(Excluded)});
   }
 
+  /// The endpoints of the version that the request may use come first. If the
+  /// target has none left, the old version serves it.
   Endpoint *chooseUsable(TimePoint Now) {
-    return chooseForCall(Shared.Table, Request.Service, Shared.Zone,
-                         TriedEndpoints, Now);
+    Endpoint *E = chooseForCall(Shared.Table, Request.Service, Shared.Zone,
+                                skippedEndpoints(), Now);
+    return !E && Version.fallBack() ? chooseUsable(Now) : E;
+  }
+
+  /// Endpoints that the call must not be sent to.
+  std::set<std::string, std::less<>> skippedEndpoints() {
+    std::set<std::string, std::less<>> Out = TriedEndpoints;
+    for (std::string &Id : Version.disallowed())
+      Out.insert(std::move(Id));
+    return Out;
   }
 
   /// True if an endpoint whose requests are granted one by one is better than
   /// \p Usable. Remembers the time to return if no grant can be had now.
   bool shouldAskForGrant(const Endpoint *Usable, TimePoint Now) {
     if (!worthAskingForGrant(Shared.Table, Request.Service, Shared.Zone,
-                             TriedEndpoints, Usable, Now))
+                             skippedEndpoints(), Usable, Now))
       return false;
     const auto Denied = Shared.Calls.deniedFor(Request.Service, Now);
     DeniedRetryAfter = Denied.value_or(milliseconds(0));
@@ -200,6 +221,7 @@
     Shared.Table.reserve(ActiveEndpoint, {1, 0, 0});
     Shared.Table.recordSend(ActiveEndpoint, Now);
     Crashes.begin(E.Record, Now);
+    ActiveRun = Version.begin(E, Now);
     LegRequest Leg;
     Leg.EndpointId = E.Record.Id;
     Leg.Address = E.Record.Address;
@@ -219,17 +241,20 @@
     Shared.Table.release(ActiveEndpoint, {1, 0, 0});
   }
 
-  /// Cancels all legs.
-  void stopLegs() {
+  /// Cancels all legs. Nothing is known of the answer of the active one; a
+  /// silent one takes at least as long as it did so far.
+  void stopLegs(TimePoint Now) {
     if (ActiveLeg) {
       MayHaveRun = true;
       Io.cancelLeg(*ActiveLeg);
       endLeg();
+      Version.end(ActiveRun, std::nullopt, Now);
     }
     for (const SilentLeg &L : std::exchange(SilentLegs, {})) {
       MayHaveRun = true;
       Io.cancelLeg(L.Leg);
       Shared.Table.release(L.Endpoint, {1, 0, 0});
+      Version.end(L.VersionRun, RequestVersion::Result::Success, Now);
     }
   }
 
@@ -257,6 +282,7 @@
   /// The last endpoint has not run the request, so it may be sent to another
   /// one even if it is not idempotent.
   void sendToAnother(LegOutcome Outcome, TimePoint Now) {
+    Version.fallBack();
     const bool Arrived = Outcome != LegOutcome::NotSent;
     if (LegCount >= MaxLegs || (Arrived && !chargeRetry(Now)))
       return giveUp(Now);
@@ -309,6 +335,7 @@
   }
 
   bool canRunAgain(TimePoint Now) {
+    Version.fallBack();
     return idempotent() && runs() < Request.Route.MaxAttempts &&
            LegCount < MaxLegs && Crashes.mayRunAgain() &&
            !Crashes.isQuarantined(Now) && chooseUsable(Now) && chargeRetry(Now);
@@ -323,7 +350,7 @@
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
       E->Health.record(HealthSignal::RouteTimeout, Now);
     SilentLegs.push_back({*std::exchange(ActiveLeg, std::nullopt),
-                          ActiveEndpoint, Crashes.run()});
+                          ActiveEndpoint, Crashes.run(), ActiveRun});
     send(Now);
   }
 
@@ -338,6 +365,7 @@
     SilentLeg Ended = std::move(*It);
     SilentLegs.erase(It);
     Shared.Table.release(Ended.Endpoint, {1, 0, 0});
+    Version.end(Ended.VersionRun, versionEvidence(R), Now);
     recordHealth(Ended.Endpoint, R, Now);
     RunCrashWatch::Run Present = Crashes.run();
     Crashes.restore(std::move(Ended.Watched));
@@ -410,9 +438,12 @@
   }
 
   void onDeadline(TimePoint Now) {
-    if (ActiveLeg)
+    if (ActiveLeg) {
       if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
         E->Health.record(HealthSignal::RouteTimeout, Now);
+      Version.end(std::exchange(ActiveRun, {}), RequestVersion::Result::Lost,
+                  Now);
+    }
     if (FailedResponse)
       return finishWith(*FailedResponse, Now);
     finish(mayHaveRun() ? RejectReason::TimedOut : RejectReason::NotRunInTime,
@@ -432,7 +463,8 @@
   /// Releases all that the call holds.
   void end(TimePoint Now) {
     stopWaiting();
-    stopLegs();
+    stopLegs(Now);
+    Version.giveBack();
     refundRetry(Now);
     Done = true;
   }
@@ -441,6 +473,8 @@
   FlowRequest Request;
   FlowIo &Io;
   RunCrashWatch Crashes;
+  RequestVersion Version;
+  RequestVersion::Run ActiveRun;
   /// Endpoints that the call was sent to, or that were granted and cannot be
   /// used by this entry.
   std::set<std::string, std::less<>> TriedEndpoints;
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -271,6 +271,15 @@
     Known.Limit.setShare(Share, Now);
 }
 
+void EndpointTable::noteSeen(std::string_view Id, TimePoint SeenAt,
+                             TimePoint HeldUntil) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  E->SeenAt = SeenAt;
+  E->HeldUntil = HeldUntil;
+}
+
 Endpoint *EndpointTable::find(std::string_view Id) {
   const auto It = ById.find(Id);
   return It == ById.end() ? nullptr : &It->second;
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -17,6 +17,9 @@
   return !headerValue(Head.Headers, "Transfer-Encoding").empty();
 }
 
+/// A prefill and a decode.
+constexpr unsigned PlannedSends = 2;
+
 } // namespace
 
 StreamFlow::StreamFlow(SharedFlowState Shared, FlowRequest Request, FlowIo &Io)
@@ -24,13 +27,22 @@
       Cache(this->Request.HandleRetention),
       Budget(this->Shared.Retries, this->Request.Service),
       Crashes(this->Shared.Crashes.watch(this->Request.Info)),
+      Version(this->Shared.Rollouts, this->Shared.Table, this->Request.Service,
+              this->Request.Route.Name, this->Request.Route.Resumable,
+              PlannedSends),
       PlacementId(placementId(this->Request.SessionId, Placements)) {
   if (this->Request.Info.Resumes)
     Progress.resumeAfter(this->Request.Info.LastEventId);
 }
 
 void StreamFlow::start(TimePoint Now) {
-  submit(makeStreamRequest(Request, Shared.Lengths, Now), Now);
+  StreamRequest First = makeStreamRequest(Request, Shared.Lengths, Now);
+  if (const auto Wait =
+          Version.choose(Request.Route.LatencyObjective +
+                             Shared.Lengths.generationTime(First.OutputTokens),
+                         Now))
+    return finish(RejectReason::NoCapacity, *Wait, Now);
+  submit(std::move(First), Now);
 }
 
 void StreamFlow::onPlaced(const StreamPlacement &Place, TimePoint Now) {
@@ -77,6 +89,7 @@
   if (CurrentPhase == StreamPhase::Done || Leg != ActiveLeg)
     return;
   ActiveLeg.reset();
+  endRun(versionEvidence(R), Now);
   if (Silent)
     onReplacementEnded(R.Outcome);
   recordHealth(R, Now);
@@ -122,6 +135,9 @@
   if (NewEvents.empty())
     return;
   LastProgressAt = Now;
+  if (!ActiveRun.FirstEvent)
+    ActiveRun.FirstEvent = Now - ActiveRun.BeganAt;
+  Version.keepVersion();
   Crashes.received(Progress.events() - EventsBefore, Now);
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
@@ -141,6 +157,9 @@
     return;
   ActiveLeg.reset();
   const bool EndedCleanly = Complete && Progress.atEventEnd();
+  endRun(EndedCleanly ? RequestVersion::Result::Success
+                      : RequestVersion::Result::Failure,
+         Now);
   Shared.EngineSignals.record(
       DecodeEndpoint,
       EndedCleanly ? HealthSignal::Success : HealthSignal::Broken, Now);
@@ -186,7 +205,8 @@
                               Now);
   Budget.notAccepted(Now);
   if (CurrentPhase == StreamPhase::Prefilling) {
-    stopLeg();
+    endRun(RequestVersion::Result::Lost, Now);
+    stopLeg(Now);
     return retryPrefill(Now);
   }
   keepSilentRun(Now);
@@ -198,7 +218,7 @@
     return;
   Shared.Admission.cancel(PlacementId);
   MayHaveRun = MayHaveRun || CurrentPhase == StreamPhase::Starting;
-  stopLeg();
+  stopLeg(Now);
   end(Now);
 }
 
@@ -218,7 +238,8 @@
 
 void StreamFlow::onOversizedEvent(TimePoint Now) {
   Shared.EngineSignals.record(DecodeEndpoint, HealthSignal::Broken, Now);
-  stopLeg();
+  endRun(RequestVersion::Result::Failure, Now);
+  stopLeg(Now);
   resumeElsewhere("event_too_long", Now);
 }
 
@@ -269,17 +290,25 @@
 
 void StreamFlow::onDeadline(TimePoint Now) {
   const bool RunPossible = MayHaveRun || CurrentPhase == StreamPhase::Starting;
-  stopLeg();
+  if (ActiveLeg)
+    endRun(RequestVersion::Result::Lost, Now);
+  stopLeg(Now);
   endSilentRun(Now);
   Shared.Admission.cancel(PlacementId);
   finish(RunPossible ? RejectReason::TimedOut : RejectReason::NotRunInTime, {},
          Now);
 }
 
-void StreamFlow::stopLeg() {
+void StreamFlow::stopLeg(TimePoint Now) {
   if (ActiveLeg)
     Io.cancelLeg(*ActiveLeg);
   ActiveLeg.reset();
+  endRun(std::nullopt, Now);
+}
+
+void StreamFlow::endRun(std::optional<RequestVersion::Result> Answer,
+                        TimePoint Now) {
+  Version.end(std::exchange(ActiveRun, {}), Answer, Now);
 }
 
 void StreamFlow::dropCache(TimePoint Now) {
@@ -302,6 +331,7 @@
   endSilentRun(Now);
   dropCache(Now);
   releasePlacement(Now);
+  Version.giveBack();
   ResubmitAt = TimePoint::max();
   CurrentPhase = StreamPhase::Done;
 }
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -8,6 +8,7 @@
 #include "hyssoprail/routing/flow.hpp"
 #include "hyssoprail/routing/held_cache.hpp"
 #include "hyssoprail/routing/leg_budget.hpp"
+#include "hyssoprail/routing/request_version.hpp"
 #include "hyssoprail/routing/run_crash_watch.hpp"
 #include "hyssoprail/routing/stream_progress.hpp"
 #include "hyssoprail/routing/stream_timeouts.hpp"
@@ -22,6 +23,7 @@
   std::string Endpoint;
   std::string PlacementId;
   RunCrashWatch::Run Watched;
+  RequestVersion::Run VersionRun;
   TimePoint EndAt = TimePoint::max(); ///< set once the request was sent on
   bool ReplacementRan = false;        ///< another engine ran it, or may have
 };
@@ -71,7 +73,17 @@
   LegRequest makeLeg(LegKind Kind, const Endpoint &E, TimePoint Now) const;
 
   /// False if the endpoint has stopped taking work since it was chosen.
-  bool takesWork(const std::string &Id, TimePoint Now) const;
+  bool takesWork(const std::string &Id, TimePoint Now);
+
+  /// True if the request can be sent to \p E now.
+  bool mayUse(const Endpoint *E, TimePoint Now);
+
+  /// Lets the old version serve the request if the target has no decode engine
+  /// for it.
+  void checkVersion(TimePoint Now);
+
+  /// Ends the count of the active leg's run.
+  void endRun(std::optional<RequestVersion::Result> Answer, TimePoint Now);
 
   /// Asks the admission for engines. The request must hold no placement.
   void submit(StreamRequest Submission, TimePoint Now);
@@ -190,7 +202,7 @@
 
   void onDeadline(TimePoint Now);
 
-  void stopLeg();
+  void stopLeg(TimePoint Now);
 
   /// Forgets the KV cache. Its engine is told to free it only if it takes work
   /// of this entry, as that is a request, too; else the cache expires there.
@@ -228,8 +240,10 @@
   LegBudget Budget;
   StreamProgress Progress;
   RunCrashWatch Crashes;
-  unsigned Placements = 0; ///< admission requests under other ids so far
-  std::string PlacementId; ///< of the present admission request
+  RequestVersion Version;
+  RequestVersion::Run ActiveRun; ///< of the active leg
+  unsigned Placements = 0;       ///< admission requests under other ids so far
+  std::string PlacementId;       ///< of the present admission request
   std::optional<SilentRun> Silent;
   TimePoint LastProgressAt{};
   TimePoint ExtendedDeadline{}; ///< of an engine that no other can replace
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -71,15 +71,27 @@
   return Out;
 }
 
-bool StreamFlow::takesWork(const std::string &Id, TimePoint Now) const {
+bool StreamFlow::takesWork(const std::string &Id, TimePoint Now) {
   const Endpoint *E = Shared.Table.find(Id);
-  return !E || Shared.Table.takesWork(*E, Now);
+  return !E || (Shared.Table.takesWork(*E, Now) && Version.allows(*E));
+}
+
+bool StreamFlow::mayUse(const Endpoint *E, TimePoint Now) {
+  return E && Shared.Table.mayReceive(*E, Now) && Version.allows(*E);
+}
+
+void StreamFlow::checkVersion(TimePoint Now) {
+  const EngineFilter MayUse = [&](const std::string &Id) {
+    return takesWork(Id, Now);
+  };
+  if (!Version.required().empty() &&
+      !Shared.Table.hasDecodeEngine(Request.Service, MayUse, Now))
+    Version.fallBack();
 }
 
 std::set<std::string> StreamFlow::unusableEngines(TimePoint Now) {
   std::erase_if(Unusable, [&](const std::string &Id) {
-    const Endpoint *E = Shared.Table.find(Id);
-    return E && Shared.Table.mayReceive(*E, Now);
+    return mayUse(Shared.Table.find(Id), Now);
   });
   std::set<std::string> Out = Unusable;
   for (std::string &Id : Shared.Table.refusing(Request.Service, Now))
@@ -107,6 +119,8 @@
   Excluded = unusableEngines(Now);
   ExclusionCheckAt = Now + ExclusionCheckInterval;
   CurrentPhase = StreamPhase::Waiting;
+  checkVersion(Now);
+  Submission.Version = Version.required();
   Submission.Id = PlacementId;
   Submission.Zone = Shared.Zone;
   Submission.ExcludedEndpoints.assign(Excluded.begin(), Excluded.end());
@@ -129,8 +143,7 @@
   ExclusionCheckAt = Now + ExclusionCheckInterval;
   const bool Changed =
       std::any_of(Excluded.begin(), Excluded.end(), [&](const std::string &Id) {
-        const Endpoint *E = Shared.Table.find(Id);
-        return E && Shared.Table.mayReceive(*E, Now);
+        return mayUse(Shared.Table.find(Id), Now);
       });
   if (!Changed)
     return;
@@ -140,7 +153,8 @@
 
 void StreamFlow::sendPrefill(const StreamPlacement &Place, TimePoint Now) {
   Endpoint *E = Shared.Table.find(Place.Prefill);
-  const bool Usable = E && Shared.Table.takesWork(*E, Now);
+  const bool Usable =
+      E && Shared.Table.takesWork(*E, Now) && Version.allows(*E);
   const bool KeepsDecode = !E && StreamStarted;
   if (!Usable && !KeepsDecode && ++UnusablePrefills <= MaxUnusablePrefills) {
     Unusable.insert(Place.Prefill);
@@ -155,6 +169,7 @@
   Crashes.begin(E->Record, Now);
   LastProgressAt = Now;
   PrefillDeadline = Now + prefillTimeout(Place.PrefillBacklog);
+  ActiveRun = Version.begin(*E, Now, "prefill");
   LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
   Leg.IsRetry = PrefillLegs++ > 0;
   ActiveLeg = Io.startLeg(Leg);
@@ -186,13 +201,14 @@
   if (!Crashes.mayRunAgain())
     return giveUp(Now);
   Endpoint *E = Shared.Table.find(DecodeEndpoint);
-  if (!E || !Shared.Table.mayReceive(*E, Now))
+  if (!mayUse(E, Now))
     return onUnusableDecode(Now);
   if (!Budget.tryBegin(LegKind::Decode, Now))
     return giveUp(Now);
   CurrentPhase = StreamPhase::Starting;
   Crashes.begin(E->Record, Now);
   LastProgressAt = Now;
+  ActiveRun = Version.begin(*E, Now);
   LegRequest Leg = makeLeg(LegKind::Decode, *E, Now);
   Leg.Source = Cache.usable(Now);
   Leg.ResumeAfter = Progress.lastEventId();
@@ -319,7 +335,8 @@
 void StreamFlow::resumeElsewhere(std::string_view Cause, TimePoint Now) {
   ++FailedRuns;
   const bool Allowed = resumable() && FailedRuns < Request.Route.MaxAttempts &&
-                       DecodeLegs < MaxDecodeLegs && Crashes.mayRunAgain();
+                       DecodeLegs < MaxDecodeLegs && Crashes.mayRunAgain() &&
+                       !Version.isBarred();
   Io.logDecision("continue",
                  {{"why", Cause},
                   {"allowed", Allowed},
@@ -330,6 +347,7 @@
   if (!Allowed)
     return finish(RejectReason::OutcomeUnknown, {}, Now);
   FailedDecode = DecodeEndpoint;
+  Version.fallBack();
   repeatPrefill(Now);
 }
 
--- a/src/hyssoprail/routing/stream_flow_silent.cpp
+++ b/src/hyssoprail/routing/stream_flow_silent.cpp
@@ -12,8 +12,12 @@
   endSilentRun(Now);
   MayHaveRun = true;
   Cache.fetched(); // or expired: it is kept for less than the silence
-  Silent = {*std::exchange(ActiveLeg, std::nullopt), CurrentPhase,
-            DecodeEndpoint, PlacementId, Crashes.run()};
+  Silent = {*std::exchange(ActiveLeg, std::nullopt),
+            CurrentPhase,
+            DecodeEndpoint,
+            PlacementId,
+            Crashes.run(),
+            std::exchange(ActiveRun, {})};
   HasPlacement = false;
   PlacementId = placementId(Request.SessionId, ++Placements);
 }
@@ -36,12 +40,13 @@
     --FailedRuns; // the silent run has not failed, and is the only one
   Shared.Admission.cancel(PlacementId);
   ResubmitAt = TimePoint::max();
-  stopLeg();
+  stopLeg(Now);
   dropCache(Now);
   releasePlacement(Now);
   SilentRun Run = *std::exchange(Silent, std::nullopt);
   ActiveLeg = Run.Leg;
   CurrentPhase = Run.Phase;
+  ActiveRun = std::move(Run.VersionRun);
   DecodeEndpoint = std::move(Run.Endpoint);
   PlacementId = std::move(Run.PlacementId);
   HasPlacement = true;
@@ -54,6 +59,8 @@
   if (!Silent)
     return;
   Io.cancelLeg(Silent->Leg);
+  Version.end(std::exchange(Silent->VersionRun, {}),
+              RequestVersion::Result::Lost, Now);
   forgetSilentRun(Now);
 }
 
@@ -65,6 +72,7 @@
 }
 
 void StreamFlow::onSilentRunFailed(const LegResult &R, TimePoint Now) {
+  Version.end(std::exchange(Silent->VersionRun, {}), versionEvidence(R), Now);
   Shared.EngineSignals.record(
       Silent->Endpoint, healthSignalOf(R, HealthSignal::Unresponsive), Now);
   if (R.Outcome == LegOutcome::Broken && R.Response.Status == 0) {
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -101,14 +101,15 @@
   std::vector<StreamDecision> Out;
   if (Waiting.empty() || !Config)
     return Out;
-  std::map<std::string_view, Pool> Pools;
+  std::map<std::pair<std::string_view, std::string_view>, Pool> Pools;
   std::vector<std::string> Done;
   QueueAhead Ahead;
   for (const StreamRequest *Request : dispatchOrder(Now)) {
-    auto Engines = Pools.find(Request->Service);
+    const std::pair<std::string_view, std::string_view> Key(Request->Service,
+                                                            Request->Version);
+    auto Engines = Pools.find(Key);
     if (Engines == Pools.end())
-      Engines = Pools.emplace(Request->Service, makePool(Request->Service, Now))
-                    .first;
+      Engines = Pools.emplace(Key, makePool(Key.first, Key.second, Now)).first;
     if (decide(*Request, Engines->second, Ahead, Now, Out) != Verdict::Waits) {
       Done.push_back(Request->Id);
       continue;
--- a/src/hyssoprail/routing/stream_scheduler_engines.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_engines.cpp
@@ -48,15 +48,25 @@
 
 } // namespace
 
+bool StreamScheduler::hasVersion(const Endpoint &E,
+                                 std::string_view Version) const {
+  if (!Version.empty())
+    return E.Record.Version == Version;
+  return !IsUnproven || !IsUnproven(E.Record.Service, E.Record.Version);
+}
+
 StreamScheduler::Pool StreamScheduler::makePool(std::string_view Service,
+                                                std::string_view Version,
                                                 TimePoint Now) {
   Pool P;
   P.Bound = memoryBound(Service);
   for (Endpoint *E : Table.usable(Service, Now, Sender::AnyEntry))
-    (E->Record.Stage == EngineStage::Prefill ? P.Prefill : P.Decode)
-        .push_back(E);
+    if (hasVersion(*E, Version))
+      (E->Record.Stage == EngineStage::Prefill ? P.Prefill : P.Decode)
+          .push_back(E);
   for (Endpoint *E : Table.grantable(Service, Now, Sender::AnyEntry))
-    if (E->Record.Stage != EngineStage::Prefill && !E->Limit.allows(Now))
+    if (E->Record.Stage != EngineStage::Prefill && !E->Limit.allows(Now) &&
+        hasVersion(*E, Version))
       P.LimitedPerSecond += E->Limit.grantRate();
   updateFreeMemory(P);
   return P;
@@ -80,7 +90,7 @@
   Room Out;
   if (!Config)
     return Out;
-  const Pool P = makePool(Service, Now);
+  const Pool P = makePool(Service, "", Now);
   for (const Endpoint *E : P.Decode) {
     const EndpointLoad Load = E->totalLoad();
     const std::int64_t Free = P.Bound - Load.Tokens;
