--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -338,6 +338,31 @@
   Caller->respond(std::move(Response));
 }
 
+/// What this entry has counted since the newest order of each service.
+void GatewayRuntime::updateRolloutGauges(TimePoint Now) {
+  const auto Evidence = FleetCoordination.rollouts().gate().evidence(Now);
+  for (const rollout::RolloutEvidence &E : Evidence) {
+    const MetricLabels Service{{"service", E.Service}};
+    Counters.gauge("rollout_requests", Service).set(double(E.Requests));
+    Counters.gauge("rollout_target_requests", Service)
+        .set(double(E.TargetRequests));
+    Counters.gauge("rollout_target_allowance", Service)
+        .set(double(E.Allowance));
+    Counters.gauge("rollout_old_runs", Service).set(E.OldRuns);
+    using Answers = decltype(E.Answers.Old);
+    const auto Set = [&](const char *Version, const Answers &ByRoute) {
+      rollout::AnswerCounts Sum;
+      for (const auto &[Route, Counts] : ByRoute)
+        Sum += Counts;
+      const MetricLabels Labels{{"service", E.Service}, {"version", Version}};
+      Counters.gauge("rollout_answers", Labels).set(double(Sum.Total));
+      Counters.gauge("rollout_failures", Labels).set(double(Sum.Failed));
+    };
+    Set("old", E.Answers.Old);
+    Set("target", E.Answers.Target);
+  }
+}
+
 void GatewayRuntime::updateGauges() {
   const TimePoint Now = Time.now();
   Counters.gauge("requests_open").set(double(Sessions.size()));
@@ -354,6 +379,7 @@
                std::min<Duration>(Feed.dataAge(), MaxReportedAge))
                .count());
   Counters.gauge("store_calls").set(double(Feed.storeCalls()));
+  updateRolloutGauges(Now);
   Counters.gauge("engine_crashes_remembered")
       .set(double(Crashes.Prompts.crashCount()));
   Counters.gauge("prompt_parts_quarantined")
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -158,6 +158,7 @@
                             const std::vector<routing::QuarantinedPart> &All,
                             std::set<std::string> &Logged);
   void updateGauges();
+  void updateRolloutGauges(TimePoint Now);
   void stopWhenIdle();
 
   boost::asio::io_context &Context;
