--- a/include/hyssoprail/routing/stream_admission.hpp
+++ b/include/hyssoprail/routing/stream_admission.hpp
@@ -41,6 +41,8 @@
   bool Began = false;   ///< an engine has worked on it
   /// The prompt has been prefilled: no prefill engine is needed.
   bool HasKvCache = false;
+  /// Version that the engines must have; empty: any proven one.
+  std::string Version;
   /// These have failed the request or refuse all requests of the entry.
   std::vector<std::string> ExcludedEndpoints;
 };
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -2,11 +2,13 @@
 #define HYSSOPRAIL_ROUTING_STREAM_SCHEDULER_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
@@ -61,6 +63,12 @@
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
+  /// Sets the function that tells versions of a service which only requests
+  /// that name them may use.
+  using VersionTest =
+      std::function<bool(std::string_view Service, std::string_view Version)>;
+  void setUnproven(VersionTest Test) { IsUnproven = std::move(Test); }
+
   /// Sets the share of the fleet's load that this scheduler knows of, 0 to 1.
   /// The smaller it is, the more placements are randomized, so that schedulers
   /// which do not receive each other's reports do not all choose the same
@@ -133,6 +141,10 @@
     std::int64_t Backlog = 0;
   };
 
+  /// A service, and the version that its engines must have (empty: any proven
+  /// one).
+  using PoolKey = std::pair<std::string_view, std::string_view>;
+
   /// The engines of a service that can receive work at one moment.
   struct Pool {
     std::vector<Endpoint *> Decode;
@@ -168,12 +180,14 @@
 
   enum class Verdict { Placed, Refused, Waits };
 
-  Pool makePool(std::string_view Service, TimePoint Now);
+  Pool makePool(std::string_view Service, std::string_view Version,
+                TimePoint Now);
+  bool hasVersion(const Endpoint &E, std::string_view Version) const;
   static void updateFreeMemory(Pool &P);
   std::vector<const StreamRequest *> dispatchOrder(TimePoint Now) const;
   bool usesPolicy(std::string_view Service, const Pool &Engines) const;
-  std::map<std::string_view, std::vector<const Queued *>>
-  queuesUnderPolicy(std::map<std::string_view, Pool> &Pools, TimePoint Now);
+  std::map<PoolKey, std::vector<const Queued *>>
+  queuesUnderPolicy(std::map<PoolKey, Pool> &Pools, TimePoint Now);
   OverloadInput overloadInput(const Queued &Q, double RunSeconds) const;
   void decideByPolicy(std::string_view Service,
                       const std::vector<const Queued *> &Queue, Pool &Engines,
@@ -205,6 +219,7 @@
   StreamSchedulerOptions Options;
   EndpointTable &Table;
   FleetConfigPtr Config;
+  VersionTest IsUnproven;
   double KnownLoadShare = 1;
   std::map<std::string, Queued, std::less<>> Waiting;
   std::uint64_t LastSerial = 0;
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -56,7 +56,12 @@
                 State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
       Calls(State.Table), Grants(State.Table), Leavers(State.Table),
-      Election(Settings.Name, Incarnation), Peers(Peers) {
+      Election(Settings.Name, Incarnation), Peers(Peers),
+      Rollouts(Settings, Incarnation, State.Feed, Log) {
+  Scheduler.setUnproven(
+      [this](std::string_view Service, std::string_view Version) {
+        return Rollouts.gate().isUnproven(Service, Version);
+      });
   Server.setOverload(Settings.Overload);
 }
 
@@ -115,6 +120,7 @@
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
+  State.Feed.setReadsRolloutStates(Rollouts.enabled() && ReadsStore);
   if (!Election.isCoordinator()) {
     if (reportDue(Now) && Election.currentClaim())
       sendReport(*Election.currentClaim(), Now);
@@ -130,6 +136,7 @@
   Scheduler.sampleUtilization(Now);
   updateSpeeds(Now);
   Deputies = Server.deputies(DeputyCount, Now);
+  decideRollouts(Now);
   chooseSource(Now);
   Server.chooseNearbySources(Now);
   reportOrDecide();
@@ -154,6 +161,7 @@
   // Does not wait for a report of the previous coordinator.
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
+  Rollouts.startTerm(Now);
   forgetCrashPeers();
   Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
@@ -232,6 +240,7 @@
     takeLeaving(Report);
   }
   Grants.handleReport(Report, Now);
+  Rollouts.takeReport(Report);
 }
 
 /// Merges what a report or an update tells of endpoints that leave.
@@ -339,6 +348,7 @@
       for (const wire::AccountUse &Use : Update.accounts())
         State.Quota.raiseDebt(Use.account(), Use.debt(), Now);
   }
+  Rollouts.applyUpdate(Update, Now);
   applyDecisions(Update, Now);
   if (hasUnreportedChange())
     notifyStateChanged();
@@ -377,6 +387,7 @@
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
   Leavers.fill(To, R);
+  Rollouts.fillReport(R, Now);
   ReportedAt = Now;
   return R;
 }
--- a/src/hyssoprail/routing/admission_client.cpp
+++ b/src/hyssoprail/routing/admission_client.cpp
@@ -36,6 +36,7 @@
   W.set_route_priority(Request.RoutePriority);
   W.set_began(Request.Began);
   W.set_has_cache(Request.HasKvCache);
+  W.set_version(Request.Version);
   for (const std::string &Id : Request.ExcludedEndpoints)
     W.add_avoid(Id);
   return W;
--- a/src/hyssoprail/routing/admission_server.cpp
+++ b/src/hyssoprail/routing/admission_server.cpp
@@ -54,6 +54,7 @@
   Out.RoutePriority = Want.route_priority();
   Out.Began = Want.began();
   Out.HasKvCache = Want.has_cache();
+  Out.Version = Want.version();
   Out.ExcludedEndpoints.assign(Want.avoid().begin(), Want.avoid().end());
   return Out;
 }
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -104,19 +104,19 @@
   std::vector<StreamDecision> Out;
   if (Waiting.empty() || !Config)
     return Out;
-  std::map<std::string_view, Pool> Pools;
+  std::map<PoolKey, Pool> Pools;
   std::vector<std::string> Done;
   const auto UnderPolicy = queuesUnderPolicy(Pools, Now);
-  for (const auto &[Service, Queue] : UnderPolicy)
-    decideByPolicy(Service, Queue, Pools.at(Service), Now, Out, Done);
+  for (const auto &[Key, Queue] : UnderPolicy)
+    decideByPolicy(Key.first, Queue, Pools.at(Key), Now, Out, Done);
   QueueAhead Ahead;
   for (const StreamRequest *Request : dispatchOrder(Now)) {
-    if (UnderPolicy.contains(Request->Service))
+    const PoolKey Key(Request->Service, Request->Version);
+    if (UnderPolicy.contains(Key))
       continue;
-    auto Engines = Pools.find(Request->Service);
+    auto Engines = Pools.find(Key);
     if (Engines == Pools.end())
-      Engines = Pools.emplace(Request->Service, makePool(Request->Service, Now))
-                    .first;
+      Engines = Pools.emplace(Key, makePool(Key.first, Key.second, Now)).first;
     if (decide(*Request, Engines->second, Ahead, Now, Out) != Verdict::Waits) {
       Done.push_back(Request->Id);
       continue;
--- a/src/hyssoprail/routing/stream_scheduler_overload.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_overload.cpp
@@ -30,22 +30,23 @@
           std::any_of(Engines.Prefill.begin(), Engines.Prefill.end(), Uneven));
 }
 
-std::map<std::string_view, std::vector<const StreamScheduler::Queued *>>
-StreamScheduler::queuesUnderPolicy(std::map<std::string_view, Pool> &Pools,
+std::map<StreamScheduler::PoolKey, std::vector<const StreamScheduler::Queued *>>
+StreamScheduler::queuesUnderPolicy(std::map<PoolKey, Pool> &Pools,
                                    TimePoint Now) {
-  std::map<std::string_view, std::vector<const Queued *>> Out;
+  std::map<PoolKey, std::vector<const Queued *>> Out;
   if (Options.Overload == OverloadMode::Arrival)
     return Out;
-  std::map<std::string_view, bool> InForce;
+  std::map<PoolKey, bool> InForce;
   for (const auto &[Id, Q] : Waiting) {
-    const std::string &Service = Q.Request.Service;
-    const auto [It, New] = InForce.try_emplace(Service);
+    const PoolKey Key(Q.Request.Service, Q.Request.Version);
+    const auto [It, New] = InForce.try_emplace(Key);
     if (New) {
-      const auto Engines = Pools.emplace(Service, makePool(Service, Now)).first;
-      It->second = usesPolicy(Service, Engines->second);
+      const auto Engines =
+          Pools.emplace(Key, makePool(Key.first, Key.second, Now)).first;
+      It->second = usesPolicy(Key.first, Engines->second);
     }
     if (It->second)
-      Out[Service].push_back(&Q);
+      Out[Key].push_back(&Q);
   }
   return Out;
 }
