--- /dev/null
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -0,0 +1,284 @@
+#include "hyssoprail/routing/call_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace hyssoprail::routing {
+namespace {
+
+/// Calls that wait for one service at one entry. A call takes some hundred
+/// bytes here, besides its request, which the memory of callers bounds.
+constexpr std::size_t MaxWaiting = 256;
+
+/// Every so many releases, one goes to a call that was overtaken.
+constexpr unsigned FairReleaseInterval = 4;
+
+/// Time constant of the mean run time and of the uses of accounts.
+constexpr double DecaySeconds = 2;
+
+/// Retry time while the rate at which calls end is unknown, and the longest
+/// one.
+constexpr milliseconds UnknownRetryAfter{400};
+constexpr milliseconds MaxRetryAfter{5'000};
+
+constexpr milliseconds MinRetryAfter{20};
+
+/// An account that was released more calls lately than this multiple of the
+/// mean over the accounts comes after the others of the same priority.
+constexpr double EvenUseFactor = 1.5;
+
+/// Fewer calls than this are forgotten.
+constexpr double MinUse = 0.01;
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
+Duration toDuration(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+// ---- Run times --------------------------------------------------------------
+
+void CallQueue::Queue::measure(TimePoint Now) {
+  const double Passed = std::max(0.0, seconds(Now - MeasuredAt));
+  MeasuredAt = std::max(MeasuredAt, Now);
+  const double Kept = std::exp(-Passed / DecaySeconds);
+  HeldSeconds = HeldSeconds * Kept + Counts.InUse * Passed;
+  Ends *= Kept;
+  for (auto &[Account, Use] : Uses)
+    Use *= Kept;
+  std::erase_if(Uses, [](const auto &Item) { return Item.second < MinUse; });
+}
+
+std::optional<Duration> CallQueue::Queue::meanRunTime() const {
+  if (Ends <= 0)
+    return std::nullopt;
+  return toDuration(HeldSeconds / Ends);
+}
+
+std::optional<Duration>
+CallQueue::Queue::expectedWait(std::size_t Ahead) const {
+  const auto Run = meanRunTime();
+  if (!Run || Counts.Slots == 0)
+    return std::nullopt;
+  const double Needed = static_cast<double>(Ahead) + 1 + Counts.InUse -
+                        static_cast<double>(Counts.Slots);
+  return toDuration(std::max(0.0, Needed) * seconds(*Run) / Counts.Slots);
+}
+
+// ---- Order ------------------------------------------------------------------
+
+bool CallQueue::Queue::canBeOnTime(const Waiting &W, TimePoint Now) const {
+  return Now + meanRunTime().value_or(Duration{0}) <= W.Call.ObjectiveDeadline;
+}
+
+double CallQueue::Queue::largestEvenUse() const {
+  double Sum = 0;
+  for (const auto &[Account, Use] : Uses)
+    Sum += Use;
+  return EvenUseFactor * Sum /
+         static_cast<double>(std::max<std::size_t>(1, Uses.size()));
+}
+
+/// The uses of a single account never exceed its even part.
+bool CallQueue::Queue::isBefore(const Waiting &A, const Waiting &B,
+                                double EvenUse, TimePoint Now) const {
+  const auto Rank = [&](const Waiting &W) {
+    const auto Use = Uses.find(W.Call.Account);
+    return std::tuple(!canBeOnTime(W, Now), W.Call.Priority,
+                      W.Call.RoutePriority,
+                      Use != Uses.end() && Use->second > EvenUse, W.Arrival);
+  };
+  return Rank(A) < Rank(B);
+}
+
+void CallQueue::Queue::sort(TimePoint Now) {
+  const double EvenUse = largestEvenUse();
+  std::sort(Calls.begin(), Calls.end(),
+            [&](const Waiting &A, const Waiting &B) {
+              return isBefore(A, B, EvenUse, Now);
+            });
+}
+
+/// Takes the first call of the sorted queue, or one that was overtaken.
+CallQueue::Waiting CallQueue::Queue::takeNext() {
+  auto Next = Calls.begin();
+  if (++SinceFairRelease >= FairReleaseInterval) {
+    SinceFairRelease = 0;
+    for (auto It = Calls.begin(); It != Calls.end(); ++It)
+      if (It->Overtaken && (!Next->Overtaken || It->Arrival < Next->Arrival))
+        Next = It;
+  }
+  Waiting Out = std::move(*Next);
+  Calls.erase(Next);
+  for (Waiting &W : Calls)
+    W.Overtaken = W.Overtaken || W.Arrival < Out.Arrival;
+  return Out;
+}
+
+/// A call that would be late without any wait is judged by its deadline.
+bool CallQueue::Queue::isServable(const Waiting &W, Duration Wait,
+                                  TimePoint Now) const {
+  const Duration Run = meanRunTime().value_or(Duration{0});
+  const TimePoint End =
+      canBeOnTime(W, Now) ? W.Call.ObjectiveDeadline : W.Call.GiveUpAt;
+  return Now + Wait + Run <= End;
+}
+
+/// Callers that return together would be refused again, so each gets a time of
+/// its own at the rate at which slots become free.
+CallRefusal CallQueue::Queue::refuse(const Waiting &W, std::size_t Position,
+                                     TimePoint Now) {
+  ++Counts.Refused;
+  CallRefusal R{W.Call.Id, UnknownRetryAfter, Duration{0}, Position};
+  const auto Run = meanRunTime();
+  if (!Run || Counts.Slots == 0)
+    return R;
+  R.ExpectedWait = expectedWait(Position).value_or(Duration{0});
+  const Duration Interval = *Run / static_cast<int>(Counts.Slots);
+  const TimePoint Emptied =
+      Now +
+      expectedWait(Position == 0 ? 0 : Position - 1).value_or(Duration{0});
+  LastReturn = std::clamp<TimePoint>(std::max(LastReturn, Emptied) + Interval,
+                                     Now + MinRetryAfter, Now + MaxRetryAfter);
+  R.RetryAfter = std::chrono::ceil<milliseconds>(LastReturn - Now);
+  return R;
+}
+
+// ---- Events -----------------------------------------------------------------
+
+CallQueue::Queue &CallQueue::queue(std::string_view Service) {
+  const auto It = Queues.find(Service);
+  return It != Queues.end() ? It->second : Queues[std::string(Service)];
+}
+
+void CallQueue::setSlots(std::string_view Service, unsigned Slots,
+                         TimePoint Now) {
+  Queue &Q = queue(Service);
+  Q.measure(Now);
+  Q.Counts.Slots = Slots;
+}
+
+bool CallQueue::tryTake(std::string_view Service, TimePoint Now) {
+  Queue &Q = queue(Service);
+  if (!Q.Calls.empty() || Q.Counts.InUse >= Q.Counts.Slots)
+    return false;
+  Q.measure(Now);
+  ++Q.Counts.InUse;
+  return true;
+}
+
+void CallQueue::submit(QueuedCall Call, TimePoint Now) {
+  Queue &Q = queue(Call.Service);
+  Q.Calls.push_back({std::move(Call), ++LastArrival, Now, false});
+  ++Q.Counts.Waited;
+}
+
+void CallQueue::cancel(std::string_view Id, TimePoint Now) {
+  if (const auto It = Unconfirmed.find(Id); It != Unconfirmed.end()) {
+    Queue &Q = queue(It->second);
+    Q.measure(Now);
+    --Q.Counts.InUse; // it did not run, so it is not a call that ended
+    Unconfirmed.erase(It);
+    return;
+  }
+  for (auto &[Service, Q] : Queues)
+    if (std::erase_if(Q.Calls,
+                      [&](const Waiting &W) { return W.Call.Id == Id; }) > 0)
+      return;
+}
+
+bool CallQueue::confirm(std::string_view Id) {
+  const auto It = Unconfirmed.find(Id);
+  if (It == Unconfirmed.end())
+    return false;
+  Unconfirmed.erase(It);
+  return true;
+}
+
+void CallQueue::ended(std::string_view Service, TimePoint Now) {
+  Queue &Q = queue(Service);
+  if (Q.Counts.InUse == 0)
+    return;
+  Q.measure(Now);
+  --Q.Counts.InUse;
+  ++Q.Ends;
+}
+
+// ---- Decisions --------------------------------------------------------------
+
+std::vector<CallQueueDecision> CallQueue::poll(TimePoint Now) {
+  std::vector<CallQueueDecision> Out;
+  for (auto &[Service, Q] : Queues)
+    if (!Q.Calls.empty())
+      pollQueue(Service, Q, Now, Out);
+  return Out;
+}
+
+void CallQueue::pollQueue(const std::string &Service, Queue &Q, TimePoint Now,
+                          std::vector<CallQueueDecision> &Out) {
+  Q.measure(Now);
+  Q.sort(Now);
+  while (!Q.Calls.empty() && Q.Counts.InUse < Q.Counts.Slots) {
+    const Waiting W = Q.takeNext();
+    ++Q.Counts.InUse;
+    ++Q.Uses[W.Call.Account];
+    Unconfirmed.emplace(W.Call.Id, Service);
+    Out.emplace_back(CallRelease{W.Call.Id, Now - W.Since});
+  }
+  std::vector<Waiting> Kept;
+  Kept.reserve(Q.Calls.size());
+  std::vector<Waiting> Refused;
+  for (Waiting &W : Q.Calls) {
+    const Duration Wait = Q.expectedWait(Kept.size()).value_or(Duration{0});
+    const bool Stays = Kept.size() < MaxWaiting && Q.isServable(W, Wait, Now);
+    (Stays ? Kept : Refused).push_back(std::move(W));
+  }
+  Q.Calls = std::move(Kept);
+  for (const Waiting &W : Refused)
+    Out.emplace_back(Q.refuse(W, Q.Calls.size(), Now));
+}
+
+std::optional<Duration> CallQueue::expectedWait(std::string_view Service,
+                                                std::size_t Ahead) const {
+  const auto It = Queues.find(Service);
+  return It == Queues.end() ? std::nullopt : It->second.expectedWait(Ahead);
+}
+
+std::size_t CallQueue::position(std::string_view Id, TimePoint Now) const {
+  for (const auto &[Service, Q] : Queues) {
+    const auto It =
+        std::find_if(Q.Calls.begin(), Q.Calls.end(),
+                     [&](const Waiting &W) { return W.Call.Id == Id; });
+    if (It == Q.Calls.end())
+      continue;
+    const double EvenUse = Q.largestEvenUse();
+    return static_cast<std::size_t>(
+        std::count_if(Q.Calls.begin(), Q.Calls.end(), [&](const Waiting &W) {
+          return Q.isBefore(W, *It, EvenUse, Now);
+        }));
+  }
+  return 0;
+}
+
+CallQueueState CallQueue::state(std::string_view Service) const {
+  const auto It = Queues.find(Service);
+  if (It == Queues.end())
+    return {};
+  CallQueueState Out = It->second.Counts;
+  Out.Waiting = It->second.Calls.size();
+  return Out;
+}
+
+std::vector<std::string> CallQueue::services() const {
+  std::vector<std::string> Out;
+  for (const auto &[Service, Q] : Queues)
+    Out.push_back(Service);
+  return Out;
+}
+
+} // namespace hyssoprail::routing
