--- a/include/hyssoprail/routing/call_queue.hpp
+++ b/include/hyssoprail/routing/call_queue.hpp
@@ -76,9 +76,9 @@
   /// A call that held a slot has ended.
   void ended(std::string_view Service, TimePoint Now);
 
-  /// Releases calls for which slots are free, and refuses those that cannot be
-  /// served in time.
-  std::vector<CallQueueDecision> poll(TimePoint Now);
+  /// Releases calls of \p Service for which slots are free, and refuses those
+  /// that cannot be served in time.
+  std::vector<CallQueueDecision> poll(std::string_view Service, TimePoint Now);
 
   /// Time until a call that is behind \p Ahead others gets a slot; nullopt if
   /// it is unknown.
--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -211,11 +211,12 @@
 
 // ---- Decisions --------------------------------------------------------------
 
-std::vector<CallQueueDecision> CallQueue::poll(TimePoint Now) {
+std::vector<CallQueueDecision> CallQueue::poll(std::string_view Service,
+                                               TimePoint Now) {
   std::vector<CallQueueDecision> Out;
-  for (auto &[Service, Q] : Queues)
-    if (!Q.Calls.empty())
-      pollQueue(Service, Q, Now, Out);
+  if (const auto It = Queues.find(Service);
+      It != Queues.end() && !It->second.Calls.empty())
+    pollQueue(It->first, It->second, Now, Out);
   return Out;
 }
 
--- a/src/hyssoprail/routing/call_queue_test.cpp
+++ b/src/hyssoprail/routing/call_queue_test.cpp
@@ -58,7 +58,7 @@
   /// Ends one call and returns the one that gets its slot.
   std::string next() {
     Q.ended(Service, Now);
-    const auto Ids = released(Q.poll(Now));
+    const auto Ids = released(Q.poll(Service, Now));
     REQUIRE(Ids.size() == 1);
     REQUIRE(Q.confirm(Ids[0]));
     return Ids[0];
@@ -75,7 +75,7 @@
   FullQueue F(2);
   CHECK_FALSE(F.Q.tryTake(Service, F.Now));
   F.Q.submit(call("1", F.Now), F.Now);
-  CHECK(F.Q.poll(F.Now).empty());
+  CHECK(F.Q.poll(Service, F.Now).empty());
   CHECK(F.next() == "1");
   CHECK(F.Q.state(Service).InUse == 2);
   CHECK(F.Q.state(Service).Waiting == 0);
@@ -135,7 +135,7 @@
   FullQueue F(2); // 40 calls a second
   for (int I = 0; I < 30; ++I)
     F.Q.submit(call(std::to_string(I), F.Now), F.Now);
-  const auto Refused = refused(F.Q.poll(F.Now));
+  const auto Refused = refused(F.Q.poll(Service, F.Now));
   // 250 ms are left for the wait, in which ten calls begin.
   CHECK(F.Q.state(Service).Waiting == 10);
   REQUIRE(Refused.size() == 20);
@@ -154,7 +154,7 @@
   QueuedCall Impatient = call("impatient", F.Now);
   Impatient.GiveUpAt = F.Now + milliseconds(600);
   F.Q.submit(std::move(Impatient), F.Now);
-  const auto Refused = refused(F.Q.poll(F.Now));
+  const auto Refused = refused(F.Q.poll(Service, F.Now));
   REQUIRE(Refused.size() == 1);
   CHECK(Refused[0].Id == "impatient");
 }
@@ -165,7 +165,7 @@
   Q.setSlots(Service, 0, Start);
   for (int I = 0; I < 300; ++I)
     Q.submit(call(std::to_string(I), Start, I < 200 ? 2 : 0), Start);
-  const auto Refused = refused(Q.poll(Start));
+  const auto Refused = refused(Q.poll(Service, Start));
   CHECK(Q.state(Service).Waiting == 256);
   REQUIRE(Refused.size() == 44);
   for (const CallRefusal &R : Refused) {
@@ -181,11 +181,11 @@
   F.Q.submit(call("waits", F.Now), F.Now);
   F.Q.cancel("waits", F.Now);
   F.Q.ended(Service, F.Now);
-  CHECK(F.Q.poll(F.Now).empty());
+  CHECK(F.Q.poll(Service, F.Now).empty());
   REQUIRE(F.Q.tryTake(Service, F.Now));
   F.Q.submit(call("released", F.Now), F.Now);
   F.Q.ended(Service, F.Now);
-  REQUIRE(released(F.Q.poll(F.Now)).size() == 1);
+  REQUIRE(released(F.Q.poll(Service, F.Now)).size() == 1);
   F.Q.cancel("released", F.Now);
   CHECK_FALSE(F.Q.confirm("released"));
   CHECK(F.Q.tryTake(Service, F.Now));
@@ -199,7 +199,7 @@
   F.Q.setSlots(Service, 2, F.Now);
   F.Q.ended(Service, F.Now);
   F.Q.ended(Service, F.Now);
-  CHECK(F.Q.poll(F.Now).empty());
+  CHECK(F.Q.poll(Service, F.Now).empty());
   CHECK(F.next() == "1");
 }
 
@@ -233,7 +233,7 @@
         F.Q.ended(Service, F.Now);
         End = TimePoint::max();
       }
-    for (const std::string &Id : released(F.Q.poll(F.Now))) {
+    for (const std::string &Id : released(F.Q.poll(Service, F.Now))) {
       REQUIRE(F.Q.confirm(Id));
       ++Served[AccountOf[Id]];
       *std::find(Ends.begin(), Ends.end(), TimePoint::max()) =
@@ -261,7 +261,7 @@
     int Next = 0;
     const auto Poll = [&] {
       const unsigned Before = Running;
-      const auto Decisions = Q.poll(Now);
+      const auto Decisions = Q.poll(Service, Now);
       for (const std::string &Id : released(Decisions)) {
         RC_ASSERT(Open.erase(Id) == 1U);
         RC_ASSERT(Q.confirm(Id));
