--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "hyssoprail/routing/call_admission.hpp"
+#include "hyssoprail/routing/call_slots.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/flow_io.hpp"
@@ -29,6 +30,8 @@
   RetryLimiter &Retries;
   LengthEstimator &Lengths;
   std::string Zone; ///< availability zone of this entry
+  /// Slots that calls wait for; null: no call waits.
+  CallSlots *Slots = nullptr;
 };
 
 /// An admitted request with the parts of the configuration that apply to it.
@@ -72,6 +75,8 @@
   /// Decisions on the submitted call.
   virtual void onCallGranted(const CallGrant &Grant, TimePoint Now);
   virtual void onCallDenied(const CallDenial &Denial, TimePoint Now);
+  virtual void onCallReleased(const CallRelease &Release, TimePoint Now);
+  virtual void onCallRefused(const CallRefusal &Refusal, TimePoint Now);
 
   /// The time of nextDeadline() was reached.
   virtual void onTimer(TimePoint Now) = 0;
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -41,6 +41,7 @@
   FlowIo::LegId Leg;
   std::string Endpoint;
   RunCrashWatch::Run Watched;
+  bool HoldsSlot = false;
 };
 
 /// State machine of a plain call.
@@ -57,7 +58,7 @@
       return;
     if (Leg != ActiveLeg)
       return onSilentLegResult(Leg, std::move(R), Now);
-    endLeg();
+    endLeg(Now);
     recordHealth(ActiveEndpoint, R, Now);
     recordCrashEvidence(R, Now);
     if (R.Outcome == LegOutcome::NotSent)
@@ -85,7 +86,7 @@
     if (!AwaitsGrant || Now < GrantDeadline)
       return;
     Io.logDecision("grant_timeout", {});
-    stopWaiting();
+    stopWaiting(Now);
     sendWithoutGrant(Now);
   }
 
@@ -115,6 +116,25 @@
     sendWithoutGrant(Now);
   }
 
+  void onCallReleased(const CallRelease &Release, TimePoint Now) override {
+    if (!AwaitsSlot || !Shared.Slots->confirm(Release.Id))
+      return;
+    AwaitsSlot = false;
+    HoldsSlot = true;
+    logWait("released", Shared.Slots->queue().position(Release.Id, Now),
+            Release.Waited, Now);
+    send(Now);
+  }
+
+  void onCallRefused(const CallRefusal &Refusal, TimePoint Now) override {
+    if (!AwaitsSlot || Refusal.Id != Request.SessionId)
+      return;
+    AwaitsSlot = false;
+    logWait("refused", Refusal.Position, Refusal.ExpectedWait, Now);
+    SlotRetryAfter = Refusal.RetryAfter;
+    giveUp(Now);
+  }
+
   void onCallerDisconnected(TimePoint Now) override { end(Now); }
 
   void endBy(TimePoint Deadline) override {
@@ -146,8 +166,13 @@
     if (!Io.stillAllowed())
       return onRevokedKey(Now);
     Endpoint *E = chooseUsable(Now);
-    if (!shouldAskForGrant(E, Now))
-      return E ? sendTo(*E, Now) : giveUp(Now);
+    const bool AsksForGrant = shouldAskForGrant(E, Now);
+    if (!E && !AsksForGrant)
+      return giveUp(Now);
+    if (!takeSlot(Now))
+      return waitForSlot(Now);
+    if (!AsksForGrant)
+      return sendTo(HoldsSlot ? *chooseWithSlot(*E, Now) : *E, Now);
     AwaitsGrant = true;
     GrantDeadline = Now + GrantTimeout;
     std::vector<std::string> Excluded =
@@ -158,6 +183,51 @@
         {Request.SessionId, Request.Service, std::move(Excluded)});
   }
 
+  /// True if the call holds a slot or needs none.
+  bool takeSlot(TimePoint Now) {
+    if (!Shared.Slots || !Shared.Slots->inForce(Request.Service))
+      return true;
+    HoldsSlot = HoldsSlot || Shared.Slots->tryTake(Request.Service, Now);
+    return HoldsSlot;
+  }
+
+  void waitForSlot(TimePoint Now) {
+    AwaitsSlot = true;
+    Shared.Slots->submit({Request.SessionId, Request.Service, Request.Account,
+                          Request.Priority, Request.Route.Priority,
+                          Request.Arrival + Request.Route.LatencyObjective,
+                          answerDeadline()},
+                         Now);
+    const std::size_t Position =
+        Shared.Slots->queue().position(Request.SessionId, Now);
+    logWait("waits", Position,
+            Shared.Slots->queue()
+                .expectedWait(Request.Service, Position)
+                .value_or(Duration{0}),
+            Now);
+  }
+
+  void logWait(std::string_view Step, std::size_t Position, Duration Wait,
+               TimePoint Now) {
+    Io.logDecision("call_wait",
+                   {{"step", Step},
+                    {"service", Request.Service},
+                    {"position", Position},
+                    {"expected_wait_ms", Wait},
+                    {"slots", callSlots(Shared.Table, Request.Service, Now)},
+                    {"share", Shared.Slots->limit(Request.Service, Now)}});
+  }
+
+  void releaseSlot(bool &Holds, TimePoint Now) {
+    if (std::exchange(Holds, false))
+      Shared.Slots->ended(Request.Service, Now);
+  }
+
+  Endpoint *chooseWithSlot(Endpoint &Usable, TimePoint Now) {
+    Endpoint *E = Shared.Slots->choose(Request.Service, TriedEndpoints, Now);
+    return E ? E : &Usable;
+  }
+
   Endpoint *chooseUsable(TimePoint Now) {
     return chooseForCall(Shared.Table, Request.Service, Shared.Zone,
                          TriedEndpoints, Now);
@@ -179,9 +249,11 @@
     E ? sendTo(*E, Now) : giveUp(Now);
   }
 
-  void stopWaiting() {
+  void stopWaiting(TimePoint Now) {
     if (std::exchange(AwaitsGrant, false))
       Shared.Calls.cancel(Request.SessionId);
+    if (std::exchange(AwaitsSlot, false))
+      Shared.Slots->cancel(Request.SessionId, Now);
   }
 
   void sendTo(Endpoint &E, TimePoint Now) {
@@ -214,21 +286,23 @@
     ActiveLeg = Io.startLeg(Leg);
   }
 
-  void endLeg() {
+  void endLeg(TimePoint Now) {
     ActiveLeg.reset();
+    releaseSlot(HoldsSlot, Now);
     Shared.Table.release(ActiveEndpoint, {1, 0, 0});
   }
 
   /// Cancels all legs.
-  void stopLegs() {
+  void stopLegs(TimePoint Now) {
     if (ActiveLeg) {
       MayHaveRun = true;
       Io.cancelLeg(*ActiveLeg);
-      endLeg();
+      endLeg(Now);
     }
-    for (const SilentLeg &L : std::exchange(SilentLegs, {})) {
+    for (SilentLeg &L : std::exchange(SilentLegs, {})) {
       MayHaveRun = true;
       Io.cancelLeg(L.Leg);
+      releaseSlot(L.HoldsSlot, Now);
       Shared.Table.release(L.Endpoint, {1, 0, 0});
     }
   }
@@ -323,7 +397,8 @@
     if (Endpoint *E = Shared.Table.find(ActiveEndpoint))
       E->Health.record(HealthSignal::RouteTimeout, Now);
     SilentLegs.push_back({*std::exchange(ActiveLeg, std::nullopt),
-                          ActiveEndpoint, Crashes.run()});
+                          ActiveEndpoint, Crashes.run(),
+                          std::exchange(HoldsSlot, false)});
     send(Now);
   }
 
@@ -338,6 +413,7 @@
     SilentLeg Ended = std::move(*It);
     SilentLegs.erase(It);
     Shared.Table.release(Ended.Endpoint, {1, 0, 0});
+    releaseSlot(Ended.HoldsSlot, Now);
     recordHealth(Ended.Endpoint, R, Now);
     RunCrashWatch::Run Present = Crashes.run();
     Crashes.restore(std::move(Ended.Watched));
@@ -358,7 +434,7 @@
       }
       FailedResponse = std::move(R.Response);
     }
-    if (ActiveLeg || AwaitsGrant)
+    if (ActiveLeg || AwaitsGrant || AwaitsSlot)
       return;
     if (NeverRan)
       return sendToAnother(R.Outcome, Now);
@@ -366,6 +442,7 @@
   }
 
   void onRevokedKey(TimePoint Now) {
+    releaseSlot(HoldsSlot, Now);
     if (!awaitSilentLegs(Now))
       finish(RejectReason::NoKey, {}, Now);
   }
@@ -384,6 +461,7 @@
   /// Gives the best available answer, unless a silent endpoint may still give a
   /// better one: that of an endpoint that failed, or else a rejection.
   void giveUp(TimePoint Now) {
+    releaseSlot(HoldsSlot, Now);
     if (awaitSilentLegs(Now))
       return;
     if (FailedResponse)
@@ -393,6 +471,9 @@
     const milliseconds RetryAfter = std::max(
         DeniedRetryAfter,
         Shared.Table.pauseWait(Request.Service, Now).value_or(milliseconds(0)));
+    if (SlotRetryAfter)
+      return finish(RejectReason::NoCapacity,
+                    std::max(*SlotRetryAfter, RetryAfter), Now);
     if (LegCount > 0)
       return finish(RejectReason::NotRun, std::max(CallRetryAfter, RetryAfter),
                     Now);
@@ -431,8 +512,9 @@
 
   /// Releases all that the call holds.
   void end(TimePoint Now) {
-    stopWaiting();
-    stopLegs();
+    stopWaiting(Now);
+    stopLegs(Now);
+    releaseSlot(HoldsSlot, Now);
     refundRetry(Now);
     Done = true;
   }
@@ -457,6 +539,10 @@
   TimePoint GrantDeadline{};
   /// Time to return if no endpoint is found, from the last denial of a grant.
   milliseconds DeniedRetryAfter{0};
+  bool AwaitsSlot = false; ///< it is in the queue
+  bool HoldsSlot = false;  ///< for the active leg, or one about to start
+  /// Time to return after the queue has refused the call.
+  std::optional<milliseconds> SlotRetryAfter;
   bool RetryCharged = false;     ///< for a leg that has not been sent yet
   unsigned SentRetryCharges = 0; ///< of legs that were sent
   bool MayHaveRun = false;
@@ -472,6 +558,8 @@
 void Flow::onRefused(const StreamRefusal &, TimePoint) {}
 void Flow::onCallGranted(const CallGrant &, TimePoint) {}
 void Flow::onCallDenied(const CallDenial &, TimePoint) {}
+void Flow::onCallReleased(const CallRelease &, TimePoint) {}
+void Flow::onCallRefused(const CallRefusal &, TimePoint) {}
 
 std::unique_ptr<Flow> makeCallFlow(SharedFlowState Shared, FlowRequest Request,
                                    FlowIo &Io) {
