Calls of plain services: slots that were just lent are kept, late calls leave

Cause: the coordinator lent a slot again while the first borrower had not yet reported its use, as that entry's fair part had shrunk meanwhile. Calls at entries without a slot, and so without a known rate, waited until their deadlines. Without a known rate a call is refused once it can no longer be on time.

--- a/include/hyssoprail/routing/call_queue.hpp
+++ b/include/hyssoprail/routing/call_queue.hpp
@@ -98,6 +98,7 @@
     QueuedCall Call;
     std::uint64_t Arrival = 0; ///< sequence number
     TimePoint Since{};
+    bool WasLate = false;   ///< on arrival: it could not be on time
     bool Overtaken = false; ///< a call that came later was released before it
   };
 
@@ -122,7 +123,8 @@
                   TimePoint Now) const;
     void sort(TimePoint Now);
     Waiting takeNext();
-    bool isServable(const Waiting &W, Duration Wait, TimePoint Now) const;
+    bool isServable(const Waiting &W, std::optional<Duration> Wait,
+                    TimePoint Now) const;
     CallRefusal refuse(const Waiting &W, std::size_t Position, TimePoint Now);
   };
 
--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -120,13 +120,17 @@
   return Out;
 }
 
-/// A call that would be late without any wait is judged by its deadline.
-bool CallQueue::Queue::isServable(const Waiting &W, Duration Wait,
+/// A call that would be late without any wait is judged by its deadline. While
+/// the wait is unknown, a call stays until it can no longer be on time.
+bool CallQueue::Queue::isServable(const Waiting &W,
+                                  std::optional<Duration> Wait,
                                   TimePoint Now) const {
+  const bool OnTime = canBeOnTime(W, Now);
+  if (!Wait && !OnTime && !W.WasLate)
+    return false;
   const Duration Run = meanRunTime().value_or(Duration{0});
-  const TimePoint End =
-      canBeOnTime(W, Now) ? W.Call.ObjectiveDeadline : W.Call.GiveUpAt;
-  return Now + Wait + Run <= End;
+  const TimePoint End = OnTime ? W.Call.ObjectiveDeadline : W.Call.GiveUpAt;
+  return Now + Wait.value_or(Duration{0}) + Run <= End;
 }
 
 /// Callers that return together would be refused again, so each gets a time of
@@ -174,7 +178,9 @@
 
 void CallQueue::submit(QueuedCall Call, TimePoint Now) {
   Queue &Q = queue(Call.Service);
-  Q.Calls.push_back({std::move(Call), ++LastArrival, Now, false});
+  Waiting W{std::move(Call), ++LastArrival, Now};
+  W.WasLate = !Q.canBeOnTime(W, Now);
+  Q.Calls.push_back(std::move(W));
   ++Q.Counts.Waited;
 }
 
@@ -235,7 +241,7 @@
   Kept.reserve(Q.Calls.size());
   std::vector<Waiting> Refused;
   for (Waiting &W : Q.Calls) {
-    const Duration Wait = Q.expectedWait(Kept.size()).value_or(Duration{0});
+    const auto Wait = Q.expectedWait(Kept.size());
     const bool Stays = Kept.size() < MaxWaiting && Q.isServable(W, Wait, Now);
     (Stays ? Kept : Refused).push_back(std::move(W));
   }
--- a/src/hyssoprail/routing/call_queue_test.cpp
+++ b/src/hyssoprail/routing/call_queue_test.cpp
@@ -159,6 +159,20 @@
   CHECK(Refused[0].Id == "impatient");
 }
 
+// Load: hundreds of entries, most of which have no slot. Calls waited for a
+// slot until their deadlines, as the rate was unknown.
+TEST_CASE("a call that waits without a known rate leaves when it is late") {
+  CallQueue Q;
+  Q.setSlots(Service, 0, Start);
+  Q.submit(call("1", Start), Start);
+  CHECK(Q.poll(Service, Start + Objective).empty());
+  const TimePoint Late = Start + Objective + milliseconds(1);
+  Q.submit(call("late on arrival", Start), Late);
+  const auto Refused = refused(Q.poll(Service, Late));
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Id == "1");
+}
+
 // Guards against a queue without bound while the rate is unknown.
 TEST_CASE("the queue is bounded in number, the least urgent yield") {
   CallQueue Q;
--- a/src/hyssoprail/routing/call_share_server.cpp
+++ b/src/hyssoprail/routing/call_share_server.cpp
@@ -141,8 +141,9 @@
     Before.push_back(D->Lent);
     const unsigned Kept = std::min(D->Target, D->InUse);
     unsigned Unused = 0;
-    if (Now - D->LentAt < UnusedLoanTime && D->Lent > Kept)
-      Unused = std::min(D->Lent, D->Target) - Kept;
+    // Also if its fair part has shrunk since: the borrower cannot know that.
+    if (Now - D->LentAt < UnusedLoanTime && D->Lent > D->InUse)
+      Unused = D->Lent - D->InUse;
     Unused = std::min(Unused, Free);
     Free -= Unused;
     D->Lent = Kept + Unused;
