Gateway: calls of plain services wait with overload_policy least_cost

Cause: the gateway passed no CallSlots to its calls, and the coordinator divided no slots. Change: Coordination reports what waits, divides the slots while it coordinates and delivers the decisions of the queue on the event loop; GatewayRuntime passes them to their sessions.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -52,7 +52,8 @@
       Time(Time), Log(Log), State(State), Handlers(std::move(Handlers)),
       Scheduler({.UsePrefillEngines = Settings.UsePrefillEngines}, State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
-      Calls(State.Table), Grants(State.Table), Leavers(State.Table),
+      Calls(State.Table), Grants(State.Table), Slots(State.Table, Incarnation),
+      Shares(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers) {}
 
 Status Coordination::start() {
@@ -64,6 +65,7 @@
 void Coordination::configure(const routing::FleetConfigPtr &Next) {
   Config = Next;
   Scheduler.configure(Next);
+  Slots.configure(Next, Settings.Overload);
   notifyStateChanged();
 }
 
@@ -107,6 +109,7 @@
   deliver(Client.refusePaused([&](const std::string &Service) {
     return State.Table.pauseWait(Service, Now);
   }));
+  deliverCallQueue(Now);
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
@@ -138,6 +141,7 @@
   // Does not wait for a report of the previous coordinator.
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
+  Shares.startTerm(Now);
   forgetCrashPeers();
   Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
@@ -150,6 +154,7 @@
     return;
   boost::asio::post(Context, [this] {
     ReportPending = false;
+    deliverCallQueue(Time.now());
     reportOrDecide();
   });
 }
@@ -200,11 +205,19 @@
 void Coordination::applyDecisions(const wire::CoordinatorUpdate &Update,
                                   TimePoint Now) {
   deliver(Client.applyUpdate(Update, Now));
+  Slots.applyUpdate(Update, Now);
+  deliverCallQueue(Now);
   const auto OnCalls = Calls.applyUpdate(Update, Now);
   if (!OnCalls.empty())
     Handlers.OnCalls(OnCalls);
 }
 
+void Coordination::deliverCallQueue(TimePoint Now) {
+  const auto Decisions = Slots.poll(Now);
+  if (!Decisions.empty())
+    Handlers.OnCallQueue(Decisions);
+}
+
 void Coordination::takeReport(const wire::EntryReport &Report, TimePoint Now) {
   if (!Server.handleReport(Report, Now))
     return;
@@ -213,6 +226,7 @@
     takeLeaving(Report);
   }
   Grants.handleReport(Report, Now);
+  Shares.handleReport(Report, Now);
 }
 
 /// Merges what a report or an update tells of endpoints that leave.
@@ -226,6 +240,7 @@
 void Coordination::endTerm(TimePoint Now) {
   Server.endTerm(Now);
   Grants.clear();
+  Shares.clear();
 }
 
 // ---- As a follower --------------------------------------------------------
@@ -353,6 +368,7 @@
   }
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
+  Slots.fillReport(R);
   Leavers.fill(To, R);
   ReportedAt = Now;
   return R;
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -18,6 +18,8 @@
 #include "hyssoprail/routing/admission_server.hpp"
 #include "hyssoprail/routing/call_grant_client.hpp"
 #include "hyssoprail/routing/call_grant_server.hpp"
+#include "hyssoprail/routing/call_share_server.hpp"
+#include "hyssoprail/routing/call_slots.hpp"
 #include "hyssoprail/routing/coordinator_election.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/health_signal_log.hpp"
@@ -51,6 +53,9 @@
   struct DecisionHandlers {
     std::function<void(const std::vector<routing::StreamDecision> &)> OnStreams;
     std::function<void(const std::vector<routing::CallDecision> &)> OnCalls;
+    /// Decisions on calls that wait for slots of plain services.
+    std::function<void(const std::vector<routing::CallQueueDecision> &)>
+        OnCallQueue = [](const auto &) {};
   };
 
   Coordination(boost::asio::io_context &Context,
@@ -85,6 +90,7 @@
 
   routing::StreamAdmission &admission() { return Client; }
   routing::CallGrantClient &calls() { return Calls; }
+  routing::CallSlots &slots() { return Slots; }
 
   /// Queue of the whole fleet; in use only while this entry is the coordinator.
   const routing::StreamScheduler &scheduler() const { return Scheduler; }
@@ -133,8 +139,10 @@
   void applyDecisions(const wire::CoordinatorUpdate &Update, TimePoint Now);
   bool hasUnreportedChange() const {
     return Client.hasUnreportedChange() || Calls.hasUnreportedChange() ||
-           Leavers.hasUnreportedChange();
+           Leavers.hasUnreportedChange() || Slots.hasUnreportedChange();
   }
+  void deliverCallQueue(TimePoint Now);
+  void applyOwnShares(TimePoint Now);
   void endTerm(TimePoint Now);
   void takeReport(const wire::EntryReport &Report, TimePoint Now);
   std::size_t claimRank() const;
@@ -180,6 +188,8 @@
   routing::AdmissionServer Server;
   routing::CallGrantClient Calls;
   routing::CallGrantServer Grants;
+  routing::CallSlots Slots;
+  routing::CallShareServer Shares;
   routing::LeavingExchange Leavers;
   routing::CoordinatorElection Election;
   PeerTransport &Peers;
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -41,10 +41,14 @@
 
 void Coordination::decide(TimePoint Now) {
   Server.decide(Now);
+  Shares.decide(knownEntries(), Now);
+  applyOwnShares(Now);
   const auto Addresses = Server.addresses();
   std::set<std::string> DueEntries = Grants.entriesDueUpdate();
   for (const std::string &Name : Server.entriesDueUpdate())
     DueEntries.insert(Name);
+  for (const std::string &Name : Shares.entriesDueUpdate())
+    DueEntries.insert(Name);
   for (const std::string &Name : DueEntries) {
     if (Name == Settings.Name) {
       applyDecisions(makeUpdate(Name), Now);
@@ -58,6 +62,18 @@
     notifyStateChanged();
 }
 
+/// Updates to this entry itself are made only with decisions; the shares are
+/// renewed each time, as they lapse.
+void Coordination::applyOwnShares(TimePoint Now) {
+  wire::CoordinatorUpdate U;
+  U.set_sender(Settings.Name);
+  U.set_incarnation(Incarnation);
+  U.set_sequence(++UpdateSequence);
+  Shares.fillUpdate(Settings.Name, U);
+  Slots.applyUpdate(U, Now);
+  deliverCallQueue(Now);
+}
+
 void Coordination::measureRooms(TimePoint Now) {
   if (!Config || Now - RoomsMeasuredAt < RoomsInterval)
     return;
@@ -107,6 +123,7 @@
   if (U.has_totals())
     LastTotals = Now;
   Grants.fillUpdate(Entry, U, Now);
+  Shares.fillUpdate(Entry, U);
   if (Entry == Settings.Name)
     return U;
   Leavers.fill(Entry, U);
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -72,6 +72,7 @@
           Context, this->Settings, Incarnation, Time, Log, Peers,
           {Table, EngineSignals, Crashes, Quota, Feed},
           {[this](const auto &Decisions) { onDecisions(Decisions); },
+           [this](const auto &Decisions) { onDecisions(Decisions); },
            [this](const auto &Decisions) { onDecisions(Decisions); }}),
       Stages(this->Settings.Name, Time, Table, FleetCoordination.scheduler(),
              Feed, Http, Protocol, Log,
@@ -204,7 +205,8 @@
                                           FleetCoordination.calls(),
                                           Retries,
                                           Lengths,
-                                          Settings.Zone};
+                                          Settings.Zone,
+                                          &FleetCoordination.slots()};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
@@ -372,6 +374,15 @@
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleResponses));
   Descriptors.updateGauges(Counters);
+  const routing::CallQueue &Queue = FleetCoordination.slots().queue();
+  for (const std::string &Service : Queue.services()) {
+    const routing::CallQueueState State = Queue.state(Service);
+    const MetricLabels Label{{"service", Service}};
+    Counters.gauge("calls_waiting", Label).set(double(State.Waiting));
+    Counters.gauge("calls_waited", Label).set(double(State.Waited));
+    Counters.gauge("calls_refused_waiting", Label).set(double(State.Refused));
+    Counters.gauge("call_slots_in_use", Label).set(State.InUse);
+  }
   Table.forEach([&](routing::Endpoint &E) {
     const MetricLabels Label{{"endpoint", E.Record.Id}};
     Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -199,6 +199,7 @@
   Step([&] {
     Quota.setReportingShare(FleetCoordination.reportingShare(), Now);
     Table.setLimitShare(FleetCoordination.limitShare(), Now);
+    FleetCoordination.slots().setKnownEntries(entriesSharingLimits(Now));
     Retries.setEntries(static_cast<unsigned>(entriesSharingLimits(Now)));
     updateColdStartLimits(Now);
   });
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -92,6 +92,13 @@
     deliver(&routing::Flow::onCallDenied, D);
   }
 
+  void onDecision(const routing::CallRelease &D) {
+    deliver(&routing::Flow::onCallReleased, D);
+  }
+  void onDecision(const routing::CallRefusal &D) {
+    deliver(&routing::Flow::onCallRefused, D);
+  }
+
   /// The process ends at \p Deadline.
   void endBy(TimePoint Deadline);
 
