Merge the queue of plain calls

Also findings of the linter in the library rollout: OrderId has the comparisons that are used, applyDecision() one condition for what it ignores.

--- a/include/hyssoprail/rollout/rollout_order.hpp
+++ b/include/hyssoprail/rollout/rollout_order.hpp
@@ -2,10 +2,10 @@
 #define HYSSOPRAIL_ROLLOUT_ROLLOUT_ORDER_HPP
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/core/enum_names.hpp"
@@ -18,7 +18,13 @@
   std::uint64_t Era = 0;
   std::uint64_t Offset = 0;
 
-  auto operator<=>(const OrderId &) const = default;
+  bool operator==(const OrderId &O) const {
+    return Era == O.Era && Offset == O.Offset;
+  }
+  bool operator<(const OrderId &O) const {
+    return std::tie(Era, Offset) < std::tie(O.Era, O.Offset);
+  }
+  bool operator<=(const OrderId &O) const { return !(O < *this); }
 };
 
 /// The operator's order to move the traffic of a service to another version.
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -6,6 +6,7 @@
 
 #include "hyssoprail/rollout/rollout_gate.hpp"
 #include "hyssoprail/routing/call_admission.hpp"
+#include "hyssoprail/routing/call_slots.hpp"
 #include "hyssoprail/routing/crash_ledgers.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/engine_work_log.hpp"
@@ -34,6 +35,8 @@
   EngineWorkLog *EngineWork = nullptr; ///< null: work is not measured
   /// Divides requests between versions; null if no rollouts are carried out.
   rollout::RolloutGate *Rollouts = nullptr;
+  /// Slots that calls wait for; null: no call waits.
+  CallSlots *Slots = nullptr;
 };
 
 /// An admitted request with the parts of the configuration that apply to it.
@@ -79,6 +82,8 @@
   /// Decisions on the submitted call.
   virtual void onCallGranted(const CallGrant &Grant, TimePoint Now);
   virtual void onCallDenied(const CallDenial &Denial, TimePoint Now);
+  virtual void onCallReleased(const CallRelease &Release, TimePoint Now);
+  virtual void onCallRefused(const CallRefusal &Refusal, TimePoint Now);
 
   /// The time of nextDeadline() was reached.
   virtual void onTimer(TimePoint Now) = 0;
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -55,7 +55,8 @@
                  .Overload = Settings.Overload},
                 State.Table),
       Server(Settings.Name, Scheduler, State.Table, State.Quota),
-      Calls(State.Table), Grants(State.Table), Leavers(State.Table),
+      Calls(State.Table), Grants(State.Table), Slots(State.Table, Incarnation),
+      Shares(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers),
       Rollouts(Settings, Incarnation, State.Feed, Log) {
   Scheduler.setUnproven(
@@ -74,6 +75,7 @@
 void Coordination::configure(const routing::FleetConfigPtr &Next) {
   Config = Next;
   Scheduler.configure(Next);
+  Slots.configure(Next, Settings.Overload);
   notifyStateChanged();
 }
 
@@ -117,6 +119,7 @@
   deliver(Client.refusePaused([&](const std::string &Service) {
     return State.Table.pauseWait(Service, Now);
   }));
+  deliverCallQueue(Now);
   if (Election.tick(Server.liveEntryCount(Now), knownEntries(), Now))
     beginCoordination(Now);
   State.Feed.setReadsCrashRecords(Election.isCoordinator());
@@ -162,6 +165,7 @@
   Server.startTerm(std::max<std::size_t>(2, KnownAtClaim) - 1, Now);
   Grants.clear();
   Rollouts.startTerm(Now);
+  Shares.startTerm(Now);
   forgetCrashPeers();
   Leavers.forgetPeers();
   State.Table.setPeerLoad(FleetPeer, {});
@@ -177,6 +181,7 @@
     return;
   boost::asio::post(Context, [this] {
     ReportPending = false;
+    deliverCallQueue(Time.now());
     reportOrDecide();
   });
 }
@@ -227,11 +232,19 @@
 void Coordination::applyDecisions(const wire::CoordinatorUpdate &Update,
                                   TimePoint Now) {
   deliver(Client.applyUpdate(Update, Now));
+  Slots.applyUpdate(Update, Now);
+  deliverCallQueue(Now);
   const auto OnCalls = Calls.applyUpdate(Update, Now);
   if (!OnCalls.empty())
     Handlers.OnCalls(OnCalls);
 }
 
+void Coordination::deliverCallQueue(TimePoint Now) {
+  const auto Decisions = Slots.poll(Now);
+  if (!Decisions.empty())
+    Handlers.OnCallQueue(Decisions);
+}
+
 void Coordination::takeReport(const wire::EntryReport &Report, TimePoint Now) {
   if (!Server.handleReport(Report, Now))
     return;
@@ -241,6 +254,7 @@
   }
   Grants.handleReport(Report, Now);
   Rollouts.takeReport(Report);
+  Shares.handleReport(Report, Now);
 }
 
 /// Merges what a report or an update tells of endpoints that leave.
@@ -254,6 +268,7 @@
 void Coordination::endTerm(TimePoint Now) {
   Server.endTerm(Now);
   Grants.clear();
+  Shares.clear();
 }
 
 // ---- As a follower --------------------------------------------------------
@@ -386,6 +401,7 @@
     State.EngineWork->fillReport(R, Now);
   Client.fillReport(R, Now);
   Calls.fillReport(R, Now);
+  Slots.fillReport(R);
   Leavers.fill(To, R);
   Rollouts.fillReport(R, Now);
   ReportedAt = Now;
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -31,9 +31,12 @@
 }
 
 void RolloutGate::applyDecision(const RolloutDecision &Decision) {
-  auto [It, New] = Rollouts.try_emplace(Decision.Service);
+  const auto [It, New] = Rollouts.try_emplace(Decision.Service);
   Rollout &R = It->second;
-  if (New || R.Decision.Order < Decision.Order) {
+  const bool NewOrder = New || R.Decision.Order < Decision.Order;
+  if (!NewOrder && (R.IsFinal || R.Decision.Order != Decision.Order))
+    return;
+  if (NewOrder) {
     if (!New && R.Decision.Phase != RolloutPhase::Completed)
       Rejected[Decision.Service].insert(R.Decision.Target);
     R = {};
@@ -41,9 +44,7 @@
     R.Counts.Service = Decision.Service;
     R.Counts.Order = Decision.Order;
     Rejected[Decision.Service].erase(Decision.Target);
-  } else if (R.IsFinal) {
-    return;
-  } else if (R.Decision.Order == Decision.Order) {
+  } else {
     // Late decisions must not take a rollout back to an earlier phase.
     const RolloutPhase Phase = std::max(R.Decision.Phase, Decision.Phase);
     const std::uint64_t Allowance =
@@ -51,8 +52,6 @@
     R.Decision = Decision;
     R.Decision.Phase = Phase;
     R.Decision.Allowance = Allowance;
-  } else {
-    return;
   }
   if (RolledBack.contains(R.Decision.Order))
     R.Decision.Phase = RolloutPhase::RolledBack;
