Call queue: no lambda captures a structured binding

Cause: clang rejects the capture, so the linter and the fuzz build fail; gcc accepts it. Change: position() names the queue. Checked: clang++ -fsyntax-only passes on the file.

--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -257,7 +257,8 @@
 }
 
 std::size_t CallQueue::position(std::string_view Id, TimePoint Now) const {
-  for (const auto &[Service, Q] : Queues) {
+  for (const auto &Item : Queues) {
+    const Queue &Q = Item.second;
     const auto It =
         std::find_if(Q.Calls.begin(), Q.Calls.end(),
                      [&](const Waiting &W) { return W.Call.Id == Id; });
