Rollouts: a completed one ends

Cause: after a completion all requests had to go to the target for ever. If its endpoints were replaced by those of another version without an order, as in a plain release, the service got no endpoint. Change: 15 s after the completion any version may be used again that is not the target of an open order. Measured: the new test fails before (Target instead of Any, 16 s after the completion); rollout_test passes.

--- a/include/hyssoprail/rollout/rollout_gate.hpp
+++ b/include/hyssoprail/rollout/rollout_gate.hpp
@@ -105,7 +105,9 @@
 private:
   struct Rollout {
     RolloutDecision Decision;
-    bool IsFinal = false; ///< the store has a final state of the order
+    bool IsFinal = false;    ///< the store has a final state of the order
+    TimePoint CompletedAt{}; ///< when a request first found it completed
+    bool IsOver = false;     ///< it no longer decides which endpoints are used
     RolloutEvidence Counts;
     /// When an answer was last lost, by endpoint.
     std::map<std::string, TimePoint, std::less<>> LostAt;
@@ -113,6 +115,7 @@
   };
 
   Rollout *find(std::string_view Service);
+  static bool isOver(Rollout &R, TimePoint Now);
   VersionChoice chooseInShift(Rollout &R, const RolloutRequest &Request,
                               TimePoint Now);
   bool takeAllowance(Rollout &R, unsigned Sends);
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -16,6 +16,10 @@
 /// multiple of its expected run time is left until the completion.
 constexpr int RunTimeSafetyFactor = 3;
 
+/// Old endpoints stop at the completion. Their registrations are gone within
+/// this time, also if the store is down for some seconds.
+constexpr milliseconds OldEndpointsEnd{15'000};
+
 /// Run times older than this are forgotten.
 constexpr milliseconds RunTimeMemory{10'000};
 
@@ -92,11 +96,24 @@
   return true;
 }
 
+/// Once the old endpoints have gone, other endpoints may replace those of the
+/// target without an order.
+bool RolloutGate::isOver(Rollout &R, TimePoint Now) {
+  if (R.Decision.Phase != RolloutPhase::Completed)
+    return false;
+  if (R.CompletedAt == TimePoint{})
+    R.CompletedAt = Now;
+  R.IsOver = Now - R.CompletedAt >= OldEndpointsEnd;
+  return R.IsOver;
+}
+
 VersionChoice RolloutGate::choose(const RolloutRequest &Request,
                                   TimePoint Now) {
   Rollout *R = find(Request.Service);
   if (!R)
     return {};
+  if (isOver(*R, Now))
+    return {};
   R->Counts.Requests += Request.Sends;
   const std::string &Target = R->Decision.Target;
   switch (R->Decision.Phase) {
@@ -151,6 +168,8 @@
   if (It == Rollouts.end())
     return Chosen;
   const RolloutDecision &D = It->second.Decision;
+  if (It->second.IsOver && Chosen.Use == VersionChoice::Kind::Any)
+    return Chosen;
   if (D.Phase == RolloutPhase::Completed)
     return choice(VersionChoice::Kind::Target, D.Target);
   const bool StaysAtTarget = Chosen.Use == VersionChoice::Kind::Target &&
--- a/src/hyssoprail/rollout/rollout_gate_test.cpp
+++ b/src/hyssoprail/rollout/rollout_gate_test.cpp
@@ -21,8 +21,8 @@
   Gate.applyDecision(D);
 }
 
-VersionChoice choose(RolloutGate &Gate) {
-  return Gate.choose({"s1", true, 1, milliseconds(10)}, Now);
+VersionChoice choose(RolloutGate &Gate, TimePoint At = Now) {
+  return Gate.choose({"s1", true, 1, milliseconds(10)}, At);
 }
 
 } // namespace
@@ -64,4 +64,16 @@
   CHECK(Gate.isUnproven("s1", "v2"));
 }
 
+// Guards against a service that gets no more work when its endpoints are
+// replaced by those of another version, without an order, after a rollout.
+TEST_CASE("a completed rollout does not bind the service for ever") {
+  RolloutGate Gate;
+  decide(Gate, 1, "v2", RolloutPhase::Completed);
+  REQUIRE(choose(Gate).Use == Kind::Target);
+  CHECK(choose(Gate, Now + milliseconds(14'000)).Use == Kind::Target);
+  const VersionChoice Later = choose(Gate, Now + milliseconds(16'000));
+  CHECK(Later.Use == Kind::Any);
+  CHECK(Gate.update("s1", Later).Use == Kind::Any);
+}
+
 } // namespace hyssoprail::rollout
