--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -43,10 +43,11 @@
   if (NewOrder) {
     if (!New && R.Decision.Phase != RolloutPhase::Completed)
       Rejected[Decision.Service].insert(R.Decision.Target);
-    R = {};
-    R.Decision = Decision;
-    R.Counts.Service = Decision.Service;
-    R.Counts.Order = Decision.Order;
+    Rollout Fresh;
+    Fresh.Decision = Decision;
+    Fresh.Counts.Service = Decision.Service;
+    Fresh.Counts.Order = Decision.Order;
+    R = std::move(Fresh);
     Rejected[Decision.Service].erase(Decision.Target);
   } else {
     // Late decisions must not take a rollout back to an earlier phase.
