Routing: one conversion between Duration and seconds

Cause: five files defined the same function seconds(), two of them also its inverse, and five more had the same expressions in place. Change: both stand in duration_seconds.hpp, an internal header. The length of a step of ReturnSchedule in seconds is derived from the step. The averaging time of ArrivalRates states its reason in plain words. Checked: syntax of the ten changed files, format. No test was run.

--- a/src/hyssoprail/routing/arrival_rates.cpp
+++ b/src/hyssoprail/routing/arrival_rates.cpp
@@ -1,19 +1,20 @@
 #include "hyssoprail/routing/arrival_rates.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
-/// Half of the time within which on-time service has to be back after a flood.
+/// Half of the time in which requests must be on time again after a surge.
 constexpr double AveragingSeconds = 1;
 
 } // namespace
 
 double ArrivalRates::Rate::at(TimePoint Now) const {
-  const double Age = std::chrono::duration<double>(Now - At).count();
+  const double Age = seconds(Now - At);
   return PerSecond * std::exp(-std::max(0.0, Age) / AveragingSeconds);
 }
 
--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -32,13 +34,6 @@
 /// Fewer calls than this are forgotten.
 constexpr double MinUse = 0.01;
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
-Duration toDuration(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
-}
-
 } // namespace
 
 // ---- Run times --------------------------------------------------------------
@@ -57,7 +52,7 @@
 std::optional<Duration> CallQueue::Queue::meanRunTime() const {
   if (Ends <= 0)
     return std::nullopt;
-  return toDuration(HeldSeconds / Ends);
+  return fromSeconds(HeldSeconds / Ends);
 }
 
 std::optional<Duration>
@@ -67,7 +62,7 @@
     return std::nullopt;
   const double Needed = static_cast<double>(Ahead) + 1 + Counts.InUse -
                         static_cast<double>(Counts.Slots);
-  return toDuration(std::max(0.0, Needed) * seconds(*Run) / Counts.Slots);
+  return fromSeconds(std::max(0.0, Needed) * seconds(*Run) / Counts.Slots);
 }
 
 // ---- Order ------------------------------------------------------------------
--- a/src/hyssoprail/routing/decode_time_model.cpp
+++ b/src/hyssoprail/routing/decode_time_model.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
 #include "hyssoprail/routing/engine_speeds.hpp"
 
 namespace hyssoprail::routing {
@@ -21,7 +21,7 @@
 
 void DecodeTimeModel::add(double Tokens, double MicrosPerToken, double Runs,
                           TimePoint Now) {
-  const double Elapsed = std::chrono::duration<double>(Now - UpdatedAt).count();
+  const double Elapsed = seconds(Now - UpdatedAt);
   const double Kept = std::exp(-std::max(0.0, Elapsed) / ModelSeconds);
   UpdatedAt = std::max(UpdatedAt, Now);
   for (double *Sum : {&Weight, &RunSum, &RunSquares, &TimeSum, &RunTimeSum})
--- a/src/hyssoprail/routing/engine_speeds.cpp
+++ b/src/hyssoprail/routing/engine_speeds.cpp
@@ -1,10 +1,11 @@
 #include "hyssoprail/routing/engine_speeds.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -38,8 +39,6 @@
 /// Totals of a peer that grow faster between two reports are faulty.
 constexpr std::uint64_t MaxGrowth = 1'000'000'000;
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
 double median(std::vector<double> Values) {
   std::sort(Values.begin(), Values.end());
   const std::size_t Half = Values.size() / 2;
--- a/src/hyssoprail/routing/overload_policy.cpp
+++ b/src/hyssoprail/routing/overload_policy.cpp
@@ -1,10 +1,10 @@
 #include "hyssoprail/routing/overload_policy.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <optional>
 #include <tuple>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
 #include "hyssoprail/routing/stream_admission.hpp"
 
 namespace hyssoprail::routing {
@@ -55,8 +55,7 @@
     const double Seconds = Rate > 0
                                ? std::min(MissingTokens / Rate, MaxWaitSeconds)
                                : MaxWaitSeconds;
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Seconds));
+    return fromSeconds(Seconds);
   };
   const Duration Wait = WaitAt(Capacity.UrgentArrivals);
   if (canBeOnTime(Request, Capacity.TimeToFirstEvent, Now + Wait))
--- a/src/hyssoprail/routing/return_schedule.cpp
+++ b/src/hyssoprail/routing/return_schedule.cpp
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <chrono>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
 constexpr milliseconds Step{100};
-constexpr double StepSeconds = 0.1;
 
 /// Bounds the memory of the schedule; callers beyond get no promise.
 constexpr std::size_t MaxPromises = 50'000;
@@ -22,7 +23,7 @@
 ReturnSchedule::promise(const ReturnNeed &Need, double TokensPerSecond,
                         TimePoint Earliest, TimePoint Latest, TimePoint Now) {
   forgetPast(Now);
-  const double PerStep = TokensPerSecond * StepSeconds;
+  const double PerStep = TokensPerSecond * seconds(Step);
   if (PerStep <= 0 || Promises.size() >= MaxPromises)
     return std::nullopt;
   const std::int64_t Last = stepOf(Latest);
--- a/src/hyssoprail/routing/shared_quota.cpp
+++ b/src/hyssoprail/routing/shared_quota.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
 #include "hyssoprail/routing/usable_total.hpp"
 
 namespace hyssoprail::routing {
@@ -35,8 +36,6 @@
 /// range of Duration, and the conversion could make it negative.
 constexpr double MaxWaitSeconds = 3'600;
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
 /// This entry's part of the recent grants.
 double part(double Own, double All) {
   return All > 0 ? std::min(1.0, Own / All) : 1;
@@ -140,8 +139,7 @@
   if (PartExcess > 0)
     Wait =
         std::max(Wait, std::min(PartExcess / PartRate, B.Debt / refillRate(B)));
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(Wait, MaxWaitSeconds)));
+  return fromSeconds(std::min(Wait, MaxWaitSeconds));
 }
 
 QuotaDecision SharedQuota::take(std::string_view Account, double Tokens,
--- a/src/hyssoprail/routing/stage_planner.cpp
+++ b/src/hyssoprail/routing/stage_planner.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -53,8 +55,6 @@
 /// change.
 constexpr milliseconds OrderGracePeriod{4'000};
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
 } // namespace
 
 void EngineUtilization::recordPrefill(std::uint32_t Tokens,
@@ -81,8 +81,7 @@
   Decode += Weight * (DecodeEngines - Decode);
   TokensPrefilled = 0;
   if (DecodeEngines > 0)
-    TrafficTime += std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Elapsed));
+    TrafficTime += fromSeconds(Elapsed);
 }
 
 std::optional<EngineUtilization::BusyEngines>
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -23,12 +25,6 @@
          (Request.IsRetry ? 0 : 2) + (Late ? 1 : 0);
 }
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
-Duration fromSeconds(double S) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(S));
-}
-
 } // namespace
 
 // ---- Queue ----------------------------------------------------------------
--- a/src/hyssoprail/routing/stream_scheduler_reservations.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_reservations.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
 #include "hyssoprail/routing/stream_scheduler.hpp"
 
 namespace hyssoprail::routing {
@@ -141,8 +142,7 @@
   });
   if (Memory > 0)
     Out.DrainTime =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-            static_cast<double>(Tokens) * MeanRunSeconds / Memory));
+        fromSeconds(static_cast<double>(Tokens) * MeanRunSeconds / Memory);
   return Out;
 }
 
