Overload policy: shorter steps, and names that say what is counted

Change: setCapacity, sortByAge, canBeOnTime and recordDispatch are functions of their own; Overtakings is DispatchesSinceTurn; comments of setUnproven, isTurnDue, MaxKeptShare and ReturnSchedule::Early are reworded. Checked: syntax of the changed file, format. No test was run.

--- a/include/hyssoprail/routing/return_schedule.hpp
+++ b/include/hyssoprail/routing/return_schedule.hpp
@@ -28,7 +28,7 @@
 class ReturnSchedule {
 public:
   /// A caller that returns this much before or after its time is on time:
-  /// callers round, and networks delay.
+  /// callers round the time, and networks delay requests.
   static constexpr milliseconds Early{100};
   static constexpr milliseconds Late{400};
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -63,8 +63,8 @@
 
   void configure(FleetConfigPtr Next) { Config = std::move(Next); }
 
-  /// Sets the function that tells versions of a service which only requests
-  /// that name them may use.
+  /// Sets the function that returns true for a version that is not proven:
+  /// only requests whose StreamRequest::Version names it may use its engines.
   using VersionTest =
       std::function<bool(std::string_view Service, std::string_view Version)>;
   void setUnproven(VersionTest Test) { IsUnproven = std::move(Test); }
@@ -168,8 +168,9 @@
   struct OverloadState {
     ArrivalRates Arrivals;
     ReturnSchedule Returns;
-    /// Dispatches since the last turn of the longest waiting request.
-    unsigned Overtakings = 0;
+    /// Dispatches since the last turn of the longest waiting request. A turn
+    /// takes OverloadPolicy::FairTurn - 1 of them.
+    unsigned DispatchesSinceTurn = 0;
     /// Ids of waiting requests that fit nowhere when it was their turn, while
     /// others were dispatched.
     std::set<std::string, std::less<>> PassedOver;
--- a/src/hyssoprail/routing/stream_scheduler_overload.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_overload.cpp
@@ -14,8 +14,8 @@
 constexpr double PromisedShare = 0.5;
 
 /// Largest share of the decode engines that are kept free for requests which
-/// missed their turn. With three eighths, the largest tenth of the requests was
-/// served 0.497 times as often as all; the bound is half as often.
+/// missed their turn. With less, the largest requests are served less than half
+/// as often as all.
 constexpr double MaxKeptShare = 0.5;
 
 } // namespace
@@ -75,31 +75,16 @@
   PolicyRound(StreamScheduler &Owner, const std::vector<const Queued *> &Queue,
               Pool &Engines, OverloadState &State, TimePoint Now)
       : Owner(Owner), Queue(Queue), Engines(Engines), State(State), Now(Now) {
-    double Speed = 0;
     double Fastest = 0;
-    for (const Endpoint *E : Engines.Decode) {
-      Speed += E->SpeedFactor;
+    for (const Endpoint *E : Engines.Decode)
       Fastest = std::max(Fastest, E->SpeedFactor);
-    }
-    Capacity.TokensPerSecond =
-        static_cast<double>(Engines.Bound) * Speed / Owner.MeanRunSeconds;
-    Capacity.AllArrivals = State.Arrivals.all(Now);
-    Capacity.TimeToFirstEvent =
-        Fastest > 0
-            ? std::chrono::duration_cast<Duration>(
-                  std::chrono::duration<double>(TimeToFirstEvent) / Fastest)
-            : Duration(TimeToFirstEvent);
+    setCapacity(Fastest);
     const double RunSeconds =
         Owner.MeanRunSeconds / (Fastest > 0 ? Fastest : 1);
     Inputs.reserve(Queue.size());
     for (const Queued *Q : Queue)
       Inputs.push_back(Owner.overloadInput(*Q, RunSeconds));
-    ByAge.resize(Queue.size());
-    std::iota(ByAge.begin(), ByAge.end(), std::size_t{0});
-    std::sort(ByAge.begin(), ByAge.end(), [&](std::size_t A, std::size_t B) {
-      return std::tie(Inputs[A].Arrival, Inputs[A].Id) <
-             std::tie(Inputs[B].Arrival, Inputs[B].Id);
-    });
+    sortByAge();
     Decided.resize(Queue.size());
     for (const auto &[Key, Tokens] : State.Returns.due(Now))
       Promises.push_back({Key.first, Owner.accountLoad(Key.second), Tokens});
@@ -128,10 +113,41 @@
     double Tokens = 0;
   };
 
-  /// True if a further turn of the longest waiting requests is due, besides
-  /// those that wait for room.
+  /// \p Fastest is the largest speed factor of the decode engines, 0 if there
+  /// are none.
+  void setCapacity(double Fastest) {
+    double Speed = 0;
+    for (const Endpoint *E : Engines.Decode)
+      Speed += E->SpeedFactor;
+    Capacity.TokensPerSecond =
+        static_cast<double>(Engines.Bound) * Speed / Owner.MeanRunSeconds;
+    Capacity.AllArrivals = State.Arrivals.all(Now);
+    Capacity.TimeToFirstEvent =
+        Fastest > 0
+            ? std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double>(TimeToFirstEvent) / Fastest)
+            : Duration(TimeToFirstEvent);
+  }
+
+  void sortByAge() {
+    ByAge.resize(Queue.size());
+    std::iota(ByAge.begin(), ByAge.end(), std::size_t{0});
+    std::sort(ByAge.begin(), ByAge.end(), [&](std::size_t A, std::size_t B) {
+      return std::tie(Inputs[A].Arrival, Inputs[A].Id) <
+             std::tie(Inputs[B].Arrival, Inputs[B].Id);
+    });
+  }
+
+  bool canBeOnTime(std::size_t I) const {
+    return OverloadPolicy::canBeOnTime(Inputs[I], Capacity.TimeToFirstEvent,
+                                       Now);
+  }
+
+  /// True if there were enough other dispatches for one more turn of a longest
+  /// waiting request. Each that had its turn but still waits for room has used
+  /// up as many.
   bool isTurnDue() const {
-    return State.Overtakings >=
+    return State.DispatchesSinceTurn >=
            (Kept.size() + Missed.size() + 1) * (OverloadPolicy::FairTurn - 1);
   }
 
@@ -188,9 +204,8 @@
   std::vector<const Endpoint *> keptFrom(std::size_t I) const {
     std::vector<const Endpoint *> Out;
     for (const auto &[For, E] : Kept)
-      if (For != I && !(OverloadPolicy::canBeOnTime(
-                            Inputs[I], Capacity.TimeToFirstEvent, Now) &&
-                        Inputs[I].Priority < Inputs[For].Priority))
+      if (For != I &&
+          !(canBeOnTime(I) && Inputs[I].Priority < Inputs[For].Priority))
         Out.push_back(E);
     return Out;
   }
@@ -199,8 +214,7 @@
   /// now, or that have returned and wait.
   bool isPromisedToOthers(std::size_t I) const {
     const OverloadInput &R = Inputs[I];
-    const bool OnTime =
-        OverloadPolicy::canBeOnTime(R, Capacity.TimeToFirstEvent, Now);
+    const bool OnTime = canBeOnTime(I);
     double Promised = 0;
     for (const PromisedRoom &P : Promises)
       if (!OnTime || P.Priority < R.Priority ||
@@ -219,22 +233,29 @@
     Endpoint *Decode = Owner.chooseDecode(Request, Engines, Now, keptFrom(I));
     if (!Decode || (!IsTurn && isPromisedToOthers(I)))
       return false;
-    // Bounded, so that a long queue does not store up turns.
-    constexpr unsigned MaxOvertakings = 4 * OverloadPolicy::FairTurn;
+    recordDispatch(I, IsTurn);
+    Out.push_back(Owner.place(Request, Engines, *Decode, Now));
+    Decided[I] = true;
+    return true;
+  }
+
+  /// Counts the dispatch of request \p I for the turns of the longest waiting
+  /// requests; \p IsTurn: it was one of them.
+  void recordDispatch(std::size_t I, bool IsTurn) {
+    // Bounded, so that a long queue does not accumulate turns.
+    constexpr unsigned MaxDispatches = 4 * OverloadPolicy::FairTurn;
     if (IsTurn)
-      State.Overtakings -=
-          std::min(State.Overtakings, OverloadPolicy::FairTurn - 1);
+      State.DispatchesSinceTurn -=
+          std::min(State.DispatchesSinceTurn, OverloadPolicy::FairTurn - 1);
     else {
-      State.Overtakings = std::min(State.Overtakings + 1, MaxOvertakings);
+      State.DispatchesSinceTurn =
+          std::min(State.DispatchesSinceTurn + 1, MaxDispatches);
       for (const std::size_t Other : Missed)
         if (Other != I)
           State.PassedOver.insert(Queue[Other]->Request.Id);
     }
     State.LastDispatchedArrival =
         std::max(State.LastDispatchedArrival, Inputs[I].Arrival);
-    Out.push_back(Owner.place(Request, Engines, *Decode, Now));
-    Decided[I] = true;
-    return true;
   }
 
   /// Sets the time at which the caller finds room, or else the latest allowed
