Call shares: lending in shorter steps, one loop for slots given in turn

A comment told what was seen before PeakTime. Change: distribute, freeSlots, keepLoan and applyDemand are functions of their own; the comment gives the reason in the present tense. Checked: syntax of the changed file, format. No test was run.

--- a/include/hyssoprail/routing/call_share_server.hpp
+++ b/include/hyssoprail/routing/call_share_server.hpp
@@ -47,7 +47,7 @@
   struct Demand {
     unsigned InUse = 0;
     unsigned Waiting = 0;
-    unsigned Peak = 0; ///< largest InUse of late
+    unsigned Peak = 0; ///< largest recent InUse
     TimePoint PeakAt{};
     unsigned Target = 0; ///< fair part
     unsigned Lent = 0;   ///< at most the fair part, as slots become free
@@ -65,10 +65,20 @@
 
   using Claimants = std::vector<std::pair<const std::string *, Demand *>>;
 
+  /// Free slots by endpoint, as far as reports tell; may be negative.
+  using FreeSlotMap = std::map<std::string, int>;
+
+  void applyDemand(Entry &E, const wire::EntryReport &Report);
   void divide(const std::string &Service, std::size_t KnownEntries,
               TimePoint Now);
   void lend(const std::string &Service, Claimants &Claims, unsigned Available,
             unsigned Even, TimePoint Now);
+  FreeSlotMap freeSlots(const std::string &Service, const Claimants &Claims,
+                        TimePoint Now);
+  /// Reduces the loan of an entry to what it uses of its fair part, and what
+  /// was lent just now: at most \p Free slots, whose number is returned.
+  static unsigned keepLoan(Demand &D, unsigned Free, FreeSlotMap &FreeSlots,
+                           TimePoint Now);
 
   EndpointTable &Table;
   TimePoint LendsFrom{};
--- a/src/hyssoprail/routing/call_share_server.cpp
+++ b/src/hyssoprail/routing/call_share_server.cpp
@@ -16,10 +16,23 @@
 constexpr milliseconds UnusedLoanTime{50};
 
 /// What an entry has used of its even share is kept free for it for this time.
-/// Without it, each entry of a busy fleet used the slots that the coordinator
-/// had just lent to another one.
+/// Otherwise it would use that again while the coordinator lends it to others.
 constexpr milliseconds PeakTime{300};
 
+/// Lets each of \p Claims take one of \p Slots in turn, until none is left or
+/// \p TryTake returns false for all of them.
+template <typename ClaimList, typename Take>
+void distribute(ClaimList &Claims, unsigned Slots, Take TryTake) {
+  for (bool Any = true; Any && Slots > 0;) {
+    Any = false;
+    for (auto &[Name, D] : Claims)
+      if (Slots > 0 && TryTake(*D)) {
+        --Slots;
+        Any = true;
+      }
+  }
+}
+
 } // namespace
 
 void CallShareServer::startTerm(TimePoint Now) {
@@ -42,6 +55,15 @@
   E.Incarnation = Report.incarnation();
   E.Sequence = Report.sequence();
   E.LastReportAt = Now;
+  applyDemand(E, Report);
+  for (auto &[Service, D] : E.Services)
+    if (D.InUse >= D.Peak || Now - D.PeakAt >= PeakTime) {
+      D.Peak = D.InUse;
+      D.PeakAt = Now;
+    }
+}
+
+void CallShareServer::applyDemand(Entry &E, const wire::EntryReport &Report) {
   for (auto &[Service, D] : E.Services) {
     D.InUse = D.Waiting = 0;
     D.UseOf.clear();
@@ -54,11 +76,6 @@
     }
   for (const wire::CallBacklog &B : Report.call_backlogs())
     E.Services[B.service()].Waiting = B.waiting();
-  for (auto &[Service, D] : E.Services)
-    if (D.InUse >= D.Peak || Now - D.PeakAt >= PeakTime) {
-      D.Peak = D.InUse;
-      D.PeakAt = Now;
-    }
 }
 
 void CallShareServer::decide(std::size_t KnownEntries, TimePoint Now) {
@@ -105,67 +122,70 @@
                    [](const auto &A, const auto &B) {
                      return A.second->LentAt < B.second->LentAt;
                    });
-  unsigned Left = Available;
-  for (bool Any = true; Any && Left > 0;) {
-    Any = false;
-    for (auto &[Name, D] : Claims) {
-      if (Left == 0 || D->Target >= D->InUse + D->Waiting)
-        continue;
-      ++D->Target;
-      --Left;
-      Any = true;
-    }
-  }
+  distribute(Claims, Available, [](Demand &D) {
+    if (D.Target >= D.InUse + D.Waiting)
+      return false;
+    ++D.Target;
+    return true;
+  });
   lend(Service, Claims, Available, static_cast<unsigned>(Slots / Known), Now);
 }
 
-/// An entry keeps what it uses of its fair part. What nobody uses is lent.
-void CallShareServer::lend(const std::string &Service, Claimants &Claims,
-                           unsigned Available, unsigned Even, TimePoint Now) {
-  unsigned Used = 0;
-  std::map<std::string, int> FreeSlots;
+CallShareServer::FreeSlotMap
+CallShareServer::freeSlots(const std::string &Service, const Claimants &Claims,
+                           TimePoint Now) {
+  FreeSlotMap Out;
   Table.forEach([&](Endpoint &E) {
     if (hasCallSlots(Table, E, Service, Now))
-      FreeSlots[E.Record.Id] = static_cast<int>(E.Record.Slots);
+      Out[E.Record.Id] = static_cast<int>(E.Record.Slots);
   });
-  for (auto &[Name, D] : Claims) {
-    Used += std::max(D->InUse, std::min(Even, D->Peak));
+  for (const auto &[Name, D] : Claims)
     for (const auto &[Id, Runs] : D->UseOf)
-      if (const auto It = FreeSlots.find(Id); It != FreeSlots.end())
+      if (const auto It = Out.find(Id); It != Out.end())
         It->second -= static_cast<int>(Runs);
-  }
+  return Out;
+}
+
+unsigned CallShareServer::keepLoan(Demand &D, unsigned Free,
+                                   FreeSlotMap &FreeSlots, TimePoint Now) {
+  const unsigned Kept = std::min(D.Target, D.InUse);
+  unsigned Unused = 0;
+  // Also if its fair part has shrunk since: the borrower cannot know that.
+  if (Now - D.LentAt < UnusedLoanTime && D.Lent > D.InUse)
+    Unused = D.Lent - D.InUse;
+  Unused = std::min(Unused, Free);
+  D.Lent = Kept + Unused;
+  D.FreeAt.resize(std::min<std::size_t>(D.FreeAt.size(), Unused));
+  for (const std::string &Id : D.FreeAt)
+    --FreeSlots[Id];
+  return Unused;
+}
+
+/// An entry keeps what it uses of its fair part. What nobody uses is lent.
+void CallShareServer::lend(const std::string &Service, Claimants &Claims,
+                           unsigned Available, unsigned Even, TimePoint Now) {
+  unsigned Used = 0;
+  for (const auto &[Name, D] : Claims)
+    Used += std::max(D->InUse, std::min(Even, D->Peak));
   unsigned Free = Available - std::min(Available, Used);
+  FreeSlotMap FreeSlots = freeSlots(Service, Claims, Now);
   std::vector<unsigned> Before;
   Before.reserve(Claims.size());
   for (auto &[Name, D] : Claims) {
     Before.push_back(D->Lent);
-    const unsigned Kept = std::min(D->Target, D->InUse);
-    unsigned Unused = 0;
-    // Also if its fair part has shrunk since: the borrower cannot know that.
-    if (Now - D->LentAt < UnusedLoanTime && D->Lent > D->InUse)
-      Unused = D->Lent - D->InUse;
-    Unused = std::min(Unused, Free);
-    Free -= Unused;
-    D->Lent = Kept + Unused;
-    D->FreeAt.resize(std::min<std::size_t>(D->FreeAt.size(), Unused));
-    for (const std::string &Id : D->FreeAt)
-      --FreeSlots[Id];
-  }
-  for (bool Any = true; Any && Free > 0;) {
-    Any = false;
-    for (auto &[Name, D] : Claims) {
-      if (Free == 0 || D->Lent >= D->Target)
-        continue;
-      ++D->Lent;
-      --Free;
-      Any = true;
-      const auto Best = std::max_element(
-          FreeSlots.begin(), FreeSlots.end(),
-          [](const auto &A, const auto &B) { return A.second < B.second; });
-      --Best->second;
-      D->FreeAt.push_back(Best->first);
-    }
+    Free -= keepLoan(*D, Free, FreeSlots, Now);
   }
+  distribute(Claims, Free, [&](Demand &D) {
+    if (D.Lent >= D.Target)
+      return false;
+    ++D.Lent;
+    const auto Best = std::max_element(
+        FreeSlots.begin(), FreeSlots.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; });
+    --Best->second;
+    D.FreeAt.push_back(Best->first);
+    return true;
+  });
   for (std::size_t I = 0; I < Claims.size(); ++I) {
     auto &[Name, D] = Claims[I];
     if (D->Lent > Before[I])
