Engine speeds: classes have names, each constant its own reason

Cause: a class of speed was an int with three values, one comment explained three constants by first, second and stated, and observe and updateService had several steps each. Change: SpeedClass, one comment for each constant, addGrowth, setFactors and Recent::speed. Checked: syntax of engine_speeds.cpp, format. No test was run.

--- a/include/hyssoprail/routing/engine_speeds.hpp
+++ b/include/hyssoprail/routing/engine_speeds.hpp
@@ -35,7 +35,10 @@
   std::uint64_t Samples = 0; ///< prefills and events of both kinds
 };
 
-/// An engine has become fast, slow or usual.
+/// Speed of an engine relative to the others of its service.
+enum class SpeedClass { Slow, Usual, Fast };
+
+/// The class of an engine has changed.
 struct EngineSpeedChange {
   std::string EngineId;
   std::string Service;
@@ -97,6 +100,7 @@
   struct Recent {
     double Expected = 0;
     double Measured = 0;
+    double speed() const;
   };
 
   struct Engine {
@@ -104,10 +108,11 @@
     std::array<Recent, EngineWorkKinds> Work;
     double Samples = 0;
     TimePoint UpdatedAt{};
-    int Class = 0; ///< -1 slow, 0 usual, 1 fast
-    double ClassFactor = 1;
+    SpeedClass Class = SpeedClass::Usual;
+    double ClassFactor = 1; ///< when the class last changed
   };
 
+  /// The latest totals of an entry.
   struct Source {
     std::uint64_t Incarnation = 0; ///< of the entry
     EngineWorkReport Totals;
@@ -124,6 +129,7 @@
     TimePoint EvenSince{}; ///< while uneven: since when the spread is small
   };
 
+  /// An engine with enough samples for a factor.
   struct Known {
     Endpoint *Target = nullptr;
     Engine *State = nullptr;
@@ -131,9 +137,12 @@
   };
 
   static void decay(Engine &E, TimePoint Now);
+  void addGrowth(const Endpoint &Target, const EngineWorkReport &Before,
+                 const EngineWorkReport &Report, TimePoint Now);
   void addWork(Engine &E, const Endpoint &Target, EngineWorkKind Kind,
                const EngineWorkTotals &Work, TimePoint Now);
   void updateService(Service &S, std::vector<Known> &Engines, TimePoint Now);
+  static void setFactors(std::vector<Known> &Engines);
   static void updateUneven(Service &S, const std::vector<Known> &Engines,
                            TimePoint Now);
 
--- a/src/hyssoprail/routing/engine_speeds.cpp
+++ b/src/hyssoprail/routing/engine_speeds.cpp
@@ -9,21 +9,29 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// Decay of measured work. An engine that turns four times slower must be
-/// noticed within 1 to 2 s of its work.
+/// Time constant of measured work. An engine that turns four times slower must
+/// be noticed within 1 to 2 s of its work.
 constexpr double WorkSeconds = 2;
+
+/// Time constant of the usual time of a prompt token, which changes only with
+/// the kind of requests.
 constexpr double PrefillReferenceSeconds = 20;
 
 /// With fewer recent samples an engine counts as unknown.
 constexpr double MinSamples = 10;
 
-/// Assumed work at the usual speed, in seconds, against chance in little work.
+/// Seconds of work at the usual speed that are added to the measured work, so
+/// that a few short samples do not give an extreme speed.
 constexpr double PriorSeconds = 0.03;
 
-/// Engines differ from the first ratio on, and until the ratio was below the
-/// second for the stated time. Between them, placement by speed gains less than
-/// the scatter of the measured times.
+/// Engines of a service become uneven when the largest speed is this multiple
+/// of the smallest. At smaller ratios, placement by speed gains less than the
+/// scatter of the measured times.
 constexpr double UnevenRatio = 1.5;
+
+/// Uneven engines become even again when that ratio was below EvenRatio for
+/// EvenTime. The gap between the two ratios keeps a service near one of them
+/// from changing back and forth.
 constexpr double EvenRatio = 1.3;
 constexpr milliseconds EvenTime{5'000};
 
@@ -36,7 +44,8 @@
 constexpr milliseconds SourceRetention{30'000};
 constexpr milliseconds SourceCheckInterval{5'000};
 
-/// Totals of a peer that grow faster between two reports are faulty.
+/// Tokens, microseconds or samples by which the totals of a peer may grow
+/// between two reports. Larger growth is a fault of the peer.
 constexpr std::uint64_t MaxGrowth = 1'000'000'000;
 
 double median(std::vector<double> Values) {
@@ -48,10 +57,12 @@
 
 /// A class is left below EvenRatio only, so that a factor near UnevenRatio does
 /// not change it again and again.
-int speedClass(double Factor, int Before) {
-  if (Factor >= (Before == 1 ? EvenRatio : UnevenRatio))
-    return 1;
-  return Factor <= 1 / (Before == -1 ? EvenRatio : UnevenRatio) ? -1 : 0;
+SpeedClass speedClass(double Factor, SpeedClass Before) {
+  if (Factor >= (Before == SpeedClass::Fast ? EvenRatio : UnevenRatio))
+    return SpeedClass::Fast;
+  return Factor <= 1 / (Before == SpeedClass::Slow ? EvenRatio : UnevenRatio)
+             ? SpeedClass::Slow
+             : SpeedClass::Usual;
 }
 
 bool hasGrownFrom(const EngineWorkReport &Before,
@@ -97,7 +108,12 @@
   }
   if (!hasGrownFrom(From.Totals, Report))
     return;
-  const EngineWorkReport Before = std::exchange(From.Totals, Report);
+  addGrowth(*Target, std::exchange(From.Totals, Report), Report, Now);
+}
+
+void EngineSpeeds::addGrowth(const Endpoint &Target,
+                             const EngineWorkReport &Before,
+                             const EngineWorkReport &Report, TimePoint Now) {
   Engine &E = Engines[Report.Engine];
   if (E.StartedAtMs != Report.StartedAtMs) {
     E = {};
@@ -112,7 +128,7 @@
                                       Before.Work[I].Micros};
     if (Growth.Tokens > 0 && Growth.Micros > 0 && Growth.Tokens <= MaxGrowth &&
         Growth.Micros <= MaxGrowth)
-      addWork(E, *Target, static_cast<EngineWorkKind>(I), Growth, Now);
+      addWork(E, Target, static_cast<EngineWorkKind>(I), Growth, Now);
   }
 }
 
@@ -123,8 +139,8 @@
   Service &S = Services[Target.Record.Service];
   const auto Tokens = static_cast<double>(Work.Tokens);
   const double Measured = static_cast<double>(Work.Micros) / MicrosPerSecond;
-  // At the usual speed, so that fast engines with many runs do not hide the
-  // effect of the runs.
+  // Placement gives fast engines more runs. Without the factor, the fit would
+  // not show how runs slow an engine down.
   const double AtUsualSpeed = Measured * Target.SpeedFactor;
   double Expected = 0;
   if (Kind == EngineWorkKind::Prefill) {
@@ -163,7 +179,7 @@
   std::vector<EngineSpeedChange> Out;
   for (auto &[Id, E] : Engines) {
     const Endpoint &Target = *Table.find(Id);
-    const int Class = speedClass(Target.SpeedFactor, E.Class);
+    const SpeedClass Class = speedClass(Target.SpeedFactor, E.Class);
     if (Class == E.Class)
       continue;
     E.Class = Class;
@@ -176,15 +192,24 @@
 
 void EngineSpeeds::updateService(Service &S, std::vector<Known> &Engines,
                                  TimePoint Now) {
+  setFactors(Engines);
+  updateUneven(S, Engines, Now);
+  if (S.Uneven)
+    for (const Known &K : Engines)
+      K.Target->SpeedFactor = K.Factor;
+}
+
+double EngineSpeeds::Recent::speed() const {
+  return (Expected + PriorSeconds) / (Measured + PriorSeconds);
+}
+
+void EngineSpeeds::setFactors(std::vector<Known> &Engines) {
   std::array<double, EngineWorkKinds> Medians{};
-  const auto Speed = [](const Recent &R) {
-    return (R.Expected + PriorSeconds) / (R.Measured + PriorSeconds);
-  };
   for (std::size_t I = 0; I < EngineWorkKinds; ++I) {
     std::vector<double> Speeds;
     for (const Known &K : Engines)
       if (K.State->Work[I].Measured > 0)
-        Speeds.push_back(Speed(K.State->Work[I]));
+        Speeds.push_back(K.State->Work[I].speed());
     if (!Speeds.empty())
       Medians[I] = median(std::move(Speeds));
   }
@@ -196,16 +221,12 @@
       const Recent &R = K.State->Work[I];
       if (R.Measured <= 0)
         continue;
-      Sum += R.Measured * Speed(R) / Medians[I];
+      Sum += R.Measured * R.speed() / Medians[I];
       Weight += R.Measured;
     }
     if (Weight > 0)
       K.Factor = std::clamp(Sum / Weight, 1 / MaxSpeedFactor, MaxSpeedFactor);
   }
-  updateUneven(S, Engines, Now);
-  if (S.Uneven)
-    for (const Known &K : Engines)
-      K.Target->SpeedFactor = K.Factor;
 }
 
 void EngineSpeeds::updateUneven(Service &S, const std::vector<Known> &Engines,
