Stage planner: one comment for each constant, a function for the choice

Change: the constants are explained one by one, chooseChanges picks the engines of a round, DecodeIsFull and LeastCost say what they mean. Checked: syntax of stage_planner.cpp, format. No test was run.

--- a/include/hyssoprail/routing/stage_planner.hpp
+++ b/include/hyssoprail/routing/stage_planner.hpp
@@ -1,6 +1,7 @@
 #ifndef HYSSOPRAIL_ROUTING_STAGE_PLANNER_HPP
 #define HYSSOPRAIL_ROUTING_STAGE_PLANNER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -54,8 +55,7 @@
 
 /// How urgently a service lacks decode memory.
 struct StagePressure {
-  /// Engines change sooner and in larger rounds under pressure. False: the
-  /// other values are not used.
+  /// The least-cost policy is in force. If not, the other values are not used.
   bool LeastCost = false;
   /// Of the waiting request that has used up the largest part of its objective:
   /// its wait, and the objective.
@@ -91,7 +91,7 @@
     TimePoint At{};
   };
 
-  /// Time for which requests have waited too long without a pause.
+  /// A time in which requests waited too long without interruption.
   struct PressurePeriod {
     TimePoint Since{};
     TimePoint LastAt{};
@@ -102,12 +102,17 @@
     double PrefillHeadroom = 1;
     double MaxRoundShare = 0;
     Duration RoundInterval{};
-    bool DecodeIsFull = false;
+    bool DecodeIsFull = false; ///< all decode engines count as busy
   };
 
   Pace paceOf(const ServicePolicy &Service, const StagePressure &Pressure,
               TimePoint Now);
   bool mayChange(const Endpoint &E, TimePoint Now) const;
+  /// At most \p Count changes of engines in \p From.
+  std::vector<StageChange>
+  chooseChanges(std::vector<Endpoint *> From, EngineStage To, std::size_t Count,
+                std::map<std::string_view, int> PrefillCountByZone,
+                TimePoint Now) const;
 
   EndpointTable &Table;
   std::map<std::string, LastOrder, std::less<>> LastOrders;
--- a/src/hyssoprail/routing/stage_planner.cpp
+++ b/src/hyssoprail/routing/stage_planner.cpp
@@ -38,17 +38,23 @@
 constexpr milliseconds ReversalInterval{30'000};
 constexpr milliseconds EngineChangeInterval{30'000};
 
-/// Under pressure: requests wait for decode memory for more than this share of
-/// their objective. Prefill engines beyond the stated multiple of what the
-/// traffic needs are idle. A round may change a third of the engines, and the
-/// next one follows when the first shows in the queue.
+/// A service is under pressure while a request waits for decode memory for more
+/// than this share of its objective.
 constexpr double PressureShare = 0.5;
+
+/// Under pressure, prefill engines beyond this multiple of what the traffic
+/// needs change to decode.
 constexpr double PressedPrefillHeadroom = 1.25;
+
+/// Largest share of the engines that change in one round under pressure.
 constexpr double PressedRoundShare = 1.0 / 3;
+
+/// Time until the next round under pressure: the effect of the last one shows
+/// in the queue by then.
 constexpr milliseconds PressedRoundInterval{2'000};
 
-/// A pause in the waiting that does not end a period of pressure, as each
-/// request that is placed may leave one.
+/// Pressure that returns within this time counts as uninterrupted: the wait
+/// becomes short for a moment whenever the longest waiting request is placed.
 constexpr milliseconds PressureGap{1'500};
 
 /// Allowance for an order to arrive and for the registration to show the
@@ -100,7 +106,7 @@
 
 /// A change costs the engine's work for StageChangeTime, so it needs demand
 /// that lasts longer: a queue that takes longer to drain, or pressure that has
-/// lasted for that time, as what has lasted is expected to last as long again.
+/// lasted longer and is therefore expected to last as long again.
 StagePlanner::Pace StagePlanner::paceOf(const ServicePolicy &Service,
                                         const StagePressure &Pressure,
                                         TimePoint Now) {
@@ -129,7 +135,7 @@
   std::vector<StageChange> Out;
   if (!Service.Engine)
     return Out;
-  const Pace Pace = paceOf(Service, Pressure, Now);
+  const Pace Rounds = paceOf(Service, Pressure, Now);
   auto BusyEngines = Utilization.busyEngines();
   if (!BusyEngines || BusyEngines->Decode <= 0)
     return Out;
@@ -151,10 +157,10 @@
   const auto EngineCount = static_cast<double>(Prefill.size() + Decode.size());
   if (Prefill.empty() || Decode.empty())
     return Out;
-  // The average lags behind, and does not show the demand that waits: all that
-  // prefill engines can spare is needed.
-  const double RequiredPrefill = Pace.PrefillHeadroom * BusyEngines->Prefill;
-  if (Pace.DecodeIsFull)
+  const double RequiredPrefill = Rounds.PrefillHeadroom * BusyEngines->Prefill;
+  // The measured average does not show the demand that waits: decode needs all
+  // engines that prefill can spare.
+  if (Rounds.DecodeIsFull)
     BusyEngines->Decode =
         std::max({BusyEngines->Decode, static_cast<double>(Decode.size()),
                   EngineCount - std::ceil(RequiredPrefill)});
@@ -178,16 +184,23 @@
   const auto Last = LastOrders.find(Service.Name);
   if (Last != LastOrders.end() &&
       Now - Last->second.At <
-          (Last->second.To == To ? Pace.RoundInterval : ReversalInterval))
+          (Last->second.To == To ? Rounds.RoundInterval : ReversalInterval))
     return Out;
   const auto Count = static_cast<std::size_t>(std::min(
-      std::abs(Surplus), std::max(1.0, Pace.MaxRoundShare * EngineCount)));
-  std::vector<Endpoint *> &From = Surplus > 0 ? Prefill : Decode;
+      std::abs(Surplus), std::max(1.0, Rounds.MaxRoundShare * EngineCount)));
+  return chooseChanges(Surplus > 0 ? Prefill : Decode, To, Count,
+                       std::move(PrefillCountByZone), Now);
+}
+
+/// Least loaded engines first, zones with the most prefill engines before
+/// others; the last prefill engine of a zone is kept.
+std::vector<StageChange> StagePlanner::chooseChanges(
+    std::vector<Endpoint *> From, EngineStage To, std::size_t Count,
+    std::map<std::string_view, int> PrefillCountByZone, TimePoint Now) const {
+  std::vector<StageChange> Out;
   std::erase_if(From, [&](const Endpoint *E) {
     return E->isChangingStage(Now) || !mayChange(*E, Now);
   });
-  // Least loaded engines first, zones with the most prefill engines before
-  // others; the last prefill engine of a zone is kept.
   std::sort(From.begin(), From.end(), [](const Endpoint *A, const Endpoint *B) {
     return std::pair(A->totalLoad().Runs, A->Record.Id) <
            std::pair(B->totalLoad().Runs, B->Record.Id);
