Call queue: heavy use of an account has a name of its own

Cause: Uses, EvenUse and largestEvenUse did not say that releases are counted, and even also names the shares of the slots. A comment told what entries did before, and choose had two ways of choosing in one body. Change: RecentReleases, heavyUseThreshold, CallSlots::takeNamed, and comments in the present tense. Checked: syntax of call_queue.cpp and call_slots.cpp, format. No test was run.

--- a/include/hyssoprail/routing/call_queue.hpp
+++ b/include/hyssoprail/routing/call_queue.hpp
@@ -105,21 +105,22 @@
   struct Queue {
     std::vector<Waiting> Calls;
     CallQueueState Counts;
+    /// Releases since the last one that was open to any overtaken call.
     unsigned SinceFairRelease = 0;
     /// Time for which slots were held and number of calls that ended, decayed.
     double HeldSeconds = 0;
     double Ends = 0;
-    /// Calls that were released lately, by account; decayed in the same way.
-    std::map<std::string, double, std::less<>> Uses;
-    TimePoint MeasuredAt{};
+    /// Number of released calls by account, decayed.
+    std::map<std::string, double, std::less<>> RecentReleases;
+    TimePoint MeasuredAt{}; ///< time up to which the above are decayed
     TimePoint LastReturn{}; ///< when the last refused caller may return
 
     void measure(TimePoint Now);
     std::optional<Duration> meanRunTime() const;
     std::optional<Duration> expectedWait(std::size_t Ahead) const;
     bool canBeOnTime(const Waiting &W, TimePoint Now) const;
-    double largestEvenUse() const;
-    bool isBefore(const Waiting &A, const Waiting &B, double EvenUse,
+    double heavyUseThreshold() const;
+    bool isBefore(const Waiting &A, const Waiting &B, double HeavyUse,
                   TimePoint Now) const;
     void sort(TimePoint Now);
     Waiting takeNext();
--- a/include/hyssoprail/routing/call_slots.hpp
+++ b/include/hyssoprail/routing/call_slots.hpp
@@ -70,8 +70,9 @@
 
   /// The endpoint for a call that holds a slot, none of \p Tried; null if there
   /// is none. It is one that the coordinator names, or else the one with the
-  /// fewest calls of this entry for its slots: the loads of the others are up
-  /// to 0.2 s old, so entries that went by them met at one endpoint.
+  /// fewest calls of this entry for its slots. The loads that other entries
+  /// report are up to 0.2 s old, so entries that chose by them would choose the
+  /// same endpoint.
   Endpoint *choose(std::string_view Service,
                    const std::set<std::string, std::less<>> &Tried,
                    TimePoint Now);
@@ -92,6 +93,8 @@
     return LentAt != TimePoint{} && Now - LentAt < CallShareLapse;
   }
   unsigned lent(std::string_view Service, TimePoint Now) const;
+  Endpoint *takeNamed(std::string_view Service,
+                      const std::vector<Endpoint *> &Candidates, TimePoint Now);
   void noteBorrowed(std::string_view Service, TimePoint Now);
 
   EndpointTable &Table;
@@ -102,10 +105,11 @@
   /// By service, from the newest update.
   struct Loan {
     unsigned Slots = 0;
-    std::vector<std::string> FreeAt; ///< endpoints that have been named for it
+    /// Endpoints that the coordinator named and that are not used up yet.
+    std::vector<std::string> FreeAt;
   };
   std::map<std::string, Loan, std::less<>> Lent;
-  std::uint64_t Turn = 0; ///< of endpoints with equal load
+  std::uint64_t Turn = 0; ///< rotates the choice among equally loaded endpoints
   TimePoint LentAt{};
   std::string Lender;
   std::uint64_t LenderIncarnation = 0;
--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -14,25 +14,24 @@
 /// bytes here, besides its request, which the memory of callers bounds.
 constexpr std::size_t MaxWaiting = 256;
 
-/// Every so many releases, one goes to a call that was overtaken.
+/// One in this number of releases goes to a call that was overtaken.
 constexpr unsigned FairReleaseInterval = 4;
 
-/// Time constant of the mean run time and of the uses of accounts.
+/// Time constant of the mean run time and of the releases by account.
 constexpr double DecaySeconds = 2;
 
-/// Retry time while the rate at which calls end is unknown, and the longest
-/// one.
+/// Retry time while the rate at which calls end is unknown.
 constexpr milliseconds UnknownRetryAfter{400};
-constexpr milliseconds MaxRetryAfter{5'000};
 
 constexpr milliseconds MinRetryAfter{20};
+constexpr milliseconds MaxRetryAfter{5'000};
 
-/// An account that was released more calls lately than this multiple of the
-/// mean over the accounts comes after the others of the same priority.
-constexpr double EvenUseFactor = 1.5;
+/// Calls of an account with more recent releases than this multiple of the mean
+/// over the accounts come after other calls of the same priorities.
+constexpr double HeavyUseFactor = 1.5;
 
-/// Fewer calls than this are forgotten.
-constexpr double MinUse = 0.01;
+/// An account with fewer recent releases is forgotten.
+constexpr double MinReleases = 0.01;
 
 } // namespace
 
@@ -44,9 +43,10 @@
   const double Kept = std::exp(-Passed / DecaySeconds);
   HeldSeconds = HeldSeconds * Kept + Counts.InUse * Passed;
   Ends *= Kept;
-  for (auto &[Account, Use] : Uses)
-    Use *= Kept;
-  std::erase_if(Uses, [](const auto &Item) { return Item.second < MinUse; });
+  for (auto &[Account, Releases] : RecentReleases)
+    Releases *= Kept;
+  std::erase_if(RecentReleases,
+                [](const auto &Item) { return Item.second < MinReleases; });
 }
 
 std::optional<Duration> CallQueue::Queue::meanRunTime() const {
@@ -71,31 +71,32 @@
   return Now + meanRunTime().value_or(Duration{0}) <= W.Call.ObjectiveDeadline;
 }
 
-double CallQueue::Queue::largestEvenUse() const {
+/// A single account is never above the threshold.
+double CallQueue::Queue::heavyUseThreshold() const {
   double Sum = 0;
-  for (const auto &[Account, Use] : Uses)
-    Sum += Use;
-  return EvenUseFactor * Sum /
-         static_cast<double>(std::max<std::size_t>(1, Uses.size()));
+  for (const auto &[Account, Releases] : RecentReleases)
+    Sum += Releases;
+  return HeavyUseFactor * Sum /
+         static_cast<double>(std::max<std::size_t>(1, RecentReleases.size()));
 }
 
-/// The uses of a single account never exceed its even part.
 bool CallQueue::Queue::isBefore(const Waiting &A, const Waiting &B,
-                                double EvenUse, TimePoint Now) const {
+                                double HeavyUse, TimePoint Now) const {
   const auto Rank = [&](const Waiting &W) {
-    const auto Use = Uses.find(W.Call.Account);
-    return std::tuple(!canBeOnTime(W, Now), W.Call.Priority,
-                      W.Call.RoutePriority,
-                      Use != Uses.end() && Use->second > EvenUse, W.Arrival);
+    const auto Releases = RecentReleases.find(W.Call.Account);
+    return std::tuple(
+        !canBeOnTime(W, Now), W.Call.Priority, W.Call.RoutePriority,
+        Releases != RecentReleases.end() && Releases->second > HeavyUse,
+        W.Arrival);
   };
   return Rank(A) < Rank(B);
 }
 
 void CallQueue::Queue::sort(TimePoint Now) {
-  const double EvenUse = largestEvenUse();
+  const double HeavyUse = heavyUseThreshold();
   std::sort(Calls.begin(), Calls.end(),
             [&](const Waiting &A, const Waiting &B) {
-              return isBefore(A, B, EvenUse, Now);
+              return isBefore(A, B, HeavyUse, Now);
             });
 }
 
@@ -228,7 +229,7 @@
   while (!Q.Calls.empty() && Q.Counts.InUse < Q.Counts.Slots) {
     const Waiting W = Q.takeNext();
     ++Q.Counts.InUse;
-    ++Q.Uses[W.Call.Account];
+    ++Q.RecentReleases[W.Call.Account];
     Unconfirmed.emplace(W.Call.Id, Service);
     Out.emplace_back(CallRelease{W.Call.Id, Now - W.Since});
   }
@@ -258,10 +259,10 @@
                      [&](const Waiting &W) { return W.Call.Id == Id; });
     if (It == Q.Calls.end())
       continue;
-    const double EvenUse = Q.largestEvenUse();
+    const double HeavyUse = Q.heavyUseThreshold();
     return static_cast<std::size_t>(
         std::count_if(Q.Calls.begin(), Q.Calls.end(), [&](const Waiting &W) {
-          return Q.isBefore(W, *It, EvenUse, Now);
+          return Q.isBefore(W, *It, HeavyUse, Now);
         }));
   }
   return 0;
--- a/src/hyssoprail/routing/call_slots.cpp
+++ b/src/hyssoprail/routing/call_slots.cpp
@@ -63,6 +63,27 @@
   return std::max(lent(Service, Now), std::min(Even, Usable));
 }
 
+/// The first endpoint named by the coordinator that is among \p Candidates,
+/// which is then used up; null if there is none.
+Endpoint *CallSlots::takeNamed(std::string_view Service,
+                               const std::vector<Endpoint *> &Candidates,
+                               TimePoint Now) {
+  const auto It = Lent.find(Service);
+  if (It == Lent.end() || !hasCoordinator(Now))
+    return nullptr;
+  std::vector<std::string> &FreeAt = It->second.FreeAt;
+  for (auto Id = FreeAt.begin(); Id != FreeAt.end(); ++Id) {
+    const auto Named =
+        std::find_if(Candidates.begin(), Candidates.end(),
+                     [&](const Endpoint *E) { return E->Record.Id == *Id; });
+    if (Named == Candidates.end())
+      continue;
+    FreeAt.erase(Id);
+    return *Named;
+  }
+  return nullptr;
+}
+
 Endpoint *CallSlots::choose(std::string_view Service,
                             const std::set<std::string, std::less<>> &Tried,
                             TimePoint Now) {
@@ -72,19 +93,8 @@
   std::erase_if(All, [&](Endpoint *E) { return Tried.contains(E->Record.Id); });
   if (All.empty())
     return nullptr;
-  if (const auto It = Lent.find(Service);
-      It != Lent.end() && hasCoordinator(Now)) {
-    std::vector<std::string> &FreeAt = It->second.FreeAt;
-    for (auto Id = FreeAt.begin(); Id != FreeAt.end(); ++Id) {
-      const auto Named = std::find_if(All.begin(), All.end(), [&](Endpoint *E) {
-        return E->Record.Id == *Id;
-      });
-      if (Named == All.end())
-        continue;
-      FreeAt.erase(Id);
-      return *Named;
-    }
-  }
+  if (Endpoint *Named = takeNamed(Service, All, Now))
+    return Named;
   std::rotate(All.begin(),
               All.begin() + static_cast<std::ptrdiff_t>(++Turn % All.size()),
               All.end());
@@ -118,7 +128,8 @@
 void CallSlots::submit(QueuedCall Call, TimePoint Now) {
   const std::string Service = Call.Service;
   Queue.submit(std::move(Call), Now);
-  // Each change need not be reported: the coordinator divides by demand.
+  // The coordinator divides by demand: it is told at once only when the demand
+  // has more than doubled.
   if (Queue.state(Service).Waiting > 2 * Reported[Service])
     Changed = true;
 }
