Request versions: comments that can be read once; one sum of speeds

Cause: required, keepVersion and begin had comments that needed the code to be understood, and PolicyRound summed the speed factors that Pool::DecodeSpeed already has. Change: the comments say what is returned and charged; the sum is taken from the pool, which adds the same factors in the same order. Checked: syntax of request_version.cpp and stream_scheduler_overload.cpp, format. No test was run.

--- a/include/hyssoprail/routing/request_version.hpp
+++ b/include/hyssoprail/routing/request_version.hpp
@@ -50,8 +50,8 @@
   /// Endpoints of the service that the request may not use.
   std::vector<std::string> disallowed();
 
-  /// The version that the request must use; empty if it may use any of which
-  /// no rollout is in progress or was rolled back.
+  /// The version that the request must use. Empty: any version but the target
+  /// of a rollout that has not been completed.
   std::string required();
 
   /// The target does not serve the request: lets it use the old version while
@@ -59,22 +59,23 @@
   bool fallBack();
 
   /// A part of the answer has reached the caller: the rest has to come from the
-  /// same version. What the completion of a rollout cuts off goes on at the
-  /// target.
+  /// same version. Only if the rollout completes and the old endpoints stop
+  /// does the rest come from the target.
   void keepVersion() { Kept = true; }
 
   /// No endpoint may be used any more: the version from which the answer began
   /// was rolled back.
   bool isBarred();
 
-  /// Counts a send. \p Part names the part of the request if that has answers
-  /// of another kind.
+  /// Counts a send. \p Part, if not empty, is appended to the route under which
+  /// the answer counts: answers of a prefill are not compared with those of a
+  /// decode.
   Run begin(const Endpoint &E, TimePoint Now, std::string_view Part = "");
 
   /// Counts the end of a send, and its answer if there is one to judge.
   void end(const Run &R, std::optional<Result> Answer, TimePoint Now);
 
-  /// Takes back the choice of a request of which nothing was sent.
+  /// Refunds what choose() charged for a request of which nothing was sent.
   void giveBack();
 
 private:
@@ -92,8 +93,8 @@
   unsigned Sent = 0;
   bool Chosen = false;
   bool Kept = false;
-  rollout::VersionChoice Charged; ///< as chosen first
-  rollout::VersionChoice Choice;
+  rollout::VersionChoice Charged; ///< what choose() returned
+  rollout::VersionChoice Choice;  ///< at present
 };
 
 /// The evidence that the end of a leg gives on its version; nullopt if the
--- a/src/hyssoprail/routing/stream_scheduler_overload.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_overload.cpp
@@ -116,11 +116,8 @@
   /// \p Fastest is the largest speed factor of the decode engines, 0 if there
   /// are none.
   void setCapacity(double Fastest) {
-    double Speed = 0;
-    for (const Endpoint *E : Engines.Decode)
-      Speed += E->SpeedFactor;
-    Capacity.TokensPerSecond =
-        static_cast<double>(Engines.Bound) * Speed / Owner.MeanRunSeconds;
+    Capacity.TokensPerSecond = static_cast<double>(Engines.Bound) *
+                               Engines.DecodeSpeed / Owner.MeanRunSeconds;
     Capacity.AllArrivals = State.Arrivals.all(Now);
     Capacity.TimeToFirstEvent =
         Fastest > 0
