Stage planner, work log: shorter plan, comments that say which time is meant

Cause: plan was still long, the times of the work log and of the decode model were not explained or only by their effect, and overload_test built the same request twice. No test was run.

--- a/include/hyssoprail/routing/stage_planner.hpp
+++ b/include/hyssoprail/routing/stage_planner.hpp
@@ -105,14 +105,22 @@
     bool DecodeIsFull = false; ///< all decode engines count as busy
   };
 
+  /// The engines of a service in service. One that changes its stage counts in
+  /// its target stage, but not for its zone.
+  struct Engines {
+    std::vector<Endpoint *> Prefill;
+    std::vector<Endpoint *> Decode;
+    std::map<std::string_view, int> PrefillCountByZone;
+  };
+
   Pace paceOf(const ServicePolicy &Service, const StagePressure &Pressure,
               TimePoint Now);
   bool mayChange(const Endpoint &E, TimePoint Now) const;
-  /// At most \p Count changes of engines in \p From.
-  std::vector<StageChange>
-  chooseChanges(std::vector<Endpoint *> From, EngineStage To, std::size_t Count,
-                std::map<std::string_view, int> PrefillCountByZone,
-                TimePoint Now) const;
+  Engines enginesOf(std::string_view Service, TimePoint Now) const;
+  /// At most \p Count changes to \p To.
+  std::vector<StageChange> chooseChanges(Engines Present, EngineStage To,
+                                         std::size_t Count,
+                                         TimePoint Now) const;
 
   EndpointTable &Table;
   std::map<std::string, LastOrder, std::less<>> LastOrders;
--- a/src/hyssoprail/routing/admission_server_speeds.cpp
+++ b/src/hyssoprail/routing/admission_server_speeds.cpp
@@ -4,7 +4,8 @@
 
 namespace hyssoprail::routing {
 
-/// Follows applyRuns(), as the time of a token depends on the runs.
+/// Must be called after applyRuns(), as the expected time of a token depends on
+/// the runs at the engine.
 void AdmissionServer::applyEngineWork(const wire::EntryReport &Report,
                                       TimePoint Now) {
   for (const wire::EngineWork &W : Report.engine_work())
--- a/src/hyssoprail/routing/decode_time_model.cpp
+++ b/src/hyssoprail/routing/decode_time_model.cpp
@@ -7,7 +7,8 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// The relation between runs and time changes only with the kind of requests.
+/// Time constant of the fit. The relation between runs and time changes only
+/// with the kind of requests.
 constexpr double ModelSeconds = 20;
 
 /// Added to the variance of the number of runs, so that a fit over nearly equal
--- a/src/hyssoprail/routing/engine_work_log.cpp
+++ b/src/hyssoprail/routing/engine_work_log.cpp
@@ -5,16 +5,16 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// Reports follow each change of a run; totals of hundreds of engines would
-/// make up most of them.
+/// Reports go out at each change of a run. Totals of hundreds of engines in
+/// every one of them would be most of what entries send.
 constexpr milliseconds ReportInterval{80};
 
 /// Totals are reported for this time after their last growth, so that the last
 /// ones arrive although some reports are lost.
 constexpr milliseconds ReportTime{1'000};
 
-/// Totals are forgotten later than the coordinator forgets them, so they do not
-/// begin anew below its base.
+/// Longer than the coordinator remembers totals, as those of an engine that is
+/// used again begin at 0 and must not be compared with older ones.
 constexpr milliseconds RetentionTime{60'000};
 
 /// An engine that sends nothing for longer is silent and not slow: its health
--- a/src/hyssoprail/routing/overload_test.cpp
+++ b/src/hyssoprail/routing/overload_test.cpp
@@ -55,6 +55,18 @@
   return Out;
 }
 
+/// A request with the deadlines of a first try at \p Arrival.
+StreamRequest request(const std::string &Id, TimePoint Arrival) {
+  StreamRequest R;
+  R.Id = Id;
+  R.Service = "assistant";
+  R.Arrival = Arrival;
+  R.ObjectiveDeadline = Arrival + 900ms;
+  R.GiveUpAt = Arrival + 3'600ms;
+  R.CallerBudget = 14s;
+  return R;
+}
+
 std::vector<std::string> orderedIds(const std::vector<OverloadInput> &Queue) {
   std::vector<std::string> Out;
   for (const std::size_t I :
@@ -180,14 +192,8 @@
     L.Scheduler.configure(Config);
     L.Table.find("d0")->SpeedFactor = SpeedFactor;
     for (int I = 0; I < 400; ++I) {
-      StreamRequest R;
-      R.Id = std::to_string(I);
-      R.Service = "assistant";
+      StreamRequest R = request(std::to_string(I), testing::Start);
       R.PromptTokens = 2'000;
-      R.Arrival = testing::Start;
-      R.ObjectiveDeadline = R.Arrival + 900ms;
-      R.GiveUpAt = R.Arrival + 3'600ms;
-      R.CallerBudget = 14s;
       L.Scheduler.submit(R);
     }
     std::optional<bool> Out;
@@ -211,17 +217,12 @@
         L.Table.remove("d" + std::to_string(I));
     const auto Send = [&](const std::string &Id, int Priority, bool IsRetry,
                           TimePoint At) {
-      StreamRequest R;
-      R.Id = Id;
-      R.Service = "assistant";
+      StreamRequest R = request(Id, At);
       R.Account = "acme";
       R.Priority = Priority;
       R.PromptTokens = IsRetry || Priority == 0 ? 8'000 : 7'000;
       R.OutputTokens = 1'000;
-      R.Arrival = At;
-      R.ObjectiveDeadline = At + 900ms;
       R.GiveUpAt = At + 1'000ms;
-      R.CallerBudget = 14s;
       R.IsRetry = IsRetry;
       L.Scheduler.submit(R);
       return L.Scheduler.poll(At);
--- a/src/hyssoprail/routing/stage_planner.cpp
+++ b/src/hyssoprail/routing/stage_planner.cpp
@@ -128,6 +128,21 @@
           true};
 }
 
+StagePlanner::Engines StagePlanner::enginesOf(std::string_view Service,
+                                              TimePoint Now) const {
+  Engines Out;
+  Table.forEach([&](Endpoint &E) {
+    if (E.Record.Service != Service || !Table.inService(E))
+      return;
+    const bool Changes = E.isChangingStage(Now);
+    const EngineStage Stage = Changes ? E.TargetStage : E.Record.Stage;
+    if (!Changes && Stage == EngineStage::Prefill)
+      ++Out.PrefillCountByZone[E.Record.Zone];
+    (Stage == EngineStage::Prefill ? Out.Prefill : Out.Decode).push_back(&E);
+  });
+  return Out;
+}
+
 std::vector<StageChange>
 StagePlanner::plan(const ServicePolicy &Service,
                    const EngineUtilization &Utilization, TimePoint Now,
@@ -139,21 +154,9 @@
   auto BusyEngines = Utilization.busyEngines();
   if (!BusyEngines || BusyEngines->Decode <= 0)
     return Out;
-  std::vector<Endpoint *> Prefill;
-  std::vector<Endpoint *> Decode;
-  std::map<std::string_view, int> PrefillCountByZone;
-  Table.forEach([&](Endpoint &E) {
-    if (E.Record.Service != Service.Name || !Table.inService(E))
-      return;
-    if (E.isChangingStage(Now)) {
-      // Counted in its target stage.
-      (E.TargetStage == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
-      return;
-    }
-    if (E.Record.Stage == EngineStage::Prefill)
-      ++PrefillCountByZone[E.Record.Zone];
-    (E.Record.Stage == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
-  });
+  Engines Present = enginesOf(Service.Name, Now);
+  const std::vector<Endpoint *> &Prefill = Present.Prefill;
+  const std::vector<Endpoint *> &Decode = Present.Decode;
   const auto EngineCount = static_cast<double>(Prefill.size() + Decode.size());
   if (Prefill.empty() || Decode.empty())
     return Out;
@@ -188,16 +191,19 @@
     return Out;
   const auto Count = static_cast<std::size_t>(std::min(
       std::abs(Surplus), std::max(1.0, Rounds.MaxRoundShare * EngineCount)));
-  return chooseChanges(Surplus > 0 ? Prefill : Decode, To, Count,
-                       std::move(PrefillCountByZone), Now);
+  return chooseChanges(std::move(Present), To, Count, Now);
 }
 
 /// Least loaded engines first, zones with the most prefill engines before
 /// others; the last prefill engine of a zone is kept.
-std::vector<StageChange> StagePlanner::chooseChanges(
-    std::vector<Endpoint *> From, EngineStage To, std::size_t Count,
-    std::map<std::string_view, int> PrefillCountByZone, TimePoint Now) const {
+std::vector<StageChange> StagePlanner::chooseChanges(Engines Present,
+                                                     EngineStage To,
+                                                     std::size_t Count,
+                                                     TimePoint Now) const {
   std::vector<StageChange> Out;
+  auto &PrefillCountByZone = Present.PrefillCountByZone;
+  std::vector<Endpoint *> &From =
+      To == EngineStage::Decode ? Present.Prefill : Present.Decode;
   std::erase_if(From, [&](const Endpoint *E) {
     return E->isChangingStage(Now) || !mayChange(*E, Now);
   });
