--- a/src/hyssoprail/routing/call_flow_slots_test.cpp
+++ b/src/hyssoprail/routing/call_flow_slots_test.cpp
@@ -147,8 +147,8 @@
 
 } // namespace
 
-// Load: demand in waves. Endpoints refused what came at once, although the
-// slots were idle for half of the time.
+// Load: demand in waves. Guards against calls of a wave that are refused
+// although the slots are idle for half of the time.
 TEST_CASE("calls that come in waves wait instead of being refused") {
   SlotFixture Without(OverloadMode::Arrival);
   SlotFixture With(OverloadMode::LeastCost);
--- a/src/hyssoprail/routing/call_queue_test.cpp
+++ b/src/hyssoprail/routing/call_queue_test.cpp
@@ -102,8 +102,8 @@
   CHECK(F.next() == "route 2");
 }
 
-// Load: the time after a flood. Work that is late in any case held back work
-// that could still be on time.
+// Load: the time after a surge. Guards against work that is late in any case
+// and holds back work that can still be on time.
 TEST_CASE("a call that can be on time goes before one that cannot") {
   FullQueue F(3);
   QueuedCall Late = call("late", F.Now, 0);
@@ -159,8 +159,8 @@
   CHECK(Refused[0].Id == "impatient");
 }
 
-// Load: hundreds of entries, most of which have no slot. Calls waited for a
-// slot until their deadlines, as the rate was unknown.
+// Load: hundreds of entries, most of which have no slot. Guards against calls
+// that wait until their deadlines because the rate is unknown.
 TEST_CASE("a call that waits without a known rate leaves when it is late") {
   CallQueue Q;
   Q.setSlots(Service, 0, Start);
