Overload policy: names of the engines that are kept free

Cause: isKept, isReserved and keptFrom did not say whether a request or an engine is meant, Oldest was an index, and the comment of MaxWaiting had to be read twice. Change: hasKeptEngine, isKeptForAny, enginesClosedTo and NextByAge; the comment is reworded. Checked: syntax of the two changed files, format. No test was run.

--- a/src/hyssoprail/routing/call_queue.cpp
+++ b/src/hyssoprail/routing/call_queue.cpp
@@ -10,8 +10,8 @@
 namespace hyssoprail::routing {
 namespace {
 
-/// Calls that wait for one service at one entry. A call takes some hundred
-/// bytes here, besides its request, which the memory of callers bounds.
+/// Most calls that wait for one service at one entry. Each takes some hundred
+/// bytes here; BodyAdmission bounds the memory of the requests themselves.
 constexpr std::size_t MaxWaiting = 256;
 
 /// One in this number of releases goes to a call that was overtaken.
--- a/src/hyssoprail/routing/stream_scheduler_overload.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_overload.cpp
@@ -148,7 +148,7 @@
            (Kept.size() + Missed.size() + 1) * (OverloadPolicy::FairTurn - 1);
   }
 
-  bool isKept(std::size_t I) const {
+  bool hasKeptEngine(std::size_t I) const {
     return std::any_of(Kept.begin(), Kept.end(),
                        [&](const auto &K) { return K.first == I; });
   }
@@ -161,8 +161,8 @@
   /// turn. One that fits nowhere misses its turn; an engine is kept for it once
   /// another request was dispatched instead.
   void serveLongestWaiting(std::vector<StreamDecision> &Out) {
-    for (; Oldest < ByAge.size() && isTurnDue(); ++Oldest) {
-      const std::size_t I = ByAge[Oldest];
+    for (; NextByAge < ByAge.size() && isTurnDue(); ++NextByAge) {
+      const std::size_t I = ByAge[NextByAge];
       if (Decided[I])
         continue;
       if (!isOvertaken(I))
@@ -184,21 +184,21 @@
     if (Kept.size() >= MaxKept)
       return;
     for (const Endpoint *E : Engines.Decode)
-      if (!isReserved(E) &&
+      if (!isKeptForAny(E) &&
           (!Emptiest || E->totalLoad().Tokens < Emptiest->totalLoad().Tokens))
         Emptiest = E;
     if (Emptiest)
       Kept.emplace_back(I, Emptiest);
   }
 
-  bool isReserved(const Endpoint *E) const {
+  bool isKeptForAny(const Endpoint *E) const {
     return std::any_of(Kept.begin(), Kept.end(),
                        [&](const auto &K) { return K.second == E; });
   }
 
   /// Engines on which request \p I must not be placed. Work that is on time and
   /// more urgent than the one that an engine is kept for may use it.
-  std::vector<const Endpoint *> keptFrom(std::size_t I) const {
+  std::vector<const Endpoint *> enginesClosedTo(std::size_t I) const {
     std::vector<const Endpoint *> Out;
     for (const auto &[For, E] : Kept)
       if (For != I &&
@@ -227,7 +227,8 @@
     const StreamRequest &Request = Queue[I]->Request;
     if (requiredKvTokens(Request) > Engines.Bound)
       return false;
-    Endpoint *Decode = Owner.chooseDecode(Request, Engines, Now, keptFrom(I));
+    Endpoint *Decode =
+        Owner.chooseDecode(Request, Engines, Now, enginesClosedTo(I));
     if (!Decode || (!IsTurn && isPromisedToOthers(I)))
       return false;
     recordDispatch(I, IsTurn);
@@ -289,12 +290,12 @@
     const std::int64_t Tokens = requiredKvTokens(Request);
     if (Tokens > Engines.Bound)
       return refuse(I, StreamRefusalReason::TooLarge, {}, Out);
-    if (tryPlace(I, Out, isKept(I)))
+    if (tryPlace(I, Out, hasKeptEngine(I)))
       return;
     const Duration Wait = expectedWait(I, Tokens);
     if (Now + MinServiceTime >= Request.GiveUpAt)
       return refuse(I, StreamRefusalReason::WaitedTooLong, Wait, Out);
-    if (!isKept(I) && OverloadPolicy::mustRefuse(Inputs[I], Wait, Now))
+    if (!hasKeptEngine(I) && OverloadPolicy::mustRefuse(Inputs[I], Wait, Now))
       return refuse(I, StreamRefusalReason::QueueTooLong, Wait, Out);
     AheadTokens += Tokens;
     ++AheadRequests;
@@ -322,7 +323,7 @@
   OverloadCapacity Capacity;
   std::vector<OverloadInput> Inputs;
   std::vector<std::size_t> ByAge; ///< positions, longest waiting first
-  std::size_t Oldest = 0;         ///< all before it in ByAge had their turn
+  std::size_t NextByAge = 0;      ///< all before it in ByAge had their turn
   std::vector<bool> Decided;
   /// Requests with the engines that are kept free for them.
   std::vector<std::pair<std::size_t, const Endpoint *>> Kept;
