--- a/src/hyssoprail/routing/decode_time_model.cpp
+++ b/src/hyssoprail/routing/decode_time_model.cpp
@@ -1,13 +1,14 @@
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
 #include "hyssoprail/routing/engine_speeds.hpp"
 
 namespace hyssoprail::routing {
 namespace {
 
-/// The relation between runs and time changes only with the kind of requests.
+/// Time constant of the fit. The relation between runs and time changes only
+/// with the kind of requests.
 constexpr double ModelSeconds = 20;
 
 /// Added to the variance of the number of runs, so that a fit over nearly equal
@@ -21,7 +22,7 @@
 
 void DecodeTimeModel::add(double Tokens, double MicrosPerToken, double Runs,
                           TimePoint Now) {
-  const double Elapsed = std::chrono::duration<double>(Now - UpdatedAt).count();
+  const double Elapsed = seconds(Now - UpdatedAt);
   const double Kept = std::exp(-std::max(0.0, Elapsed) / ModelSeconds);
   UpdatedAt = std::max(UpdatedAt, Now);
   for (double *Sum : {&Weight, &RunSum, &RunSquares, &TimeSum, &RunTimeSum})
--- a/src/hyssoprail/routing/stage_planner.cpp
+++ b/src/hyssoprail/routing/stage_planner.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "hyssoprail/routing/duration_seconds.hpp"
+
 namespace hyssoprail::routing {
 namespace {
 
@@ -36,25 +38,29 @@
 constexpr milliseconds ReversalInterval{30'000};
 constexpr milliseconds EngineChangeInterval{30'000};
 
-/// Under pressure: requests wait for decode memory for more than this share of
-/// their objective. Prefill engines beyond the stated multiple of what the
-/// traffic needs are idle. A round may change a third of the engines, and the
-/// next one follows when the first shows in the queue.
+/// A service is under pressure while a request waits for decode memory for more
+/// than this share of its objective.
 constexpr double PressureShare = 0.5;
+
+/// Under pressure, prefill engines beyond this multiple of what the traffic
+/// needs change to decode.
 constexpr double PressedPrefillHeadroom = 1.25;
+
+/// Largest share of the engines that change in one round under pressure.
 constexpr double PressedRoundShare = 1.0 / 3;
+
+/// Time until the next round under pressure: the effect of the last one shows
+/// in the queue by then.
 constexpr milliseconds PressedRoundInterval{2'000};
 
-/// A pause in the waiting that does not end a period of pressure, as each
-/// request that is placed may leave one.
+/// Pressure that returns within this time counts as uninterrupted: the wait
+/// becomes short for a moment whenever the longest waiting request is placed.
 constexpr milliseconds PressureGap{1'500};
 
 /// Allowance for an order to arrive and for the registration to show the
 /// change.
 constexpr milliseconds OrderGracePeriod{4'000};
 
-double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
-
 } // namespace
 
 void EngineUtilization::recordPrefill(std::uint32_t Tokens,
@@ -81,8 +87,7 @@
   Decode += Weight * (DecodeEngines - Decode);
   TokensPrefilled = 0;
   if (DecodeEngines > 0)
-    TrafficTime += std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Elapsed));
+    TrafficTime += fromSeconds(Elapsed);
 }
 
 std::optional<EngineUtilization::BusyEngines>
@@ -101,7 +106,7 @@
 
 /// A change costs the engine's work for StageChangeTime, so it needs demand
 /// that lasts longer: a queue that takes longer to drain, or pressure that has
-/// lasted for that time, as what has lasted is expected to last as long again.
+/// lasted longer and is therefore expected to last as long again.
 StagePlanner::Pace StagePlanner::paceOf(const ServicePolicy &Service,
                                         const StagePressure &Pressure,
                                         TimePoint Now) {
@@ -123,6 +128,21 @@
           true};
 }
 
+StagePlanner::Engines StagePlanner::enginesOf(std::string_view Service,
+                                              TimePoint Now) const {
+  Engines Out;
+  Table.forEach([&](Endpoint &E) {
+    if (E.Record.Service != Service || !Table.inService(E))
+      return;
+    const bool Changes = E.isChangingStage(Now);
+    const EngineStage Stage = Changes ? E.TargetStage : E.Record.Stage;
+    if (!Changes && Stage == EngineStage::Prefill)
+      ++Out.PrefillCountByZone[E.Record.Zone];
+    (Stage == EngineStage::Prefill ? Out.Prefill : Out.Decode).push_back(&E);
+  });
+  return Out;
+}
+
 std::vector<StageChange>
 StagePlanner::plan(const ServicePolicy &Service,
                    const EngineUtilization &Utilization, TimePoint Now,
@@ -130,32 +150,20 @@
   std::vector<StageChange> Out;
   if (!Service.Engine)
     return Out;
-  const Pace Pace = paceOf(Service, Pressure, Now);
+  const Pace Rounds = paceOf(Service, Pressure, Now);
   auto BusyEngines = Utilization.busyEngines();
   if (!BusyEngines || BusyEngines->Decode <= 0)
     return Out;
-  std::vector<Endpoint *> Prefill;
-  std::vector<Endpoint *> Decode;
-  std::map<std::string_view, int> PrefillCountByZone;
-  Table.forEach([&](Endpoint &E) {
-    if (E.Record.Service != Service.Name || !Table.inService(E))
-      return;
-    if (E.isChangingStage(Now)) {
-      // Counted in its target stage.
-      (E.TargetStage == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
-      return;
-    }
-    if (E.Record.Stage == EngineStage::Prefill)
-      ++PrefillCountByZone[E.Record.Zone];
-    (E.Record.Stage == EngineStage::Prefill ? Prefill : Decode).push_back(&E);
-  });
+  Engines Present = enginesOf(Service.Name, Now);
+  const std::vector<Endpoint *> &Prefill = Present.Prefill;
+  const std::vector<Endpoint *> &Decode = Present.Decode;
   const auto EngineCount = static_cast<double>(Prefill.size() + Decode.size());
   if (Prefill.empty() || Decode.empty())
     return Out;
-  // The average lags behind, and does not show the demand that waits: all that
-  // prefill engines can spare is needed.
-  const double RequiredPrefill = Pace.PrefillHeadroom * BusyEngines->Prefill;
-  if (Pace.DecodeIsFull)
+  const double RequiredPrefill = Rounds.PrefillHeadroom * BusyEngines->Prefill;
+  // The measured average does not show the demand that waits: decode needs all
+  // engines that prefill can spare.
+  if (Rounds.DecodeIsFull)
     BusyEngines->Decode =
         std::max({BusyEngines->Decode, static_cast<double>(Decode.size()),
                   EngineCount - std::ceil(RequiredPrefill)});
@@ -179,16 +187,26 @@
   const auto Last = LastOrders.find(Service.Name);
   if (Last != LastOrders.end() &&
       Now - Last->second.At <
-          (Last->second.To == To ? Pace.RoundInterval : ReversalInterval))
+          (Last->second.To == To ? Rounds.RoundInterval : ReversalInterval))
     return Out;
   const auto Count = static_cast<std::size_t>(std::min(
-      std::abs(Surplus), std::max(1.0, Pace.MaxRoundShare * EngineCount)));
-  std::vector<Endpoint *> &From = Surplus > 0 ? Prefill : Decode;
+      std::abs(Surplus), std::max(1.0, Rounds.MaxRoundShare * EngineCount)));
+  return chooseChanges(std::move(Present), To, Count, Now);
+}
+
+/// Least loaded engines first, zones with the most prefill engines before
+/// others; the last prefill engine of a zone is kept.
+std::vector<StageChange> StagePlanner::chooseChanges(Engines Present,
+                                                     EngineStage To,
+                                                     std::size_t Count,
+                                                     TimePoint Now) const {
+  std::vector<StageChange> Out;
+  auto &PrefillCountByZone = Present.PrefillCountByZone;
+  std::vector<Endpoint *> &From =
+      To == EngineStage::Decode ? Present.Prefill : Present.Decode;
   std::erase_if(From, [&](const Endpoint *E) {
     return E->isChangingStage(Now) || !mayChange(*E, Now);
   });
-  // Least loaded engines first, zones with the most prefill engines before
-  // others; the last prefill engine of a zone is kept.
   std::sort(From.begin(), From.end(), [](const Endpoint *A, const Endpoint *B) {
     return std::pair(A->totalLoad().Runs, A->Record.Id) <
            std::pair(B->totalLoad().Runs, B->Record.Id);
