Rollouts: sums of answers and final states have one place each

Change: RouteAnswers with sumOf(), VersionAnswers::operator+= and isFinal() are shared; merging a decision on a known order is a function of its own. Names: HeldVersions, Initial, IsCoordinated. Comments on the completion margin and on new versions reworded. No change of behaviour. No test was run.

--- a/include/hyssoprail/rollout/rollout_order.hpp
+++ b/include/hyssoprail/rollout/rollout_order.hpp
@@ -42,6 +42,10 @@
   RolledBack,
 };
 
+inline bool isFinal(RolloutState State) {
+  return State != RolloutState::Running;
+}
+
 inline constexpr std::array<EnumName<RolloutState>, 3> RolloutStateNames{
     {{RolloutState::Running, "running"},
      {RolloutState::Completed, "completed"},
--- a/include/hyssoprail/rollout/version_comparison.hpp
+++ b/include/hyssoprail/rollout/version_comparison.hpp
@@ -1,6 +1,7 @@
 #ifndef HYSSOPRAIL_ROLLOUT_VERSION_COMPARISON_HPP
 #define HYSSOPRAIL_ROLLOUT_VERSION_COMPARISON_HPP
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -9,10 +10,18 @@
 
 namespace hyssoprail::rollout {
 
-/// Answers of a service since a rollout began, by route.
+/// Answers of one version, by route.
+using RouteAnswers = std::map<std::string, AnswerCounts, std::less<>>;
+
+/// Answers on all routes together.
+AnswerCounts sumOf(const RouteAnswers &ByRoute);
+
+/// Answers of a service since a rollout began.
 struct VersionAnswers {
-  std::map<std::string, AnswerCounts, std::less<>> Old;
-  std::map<std::string, AnswerCounts, std::less<>> Target;
+  RouteAnswers Old;
+  RouteAnswers Target;
+
+  VersionAnswers &operator+=(const VersionAnswers &O);
 };
 
 /// Result of comparing the target with the old version.
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -385,11 +385,9 @@
     Counters.gauge("rollout_target_allowance", Service)
         .set(double(E.Allowance));
     Counters.gauge("rollout_old_runs", Service).set(E.OldRuns);
-    using Answers = decltype(E.Answers.Old);
-    const auto Set = [&](const char *Version, const Answers &ByRoute) {
-      rollout::AnswerCounts Sum;
-      for (const auto &[Route, Counts] : ByRoute)
-        Sum += Counts;
+    const auto Set = [&](const char *Version,
+                         const rollout::RouteAnswers &ByRoute) {
+      const rollout::AnswerCounts Sum = rollout::sumOf(ByRoute);
       const MetricLabels Labels{{"service", E.Service}, {"version", Version}};
       Counters.gauge("rollout_answers", Labels).set(double(Sum.Total));
       Counters.gauge("rollout_failures", Labels).set(double(Sum.Failed));
--- a/src/hyssoprail/gateway/rollout_exchange.cpp
+++ b/src/hyssoprail/gateway/rollout_exchange.cpp
@@ -11,7 +11,7 @@
 constexpr milliseconds WriteRetryDelay{200};
 
 /// Endpoints of a version that is new to its service get no work for this time.
-/// If no order for it is known by then, they replace others.
+/// Without an order by then, they count as replacements of earlier endpoints.
 constexpr milliseconds NewVersionHold{2'000};
 
 } // namespace
@@ -30,14 +30,14 @@
   if (!enabled())
     return;
   Targets[Order.Service] = Order.Target;
-  Versions[{Order.Service, Order.Target}] = {};
+  HeldVersions[{Order.Service, Order.Target}] = {};
   Controller.order(Order, Age, Now);
-  rollout::RolloutDecision Wait;
-  Wait.Service = Order.Service;
-  Wait.Target = Order.Target;
-  Wait.Order = Order.Id;
-  Wait.CompletesAt = Now - Age + Order.Length;
-  Gate.applyDecision(Wait);
+  rollout::RolloutDecision Initial;
+  Initial.Service = Order.Service;
+  Initial.Target = Order.Target;
+  Initial.Order = Order.Id;
+  Initial.CompletesAt = Now - Age + Order.Length;
+  Gate.applyDecision(Initial);
 }
 
 void RolloutExchange::withdraw(std::string_view Service) {
@@ -64,7 +64,8 @@
   if (!enabled())
     return {};
   const TimePoint HeldUntil = AtStart ? TimePoint{} : Now + NewVersionHold;
-  const auto [It, New] = Versions.try_emplace({Service, Version}, HeldUntil);
+  const auto [It, New] =
+      HeldVersions.try_emplace({Service, Version}, HeldUntil);
   if (New && !AtStart)
     Log.write(LogCategory::Outcome, "new_version", "",
               {{"service", Service}, {"version", Version}});
--- a/src/hyssoprail/gateway/rollout_exchange.hpp
+++ b/src/hyssoprail/gateway/rollout_exchange.hpp
@@ -39,7 +39,7 @@
   /// The gate; null if no rollouts are carried out.
   rollout::RolloutGate *usedGate() { return enabled() ? &Gate : nullptr; }
 
-  /// Takes note of the version of an endpoint that has registered. \p AtStart:
+  /// Records the version of an endpoint that has registered. \p AtStart:
   /// this entry has just started, so the endpoint may have served for long.
   /// Returns until when the endpoint must get no work: the order for a version
   /// that is new to its service may still be on its way.
@@ -88,7 +88,7 @@
   std::map<std::string, rollout::StatusRecord> Stored;
   std::map<std::string, rollout::StatusRecord> Unconfirmed;
   /// Until when endpoints of a version get no work, by service and version.
-  std::map<std::pair<std::string, std::string>, TimePoint> Versions;
+  std::map<std::pair<std::string, std::string>, TimePoint> HeldVersions;
   bool Writing = false;
   TimePoint NextWriteAt{};
 };
--- a/src/hyssoprail/gateway/rollout_messages.cpp
+++ b/src/hyssoprail/gateway/rollout_messages.cpp
@@ -6,15 +6,13 @@
 namespace hyssoprail::gateway {
 namespace {
 
-using ByRoute = std::map<std::string, rollout::AnswerCounts, std::less<>>;
-
 std::uint32_t millisOf(Duration D) {
   const auto Millis = std::chrono::duration_cast<milliseconds>(D).count();
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
       Millis, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
-void encodeAnswers(const ByRoute &From, bool Target,
+void encodeAnswers(const rollout::RouteAnswers &From, bool Target,
                    wire::RolloutEvidence &To) {
   for (const auto &[Route, Counts] : From) {
     wire::VersionAnswers *Out = To.add_answers();
--- a/src/hyssoprail/rollout/rollout_controller.cpp
+++ b/src/hyssoprail/rollout/rollout_controller.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Completion is due this long before the deadline: the store has to accept it
-/// in time, and a version that turns bad after its completion should have
-/// little time left until the deadline.
+/// in time, but a version that begins to fail after its completion can no
+/// longer be rolled back.
 constexpr milliseconds CompletionMargin{600};
 
 /// Added to the longest recent run of the old version: decisions and reports
@@ -29,8 +29,6 @@
 
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
-bool isFinal(RolloutState State) { return State != RolloutState::Running; }
-
 } // namespace
 
 void RolloutController::startTerm(TimePoint Now) {
@@ -84,10 +82,7 @@
   R.Budget.report(Entry, Incarnation, Evidence.Requests, Evidence.Allowance);
   Source &S = R.Sources[Entry];
   if (S.Incarnation != Incarnation) {
-    for (const auto &[Route, Counts] : S.Evidence.Answers.Old)
-      R.Ended.Old[Route] += Counts;
-    for (const auto &[Route, Counts] : S.Evidence.Answers.Target)
-      R.Ended.Target[Route] += Counts;
+    R.Ended += S.Evidence.Answers;
     S = {Incarnation, Evidence};
   } else if (Evidence.Requests >= S.Evidence.Requests) {
     S.Evidence = Evidence;
@@ -134,12 +129,8 @@
 
 VersionAnswers RolloutController::answers(const Rollout &R) const {
   VersionAnswers Out = R.Ended;
-  for (const auto &[Name, S] : R.Sources) {
-    for (const auto &[Route, Counts] : S.Evidence.Answers.Old)
-      Out.Old[Route] += Counts;
-    for (const auto &[Route, Counts] : S.Evidence.Answers.Target)
-      Out.Target[Route] += Counts;
-  }
+  for (const auto &[Name, S] : R.Sources)
+    Out += S.Evidence.Answers;
   return Out;
 }
 
--- a/src/hyssoprail/rollout/rollout_fleet.hpp
+++ b/src/hyssoprail/rollout/rollout_fleet.hpp
@@ -75,7 +75,7 @@
     IncarnationOf[I] = Incarnations;
   }
 
-  bool isCoordinated = true; ///< reports and decisions arrive
+  bool IsCoordinated = true; ///< reports and decisions arrive
   bool StoreAnswers = true;
 
   RolloutController &controller() { return Controller; }
@@ -96,7 +96,7 @@
     const unsigned Count = std::poisson_distribution<unsigned>(PerStep)(Random);
     for (unsigned I = 0; I < Count; ++I)
       request(Random() % Gates.size());
-    if (!isCoordinated)
+    if (!IsCoordinated)
       return;
     for (std::size_t I = 0; I < Gates.size(); ++I)
       for (const RolloutEvidence &E : Gates[I].evidence(Now))
--- a/src/hyssoprail/rollout/rollout_fleet_test.cpp
+++ b/src/hyssoprail/rollout/rollout_fleet_test.cpp
@@ -129,12 +129,12 @@
 // Guards against entries that go on to the target while nobody coordinates.
 TEST_CASE("without a coordinator the target gets what was lent") {
   RolloutFleet Fleet(options(23, 1, failing(0.8)));
-  Fleet.isCoordinated = false;
+  Fleet.IsCoordinated = false;
   Fleet.run();
   CHECK(Fleet.targetRequests() == 0);
   RolloutFleet Parted(options(23, 1, sound));
   Parted.runFor(milliseconds(2'000));
-  Parted.isCoordinated = false;
+  Parted.IsCoordinated = false;
   Parted.run();
   CHECK(Parted.targetRequests() <= 0.1 * Parted.requests() + 50);
 }
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -23,6 +23,14 @@
   return {Use, Target, {}};
 }
 
+/// Takes over a decision on the same order. Late decisions must not take a
+/// rollout back to an earlier phase.
+void mergeDecision(RolloutDecision &Known, RolloutDecision Next) {
+  Next.Phase = std::max(Known.Phase, Next.Phase);
+  Next.Allowance = std::max(Known.Allowance, Next.Allowance);
+  Known = std::move(Next);
+}
+
 } // namespace
 
 RolloutGate::Rollout *RolloutGate::find(std::string_view Service) {
@@ -31,27 +39,21 @@
 }
 
 void RolloutGate::applyDecision(const RolloutDecision &Decision) {
-  const auto [It, New] = Rollouts.try_emplace(Decision.Service);
-  Rollout &R = It->second;
-  const bool NewOrder = New || R.Decision.Order < Decision.Order;
-  if (!NewOrder && (R.IsFinal || R.Decision.Order != Decision.Order))
+  const Rollout *Known = find(Decision.Service);
+  const bool NewOrder = !Known || Known->Decision.Order < Decision.Order;
+  if (!NewOrder && (Known->IsFinal || Known->Decision.Order != Decision.Order))
     return;
+  Rollout &R = Rollouts[Decision.Service];
   if (NewOrder) {
-    if (!New && R.Decision.Phase != RolloutPhase::Completed)
-      Rejected[Decision.Service].insert(R.Decision.Target);
+    if (Known && Known->Decision.Phase != RolloutPhase::Completed)
+      Rejected[Decision.Service].insert(Known->Decision.Target);
     R = {};
     R.Decision = Decision;
     R.Counts.Service = Decision.Service;
     R.Counts.Order = Decision.Order;
     Rejected[Decision.Service].erase(Decision.Target);
   } else {
-    // Late decisions must not take a rollout back to an earlier phase.
-    const RolloutPhase Phase = std::max(R.Decision.Phase, Decision.Phase);
-    const std::uint64_t Allowance =
-        std::max(R.Decision.Allowance, Decision.Allowance);
-    R.Decision = Decision;
-    R.Decision.Phase = Phase;
-    R.Decision.Allowance = Allowance;
+    mergeDecision(R.Decision, Decision);
   }
   if (RolledBack.contains(R.Decision.Order))
     R.Decision.Phase = RolloutPhase::RolledBack;
@@ -64,7 +66,7 @@
 void RolloutGate::applyStored(const std::string &Service,
                               const std::string &Target, OrderId Order,
                               RolloutState State) {
-  if (State == RolloutState::Running)
+  if (!isFinal(State))
     return;
   RolloutDecision D;
   D.Service = Service;
@@ -237,8 +239,8 @@
 
 bool RolloutGate::isUnproven(std::string_view Service,
                              std::string_view Version) const {
-  const auto Old = Rejected.find(Service);
-  if (Old != Rejected.end() && Old->second.contains(Version))
+  const auto Targets = Rejected.find(Service);
+  if (Targets != Rejected.end() && Targets->second.contains(Version))
     return true;
   const auto It = Rollouts.find(Service);
   return It != Rollouts.end() && It->second.Decision.Target == Version &&
--- a/src/hyssoprail/rollout/version_comparison.cpp
+++ b/src/hyssoprail/rollout/version_comparison.cpp
@@ -74,15 +74,22 @@
   return {};
 }
 
-AnswerCounts
-sumOf(const std::map<std::string, AnswerCounts, std::less<>> &ByRoute) {
+} // namespace
+
+AnswerCounts sumOf(const RouteAnswers &ByRoute) {
   AnswerCounts Out;
   for (const auto &[Route, Counts] : ByRoute)
     Out += Counts;
   return Out;
 }
 
-} // namespace
+VersionAnswers &VersionAnswers::operator+=(const VersionAnswers &O) {
+  for (const auto &[Route, Counts] : O.Old)
+    Old[Route] += Counts;
+  for (const auto &[Route, Counts] : O.Target)
+    Target[Route] += Counts;
+  return *this;
+}
 
 VersionVerdict compareVersions(const VersionAnswers &Answers) {
   const AnswerCounts AllOld = sumOf(Answers.Old);
