Rollouts: OrderId has operator> again, so that platform compiles

Cause: the merge of the queue of plain calls left OrderId without operator>, but store_feed_rollouts.cpp and store_feed_rollout_test.cpp use it. Neither compiled. Change: operator> is defined by operator<. Checked: g++ -fsyntax-only of both files; before the change the first one failed with "no match for operator>". No test was run.

--- a/include/hyssoprail/rollout/rollout_order.hpp
+++ b/include/hyssoprail/rollout/rollout_order.hpp
@@ -24,6 +24,7 @@
   bool operator<(const OrderId &O) const {
     return std::tie(Era, Offset) < std::tie(O.Era, O.Offset);
   }
+  bool operator>(const OrderId &O) const { return O < *this; }
   bool operator<=(const OrderId &O) const { return !(O < *this); }
 };
 
