--- a/src/hyssoprail/connection/upstream_pool.cpp
+++ b/src/hyssoprail/connection/upstream_pool.cpp
@@ -131,7 +131,7 @@
   Idle->closeIncarnation(Incarnation, KeptAuthority);
 }
 
-/// Another request may have begun to use the peer anew.
+/// The entry stays if another request has begun to use the peer meanwhile.
 void UpstreamPool::forget(const IdlePeer &Peer) {
   const auto Found = Uses.find(Peer);
   if (Found != Uses.end() && Found->second.expired())
--- a/src/hyssoprail/connection/upstream_pool.hpp
+++ b/src/hyssoprail/connection/upstream_pool.hpp
@@ -48,11 +48,12 @@
   void keep(const IdlePeer &Peer, ClientConnectionPtr C,
             std::chrono::milliseconds IdleTime);
 
-  /// Returns what a request to \p Peer holds until it ends.
+  /// Returns the state that all requests in progress to \p Peer share. Each
+  /// keeps the pointer until it ends.
   std::shared_ptr<PeerUse> use(const IdlePeer &Peer);
 
-  /// Closes the idle connections to an incarnation, but those to \p
-  /// KeptAuthority, and marks those that are in use.
+  /// Closes the idle connections to an incarnation and marks those in use to be
+  /// closed after their request, except those to \p KeptAuthority.
   void closeIncarnation(const std::string &Incarnation,
                         const std::string &KeptAuthority);
 
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -120,12 +120,13 @@
 
   /// Generations of this entry, and of the whole fleet, that wait for engines.
   std::size_t waitingStreams() const { return Client.pendingCount(); }
+  std::size_t fleetQueueLength() const { return FleetQueueLength; }
+
   /// Adds this entry's waiting generations, by service and priority.
   void
   countWaiting(std::map<std::pair<std::string, int>, std::size_t> &Out) const {
     Client.countPending(Out);
   }
-  std::size_t fleetQueueLength() const { return FleetQueueLength; }
 
 private:
   struct PeerEntry {
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -374,6 +374,18 @@
   Caller->respond(std::move(Response));
 }
 
+void GatewayRuntime::updateGenerationGauges() {
+  for (auto &[Key, Waiting] : WaitingGenerations)
+    Waiting = 0;
+  FleetCoordination.countWaiting(WaitingGenerations);
+  for (const auto &[Key, Waiting] : WaitingGenerations)
+    Counters
+        .gauge(
+            "generations_waiting",
+            {{"service", Key.first}, {"priority", std::to_string(Key.second)}})
+        .set(double(Waiting));
+}
+
 /// What this entry has counted since the newest order of each service.
 void GatewayRuntime::updateRolloutGauges(TimePoint Now) {
   const auto Evidence = FleetCoordination.rollouts().gate().evidence(Now);
@@ -397,20 +409,44 @@
   }
 }
 
+void GatewayRuntime::updateCallGauges() {
+  const routing::CallQueue &Queue = FleetCoordination.slots().queue();
+  for (const std::string &Service : Queue.services()) {
+    const routing::CallQueueState State = Queue.state(Service);
+    const MetricLabels Label{{"service", Service}};
+    Counters.gauge("calls_waiting", Label).set(double(State.Waiting));
+    Counters.gauge("calls_waited", Label).set(double(State.Waited));
+    Counters.gauge("calls_refused_waiting", Label).set(double(State.Refused));
+    Counters.gauge("call_slots_in_use", Label).set(State.InUse);
+  }
+}
+
+void GatewayRuntime::updateEndpointGauges(TimePoint Now) {
+  Table.forEach([&](routing::Endpoint &E) {
+    const MetricLabels Label{{"endpoint", E.Record.Id}};
+    Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
+    Counters.gauge("endpoint_tokens", Label).set(double(E.totalLoad().Tokens));
+    Counters.gauge("endpoint_speed", Label).set(E.SpeedFactor);
+    Counters.gauge("endpoint_failure_share", Label)
+        .set(E.Health.failureShare());
+    Counters.gauge("endpoint_limit_per_second", Label)
+        .set(E.Limit.perSecond().value_or(0));
+    Counters.gauge("endpoint_leaving", Label)
+        .set(E.Availability.leaving() ? 1 : 0);
+    Counters.gauge("endpoint_pause_seconds", Label)
+        .set(std::chrono::duration<double>(
+                 std::max(Duration{0}, E.Availability.pausedUntil() - Now))
+                 .count());
+    Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
+  });
+}
+
 void GatewayRuntime::updateGauges() {
   const TimePoint Now = Time.now();
   Counters.gauge("requests_open").set(double(Sessions.size()));
   Counters.gauge("streams_waiting")
       .set(double(FleetCoordination.waitingStreams()));
-  for (auto &[Key, Waiting] : WaitingGenerations)
-    Waiting = 0;
-  FleetCoordination.countWaiting(WaitingGenerations);
-  for (const auto &[Key, Waiting] : WaitingGenerations)
-    Counters
-        .gauge(
-            "generations_waiting",
-            {{"service", Key.first}, {"priority", std::to_string(Key.second)}})
-        .set(double(Waiting));
+  updateGenerationGauges();
   Counters.gauge("fleet_streams_waiting")
       .set(double(FleetCoordination.fleetQueueLength()));
   Counters.gauge("coordinates").set(FleetCoordination.isCoordinator() ? 1 : 0);
@@ -443,32 +479,8 @@
   Counters.gauge("endpoint_reuses").set(double(U.Reuses));
   Counters.gauge("endpoint_stale_answers").set(double(U.StaleResponses));
   Descriptors.updateGauges(Counters);
-  const routing::CallQueue &Queue = FleetCoordination.slots().queue();
-  for (const std::string &Service : Queue.services()) {
-    const routing::CallQueueState State = Queue.state(Service);
-    const MetricLabels Label{{"service", Service}};
-    Counters.gauge("calls_waiting", Label).set(double(State.Waiting));
-    Counters.gauge("calls_waited", Label).set(double(State.Waited));
-    Counters.gauge("calls_refused_waiting", Label).set(double(State.Refused));
-    Counters.gauge("call_slots_in_use", Label).set(State.InUse);
-  }
-  Table.forEach([&](routing::Endpoint &E) {
-    const MetricLabels Label{{"endpoint", E.Record.Id}};
-    Counters.gauge("endpoint_runs", Label).set(E.totalLoad().Runs);
-    Counters.gauge("endpoint_tokens", Label).set(double(E.totalLoad().Tokens));
-    Counters.gauge("endpoint_speed", Label).set(E.SpeedFactor);
-    Counters.gauge("endpoint_failure_share", Label)
-        .set(E.Health.failureShare());
-    Counters.gauge("endpoint_limit_per_second", Label)
-        .set(E.Limit.perSecond().value_or(0));
-    Counters.gauge("endpoint_leaving", Label)
-        .set(E.Availability.leaving() ? 1 : 0);
-    Counters.gauge("endpoint_pause_seconds", Label)
-        .set(std::chrono::duration<double>(
-                 std::max(Duration{0}, E.Availability.pausedUntil() - Now))
-                 .count());
-    Counters.gauge("endpoint_usable", Label).set(E.Health.usable(Now) ? 1 : 0);
-  });
+  updateCallGauges();
+  updateEndpointGauges(Now);
 }
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -114,9 +114,10 @@
   HttpResponse rejection(const routing::RequestInfo &Info,
                          routing::RejectReason Reason, milliseconds RetryAfter);
 
-  /// Delivers decisions on generations or calls to their sessions.
   template <typename Decision>
   void countDecision(const routing::FlowRequest &R, const Decision &D);
+
+  /// Delivers decisions on generations or calls to their sessions.
   template <typename Decision>
   void onDecisions(const std::vector<Decision> &Decisions);
   void onLimitStatement(const std::string &EndpointId,
@@ -160,7 +161,10 @@
                             const std::vector<routing::QuarantinedPart> &All,
                             std::set<std::string> &Logged);
   void updateGauges();
+  void updateGenerationGauges();
   void updateRolloutGauges(TimePoint Now);
+  void updateCallGauges();
+  void updateEndpointGauges(TimePoint Now);
   void stopWhenIdle();
 
   boost::asio::io_context &Context;
@@ -195,7 +199,8 @@
   std::size_t AnnouncedEntryCount = 1;
 
   Metrics Counters;
-  /// By service and priority; keeps those of which none waits any more.
+  /// Generations of this entry that wait, by service and priority. A pair stays
+  /// with 0, so that its gauge is reset.
   std::map<std::pair<std::string, int>, std::size_t> WaitingGenerations;
   std::unique_ptr<UpstreamClient> Endpoints;
   DescriptorGuard Descriptors;
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
--- a/src/hyssoprail/testbed/child_process_test.cpp
+++ b/src/hyssoprail/testbed/child_process_test.cpp
@@ -52,9 +52,9 @@
   Child.kill();
 }
 
-// Guards against a second start that forgets the first child: two faults of a
-// soak may hit the same process, and both end with a restart. The first child
-// kept running and its ports, so that the second one could not start.
+// Guards against a second start that loses track of the first child, which then
+// keeps its ports. Two faults of a soak may hit the same process, and both end
+// with a restart.
 TEST_CASE("a child that runs is not started again") {
   const SleepingProgram Program("twice");
   ChildProcess Child(Program.path(), {}, Program.logFile());
