--- a/src/hyssoprail/rollout/rollout_fleet.hpp
+++ b/src/hyssoprail/rollout/rollout_fleet.hpp
@@ -41,9 +41,8 @@
         Controller(Chosen.Bound) {
     Controller.startTerm(Now);
     step();
-    Controller.order({"s1", "v2", Chosen.Length, {1, 7}}, {}, Now);
-    Controller.setTargetEndpoints("s1", 3);
     OrderedAt = Now;
+    giveOrder();
   }
 
   /// Lets the time from the order to its deadline pass.
@@ -63,10 +62,9 @@
   void replaceCoordinator() {
     Controller = RolloutController(Chosen.Bound);
     Controller.startTerm(Now);
-    Controller.order({"s1", "v2", Chosen.Length, {1, 7}}, Now - OrderedAt, Now);
-    Controller.setTargetEndpoints("s1", 3);
+    giveOrder();
     if (Stored)
-      Controller.applyStored({"s1", "v2", {1, 7}, *Stored});
+      Controller.applyStored({"s1", "v2", Order, *Stored});
   }
 
   void restartEntry(std::size_t I) {
@@ -88,6 +86,12 @@
 
 private:
   static constexpr milliseconds StepLength{100};
+  static constexpr OrderId Order{1, 7};
+
+  void giveOrder() {
+    Controller.order({"s1", "v2", Chosen.Length, Order}, Now - OrderedAt, Now);
+    Controller.setTargetEndpoints("s1", 3);
+  }
 
   void step() {
     Now += StepLength;
