--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -92,8 +92,9 @@
   virtual std::shared_ptr<UpstreamExchange> send(UpstreamCall Call,
                                                  UpstreamHandlers Handlers) = 0;
 
-  /// Closes connections to an incarnation that has left, or to other addresses
-  /// than \p KeptAuthority if not empty; those in use after their responses.
+  /// Closes the connections to an incarnation that has left: idle ones at once,
+  /// those in use after their responses. Those to \p KeptAuthority stay; empty:
+  /// none does.
   virtual void closeIdle(const std::string &Incarnation,
                          const std::string &KeptAuthority) = 0;
 
--- a/src/hyssoprail/gateway/coordination_updates.cpp
+++ b/src/hyssoprail/gateway/coordination_updates.cpp
@@ -76,8 +76,8 @@
       Now);
 }
 
-/// Updates to this entry itself are made only with decisions; the shares are
-/// renewed each time, as they lapse.
+/// Renews the shares of this entry itself in each round: they lapse, and an
+/// update to itself is made only when a decision is due.
 void Coordination::applyOwnShares(TimePoint Now) {
   wire::CoordinatorUpdate U;
   U.set_sender(Settings.Name);
