--- a/include/hyssoprail/rollout/rollout_order.hpp
+++ b/include/hyssoprail/rollout/rollout_order.hpp
@@ -24,6 +24,7 @@
   bool operator<(const OrderId &O) const {
     return std::tie(Era, Offset) < std::tie(O.Era, O.Offset);
   }
+  bool operator>(const OrderId &O) const { return O < *this; }
   bool operator<=(const OrderId &O) const { return !(O < *this); }
 };
 
@@ -42,6 +43,10 @@
   RolledBack,
 };
 
+inline bool isFinal(RolloutState State) {
+  return State != RolloutState::Running;
+}
+
 inline constexpr std::array<EnumName<RolloutState>, 3> RolloutStateNames{
     {{RolloutState::Running, "running"},
      {RolloutState::Completed, "completed"},
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
@@ -54,8 +53,6 @@
   /// rollouts are not carried out.
   double ExposureShare = 0;
   double ExposureSlack = 0;
-  /// From the evidence against a version until it gets no more requests.
-  milliseconds RollbackTime{5'000};
 };
 
 /// Parses settings from JSON text. Fails with InvalidSettings; the error names
--- a/src/hyssoprail/rollout/rollout_fleet.hpp
+++ b/src/hyssoprail/rollout/rollout_fleet.hpp
@@ -41,9 +41,8 @@
         Controller(Chosen.Bound) {
     Controller.startTerm(Now);
     step();
-    Controller.order({"s1", "v2", Chosen.Length, {1, 7}}, {}, Now);
-    Controller.setTargetEndpoints("s1", 3);
     OrderedAt = Now;
+    giveOrder();
   }
 
   /// Lets the time from the order to its deadline pass.
@@ -63,10 +62,9 @@
   void replaceCoordinator() {
     Controller = RolloutController(Chosen.Bound);
     Controller.startTerm(Now);
-    Controller.order({"s1", "v2", Chosen.Length, {1, 7}}, Now - OrderedAt, Now);
-    Controller.setTargetEndpoints("s1", 3);
+    giveOrder();
     if (Stored)
-      Controller.applyStored({"s1", "v2", {1, 7}, *Stored});
+      Controller.applyStored({"s1", "v2", Order, *Stored});
   }
 
   void restartEntry(std::size_t I) {
@@ -75,7 +73,7 @@
     IncarnationOf[I] = Incarnations;
   }
 
-  bool isCoordinated = true; ///< reports and decisions arrive
+  bool IsCoordinated = true; ///< reports and decisions arrive
   bool StoreAnswers = true;
 
   RolloutController &controller() { return Controller; }
@@ -88,6 +86,12 @@
 
 private:
   static constexpr milliseconds StepLength{100};
+  static constexpr OrderId Order{1, 7};
+
+  void giveOrder() {
+    Controller.order({"s1", "v2", Chosen.Length, Order}, Now - OrderedAt, Now);
+    Controller.setTargetEndpoints("s1", 3);
+  }
 
   void step() {
     Now += StepLength;
@@ -96,7 +100,7 @@
     const unsigned Count = std::poisson_distribution<unsigned>(PerStep)(Random);
     for (unsigned I = 0; I < Count; ++I)
       request(Random() % Gates.size());
-    if (!isCoordinated)
+    if (!IsCoordinated)
       return;
     for (std::size_t I = 0; I < Gates.size(); ++I)
       for (const RolloutEvidence &E : Gates[I].evidence(Now))
