Rollouts: final states hold over eras of the store, slow answers of all routes count

Change: a final state of an earlier era holds for the order with the same target, in the controller, in the gate and in the conditional write; the slow answers of all routes are compared together, each by the median of its own route. An operator who wants a target again after a restore removes the order first.

--- a/include/hyssoprail/rollout/rollout_controller.hpp
+++ b/include/hyssoprail/rollout/rollout_controller.hpp
@@ -36,6 +36,16 @@
   RolloutState State = RolloutState::Running;
 };
 
+/// True if \p Record is a state of the order \p Id for \p Target. A store that
+/// comes back from a copy shows an order again, in a later era and so under
+/// another id: a final state that was reached before holds for it, too.
+inline bool isStateOf(const StatusRecord &Record, const OrderId &Id,
+                      std::string_view Target) {
+  return Record.Order == Id ||
+         (isFinal(Record.State) && Record.Target == Target &&
+          Record.Order.Era < Id.Era);
+}
+
 /// Decides, at the coordinator, how far each rollout goes. A final state is in
 /// force only after the store has accepted it, except that a rollback stops the
 /// traffic to the target at once. The state is rebuilt from the reports of the
@@ -105,6 +115,8 @@
     bool StepDue = true; ///< its phase has not been returned by poll()
   };
 
+  static bool isSameAfterRestore(const Rollout &Known,
+                                 const RolloutOrder &Next);
   VersionAnswers answers(const Rollout &R) const;
   TimePoint completionDue(const Rollout &R) const;
   Duration shiftLength(const Rollout &R) const;
@@ -120,6 +132,8 @@
   /// Orders that were replaced or withdrawn: their states have to be written.
   std::vector<StatusRecord> Abandoned;
   std::set<OrderId> RolledBack;
+  /// Newest final state that the store had, by service.
+  std::map<std::string, StatusRecord, std::less<>> Settled;
   /// Services whose rollouts can be completed as soon as the store accepts it.
   std::set<std::string, std::less<>> CompletionReady;
 };
--- a/include/hyssoprail/rollout/rollout_gate.hpp
+++ b/include/hyssoprail/rollout/rollout_gate.hpp
@@ -109,6 +109,14 @@
     TimePoint CompletedAt{}; ///< when a request first found it completed
     bool IsOver = false;     ///< it no longer decides which endpoints are used
     RolloutEvidence Counts;
+    /// True if \p Next is the same order, read again after the store came back
+    /// from a copy, and the rollout has ended.
+    bool isSettledFor(const RolloutDecision &Next) const {
+      return (IsFinal || Decision.Phase == RolloutPhase::RolledBack) &&
+             Decision.Target == Next.Target &&
+             Decision.Order.Era < Next.Order.Era;
+    }
+
     /// When an answer was last lost, by endpoint.
     std::map<std::string, TimePoint, std::less<>> LostAt;
     std::deque<std::pair<TimePoint, Duration>> OldRunTimes;
--- a/src/hyssoprail/rollout/rollout_controller.cpp
+++ b/src/hyssoprail/rollout/rollout_controller.cpp
@@ -44,7 +44,8 @@
                               TimePoint Now) {
   const auto Known = Rollouts.find(Order.Service);
   if (Known != Rollouts.end()) {
-    if (Order.Id <= Known->second.Order.Id)
+    if (Order.Id <= Known->second.Order.Id ||
+        isSameAfterRestore(Known->second, Order))
       return;
     rollBack(Known->second, RollbackReason::Replaced);
     if (Known->second.Stored != RolloutState::Completed)
@@ -62,6 +63,19 @@
   if (RolledBack.contains(Order.Id))
     rollBack(R, RollbackReason::Stored);
   Rollouts.emplace(Order.Service, std::move(R));
+  const auto State = Settled.find(Order.Service);
+  if (State != Settled.end())
+    applyStored(StatusRecord(State->second));
+}
+
+/// True if \p Next is the order of a rollout that has ended, read again after
+/// the store came back from a copy.
+bool RolloutController::isSameAfterRestore(const Rollout &Known,
+                                           const RolloutOrder &Next) {
+  const bool HasEnded = Known.Phase == RolloutPhase::RolledBack ||
+                        Known.Phase == RolloutPhase::Completed;
+  return HasEnded && Known.Order.Target == Next.Target &&
+         Known.Order.Id.Era < Next.Id.Era;
 }
 
 void RolloutController::withdraw(std::string_view Service) {
@@ -102,10 +116,17 @@
   });
   if (Record.State == RolloutState::RolledBack)
     RolledBack.insert(Record.Order);
+  if (isFinal(Record.State)) {
+    const auto [Kept, New] = Settled.try_emplace(Record.Service, Record);
+    if (!New && Kept->second.Order < Record.Order)
+      Kept->second = Record;
+  }
   const auto It = Rollouts.find(Record.Service);
-  if (It == Rollouts.end() || It->second.Order.Id != Record.Order)
+  if (It == Rollouts.end())
     return;
   Rollout &R = It->second;
+  if (!isStateOf(Record, R.Order.Id, R.Order.Target))
+    return;
   if (R.Stored && isFinal(*R.Stored))
     return;
   R.Stored = Record.State;
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -44,6 +44,10 @@
 
 void RolloutGate::applyDecision(const RolloutDecision &Decision) {
   const Rollout *Known = find(Decision.Service);
+  if (Known && Known->isSettledFor(Decision)) {
+    Rollouts[Decision.Service].Decision.Order = Decision.Order;
+    return;
+  }
   const bool NewOrder = !Known || Known->Decision.Order < Decision.Order;
   if (!NewOrder && (Known->IsFinal || Known->Decision.Order != Decision.Order))
     return;
@@ -77,6 +81,11 @@
   D.Service = Service;
   D.Target = Target;
   D.Order = Order;
+  // The order may be known under the id of a later era of the store.
+  if (const Rollout *Known = find(Service);
+      Known && Known->Decision.Target == Target &&
+      Order.Era < Known->Decision.Order.Era)
+    D.Order = Order = Known->Decision.Order;
   const bool Completed = State == RolloutState::Completed;
   D.Phase = Completed ? RolloutPhase::Completed : RolloutPhase::RolledBack;
   // What the store has goes before a rollback that it refused.
--- a/src/hyssoprail/rollout/version_comparison.cpp
+++ b/src/hyssoprail/rollout/version_comparison.cpp
@@ -25,6 +25,12 @@
   double Of = 0;
 
   double share() const { return Of > 0 ? Count / Of : 0; }
+
+  Proportion &operator+=(const Proportion &O) {
+    Count += O.Count;
+    Of += O.Of;
+    return *this;
+  }
 };
 
 struct Interval {
@@ -74,6 +80,24 @@
   return {};
 }
 
+/// Compares the slow answers of all routes together, each judged by the median
+/// of its own route: with few answers no route alone has enough of them.
+VersionVerdict compareSlowAnswers(const VersionAnswers &Answers) {
+  Proportion TargetSlow;
+  Proportion OldSlow;
+  for (const auto &[Route, Target] : Answers.Target) {
+    const auto Found = Answers.Old.find(Route);
+    if (Found == Answers.Old.end() || Found->second.timed() < MinOldAnswers)
+      continue;
+    const std::size_t First = Found->second.medianClass() + SlowClasses;
+    TargetSlow += slowAnswers(Target, First);
+    OldSlow += slowAnswers(Found->second, First);
+  }
+  if (!exceeds(TargetSlow, OldSlow))
+    return {};
+  return {RollbackReason::Slow, "", TargetSlow.share(), OldSlow.share()};
+}
+
 } // namespace
 
 AnswerCounts sumOf(const RouteAnswers &ByRoute) {
@@ -110,7 +134,7 @@
   if (exceeds(failures(AllTarget), failures(AllOld)))
     return {RollbackReason::Failures, "", failures(AllTarget).share(),
             failures(AllOld).share()};
-  return {};
+  return compareSlowAnswers(Answers);
 }
 
 } // namespace hyssoprail::rollout
