Queue of calls: on only with a setting of its own

No entry has an even share of 18 slots there, and what the coordinator lends is refused or idle for one exchange.

--- a/include/hyssoprail/routing/call_slots.hpp
+++ b/include/hyssoprail/routing/call_slots.hpp
@@ -10,7 +10,6 @@
 
 #include "hyssoprail/routing/call_queue.hpp"
 #include "hyssoprail/routing/endpoint_table.hpp"
-#include "hyssoprail/routing/overload_mode.hpp"
 #include "hyssoprail/wire/coordination.pb.h"
 
 namespace hyssoprail::routing {
@@ -36,8 +35,8 @@
   explicit CallSlots(EndpointTable &Table, std::uint64_t Seed = 0)
       : Table(Table), Turn(Seed) {}
 
-  /// Calls of plain services wait only with OverloadMode::LeastCost.
-  void configure(FleetConfigPtr Next, OverloadMode Mode);
+  /// Calls of plain services wait for slots only if \p Enabled.
+  void configure(FleetConfigPtr Next, bool Enabled);
 
   /// Sets the number of entries, this one included, that share the slots.
   void setKnownEntries(std::size_t Count) { KnownEntries = Count; }
@@ -99,7 +98,7 @@
 
   EndpointTable &Table;
   FleetConfigPtr Config;
-  OverloadMode Mode = OverloadMode::Arrival;
+  bool Enabled = false;
   std::size_t KnownEntries = 1;
   CallQueue Queue;
   /// By service, from the newest update.
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -75,7 +75,7 @@
 void Coordination::configure(const routing::FleetConfigPtr &Next) {
   Config = Next;
   Scheduler.configure(Next);
-  Slots.configure(Next, Settings.Overload);
+  Slots.configure(Next, Settings.QueueCalls);
   notifyStateChanged();
 }
 
--- a/src/hyssoprail/gateway/gateway_settings.cpp
+++ b/src/hyssoprail/gateway/gateway_settings.cpp
@@ -87,6 +87,7 @@
                       In.at("overload_policy").get_ref<const std::string &>());
     Out.OverloadIsSet = true;
   }
+  read(In, "queue_calls", Out.QueueCalls);
   read(In, "platform_features", Out.PlatformFeatures);
   read(In, "exposure_share", Out.ExposureShare);
   read(In, "exposure_slack", Out.ExposureSlack);
--- a/src/hyssoprail/gateway/gateway_settings.hpp
+++ b/src/hyssoprail/gateway/gateway_settings.hpp
@@ -45,6 +45,8 @@
   /// How requests are ordered and refused while there is too little room.
   routing::OverloadMode Overload = routing::OverloadMode::Arrival;
   bool OverloadIsSet = false; ///< the file names a mode
+  /// Calls of plain services wait for slots at the entries.
+  bool QueueCalls = false;
   /// Features that the platform says are in use; only the adapter of the
   /// platform knows their names.
   std::vector<std::string> PlatformFeatures;
--- a/src/hyssoprail/routing/call_flow_slots_test.cpp
+++ b/src/hyssoprail/routing/call_flow_slots_test.cpp
@@ -22,10 +22,10 @@
 /// Calls of one entry to three endpoints of 6 slots, which refuse what exceeds
 /// them.
 struct SlotFixture : FlowFixture {
-  explicit SlotFixture(OverloadMode Mode) {
+  explicit SlotFixture(bool Enabled) {
     for (const char *Id : {"a", "b", "c"})
       add(service(Id));
-    Slots.configure(testing::testConfig(), Mode);
+    Slots.configure(testing::testConfig(), Enabled);
   }
 
   struct Call {
@@ -150,8 +150,8 @@
 // Load: demand in waves. Guards against calls of a wave that are refused
 // although the slots are idle for half of the time.
 TEST_CASE("calls that come in waves wait instead of being refused") {
-  SlotFixture Without(OverloadMode::Arrival);
-  SlotFixture With(OverloadMode::LeastCost);
+  SlotFixture Without(false);
+  SlotFixture With(true);
   runWaves(Without);
   runWaves(With);
   checkAnswers(Without);
@@ -165,8 +165,8 @@
 
 // Load: a surge of all calls above what the slots serve.
 TEST_CASE("in a surge no endpoint refuses a call and more are on time") {
-  SlotFixture Without(OverloadMode::Arrival);
-  SlotFixture With(OverloadMode::LeastCost);
+  SlotFixture Without(false);
+  SlotFixture With(true);
   runSurge(Without);
   runSurge(With);
   checkAnswers(Without);
@@ -185,18 +185,16 @@
 }
 
 // Guards against a change for deployments that do not ask for it.
-TEST_CASE("no call waits with the policies arrival and auto") {
-  for (const OverloadMode Mode : {OverloadMode::Arrival, OverloadMode::Auto}) {
-    SlotFixture F(Mode);
-    for (int I = 0; I < 30; ++I)
-      REQUIRE(F.start().Io.Legs.size() == 1);
-    CHECK(F.Slots.queue().services().empty());
-  }
+TEST_CASE("no call waits if the queue of calls is not enabled") {
+  SlotFixture F(false);
+  for (int I = 0; I < 30; ++I)
+    REQUIRE(F.start().Io.Legs.size() == 1);
+  CHECK(F.Slots.queue().services().empty());
 }
 
 // Guards against a place in the queue, or a slot, that a caller leaves behind.
 TEST_CASE("a caller that leaves while its call waits takes nothing along") {
-  SlotFixture F(OverloadMode::LeastCost);
+  SlotFixture F(true);
   for (int I = 0; I < 18; ++I)
     F.start();
   auto &Left = F.start();
@@ -213,7 +211,7 @@
 
 // Guards against calls with a key that was withdrawn while they waited.
 TEST_CASE("a call whose key is withdrawn while it waits is rejected") {
-  SlotFixture F(OverloadMode::LeastCost);
+  SlotFixture F(true);
   for (int I = 0; I < 18; ++I)
     F.start();
   auto &Waits = F.start();
@@ -226,7 +224,7 @@
 
 // Guards against a process that ends before it has answered a waiting call.
 TEST_CASE("a waiting call is answered by the end of the process") {
-  SlotFixture F(OverloadMode::LeastCost);
+  SlotFixture F(true);
   for (int I = 0; I < 18; ++I)
     F.start();
   auto &Waits = F.start();
@@ -239,7 +237,7 @@
 // Load: an endpoint falls silent. The second leg of an idempotent call, like
 // every other, must not exceed the slots.
 TEST_CASE("the second leg of an idempotent call takes a slot") {
-  SlotFixture F(OverloadMode::LeastCost);
+  SlotFixture F(true);
   auto &C = F.start(RouteKind::IdempotentCall);
   F.Answers.clear(); // the endpoint does not answer
   F.run(Objective * 2);
@@ -252,7 +250,7 @@
 
 // Load: an endpoint is lost under load. Its slots no longer count.
 TEST_CASE("calls wait for the slots of the endpoints that are left") {
-  SlotFixture F(OverloadMode::LeastCost);
+  SlotFixture F(true);
   for (int I = 0; I < 12; ++I)
     F.start();
   F.run(RunTime);
--- a/src/hyssoprail/routing/call_share_test.cpp
+++ b/src/hyssoprail/routing/call_share_test.cpp
@@ -52,7 +52,7 @@
       E->Name = "entry-" + std::to_string(I);
       for (const char *Id : {"a", "b", "c"})
         E->Table.apply(service(Id));
-      E->Slots.configure(testing::testConfig(), OverloadMode::LeastCost);
+      E->Slots.configure(testing::testConfig(), true);
       E->Slots.setKnownEntries(Count);
       E->ReportedAt = Now + milliseconds(I % 200);
       Entries.push_back(std::move(E));
@@ -406,7 +406,7 @@
   EndpointTable Table;
   Table.apply(service("a"));
   CallSlots Slots(Table);
-  Slots.configure(testing::testConfig(), OverloadMode::LeastCost);
+  Slots.configure(testing::testConfig(), true);
   Slots.setKnownEntries(10);
   const auto Update = [&](std::uint64_t Sequence, unsigned Lent) {
     wire::CoordinatorUpdate U;
--- a/src/hyssoprail/routing/call_slots.cpp
+++ b/src/hyssoprail/routing/call_slots.cpp
@@ -23,13 +23,13 @@
   return Out;
 }
 
-void CallSlots::configure(FleetConfigPtr Next, OverloadMode NextMode) {
+void CallSlots::configure(FleetConfigPtr Next, bool Use) {
   Config = std::move(Next);
-  Mode = NextMode;
+  Enabled = Use;
 }
 
 bool CallSlots::inForce(std::string_view Service) const {
-  if (Mode != OverloadMode::LeastCost || !Config)
+  if (!Enabled || !Config)
     return false;
   const ServicePolicy *Policy = Config->service(Service);
   return Policy && !Policy->Engine;
