Rollouts: an order that is read again after a restore keeps its counts

Change: an order for the same target in a later era is the same order in the gate and the controller; the slack is lent only in the first era.

--- a/src/hyssoprail/rollout/rollout_controller.cpp
+++ b/src/hyssoprail/rollout/rollout_controller.cpp
@@ -23,6 +23,9 @@
 /// all requests between the completion and the deadline.
 constexpr double CanaryPart = 0.5;
 
+/// The era before the store has come back from a copy.
+constexpr std::uint64_t FirstEra = 1;
+
 Duration part(Duration D, double Share) {
   return std::chrono::duration_cast<Duration>(D * Share);
 }
@@ -44,9 +47,12 @@
                               TimePoint Now) {
   const auto Known = Rollouts.find(Order.Service);
   if (Known != Rollouts.end()) {
-    if (Order.Id <= Known->second.Order.Id ||
-        isSameAfterRestore(Known->second, Order))
+    if (Order.Id <= Known->second.Order.Id)
+      return;
+    if (isSameAfterRestore(Known->second, Order)) {
+      Known->second.Order.Id = Order.Id;
       return;
+    }
     rollBack(Known->second, RollbackReason::Replaced);
     if (Known->second.Stored != RolloutState::Completed)
       Abandoned.push_back({Known->second.Order.Service,
@@ -55,8 +61,9 @@
     Rollouts.erase(Known);
   }
   // Only the coordinator that reads an order as it is given has lent nothing of
-  // it before.
-  const bool BeganHere = TermStart != TimePoint{} && Now - Age > TermStart;
+  // it before. In a later era the order may be one that was given before.
+  const bool BeganHere = TermStart != TimePoint{} && Now - Age > TermStart &&
+                         Order.Id.Era <= FirstEra;
   Rollout R(Order, ExposureBudget(Bound, BeganHere));
   R.OrderedAt = Now - Age;
   R.Deadline = R.OrderedAt + Order.Length;
@@ -68,14 +75,11 @@
     applyStored(StatusRecord(State->second));
 }
 
-/// True if \p Next is the order of a rollout that has ended, read again after
-/// the store came back from a copy.
+/// True if \p Next is the order of a known rollout, read again after the store
+/// came back from a copy.
 bool RolloutController::isSameAfterRestore(const Rollout &Known,
                                            const RolloutOrder &Next) {
-  const bool HasEnded = Known.Phase == RolloutPhase::RolledBack ||
-                        Known.Phase == RolloutPhase::Completed;
-  return HasEnded && Known.Order.Target == Next.Target &&
-         Known.Order.Id.Era < Next.Id.Era;
+  return Known.Order.Target == Next.Target && Known.Order.Id.Era < Next.Id.Era;
 }
 
 void RolloutController::withdraw(std::string_view Service) {
--- a/src/hyssoprail/rollout/rollout_gate.cpp
+++ b/src/hyssoprail/rollout/rollout_gate.cpp
@@ -44,9 +44,15 @@
 
 void RolloutGate::applyDecision(const RolloutDecision &Decision) {
   const Rollout *Known = find(Decision.Service);
-  if (Known && Known->isSettledFor(Decision)) {
-    Rollouts[Decision.Service].Decision.Order = Decision.Order;
-    return;
+  // The same order, read again after the store came back from a copy: what was
+  // sent to the target counts on.
+  if (Known && Known->Decision.Target == Decision.Target &&
+      Known->Decision.Order.Era < Decision.Order.Era) {
+    const bool Settled = Known->isSettledFor(Decision);
+    Rollout &Renamed = Rollouts[Decision.Service];
+    Renamed.Decision.Order = Renamed.Counts.Order = Decision.Order;
+    if (Settled)
+      return;
   }
   const bool NewOrder = !Known || Known->Decision.Order < Decision.Order;
   if (!NewOrder && (Known->IsFinal || Known->Decision.Order != Decision.Order))
--- a/src/hyssoprail/rollout/rollout_restore_test.cpp
+++ b/src/hyssoprail/rollout/rollout_restore_test.cpp
@@ -74,6 +74,35 @@
         VersionChoice::Kind::Old);
 }
 
+// Guards against an allowance that is lent once more when the store comes back
+// from a copy: the target got twice what is allowed.
+TEST_CASE("what was sent to the target counts on after a restore") {
+  RolloutGate Gate;
+  RolloutDecision D;
+  D.Service = "s1";
+  D.Target = "v2";
+  D.Order = FirstId;
+  D.Allowance = 1;
+  Gate.applyDecision(D);
+  REQUIRE(Gate.choose({"s1", true, 1, {}}, Now).Use ==
+          VersionChoice::Kind::Target);
+  D.Order = IdAfterRestore;
+  Gate.applyDecision(D);
+  CHECK(Gate.choose({"s1", true, 1, {}}, Now).Use == VersionChoice::Kind::Old);
+  CHECK(Gate.evidence(Now).at(0).Order == IdAfterRestore);
+  RolloutController C({0.1, 50});
+  C.startTerm(Now);
+  C.order(orderWith(IdAfterRestore), {}, Now + milliseconds(1));
+  RolloutEvidence E;
+  E.Service = "s1";
+  E.Order = IdAfterRestore;
+  C.observe("e1", 1, E);
+  E.Requests = 10;
+  C.observe("e1", 1, E);
+  C.poll(Now + milliseconds(100));
+  CHECK(C.decisionsFor("e1", 1).at(0).Allowance == 0);
+}
+
 // Guards against a version ten times slower that is completed because no route
 // alone has the answers that a comparison needs.
 TEST_CASE("slow answers on several routes count together") {
