--- a/src/hyssoprail/routing/call_share_test.cpp
+++ b/src/hyssoprail/routing/call_share_test.cpp
@@ -139,7 +139,7 @@
     }
   }
 
-  void wait(FleetEntry &E, FleetEntry::WaitingCall C) {
+  void wait(FleetEntry &E, const FleetEntry::WaitingCall &C) {
     const std::string Id = std::to_string(++LastId);
     E.Waiting[Id] = C;
     E.Slots.submit(
