Logs: the version of the endpoint of each send, and the attempt that a caller resumes

A send named its endpoint only, so a log could not show that a stream went on at another software version, nor which stream a caller resumed. The send now has the version, the admit the first attempt that the caller states. No decision changes.

--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -34,6 +34,7 @@
   std::string EndpointId;
   std::string Address;
   std::int64_t StartedAtMs = 0; ///< incarnation of the endpoint
+  std::string Version;          ///< of the endpoint's software
   milliseconds Deadline{0};     ///< time after which the endpoint stops work
   std::optional<KvSource> Source;
   std::optional<std::uint64_t> ResumeAfter; ///< id of the last delivered event
--- a/include/hyssoprail/routing/request_info.hpp
+++ b/include/hyssoprail/routing/request_info.hpp
@@ -33,6 +33,9 @@
   std::uint32_t OutputHint = 0;  ///< the caller's estimate; 0: none
   std::uint64_t LastEventId = 0; ///< of a stream that the caller resumes
   bool Resumes = false;          ///< the caller sent LastEventId
+  /// Id of the attempt that brought the first event of a stream that the caller
+  /// resumes; empty: not stated.
+  std::string FirstAttempt;
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -187,6 +187,7 @@
              {"parts", boost::algorithm::join(Request.Info.PromptParts, ",")},
              {"fingerprint", Request.Info.Fingerprint},
              {"beyond_quota", Request.BeyondQuota},
+             {"first_attempt", Request.Info.FirstAttempt},
              {"version", Config->Version},
              {"version_age_ms", Time.now() - ConfigAppliedAt}});
   Retries.recordRequest(Request.Service, Time.now());
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -142,6 +142,7 @@
   logDecision("send", {{"kind", legKindName(Spec.Kind)},
                        {"endpoint", Spec.EndpointId},
                        {"address", Spec.Address},
+                       {"version", Spec.Version},
                        {"deadline_ms", Spec.Deadline},
                        {"has_cache", Spec.Source.has_value()},
                        {"repeat", Spec.IsRetry}});
--- a/src/hyssoprail/routing/call_flow.cpp
+++ b/src/hyssoprail/routing/call_flow.cpp
@@ -299,6 +299,7 @@
     Leg.EndpointId = E.Record.Id;
     Leg.Address = E.Record.Address;
     Leg.StartedAtMs = E.Record.StartedAtMs;
+    Leg.Version = E.Record.Version;
     Leg.Deadline =
         std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
     Leg.IsRetry = LegCount > 1;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -66,6 +66,7 @@
   Out.EndpointId = E.Record.Id;
   Out.Address = E.Record.Address;
   Out.StartedAtMs = E.Record.StartedAtMs;
+  Out.Version = E.Record.Version;
   Out.Deadline =
       std::chrono::duration_cast<milliseconds>(Request.AnswerBy - Now);
   if (Request.SendsPriority)
