A stream stays at the software version that began it

Cause: no entry looked at versions but in a rollout. Callers name the attempt that began a stream (Resumes), which was not read; a stream that broke within one answer went on at any engine; and no process is left that knew the version when all entries are killed.

Change: a service has a base version in the store, that of its oldest endpoint when it is first seen. A stream that begins at another version is recorded in the store (keyed.streams) before its decode is sent, while the prompt is prefilled; one that is not recorded began at the base version. A resumed stream reads the records that were written before it arrived and is placed at its version only; without an engine of that version, or if the version cannot be found out, it is refused at once. Within one answer, and for the replacement of a silent engine, the same version is kept. A service with one version costs one read for each start of an entry and one write.

--- a/include/hyssoprail/routing/endpoint_table.hpp
+++ b/include/hyssoprail/routing/endpoint_table.hpp
@@ -205,6 +205,11 @@
 
   void forEach(const std::function<void(Endpoint &)> &Visit);
 
+  /// True if an endpoint of \p Service is registered with another version than
+  /// \p Version.
+  bool hasOtherVersion(std::string_view Service,
+                       std::string_view Version) const;
+
   /// Adds \p Load to this entry's load on an endpoint.
   void reserve(std::string_view Id, const EndpointLoad &Load);
 
--- a/include/hyssoprail/routing/flow.hpp
+++ b/include/hyssoprail/routing/flow.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_FLOW_HPP
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "hyssoprail/rollout/rollout_gate.hpp"
@@ -16,6 +17,7 @@
 #include "hyssoprail/routing/request_info.hpp"
 #include "hyssoprail/routing/retry_limiter.hpp"
 #include "hyssoprail/routing/stream_admission.hpp"
+#include "hyssoprail/routing/stream_versions.hpp"
 
 namespace hyssoprail::routing {
 
@@ -37,6 +39,8 @@
   rollout::RolloutGate *Rollouts = nullptr;
   /// Slots that calls wait for; null: no call waits.
   CallSlots *Slots = nullptr;
+  /// Versions at which streams began; null: streams go on at any version.
+  const StreamVersions *Versions = nullptr;
 };
 
 /// An admitted request with the parts of the configuration that apply to it.
@@ -85,6 +89,15 @@
   virtual void onCallReleased(const CallRelease &Release, TimePoint Now);
   virtual void onCallRefused(const CallRefusal &Refusal, TimePoint Now);
 
+  /// The version that FlowIo::recordVersion() named is on record, or certainly
+  /// not.
+  virtual void onVersionRecorded(bool Written, TimePoint Now);
+
+  /// The version at which the resumed stream began; nullopt if that cannot be
+  /// found out now.
+  virtual void onVersionFound(const std::optional<std::string> &Version,
+                              TimePoint Now);
+
   /// The time of nextDeadline() was reached.
   virtual void onTimer(TimePoint Now) = 0;
 
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -119,6 +119,14 @@
   /// sees that the answer is incomplete. \p Reason is for logs and metrics.
   virtual void abort(RejectReason Reason) = 0;
 
+  /// Records that the stream is to begin at \p Version. The flow is told
+  /// whether that succeeded.
+  virtual void recordVersion(const std::string &Version) = 0;
+
+  /// Looks up the version at which the resumed stream began. The flow is told
+  /// what was found.
+  virtual void findVersion() = 0;
+
   /// True while the caller's key and route still allow the request.
   virtual bool stillAllowed() = 0;
 
--- a/include/hyssoprail/routing/request_version.hpp
+++ b/include/hyssoprail/routing/request_version.hpp
@@ -51,17 +51,26 @@
   std::vector<std::string> disallowed();
 
   /// The version that the request must use. Empty: any version but the target
-  /// of a rollout that has not been completed.
+  /// of a rollout that has not been completed. A pinned version counts only if
+  /// the service has others, so that a service with one version has one queue.
   std::string required();
 
   /// The target does not serve the request: lets it use the old version while
   /// that is in service. Returns false if it may use no other version.
   bool fallBack();
 
-  /// A part of the answer has reached the caller: the rest has to come from the
-  /// same version. Only if the rollout completes and the old endpoints stop
-  /// does the rest come from the target.
-  void keepVersion() { Kept = true; }
+  /// A part of the answer from \p Version has reached the caller: the rest has
+  /// to come from the same version. Only if a rollout completes and the old
+  /// endpoints stop does the rest come from the target.
+  void keepVersion(const std::string &Version) {
+    Kept = true;
+    if (!Gate || !Gate->knows(Service))
+      pin(Version);
+  }
+
+  /// Lets the request use endpoints of \p Version only.
+  void pin(const std::string &Version) { Pinned = Version; }
+  void unpin() { Pinned.reset(); }
 
   /// No endpoint may be used any more: the version from which the answer began
   /// was rolled back.
@@ -93,6 +102,7 @@
   unsigned Sent = 0;
   bool Chosen = false;
   bool Kept = false;
+  std::optional<std::string> Pinned;
   rollout::VersionChoice Charged; ///< what choose() returned
   rollout::VersionChoice Choice;  ///< at present
 };
--- a/include/hyssoprail/routing/stream_timeouts.hpp
+++ b/include/hyssoprail/routing/stream_timeouts.hpp
@@ -10,7 +10,15 @@
 namespace hyssoprail::routing {
 
 /// Phases of a generation at the entry that serves its caller.
-enum class StreamPhase { Waiting, Prefilling, Starting, Streaming, Done };
+enum class StreamPhase {
+  FindingVersion, ///< of a stream that its caller resumes
+  Waiting,
+  Prefilling,
+  RecordingVersion, ///< of the chosen decode engine
+  Starting,
+  Streaming,
+  Done,
+};
 
 std::string_view streamPhaseName(StreamPhase Phase);
 
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -1,7 +1,10 @@
 #ifndef HYSSOPRAIL_GATEWAY_FAKE_FEED_HPP
 #define HYSSOPRAIL_GATEWAY_FAKE_FEED_HPP
 
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "hyssoprail/gateway/fleet_feed.hpp"
 
@@ -14,6 +17,11 @@
   std::uint64_t Known = 0;
   std::uint64_t DeltaStart = 0; ///< before it, the full list is sent
   bool ReadsStore = true;
+  /// Calls that the test answers, and what they wrote.
+  std::vector<StreamVersionMap> Recorded;
+  std::vector<std::function<void(WriteOutcome)>> OnWritten;
+  std::vector<std::function<void(bool)>> OnRead;
+  std::map<std::string, std::string> Bases;
 
   void start(FleetListener &, const EntryAddress &) override {}
   void setReadsStore(bool To) override { ReadsStore = To; }
@@ -34,6 +42,19 @@
   void setReadsRolloutStates(bool) override {}
   void writeRolloutState(const rollout::StatusRecord &,
                          std::function<void(bool)>) override {}
+  void writeStreamVersions(const StreamVersionMap &Versions, Duration,
+                           std::function<void(WriteOutcome)> OnDone) override {
+    Recorded.push_back(Versions);
+    OnWritten.push_back(std::move(OnDone));
+  }
+  void writeBaseVersion(const std::string &Service, const std::string &Version,
+                        std::function<void(WriteOutcome)> OnDone) override {
+    Bases[Service] = Version;
+    OnDone(WriteOutcome::Written);
+  }
+  void readStreamVersions(std::function<void(bool)> OnDone) override {
+    OnRead.push_back(std::move(OnDone));
+  }
   void withOrderLease(std::function<void(std::uint64_t)>) override {}
   void releaseOrderLease() override {}
   std::uint64_t storeCalls() const override { return 0; }
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -56,6 +57,17 @@
   TimePoint RemovalGraceEnd{};
 };
 
+/// Software versions at which streams began, by the id of the request that
+/// began the stream.
+using StreamVersionMap = std::map<std::string, std::string>;
+
+/// What became of a write to the store.
+enum class WriteOutcome {
+  Written,
+  NotWritten,
+  Unknown, ///< the response was lost: it may have been written, or will be
+};
+
 /// Receives the changes of the fleet that a FleetFeed reads.
 class FleetListener {
 public:
@@ -93,6 +105,13 @@
   /// same service in its place.
   virtual void onRolloutState(const rollout::StatusRecord &State) = 0;
 
+  /// Entries have recorded the versions at which these streams began.
+  virtual void onStreamVersions(const StreamVersionMap &Versions) = 0;
+
+  /// The store has \p Version as the base version of \p Service.
+  virtual void onBaseVersion(const std::string &Service,
+                             const std::string &Version) = 0;
+
   /// The store stopped answering calls on \p Topic, or answers them again.
   virtual void onStoreLost(std::string_view Topic, std::string_view Why) = 0;
   virtual void onStoreRegained(std::string_view Topic) = 0;
@@ -180,6 +199,23 @@
   virtual void writeRolloutState(const rollout::StatusRecord &State,
                                  std::function<void(bool Known)> OnDone) = 0;
 
+  /// Records at which versions streams are to begin. A later record of a stream
+  /// replaces an earlier one. The store keeps records for \p Lifetime or
+  /// longer.
+  virtual void
+  writeStreamVersions(const StreamVersionMap &Versions, Duration Lifetime,
+                      std::function<void(WriteOutcome)> OnDone) = 0;
+
+  /// Records the base version of \p Service.
+  virtual void writeBaseVersion(const std::string &Service,
+                                const std::string &Version,
+                                std::function<void(WriteOutcome)> OnDone) = 0;
+
+  /// Reads what was recorded since the last call, at the first call all of it.
+  /// The listener is told, then \p OnDone whether all was read that had been
+  /// recorded before this call.
+  virtual void readStreamVersions(std::function<void(bool Read)> OnDone) = 0;
+
   /// Requests or renews the lease on sending orders to engines. Calls \p Use
   /// with its fencing token if this entry holds it and no other entry can have
   /// sent an order shortly before. To be repeated while the lease is needed.
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -80,6 +80,7 @@
                     const AvailabilityStatement &Statement) {
                onAvailabilityStatement(Id, StartedAtMs, Statement);
              }),
+      StreamOrigins(Table, Feed, Time, Log),
       Endpoints(makeUpstreamClient(Context)),
       Descriptors(descriptorLimit(this->Settings.FileDescriptors), *Endpoints,
                   Http),
@@ -199,10 +200,11 @@
         .add();
   const std::string Key = Request.SessionId;
   const bool IsStream = Request.Route.Kind == RouteKind::Stream;
+  SessionHooks Hooks = sessionHooks(Request, QuotaTokens);
   auto Session = std::make_shared<RequestSession>(
       SessionServices{Context, Time, *Endpoints, Protocol, Log, CallerMemory,
                       Guard},
-      sessionHooks(Key, QuotaTokens), Caller, std::move(Request));
+      std::move(Hooks), Caller, std::move(Request));
   Sessions.emplace(Key, Session);
   Session->start([this, IsStream](FlowRequest R, routing::FlowIo &Io) {
     const routing::SharedFlowState Shared{
@@ -216,14 +218,18 @@
         Settings.Zone,
         &EngineWork,
         FleetCoordination.rollouts().usedGate(),
-        &FleetCoordination.slots()};
+        &FleetCoordination.slots(),
+        &StreamOrigins.versions()};
     return IsStream ? makeStreamFlow(Shared, std::move(R), Io)
                     : makeCallFlow(Shared, std::move(R), Io);
   });
 }
 
-SessionHooks GatewayRuntime::sessionHooks(const std::string &Key,
+SessionHooks GatewayRuntime::sessionHooks(const FlowRequest &Request,
                                           double QuotaTokens) {
+  const std::string &Key = Request.SessionId;
+  const routing::RequestInfo &Info = Request.Info;
+  const std::string &Service = Request.Service;
   SessionHooks Hooks;
   Hooks.StillAllowed = [this, Key] { return stillAllowed(Key); };
   Hooks.AdmissionChanged = [this] { FleetCoordination.notifyStateChanged(); };
@@ -239,6 +245,14 @@
              const AvailabilityStatement &Statement) {
         onAvailabilityStatement(EndpointId, StartedAtMs, Statement);
       };
+  Hooks.RecordVersion = [this, Id = Info.Id](const std::string &Version,
+                                             std::function<void(bool)> OnDone) {
+    StreamOrigins.record(Id, Version, std::move(OnDone));
+  };
+  Hooks.FindVersion = [this, First = Info.FirstAttempt,
+                       Service](StreamVersionExchange::FindHandler OnDone) {
+    StreamOrigins.find(First, Service, std::move(OnDone));
+  };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
   };
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -23,6 +23,7 @@
 #include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/gateway/stage_orders.hpp"
+#include "hyssoprail/gateway/stream_version_exchange.hpp"
 #include "hyssoprail/process/metrics.hpp"
 
 namespace hyssoprail::gateway {
@@ -68,6 +69,9 @@
                       Duration Age) override;
   void onRolloutWithdrawn(std::string_view Service) override;
   void onRolloutState(const rollout::StatusRecord &State) override;
+  void onStreamVersions(const StreamVersionMap &Versions) override;
+  void onBaseVersion(const std::string &Service,
+                     const std::string &Version) override;
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
   void onStoreRestored(std::uint64_t Era) override;
@@ -107,7 +111,8 @@
   routing::FlowRequest flowRequest(const AcceptedRequest &Accepted) const;
   void startSession(const Exchange &Caller, routing::FlowRequest Request,
                     double QuotaTokens);
-  SessionHooks sessionHooks(const std::string &Key, double QuotaTokens);
+  SessionHooks sessionHooks(const routing::FlowRequest &Request,
+                            double QuotaTokens);
   bool stillAllowed(const std::string &Key) const;
   void sessionEnded(const std::string &Key, double QuotaTokens,
                     const SessionResult &Result);
@@ -192,6 +197,7 @@
   PeerSocket Peers;
   Coordination FleetCoordination;
   StageOrders Stages;
+  StreamVersionExchange StreamOrigins;
   routing::FleetConfigPtr Config;
   TimePoint ConfigAppliedAt{};
   bool ConfigIncomplete = false; ///< a step of applying it threw
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -68,6 +68,7 @@
   Step([this] { Quota.configure(*Config, ConfigAppliedAt); });
   Step([this] { FleetCoordination.configure(Config); });
   Step([this] { updateColdStartLimits(ConfigAppliedAt); });
+  Step([this] { StreamOrigins.configure(*Config); });
   const routing::CallerLimits &L = Config->Limits;
   Step([&] {
     CallerServer->setLimits(L.HeaderBytes, L.BodyBytes, L.HeaderTimeout,
@@ -157,6 +158,15 @@
   FleetCoordination.rollouts().applyStored(State);
 }
 
+void GatewayRuntime::onStreamVersions(const StreamVersionMap &Versions) {
+  StreamOrigins.onStreamVersions(Versions);
+}
+
+void GatewayRuntime::onBaseVersion(const std::string &Service,
+                                   const std::string &Version) {
+  StreamOrigins.onBaseVersion(Service, Version);
+}
+
 void GatewayRuntime::onStoreLost(std::string_view Topic, std::string_view Why) {
   Log.write(LogCategory::Outcome, "store_lost", "",
             {{"topic", Topic}, {"why", Why}});
@@ -175,6 +185,7 @@
              {"version", Config ? Config->Version : 0}});
   Counters.counter("store_restored").add();
   FleetCoordination.storeRestored();
+  StreamOrigins.storeRestored();
 }
 
 // ---- What endpoints state ---------------------------------------------------
@@ -217,6 +228,10 @@
     Guard.run(Boundary::Timer, "", Work);
   };
   Step([this] { FleetCoordination.tick(); });
+  Step([&] {
+    StreamOrigins.tick(FleetCoordination.isCoordinator(), EndpointsComplete,
+                       Now);
+  });
   Step([&] { Descriptors.tick(Now); });
   Step([this] {
     if (Config && FleetCoordination.isCoordinator())
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -120,6 +120,33 @@
   return Id;
 }
 
+template <typename Argument, typename Value>
+std::function<void(Value)> RequestSession::deliverLater(
+    void (routing::Flow::*Handler)(Argument, TimePoint)) {
+  return [Weak = weak_from_this(), Handler](const Value &Found) {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    boost::asio::post(Self->Services.Context, [Self, Handler, Found] {
+      Self->run(Boundary::Store, [&] {
+        (Self->ActiveFlow.get()->*Handler)(Found, Self->Services.Time.now());
+        Self->afterEvent();
+      });
+    });
+  };
+}
+
+void RequestSession::recordVersion(const std::string &Version) {
+  Hooks.RecordVersion(
+      Version, deliverLater<bool, bool>(&routing::Flow::onVersionRecorded));
+}
+
+void RequestSession::findVersion() {
+  using Found = std::optional<std::string>;
+  Hooks.FindVersion(
+      deliverLater<const Found &, Found>(&routing::Flow::onVersionFound));
+}
+
 void RequestSession::sendLeg(LegId Id, const routing::LegRequest &Spec) {
   Leg &L = Legs[Id];
   L.Kind = Spec.Kind;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -58,6 +58,15 @@
   std::function<void(const std::string &EndpointId, std::int64_t StartedAtMs,
                      const AvailabilityStatement &Statement)>
       OnAvailabilityStatement;
+  /// Records the version at which the stream is to begin.
+  std::function<void(const std::string &Version,
+                     std::function<void(bool Written)> OnDone)>
+      RecordVersion;
+  /// Looks up the version at which the resumed stream began; nullopt if that
+  /// cannot be found out.
+  std::function<void(
+      std::function<void(const std::optional<std::string> &Version)> OnDone)>
+      FindVersion;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -114,6 +123,8 @@
   void forward(std::string_view Events) override;
   void finishStream() override;
   void abort(routing::RejectReason Reason) override;
+  void recordVersion(const std::string &Version) override;
+  void findVersion() override;
   bool stillAllowed() override { return Hooks.StillAllowed(); }
   void logDecision(std::string_view What, LogFields Fields) override;
 
@@ -149,6 +160,12 @@
       fail(At);
   }
 
+  /// Returns a function that passes what the store said to \p Handler of the
+  /// flow, in an event of its own: the flow may be in the call that asked.
+  template <typename Argument, typename Value>
+  std::function<void(Value)>
+  deliverLater(void (routing::Flow::*Handler)(Argument, TimePoint));
+
   void fail(Boundary At);
   void answerFailure();
   void cancelAllLegs();
--- /dev/null
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -0,0 +1,239 @@
+#include "hyssoprail/gateway/stream_version_exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoprail::gateway {
+namespace {
+
+constexpr milliseconds WriteRetryDelay{150};
+
+/// Time after a failed write in which streams begin at versions that need no
+/// record.
+constexpr milliseconds UnwritableTime{1'000};
+
+constexpr milliseconds BaseReadInterval{1'000};
+
+/// A caller may take up a stream until its deadline, which is close to the
+/// timeout of the route. Records are kept for this time longer.
+constexpr milliseconds LifetimeMargin{10'000};
+
+} // namespace
+
+void StreamVersionExchange::configure(const routing::FleetConfig &Config) {
+  std::set<std::string> Names;
+  milliseconds Longest{0};
+  for (const routing::RoutePolicy &R : Config.Routes) {
+    if (R.Kind != routing::RouteKind::Stream || !R.Resumable)
+      continue;
+    Longest = std::max(Longest, R.Timeout);
+    for (const routing::WeightedService &S : R.Services)
+      Names.insert(S.Service);
+  }
+  Services.assign(Names.begin(), Names.end());
+  Lifetime = Longest + LifetimeMargin;
+}
+
+// ---- Records ----------------------------------------------------------------
+
+void StreamVersionExchange::record(const std::string &Id,
+                                   const std::string &Version,
+                                   RecordHandler OnDone) {
+  Pending[Id] = Version;
+  Waiting.emplace(Id, std::move(OnDone));
+  write();
+}
+
+void StreamVersionExchange::write() {
+  if (WriteInFlight || Pending.empty())
+    return;
+  WriteInFlight = true;
+  RetryWriteAt = TimePoint::max();
+  Writing = std::exchange(Pending, {});
+  Feed.writeStreamVersions(
+      Writing, Lifetime, [this](WriteOutcome Outcome) { onWritten(Outcome); });
+}
+
+/// A record whose fate is unknown is repeated until it is known: another
+/// version must not be recorded before that, as the lost record could still
+/// take effect after it.
+void StreamVersionExchange::onWritten(WriteOutcome Outcome) {
+  WriteInFlight = false;
+  setWritable(Outcome == WriteOutcome::Written);
+  StreamVersionMap Done = std::exchange(Writing, {});
+  if (Outcome == WriteOutcome::Unknown) {
+    Pending.merge(Done);
+    RetryWriteAt = Time.now() + WriteRetryDelay;
+    return;
+  }
+  const bool Written = Outcome == WriteOutcome::Written;
+  for (const auto &[Id, Version] : Done) {
+    if (Written)
+      Versions.noteOwn(Id, Version, Time.now());
+    const auto [First, Last] = Waiting.equal_range(Id);
+    std::vector<RecordHandler> Handlers;
+    for (auto It = First; It != Last; ++It)
+      Handlers.push_back(std::move(It->second));
+    Waiting.erase(First, Last);
+    for (const RecordHandler &OnDone : Handlers)
+      OnDone(Written);
+  }
+  write();
+}
+
+void StreamVersionExchange::setWritable(bool Writable) {
+  Versions.setWritable(Writable);
+  WritableAgainAt = Writable ? TimePoint::max() : Time.now() + UnwritableTime;
+}
+
+// ---- Queries ----------------------------------------------------------------
+
+void StreamVersionExchange::find(const std::string &Id,
+                                 const std::string &Service,
+                                 FindHandler OnDone) {
+  if (const auto Version = Versions.ownRecord(Id))
+    return OnDone(Version);
+  Queries.push_back({Id, Service, std::move(OnDone)});
+  read();
+}
+
+/// A query is answered by a read that began after it: whoever began the stream
+/// had its record written before the caller got the first event.
+void StreamVersionExchange::read() {
+  if (ReadInFlight)
+    return;
+  ReadInFlight = true;
+  NextReadAt = Time.now() + BaseReadInterval;
+  InFlight = std::exchange(Queries, {});
+  Feed.readStreamVersions([this](bool Ok) { onRead(Ok); });
+}
+
+void StreamVersionExchange::onRead(bool Ok) {
+  ReadInFlight = false;
+  if (!std::exchange(IgnoreRead, false) && Ok)
+    ReadOnce = true;
+  for (const Query &Q : std::exchange(InFlight, {}))
+    answer(Q, Ok);
+  if (!Queries.empty())
+    read();
+}
+
+void StreamVersionExchange::answer(const Query &Q, bool Ok) {
+  if (!Ok)
+    return Q.OnDone(versionWithoutStore(Q));
+  if (const auto Version = Versions.record(Q.Id))
+    return Q.OnDone(Version);
+  if (Q.Id.empty())
+    return Q.OnDone(versionWithoutStore(Q));
+  const auto Base = Versions.base(Q.Service);
+  Q.OnDone(Base ? Base : versionWithoutStore(Q));
+}
+
+/// Without the store only a service that has a single version leaves no doubt.
+std::optional<std::string>
+StreamVersionExchange::versionWithoutStore(const Query &Q) const {
+  if (const auto Version = Versions.record(Q.Id))
+    return Version;
+  const std::set<std::string> Known = Versions.versionsOf(Q.Service);
+  const auto Base = Versions.base(Q.Service);
+  if (Known.size() != 1 || (Base && *Base != *Known.begin()))
+    return std::nullopt;
+  return *Known.begin();
+}
+
+void StreamVersionExchange::onStreamVersions(const StreamVersionMap &Read) {
+  for (const auto &[Id, Version] : Read)
+    Versions.noteStored(Id, Version, Time.now());
+}
+
+// ---- Base versions ----------------------------------------------------------
+
+void StreamVersionExchange::tick(bool IsCoordinator, bool EndpointsComplete,
+                                 TimePoint Now) {
+  if (Now >= RetryWriteAt)
+    write();
+  if (Now >= WritableAgainAt)
+    setWritable(true);
+  // Another coordinator may have set base versions since the last read.
+  if (IsCoordinator && !std::exchange(Coordinates, IsCoordinator))
+    readAnew();
+  Coordinates = IsCoordinator;
+  Versions.forgetBefore(Now - Lifetime);
+  if (!EndpointsComplete || Services.empty())
+    return;
+  const bool BaseMissing = std::any_of(
+      Services.begin(), Services.end(), [&](const std::string &Service) {
+        return !Versions.base(Service) &&
+               Versions.versionsOf(Service).size() > 1;
+      });
+  if ((!ReadOnce || BaseMissing) && Now >= NextReadAt)
+    read();
+  if (!IsCoordinator || !ReadOnce)
+    return;
+  for (const std::string &Service : Services)
+    updateBase(Service, Now);
+}
+
+/// The base version changes only when no endpoint has had the old one for so
+/// long that no stream of it can be resumed any more. An entry that does not
+/// know of the change yet has no endpoint of the old version either, so it
+/// begins no stream there without a record.
+void StreamVersionExchange::updateBase(const std::string &Service,
+                                       TimePoint Now) {
+  const auto Oldest = Versions.oldestVersion(Service);
+  if (!Oldest)
+    return;
+  BaseState &State = Bases[Service];
+  const auto Base = Versions.base(Service);
+  if (State.LastSeen == TimePoint{} ||
+      (Base && Versions.versionsOf(Service).contains(*Base)))
+    State.LastSeen = Now;
+  if (State.Writing)
+    return;
+  if (!Base || Now - State.LastSeen > Lifetime)
+    writeBase(Service, *Oldest);
+  else if (!State.Stored)
+    writeBase(Service, *Base);
+}
+
+void StreamVersionExchange::writeBase(const std::string &Service,
+                                      const std::string &Version) {
+  Bases[Service].Writing = true;
+  Feed.writeBaseVersion(Service, Version,
+                        [this, Service, Version](WriteOutcome Outcome) {
+                          Bases[Service].Writing = false;
+                          if (Outcome == WriteOutcome::Written)
+                            onBaseVersion(Service, Version);
+                        });
+}
+
+void StreamVersionExchange::onBaseVersion(const std::string &Service,
+                                          const std::string &Version) {
+  Bases[Service].Stored = true;
+  if (Versions.base(Service) == Version)
+    return;
+  Log.write(LogCategory::Outcome, "base_version", "",
+            {{"service", Service},
+             {"version", Version},
+             {"before", Versions.base(Service).value_or("")}});
+  Versions.setBase(Service, Version);
+  Bases[Service].LastSeen = Time.now();
+}
+
+/// What was read so far does not count as complete any more.
+void StreamVersionExchange::readAnew() {
+  ReadOnce = false;
+  IgnoreRead = ReadInFlight;
+  NextReadAt = {};
+}
+
+void StreamVersionExchange::storeRestored() {
+  readAnew();
+  for (auto &[Service, State] : Bases)
+    State.Stored = false;
+  StreamVersionMap Lost = Versions.ownRecords();
+  Pending.merge(Lost);
+  write();
+}
+
+} // namespace hyssoprail::gateway
--- /dev/null
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -0,0 +1,201 @@
+#include "hyssoprail/gateway/stream_version_exchange.hpp"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include "hyssoprail/gateway/fake_feed.hpp"
+
+namespace hyssoprail::gateway {
+namespace {
+
+using Found = std::optional<std::string>;
+
+/// The coordinator of a service whose engines are given by the test.
+struct ExchangeFixture {
+  ExchangeFixture() {
+    routing::FleetConfig Config;
+    routing::RoutePolicy R;
+    R.Kind = routing::RouteKind::Stream;
+    R.Resumable = true;
+    R.Timeout = milliseconds(14'000);
+    R.Services = {{"assistant", 1}};
+    Config.Routes.push_back(R);
+    Exchange.configure(Config);
+  }
+
+  void engine(const std::string &Id, const std::string &Version,
+              std::int64_t StartedAtMs) {
+    routing::EndpointRecord R;
+    R.Id = Id;
+    R.Service = "assistant";
+    R.Address = "10.0.0.1:80";
+    R.Version = Version;
+    R.StartedAtMs = StartedAtMs;
+    Table.apply(R);
+  }
+
+  void tick(milliseconds Later = milliseconds(0), bool Coordinates = true) {
+    Time.advance(Later);
+    Exchange.tick(Coordinates, true, Time.now());
+  }
+
+  void answerReads(bool Ok = true) {
+    for (const auto &OnDone : std::exchange(Feed.OnRead, {}))
+      OnDone(Ok);
+  }
+
+  void answerWrites(WriteOutcome Outcome) {
+    for (const auto &OnDone : std::exchange(Feed.OnWritten, {}))
+      OnDone(Outcome);
+  }
+
+  void record(const std::string &Id) {
+    Exchange.record(Id, "v2",
+                    [this](bool Written) { Results.push_back(Written); });
+  }
+
+  void find(const std::string &Id) {
+    Exchange.find(Id, "assistant",
+                  [this](const Found &V) { Answers.push_back(V); });
+  }
+
+  ManualClock Time;
+  routing::EndpointTable Table;
+  FakeFeed Feed;
+  DecisionLog Log{STDERR_FILENO, "entry-1", Time};
+  StreamVersionExchange Exchange{Table, Feed, Time, Log};
+  std::vector<bool> Results;
+  std::vector<Found> Answers;
+};
+
+} // namespace
+
+// Guards against a call to the store for each of the streams that begin
+// together when a version serves that is not the base version.
+TEST_CASE("records that arrive while one is written are written together") {
+  ExchangeFixture B;
+  for (const char *Id : {"a", "b", "c"})
+    B.record(Id);
+  REQUIRE(B.Feed.Recorded.size() == 1);
+  B.answerWrites(WriteOutcome::Written);
+  REQUIRE(B.Feed.Recorded.size() == 2);
+  CHECK(B.Feed.Recorded[1] == StreamVersionMap{{"b", "v2"}, {"c", "v2"}});
+  B.answerWrites(WriteOutcome::Written);
+  CHECK(B.Results == std::vector<bool>{true, true, true});
+}
+
+// Guards against a stream that begins elsewhere while a lost record may still
+// take effect, and against new streams that wait for a store that is away.
+TEST_CASE("a record of which the response was lost is repeated") {
+  ExchangeFixture B;
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.record("a");
+  B.answerWrites(WriteOutcome::Unknown);
+  CHECK(B.Results.empty());
+  CHECK(B.Exchange.versions().onlyVersion("assistant") == "v1");
+  B.tick(milliseconds(200));
+  REQUIRE(B.Feed.Recorded.size() == 2);
+  CHECK(B.Feed.Recorded[1] == B.Feed.Recorded[0]);
+  B.answerWrites(WriteOutcome::Written);
+  CHECK(B.Results == std::vector<bool>{true});
+  CHECK_FALSE(B.Exchange.versions().onlyVersion("assistant"));
+}
+
+// Guards against an entry that never uses other versions again after the store
+// has refused one record.
+TEST_CASE("records are tried again some time after one was refused") {
+  ExchangeFixture B;
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.record("a");
+  B.answerWrites(WriteOutcome::NotWritten);
+  CHECK(B.Results == std::vector<bool>{false});
+  CHECK(B.Exchange.versions().onlyVersion("assistant") == "v1");
+  B.tick(milliseconds(1'100));
+  CHECK_FALSE(B.Exchange.versions().onlyVersion("assistant"));
+}
+
+// Guards against an answer from a read that began before the stream: its
+// record may have been written since.
+TEST_CASE("a query is answered by a read that began after it") {
+  ExchangeFixture B;
+  B.engine("i-1", "v1", 1);
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.find("other");
+  B.find("a");
+  REQUIRE(B.Feed.OnRead.size() == 1);
+  B.answerReads();
+  CHECK(B.Answers == std::vector<Found>{"v1"});
+  B.Exchange.onStreamVersions({{"a", "v2"}});
+  B.answerReads();
+  CHECK(B.Answers == std::vector<Found>{"v1", "v2"});
+}
+
+// Guards against a guess while the store is away, and against refused streams
+// of a service whose single version leaves no doubt.
+TEST_CASE("without the store a version is certain only if it is the only one") {
+  ExchangeFixture B;
+  B.engine("i-1", "v1", 1);
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.find("a");
+  B.answerReads(false);
+  B.engine("i-2", "v2", 2);
+  B.find("a");
+  B.answerReads(false);
+  CHECK(B.Answers == std::vector<Found>{"v1", std::nullopt});
+}
+
+// Guards against a base version that is changed while streams of the old one
+// can still be resumed, and against records for ever after a service has moved.
+TEST_CASE("the base version follows a service that has moved") {
+  ExchangeFixture B;
+  B.engine("i-1", "v1", 1);
+  B.engine("i-2", "v2", 2);
+  B.tick();
+  B.answerReads();
+  B.tick();
+  CHECK(B.Feed.Bases["assistant"] == "v1");
+  B.Table.remove("i-1");
+  B.tick(milliseconds(20'000));
+  CHECK(B.Feed.Bases["assistant"] == "v1");
+  B.tick(milliseconds(5'000));
+  CHECK(B.Feed.Bases["assistant"] == "v2");
+  CHECK_FALSE(B.Exchange.versions().needsRecord("assistant", "v2"));
+}
+
+// Guards against a new coordinator that replaces the base version which another
+// one has set since this entry read the store.
+TEST_CASE("a coordinator reads the base versions before it sets any") {
+  ExchangeFixture B;
+  B.engine("i-2", "v2", 2);
+  B.tick(milliseconds(0), false);
+  B.answerReads();
+  B.tick(milliseconds(100));
+  CHECK(B.Feed.Bases.empty());
+  REQUIRE(B.Feed.OnRead.size() == 1);
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.answerReads();
+  B.tick(milliseconds(100));
+  CHECK(B.Feed.Bases.empty());
+}
+
+// Guards against streams that nobody knows after the store has come back from
+// a copy.
+TEST_CASE("a restored store gets the records of this entry again") {
+  ExchangeFixture B;
+  B.engine("i-1", "v1", 1);
+  B.tick();
+  B.answerReads();
+  B.tick();
+  B.record("a");
+  B.answerWrites(WriteOutcome::Written);
+  B.Feed.Bases.clear();
+  B.Exchange.storeRestored();
+  REQUIRE(B.Feed.Recorded.size() == 2);
+  CHECK(B.Feed.Recorded[1] == StreamVersionMap{{"a", "v2"}});
+  B.tick(milliseconds(100));
+  B.answerReads();
+  B.tick(milliseconds(100));
+  CHECK(B.Feed.Bases["assistant"] == "v1");
+}
+
+} // namespace hyssoprail::gateway
--- a/src/hyssoprail/routing/endpoint_table.cpp
+++ b/src/hyssoprail/routing/endpoint_table.cpp
@@ -442,6 +442,14 @@
     Visit(E);
 }
 
+bool EndpointTable::hasOtherVersion(std::string_view Service,
+                                    std::string_view Version) const {
+  return std::any_of(ById.begin(), ById.end(), [&](const auto &Item) {
+    const EndpointRecord &R = Item.second.Record;
+    return R.Service == Service && R.Version != Version;
+  });
+}
+
 void EndpointTable::reserve(std::string_view Id, const EndpointLoad &Load) {
   if (Endpoint *E = find(Id))
     E->OwnLoad += Load;
--- a/src/hyssoprail/routing/flow.cpp
+++ b/src/hyssoprail/routing/flow.cpp
@@ -11,5 +11,7 @@
 void Flow::onCallDenied(const CallDenial &, TimePoint) {}
 void Flow::onCallReleased(const CallRelease &, TimePoint) {}
 void Flow::onCallRefused(const CallRefusal &, TimePoint) {}
+void Flow::onVersionRecorded(bool, TimePoint) {}
+void Flow::onVersionFound(const std::optional<std::string> &, TimePoint) {}
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/request_version.cpp
+++ b/src/hyssoprail/routing/request_version.cpp
@@ -34,6 +34,8 @@
 }
 
 bool RequestVersion::allows(const Endpoint &E) {
+  if (Pinned && E.Record.Version != *Pinned)
+    return false;
   if (!Gate)
     return true;
   update();
@@ -55,6 +57,8 @@
 }
 
 std::string RequestVersion::required() {
+  if (Pinned && Table.hasOtherVersion(Service, *Pinned))
+    return *Pinned;
   update();
   return Choice.Use == Kind::Target ? Choice.Target : std::string();
 }
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -20,6 +20,9 @@
 /// A prefill and a decode.
 constexpr unsigned PlannedSends = 2;
 
+/// An engine of the version may come back, and the store may answer again.
+constexpr milliseconds UnknownVersionRetryAfter{1'000};
+
 } // namespace
 
 StreamFlow::StreamFlow(SharedFlowState Shared, FlowRequest Request, FlowIo &Io)
@@ -31,12 +34,49 @@
       Version(this->Shared.Rollouts, this->Shared.Table, this->Request.Service,
               this->Request.Route.Name, this->Request.Route.Resumable,
               PlannedSends),
+      Recorded(this->Request.Route.Resumable && !this->Request.Info.Resumes
+                   ? this->Shared.Versions
+                   : nullptr,
+               this->Request.Service),
       PlacementId(placementId(this->Request.SessionId, Placements)) {
   if (this->Request.Info.Resumes)
     Progress.resumeAfter(this->Request.Info.LastEventId);
 }
 
 void StreamFlow::start(TimePoint Now) {
+  if (!Shared.Versions || !resumable())
+    return begin(Now);
+  if (Request.Info.Resumes) {
+    CurrentPhase = StreamPhase::FindingVersion;
+    return Io.findVersion();
+  }
+  if (const auto Only = Shared.Versions->onlyVersion(Request.Service)) {
+    Version.pin(*Only);
+    if (!hasDecodeEngine(Now))
+      Version.unpin();
+  }
+  begin(Now);
+}
+
+/// A stream whose version has no engine left, or is not known, is refused at
+/// once, as no engine may go on with it.
+void StreamFlow::onVersionFound(const std::optional<std::string> &Found,
+                                TimePoint Now) {
+  if (CurrentPhase != StreamPhase::FindingVersion)
+    return;
+  if (Found)
+    Version.pin(*Found);
+  const bool Serves = Found && hasDecodeEngine(Now);
+  Io.logDecision("resume", {{"first_attempt", Request.Info.FirstAttempt},
+                            {"version", Found.value_or("")},
+                            {"known", Found.has_value()},
+                            {"serves", Serves}});
+  if (!Serves)
+    return finish(RejectReason::NoCapacity, UnknownVersionRetryAfter, Now);
+  begin(Now);
+}
+
+void StreamFlow::begin(TimePoint Now) {
   StreamRequest First = makeStreamRequest(Request, Shared.Lengths, Now);
   if (const auto Wait =
           Version.choose(Request.Route.LatencyObjective +
@@ -149,7 +189,7 @@
   LastProgressAt = Now;
   if (!ActiveRun.FirstEvent)
     ActiveRun.FirstEvent = Now - ActiveRun.BeganAt;
-  Version.keepVersion();
+  Version.keepVersion(DecodeVersion);
   const std::uint64_t Events = Progress.events() - EventsBefore;
   Crashes.received(Events, Now);
   Work.received(Events * Request.EventTokens, Events, Now);
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -12,6 +12,7 @@
 #include "hyssoprail/routing/run_crash_watch.hpp"
 #include "hyssoprail/routing/stream_progress.hpp"
 #include "hyssoprail/routing/stream_timeouts.hpp"
+#include "hyssoprail/routing/version_record.hpp"
 
 namespace hyssoprail::routing {
 
@@ -50,6 +51,11 @@
 
   void onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) override;
 
+  void onVersionRecorded(bool Written, TimePoint Now) override;
+
+  void onVersionFound(const std::optional<std::string> &Found,
+                      TimePoint Now) override;
+
   void onTimer(TimePoint Now) override;
 
   void onCallerDisconnected(TimePoint Now) override;
@@ -78,6 +84,20 @@
   /// True if the request can be sent to \p E now.
   bool mayUse(const Endpoint *E, TimePoint Now);
 
+  /// Chooses the version and asks for engines.
+  void begin(TimePoint Now);
+
+  /// True if the service has a decode engine that the request may use.
+  bool hasDecodeEngine(TimePoint Now);
+
+  /// True if the stream may begin at \p Version now. If not, its record is
+  /// being written.
+  bool mayBeginAt(const std::string &Version);
+
+  /// The version of the decode engine cannot be recorded: the stream begins at
+  /// the base version, which needs no record, if that serves.
+  void onVersionNotRecorded(TimePoint Now);
+
   /// Lets the old version serve the request if the target has no decode engine
   /// for it.
   void checkVersion(TimePoint Now);
@@ -242,7 +262,9 @@
   RunCrashWatch Crashes;
   EngineWorkMeter Work;
   RequestVersion Version;
+  VersionRecord Recorded;
   RequestVersion::Run ActiveRun; ///< of the active leg
+  std::string DecodeVersion;     ///< of the engine of the last decode leg
   unsigned Placements = 0;       ///< admission requests under other ids so far
   std::string PlacementId;       ///< of the present admission request
   std::optional<SilentRun> Silent;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -83,12 +83,45 @@
   return E && Shared.Table.mayReceive(*E, Now) && Version.allows(*E);
 }
 
-void StreamFlow::checkVersion(TimePoint Now) {
+bool StreamFlow::hasDecodeEngine(TimePoint Now) {
   const EngineFilter MayUse = [&](const std::string &Id) {
     return takesWork(Id, Now);
   };
-  if (!Version.required().empty() &&
-      !Shared.Table.hasDecodeEngine(Request.Service, MayUse, Now))
+  return Shared.Table.hasDecodeEngine(Request.Service, MayUse, Now);
+}
+
+bool StreamFlow::mayBeginAt(const std::string &EngineVersion) {
+  if (StreamStarted || !Recorded.missing(EngineVersion))
+    return true;
+  if (!Recorded.isPending()) {
+    Recorded.begin(EngineVersion);
+    Io.recordVersion(EngineVersion);
+  }
+  return false;
+}
+
+void StreamFlow::onVersionRecorded(bool Written, TimePoint Now) {
+  Recorded.end(Written);
+  if (CurrentPhase != StreamPhase::RecordingVersion)
+    return;
+  if (!Written)
+    return onVersionNotRecorded(Now);
+  sendDecode(Now);
+}
+
+void StreamFlow::onVersionNotRecorded(TimePoint Now) {
+  const auto Base = Shared.Versions->base(Request.Service);
+  if (Base)
+    Version.pin(*Base);
+  if (Base && hasDecodeEngine(Now))
+    return requeueForDecode(Now);
+  Version.unpin();
+  Recorded.waive();
+  sendDecode(Now);
+}
+
+void StreamFlow::checkVersion(TimePoint Now) {
+  if (!Version.required().empty() && !hasDecodeEngine(Now))
     Version.fallBack();
 }
 
@@ -178,6 +211,9 @@
   LegRequest Leg = makeLeg(LegKind::Prefill, *E, Now);
   Leg.IsRetry = PrefillLegs++ > 0;
   ActiveLeg = Io.startLeg(Leg);
+  // Meanwhile, so that the decode does not wait for it.
+  if (const Endpoint *Decode = Shared.Table.find(Place.Decode))
+    mayBeginAt(Decode->Record.Version);
 }
 
 void StreamFlow::onPrefillResult(const LegResult &R, TimePoint Now) {
@@ -209,9 +245,14 @@
   Endpoint *E = Shared.Table.find(DecodeEndpoint);
   if (!mayUse(E, Now))
     return onUnusableDecode(Now);
+  if (!mayBeginAt(E->Record.Version)) {
+    CurrentPhase = StreamPhase::RecordingVersion;
+    return;
+  }
   if (!Budget.tryBegin(LegKind::Decode, Now))
     return giveUp(Now);
   CurrentPhase = StreamPhase::Starting;
+  DecodeVersion = E->Record.Version;
   Crashes.begin(E->Record, Now);
   Work.beginDecode(E->Record);
   LastProgressAt = Now;
--- a/src/hyssoprail/routing/stream_flow_silent.cpp
+++ b/src/hyssoprail/routing/stream_flow_silent.cpp
@@ -20,6 +20,9 @@
             std::exchange(ActiveRun, {})};
   HasPlacement = false;
   PlacementId = placementId(Request.SessionId, ++Placements);
+  // The stream may still begin at the silent engine.
+  if (Shared.Versions && resumable())
+    Version.pin(DecodeVersion);
 }
 
 void StreamFlow::onReplacementEnded(LegOutcome Outcome) {
@@ -88,6 +91,8 @@
 void StreamFlow::forgetSilentRun(TimePoint Now) {
   Shared.Admission.release(Silent->PlacementId, Now);
   Silent.reset();
+  if (!StreamStarted && !Request.Info.Resumes)
+    Version.unpin();
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_timeouts.cpp
+++ b/src/hyssoprail/routing/stream_timeouts.cpp
@@ -23,9 +23,11 @@
 /// to another engine. Callers disconnect after a gap of two seconds or more.
 constexpr milliseconds EventTimeout{1'100};
 
-constexpr std::array<EnumName<StreamPhase>, 5> PhaseNames{{
+constexpr std::array<EnumName<StreamPhase>, 7> PhaseNames{{
+    {StreamPhase::FindingVersion, "finding_version"},
     {StreamPhase::Waiting, "waiting"},
     {StreamPhase::Prefilling, "prefilling"},
+    {StreamPhase::RecordingVersion, "recording_version"},
     {StreamPhase::Starting, "starting"},
     {StreamPhase::Streaming, "streaming"},
     {StreamPhase::Done, "done"},
@@ -49,8 +51,10 @@
     return FirstEventTimeout;
   case StreamPhase::Streaming:
     return GotNewEvent ? EventTimeout : FirstEventTimeout;
+  case StreamPhase::FindingVersion:
   case StreamPhase::Waiting:
   case StreamPhase::Prefilling:
+  case StreamPhase::RecordingVersion:
   case StreamPhase::Done:
     break;
   }
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -87,6 +87,10 @@
     AbortedWith = Reason;
     Aborted = true;
   }
+  void recordVersion(const std::string &Version) override {
+    Records.push_back(Version);
+  }
+  void findVersion() override { ++VersionQueries; }
   bool stillAllowed() override { return Allowed; }
   void logDecision(std::string_view, LogFields) override {}
 
@@ -96,6 +100,8 @@
   std::vector<LegId> Cancelled;
   std::vector<std::string> Dropped;
   std::string Forwarded;
+  std::vector<std::string> Records; ///< versions to be recorded
+  unsigned VersionQueries = 0;
   unsigned FinalAnswers = 0;
   unsigned Status = 0;
   std::optional<RejectReason> RejectedWith;
