Revert the trial: what callers send is handled when nothing else is ready

What has to be looked at next: processor time of reports with thousands of waiting requests, and acceptance of connections that cannot be served in time.

--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -53,9 +53,8 @@
 }
 
 void HttpSession::start() {
-  const asio::any_io_executor &Executor = State->Options.Executor;
   asio::co_spawn(
-      Executor ? Executor : Socket.get_executor(),
+      Socket.get_executor(),
       [Self = shared_from_this()] { return Self->run(); }, asio::detached);
 }
 
--- a/src/hyssoprail/gateway/event_loop.hpp
+++ b/src/hyssoprail/gateway/event_loop.hpp
@@ -8,9 +8,8 @@
 
 namespace hyssoprail::gateway {
 
-/// Runs the event loop until it is stopped, and its DeferredWork whenever no
-/// other handler is ready. If a handler throws, only its own event is lost: \p
-/// OnError is called and the loop continues with the others.
+/// Runs the event loop until it is stopped. If a handler throws, only its own
+/// event is lost: \p OnError is called and the loop continues with the others.
 void runEventLoop(boost::asio::io_context &Context,
                   const std::function<void(std::string_view Why)> &OnError);
 
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "hyssoprail/core/deferred_work.hpp"
 #include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/gateway/gateway_runtime.hpp"
 #include "hyssoprail/routing/request_fingerprint.hpp"
@@ -52,8 +51,6 @@
             {{"bytes", Memory.reserved()}, {"limit", Memory.limit()}});
       });
   HttpServerOptions Options;
-  // What the store, entries and endpoints send goes before what callers send.
-  Options.Executor = boost::asio::use_service<DeferredWork>(Context).executor();
   Options.Bodies = Bodies;
   Options.OnHead = [this](const HttpRequest &Head) {
     HeadDecision Out;
