Versions of streams: only records that were sent wait for a store that is away

While the store was silent, records that arrived during a call joined the one whose fate was unknown and were repeated with it, so their streams waited until their deadlines although nothing of them had reached the store. They are told at once now that nothing is recorded, and begin at the base version or without a record. The test fails without the change (the second record has no answer).

--- a/include/hyssoprail/routing/stream_versions.hpp
+++ b/include/hyssoprail/routing/stream_versions.hpp
@@ -41,6 +41,7 @@
 
   /// Sets whether the last attempt to record versions succeeded.
   void setWritable(bool Now) { Writable = Now; }
+  bool writable() const { return Writable; }
 
   /// The version at which new streams have to begin, as no other version can be
   /// recorded at present; nullopt: any.
--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -1,6 +1,7 @@
 #include "hyssoprail/gateway/stream_version_exchange.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hyssoprail::gateway {
@@ -39,6 +40,8 @@
 void StreamVersionExchange::record(const std::string &Id,
                                    const std::string &Version,
                                    RecordHandler OnDone) {
+  if (!Versions.writable() || Waiting.contains(Id))
+    return OnDone(false);
   Pending[Id] = Version;
   Waiting.emplace(Id, std::move(OnDone));
   write();
@@ -56,34 +59,48 @@
 
 /// A record whose fate is unknown is repeated until it is known: another
 /// version must not be recorded before that, as the lost record could still
-/// take effect after it.
+/// take effect after it. Those that arrived meanwhile were not sent, so their
+/// streams need not wait for the store.
 void StreamVersionExchange::onWritten(WriteOutcome Outcome) {
   WriteInFlight = false;
-  setWritable(Outcome == WriteOutcome::Written);
-  StreamVersionMap Done = std::exchange(Writing, {});
-  if (Outcome == WriteOutcome::Unknown) {
-    Pending.merge(Done);
-    RetryWriteAt = Time.now() + WriteRetryDelay;
+  const TimePoint Now = Time.now();
+  const bool Written = Outcome == WriteOutcome::Written;
+  Versions.setWritable(Written);
+  WritableAgainAt = Outcome == WriteOutcome::NotWritten ? Now + UnwritableTime
+                                                        : TimePoint::max();
+  StreamVersionMap Sent = std::exchange(Writing, {});
+  if (!Written)
+    failWaiting(Pending);
+  if (Outcome == WriteOutcome::NotWritten)
+    failWaiting(Sent);
+  if (!Written) {
+    Pending.merge(Sent);
+    RetryWriteAt = Pending.empty() ? TimePoint::max() : Now + WriteRetryDelay;
     return;
   }
-  const bool Written = Outcome == WriteOutcome::Written;
-  for (const auto &[Id, Version] : Done) {
-    if (Written)
-      Versions.noteOwn(Id, Version, Time.now());
-    const auto [First, Last] = Waiting.equal_range(Id);
-    std::vector<RecordHandler> Handlers;
-    for (auto It = First; It != Last; ++It)
-      Handlers.push_back(std::move(It->second));
-    Waiting.erase(First, Last);
-    for (const RecordHandler &OnDone : Handlers)
-      OnDone(Written);
+  for (const auto &[Id, Version] : Sent) {
+    Versions.noteOwn(Id, Version, Now);
+    answerWaiting(Id, true);
   }
   write();
 }
 
-void StreamVersionExchange::setWritable(bool Writable) {
-  Versions.setWritable(Writable);
-  WritableAgainAt = Writable ? TimePoint::max() : Time.now() + UnwritableTime;
+/// Takes the records out for which a stream waits; those written anew after a
+/// restore of the store stay.
+void StreamVersionExchange::failWaiting(StreamVersionMap &Records) {
+  for (auto It = Records.begin(); It != Records.end();)
+    It = answerWaiting(It->first, false) ? Records.erase(It) : std::next(It);
+}
+
+/// Returns false if no stream waits for the record.
+bool StreamVersionExchange::answerWaiting(const std::string &Id, bool Written) {
+  const auto Found = Waiting.find(Id);
+  if (Found == Waiting.end())
+    return false;
+  const RecordHandler OnDone = std::move(Found->second);
+  Waiting.erase(Found);
+  OnDone(Written);
+  return true;
 }
 
 // ---- Queries ----------------------------------------------------------------
@@ -153,7 +170,7 @@
   if (Now >= RetryWriteAt)
     write();
   if (Now >= WritableAgainAt)
-    setWritable(true);
+    Versions.setWritable(true);
   // Another coordinator may have set base versions since the last read.
   if (IsCoordinator && !std::exchange(Coordinates, IsCoordinator))
     readAnew();
--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -70,7 +70,8 @@
 
   void write();
   void onWritten(WriteOutcome Outcome);
-  void setWritable(bool Writable);
+  void failWaiting(StreamVersionMap &Records);
+  bool answerWaiting(const std::string &Id, bool Written);
   void read();
   void readAnew();
   void onRead(bool Ok);
@@ -91,12 +92,12 @@
   bool WriteInFlight = false;
   TimePoint RetryWriteAt = TimePoint::max();
   TimePoint WritableAgainAt = TimePoint::max(); ///< the next one may succeed
-  std::multimap<std::string, RecordHandler> Waiting; ///< by request
+  std::map<std::string, RecordHandler> Waiting; ///< by request
 
   std::vector<Query> Queries;  ///< for the next read
   std::vector<Query> InFlight; ///< the read in flight answers them
   bool ReadInFlight = false;
-  bool ReadOnce = false;   ///< in this era of the store, as coordinator or not
+  bool ReadOnce = false;   ///< since the store or the coordinator changed
   bool IgnoreRead = false; ///< the read in flight began too early to count
   bool Coordinates = false;
   TimePoint NextReadAt{};
--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -101,6 +101,21 @@
   CHECK_FALSE(B.Exchange.versions().onlyVersion("assistant"));
 }
 
+// Guards against streams that wait for a silent store although nothing of them
+// was sent there, and could begin without a record.
+TEST_CASE("only records that were sent wait for a store that is away") {
+  ExchangeFixture B;
+  B.record("sent");
+  B.record("not sent");
+  B.answerWrites(WriteOutcome::Unknown);
+  CHECK(B.Results == std::vector<bool>{false});
+  B.record("later");
+  CHECK(B.Results == std::vector<bool>{false, false});
+  B.tick(milliseconds(200));
+  REQUIRE(B.Feed.Recorded.size() == 2);
+  CHECK(B.Feed.Recorded[1] == StreamVersionMap{{"sent", "v2"}});
+}
+
 // Guards against an entry that never uses other versions again after the store
 // has refused one record.
 TEST_CASE("records are tried again some time after one was refused") {
