--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -149,7 +149,7 @@
 /// Without the store only a service that has a single version leaves no doubt.
 std::optional<std::string>
 StreamVersionExchange::versionWithoutStore(const Query &Q) const {
-  if (const auto Version = Versions.record(Q.Id))
+  if (auto Version = Versions.record(Q.Id))
     return Version;
   const std::set<std::string> Known = Versions.versionsOf(Q.Service);
   const auto Base = Versions.base(Q.Service);
