Logs: the lag of the event loop, and how old an update may be

The logs could not tell an entry that is late itself from a source that is: both show as silence of the other side. Change: an entry measures how late its event loop handles a timer (loop_lag, loop_lag_seconds), and the line coordinator states the greatest age that the update can have: it was made after the report that it confirms had been sent. No decision changes.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -214,13 +214,14 @@
 
 void Coordination::shutDown() { handOver(Time.now()); }
 
-void Coordination::logCoordinatorChange(std::string_view Why) {
+void Coordination::logCoordinatorChange(std::string_view Why, Duration MaxAge) {
   const routing::CoordinatorClaim &C = *Election.currentClaim();
   Log.write(LogCategory::Outcome, "coordinator", "",
             {{"coordinator", C.Name},
              {"term", C.Term},
              {"followers", C.Followers},
              {"known", C.Known},
+             {"max_age_ms", MaxAge},
              {"why", Why}});
 }
 
@@ -288,14 +289,15 @@
     return;
   const TimePoint Now = Time.now();
   const routing::CoordinatorClaim Claim = claimFromUpdate(Update);
-  const bool ConfirmsReport = confirmsRecentReport(Update, Now);
+  const std::optional<Duration> MaxAge = maxUpdateAge(Update, Now);
+  const bool ConfirmsReport = MaxAge && *MaxAge < MaxConfirmedReportAge;
   const bool WasCoordinator = Election.isCoordinator();
   if (Election.handleClaim(Claim, ConfirmsReport, Now)) {
     if (WasCoordinator)
       endTerm(Now);
     forgetCrashPeers();
     Leavers.forgetPeers();
-    logCoordinatorChange("heard");
+    logCoordinatorChange("heard", MaxAge.value_or(Duration{}));
   }
   const auto &Current = Election.currentClaim();
   const bool Follows = !Election.isCoordinator() && Current &&
@@ -326,14 +328,17 @@
     sendUpdate(Claim.Name, Claim.Address, Now);
 }
 
-bool Coordination::confirmsRecentReport(const wire::CoordinatorUpdate &Update,
-                                        TimePoint Now) const {
+/// The update was made after the report that it confirms had been sent, so it
+/// is not older than that. The sender's clock is not needed for this.
+std::optional<Duration>
+Coordination::maxUpdateAge(const wire::CoordinatorUpdate &Update,
+                           TimePoint Now) const {
   if (Update.heard_incarnation() != Incarnation)
-    return false;
+    return std::nullopt;
   for (const auto &[Sequence, At] : SentReports)
     if (Sequence == Update.heard_sequence())
-      return Now - At < MaxConfirmedReportAge;
-  return false;
+      return Now - At;
+  return std::nullopt;
 }
 
 void Coordination::applyUpdate(const wire::CoordinatorUpdate &Update,
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -142,14 +143,14 @@
   void onUpdate(const wire::CoordinatorUpdate &Update);
   void introduceSelf(const routing::CoordinatorClaim &Claim, bool Follows,
                      TimePoint Now);
-  bool confirmsRecentReport(const wire::CoordinatorUpdate &Update,
-                            TimePoint Now) const;
+  std::optional<Duration> maxUpdateAge(const wire::CoordinatorUpdate &Update,
+                                       TimePoint Now) const;
   void applyUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
   void updateSpeeds(TimePoint Now);
   void beginCoordination(TimePoint Now);
   void handOverIfPossible(TimePoint Now);
   void handOver(TimePoint Now);
-  void logCoordinatorChange(std::string_view Why);
+  void logCoordinatorChange(std::string_view Why, Duration MaxAge = {});
   void deliver(const std::vector<routing::StreamDecision> &Decisions);
   void applyDecisions(const wire::CoordinatorUpdate &Update, TimePoint Now);
   bool hasUnreportedChange() const {
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -472,6 +472,8 @@
       .set(std::chrono::duration<double>(
                std::min<Duration>(Feed.dataAge(), MaxReportedAge))
                .count());
+  Counters.gauge("loop_lag_seconds")
+      .set(std::chrono::duration<double>(Lag.recent(Now)).count());
   Counters.gauge("store_calls").set(double(Feed.storeCalls()));
   updateRolloutGauges(Now);
   Counters.gauge("engine_crashes_remembered")
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -20,6 +20,7 @@
 #include "hyssoprail/gateway/fleet_feed.hpp"
 #include "hyssoprail/gateway/gateway_settings.hpp"
 #include "hyssoprail/gateway/handler_guard.hpp"
+#include "hyssoprail/gateway/loop_lag.hpp"
 #include "hyssoprail/gateway/peer_socket.hpp"
 #include "hyssoprail/gateway/request_session.hpp"
 #include "hyssoprail/gateway/stage_orders.hpp"
@@ -143,6 +144,7 @@
                                          HttpHandler Handler);
 
   void tick();
+  void recordLag(TimePoint DueAt);
   void doPeriodicWork(TimePoint Now);
   void applyConfig();
   std::size_t entriesSharingLimits(TimePoint Now) const;
@@ -222,6 +224,7 @@
       std::make_shared<GatewayRuntime *>(this);
 
   boost::asio::steady_timer TickTimer;
+  LoopLag Lag;
   bool Pulling = false;
   TimePoint NextPullAt{};     ///< earliest time of the next pull
   FeedPosition LastSynced;    ///< syncedPosition() at the last progress
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -215,6 +215,7 @@
 
 /// The timer is set before the work, so that an exception ends no later tick.
 void GatewayRuntime::tick() {
+  recordLag(TickTimer.expiry());
   TickTimer.expires_after(TickInterval);
   TickTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
@@ -223,6 +224,15 @@
   doPeriodicWork(Time.now());
 }
 
+void GatewayRuntime::recordLag(TimePoint DueAt) {
+  const TimePoint Now = Time.now();
+  if (DueAt != TimePoint{}) // not set for the first tick
+    Lag.record(DueAt, Now);
+  if (const auto Late = Lag.takeReport(Now))
+    Log.write(LogCategory::Outcome, "loop_lag", "",
+              {{"lag_ms", *Late}, {"open", Sessions.size()}});
+}
+
 void GatewayRuntime::doPeriodicWork(TimePoint Now) {
   const auto Step = [this](const auto &Work) {
     Guard.run(Boundary::Timer, "", Work);
