--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -67,7 +67,7 @@
       runPosted();
       deliverResponses();
       for (auto &[Name, E] : Entries)
-        if (!E->Paused)
+        if (!E->Paused && hasTurn(*E))
           tick(*E);
       for (; PendingCalls >= 1; PendingCalls -= 1)
         startCall();
@@ -117,6 +117,12 @@
   void pause(const std::string &Name, bool Paused) {
     Entries.at(Name)->Paused = Paused;
   }
+  /// The event loop of the entry takes \p Round for each round: messages and
+  /// timers are handled that late.
+  void setLate(const std::string &Name, milliseconds Round) {
+    Entries.at(Name)->Round = Round;
+    Network.hold(Name);
+  }
   Coordination &coordination(const std::string &Name) {
     return Entries.at(Name)->Fleet;
   }
@@ -274,6 +280,7 @@
     Coordination Fleet;
     std::map<std::string, std::unique_ptr<Call>> Calls;
     bool Paused = false;
+    milliseconds Round{0}; ///< 0: not late
     TimePoint TickedAt{};
   };
 
@@ -333,6 +340,16 @@
         E->Fleet.setEntries(All);
   }
 
+  /// A late entry handles what has arrived once in a round.
+  bool hasTurn(Entry &E) {
+    if (E.Round == milliseconds(0))
+      return true;
+    if (now() - E.TickedAt < E.Round)
+      return false;
+    Network.deliverHeld(E.Settings.Name);
+    return true;
+  }
+
   void tick(Entry &E) {
     for (auto It = E.Calls.begin(); It != E.Calls.end();) {
       Call &C = *(It++)->second;
