Election: an entry does not count its own delay as silence of the coordinator

Cause: an update counted only if it confirmed a report of the last 0.6 s, and the silence of the coordinator was extended once after a pause. An entry whose rounds take 0.7 s can never confirm in time, so it ignores all updates and claims again. Class: the time that an entry needs itself is counted against others. Change: OwnDelay measures by the repeating timer when an entry could not handle what had arrived; silence and the age of reports leave that time out. Entries that are not late therefore claim before those that are.

--- a/include/hyssoprail/routing/coordinator_election.hpp
+++ b/include/hyssoprail/routing/coordinator_election.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/own_delay.hpp"
 
 namespace hyssoprail::routing {
 
@@ -32,7 +33,9 @@
 /// partition each side may have a coordinator; this harms no request, since
 /// engines refuse work beyond their memory. When two coordinators receive each
 /// other's claims again, one that reaches a majority of its known entries wins
-/// over one that does not, then the higher term wins.
+/// over one that does not, then the higher term wins. An entry that is paused
+/// or short of processor time does not count its own delay as silence of the
+/// coordinator, so entries that are not late claim before it.
 class CoordinatorElection {
 public:
   CoordinatorElection(std::string OwnName, std::uint64_t OwnIncarnation)
@@ -68,14 +71,20 @@
     return Current;
   }
 
+  /// \p Now without the time in which this entry could not hear anything.
+  TimePoint attentiveTime(TimePoint Now) const {
+    return Delay.attentiveTime(Now);
+  }
+
   /// True if this entry is the coordinator or receives the claims of one.
   bool hasCoordinator(TimePoint Now) const {
     return Coordinating || (Current && !isSilent(Now));
   }
 
 private:
+  void noteHeard(TimePoint Now);
+  Duration silence(TimePoint Now) const;
   bool isSilent(TimePoint Now) const;
-  void extendAfterOwnPause(TimePoint Now);
   bool isDeputyOf(const CoordinatorClaim &Claim) const;
   std::size_t deputyRank() const;
 
@@ -84,10 +93,9 @@
   bool Coordinating = false;
   bool Resigned = false;
   std::optional<CoordinatorClaim> Current;
+  OwnDelay Delay;
   TimePoint HeardAt{};
-  TimePoint LastTickAt{};
-  TimePoint ExtendedHeardAt{}; ///< HeardAt as last extended after a pause of
-                               ///< this process
+  TimePoint HeardAtAttentive{}; ///< the same without the delay of this entry
   std::uint64_t HighestTerm = 0;
   TimePoint ClaimAt = TimePoint::max(); ///< when to claim if no coordinator is
                                         ///< found after the start
--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -329,7 +329,8 @@
 }
 
 /// The update was made after the report that it confirms had been sent, so it
-/// is not older than that. The sender's clock is not needed for this.
+/// is not older than that, without the delay of this entry itself. The sender's
+/// clock is not needed for this.
 std::optional<Duration>
 Coordination::maxUpdateAge(const wire::CoordinatorUpdate &Update,
                            TimePoint Now) const {
@@ -337,7 +338,7 @@
     return std::nullopt;
   for (const auto &[Sequence, At] : SentReports)
     if (Sequence == Update.heard_sequence())
-      return Now - At;
+      return Election.attentiveTime(Now) - At;
   return std::nullopt;
 }
 
@@ -418,8 +419,9 @@
   wire::CoordinationMessage Message;
   *Message.mutable_report() = makeReport(To.Name, Now);
   State.Crashes.fillNews(To.Name, *Message.mutable_report(), Now);
-  SentReports.emplace_back(ReportSequence, Now);
-  while (Now - SentReports.front().second > MaxConfirmedReportAge)
+  const TimePoint Attentive = Election.attentiveTime(Now);
+  SentReports.emplace_back(ReportSequence, Attentive);
+  while (Attentive - SentReports.front().second > MaxConfirmedReportAge)
     SentReports.pop_front();
   Peers.send(Message, To.Address);
 }
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -220,6 +220,7 @@
   // As a follower.
   std::uint64_t ReportSequence = 0;
   TimePoint ReportedAt{};
+  /// Sequence numbers of reports and their times, in attentive time.
   std::deque<std::pair<std::uint64_t, TimePoint>> SentReports;
   std::map<std::string, TimePoint> IntroducedAt; ///< by name of claimant
   wire::FleetSource Source;     ///< serves entries that do not read the store
--- a/src/hyssoprail/routing/coordinator_election.cpp
+++ b/src/hyssoprail/routing/coordinator_election.cpp
@@ -21,14 +21,6 @@
 constexpr milliseconds StartWait{250};
 constexpr milliseconds MaxStartWait{1'500};
 
-/// If more time than this passes between two ticks, the process was paused and
-/// could not receive anything meanwhile.
-constexpr milliseconds MaxTickGap{200};
-
-/// After such a pause it waits this long, once, for updates that arrived
-/// meanwhile.
-constexpr milliseconds PauseGracePeriod{200};
-
 /// Claim rank of an entry that is shutting down, so that the deputies claim
 /// before it.
 constexpr std::size_t ResigningRank = 12;
@@ -54,7 +46,17 @@
 }
 
 bool CoordinatorElection::isSilent(TimePoint Now) const {
-  return !Current || Current->Leaving || Now - HeardAt > SilenceTimeout;
+  return !Current || Current->Leaving || silence(Now) > SilenceTimeout;
+}
+
+void CoordinatorElection::noteHeard(TimePoint Now) {
+  HeardAt = Now;
+  HeardAtAttentive = Delay.attentiveTime(Now);
+}
+
+/// Time in which this entry could have heard the coordinator and did not.
+Duration CoordinatorElection::silence(TimePoint Now) const {
+  return Delay.attentiveTime(Now) - HeardAtAttentive;
 }
 
 bool CoordinatorElection::shouldFollow(const CoordinatorClaim &Claim,
@@ -78,7 +80,7 @@
   if (SameClaimant) {
     const bool Renewed = Current->Term != Claim.Term;
     Current = Claim;
-    HeardAt = Now;
+    noteHeard(Now);
     return Renewed;
   }
   // A newly started entry follows nobody yet, but it may be the only one to
@@ -88,7 +90,7 @@
     return false;
   Coordinating = false;
   Current = Claim;
-  HeardAt = Now;
+  noteHeard(Now);
   ClaimAt = TimePoint::max();
   return true;
 }
@@ -110,7 +112,7 @@
 
 bool CoordinatorElection::tick(std::size_t Followers, std::size_t Known,
                                TimePoint Now) {
-  extendAfterOwnPause(Now);
+  Delay.tick(Now);
   if (Coordinating) {
     Current->Followers = Followers;
     Current->Known = Known;
@@ -119,9 +121,9 @@
   if (Current) {
     if (!isSilent(Now))
       return false;
-    const TimePoint SilentSince =
-        Current->Leaving ? HeardAt : HeardAt + SilenceTimeout;
-    if (Now < SilentSince + ClaimStagger * static_cast<int>(deputyRank()))
+    const Duration Vacant =
+        Current->Leaving ? Now - HeardAt : silence(Now) - SilenceTimeout;
+    if (Vacant < ClaimStagger * static_cast<int>(deputyRank()))
       return false;
   } else if (Now < ClaimAt) {
     return false;
@@ -137,27 +139,13 @@
   return true;
 }
 
-/// Load pattern: hundreds of entries on small VMs start, and each is busy for a
-/// second with the list of thousands of endpoints. Without this extension all
-/// of them would consider their coordinator silent before they have read what
-/// it sent meanwhile.
-void CoordinatorElection::extendAfterOwnPause(TimePoint Now) {
-  const TimePoint Last = std::exchange(LastTickAt, Now);
-  const bool CoordinatorLeaving = Current && Current->Leaving;
-  const bool Paused = Last != TimePoint{} && Now - Last > MaxTickGap;
-  if (!Paused || CoordinatorLeaving || HeardAt == ExtendedHeardAt)
-    return;
-  HeardAt = std::max(HeardAt, Now - SilenceTimeout + PauseGracePeriod);
-  ExtendedHeardAt = HeardAt;
-}
-
 void CoordinatorElection::resign(TimePoint Now) {
   Resigned = true;
   if (!Coordinating)
     return;
   Coordinating = false;
   Current->Leaving = true;
-  HeardAt = Now;
+  noteHeard(Now);
 }
 
 } // namespace hyssoprail::routing
