Event loop: what the store, entries and endpoints send goes before callers

Cause: the event loop handles in order of arrival; what brings a configuration takes several rounds, and each round had a handler of every caller in it. Change: connections of callers run on a deferred executor that has 2 ms between two looks at what else is ready; that a caller has left is seen at once.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "hyssoprail/connection/http_message.hpp"
@@ -107,6 +108,9 @@
   /// Bounds the memory of requests and responses; nullptr: nothing does. Only
   /// for a server with a single thread.
   std::shared_ptr<BodyAdmission> Bodies;
+  /// Runs what connections do, on the thread of their event loop; empty: the
+  /// event loop itself. What tells that a client has left goes before it.
+  boost::asio::any_io_executor Executor;
   /// Called on the thread of a connection with the reason for which a request
   /// failed inside the server; empty: the reason is logged with spdlog.
   std::function<void(std::string_view Reason)> OnDefect;
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -53,8 +53,9 @@
 }
 
 void HttpSession::start() {
+  const asio::any_io_executor &Executor = State->Options.Executor;
   asio::co_spawn(
-      Socket.get_executor(),
+      Executor ? Executor : Socket.get_executor(),
       [Self = shared_from_this()] { return Self->run(); }, asio::detached);
 }
 
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -13,6 +13,7 @@
 #include "hyssoprail/connection/body_admission.hpp"
 #include "hyssoprail/connection/http_client.hpp"
 #include "hyssoprail/connection/http_server.hpp"
+#include "hyssoprail/core/deferred_work.hpp"
 #include "hyssoprail/core/random.hpp"
 #include "hyssoprail/gateway/accepted_request.hpp"
 #include "hyssoprail/gateway/coordination.hpp"
@@ -175,6 +176,7 @@
   void stopWhenIdle();
 
   boost::asio::io_context &Context;
+  DeferredWork &CallerWork; ///< what connections of callers do
   GatewaySettings Settings;
   const Clock &Time;
   const EndpointProtocol &Protocol;
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -51,6 +51,8 @@
             {{"bytes", Memory.reserved()}, {"limit", Memory.limit()}});
       });
   HttpServerOptions Options;
+  // What the store, entries and endpoints send goes before what callers send.
+  Options.Executor = CallerWork.executor();
   Options.Bodies = Bodies;
   Options.OnHead = [this](const HttpRequest &Head) {
     HeadDecision Out;
