Overload: a request that was read late is rejected at once, none is sent too late

Cause: an entry accepts and reads all that callers send and decides on it in order, however long it takes; the time that a request waited to be read counted neither against its timeout nor against its deadline; a decision that came before the timer of the deadline led to a send.

--- a/include/hyssoprail/connection/http_server.hpp
+++ b/include/hyssoprail/connection/http_server.hpp
@@ -48,6 +48,10 @@
   /// the client has already disconnected.
   virtual void onDisconnect(std::function<void()> Callback) = 0;
 
+  /// Looks whether the client is still connected, also if that it has left was
+  /// not handled yet. To be called on the connection's thread.
+  virtual bool clientConnected() const { return true; }
+
   /// Returns the bytes of the response that the connection has not yet taken
   /// over for writing.
   virtual std::size_t unsentBytes() const = 0;
--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -74,6 +74,7 @@
   NoRoute,
   NoKey,
   NoConfiguration,
+  Overloaded, ///< this entry is short of processor time; another one may not be
   Draining, ///< this entry is shutting down; another one can serve the request
   OverQuota,
   Quarantined,    ///< endpoints crash under it or a part of its prompt
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -354,7 +354,22 @@
       ReceivedRequest{std::move(In.Memory), std::move(In.Decision.Admission),
                       std::move(In.Request)},
       State->Options.Bodies ? State->Options.Bodies->account() : nullptr,
-      State->Options.MaxUnsentBytes, std::move(Wake));
+      State->Options.MaxUnsentBytes,
+      ServerExchange::ConnectionHooks{
+          std::move(Wake), [Weak = weak_from_this()] {
+            const auto Self = Weak.lock();
+            return Self && Self->lookAtClient() != ClientState::Left;
+          }});
+}
+
+HttpSession::ClientState HttpSession::lookAtClient() {
+  char Byte = 0;
+  Code Failure;
+  Socket.non_blocking(true, Failure);
+  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
+  if (Failure == asio::error::would_block)
+    return ClientState::Waits;
+  return Failure ? ClientState::Left : ClientState::SendsMore;
 }
 
 void HttpSession::wakeResponse() {
@@ -379,14 +394,10 @@
                       Self->WatchingForDisconnect = false;
                       if (Failure || !Self->Current)
                         return;
-                      char Byte = 0;
-                      Code PeekCode;
-                      Self->Socket.non_blocking(true, PeekCode);
-                      Self->Socket.receive(asio::buffer(&Byte, 1),
-                                           tcp::socket::message_peek, PeekCode);
-                      if (PeekCode == asio::error::would_block)
+                      const ClientState Seen = Self->lookAtClient();
+                      if (Seen == ClientState::Waits)
                         Self->watchForDisconnect();
-                      else if (PeekCode)
+                      else if (Seen == ClientState::Left)
                         Self->Current->disconnect();
                     });
 }
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -129,6 +129,13 @@
   bool hasNextRequest() const;
   void setBusy(bool Now);
   void wakeResponse();
+  /// What a look at the socket tells of a client that waits for a response.
+  enum class ClientState {
+    Waits,
+    SendsMore, ///< of a pipelined request; it may have left after that
+    Left,
+  };
+  ClientState lookAtClient();
   void watchForDisconnect();
 
   Progress makeWriteProgress() const;
--- a/src/hyssoprail/connection/server_exchange.hpp
+++ b/src/hyssoprail/connection/server_exchange.hpp
@@ -22,13 +22,22 @@
 /// outlive the connection and the server.
 class ServerExchange : public HttpExchange {
 public:
-  /// \p Wake is called with the mutex held when there is an update for the
-  /// connection; it must only post to the connection's thread.
+  /// How an exchange reaches its connection.
+  struct ConnectionHooks {
+    /// Called with the mutex held when there is an update for the connection;
+    /// it must only post to the connection's thread.
+    std::function<void()> Wake;
+    /// Looks whether the client is connected, on the connection's thread.
+    std::function<bool()> ClientConnected;
+  };
+
   ServerExchange(ReceivedRequest Received,
                  std::shared_ptr<MemoryAccount> Account,
-                 std::size_t MaxUnsentBytes, std::function<void()> Wake)
+                 std::size_t MaxUnsentBytes, ConnectionHooks Hooks)
       : Received(std::move(Received)), MaxUnsentBytes(MaxUnsentBytes),
-        Wake(std::move(Wake)), ResponseMemory(std::move(Account)) {}
+        Wake(std::move(Hooks.Wake)),
+        LookAtClient(std::move(Hooks.ClientConnected)),
+        ResponseMemory(std::move(Account)) {}
 
   const HttpRequest &request() const override { return Received.Request; }
   void respond(HttpResponse Response) override;
@@ -37,6 +46,7 @@
   void finish() override;
   void abort() override;
   void onDisconnect(std::function<void()> Callback) override;
+  bool clientConnected() const override { return LookAtClient(); }
   std::size_t unsentBytes() const override;
   std::shared_ptr<void> admission() const override {
     return Received.Admission;
@@ -81,6 +91,7 @@
   const std::size_t MaxUnsentBytes;
   mutable std::mutex Mutex;
   std::function<void()> Wake;
+  const std::function<bool()> LookAtClient;
   std::function<void()> DisconnectCallback;
   HttpResponse Head;
   std::string Unsent;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -102,6 +102,10 @@
   std::optional<HttpResponse> judge(const HttpRequest &Head,
                                     AcceptedRequest &Out);
   std::optional<HttpResponse> takeQuota(AcceptedRequest &Request);
+  std::optional<HttpResponse> rejectIfReadLate(const HttpRequest &Head);
+  /// When what a caller's connection does now became ready: a caller waits from
+  /// then on, not from the time at which this entry comes to it.
+  TimePoint readyAt() const { return Time.now() - CallerWork.currentWait(); }
   HttpResponse rejectForMemory(const std::string &Id, milliseconds RetryAfter);
   HttpServerOptions callerServerOptions();
   /// Runs an accepted request, whose body has arrived.
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -21,6 +21,13 @@
 constexpr milliseconds NoConfigurationRetryAfter{400};
 constexpr milliseconds MinQuotaRetryAfter{100};
 
+/// A request that was ready for longer than this before it could be read is
+/// rejected: the queue of this entry's processor is no place to wait.
+constexpr milliseconds MaxReadDelay{250};
+
+/// A caller that was rejected for this reaches another entry when it returns.
+constexpr milliseconds OverloadedRetryAfter{100};
+
 /// Time to allow for a stream from its arrival to its first event, and the
 /// factor by which it may run longer than estimated.
 constexpr milliseconds ExpectedFirstEventTime{400};
@@ -70,6 +77,9 @@
 HeadDecision GatewayRuntime::judgeHead(const HttpRequest &Head) {
   auto Accepted = std::make_shared<AcceptedRequest>();
   HeadDecision Out;
+  Out.Rejection = rejectIfReadLate(Head);
+  if (Out.Rejection)
+    return Out;
   Out.Rejection = judge(Head, *Accepted);
   if (Out.Rejection)
     return Out;
@@ -89,6 +99,26 @@
   return Out;
 }
 
+/// Before anything else is found out about the request, as each rejection has
+/// to cost much less than what it saves.
+std::optional<HttpResponse>
+GatewayRuntime::rejectIfReadLate(const HttpRequest &Head) {
+  const Duration Waited = CallerWork.currentWait();
+  if (Waited <= MaxReadDelay)
+    return std::nullopt;
+  const std::string_view Id = Protocol.requestId(Head);
+  const RejectReason Reason = RejectReason::Overloaded;
+  Log.write(LogCategory::Outcome, "reject", Id,
+            {{"reason", rejectReasonName(Reason)},
+             {"retry_after_ms", OverloadedRetryAfter},
+             {"read_delay_ms", Waited}});
+  Counters
+      .counter("rejections",
+               {{"reason", std::string(rejectReasonName(Reason))}})
+      .add();
+  return Protocol.rejection(Reason, OverloadedRetryAfter, Id);
+}
+
 HttpResponse GatewayRuntime::rejectForMemory(const std::string &Id,
                                              milliseconds RetryAfter) {
   Log.write(LogCategory::Outcome, "reject", Id,
@@ -107,7 +137,7 @@
   }
   Out.Info = std::move(valueOf(Decoded));
   Out.BeyondQuota = false;
-  Out.HeadArrival = Time.now();
+  Out.HeadArrival = readyAt();
   Out.Config = Config;
   if (!Config)
     return rejection(Out.Info, RejectReason::NoConfiguration,
@@ -225,7 +255,7 @@
   R.SendsPriority =
       routing::overloadPolicyConfigured(Settings.Overload, *Config, R.Service);
   R.BeyondQuota = Accepted.BeyondQuota;
-  R.Arrival = Time.now();
+  R.Arrival = readyAt();
   R.AnswerBy = R.Arrival + Route.Timeout;
   // The caller waits from the time at which it sent the head.
   if (Accepted.Info.Deadline > milliseconds(0))
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -112,6 +112,8 @@
 routing::FlowIo::LegId
 RequestSession::startLeg(const routing::LegRequest &Spec) {
   const LegId Id = NextLeg++;
+  if (endsBeforeSend(Id))
+    return Id;
   // The flow releases the endpoint's capacity with the leg, so an exception
   // must not leave from here. The request fails when the flow returns.
   if (!Services.Guard.run(Boundary::Request, Request.Info.Id,
@@ -120,6 +122,22 @@
   return Id;
 }
 
+/// A request whose caller has left, or whose deadline has passed, is not sent,
+/// also if this entry has not come to handle that yet. It ends in an event of
+/// its own, as the flow is in the call that sends.
+bool RequestSession::endsBeforeSend(LegId Id) {
+  const bool TooLate = Services.Time.now() >= Request.AnswerBy;
+  if (!TooLate && Caller->clientConnected())
+    return false;
+  Legs[Id].StartedAt = Services.Time.now();
+  boost::asio::post(Services.Context, [Weak = weak_from_this(), TooLate] {
+    if (const auto Self = Weak.lock())
+      Self->run(Boundary::Timer,
+                [&] { TooLate ? Self->onTimer() : Self->onCallerLeft(); });
+  });
+  return true;
+}
+
 template <typename Argument, typename Value>
 std::function<void(Value)> RequestSession::deliverLater(
     void (routing::Flow::*Handler)(Argument, TimePoint)) {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -166,6 +166,7 @@
   std::function<void(Value)>
   deliverLater(void (routing::Flow::*Handler)(Argument, TimePoint));
 
+  bool endsBeforeSend(LegId Id);
   void fail(Boundary At);
   void answerFailure();
   void cancelAllLegs();
--- a/src/hyssoprail/routing/flow_io.cpp
+++ b/src/hyssoprail/routing/flow_io.cpp
@@ -21,10 +21,11 @@
     {LegOutcome::TimedOut, "timed_out"},
 }};
 
-constexpr std::array<EnumName<RejectReason>, 11> ReasonNames{{
+constexpr std::array<EnumName<RejectReason>, 12> ReasonNames{{
     {RejectReason::NoRoute, "no_route"},
     {RejectReason::NoKey, "no_key"},
     {RejectReason::NoConfiguration, "no_configuration"},
+    {RejectReason::Overloaded, "overloaded"},
     {RejectReason::Draining, "leaving"},
     {RejectReason::OverQuota, "over_quota"},
     {RejectReason::Quarantined, "quarantined"},
