MIXED: an answer without length counts as complete only if the request was written

Reported by operators of similar systems: a worker answers a long upload at once with a 200 that has no length, sends a part and resets the connection while the upload is still being written; the client gets the part as a complete answer. Cause: the error of a reset is given once, to the write here; the read that follows ends as if the worker had closed. Change: an answer that ends with its connection waits for the end of the write, and is broken if that fails.

An answer with the status 000 ended as broken before, too; a test shows it.

--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -137,7 +137,9 @@
           Self->Call.Body.reset();
           Self->Written = !Code;
           Self->WriteEnded = true;
-          if (Self->ResponseEnded)
+          if (Self->AwaitsWriteEnd)
+            Self->onResponseComplete();
+          else if (Self->ResponseEnded)
             Self->keepConnection();
         });
     readHead();
@@ -221,9 +223,21 @@
     readBody();
   }
 
+  /// A reset of the connection shows in the write if the request is still being
+  /// written; the read then ends as if the endpoint had closed. So a response
+  /// that ends with its connection is complete only if the write succeeds.
   void onResponseComplete() {
+    if (Ended)
+      return;
     if (Skipping)
       return readHead();
+    if (ResponseParser->need_eof() && !Written) {
+      if (WriteEnded)
+        return end(UpstreamEnd::Broken,
+                   "the connection failed while the request was written");
+      AwaitsWriteEnd = true;
+      return Active->Stream.expires_at(Deadline);
+    }
     ResponseEnded = true;
     IdleTimeLimit = ResponseParser->keep_alive()
                         ? reusableIdleTime(ResponseParser->get()["Keep-Alive"])
@@ -287,6 +301,7 @@
   bool Written = false;
   bool WriteEnded = false;
   bool ResponseEnded = false;
+  bool AwaitsWriteEnd = false; ///< to know whether the response is complete
   bool Ended = false;
 };
 
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -73,6 +73,35 @@
   }
 }
 
+// Guards against a part of an answer that counts as complete: the endpoint
+// answers a long upload at once, without a length, and resets the connection
+// while the upload is still being written, so the write takes the error.
+TEST_CASE("an answer without framing that is reset during an upload is cut") {
+  constexpr std::size_t UploadBytes = 8'000'000;
+  constexpr int Tries = 20; // the write does not always come before the read
+  UpstreamSender S;
+  for (int I = 0; I < Tries; ++I) {
+    ScriptedServer Server({{Head + "\r\npart", false, true}});
+    UpstreamCall Call;
+    Call.Authority = Server.authority();
+    Call.Request = {
+        "POST", "/", {{"Host", "h"}}, std::string(UploadBytes, 'x')};
+    Call.HeadTimeout = Timeout;
+    CHECK(S.send(std::move(Call)).End == UpstreamEnd::Broken);
+  }
+}
+
+// Guards against an answer whose status is no status.
+TEST_CASE("an answer with the status 000 is no answer") {
+  UpstreamSender S;
+  ScriptedServer Server({{"HTTP/1.1 000 Odd\r\nRequest-Id: 1\r\n"
+                          "Signature: s\r\nContent-Length: 2\r\n\r\nno",
+                          true}});
+  const UpstreamOutcome O = S.send(Server.authority(), "1", Timeout);
+  CHECK(O.End == UpstreamEnd::Broken);
+  CHECK(O.Body.empty());
+}
+
 // Guards against a connection that stays open for good, because nobody waits
 // for the end of its exchange: the endpoint sends an answer without end, or
 // none after its head.
