Control work: messages and decisions take half of the processor at most

What callers saw: an entry answers by a configuration of up to 4 s ago. Cause: each batch of reports is handled, then all that waits in the fleet is decided, then the next batch is there. What the store sends comes to its turn once between two of them, and a read of the store needs about ten turns. Change: what a batch of messages took, and what a round of decisions took, is left to other events before the next one. Datagrams are still read at once; what arrives meanwhile replaces what is older, so the work grows with the fleet and not with the number of messages.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -25,6 +25,9 @@
 
 constexpr std::size_t DeputyCount = 3;
 
+/// A shorter pause between two rounds of decisions is not worth a timer.
+constexpr milliseconds MinDecisionPause{2};
+
 /// Peer name under which a follower records the work of all other entries.
 constexpr const char *FleetPeer = "fleet";
 
@@ -58,7 +61,7 @@
       Calls(State.Table), Grants(State.Table), Slots(State.Table, Incarnation),
       Shares(State.Table), Leavers(State.Table),
       Election(Settings.Name, Incarnation), Peers(Peers),
-      Rollouts(Settings, Incarnation, State.Feed, Log) {
+      Rollouts(Settings, Incarnation, State.Feed, Log), DecisionPause(Context) {
   Scheduler.setUnproven(
       [this](std::string_view Service, std::string_view Version) {
         return Rollouts.gate().isUnproven(Service, Version);
@@ -179,13 +182,28 @@
 void Coordination::notifyStateChanged() {
   if (std::exchange(ReportPending, true))
     return;
-  boost::asio::post(Context, [this] {
-    ReportPending = false;
-    deliverCallQueue(Time.now());
-    reportOrDecide();
+  if (Time.now() >= DecideAgainAt)
+    return boost::asio::post(Context, [this] { handleStateChange(); });
+  DecisionPause.expires_at(DecideAgainAt);
+  DecisionPause.async_wait([this](boost::system::error_code Code) {
+    if (!Code)
+      handleStateChange();
   });
 }
 
+/// A round of decisions looks at all that waits in the fleet. It may take half
+/// of the processor at most: what it took is left to other events before the
+/// next one.
+void Coordination::handleStateChange() {
+  const TimePoint Start = Time.now();
+  ReportPending = false;
+  deliverCallQueue(Start);
+  reportOrDecide();
+  const TimePoint End = Time.now();
+  if (End - Start >= MinDecisionPause)
+    DecideAgainAt = End + (End - Start);
+}
+
 void Coordination::beginStop() {
   Leaving = true;
   handOverIfPossible(Time.now());
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -167,6 +167,7 @@
   void sendReport(const routing::CoordinatorClaim &To, TimePoint Now);
   bool reportDue(TimePoint Now) const;
 
+  void handleStateChange();
   void reportOrDecide();
   void decide(TimePoint Now);
   void decideRollouts(TimePoint Now);
@@ -211,6 +212,8 @@
   routing::CoordinatorElection Election;
   PeerTransport &Peers;
   RolloutExchange Rollouts;
+  boost::asio::steady_timer DecisionPause;
+  TimePoint DecideAgainAt{}; ///< not sooner, unless a tick does it
 
   std::map<std::string, PeerEntry> Entries; ///< by name, without this one
   bool ElectionStarted = false;
--- a/src/hyssoprail/gateway/peer_socket.cpp
+++ b/src/hyssoprail/gateway/peer_socket.cpp
@@ -1,5 +1,6 @@
 #include "hyssoprail/gateway/peer_socket.hpp"
 
+#include <chrono>
 #include <exception>
 #include <optional>
 #include <utility>
@@ -17,6 +18,9 @@
 /// Bounds the time that goes into datagrams before other events have a turn.
 constexpr unsigned MaxDatagramsAtOnce = 1'024;
 
+/// A shorter pause is not worth a timer.
+constexpr milliseconds MinPause{2};
+
 std::optional<udp::endpoint> parseEndpoint(const std::string &Address) {
   const auto Parsed = parseIpPort(Address);
   if (!Parsed)
@@ -57,8 +61,8 @@
   Socket.send_to(asio::buffer(Datagram), *Endpoint, 0, Ignored);
 }
 
-/// Waits again before the handlers run: an exception must not end the
-/// receiving.
+/// Datagrams are read at once, so that the buffer of the socket does not lose
+/// them, and handed out when it is time for that.
 void PeerSocket::receive() {
   Socket.async_wait(
       udp::socket::wait_read, [this](boost::system::error_code Code) {
@@ -66,7 +70,8 @@
           return;
         drain();
         receive();
-        handOut();
+        if (!Pausing)
+          handOut();
       });
 }
 
@@ -102,13 +107,28 @@
   Kept = std::move(Message);
 }
 
+/// What is handed out may take half of the processor at most: what it took is
+/// left to other events before the next messages, so that the store and
+/// endpoints are heard, too. What arrives meanwhile replaces what is older.
 void PeerSocket::handOut() {
+  const auto Start = std::chrono::steady_clock::now();
   for (const auto &[Sender, Of] : std::exchange(Newest, {})) {
     handle(Of.Report);
     if (Of.Update && !Of.Update->update().has_totals())
       handle(Of.Totals);
     handle(Of.Update);
   }
+  const Duration Taken = std::chrono::steady_clock::now() - Start;
+  if (Taken < MinPause)
+    return;
+  Pausing = true;
+  Pause.expires_after(Taken);
+  Pause.async_wait([this](boost::system::error_code Code) {
+    if (Code)
+      return;
+    Pausing = false;
+    handOut();
+  });
 }
 
 void PeerSocket::handle(
--- a/src/hyssoprail/gateway/peer_socket.hpp
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -12,7 +12,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/gateway/peer_transport.hpp"
 
 namespace hyssoprail::gateway {
@@ -28,7 +30,7 @@
 
   explicit PeerSocket(boost::asio::io_context &Context,
                       ErrorHandler OnError = nullptr)
-      : Socket(Context), OnError(std::move(OnError)) {}
+      : Socket(Context), Pause(Context), OnError(std::move(OnError)) {}
 
   // PeerTransport
   Status start(const std::string &Address, Handler OnMessage) override;
@@ -58,6 +60,8 @@
   void handle(const std::optional<wire::CoordinationMessage> &Message);
 
   boost::asio::ip::udp::socket Socket;
+  boost::asio::steady_timer Pause; ///< between two times of handing out
+  bool Pausing = false;
   ErrorHandler OnError;
   Handler OnMessage;
   std::map<std::string, Arrived>
