Denials and resumed streams: an entry that may be behind the others does not guess

Cause: an entry denies by whatever configuration it has, and takes a service for one of a single version by whatever registrations it has, although it may have been cut off, may have stood still or may be late. The age of its data was the time since the store answered anybody; that does not tell whether this entry has what the others have, and an update counted as of the time at which it was read. Change: stepAge bounds how far an entry may be behind: the time since the report was sent which the newest update confirms that it has everything of, or since the store answered it. A coordinator compares with its followers. Beyond 2 s an unknown route or key gets a truthful 503, beyond 1 s a resumed stream without a record does. An outage of the store alone denies nobody: then nobody knows more.

--- a/src/hyssoprail/gateway/coordination.cpp
+++ b/src/hyssoprail/gateway/coordination.cpp
@@ -307,22 +307,25 @@
     return;
   const TimePoint Now = Time.now();
   const routing::CoordinatorClaim Claim = claimFromUpdate(Update);
-  const std::optional<Duration> MaxAge = maxUpdateAge(Update, Now);
-  const bool ConfirmsReport = MaxAge && *MaxAge < MaxConfirmedReportAge;
+  const SentReport *Confirmed = confirmedReport(Update);
+  // The delay of this entry itself is not the coordinator's.
+  const bool ConfirmsReport =
+      Confirmed && Election.attentiveTime(Now) - Confirmed->AttentiveAt <
+                       MaxConfirmedReportAge;
   const bool WasCoordinator = Election.isCoordinator();
   if (Election.handleClaim(Claim, ConfirmsReport, Now)) {
     if (WasCoordinator)
       endTerm(Now);
     forgetCrashPeers();
     Leavers.forgetPeers();
-    logCoordinatorChange("heard", MaxAge.value_or(Duration{}));
+    logCoordinatorChange("heard", Confirmed ? Now - Confirmed->At : Duration{});
   }
   const auto &Current = Election.currentClaim();
   const bool Follows = !Election.isCoordinator() && Current &&
                        Current->Name == Claim.Name &&
                        Current->Incarnation == Claim.Incarnation;
   if (Follows && ConfirmsReport)
-    return applyUpdate(Update, Now);
+    return applyUpdate(Update, Confirmed->At, Now);
   introduceSelf(Claim, Follows, Now);
 }
 
@@ -347,26 +350,26 @@
 }
 
 /// The update was made after the report that it confirms had been sent, so it
-/// is not older than that, without the delay of this entry itself. The sender's
-/// clock is not needed for this.
-std::optional<Duration>
-Coordination::maxUpdateAge(const wire::CoordinatorUpdate &Update,
-                           TimePoint Now) const {
+/// is not older than that. The sender's clock is not needed for this.
+const Coordination::SentReport *
+Coordination::confirmedReport(const wire::CoordinatorUpdate &Update) const {
   if (Update.heard_incarnation() != Incarnation)
-    return std::nullopt;
-  for (const auto &[Sequence, At] : SentReports)
-    if (Sequence == Update.heard_sequence())
-      return Election.attentiveTime(Now) - At;
-  return std::nullopt;
+    return nullptr;
+  const auto It = std::find_if(SentReports.begin(), SentReports.end(),
+                               [&](const SentReport &R) {
+                                 return R.Sequence == Update.heard_sequence();
+                               });
+  return It == SentReports.end() ? nullptr : &*It;
 }
 
+/// \p Update was made at \p MadeAt or later.
 void Coordination::applyUpdate(const wire::CoordinatorUpdate &Update,
-                               TimePoint Now) {
+                               TimePoint MadeAt, TimePoint Now) {
   takeCrashes(Update, Now);
   takeLeaving(Update);
   Source = Update.source();
   Deputies.assign(Update.deputies().begin(), Update.deputies().end());
-  applySource(Now);
+  applySource(MadeAt, Now);
   FleetQueueLength = Update.queued();
   if (Update.has_totals()) {
     routing::LoadMap Calls;
@@ -438,8 +441,8 @@
   *Message.mutable_report() = makeReport(To.Name, Now);
   State.Crashes.fillNews(To.Name, *Message.mutable_report(), Now);
   const TimePoint Attentive = Election.attentiveTime(Now);
-  SentReports.emplace_back(ReportSequence, Attentive);
-  while (Attentive - SentReports.front().second > MaxConfirmedReportAge)
+  SentReports.push_back({ReportSequence, Now, Attentive});
+  while (Attentive - SentReports.front().AttentiveAt > MaxConfirmedReportAge)
     SentReports.pop_front();
   Peers.send(Message, To.Address);
 }
--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -139,13 +139,20 @@
     TimePoint GroupAnnouncedAt{};
   };
 
+  struct SentReport {
+    std::uint64_t Sequence = 0;
+    TimePoint At{};
+    TimePoint AttentiveAt{}; ///< without the delay of this entry until then
+  };
+
   void onMessage(const wire::CoordinationMessage &Message);
   void onUpdate(const wire::CoordinatorUpdate &Update);
   void introduceSelf(const routing::CoordinatorClaim &Claim, bool Follows,
                      TimePoint Now);
-  std::optional<Duration> maxUpdateAge(const wire::CoordinatorUpdate &Update,
-                                       TimePoint Now) const;
-  void applyUpdate(const wire::CoordinatorUpdate &Update, TimePoint Now);
+  const SentReport *
+  confirmedReport(const wire::CoordinatorUpdate &Update) const;
+  void applyUpdate(const wire::CoordinatorUpdate &Update, TimePoint MadeAt,
+                   TimePoint Now);
   void updateSpeeds(TimePoint Now);
   void beginCoordination(TimePoint Now);
   void handOverIfPossible(TimePoint Now);
@@ -175,7 +182,8 @@
   wire::FleetSource ownSource() const;
   FeedPosition sourcePosition() const;
   void chooseSource(TimePoint Now);
-  void applySource(TimePoint Now);
+  void applySource(TimePoint KnownAt, TimePoint Now);
+  void noteInStepWithFollowers(TimePoint Now);
   bool shouldReadStore(TimePoint Now);
   bool needsFullEndpointList() const;
   wire::CoordinatorUpdate makeUpdate(const std::string &Entry);
@@ -223,8 +231,7 @@
   // As a follower.
   std::uint64_t ReportSequence = 0;
   TimePoint ReportedAt{};
-  /// Sequence numbers of reports and their times, in attentive time.
-  std::deque<std::pair<std::uint64_t, TimePoint>> SentReports;
+  std::deque<SentReport> SentReports;
   std::map<std::string, TimePoint> IntroducedAt; ///< by name of claimant
   wire::FleetSource Source;     ///< serves entries that do not read the store
   TimePoint LastStaleAt{};      ///< when the fleet data was last too old
--- a/src/hyssoprail/gateway/coordination_sources.cpp
+++ b/src/hyssoprail/gateway/coordination_sources.cpp
@@ -28,12 +28,20 @@
 /// Larger ages are reported as this one.
 constexpr milliseconds MaxReportedAge{60'000};
 
+/// Reports that a coordinator still counts are not older than this.
+constexpr milliseconds MaxReportAge{700};
+
 std::uint32_t reportedAge(Duration Age) {
   return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(
                                         std::min<Duration>(Age, MaxReportedAge))
                                         .count());
 }
 
+FeedPosition positionOf(const wire::FleetSource &Source) {
+  return {Source.operator_position(), Source.endpoint_position(), Source.era(),
+          Source.config_version()};
+}
+
 } // namespace
 
 wire::FleetSource Coordination::ownSource() const {
@@ -52,16 +60,14 @@
   return S;
 }
 
-FeedPosition Coordination::sourcePosition() const {
-  return {Source.operator_position(), Source.endpoint_position(), Source.era(),
-          Source.config_version()};
-}
+FeedPosition Coordination::sourcePosition() const { return positionOf(Source); }
 
 /// The coordinator names itself as the source unless the store has answered
 /// another entry considerably later, or another one has a newer configuration
 /// in force: then the store was restored while this entry started.
 void Coordination::chooseSource(TimePoint Now) {
   Source = ownSource();
+  noteInStepWithFollowers(Now);
   auto Other = Server.newestConfigSource(Now);
   if (Other && Other->config_version() > Source.config_version()) {
     Source = *Other;
@@ -72,14 +78,29 @@
                     milliseconds(Source.age_ms()))
     return;
   Source = *Other;
-  applySource(Now);
+  applySource(Now - MaxReportAge, Now);
+}
+
+/// The entry that the store has answered last knows no more than this one, or
+/// there is no other entry.
+void Coordination::noteInStepWithFollowers(TimePoint Now) {
+  const auto Freshest = Server.freshestSource(Now);
+  if (!Freshest && knownEntries() == 1)
+    return State.Feed.noteInStep(Now);
+  const auto Newest = Server.newestConfigSource(Now);
+  if (Freshest && Newest &&
+      State.Feed.syncedPosition().covers(positionOf(*Freshest)) &&
+      State.Feed.syncedPosition().covers(positionOf(*Newest)))
+    State.Feed.noteInStep(Now - MaxReportAge);
 }
 
-void Coordination::applySource(TimePoint Now) {
+/// What \p KnownAt says of the source was true then or later.
+void Coordination::applySource(TimePoint KnownAt, TimePoint Now) {
   State.Feed.applyPeerStatus({
       .NewestChange = sourcePosition(),
       .EndpointsRead = Source.endpoints_read(),
       .StoreAnsweredAt = Now - milliseconds(Source.age_ms()),
+      .KnownAt = KnownAt,
       .RemovalGraceEnd = Now + milliseconds(Source.settling_ms()),
   });
 }
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -17,6 +17,7 @@
   std::uint64_t Known = 0;
   std::uint64_t DeltaStart = 0; ///< before it, the full list is sent
   bool ReadsStore = true;
+  Duration StepAge{};
   /// Calls that the test answers, and what they wrote.
   std::vector<StreamVersionMap> Recorded;
   std::vector<std::function<void(WriteOutcome)>> OnWritten;
@@ -27,6 +28,8 @@
   void setReadsStore(bool To) override { ReadsStore = To; }
   Duration storeAge() const override { return {}; }
   Duration dataAge() const override { return {}; }
+  Duration stepAge() const override { return StepAge; }
+  void noteInStep(TimePoint) override {}
   FeedPosition newestChange() const override { return {}; }
   FeedPosition syncedPosition() const override { return {0, Known}; }
   std::uint64_t endpointsRead() const override { return 0; }
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -52,6 +52,7 @@
   FeedPosition NewestChange;       ///< it knows of no later change
   std::uint64_t EndpointsRead = 0; ///< it has read the registrations up to here
   TimePoint StoreAnsweredAt{};     ///< when the store last answered that entry
+  TimePoint KnownAt{};             ///< the entry knew this then or later
   /// Until then it treats no missing registration as removed, as the endpoint
   /// may register again after an outage of the store.
   TimePoint RemovalGraceEnd{};
@@ -147,6 +148,14 @@
   /// entries.
   virtual Duration dataAge() const = 0;
 
+  /// Time since this entry certainly knew all that the fleet knew of the store,
+  /// also if the store has answered nobody since: a bound on how far it may be
+  /// behind the other entries. Duration::max() if it never did.
+  virtual Duration stepAge() const = 0;
+
+  /// This entry knew all that the fleet knew at \p At.
+  virtual void noteInStep(TimePoint At) = 0;
+
   /// Positions of the newest changes that this entry knows.
   virtual FeedPosition newestChange() const = 0;
 
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -101,6 +101,8 @@
   HeadDecision judgeHead(const HttpRequest &Head);
   std::optional<HttpResponse> judge(const HttpRequest &Head,
                                     AcceptedRequest &Out);
+  HttpResponse denial(const routing::RequestInfo &Info,
+                      routing::RejectReason Reason);
   std::optional<HttpResponse> takeQuota(AcceptedRequest &Request);
   std::optional<HttpResponse> rejectIfReadLate(const HttpRequest &Head);
   /// When what a caller's connection does now became ready: a caller waits from
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -19,6 +19,10 @@
 constexpr unsigned StatusInternalError = 500;
 
 constexpr milliseconds NoConfigurationRetryAfter{400};
+
+/// Requests are denied by a configuration that was the newest one this long ago
+/// or later: changes have to be in force within this time.
+constexpr milliseconds MaxDenialStepAge{2'000};
 constexpr milliseconds MinQuotaRetryAfter{100};
 
 /// A request that was ready for longer than this before it could be read is
@@ -144,7 +148,7 @@
                      NoConfigurationRetryAfter);
   Out.Route = Config->route(Out.Info.Host, Out.Info.Path);
   if (!Out.Route)
-    return rejection(Out.Info, RejectReason::NoRoute, {});
+    return denial(Out.Info, RejectReason::NoRoute);
   if (cannotFinishBeforeStop(*Out.Route, Out.Info))
     return rejection(Out.Info, RejectReason::Draining, DrainingRetryAfter);
   Out.Account =
@@ -152,7 +156,7 @@
   const bool MayRunWithoutKey =
       Out.Info.ApiKey.empty() && Out.Route->AllowAnonymous;
   if (!Out.Account && Config->requiresKeys() && !MayRunWithoutKey)
-    return rejection(Out.Info, RejectReason::NoKey, {});
+    return denial(Out.Info, RejectReason::NoKey);
   if (!needsFingerprint(Out) &&
       Crashes.watch(Out.Info).isQuarantined(Time.now()))
     return rejection(Out.Info, RejectReason::Quarantined,
@@ -160,6 +164,16 @@
   return Out.Account ? takeQuota(Out) : std::nullopt;
 }
 
+/// A route or key that this entry does not know may have been added since. If
+/// it may be behind the others, it does not know, and another entry may.
+HttpResponse GatewayRuntime::denial(const RequestInfo &Info,
+                                    RejectReason Reason) {
+  return Feed.stepAge() > MaxDenialStepAge
+             ? rejection(Info, RejectReason::NoConfiguration,
+                         NoConfigurationRetryAfter)
+             : rejection(Info, Reason, {});
+}
+
 std::optional<HttpResponse>
 GatewayRuntime::takeQuota(AcceptedRequest &Request) {
   const RequestInfo &Info = Request.Info;
--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -15,6 +15,10 @@
 
 constexpr milliseconds BaseReadInterval{1'000};
 
+/// An entry that may be further behind the others does not know whether a
+/// service has a single version.
+constexpr milliseconds MaxStepAge{1'000};
+
 /// A caller may take up a stream until its deadline, which is close to the
 /// timeout of the route. Records are kept for this time longer.
 constexpr milliseconds LifetimeMargin{10'000};
@@ -146,11 +150,14 @@
   Q.OnDone(Base ? Base : versionWithoutStore(Q));
 }
 
-/// Without the store only a service that has a single version leaves no doubt.
+/// Without the store only a service that has a single version leaves no doubt,
+/// and only at an entry that knows the endpoints which the others know.
 std::optional<std::string>
 StreamVersionExchange::versionWithoutStore(const Query &Q) const {
   if (auto Version = Versions.record(Q.Id))
     return Version;
+  if (Feed.stepAge() > MaxStepAge)
+    return std::nullopt;
   const std::set<std::string> Known = Versions.versionsOf(Q.Service);
   const auto Base = Versions.base(Q.Service);
   if (Known.size() != 1 || (Base && *Base != *Known.begin()))
--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -159,6 +159,19 @@
   CHECK(B.Answers == std::vector<Found>{"v1", std::nullopt});
 }
 
+// Guards against a stream that goes on at another version: an entry that was cut
+// off, or stood still, while endpoints of a new version joined knows only the
+// old one, and can ask neither the store nor the others.
+TEST_CASE("an entry that is behind the others does not guess a version") {
+  ExchangeFixture B;
+  B.engine("i-1", "v1", 1);
+  B.Exchange.onBaseVersion("assistant", "v1");
+  B.Feed.StepAge = milliseconds(1'500);
+  B.find("a");
+  B.answerReads(false);
+  CHECK(B.Answers == std::vector<Found>{std::nullopt});
+}
+
 // Guards against a base version that is changed while streams of the old one
 // can still be resumed, and against records for ever after a service has moved.
 TEST_CASE("the base version follows a service that has moved") {
