--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -159,9 +159,9 @@
   CHECK(B.Answers == std::vector<Found>{"v1", std::nullopt});
 }
 
-// Guards against a stream that goes on at another version: an entry that was cut
-// off, or stood still, while endpoints of a new version joined knows only the
-// old one, and can ask neither the store nor the others.
+// Guards against a stream that goes on at another version: an entry that was
+// cut off, or stood still, while endpoints of a new version joined knows only
+// the old one, and can ask neither the store nor the others.
 TEST_CASE("an entry that is behind the others does not guess a version") {
   ExchangeFixture B;
   B.engine("i-1", "v1", 1);
