--- a/src/hyssoprail/gateway/coordination.hpp
+++ b/src/hyssoprail/gateway/coordination.hpp
@@ -183,7 +183,7 @@
   FeedPosition sourcePosition() const;
   void chooseSource(TimePoint Now);
   void applySource(TimePoint KnownAt, TimePoint Now);
-  void noteInStepWithFollowers(TimePoint Now);
+  bool hasAllOf(const wire::FleetSource &Other) const;
   bool shouldReadStore(TimePoint Now);
   bool needsFullEndpointList() const;
   wire::CoordinatorUpdate makeUpdate(const std::string &Entry);
--- a/src/hyssoprail/gateway/coordination_sources.cpp
+++ b/src/hyssoprail/gateway/coordination_sources.cpp
@@ -67,31 +67,26 @@
 /// in force: then the store was restored while this entry started.
 void Coordination::chooseSource(TimePoint Now) {
   Source = ownSource();
-  noteInStepWithFollowers(Now);
-  auto Other = Server.newestConfigSource(Now);
-  if (Other && Other->config_version() > Source.config_version()) {
-    Source = *Other;
+  const auto Newest = Server.newestConfigSource(Now);
+  const auto Freshest = Server.freshestSource(Now);
+  if (Newest && Freshest && hasAllOf(*Newest) && hasAllOf(*Freshest))
+    State.Feed.noteInStep(Now - MaxReportAge);
+  else if (!Newest && knownEntries() == 1)
+    State.Feed.noteInStep(Now);
+  if (Newest && Newest->config_version() > Source.config_version()) {
+    Source = *Newest;
     return;
   }
-  Other = Server.freshestSource(Now);
-  if (!Other || milliseconds(Other->age_ms()) + SourceHysteresis >=
-                    milliseconds(Source.age_ms()))
+  if (!Freshest || milliseconds(Freshest->age_ms()) + SourceHysteresis >=
+                       milliseconds(Source.age_ms()))
     return;
-  Source = *Other;
+  Source = *Freshest;
   applySource(Now - MaxReportAge, Now);
 }
 
-/// The entry that the store has answered last knows no more than this one, or
-/// there is no other entry.
-void Coordination::noteInStepWithFollowers(TimePoint Now) {
-  const auto Freshest = Server.freshestSource(Now);
-  if (!Freshest && knownEntries() == 1)
-    return State.Feed.noteInStep(Now);
-  const auto Newest = Server.newestConfigSource(Now);
-  if (Freshest && Newest &&
-      State.Feed.syncedPosition().covers(positionOf(*Freshest)) &&
-      State.Feed.syncedPosition().covers(positionOf(*Newest)))
-    State.Feed.noteInStep(Now - MaxReportAge);
+/// True if this entry knows of the store what \p Other knew.
+bool Coordination::hasAllOf(const wire::FleetSource &Other) const {
+  return State.Feed.syncedPosition().covers(positionOf(Other));
 }
 
 /// What \p KnownAt says of the source was true then or later.
