--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -87,7 +87,7 @@
     Call.Request = {
         "POST", "/", {{"Host", "h"}}, std::string(UploadBytes, 'x')};
     Call.HeadTimeout = Timeout;
-    CHECK(S.send(std::move(Call)).End == UpstreamEnd::Broken);
+    CHECK(S.send(Call).End == UpstreamEnd::Broken);
   }
 }
 
