--- a/src/hyssoprail/gateway/peer_socket.hpp
+++ b/src/hyssoprail/gateway/peer_socket.hpp
@@ -64,8 +64,7 @@
   bool Pausing = false;
   ErrorHandler OnError;
   Handler OnMessage;
-  std::map<std::string, Arrived>
-      Newest; ///< by sender, while datagrams are read
+  std::map<std::string, Arrived> Newest; ///< not handed out yet, by sender
   std::uint64_t Unreadable = 0;
   std::uint64_t Superseded = 0;
   std::string Datagram;
