Logs: where the version of a resumed stream is known from, how a response ended

A log could not tell why a stream went on at a version: resume names the version but not whether a record, the base version or the only registered version told it, and nothing said what became of a record. Nor could it tell a response that ended with its connection from one with a last chunk.

New lines version_found (source), version_record (outcome) and version_not_recorded; send_ended has the detail 'ended with its connection'.

--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -246,7 +246,8 @@
       keepConnection();
     else
       closeActive();
-    end(UpstreamEnd::Complete, "");
+    end(UpstreamEnd::Complete,
+        ResponseParser->need_eof() ? "ended with its connection" : "");
   }
 
   /// Returns the connection to the pool unless data follows the response or the
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -69,6 +69,8 @@
   Unknown, ///< the response was lost: it may have been written, or will be
 };
 
+std::string_view writeOutcomeName(WriteOutcome Outcome);
+
 /// Receives the changes of the fleet that a FleetFeed reads.
 class FleetListener {
 public:
--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -44,8 +44,10 @@
 void StreamVersionExchange::record(const std::string &Id,
                                    const std::string &Version,
                                    RecordHandler OnDone) {
-  if (!Versions.writable() || Waiting.contains(Id))
+  if (!Versions.writable() || Waiting.contains(Id)) {
+    logRecord(Id, Version, "not_tried");
     return OnDone(false);
+  }
   Pending[Id] = Version;
   Waiting.emplace(Id, std::move(OnDone));
   write();
@@ -73,6 +75,8 @@
   WritableAgainAt = Outcome == WriteOutcome::NotWritten ? Now + UnwritableTime
                                                         : TimePoint::max();
   StreamVersionMap Sent = std::exchange(Writing, {});
+  for (const auto &[Id, Version] : Sent)
+    logRecord(Id, Version, writeOutcomeName(Outcome));
   if (!Written)
     failWaiting(Pending);
   if (Outcome == WriteOutcome::NotWritten)
@@ -107,14 +111,24 @@
   return true;
 }
 
+void StreamVersionExchange::logRecord(const std::string &Id,
+                                      const std::string &Version,
+                                      std::string_view Outcome) {
+  Log.write(LogCategory::Routine, "version_record", Id,
+            {{"version", Version}, {"outcome", Outcome}});
+}
+
 // ---- Queries ----------------------------------------------------------------
 
 void StreamVersionExchange::find(const std::string &Id,
                                  const std::string &Service,
                                  FindHandler OnDone) {
-  if (const auto Version = Versions.ownRecord(Id))
-    return OnDone(Version);
-  Queries.push_back({Id, Service, std::move(OnDone)});
+  Query Q{Id, Service, std::move(OnDone)};
+  if (const auto Version = Versions.ownRecord(Id)) {
+    logFound(Q, Version, "own_record");
+    return Q.OnDone(Version);
+  }
+  Queries.push_back(std::move(Q));
   read();
 }
 
@@ -140,22 +154,37 @@
 }
 
 void StreamVersionExchange::answer(const Query &Q, bool Ok) {
-  if (!Ok)
-    return Q.OnDone(versionWithoutStore(Q));
-  if (const auto Version = Versions.record(Q.Id))
-    return Q.OnDone(Version);
-  if (Q.Id.empty())
-    return Q.OnDone(versionWithoutStore(Q));
+  const auto Record = Versions.record(Q.Id);
   const auto Base = Versions.base(Q.Service);
-  Q.OnDone(Base ? Base : versionWithoutStore(Q));
+  const bool UsesBase = Ok && !Q.Id.empty() && Base;
+  const auto Version = Record     ? Record
+                       : UsesBase ? Base
+                                  : versionWithoutStore(Q);
+  logFound(Q, Version,
+           Record     ? "record"
+           : UsesBase ? "base_version"
+           : Version  ? "single_version"
+                      : "unknown");
+  Q.OnDone(Version);
+}
+
+/// Tells why a stream goes on at \p Version.
+void StreamVersionExchange::logFound(const Query &Q,
+                                     const std::optional<std::string> &Version,
+                                     std::string_view Source) {
+  Log.write(LogCategory::Outcome, "version_found", Q.Id,
+            {{"service", Q.Service},
+             {"version", Version.value_or("")},
+             {"source", Source},
+             {"base", Versions.base(Q.Service).value_or("")},
+             {"versions", Versions.versionsOf(Q.Service).size()},
+             {"store_read", ReadOnce}});
 }
 
 /// Without the store only a service that has a single version leaves no doubt,
 /// and only at an entry that knows the endpoints which the others know.
 std::optional<std::string>
 StreamVersionExchange::versionWithoutStore(const Query &Q) const {
-  if (auto Version = Versions.record(Q.Id))
-    return Version;
   if (Feed.stepAge() > MaxStepAge)
     return std::nullopt;
   const std::set<std::string> Known = Versions.versionsOf(Q.Service);
--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "hyssoprail/gateway/fleet_feed.hpp"
@@ -72,10 +73,14 @@
   void onWritten(WriteOutcome Outcome);
   void failWaiting(StreamVersionMap &Records);
   bool answerWaiting(const std::string &Id, bool Written);
+  void logRecord(const std::string &Id, const std::string &Version,
+                 std::string_view Outcome);
   void read();
   void readAnew();
   void onRead(bool Ok);
   void answer(const Query &Q, bool Ok);
+  void logFound(const Query &Q, const std::optional<std::string> &Version,
+                std::string_view Source);
   std::optional<std::string> versionWithoutStore(const Query &Q) const;
   void updateBase(const std::string &Service, TimePoint Now);
   void writeBase(const std::string &Service, const std::string &Version);
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -113,7 +113,10 @@
   const auto Base = Shared.Versions->base(Request.Service);
   if (Base)
     Version.pin(*Base);
-  if (Base && hasDecodeEngine(Now))
+  const bool BaseServes = Base && hasDecodeEngine(Now);
+  Io.logDecision("version_not_recorded",
+                 {{"base", Base.value_or("")}, {"base_serves", BaseServes}});
+  if (BaseServes)
     return requeueForDecode(Now);
   Version.unpin();
   Recorded.waive();
