--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -226,4 +226,20 @@
   CHECK(B.Feed.Bases["assistant"] == "v1");
 }
 
+// Guards against an older record that is written after a newer one of the same
+// stream: the store is restored while the newer one is under way.
+TEST_CASE("a restore does not write an older record over a newer one",
+          "[record_order]") {
+  ExchangeFixture B;
+  const auto Ignore = [](bool) {};
+  B.Exchange.record("a", "v2", Ignore);
+  B.answerWrites(WriteOutcome::Written);
+  B.Exchange.record("a", "v3", Ignore);
+  B.Exchange.storeRestored();
+  B.answerWrites(WriteOutcome::Written);
+  B.answerWrites(WriteOutcome::Written);
+  REQUIRE_FALSE(B.Feed.Recorded.empty());
+  CHECK(B.Feed.Recorded.back().at("a") == "v3");
+}
+
 } // namespace hyssoprail::gateway
