--- a/include/hyssoprail/routing/stream_versions.hpp
+++ b/include/hyssoprail/routing/stream_versions.hpp
@@ -1,6 +1,7 @@
 #ifndef HYSSOPRAIL_ROUTING_STREAM_VERSIONS_HPP
 #define HYSSOPRAIL_ROUTING_STREAM_VERSIONS_HPP
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,6 +13,13 @@
 
 namespace hyssoprail::routing {
 
+/// A write of records to the store. What one entry wrote later replaces what it
+/// wrote earlier, in whatever order the two are read.
+struct RecordPosition {
+  std::string Writer; ///< process of the entry that wrote it
+  std::uint64_t Number = 0;
+};
+
 /// What an entry knows of the software versions at which resumable streams
 /// began. The events of two versions do not fit together, so a stream that its
 /// caller resumes, at whatever entry, has to go on at the version that began
@@ -51,10 +59,10 @@
   void noteOwn(const std::string &Id, const std::string &Version,
                TimePoint Now);
 
-  /// Notes a record that another entry may have written. A later record of a
-  /// stream replaces an earlier one, until its caller gets the first event.
+  /// Notes a record that another entry may have written. Of two records of a
+  /// stream by one writer the one with the larger number counts.
   void noteStored(const std::string &Id, const std::string &Version,
-                  TimePoint Now);
+                  const RecordPosition &Position, TimePoint Now);
 
   /// The recorded version of the stream that the request \p Id began.
   std::optional<std::string> ownRecord(const std::string &Id) const;
@@ -70,6 +78,7 @@
   struct Record {
     std::string Version;
     TimePoint NotedAt{};
+    RecordPosition Position; ///< of a stored record
   };
   using Records = std::map<std::string, Record, std::less<>>;
 
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -12,6 +12,7 @@
 #include "hyssoprail/rollout/rollout_controller.hpp"
 #include "hyssoprail/routing/endpoint_record.hpp"
 #include "hyssoprail/routing/fleet_config.hpp"
+#include "hyssoprail/routing/stream_versions.hpp"
 
 namespace hyssoprail::gateway {
 
@@ -62,6 +63,12 @@
 /// began the stream.
 using StreamVersionMap = std::map<std::string, std::string>;
 
+/// One write of records, as it was read from the store.
+struct StreamVersionRecord {
+  routing::RecordPosition Position;
+  StreamVersionMap Versions;
+};
+
 /// What became of a write to the store.
 enum class WriteOutcome {
   Written,
@@ -108,8 +115,8 @@
   /// same service in its place.
   virtual void onRolloutState(const rollout::StatusRecord &State) = 0;
 
-  /// Entries have recorded the versions at which these streams began.
-  virtual void onStreamVersions(const StreamVersionMap &Versions) = 0;
+  /// An entry has recorded the versions at which streams began.
+  virtual void onStreamVersions(const StreamVersionRecord &Record) = 0;
 
   /// The store has \p Version as the base version of \p Service.
   virtual void onBaseVersion(const std::string &Service,
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -71,7 +71,7 @@
                       Duration Age) override;
   void onRolloutWithdrawn(std::string_view Service) override;
   void onRolloutState(const rollout::StatusRecord &State) override;
-  void onStreamVersions(const StreamVersionMap &Versions) override;
+  void onStreamVersions(const StreamVersionRecord &Record) override;
   void onBaseVersion(const std::string &Service,
                      const std::string &Version) override;
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -158,8 +158,8 @@
   FleetCoordination.rollouts().applyStored(State);
 }
 
-void GatewayRuntime::onStreamVersions(const StreamVersionMap &Versions) {
-  StreamOrigins.onStreamVersions(Versions);
+void GatewayRuntime::onStreamVersions(const StreamVersionRecord &Record) {
+  StreamOrigins.onStreamVersions(Record);
 }
 
 void GatewayRuntime::onBaseVersion(const std::string &Service,
--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -83,6 +83,7 @@
     failWaiting(Sent);
   if (!Written) {
     Pending.merge(Sent);
+    pendOwnAgain();
     RetryWriteAt = Pending.empty() ? TimePoint::max() : Now + WriteRetryDelay;
     return;
   }
@@ -90,9 +91,20 @@
     Versions.noteOwn(Id, Version, Now);
     answerWaiting(Id, true);
   }
+  pendOwnAgain();
   write();
 }
 
+/// Writes the records of this entry again. Newer ones that have not been
+/// written yet stay; one that is under way is waited for, as an older one must
+/// not be written after it.
+void StreamVersionExchange::pendOwnAgain() {
+  if (WriteInFlight || !std::exchange(WriteOwnAgain, false))
+    return;
+  StreamVersionMap Own = Versions.ownRecords();
+  Pending.merge(Own);
+}
+
 /// Takes the records out for which a stream waits; those written anew after a
 /// restore of the store stay.
 void StreamVersionExchange::failWaiting(StreamVersionMap &Records) {
@@ -194,9 +206,10 @@
   return *Known.begin();
 }
 
-void StreamVersionExchange::onStreamVersions(const StreamVersionMap &Read) {
-  for (const auto &[Id, Version] : Read)
-    Versions.noteStored(Id, Version, Time.now());
+void StreamVersionExchange::onStreamVersions(
+    const StreamVersionRecord &Record) {
+  for (const auto &[Id, Version] : Record.Versions)
+    Versions.noteStored(Id, Version, Record.Position, Time.now());
 }
 
 // ---- Base versions ----------------------------------------------------------
@@ -284,8 +297,8 @@
   readAnew();
   for (auto &[Service, State] : Bases)
     State.Stored = false;
-  StreamVersionMap Lost = Versions.ownRecords();
-  Pending.merge(Lost);
+  WriteOwnAgain = true;
+  pendOwnAgain();
   write();
 }
 
--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -49,7 +49,7 @@
   /// endpoints are known.
   void tick(bool IsCoordinator, bool EndpointsComplete, TimePoint Now);
 
-  void onStreamVersions(const StreamVersionMap &Read);
+  void onStreamVersions(const StreamVersionRecord &Record);
   void onBaseVersion(const std::string &Service, const std::string &Version);
 
   /// The store has come back from a copy, which may lack the latest records.
@@ -71,6 +71,7 @@
 
   void write();
   void onWritten(WriteOutcome Outcome);
+  void pendOwnAgain();
   void failWaiting(StreamVersionMap &Records);
   bool answerWaiting(const std::string &Id, bool Written);
   void logRecord(const std::string &Id, const std::string &Version,
@@ -95,6 +96,7 @@
   StreamVersionMap Pending; ///< not written yet
   StreamVersionMap Writing; ///< in the call in flight
   bool WriteInFlight = false;
+  bool WriteOwnAgain = false; ///< once the call in flight has ended
   TimePoint RetryWriteAt = TimePoint::max();
   TimePoint WritableAgainAt = TimePoint::max(); ///< the next one may succeed
   std::map<std::string, RecordHandler> Waiting; ///< by request
--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -140,7 +140,7 @@
   REQUIRE(B.Feed.OnRead.size() == 1);
   B.answerReads();
   CHECK(B.Answers == std::vector<Found>{"v1"});
-  B.Exchange.onStreamVersions({{"a", "v2"}});
+  B.Exchange.onStreamVersions({{"entry-2/1", 1}, {{"a", "v2"}}});
   B.answerReads();
   CHECK(B.Answers == std::vector<Found>{"v1", "v2"});
 }
--- a/src/hyssoprail/routing/stream_versions.cpp
+++ b/src/hyssoprail/routing/stream_versions.cpp
@@ -53,12 +53,18 @@
 
 void StreamVersions::noteOwn(const std::string &Id, const std::string &Version,
                              TimePoint Now) {
-  Own[Id] = {Version, Now};
+  Own[Id] = {Version, Now, {}};
 }
 
 void StreamVersions::noteStored(const std::string &Id,
-                                const std::string &Version, TimePoint Now) {
-  Stored[Id] = {Version, Now};
+                                const std::string &Version,
+                                const RecordPosition &Position, TimePoint Now) {
+  const auto Known = Stored.find(Id);
+  const bool IsOlder = Known != Stored.end() &&
+                       Known->second.Position.Writer == Position.Writer &&
+                       Known->second.Position.Number > Position.Number;
+  if (!IsOlder)
+    Stored[Id] = {Version, Now, Position};
 }
 
 std::optional<std::string> StreamVersions::find(const Records &In,
