Overload: a priority that is served too seldom is owed the next dispatch

ServedShares knows for each priority how many requests came and were dispatched in the last 2 s. While a priority misses a whole request of a third of the share of all, the first of its requests goes before all others, except into promised room, and is not refused for its expected wait.

--- a/include/hyssoprail/routing/arrival_rates.hpp
+++ b/include/hyssoprail/routing/arrival_rates.hpp
@@ -7,12 +7,17 @@
 
 namespace hyssoprail::routing {
 
-/// Work that arrives at a service, by priority, in tokens per second, averaged
-/// over about a second. Load pattern: surges that begin and end within seconds.
+/// Work that arrives at a service, by priority, in tokens (or requests) per
+/// second, averaged over about \p Averaging. Load pattern: surges that begin
+/// and end within seconds.
 class ArrivalRates {
 public:
+  explicit ArrivalRates(Duration Averaging) : Averaging(Averaging) {}
+
   void record(int Priority, double Tokens, TimePoint At);
 
+  double of(int Priority, TimePoint Now) const;
+
   /// Rate of all priorities that are more urgent than \p Priority.
   double moreUrgentThan(int Priority, TimePoint Now) const;
 
@@ -22,9 +27,11 @@
   struct Rate {
     double PerSecond = 0;
     TimePoint At{};
-    double at(TimePoint Now) const;
   };
 
+  double rateAt(const Rate &R, TimePoint Now) const;
+
+  const Duration Averaging;
   std::map<int, Rate> ByPriority;
 };
 
--- a/include/hyssoprail/routing/stream_scheduler.hpp
+++ b/include/hyssoprail/routing/stream_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "hyssoprail/routing/endpoint_table.hpp"
 #include "hyssoprail/routing/overload_policy.hpp"
 #include "hyssoprail/routing/return_schedule.hpp"
+#include "hyssoprail/routing/served_shares.hpp"
 #include "hyssoprail/routing/stage_planner.hpp"
 #include "hyssoprail/routing/stream_admission.hpp"
 
@@ -166,7 +167,10 @@
 
   /// What the overload policy keeps of a service between decisions.
   struct OverloadState {
-    ArrivalRates Arrivals;
+    /// In tokens, averaged over half of the time in which requests must be on
+    /// time again after a surge.
+    ArrivalRates Arrivals{std::chrono::seconds(1)};
+    ServedShares Shares;
     ReturnSchedule Returns;
     /// Dispatches since the last turn of the longest waiting request. A turn
     /// takes OverloadPolicy::FairTurn - 1 of them.
--- a/src/hyssoprail/routing/stream_scheduler.cpp
+++ b/src/hyssoprail/routing/stream_scheduler.cpp
@@ -30,9 +30,13 @@
 // ---- Queue ----------------------------------------------------------------
 
 void StreamScheduler::submit(StreamRequest Request) {
-  if (Options.Overload != OverloadMode::Arrival && !Request.Began)
-    Overloads[Request.Service].Arrivals.record(
-        Request.Priority, requiredKvTokens(Request), Request.Arrival);
+  if (Options.Overload != OverloadMode::Arrival && !Request.Began) {
+    OverloadState &State = Overloads[Request.Service];
+    State.Arrivals.record(Request.Priority, requiredKvTokens(Request),
+                          Request.Arrival);
+    if (!Request.IsRetry)
+      State.Shares.arrived(Request.Priority, Request.Arrival);
+  }
   Queued Q{std::move(Request), ++LastSerial, std::nullopt};
   const StreamRequest &R = Q.Request;
   const auto State = Overloads.find(R.Service);
--- a/src/hyssoprail/routing/stream_scheduler_overload.cpp
+++ b/src/hyssoprail/routing/stream_scheduler_overload.cpp
@@ -1,6 +1,7 @@
 // The part of StreamScheduler that decides by OverloadPolicy.
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -94,8 +95,10 @@
   }
 
   void run(std::vector<StreamDecision> &Out, std::vector<std::string> &Done) {
-    for (const std::size_t I :
-         OverloadPolicy::order(Inputs, Capacity.TimeToFirstEvent, Now)) {
+    const std::vector<std::size_t> Order =
+        OverloadPolicy::order(Inputs, Capacity.TimeToFirstEvent, Now);
+    serveOwed(Order, Out);
+    for (const std::size_t I : Order) {
       serveLongestWaiting(Out);
       if (!Decided[I])
         decide(I, Out);
@@ -176,6 +179,25 @@
     }
   }
 
+  /// Serves the first request of each priority that is owed a dispatch, before
+  /// all others, but for room that is promised. One that fits nowhere waits for
+  /// the next room.
+  void serveOwed(const std::vector<std::size_t> &Order,
+                 std::vector<StreamDecision> &Out) {
+    std::set<int> Seen;
+    for (const std::size_t I : Order) {
+      const int Priority = Queue[I]->Request.Priority;
+      if (!Seen.insert(Priority).second || !State.Shares.isOwed(Priority, Now))
+        continue;
+      if (!tryPlace(I, Out, false))
+        Owed.push_back(I);
+    }
+  }
+
+  bool isOwed(std::size_t I) const {
+    return std::find(Owed.begin(), Owed.end(), I) != Owed.end();
+  }
+
   void keepEngineFor(std::size_t I) {
     const std::size_t MaxKept = std::max<std::size_t>(
         1, static_cast<std::size_t>(
@@ -252,6 +274,7 @@
         if (Other != I)
           State.PassedOver.insert(Queue[Other]->Request.Id);
     }
+    State.Shares.served(Queue[I]->Request.Priority, Now);
     State.LastDispatchedArrival =
         std::max(State.LastDispatchedArrival, Inputs[I].Arrival);
   }
@@ -295,7 +318,8 @@
     const Duration Wait = expectedWait(I, Tokens);
     if (Now + MinServiceTime >= Request.GiveUpAt)
       return refuse(I, StreamRefusalReason::WaitedTooLong, Wait, Out);
-    if (!hasKeptEngine(I) && OverloadPolicy::mustRefuse(Inputs[I], Wait, Now))
+    if (!hasKeptEngine(I) && !isOwed(I) &&
+        OverloadPolicy::mustRefuse(Inputs[I], Wait, Now))
       return refuse(I, StreamRefusalReason::QueueTooLong, Wait, Out);
     AheadTokens += Tokens;
     ++AheadRequests;
@@ -328,6 +352,7 @@
   /// Requests with the engines that are kept free for them.
   std::vector<std::pair<std::size_t, const Endpoint *>> Kept;
   std::vector<std::size_t> Missed; ///< had their turn but fit nowhere
+  std::vector<std::size_t> Owed;   ///< of serveOwed(), fit nowhere
   std::vector<PromisedRoom> Promises;
   std::int64_t AheadTokens = 0;
   std::size_t AheadRequests = 0;
