--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -83,11 +83,18 @@
     --State->BusyConnections;
 }
 
+/// The kernel closes the connections of a process that is killed in the same
+/// way, so it is told as soon as the response begins.
+void HttpSession::setResetOnClose(bool Now) {
+  if (std::exchange(ResetOnClose, Now) == Now)
+    return;
+  Code Ignored;
+  Socket.set_option(asio::socket_base::linger(Now, 0), Ignored);
+}
+
 void HttpSession::close() {
   setBusy(false);
   Code Ignored;
-  if (ResetOnClose)
-    Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   Socket.close(Ignored);
   Signal.cancel();
   Timer.cancel();
@@ -125,7 +132,7 @@
     Exchange->complete();
   }
   Linger = false;
-  ResetOnClose = ResponseBegun;
+  setResetOnClose(ResponseBegun);
   if (ResponseBegun)
     co_return;
   HttpResponse Response = errorResponse(requestFailed());
@@ -193,12 +200,12 @@
     ServerExchange::Update Update = Exchange.takeUpdate();
     // Without chunked framing, a normal close would make the response look
     // complete, so it is reset unless its last write succeeds.
-    ResetOnClose = !Chunked && (HeadSent || Update.Started);
+    setResetOnClose(!Chunked && (HeadSent || Update.Started));
     if (Update.Disconnected || Update.Overflowed ||
         (Update.Aborted && Update.FullResponse))
       co_return false;
     if (Update.FullResponse) {
-      ResetOnClose = false; // it has a Content-Length
+      setResetOnClose(false); // it has a Content-Length
       co_return co_await writeComplete(Exchange.head(), KeepAlive, Version,
                                        HeadOnly);
     }
@@ -219,7 +226,7 @@
       co_return false;
     }
     if (Update.Finished) {
-      ResetOnClose = false;
+      setResetOnClose(false);
       Linger = true;
       co_return Chunked;
     }
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -127,6 +127,7 @@
   std::shared_ptr<ServerExchange> makeExchange(Incoming &In);
   bool decideKeepAlive(bool Requested);
   bool hasNextRequest() const;
+  void setResetOnClose(bool Now);
   void setBusy(bool Now);
   void wakeResponse();
   /// What a look at the socket tells of a client that waits for a response.
