--- a/include/hyssoprail/routing/fleet_config.hpp
+++ b/include/hyssoprail/routing/fleet_config.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "hyssoprail/core/clock.hpp"
+#include "hyssoprail/routing/request_info.hpp"
 
 namespace hyssoprail::routing {
 
@@ -108,6 +109,11 @@
 /// and fixed for one request, so its retries go to the same service.
 const std::string &chooseService(const RoutePolicy &Route, std::uint64_t Hash);
 
+/// Chooses a service of \p Route for a request. A stream that its caller takes
+/// up goes to the service of the attempt that began it.
+const std::string &serviceFor(const RoutePolicy &Route,
+                              const RequestInfo &Request);
+
 } // namespace hyssoprail::routing
 
 #endif // HYSSOPRAIL_ROUTING_FLEET_CONFIG_HPP
--- a/src/hyssoprail/gateway/gateway_runtime_requests.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_requests.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "hyssoprail/core/hash.hpp"
 #include "hyssoprail/gateway/gateway_runtime.hpp"
 #include "hyssoprail/routing/request_fingerprint.hpp"
 
@@ -261,7 +260,7 @@
   FlowRequest R;
   R.SessionId = std::to_string(NextSessionKey);
   R.Route = Route;
-  R.Service = chooseService(Route, stableHash(Accepted.Info.Id));
+  R.Service = serviceFor(Route, Accepted.Info);
   if (Account)
     R.Account = Account->Name;
   R.Priority =
--- a/src/hyssoprail/routing/fleet_config.cpp
+++ b/src/hyssoprail/routing/fleet_config.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "hyssoprail/core/hash.hpp"
+
 namespace hyssoprail::routing {
 
 std::string normalizeHost(std::string_view Host) {
@@ -54,4 +56,12 @@
   return Route.Services.back().Service;
 }
 
+const std::string &serviceFor(const RoutePolicy &Route,
+                              const RequestInfo &Request) {
+  const bool Continues = Route.Kind == RouteKind::Stream && Route.Resumable &&
+                         Request.Resumes && !Request.FirstAttempt.empty();
+  return chooseService(
+      Route, stableHash(Continues ? Request.FirstAttempt : Request.Id));
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/fleet_config_test.cpp
+++ b/src/hyssoprail/routing/fleet_config_test.cpp
@@ -1,5 +1,7 @@
 #include "hyssoprail/routing/fleet_config.hpp"
 
+#include <set>
+
 #include <catch2/catch.hpp>
 
 namespace hyssoprail::routing {
@@ -48,4 +50,40 @@
   REQUIRE(chooseService(R, UINT64_MAX) == "new");
 }
 
+// Guards against a stream whose second part comes from another service: the
+// caller takes it up with an attempt of its own id.
+TEST_CASE("a stream that is taken up goes on at the service that began it") {
+  RoutePolicy R = route("split", "/a/");
+  R.Services = {{"old", 50}, {"new", 50}};
+  R.Kind = RouteKind::Stream;
+  R.Resumable = true;
+  RequestInfo First;
+  RequestInfo Again;
+  Again.Resumes = true;
+  for (int I = 0; I < 100; ++I) {
+    First.Id = "attempt-" + std::to_string(I);
+    Again.Id = "again-" + std::to_string(I);
+    Again.FirstAttempt = First.Id;
+    CHECK(serviceFor(R, Again) == serviceFor(R, First));
+  }
+}
+
+// Guards against a caller who chooses the service of requests that begin anew.
+TEST_CASE("only a stream that is taken up is bound to an earlier attempt") {
+  RoutePolicy R = route("split", "/a/");
+  R.Services = {{"old", 50}, {"new", 50}};
+  for (const RouteKind Kind : {RouteKind::IdempotentCall, RouteKind::Stream}) {
+    R.Kind = Kind;
+    std::set<std::string> Chosen;
+    for (int I = 0; I < 100; ++I) {
+      RequestInfo Info;
+      Info.Id = "again-" + std::to_string(I);
+      Info.Resumes = Kind != RouteKind::Stream;
+      Info.FirstAttempt = "attempt";
+      Chosen.insert(serviceFor(R, Info));
+    }
+    CHECK(Chosen.size() == 2);
+  }
+}
+
 } // namespace hyssoprail::routing
