--- a/include/hyssoprail/routing/event_splitter.hpp
+++ b/include/hyssoprail/routing/event_splitter.hpp
@@ -10,8 +10,9 @@
 
 /// One complete server-sent event, unparsed.
 struct StreamEvent {
-  std::optional<std::uint64_t> Id; ///< value of the "id" field
+  std::optional<std::uint64_t> Id; ///< value of the "id" field, if a number
   std::string Bytes;               ///< including the blank line that ends it
+  bool HasData = false; ///< a "data" field, so that it is a piece of the stream
   /// It has text, but no line of it is a field or a comment: most likely it is
   /// part of another kind of response.
   bool IsForeignText = false;
--- a/include/hyssoprail/routing/stream_progress.hpp
+++ b/include/hyssoprail/routing/stream_progress.hpp
@@ -16,7 +16,10 @@
 public:
   /// The caller has received the events up to id \p Event by an earlier
   /// request.
-  void resumeAfter(std::uint64_t Event) { LastEventId = Event; }
+  void resumeAfter(std::uint64_t Event) {
+    LastEventId = Event;
+    MayRepeat = true;
+  }
 
   /// Prepares for the stream of another engine and discards an incomplete event
   /// of the previous one. \p EndIsCertain: the engine tells where its stream
@@ -46,6 +49,10 @@
   /// True if the current engine has sent an event that was new to the caller.
   bool gotNewEvent() const { return GotNewEvent; }
 
+  /// True if another engine can be told where to go on: each piece that the
+  /// caller has received has an id, greater than the ids before it.
+  bool canContinue() const { return !HasUnnamedPiece; }
+
   /// Number of events that were passed on.
   std::uint64_t events() const { return Events; }
 
@@ -56,6 +63,7 @@
 
 private:
   bool isNew(const StreamEvent &Event);
+  void notePassed(const StreamEvent &Event);
 
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEventId;
@@ -65,6 +73,12 @@
   bool Continues = false;
   bool EndIsCertain = false;   ///< of the current engine's stream
   bool HasForeignText = false; ///< of the engine that continues the stream
+  /// The current engine should continue and has sent no new id yet.
+  bool MayRepeat = false;
+  /// The last id was one that the caller has received.
+  bool Repeats = false;
+  /// The caller has received a piece without an id that tells its place.
+  bool HasUnnamedPiece = false;
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/event_splitter.cpp
+++ b/src/hyssoprail/routing/event_splitter.cpp
@@ -42,6 +42,15 @@
   return std::nullopt;
 }
 
+bool hasData(std::string_view Event) {
+  while (!Event.empty()) {
+    const std::string_view Line = takeLine(Event);
+    if (Line.substr(0, Line.find(':')) == "data")
+      return true;
+  }
+  return false;
+}
+
 /// A comment has an empty name.
 constexpr std::array<std::string_view, 5> FieldNames{"data", "id", "event",
                                                      "retry", ""};
@@ -80,6 +89,7 @@
   StreamEvent Event;
   Event.Bytes = Pending.substr(0, End);
   Event.Id = eventId(Event.Bytes);
+  Event.HasData = hasData(Event.Bytes);
   Event.IsForeignText = isForeignText(Event.Bytes);
   Pending.erase(0, End);
   return Event;
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -386,7 +386,8 @@
 
 void StreamFlow::resumeElsewhere(std::string_view Cause, TimePoint Now) {
   ++FailedRuns;
-  const bool Allowed = resumable() && FailedRuns < Request.Route.MaxAttempts &&
+  const bool Allowed = resumable() && Progress.canContinue() &&
+                       FailedRuns < Request.Route.MaxAttempts &&
                        DecodeLegs < MaxDecodeLegs && Crashes.mayRunAgain() &&
                        !Version.isBarred();
   Io.logDecision("continue",
@@ -407,7 +408,7 @@
   const EngineFilter MayUse = [&](const std::string &Id) {
     return Id != DecodeEndpoint && takesWork(Id, Now);
   };
-  return FailedRuns + 1 < Request.Route.MaxAttempts &&
+  return Progress.canContinue() && FailedRuns + 1 < Request.Route.MaxAttempts &&
          DecodeLegs < MaxDecodeLegs &&
          Shared.Retries.available(Request.Service, Now) &&
          Shared.Admission.hasRoom(
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -376,4 +376,49 @@
   REQUIRE(B.Io.FinalAnswers == 1);
 }
 
+// Guards against pieces of two runs in one response: without ids an engine
+// cannot be told where the stream goes on, and begins anew.
+TEST_CASE("a stream is not continued after events without ids") {
+  for (const std::string Unnamed :
+       {"data: b\n\n", "id: e-2\ndata: b\n\n", "id: 2-1\ndata: b\n\n",
+        "id: -2\ndata: b\n\n", "id: 99999999999999999999\ndata: b\n\n"}) {
+    CAPTURE(Unnamed);
+    StreamFixture B;
+    const auto F = B.startedStream(true);
+    F->onStreamData(2, Unnamed, B.Now);
+    F->onStreamEnd(2, false, B.Now);
+    B.poll(*F);
+    CHECK(B.Io.Legs.size() == 2);
+    CHECK(B.Io.Aborted);
+    CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\n" + Unnamed);
+  }
+}
+
+// Guards against streams that are broken off although nothing came twice:
+// comments and fields without data are no pieces of a stream.
+TEST_CASE("a stream is continued after comments and other fields") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2, ": alive\n\nretry: 100\n\nid: 2\n\n", B.Now);
+  F->onStreamEnd(2, false, B.Now);
+  B.poll(*F);
+  B.answer(*F, 3, answered(200, "handle-2"));
+  REQUIRE(B.Io.Legs.size() == 4);
+  CHECK(B.leg(4).ResumeAfter == 2);
+}
+
+// Guards against a second run beside the first one of a stream that can only
+// begin anew.
+TEST_CASE("a silent engine is not replaced after events without ids") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2, "data: b\n\n", B.Now);
+  for (int I = 0; I < 20 && !F->done() && B.Io.Legs.size() == 2; ++I) {
+    B.Now = F->nextDeadline();
+    F->onTimer(B.Now);
+    B.poll(*F);
+  }
+  CHECK(B.Io.Legs.size() == 2);
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_progress.cpp
+++ b/src/hyssoprail/routing/stream_progress.cpp
@@ -7,7 +7,8 @@
   Splitter = {};
   GotNewEvent = false;
   HasForeignText = false;
-  Continues = LastEventId.has_value();
+  Repeats = false;
+  Continues = MayRepeat = LastEventId.has_value();
 }
 
 std::string StreamProgress::feed(std::string_view Data) {
@@ -24,13 +25,22 @@
   return Ready;
 }
 
+/// An event without an id belongs to the one before it. What follows the first
+/// new id is passed on as the engine sent it.
 bool StreamProgress::isNew(const StreamEvent &Event) {
-  if (!Event.Id)
-    return true;
-  if (LastEventId && *Event.Id <= *LastEventId)
+  if (Event.Id && MayRepeat)
+    MayRepeat = Repeats = *Event.Id <= *LastEventId;
+  if (Repeats)
     return false;
-  LastEventId = Event.Id;
+  notePassed(Event);
   return true;
 }
 
+void StreamProgress::notePassed(const StreamEvent &Event) {
+  if (Event.Id && (!LastEventId || *Event.Id > *LastEventId))
+    LastEventId = Event.Id;
+  else if (Event.HasData || Event.IsForeignText)
+    HasUnnamedPiece = true;
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/stream_progress_test.cpp
+++ b/src/hyssoprail/routing/stream_progress_test.cpp
@@ -55,6 +55,18 @@
   CHECK(P.atEventEnd());
 }
 
+// Guards against a piece that comes twice: an engine that ignores where the
+// stream goes on begins anew, with events that have no ids between the others.
+TEST_CASE("events without ids are not repeated with those before them") {
+  StreamProgress P;
+  P.resumeAfter(2);
+  P.restart();
+  CHECK(
+      P.feed("id: 1\ndata: a\n\ndata: between\n\nid: 2\ndata: b\n\n").empty());
+  CHECK(P.feed(": alive\n\nid: 3\ndata: c\n\ndata: end\n\n") ==
+        "id: 3\ndata: c\n\ndata: end\n\n");
+}
+
 // Guards against a missing piece: ids that only begin with the same number are
 // not the same.
 TEST_CASE("ids that are no numbers do not make events old") {
@@ -65,4 +77,17 @@
   CHECK(P.lastEventId() == 7);
 }
 
+// Guards against a missing piece: a single engine's events are passed on
+// whatever their ids are, but no other engine can go on after them.
+TEST_CASE("ids that do not grow do not make events old") {
+  for (const std::string Next : {"id: 2\n", "id: 1\n", "id: 0\n"}) {
+    CAPTURE(Next);
+    StreamProgress P;
+    P.restart();
+    const std::string Stream = "id: 2\ndata: a\n\n" + Next + "data: b\n\n";
+    CHECK(P.feed(Stream) == Stream);
+    CHECK_FALSE(P.canContinue());
+  }
+}
+
 } // namespace hyssoprail::routing
