--- a/src/hyssoprail/routing/event_splitter.cpp
+++ b/src/hyssoprail/routing/event_splitter.cpp
@@ -7,13 +7,19 @@
 namespace hyssoprail::routing {
 namespace {
 
+constexpr std::string_view LineEndCharacters = "\r\n";
+
+/// Returns the position after the line end at \p At.
+std::size_t afterLineEnd(std::string_view Text, std::size_t At) {
+  return At + (Text.substr(At).starts_with("\r\n") ? 2 : 1);
+}
+
 /// Removes the first line from \p Text and returns it without its end.
 std::string_view takeLine(std::string_view &Text) {
-  const std::size_t End = Text.find('\n');
-  std::string_view Line = Text.substr(0, End);
-  Text.remove_prefix(End == std::string_view::npos ? Text.size() : End + 1);
-  if (Line.ends_with('\r'))
-    Line.remove_suffix(1);
+  const std::size_t End = Text.find_first_of(LineEndCharacters);
+  const std::string_view Line = Text.substr(0, End);
+  Text.remove_prefix(End == std::string_view::npos ? Text.size()
+                                                   : afterLineEnd(Text, End));
   return Line;
 }
 
@@ -69,15 +75,21 @@
   return HasText;
 }
 
-/// Returns the position after the first blank line, or npos.
+/// Returns the position after the first blank line, or npos. A line ends with
+/// LF, CRLF or CR.
 std::size_t endOfEvent(std::string_view Text) {
-  const std::size_t LfEnd = Text.find("\n\n");
-  const std::size_t CrlfEnd = Text.find("\r\n\r\n");
-  if (LfEnd == std::string_view::npos && CrlfEnd == std::string_view::npos)
-    return std::string_view::npos;
-  if (LfEnd < CrlfEnd)
-    return LfEnd + 2;
-  return CrlfEnd + 4;
+  std::size_t At = Text.find_first_of(LineEndCharacters);
+  while (At != std::string_view::npos) {
+    const std::size_t Next = afterLineEnd(Text, At);
+    const std::string_view Rest = Text.substr(Next);
+    const bool MayBeHalf = Rest == "\r" && Text[Next - 1] == '\n';
+    if (MayBeHalf)
+      return std::string_view::npos;
+    if (Rest.starts_with('\n') || Rest.starts_with('\r'))
+      return afterLineEnd(Text, Next);
+    At = Text.find_first_of(LineEndCharacters, Next);
+  }
+  return At;
 }
 
 } // namespace
--- a/src/hyssoprail/routing/stream_progress_test.cpp
+++ b/src/hyssoprail/routing/stream_progress_test.cpp
@@ -90,4 +90,28 @@
   }
 }
 
+// Guards against an event that comes twice in a continuation: two events that
+// are taken for one have the id of the first.
+TEST_CASE("events with any line ends have ids of their own") {
+  const std::vector<std::pair<std::string, std::string>> Ends{
+      {"\n", "\n"},   {"\n", "\r\n"}, {"\r\n", "\r\n"},
+      {"\r\n", "\n"}, {"\r", "\r"},   {"\r", "\r\n"}};
+  for (const auto &[End, Blank] : Ends) {
+    CAPTURE(End, Blank);
+    StreamProgress P;
+    const std::string First = "id: 1" + End + "data: a" + End + Blank;
+    const std::string Second = "id: 2" + End + "data: b" + End + Blank;
+    std::string Received;
+    for (const char Byte : First + Second)
+      Received += P.feed(std::string_view(&Byte, 1));
+    CHECK(P.lastEventId() == 2);
+    CHECK(P.atEventEnd());
+    CHECK(Received + P.rest() == First + Second);
+    P.restart();
+    Received = P.feed(First + Second + "id: 3" + End + End);
+    CHECK(Received.find("data") == std::string::npos);
+    CHECK(P.lastEventId() == 3);
+  }
+}
+
 } // namespace hyssoprail::routing
