--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "hyssoprail/routing/leg_health_signal.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 
@@ -12,9 +14,11 @@
 namespace {
 
 /// True if the last chunk tells the end of the stream. A length of 0 does not:
-/// an error without text looks the same.
+/// an error without text looks the same. With another encoding than chunks the
+/// response ends with its connection.
 bool endsWithChunk(const HttpResponse &Head) {
-  return !headerValue(Head.Headers, "Transfer-Encoding").empty();
+  return boost::algorithm::iends_with(
+      headerValue(Head.Headers, "Transfer-Encoding"), "chunked");
 }
 
 /// A prefill and a decode.
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -421,4 +421,23 @@
   CHECK(B.Io.Legs.size() == 2);
 }
 
+// Guards against a stream that ends before its last event: an encoding other
+// than chunks has no last chunk, so the end of the connection is all that such
+// a response has.
+TEST_CASE("only chunks tell the end of a continued stream without events") {
+  for (const std::string Encoding : {"identity", "gzip", "chunked, gzip"}) {
+    CAPTURE(Encoding);
+    StreamFixture B;
+    const auto F = B.startedStream(true);
+    F->onStreamEnd(2, false, B.Now);
+    B.poll(*F);
+    B.answer(*F, 3, answered(200, "handle-2"));
+    HttpResponse Head = head();
+    Head.Headers.push_back({"Transfer-Encoding", Encoding});
+    F->onStreamHead(4, Head, B.Now);
+    F->onStreamEnd(4, true, B.Now);
+    CHECK(B.Io.Aborted);
+  }
+}
+
 } // namespace hyssoprail::routing
