--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -43,7 +43,7 @@
                    : nullptr,
                this->Request.Service),
       PlacementId(placementId(this->Request.SessionId, Placements)) {
-  if (this->Request.Info.Resumes)
+  if (this->Request.Info.Resumes && resumable())
     Progress.resumeAfter(this->Request.Info.LastEventId);
 }
 
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -440,4 +440,23 @@
   }
 }
 
+// Guards against a part of another run: a route that is not resumable runs a
+// request anew, whatever event its caller names.
+TEST_CASE("a stream that cannot be resumed is passed on as it is") {
+  StreamFixture B;
+  FlowRequest R = B.stream(false);
+  R.Info.Resumes = true;
+  R.Info.LastEventId = 2;
+  const auto F = B.startStream(std::move(R));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  const std::string Whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                            "id: 3\ndata: c\n\n";
+  CHECK_FALSE(B.leg(2).ResumeAfter.has_value());
+  F->onStreamHead(2, head(), B.Now);
+  F->onStreamData(2, Whole, B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  CHECK(B.Io.Forwarded == Whole);
+  CHECK_FALSE(B.Io.Aborted);
+}
+
 } // namespace hyssoprail::routing
