Events before one that is too long are passed on (ORDER)

Whole events that were read together with the beginning of an event of over 256 KiB counted as received but were not passed on, so they were missing after the stream had gone on elsewhere. Reads of engines are 4 KiB long, which hides it: no caller can have seen it so far.

They are passed on before the run ends.

--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -186,17 +186,21 @@
     return;
   const std::uint64_t EventsBefore = Progress.events();
   const std::string NewEvents = Progress.feed(Data);
+  if (!NewEvents.empty())
+    passOn(NewEvents, Progress.events() - EventsBefore, Now);
+  // The events before count as received.
   if (Progress.eventTooLong())
-    return onOversizedEvent(Now);
-  if (NewEvents.empty())
-    return;
+    onOversizedEvent(Now);
+}
+
+void StreamFlow::passOn(std::string_view NewEvents, std::uint64_t Count,
+                        TimePoint Now) {
   LastProgressAt = Now;
   if (!ActiveRun.FirstEvent)
     ActiveRun.FirstEvent = Now - ActiveRun.BeganAt;
   Version.keepVersion(DecodeVersion);
-  const std::uint64_t Events = Progress.events() - EventsBefore;
-  Crashes.received(Events, Now);
-  Work.received(Events * Request.EventTokens, Events, Now);
+  Crashes.received(Count, Now);
+  Work.received(Count * Request.EventTokens, Count, Now);
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
   if (!StreamStarted)
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -201,6 +201,7 @@
   void forgetSilentRun(TimePoint Now);
 
   /// The engine sends data that is not a valid event stream.
+  void passOn(std::string_view NewEvents, std::uint64_t Count, TimePoint Now);
   void onOversizedEvent(TimePoint Now);
 
   /// Ends the request, as engines crash under its prompt.
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -421,6 +421,22 @@
   CHECK(B.Io.Legs.size() == 2);
 }
 
+// Guards against a missing piece: whole events before one that is too long
+// count as received, so the caller must get them.
+TEST_CASE("events before one that is too long are passed on") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2,
+                  "id: 2\ndata: b\n\nid: 3\ndata: " +
+                      std::string(std::size_t{300} * 1024, 'x'),
+                  B.Now);
+  B.poll(*F);
+  CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  B.answer(*F, 3, answered(200, "handle-2"));
+  REQUIRE(B.Io.Legs.size() == 4);
+  CHECK(B.leg(4).ResumeAfter == 2);
+}
+
 // Guards against a stream that ends before its last event: an encoding other
 // than chunks has no last chunk, so the end of the connection is all that such
 // a response has.
