--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -18,6 +18,9 @@
 /// How an upstream exchange ended.
 enum class UpstreamEnd {
   Complete, ///< a complete response with valid framing arrived
+  Closed,   ///< the response has neither length nor chunks, and the connection
+            ///< was closed after it: all that was sent has arrived, but the
+            ///< endpoint may have ended in the middle of it
   NotSent,  ///< no connection: nothing reached the endpoint
   Broken,   ///< the connection failed or the response was invalid
   TimedOut, ///< no complete response head before the timeout
@@ -80,11 +83,11 @@
 };
 
 /// HTTP/1.1 client for endpoints that may be faulty: a response is accepted
-/// only if its framing is complete, a connection is reused only if no data
-/// followed the last response, and late responses to earlier requests are
-/// skipped. A request is never sent twice. An idle connection is closed when
-/// the endpoint closes it or sends on it, and when its time is over. Must be
-/// used on the thread of its io_context.
+/// only if its framing is complete or it has none, a connection is reused only
+/// if no data followed the last response, and late responses to earlier
+/// requests are skipped. A request is never sent twice. An idle connection is
+/// closed when the endpoint closes it or sends on it, and when its time is
+/// over. Must be used on the thread of its io_context.
 class UpstreamClient {
 public:
   virtual ~UpstreamClient() = default;
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -225,7 +225,7 @@
 
   /// A reset of the connection shows in the write if the request is still being
   /// written; the read then ends as if the endpoint had closed. So a response
-  /// that ends with its connection is complete only if the write succeeds.
+  /// that ends with its connection is whole only if the write succeeds.
   void onResponseComplete() {
     if (Ended)
       return;
@@ -246,8 +246,9 @@
       keepConnection();
     else
       closeActive();
-    end(UpstreamEnd::Complete,
-        ResponseParser->need_eof() ? "ended with its connection" : "");
+    if (ResponseParser->need_eof())
+      return end(UpstreamEnd::Closed, "ended with its connection");
+    end(UpstreamEnd::Complete, "");
   }
 
   /// Returns the connection to the pool unless data follows the response or the
@@ -273,7 +274,7 @@
     if (Ended)
       return;
     Ended = true;
-    if (End != UpstreamEnd::Complete) {
+    if (End != UpstreamEnd::Complete && End != UpstreamEnd::Closed) {
       closeActive();
       Connections->drop(Peer);
     }
--- a/src/hyssoprail/connection/upstream_client_test.cpp
+++ b/src/hyssoprail/connection/upstream_client_test.cpp
@@ -127,7 +127,7 @@
       {{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc", true}});
   Sender S;
   const Outcome O = S.send(Server.authority(), "1");
-  REQUIRE(O.End == UpstreamEnd::Complete);
+  REQUIRE(O.End == UpstreamEnd::Closed);
   REQUIRE(O.Body == "abc");
 }
 
@@ -157,6 +157,7 @@
     const Outcome O =
         S.send(Server.authority(), "1", std::chrono::milliseconds(1'500));
     CHECK(O.End != UpstreamEnd::Complete);
+    CHECK(O.End != UpstreamEnd::Closed);
     CHECK(O.Body.empty());
     CHECK(testing::waitUntil([&] { return Server.closed(); }));
     CHECK(Server.sentBytes() < 8'000'000);
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -53,9 +53,9 @@
   }
 }
 
-// As above, for an answer that ends with its connection: it is complete as soon
-// as its head is, and what was sent must arrive.
-TEST_CASE("an answer without framing is complete if its head is") {
+// As above, for an answer that ends with its connection: nothing tells whether
+// it is whole, so it never counts as complete, and what was sent must arrive.
+TEST_CASE("an answer without framing is closed if its head is complete") {
   const std::string Body = "abcde";
   UpstreamSender S;
   for (const std::string Version : {"1", "0"}) {
@@ -66,7 +66,8 @@
       CAPTURE(Answer, Size);
       const UpstreamOutcome O = sendToCut(S, Answer, Size);
       const std::size_t HeadSize = Answer.size() - Body.size();
-      CHECK((O.End == UpstreamEnd::Complete) == (Size >= HeadSize));
+      CHECK(O.End ==
+            (Size >= HeadSize ? UpstreamEnd::Closed : UpstreamEnd::Broken));
       if (Size >= HeadSize)
         CHECK(O.Body == Body.substr(0, Size - HeadSize));
     }
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -29,6 +29,12 @@
   bool empty() const { return !Leaving && !Pause; }
 };
 
+/// Which incarnation of an endpoint has answered, as it states itself.
+struct EndpointIdentity {
+  std::string Id;
+  std::int64_t StartedAtMs = 0; ///< 0: it does not say
+};
+
 /// Converts between the HTTP messages of callers and endpoints and the types of
 /// the routing library. Stateless.
 class EndpointProtocol {
@@ -80,6 +86,18 @@
   virtual HttpRequest
   dropHandleRequest(const routing::KvSource &Source) const = 0;
 
+  /// Makes the request that asks who has the address \p Authority. No endpoint
+  /// runs anything for it; \p EndpointId answers it at once, with identity().
+  /// \p RequestId is its own id, \p Deadline the time for the answer.
+  virtual HttpRequest identityRequest(std::string_view EndpointId,
+                                      std::string_view Authority,
+                                      std::string_view RequestId,
+                                      milliseconds Deadline) const = 0;
+
+  /// Who gave the answer to an identityRequest(); nullopt if it does not say.
+  virtual std::optional<EndpointIdentity>
+  identity(const HttpResponse &Response) const = 0;
+
   /// Makes the request that orders an engine to change its stage. \p Fence is
   /// the fencing token of the order lease; it grows with each holder.
   virtual HttpRequest stageOrderRequest(std::string_view EndpointId,
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -237,6 +237,11 @@
   Hooks.OnLegStart = [this](const std::string &EndpointId) {
     Counters.counter("endpoint_sends", {{"endpoint", EndpointId}}).add();
   };
+  Hooks.RegisteredStart =
+      [this](const std::string &EndpointId) -> std::optional<std::int64_t> {
+    const routing::Endpoint *E = Table.find(EndpointId);
+    return E ? std::optional(E->Record.StartedAtMs) : std::nullopt;
+  };
   Hooks.OnLimitStatement = [this](const std::string &EndpointId,
                                   const LimitStatement &Statement) {
     onLimitStatement(EndpointId, Statement);
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -3,6 +3,9 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+#include "hyssoprail/core/hash.hpp"
 
 namespace hyssoprail::gateway {
 namespace {
@@ -20,12 +23,29 @@
 constexpr milliseconds EngineConnectTimeout{250};
 constexpr milliseconds DropHandleTimeout{1'000};
 
+/// An endpoint that lives answers at once; one that does not is not waited for.
+constexpr milliseconds EndpointCheckLimit{150};
+
 constexpr unsigned StatusInternalError = 500;
 constexpr unsigned StatusOutcomeUnknown = 502;
 constexpr std::string_view FailureReason = "internal_error";
 
+/// Id of the check after the leg \p Leg of the request \p RequestId. It is
+/// another one than that of any request, so an endpoint can't mix them up.
+std::string checkId(std::string_view RequestId, routing::FlowIo::LegId Leg) {
+  return fmt::format("{:016x}",
+                     stableHash(fmt::format("check {} {}", Leg, RequestId)));
+}
+
 } // namespace
 
+void RequestSession::Leg::cancel() const {
+  if (Exchange)
+    Exchange->cancel();
+  if (Check)
+    Check->cancel();
+}
+
 RequestSession::RequestSession(SessionServices Services, SessionHooks Hooks,
                                std::shared_ptr<HttpExchange> Caller,
                                routing::FlowRequest Request)
@@ -86,8 +106,7 @@
 void RequestSession::cancelAllLegs() {
   while (!Legs.empty()) {
     const Leg L = removeLeg(Legs.begin());
-    if (L.Exchange)
-      L.Exchange->cancel();
+    L.cancel();
   }
 }
 
@@ -170,6 +189,7 @@
   L.Kind = Spec.Kind;
   L.Buffered = MemoryReservation(Services.Memory);
   L.EndpointId = Spec.EndpointId;
+  L.EndpointAddress = Spec.Address;
   L.EndpointStartedAtMs = Spec.StartedAtMs;
   L.StartedAt = Services.Time.now();
   UpstreamCall Call;
@@ -285,6 +305,87 @@
 void RequestSession::onLegEnd(LegId Id, UpstreamEnd End,
                               const std::string &Detail) {
   const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  if (End != UpstreamEnd::Closed)
+    return endLeg(Id, End, Detail);
+  if (needsCheck(It->second))
+    return checkEnd(Id, It->second, Detail);
+  endLeg(Id, UpstreamEnd::Complete, Detail);
+}
+
+/// True if only the end of the connection tells where an answer for the caller
+/// ends. The head of a refusal says all, the document of a prefill is whole or
+/// can't be read, and an answer without signature is not passed on.
+bool RequestSession::needsCheck(const Leg &L) const {
+  if (L.Streaming)
+    return true;
+  if (L.Kind == LegKind::Prefill)
+    return false;
+  const HttpResponse Head{L.Response.Status, L.Response.Headers, ""};
+  return Services.Protocol.interpret(L.Kind, Head).Outcome ==
+         LegOutcome::Answered;
+}
+
+/// Asks the endpoint whether it lives. The flow is told of the end only then;
+/// its own timers go on and may cancel the leg.
+void RequestSession::checkEnd(LegId Id, Leg &L, const std::string &Detail) {
+  const auto Left = std::chrono::duration_cast<milliseconds>(
+      Request.AnswerBy - Services.Time.now());
+  EndpointCheckCall Call;
+  Call.EndpointId = L.EndpointId;
+  Call.Address = L.EndpointAddress;
+  Call.RequestId = checkId(Request.Info.Id, Id);
+  Call.Limit = std::clamp(Left, milliseconds(0), EndpointCheckLimit);
+  L.Check = std::make_shared<EndpointCheck>(
+      Services.Context, Services.Time, Services.Endpoints, Services.Protocol);
+  L.Check->start(std::move(Call), [Self = shared_from_this(), Id,
+                                   Detail](const EndpointCheckReport &Report) {
+    Self->run(Boundary::Answer, [&] { Self->onChecked(Id, Report, Detail); });
+  });
+}
+
+void RequestSession::onChecked(LegId Id, const EndpointCheckReport &Report,
+                               const std::string &Detail) {
+  const auto It = Legs.find(Id);
+  if (It == Legs.end())
+    return;
+  Leg &L = It->second;
+  const EndpointCheckResult Found = judge(L, Report);
+  L.Checked = Found;
+  const bool Lives = Found == EndpointCheckResult::Lives;
+  Services.Log.write(Lives ? LogCategory::Routine : LogCategory::Outcome,
+                     "end_check", Request.Info.Id,
+                     {{"endpoint", L.EndpointId},
+                      {"address", L.EndpointAddress},
+                      {"check", checkId(Request.Info.Id, Id)},
+                      {"found", endpointCheckResultName(Found)},
+                      {"detail", Report.Detail},
+                      {"answered_by", Report.AnsweredBy.Id},
+                      {"started_at_ms", L.EndpointStartedAtMs},
+                      {"answer_started_at_ms", Report.AnsweredBy.StartedAtMs},
+                      {"took_ms", Report.Took}});
+  endLeg(Id, Lives ? UpstreamEnd::Complete : UpstreamEnd::Broken, Detail);
+}
+
+/// An endpoint that has started again under its id since the request was sent
+/// is not the one that closed the connection.
+EndpointCheckResult
+RequestSession::judge(const Leg &L, const EndpointCheckReport &Report) const {
+  if (Report.Result != EndpointCheckResult::Lives)
+    return Report.Result;
+  const std::int64_t Expected = L.EndpointStartedAtMs;
+  const std::int64_t Stated = Report.AnsweredBy.StartedAtMs;
+  const std::int64_t Registered =
+      Hooks.RegisteredStart(L.EndpointId).value_or(Expected);
+  const bool SaysOther = Expected != 0 && Stated != 0 && Stated != Expected;
+  return SaysOther || Registered != Expected ? EndpointCheckResult::Restarted
+                                             : EndpointCheckResult::Lives;
+}
+
+void RequestSession::endLeg(LegId Id, UpstreamEnd End,
+                            const std::string &Detail) {
+  const auto It = Legs.find(Id);
   if (It == Legs.end())
     return;
   Leg L = removeLeg(It);
@@ -309,6 +410,8 @@
   switch (End) {
   case UpstreamEnd::Complete:
     Out = Services.Protocol.interpret(L.Kind, std::move(L.Response));
+    if (Out.Detail.empty())
+      Out.Detail = Detail;
     Out.ConnectedAt = L.Exchange->connectedAt();
     return Out;
   case UpstreamEnd::NotSent:
@@ -317,6 +420,7 @@
   case UpstreamEnd::TimedOut:
     Out.Outcome = LegOutcome::TimedOut;
     return Out;
+  case UpstreamEnd::Closed: // becomes complete or broken before
   case UpstreamEnd::Broken:
     break;
   }
@@ -336,6 +440,7 @@
        {"outcome", Outcome},
        {"status", Status},
        {"detail", Detail},
+       {"end_check", L.Checked ? endpointCheckResultName(*L.Checked) : ""},
        {"limit_per_s", L.Limit ? L.Limit->PerSecond.value_or(0) : 0},
        {"took_ms", Services.Time.now() - L.StartedAt}});
 }
@@ -345,8 +450,7 @@
   if (It == Legs.end())
     return;
   const Leg L = removeLeg(It);
-  if (L.Exchange)
-    L.Exchange->cancel();
+  L.cancel();
   logLegEnd(L, "cancelled", 0, "");
 }
 
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -12,6 +12,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/upstream_client.hpp"
 #include "hyssoprail/core/memory_account.hpp"
+#include "hyssoprail/gateway/endpoint_check.hpp"
 #include "hyssoprail/gateway/endpoint_protocol.hpp"
 #include "hyssoprail/gateway/handler_guard.hpp"
 #include "hyssoprail/process/decision_log.hpp"
@@ -67,6 +68,10 @@
   std::function<void(
       std::function<void(const std::optional<std::string> &Version)> OnDone)>
       FindVersion;
+  /// When the endpoint with this id has started, as it is registered now;
+  /// nullopt if it is not registered.
+  std::function<std::optional<std::int64_t>(const std::string &EndpointId)>
+      RegisteredStart;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -132,14 +137,20 @@
   struct Leg {
     routing::LegKind Kind = routing::LegKind::Call;
     std::string EndpointId;
+    std::string EndpointAddress;
     std::int64_t EndpointStartedAtMs = 0;
     TimePoint StartedAt{};
     std::shared_ptr<UpstreamExchange> Exchange;
+    /// Asks whether the endpoint lives, after a response without framing.
+    std::shared_ptr<EndpointCheck> Check;
+    std::optional<EndpointCheckResult> Checked;
     HttpResponse Response;
     MemoryReservation Buffered; ///< for Response
     bool HasHead = false;       ///< the head of the response has arrived
     bool Streaming = false;
     std::optional<LimitStatement> Limit; ///< what the response states
+
+    void cancel() const;
   };
 
   template <typename Decision>
@@ -179,6 +190,13 @@
   bool isPartOfStream(routing::LegKind Kind, const HttpResponse &Head) const;
   void onLegData(LegId Id, std::string_view Data);
   void onLegEnd(LegId Id, UpstreamEnd End, const std::string &Detail);
+  bool needsCheck(const Leg &L) const;
+  void checkEnd(LegId Id, Leg &L, const std::string &Detail);
+  void onChecked(LegId Id, const EndpointCheckReport &Report,
+                 const std::string &Detail);
+  EndpointCheckResult judge(const Leg &L,
+                            const EndpointCheckReport &Report) const;
+  void endLeg(LegId Id, UpstreamEnd End, const std::string &Detail);
   bool bufferResponse(Leg &L, std::string_view Data);
   Leg removeLeg(std::map<LegId, Leg>::iterator It);
   routing::LegResult makeLegResult(Leg &L, UpstreamEnd End,
