--- a/src/hyssoprail/connection/http_killed_server_test.cpp
+++ b/src/hyssoprail/connection/http_killed_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <csignal>
+#include <string>
 #include <utility>
 
 #include <catch2/catch.hpp>
@@ -21,7 +22,8 @@
 /// A server in a process of its own whose stream has begun and does not end.
 class ServerProcess {
 public:
-  ServerProcess() {
+  /// The stream begins with \p Sent.
+  explicit ServerProcess(std::string Sent = "part") : Sent(std::move(Sent)) {
     REQUIRE(::pipe(Ports.data()) == 0);
     Pid = ::fork();
     if (Pid == 0)
@@ -48,17 +50,22 @@
 private:
   [[noreturn]] void serve() {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    EchoServer S;
+    HttpServerOptions Options;
+    Options.MaxUnsentBytes = MaxUnsentBytes;
+    EchoServer S(Options);
     const std::uint16_t Number = S.port();
     if (::write(Ports[1], &Number, sizeof Number) != sizeof Number)
       ::_exit(1);
     const auto Exchange = S.held();
     Exchange->begin(200, {});
-    Exchange->write("part");
+    Exchange->write(Sent);
     for (;;)
       ::pause();
   }
 
+  static constexpr std::size_t MaxUnsentBytes = 64U << 20U;
+
+  const std::string Sent;
   std::array<int, 2> Ports{};
   pid_t Pid = -1;
   std::uint16_t Port = 0;
@@ -89,4 +96,23 @@
   CHECK(Client.readAll().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against a cut that a client with much left to read cannot see: data in
+// the kernel's buffers still arrives, or does not, when the process is gone.
+TEST_CASE("a client that reads slowly sees that its server was killed") {
+  const std::string Sent(12'000'000, 'x');
+  for (const std::string Version : {"1.0", "1.1"}) {
+    CAPTURE(Version);
+    ServerProcess Server(Sent);
+    RawSocket Client(Server.port());
+    Client.setReceiveBuffer(64 * 1024);
+    Client.send("GET /held HTTP/" + Version + "\r\nHost: a\r\n\r\n");
+    Client.readUntil("xxx");
+    Server.kill();
+    const std::string Rest = Client.readAll();
+    CHECK(Rest.size() < Sent.size());
+    CHECK_FALSE(Rest.ends_with("0\r\n\r\n"));
+    CHECK((Version == "1.1" || Client.wasReset()));
+  }
+}
+
 } // namespace hyssoprail
