--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -32,6 +32,10 @@
   /// Returns whether a response head belongs to this request. Others, such as
   /// late responses to earlier requests on a reused connection, are skipped.
   std::function<bool(const HttpResponse &Head)> MatchesRequest;
+  /// Returns whether a response head names a request. One that names none may
+  /// belong to an earlier request, so it ends the exchange as broken if there
+  /// was one on the connection. Not set: responses name no requests.
+  std::function<bool(const HttpResponse &Head)> NamesRequest;
   std::function<void(HttpResponse Head)> OnHead;
   std::function<void(std::string_view Data)> OnData;
   std::function<void(UpstreamEnd End, std::string Detail)> OnEnd;
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -181,6 +181,9 @@
       if (++SkippedResponses > MaxSkippedResponses ||
           ResponseParser->need_eof())
         return end(UpstreamEnd::Broken, "received responses to other requests");
+    } else if (mayBelongToEarlier(Head)) {
+      return end(UpstreamEnd::Broken,
+                 "the response names no request, and there were earlier ones");
     } else {
       if (Handlers.OnEnd)
         Active->Stream.expires_never();
@@ -191,6 +194,11 @@
       readBody();
   }
 
+  bool mayBelongToEarlier(const HttpResponse &Head) const {
+    return Active->SentIds.size() > 1 && Handlers.NamesRequest &&
+           !Handlers.NamesRequest(Head);
+  }
+
   void readBody() {
     if (ResponseParser->is_done())
       return onResponseComplete();
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -61,6 +61,9 @@
   virtual bool isResponseTo(const HttpResponse &Head,
                             std::string_view RequestId) const = 0;
 
+  /// True if the head names the request that it belongs to, whichever that is.
+  virtual bool namesRequest(const HttpResponse &Head) const = 0;
+
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -227,6 +227,9 @@
     });
     return Matches;
   };
+  H.NamesRequest = [Self](const HttpResponse &Head) {
+    return Self->Services.Protocol.namesRequest(Head);
+  };
   H.OnHead = [Self, Id](HttpResponse Head) {
     Self->run(Boundary::Answer, [&] { Self->onLegHead(Id, std::move(Head)); });
   };
