--- a/src/hyssoprail/gateway/endpoint_check.cpp
+++ b/src/hyssoprail/gateway/endpoint_check.cpp
@@ -26,6 +26,7 @@
 
 void EndpointCheck::start(EndpointCheckCall Call, Callback NewOnDone) {
   EndpointId = Call.EndpointId;
+  RequestId = Call.RequestId;
   OnDone = std::move(NewOnDone);
   StartedAt = Time.now();
   UpstreamCall Question;
@@ -44,7 +45,7 @@
     Self->Exchange->cancel();
     Self->report(EndpointCheckResult::Silent, "no answer in time");
   });
-  Exchange = Endpoints.send(std::move(Question), handlers(Call.RequestId));
+  Exchange = Endpoints.send(std::move(Question), handlers());
 }
 
 void EndpointCheck::cancel() {
@@ -54,12 +55,13 @@
     Exchange->cancel();
 }
 
-UpstreamHandlers EndpointCheck::handlers(const std::string &RequestId) {
+UpstreamHandlers EndpointCheck::handlers() {
   UpstreamHandlers Out;
   const auto Self = shared_from_this();
   // An answer to an earlier request was made before the connection closed.
-  Out.MatchesRequest = [Self, RequestId](const HttpResponse &Head) {
-    return Self->Protocol.isResponseTo(Head, RequestId);
+  Out.MatchesRequest = [Self](const HttpResponse &Head) {
+    return Self->Protocol.isResponseTo(Head, Self->RequestId) ||
+           Self->Protocol.identity(Head, Self->RequestId);
   };
   Out.OnHead = [Self](HttpResponse Head) { Self->Answer = std::move(Head); };
   Out.OnData = [Self](std::string_view Data) {
@@ -87,7 +89,7 @@
 }
 
 EndpointCheckResult EndpointCheck::readAnswer() {
-  const auto Stated = Protocol.identity(Answer);
+  const auto Stated = Protocol.identity(Answer, RequestId);
   if (!Stated)
     return EndpointCheckResult::Unclear;
   AnsweredBy = *Stated;
--- a/src/hyssoprail/gateway/endpoint_check.hpp
+++ b/src/hyssoprail/gateway/endpoint_check.hpp
@@ -64,7 +64,7 @@
   void cancel();
 
 private:
-  UpstreamHandlers handlers(const std::string &RequestId);
+  UpstreamHandlers handlers();
   void onEnd(UpstreamEnd End, const std::string &Detail);
   void report(EndpointCheckResult Result, const std::string &Detail);
   EndpointCheckResult readAnswer();
@@ -74,6 +74,7 @@
   const EndpointProtocol &Protocol;
   boost::asio::steady_timer Timer;
   std::string EndpointId;
+  std::string RequestId;
   std::shared_ptr<UpstreamExchange> Exchange;
   HttpResponse Answer;
   TimePoint StartedAt{};
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -94,9 +94,10 @@
                                       std::string_view RequestId,
                                       milliseconds Deadline) const = 0;
 
-  /// Who gave the answer to an identityRequest(); nullopt if it does not say.
+  /// Who gave the answer to the identityRequest() \p RequestId. nullopt if it
+  /// does not say, or names another request; it may name none.
   virtual std::optional<EndpointIdentity>
-  identity(const HttpResponse &Response) const = 0;
+  identity(const HttpResponse &Response, std::string_view RequestId) const = 0;
 
   /// Makes the request that orders an engine to change its stage. \p Fence is
   /// the fencing token of the order lease; it grows with each holder.
