--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -9,6 +9,7 @@
 #include "hyssoprail/connection/http_message.hpp"
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/process/log_field.hpp"
+#include "hyssoprail/routing/stream_versions.hpp"
 
 namespace hyssoprail::routing {
 
@@ -121,8 +122,13 @@
   virtual void abort(RejectReason Reason) = 0;
 
   /// Records that the stream is to begin at \p Version. The flow is told
-  /// whether that succeeded.
-  virtual void recordVersion(const std::string &Version) = 0;
+  /// whether that succeeded. If it has not, a record that was only wanted is
+  /// tried again until it has.
+  virtual void recordVersion(const std::string &Version, RecordNeed Need) = 0;
+
+  /// The caller gets the first event of the stream now, from an engine of \p
+  /// Version.
+  virtual void streamBegan(const std::string &Version) = 0;
 
   /// Looks up the version at which the resumed stream began. The flow is told
   /// what was found.
--- a/include/hyssoprail/routing/version_record.hpp
+++ b/include/hyssoprail/routing/version_record.hpp
@@ -18,14 +18,23 @@
   VersionRecord(const StreamVersions *Versions, std::string Service)
       : Versions(Versions), Service(std::move(Service)) {}
 
-  /// True if the stream may not begin at \p Version yet.
-  bool missing(const std::string &Version) const {
-    if (!Versions || Waived)
-      return false;
-    return Written ? *Written != Version
-                   : Versions->needsRecord(Service, Version);
+  /// What the stream still needs to begin at \p Version.
+  RecordNeed need(const std::string &Version) const {
+    if (!Versions || Written == Version)
+      return RecordNeed::None;
+    if (Written)
+      return RecordNeed::Required;
+    const RecordNeed Need = Versions->need(Service, Version);
+    if (Need == RecordNeed::Required)
+      return Need;
+    if (Tried)
+      return Tried == Version ? RecordNeed::None : RecordNeed::Wanted;
+    return Need;
   }
 
+  /// The version that is on record.
+  const std::optional<std::string> &written() const { return Written; }
+
   bool isPending() const { return Pending.has_value(); }
 
   void begin(const std::string &Version) { Pending = Version; }
@@ -33,18 +42,15 @@
   void end(bool Ok) {
     if (Ok)
       Written = Pending;
-    Pending.reset();
+    Tried = std::exchange(Pending, std::nullopt);
   }
 
-  /// The stream may begin at any version without a record.
-  void waive() { Waived = true; }
-
 private:
   const StreamVersions *Versions;
   std::string Service;
   std::optional<std::string> Written;
+  std::optional<std::string> Tried; ///< last
   std::optional<std::string> Pending;
-  bool Waived = false;
 };
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -22,7 +22,11 @@
   std::vector<StreamVersionMap> Recorded;
   std::vector<std::function<void(WriteOutcome)>> OnWritten;
   std::vector<std::function<void(bool)>> OnRead;
-  std::map<std::string, std::string> Bases;
+  /// States that were written, by service.
+  std::map<std::string, VersionStateRecord> States;
+  unsigned StateWrites = 0;
+  WriteOutcome StateOutcome = WriteOutcome::Written;
+  std::uint64_t Era = 1;
 
   void start(FleetListener &, const EntryAddress &) override {}
   void setReadsStore(bool To) override { ReadsStore = To; }
@@ -30,8 +34,8 @@
   Duration dataAge() const override { return {}; }
   Duration stepAge() const override { return StepAge; }
   void noteInStep(TimePoint) override {}
-  FeedPosition newestChange() const override { return {}; }
-  FeedPosition syncedPosition() const override { return {0, Known}; }
+  FeedPosition newestChange() const override { return {0, 0, Era, 0}; }
+  FeedPosition syncedPosition() const override { return {0, Known, Era, 0}; }
   std::uint64_t endpointsRead() const override { return 0; }
   std::uint64_t endpointDeltaStart() const override { return DeltaStart; }
   std::string changesSince(FeedPosition) const override { return ""; }
@@ -50,10 +54,12 @@
     Recorded.push_back(Versions);
     OnWritten.push_back(std::move(OnDone));
   }
-  void writeBaseVersion(const std::string &Service, const std::string &Version,
-                        std::function<void(WriteOutcome)> OnDone) override {
-    Bases[Service] = Version;
-    OnDone(WriteOutcome::Written);
+  void writeVersionState(const VersionStateRecord &Record,
+                         std::function<void(WriteOutcome)> OnDone) override {
+    ++StateWrites;
+    if (StateOutcome == WriteOutcome::Written)
+      States[Record.Service] = Record;
+    OnDone(StateOutcome);
   }
   void readStreamVersions(std::function<void(bool)> OnDone) override {
     OnRead.push_back(std::move(OnDone));
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -69,6 +69,14 @@
   StreamVersionMap Versions;
 };
 
+/// What a missing record means for a service, as the store has it. A state
+/// that was written in an earlier era of the store says nothing.
+struct VersionStateRecord {
+  std::string Service;
+  std::uint64_t Era = 0; ///< in which it was written
+  routing::VersionState State;
+};
+
 /// What became of a write to the store.
 enum class WriteOutcome {
   Written,
@@ -118,9 +126,8 @@
   /// An entry has recorded the versions at which streams began.
   virtual void onStreamVersions(const StreamVersionRecord &Record) = 0;
 
-  /// The store has \p Version as the base version of \p Service.
-  virtual void onBaseVersion(const std::string &Service,
-                             const std::string &Version) = 0;
+  /// The store has this state of a service.
+  virtual void onVersionState(const VersionStateRecord &Record) = 0;
 
   /// The store stopped answering calls on \p Topic, or answers them again.
   virtual void onStoreLost(std::string_view Topic, std::string_view Why) = 0;
@@ -224,14 +231,14 @@
   writeStreamVersions(const StreamVersionMap &Versions, Duration Lifetime,
                       std::function<void(WriteOutcome)> OnDone) = 0;
 
-  /// Records the base version of \p Service.
-  virtual void writeBaseVersion(const std::string &Service,
-                                const std::string &Version,
-                                std::function<void(WriteOutcome)> OnDone) = 0;
+  /// Writes the state of a service, unless any state was written since the
+  /// last readStreamVersions().
+  virtual void writeVersionState(const VersionStateRecord &Record,
+                                 std::function<void(WriteOutcome)> OnDone) = 0;
 
-  /// Reads what was recorded since the last call, at the first call all of it.
-  /// The listener is told, then \p OnDone whether all was read that had been
-  /// recorded before this call.
+  /// Reads the streams recorded since the last call, at the first call all of
+  /// them, and the states of services. The listener is told, then \p OnDone
+  /// whether all was read that had been recorded before this call.
   virtual void readStreamVersions(std::function<void(bool Read)> OnDone) = 0;
 
   /// Requests or renews the lease on sending orders to engines. Calls \p Use
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -247,8 +247,13 @@
         onAvailabilityStatement(EndpointId, StartedAtMs, Statement);
       };
   Hooks.RecordVersion = [this, Id = Info.Id](const std::string &Version,
+                                             routing::RecordNeed Need,
                                              std::function<void(bool)> OnDone) {
-    StreamOrigins.record(Id, Version, std::move(OnDone));
+    StreamOrigins.record(Id, Version, std::move(OnDone), Need);
+  };
+  Hooks.OnStreamBegan = [this, Id = Info.Id,
+                         Service](const std::string &Version) {
+    StreamOrigins.began(Id, Service, Version);
   };
   Hooks.FindVersion = [this, First = Info.FirstAttempt,
                        Service](StreamVersionExchange::FindHandler OnDone) {
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -72,8 +72,7 @@
   void onRolloutWithdrawn(std::string_view Service) override;
   void onRolloutState(const rollout::StatusRecord &State) override;
   void onStreamVersions(const StreamVersionRecord &Record) override;
-  void onBaseVersion(const std::string &Service,
-                     const std::string &Version) override;
+  void onVersionState(const VersionStateRecord &Record) override;
   void onStoreLost(std::string_view Topic, std::string_view Why) override;
   void onStoreRegained(std::string_view Topic) override;
   void onStoreRestored(std::uint64_t Era) override;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -99,6 +99,7 @@
         FleetCoordination.rollouts().noteVersion(Record.Service, Record.Version,
                                                  !EndpointsComplete, Now));
   }
+  StreamOrigins.noteVersion(Record.Service, Record.Version);
   Endpoints->closeIdle(Record.Id, Record.Draining ? "" : Record.Address);
   Log.write(LogCategory::Outcome, "endpoint", "",
             {{"endpoint", Record.Id},
@@ -162,9 +163,8 @@
   StreamOrigins.onStreamVersions(Record);
 }
 
-void GatewayRuntime::onBaseVersion(const std::string &Service,
-                                   const std::string &Version) {
-  StreamOrigins.onBaseVersion(Service, Version);
+void GatewayRuntime::onVersionState(const VersionStateRecord &Record) {
+  StreamOrigins.onVersionState(Record);
 }
 
 void GatewayRuntime::onStoreLost(std::string_view Topic, std::string_view Why) {
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -233,7 +233,8 @@
     void forward(std::string_view) override {}
     void finishStream() override {}
     void abort(routing::RejectReason) override {}
-    void recordVersion(const std::string &) override {}
+    void recordVersion(const std::string &, routing::RecordNeed) override {}
+    void streamBegan(const std::string &) override {}
     void findVersion() override {}
     bool stillAllowed() override { return true; }
     void logDecision(std::string_view, LogFields) override {}
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -154,9 +154,15 @@
   };
 }
 
-void RequestSession::recordVersion(const std::string &Version) {
+void RequestSession::recordVersion(const std::string &Version,
+                                   routing::RecordNeed Need) {
   Hooks.RecordVersion(
-      Version, deliverLater<bool, bool>(&routing::Flow::onVersionRecorded));
+      Version, Need,
+      deliverLater<bool, bool>(&routing::Flow::onVersionRecorded));
+}
+
+void RequestSession::streamBegan(const std::string &Version) {
+  Hooks.OnStreamBegan(Version);
 }
 
 void RequestSession::findVersion() {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -59,9 +59,11 @@
                      const AvailabilityStatement &Statement)>
       OnAvailabilityStatement;
   /// Records the version at which the stream is to begin.
-  std::function<void(const std::string &Version,
+  std::function<void(const std::string &Version, routing::RecordNeed Need,
                      std::function<void(bool Written)> OnDone)>
       RecordVersion;
+  /// The caller gets the first event of the stream.
+  std::function<void(const std::string &Version)> OnStreamBegan;
   /// Looks up the version at which the resumed stream began; nullopt if that
   /// cannot be found out.
   std::function<void(
@@ -123,7 +125,9 @@
   void forward(std::string_view Events) override;
   void finishStream() override;
   void abort(routing::RejectReason Reason) override;
-  void recordVersion(const std::string &Version) override;
+  void recordVersion(const std::string &Version,
+                     routing::RecordNeed Need) override;
+  void streamBegan(const std::string &Version) override;
   void findVersion() override;
   bool stillAllowed() override { return Hooks.StillAllowed(); }
   void logDecision(std::string_view What, LogFields Fields) override;
--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -19,8 +19,8 @@
 
 /// Keeps the versions at which streams began in the store, so that a caller can
 /// resume a stream at any entry, also when no process is left that knew it.
-/// The coordinator sees to the base version of each service. Used on the event
-/// loop thread only.
+/// The coordinator sees to the state of each service. Used on the event loop
+/// thread only.
 class StreamVersionExchange {
 public:
   using RecordHandler = std::function<void(bool Written)>;
@@ -28,29 +28,41 @@
 
   StreamVersionExchange(routing::EndpointTable &Table, FleetFeed &Feed,
                         const Clock &Time, DecisionLog &Log)
-      : Feed(Feed), Time(Time), Log(Log), Versions(Table) {}
+      : Feed(Feed), Time(Time), Log(Log),
+        Versions(Table, [&Feed] { return Feed.stepAge(); }) {}
 
   const routing::StreamVersions &versions() const { return Versions; }
 
   void configure(const routing::FleetConfig &Config);
 
   /// Records that the stream of the request \p Id is to begin at \p Version.
-  /// Records that arrive while one is being written are written together.
+  /// Records that arrive while one is being written are written together. One
+  /// that is only wanted is tried again later if it was not written.
   void record(const std::string &Id, const std::string &Version,
-              RecordHandler OnDone);
+              RecordHandler OnDone,
+              routing::RecordNeed Need = routing::RecordNeed::Required);
+
+  /// The caller of the request \p Id gets the first event of its stream.
+  void began(const std::string &Id, const std::string &Service,
+             const std::string &Version);
 
   /// Finds the version at which the stream of the request \p Id began. Reads
-  /// the store unless this entry has recorded it itself.
+  /// the store unless this entry began it, or the service has a single version.
   void find(const std::string &Id, const std::string &Service,
             FindHandler OnDone);
 
-  /// Repeats what the store has not accepted, and reads and sets the base
-  /// versions. To be called regularly; \p EndpointsComplete: the registered
+  /// Repeats what the store has not accepted, and reads and sets the states of
+  /// services. To be called regularly; \p EndpointsComplete: the registered
   /// endpoints are known.
   void tick(bool IsCoordinator, bool EndpointsComplete, TimePoint Now);
 
   void onStreamVersions(const StreamVersionRecord &Record);
-  void onBaseVersion(const std::string &Service, const std::string &Version);
+  void onVersionState(const VersionStateRecord &Record);
+
+  /// An endpoint of \p Version has registered.
+  void noteVersion(const std::string &Service, const std::string &Version) {
+    Versions.noteVersion(Service, Version, Time.now());
+  }
 
   /// The store has come back from a copy, which may lack the latest records.
   void storeRestored();
@@ -62,18 +74,25 @@
     FindHandler OnDone;
   };
 
-  /// When the endpoints of a service last had its base version.
-  struct BaseState {
-    TimePoint LastSeen{};
-    bool Stored = false; ///< the store has it in this era
-    bool Writing = false;
+  /// A stream that waits for its record.
+  struct Waiter {
+    std::string Version;
+    RecordHandler OnDone;
+  };
+
+  /// A version, and what shows that a stream began there.
+  struct Certain {
+    std::string Version;
+    std::string_view Source;
   };
 
-  void write();
+  void write(bool WithOwn);
+  StreamVersionMap takePending(bool WithOwn);
   void onWritten(WriteOutcome Outcome);
-  void pendOwnAgain();
-  void failWaiting(StreamVersionMap &Records);
-  bool answerWaiting(const std::string &Id, bool Written);
+  void settle(const StreamVersionMap &Sent);
+  void keepUnsettled(const StreamVersionMap &Sent, WriteOutcome Outcome);
+  void failWaiting(const StreamVersionMap &Records);
+  void answerWaiting(const std::string &Id, bool Written);
   void logRecord(const std::string &Id, const std::string &Version,
                  std::string_view Outcome);
   void read();
@@ -82,9 +101,16 @@
   void answer(const Query &Q, bool Ok);
   void logFound(const Query &Q, const std::optional<std::string> &Version,
                 std::string_view Source);
-  std::optional<std::string> versionWithoutStore(const Query &Q) const;
-  void updateBase(const std::string &Service, TimePoint Now);
-  void writeBase(const std::string &Service, const std::string &Version);
+  std::optional<Certain> certainWithoutRead(const Query &Q);
+  void beginTerm();
+  void observe(TimePoint Now);
+  bool readIsDue(TimePoint Now) const;
+  void updateStates(TimePoint Now);
+  std::optional<routing::VersionState> nextState(const std::string &Service,
+                                                 TimePoint Now) const;
+  void writeState(const std::string &Service,
+                  const routing::VersionState &State);
+  void onStateWritten(const VersionStateRecord &Record, WriteOutcome Outcome);
 
   FleetFeed &Feed;
   const Clock &Time;
@@ -95,20 +121,32 @@
 
   StreamVersionMap Pending; ///< not written yet
   StreamVersionMap Writing; ///< in the call in flight
+  /// Requests of which a record was sent whose fate is not known.
+  std::set<std::string> Unsettled;
   bool WriteInFlight = false;
-  bool WriteOwnAgain = false; ///< once the call in flight has ended
+  bool WriteIsOld = false; ///< it began in an earlier era of the store
   TimePoint RetryWriteAt = TimePoint::max();
+  TimePoint NextOwnWriteAt{};
   TimePoint WritableAgainAt = TimePoint::max(); ///< the next one may succeed
-  std::map<std::string, RecordHandler> Waiting; ///< by request
+  std::map<std::string, Waiter> Waiting;        ///< by request
 
   std::vector<Query> Queries;  ///< for the next read
   std::vector<Query> InFlight; ///< the read in flight answers them
   bool ReadInFlight = false;
   bool ReadOnce = false;   ///< since the store or the coordinator changed
   bool IgnoreRead = false; ///< the read in flight began too early to count
-  bool Coordinates = false;
+  TimePoint ReadBeganAt{};
   TimePoint NextReadAt{};
-  std::map<std::string, BaseState> Bases; ///< by service
+  /// When the last read in this era of the store began that succeeded.
+  std::optional<TimePoint> LastReadAt;
+
+  bool Coordinates = false;
+  bool StatesFresh = false; ///< read since the last write of one
+  bool StateInFlight = false;
+  TimePoint NextStateAt{};
+  /// Services whose state may still be changed by a late write, of this process
+  /// or of an earlier coordinator.
+  std::set<std::string> UnsettledStates;
 };
 
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -1,74 +1,13 @@
-#include "hyssoprail/gateway/stream_version_exchange.hpp"
-
 #include <catch2/catch.hpp>
-#include <unistd.h>
 
-#include "hyssoprail/gateway/fake_feed.hpp"
+#include "hyssoprail/gateway/stream_version_fixture.hpp"
 
 namespace hyssoprail::gateway {
-namespace {
-
-using Found = std::optional<std::string>;
-
-/// The coordinator of a service whose engines are given by the test.
-struct ExchangeFixture {
-  ExchangeFixture() {
-    routing::FleetConfig Config;
-    routing::RoutePolicy R;
-    R.Kind = routing::RouteKind::Stream;
-    R.Resumable = true;
-    R.Timeout = milliseconds(14'000);
-    R.Services = {{"assistant", 1}};
-    Config.Routes.push_back(R);
-    Exchange.configure(Config);
-  }
-
-  void engine(const std::string &Id, const std::string &Version,
-              std::int64_t StartedAtMs) {
-    routing::EndpointRecord R;
-    R.Id = Id;
-    R.Service = "assistant";
-    R.Address = "10.0.0.1:80";
-    R.Version = Version;
-    R.StartedAtMs = StartedAtMs;
-    Table.apply(R);
-  }
-
-  void tick(milliseconds Later = milliseconds(0), bool Coordinates = true) {
-    Time.advance(Later);
-    Exchange.tick(Coordinates, true, Time.now());
-  }
-
-  void answerReads(bool Ok = true) {
-    for (const auto &OnDone : std::exchange(Feed.OnRead, {}))
-      OnDone(Ok);
-  }
-
-  void answerWrites(WriteOutcome Outcome) {
-    for (const auto &OnDone : std::exchange(Feed.OnWritten, {}))
-      OnDone(Outcome);
-  }
-
-  void record(const std::string &Id) {
-    Exchange.record(Id, "v2",
-                    [this](bool Written) { Results.push_back(Written); });
-  }
-
-  void find(const std::string &Id) {
-    Exchange.find(Id, "assistant",
-                  [this](const Found &V) { Answers.push_back(V); });
-  }
-
-  ManualClock Time;
-  routing::EndpointTable Table;
-  FakeFeed Feed;
-  DecisionLog Log{STDERR_FILENO, "entry-1", Time};
-  StreamVersionExchange Exchange{Table, Feed, Time, Log};
-  std::vector<bool> Results;
-  std::vector<Found> Answers;
-};
 
-} // namespace
+using testing::ExchangeFixture;
+using testing::Found;
+using testing::Lifetime;
+using testing::TickStep;
 
 // Guards against a call to the store for each of the streams that begin
 // together when a version serves that is not the base version.
@@ -88,7 +27,7 @@
 // take effect, and against new streams that wait for a store that is away.
 TEST_CASE("a record of which the response was lost is repeated") {
   ExchangeFixture B;
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v1");
   B.record("a");
   B.answerWrites(WriteOutcome::Unknown);
   CHECK(B.Results.empty());
@@ -120,7 +59,7 @@
 // has refused one record.
 TEST_CASE("records are tried again some time after one was refused") {
   ExchangeFixture B;
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v1");
   B.record("a");
   B.answerWrites(WriteOutcome::NotWritten);
   CHECK(B.Results == std::vector<bool>{false});
@@ -134,7 +73,7 @@
 TEST_CASE("a query is answered by a read that began after it") {
   ExchangeFixture B;
   B.engine("i-1", "v1", 1);
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v1");
   B.find("other");
   B.find("a");
   REQUIRE(B.Feed.OnRead.size() == 1);
@@ -146,13 +85,16 @@
 }
 
 // Guards against a guess while the store is away, and against refused streams
-// of a service whose single version leaves no doubt.
-TEST_CASE("without the store a version is certain only if it is the only one") {
+// and reads of a service whose single version leaves no doubt.
+TEST_CASE("without the store a version is certain only if it was the only one "
+          "since the records were read") {
   ExchangeFixture B;
   B.engine("i-1", "v1", 1);
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v1");
+  B.tick();
+  B.answerReads();
   B.find("a");
-  B.answerReads(false);
+  CHECK(B.Feed.OnRead.empty());
   B.engine("i-2", "v2", 2);
   B.find("a");
   B.answerReads(false);
@@ -165,7 +107,8 @@
 TEST_CASE("an entry that is behind the others does not guess a version") {
   ExchangeFixture B;
   B.engine("i-1", "v1", 1);
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v1");
+  B.pass(Lifetime + TickStep);
   B.Feed.StepAge = milliseconds(1'500);
   B.find("a");
   B.answerReads(false);
@@ -174,36 +117,36 @@
 
 // Guards against a base version that is changed while streams of the old one
 // can still be resumed, and against records for ever after a service has moved.
-TEST_CASE("the base version follows a service that has moved") {
+TEST_CASE("the state of a service follows its versions") {
   ExchangeFixture B;
   B.engine("i-1", "v1", 1);
+  B.pass(TickStep * 2);
+  CHECK(B.written() == "v1");
   B.engine("i-2", "v2", 2);
-  B.tick();
-  B.answerReads();
-  B.tick();
-  CHECK(B.Feed.Bases["assistant"] == "v1");
+  B.pass(TickStep * 3);
+  CHECK(B.written() == "mixed");
   B.Table.remove("i-1");
-  B.tick(milliseconds(20'000));
-  CHECK(B.Feed.Bases["assistant"] == "v1");
-  B.tick(milliseconds(5'000));
-  CHECK(B.Feed.Bases["assistant"] == "v2");
-  CHECK_FALSE(B.Exchange.versions().needsRecord("assistant", "v2"));
+  B.pass(Lifetime - TickStep);
+  CHECK(B.written() == "mixed");
+  B.pass(TickStep * 3);
+  CHECK(B.written() == "v2");
+  CHECK(B.Exchange.versions().base("assistant") == "v2");
 }
 
 // Guards against a new coordinator that replaces the base version which another
 // one has set since this entry read the store.
-TEST_CASE("a coordinator reads the base versions before it sets any") {
+TEST_CASE("a coordinator reads the states before it sets any") {
   ExchangeFixture B;
   B.engine("i-2", "v2", 2);
   B.tick(milliseconds(0), false);
   B.answerReads();
   B.tick(milliseconds(100));
-  CHECK(B.Feed.Bases.empty());
+  CHECK(B.Feed.States.empty());
   REQUIRE(B.Feed.OnRead.size() == 1);
-  B.Exchange.onBaseVersion("assistant", "v1");
+  B.state("v2");
   B.answerReads();
   B.tick(milliseconds(100));
-  CHECK(B.Feed.Bases.empty());
+  CHECK(B.Feed.States.empty());
 }
 
 // Guards against streams that nobody knows after the store has come back from
@@ -216,14 +159,13 @@
   B.tick();
   B.record("a");
   B.answerWrites(WriteOutcome::Written);
-  B.Feed.Bases.clear();
-  B.Exchange.storeRestored();
+  B.restore();
   REQUIRE(B.Feed.Recorded.size() == 2);
   CHECK(B.Feed.Recorded[1] == StreamVersionMap{{"a", "v2"}});
-  B.tick(milliseconds(100));
-  B.answerReads();
-  B.tick(milliseconds(100));
-  CHECK(B.Feed.Bases["assistant"] == "v1");
+  B.pass(TickStep * 3);
+  CHECK(B.written() == "mixed");
+  B.pass(Lifetime);
+  CHECK(B.written() == "v1");
 }
 
 // Guards against a stream that goes on at the base version although it began at
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -196,11 +196,17 @@
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
   if (!StreamStarted)
-    Io.beginStream(AnswerHead);
-  StreamStarted = true;
+    beginAnswer();
   Io.forward(NewEvents);
 }
 
+void StreamFlow::beginAnswer() {
+  if (Shared.Versions && resumable() && !Request.Info.Resumes)
+    Io.streamBegan(DecodeVersion);
+  Io.beginStream(AnswerHead);
+  StreamStarted = true;
+}
+
 void StreamFlow::onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) {
   if (Silent && Leg == Silent->Leg) {
     if (!Complete || !Progress.atEventEnd())
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -94,10 +94,17 @@
   /// being written.
   bool mayBeginAt(const std::string &Version);
 
-  /// The version of the decode engine cannot be recorded: the stream begins at
-  /// the base version, which needs no record, if that serves.
+  /// The version of the decode engine was not recorded: the stream begins
+  /// there if it may, else at a version that needs no record, if one serves.
   void onVersionNotRecorded(TimePoint Now);
 
+  /// Lets the stream begin only at a version at which it needs no record that
+  /// is missing. Returns false if none serves.
+  bool pinUnrecorded(TimePoint Now);
+
+  /// The caller gets the first event.
+  void beginAnswer();
+
   /// Lets the old version serve the request if the target has no decode engine
   /// for it.
   void checkVersion(TimePoint Now);
--- a/src/hyssoprail/routing/stream_flow_legs.cpp
+++ b/src/hyssoprail/routing/stream_flow_legs.cpp
@@ -27,6 +27,9 @@
 
 constexpr milliseconds NotRunRetryAfter{400};
 
+/// The store may take records again.
+constexpr milliseconds UnrecordedRetryAfter{1'000};
+
 /// Time reserved before a caller without an event leaves, for the final answer
 /// to reach it.
 constexpr milliseconds CallerEventMargin{100};
@@ -91,11 +94,13 @@
 }
 
 bool StreamFlow::mayBeginAt(const std::string &EngineVersion) {
-  if (StreamStarted || !Recorded.missing(EngineVersion))
+  const RecordNeed Need =
+      StreamStarted ? RecordNeed::None : Recorded.need(EngineVersion);
+  if (Need == RecordNeed::None && !Recorded.isPending())
     return true;
   if (!Recorded.isPending()) {
     Recorded.begin(EngineVersion);
-    Io.recordVersion(EngineVersion);
+    Io.recordVersion(EngineVersion, Need);
   }
   return false;
 }
@@ -110,17 +115,33 @@
 }
 
 void StreamFlow::onVersionNotRecorded(TimePoint Now) {
+  const Endpoint *E = Shared.Table.find(DecodeEndpoint);
+  const bool Begins =
+      !E || Recorded.need(E->Record.Version) != RecordNeed::Required;
   const auto Base = Shared.Versions->base(Request.Service);
-  if (Base)
-    Version.pin(*Base);
-  const bool BaseServes = Base && hasDecodeEngine(Now);
-  Io.logDecision("version_not_recorded",
-                 {{"base", Base.value_or("")}, {"base_serves", BaseServes}});
+  const bool BaseServes = !Begins && pinUnrecorded(Now);
+  Io.logDecision("version_not_recorded", {{"begins", Begins},
+                                          {"base", Base.value_or("")},
+                                          {"base_serves", BaseServes}});
+  if (Begins)
+    return sendDecode(Now);
   if (BaseServes)
     return requeueForDecode(Now);
+  finish(MayHaveRun ? RejectReason::OutcomeUnknown : RejectReason::NoCapacity,
+         UnrecordedRetryAfter, Now);
+}
+
+bool StreamFlow::pinUnrecorded(TimePoint Now) {
+  for (const auto &Candidate :
+       {Recorded.written(), Shared.Versions->base(Request.Service)}) {
+    if (!Candidate || Recorded.need(*Candidate) == RecordNeed::Required)
+      continue;
+    Version.pin(*Candidate);
+    if (hasDecodeEngine(Now))
+      return true;
+  }
   Version.unpin();
-  Recorded.waive();
-  sendDecode(Now);
+  return false;
 }
 
 void StreamFlow::checkVersion(TimePoint Now) {
--- a/src/hyssoprail/routing/stream_version_test.cpp
+++ b/src/hyssoprail/routing/stream_version_test.cpp
@@ -20,8 +20,9 @@
   explicit VersionFixture(bool KnowsBase = true) {
     add(versioned(engine("d-1", EngineStage::Decode), "v1", 1));
     add(versioned(engine("d-2", EngineStage::Decode), "v2", 2));
+    Versions.setLifetime(Lifetime);
     if (KnowsBase)
-      Versions.setBase("assistant", "v1");
+      Versions.setState("assistant", VersionState{"v1"});
   }
 
   std::unique_ptr<Flow> stream(std::optional<std::string> FirstAttempt = {},
@@ -66,7 +67,9 @@
 
   const std::string &lastEndpoint() const { return Io.Legs.back().EndpointId; }
 
-  StreamVersions Versions{Table};
+  static constexpr milliseconds Lifetime{24'000};
+  Duration Behind{}; ///< how far the entry is behind the others
+  StreamVersions Versions{Table, [this] { return Behind; }};
 };
 
 } // namespace
@@ -75,8 +78,10 @@
 TEST_CASE("a broken stream goes on at its version only") {
   VersionFixture B;
   const auto F = B.stream();
+  B.recorded(*F, true);
   REQUIRE(B.lastEndpoint() == "d-1");
   B.firstEvent(*F);
+  CHECK(B.Io.BeganAt == "v1");
   F->onStreamEnd(1, false, B.Now);
   B.poll(*F);
   CHECK(B.Io.Legs.size() == 1);
@@ -127,16 +132,79 @@
 
 // Guards against records, and against streams that wait for them, in a service
 // with one version and on routes whose streams cannot be resumed.
-TEST_CASE("streams at the base version and others need no record") {
+TEST_CASE("streams of a single version and others need no record") {
   VersionFixture B;
   const bool Resumable = GENERATE(true, false);
-  if (!Resumable)
+  if (Resumable)
+    B.Table.remove("d-2");
+  else
     B.leave("d-1", "v1");
   const auto F = B.stream({}, Resumable);
   CHECK(B.Io.Records.empty());
   CHECK(B.Io.Legs.size() == 1);
 }
 
+// Guards against streams of the base version that nobody knows of once the
+// service has no base version any more, and against refused ones while the
+// store is away.
+TEST_CASE("streams at the base version are recorded beside another version") {
+  VersionFixture B;
+  const bool Written = GENERATE(true, false);
+  const auto F = B.stream();
+  REQUIRE(B.Io.Legs.empty());
+  REQUIRE(B.Io.Records == std::vector<std::string>{"v1"});
+  B.recorded(*F, Written);
+  REQUIRE(B.Io.Legs.size() == 1);
+  CHECK(B.lastEndpoint() == "d-1");
+}
+
+// Guards against streams that are not recorded any more as soon as the other
+// version has left: it may come back while they can be resumed.
+TEST_CASE("streams are recorded for a lifetime after another version left") {
+  VersionFixture B;
+  const bool Passed = GENERATE(false, true);
+  B.Versions.observe("assistant", B.Now);
+  B.Table.remove("d-2");
+  B.Now += B.Lifetime + milliseconds(Passed ? 1 : -1);
+  B.Versions.observe("assistant", B.Now);
+  CHECK(B.Versions.need("assistant", "v1") ==
+        (Passed ? RecordNeed::None : RecordNeed::Wanted));
+}
+
+// Guards against a service without a base version that stops with the store,
+// and against its streams without a record while the store works.
+TEST_CASE("streams of a mixed service are recorded, and begin also if not") {
+  VersionFixture B;
+  B.Versions.setState("assistant", VersionState{});
+  B.leave("d-1", "v1");
+  const bool Written = GENERATE(true, false);
+  const auto F = B.stream();
+  REQUIRE(B.Io.Legs.empty());
+  REQUIRE(B.Io.Records == std::vector<std::string>{"v2"});
+  B.recorded(*F, Written);
+  REQUIRE(B.Io.Legs.size() == 1);
+  CHECK(B.lastEndpoint() == "d-2");
+  B.firstEvent(*F);
+  CHECK(B.Io.BeganAt == "v2");
+}
+
+// Guards against a stream without a record at an entry that was cut off for so
+// long that the service may have got another state.
+TEST_CASE("an entry that is far behind records each stream first") {
+  VersionFixture B;
+  const bool IsMixed = GENERATE(false, true);
+  if (IsMixed)
+    B.Versions.setState("assistant", VersionState{});
+  B.Table.remove("d-2");
+  B.Behind = B.Lifetime / 2 + milliseconds(1);
+  const auto F = B.stream();
+  REQUIRE(B.Io.Records == std::vector<std::string>{"v1"});
+  B.recorded(*F, false);
+  CHECK(B.Io.Legs.empty());
+  CHECK(B.Io.RejectedWith == RejectReason::NoCapacity);
+  CHECK(B.Io.SentRetryAfter > milliseconds(0));
+}
+
 // Guards against streams that wait for the store although engines of the base
 // version are free.
 TEST_CASE("a stream whose version cannot be recorded begins at the base") {
@@ -145,20 +213,23 @@
   const auto F = B.stream();
   B.add(versioned(engine("d-1b", EngineStage::Decode), "v1", 3));
   B.recorded(*F, false);
+  REQUIRE(B.Io.Records == std::vector<std::string>{"v2", "v1"});
+  B.recorded(*F, false);
   REQUIRE(B.Io.Legs.size() == 1);
   CHECK(B.lastEndpoint() == "d-1b");
 }
 
-// Guards against refused streams while the store is down and no engine of the
-// base version is left: a caller that resumes such a stream is refused, as an
-// unrecorded stream counts as one of the base version.
-TEST_CASE("without the base version a stream begins unrecorded") {
+// Guards against a stream that goes on at the base version although it began
+// at another one: nothing is recorded of it, as the store was down.
+TEST_CASE("without the base version an unrecorded stream is refused at once") {
   VersionFixture B;
   B.leave("d-1", "v1");
   const auto F = B.stream();
   B.recorded(*F, false);
-  REQUIRE(B.Io.Legs.size() == 1);
-  CHECK(B.lastEndpoint() == "d-2");
+  CHECK(B.Io.Legs.empty());
+  CHECK(F->done());
+  CHECK(B.Io.RejectedWith == RejectReason::NoCapacity);
+  CHECK(B.Io.SentRetryAfter > milliseconds(0));
 }
 
 // Guards against a stream that nobody can tell the version of: its entry has
@@ -183,13 +254,14 @@
   VersionFixture B;
   B.add(versioned(engine("d-2b", EngineStage::Decode), "v2", 3));
   const auto F = B.stream();
+  B.recorded(*F, true);
   REQUIRE(B.lastEndpoint() == "d-1");
   F->onStreamHead(1, head(), B.Now);
   B.Now = F->nextDeadline();
   F->onTimer(B.Now);
   B.poll(*F);
   CHECK(B.Io.Legs.size() == 1);
-  CHECK(B.Io.Records.empty());
+  CHECK(B.Io.Records == std::vector<std::string>{"v1"});
   F->onStreamData(1, "id: 1\ndata: a\n\n", B.Now);
   CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\n");
 }
@@ -210,4 +282,23 @@
   CHECK(B.lastEndpoint() == "d-1b");
 }
 
+// Guards against a stream that begins at one version while another one is on
+// record for it, also where streams may begin without a record.
+TEST_CASE("a stream on record at one version needs a record at another") {
+  VersionFixture B;
+  const bool IsMixed = GENERATE(false, true);
+  if (IsMixed)
+    B.Versions.setState("assistant", VersionState{});
+  B.leave("d-1", "v1");
+  const auto F = B.stream();
+  B.recorded(*F, true);
+  REQUIRE(B.lastEndpoint() == "d-2");
+  B.add(versioned(engine("d-1b", EngineStage::Decode), "v1", 3));
+  B.answer(*F, 1, endedLeg(LegOutcome::NotRun));
+  REQUIRE(B.Io.Records == std::vector<std::string>{"v2", "v1"});
+  B.recorded(*F, false);
+  for (std::size_t I = 1; I < B.Io.Legs.size(); ++I)
+    CHECK(B.Io.Legs[I].Version == "v2");
+}
+
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -87,9 +87,10 @@
     AbortedWith = Reason;
     Aborted = true;
   }
-  void recordVersion(const std::string &Version) override {
+  void recordVersion(const std::string &Version, RecordNeed) override {
     Records.push_back(Version);
   }
+  void streamBegan(const std::string &Version) override { BeganAt = Version; }
   void findVersion() override { ++VersionQueries; }
   bool stillAllowed() override { return Allowed; }
   void logDecision(std::string_view, LogFields) override {}
@@ -102,6 +103,7 @@
   std::string Forwarded;
   std::vector<std::string> Records; ///< versions to be recorded
   unsigned VersionQueries = 0;
+  std::optional<std::string> BeganAt;
   unsigned FinalAnswers = 0;
   unsigned Status = 0;
   std::optional<RejectReason> RejectedWith;
