--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -204,11 +204,17 @@
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
   if (!StreamStarted)
-    Io.beginStream(AnswerHead);
-  StreamStarted = true;
+    beginAnswer();
   Io.forward(NewEvents);
 }
 
+void StreamFlow::beginAnswer() {
+  if (Shared.Versions && resumable() && !Request.Info.Resumes)
+    Io.streamBegan(DecodeVersion);
+  Io.beginStream(AnswerHead);
+  StreamStarted = true;
+}
+
 void StreamFlow::onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) {
   if (Silent && Leg == Silent->Leg) {
     if (!Complete || !Progress.atEventEnd())
