--- a/src/hyssoprail/connection/http_killed_server_test.cpp
+++ b/src/hyssoprail/connection/http_killed_server_test.cpp
@@ -99,7 +99,8 @@
 // Guards against a cut that a client with much left to read cannot see: data in
 // the kernel's buffers still arrives, or does not, when the process is gone.
 TEST_CASE("a client that reads slowly sees that its server was killed") {
-  const std::string Sent(12'000'000, 'x');
+  std::string Sent;
+  Sent.resize(12'000'000, 'x');
   for (const std::string Version : {"1.0", "1.1"}) {
     CAPTURE(Version);
     ServerProcess Server(Sent);
--- a/src/hyssoprail/routing/stream_progress_test.cpp
+++ b/src/hyssoprail/routing/stream_progress_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace hyssoprail::routing {
 
@@ -99,8 +100,8 @@
   for (const auto &[End, Blank] : Ends) {
     CAPTURE(End, Blank);
     StreamProgress P;
-    const std::string First = "id: 1" + End + "data: a" + End + Blank;
-    const std::string Second = "id: 2" + End + "data: b" + End + Blank;
+    const std::string First = fmt::format("id: 1{0}data: a{0}{1}", End, Blank);
+    const std::string Second = fmt::format("id: 2{0}data: b{0}{1}", End, Blank);
     std::string Received;
     for (const char Byte : First + Second)
       Received += P.feed(std::string_view(&Byte, 1));
@@ -108,7 +109,7 @@
     CHECK(P.atEventEnd());
     CHECK(Received + P.rest() == First + Second);
     P.restart();
-    Received = P.feed(First + Second + "id: 3" + End + End);
+    Received = P.feed(fmt::format("{}{}id: 3{}{}", First, Second, End, End));
     CHECK(Received.find("data") == std::string::npos);
     CHECK(P.lastEventId() == 3);
   }
