--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -181,6 +181,9 @@
       if (++SkippedResponses > MaxSkippedResponses ||
           ResponseParser->need_eof())
         return end(UpstreamEnd::Broken, "received responses to other requests");
+    } else if (mayBelongToEarlier(Head)) {
+      return end(UpstreamEnd::Broken,
+                 "the response names no request, and there were earlier ones");
     } else {
       if (Handlers.OnEnd)
         Active->Stream.expires_never();
@@ -191,6 +194,11 @@
       readBody();
   }
 
+  bool mayBelongToEarlier(const HttpResponse &Head) const {
+    return Active->SentIds.size() > 1 && Handlers.NamesRequest &&
+           !Handlers.NamesRequest(Head);
+  }
+
   void readBody() {
     if (ResponseParser->is_done())
       return onResponseComplete();
@@ -225,7 +233,7 @@
 
   /// A reset of the connection shows in the write if the request is still being
   /// written; the read then ends as if the endpoint had closed. So a response
-  /// that ends with its connection is complete only if the write succeeds.
+  /// that ends with its connection is whole only if the write succeeds.
   void onResponseComplete() {
     if (Ended)
       return;
@@ -246,8 +254,9 @@
       keepConnection();
     else
       closeActive();
-    end(UpstreamEnd::Complete,
-        ResponseParser->need_eof() ? "ended with its connection" : "");
+    if (ResponseParser->need_eof())
+      return end(UpstreamEnd::Closed, "ended with its connection");
+    end(UpstreamEnd::Complete, "");
   }
 
   /// Returns the connection to the pool unless data follows the response or the
@@ -273,7 +282,7 @@
     if (Ended)
       return;
     Ended = true;
-    if (End != UpstreamEnd::Complete) {
+    if (End != UpstreamEnd::Complete && End != UpstreamEnd::Closed) {
       closeActive();
       Connections->drop(Peer);
     }
--- a/src/hyssoprail/gateway/endpoint_protocol.hpp
+++ b/src/hyssoprail/gateway/endpoint_protocol.hpp
@@ -29,6 +29,12 @@
   bool empty() const { return !Leaving && !Pause; }
 };
 
+/// Which incarnation of an endpoint has answered, as it states itself.
+struct EndpointIdentity {
+  std::string Id;
+  std::int64_t StartedAtMs = 0; ///< 0: it does not say
+};
+
 /// Converts between the HTTP messages of callers and endpoints and the types of
 /// the routing library. Stateless.
 class EndpointProtocol {
@@ -55,6 +61,9 @@
   virtual bool isResponseTo(const HttpResponse &Head,
                             std::string_view RequestId) const = 0;
 
+  /// True if the head names the request that it belongs to, whichever that is.
+  virtual bool namesRequest(const HttpResponse &Head) const = 0;
+
   /// True if the head begins a stream that may be passed on to the caller.
   virtual bool beginsStream(const HttpResponse &Head) const = 0;
 
@@ -80,6 +89,19 @@
   virtual HttpRequest
   dropHandleRequest(const routing::KvSource &Source) const = 0;
 
+  /// Makes the request that asks who has the address \p Authority. No endpoint
+  /// runs anything for it; \p EndpointId answers it at once, with identity().
+  /// \p RequestId is its own id, \p Deadline the time for the answer.
+  virtual HttpRequest identityRequest(std::string_view EndpointId,
+                                      std::string_view Authority,
+                                      std::string_view RequestId,
+                                      milliseconds Deadline) const = 0;
+
+  /// Who gave the answer to the identityRequest() \p RequestId. nullopt if it
+  /// does not say, or names another request; it may name none.
+  virtual std::optional<EndpointIdentity>
+  identity(const HttpResponse &Response, std::string_view RequestId) const = 0;
+
   /// Makes the request that orders an engine to change its stage. \p Fence is
   /// the fencing token of the order lease; it grows with each holder.
   virtual HttpRequest stageOrderRequest(std::string_view EndpointId,
--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -237,6 +237,11 @@
   Hooks.OnLegStart = [this](const std::string &EndpointId) {
     Counters.counter("endpoint_sends", {{"endpoint", EndpointId}}).add();
   };
+  Hooks.RegisteredStart =
+      [this](const std::string &EndpointId) -> std::optional<std::int64_t> {
+    const routing::Endpoint *E = Table.find(EndpointId);
+    return E ? std::optional(E->Record.StartedAtMs) : std::nullopt;
+  };
   Hooks.OnLimitStatement = [this](const std::string &EndpointId,
                                   const LimitStatement &Statement) {
     onLimitStatement(EndpointId, Statement);
@@ -247,8 +252,13 @@
         onAvailabilityStatement(EndpointId, StartedAtMs, Statement);
       };
   Hooks.RecordVersion = [this, Id = Info.Id](const std::string &Version,
+                                             routing::RecordNeed Need,
                                              std::function<void(bool)> OnDone) {
-    StreamOrigins.record(Id, Version, std::move(OnDone));
+    StreamOrigins.record(Id, Version, std::move(OnDone), Need);
+  };
+  Hooks.OnStreamBegan = [this, Id = Info.Id,
+                         Service](const std::string &Version) {
+    StreamOrigins.began(Id, Service, Version);
   };
   Hooks.FindVersion = [this, First = Info.FirstAttempt,
                        Service](StreamVersionExchange::FindHandler OnDone) {
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -12,6 +12,7 @@
 #include "hyssoprail/connection/http_server.hpp"
 #include "hyssoprail/connection/upstream_client.hpp"
 #include "hyssoprail/core/memory_account.hpp"
+#include "hyssoprail/gateway/endpoint_check.hpp"
 #include "hyssoprail/gateway/endpoint_protocol.hpp"
 #include "hyssoprail/gateway/handler_guard.hpp"
 #include "hyssoprail/process/decision_log.hpp"
@@ -59,14 +60,20 @@
                      const AvailabilityStatement &Statement)>
       OnAvailabilityStatement;
   /// Records the version at which the stream is to begin.
-  std::function<void(const std::string &Version,
+  std::function<void(const std::string &Version, routing::RecordNeed Need,
                      std::function<void(bool Written)> OnDone)>
       RecordVersion;
+  /// The caller gets the first event of the stream.
+  std::function<void(const std::string &Version)> OnStreamBegan;
   /// Looks up the version at which the resumed stream began; nullopt if that
   /// cannot be found out.
   std::function<void(
       std::function<void(const std::optional<std::string> &Version)> OnDone)>
       FindVersion;
+  /// When the endpoint with this id has started, as it is registered now;
+  /// nullopt if it is not registered.
+  std::function<std::optional<std::int64_t>(const std::string &EndpointId)>
+      RegisteredStart;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -123,7 +130,9 @@
   void forward(std::string_view Events) override;
   void finishStream() override;
   void abort(routing::RejectReason Reason) override;
-  void recordVersion(const std::string &Version) override;
+  void recordVersion(const std::string &Version,
+                     routing::RecordNeed Need) override;
+  void streamBegan(const std::string &Version) override;
   void findVersion() override;
   bool stillAllowed() override { return Hooks.StillAllowed(); }
   void logDecision(std::string_view What, LogFields Fields) override;
@@ -132,14 +141,20 @@
   struct Leg {
     routing::LegKind Kind = routing::LegKind::Call;
     std::string EndpointId;
+    std::string EndpointAddress;
     std::int64_t EndpointStartedAtMs = 0;
     TimePoint StartedAt{};
     std::shared_ptr<UpstreamExchange> Exchange;
+    /// Asks whether the endpoint lives, after a response without framing.
+    std::shared_ptr<EndpointCheck> Check;
+    std::optional<EndpointCheckResult> Checked;
     HttpResponse Response;
     MemoryReservation Buffered; ///< for Response
     bool HasHead = false;       ///< the head of the response has arrived
     bool Streaming = false;
     std::optional<LimitStatement> Limit; ///< what the response states
+
+    void cancel() const;
   };
 
   template <typename Decision>
@@ -179,6 +194,13 @@
   bool isPartOfStream(routing::LegKind Kind, const HttpResponse &Head) const;
   void onLegData(LegId Id, std::string_view Data);
   void onLegEnd(LegId Id, UpstreamEnd End, const std::string &Detail);
+  bool needsCheck(const Leg &L) const;
+  void checkEnd(LegId Id, Leg &L, const std::string &Detail);
+  void onChecked(LegId Id, const EndpointCheckReport &Report,
+                 const std::string &Detail);
+  EndpointCheckResult judge(const Leg &L,
+                            const EndpointCheckReport &Report) const;
+  void endLeg(LegId Id, UpstreamEnd End, const std::string &Detail);
   bool bufferResponse(Leg &L, std::string_view Data);
   Leg removeLeg(std::map<LegId, Leg>::iterator It);
   routing::LegResult makeLegResult(Leg &L, UpstreamEnd End,
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "hyssoprail/routing/leg_health_signal.hpp"
 #include "hyssoprail/routing/stream_request.hpp"
 
@@ -12,9 +14,11 @@
 namespace {
 
 /// True if the last chunk tells the end of the stream. A length of 0 does not:
-/// an error without text looks the same.
+/// an error without text looks the same. With another encoding than chunks the
+/// response ends with its connection.
 bool endsWithChunk(const HttpResponse &Head) {
-  return !headerValue(Head.Headers, "Transfer-Encoding").empty();
+  return boost::algorithm::iends_with(
+      headerValue(Head.Headers, "Transfer-Encoding"), "chunked");
 }
 
 /// A prefill and a decode.
@@ -39,7 +43,7 @@
                    : nullptr,
                this->Request.Service),
       PlacementId(placementId(this->Request.SessionId, Placements)) {
-  if (this->Request.Info.Resumes)
+  if (this->Request.Info.Resumes && resumable())
     Progress.resumeAfter(this->Request.Info.LastEventId);
 }
 
@@ -182,25 +186,35 @@
     return;
   const std::uint64_t EventsBefore = Progress.events();
   const std::string NewEvents = Progress.feed(Data);
+  if (!NewEvents.empty())
+    passOn(NewEvents, Progress.events() - EventsBefore, Now);
+  // The events before count as received.
   if (Progress.eventTooLong())
-    return onOversizedEvent(Now);
-  if (NewEvents.empty())
-    return;
+    onOversizedEvent(Now);
+}
+
+void StreamFlow::passOn(std::string_view NewEvents, std::uint64_t Count,
+                        TimePoint Now) {
   LastProgressAt = Now;
   if (!ActiveRun.FirstEvent)
     ActiveRun.FirstEvent = Now - ActiveRun.BeganAt;
   Version.keepVersion(DecodeVersion);
-  const std::uint64_t Events = Progress.events() - EventsBefore;
-  Crashes.received(Events, Now);
-  Work.received(Events * Request.EventTokens, Events, Now);
+  Crashes.received(Count, Now);
+  Work.received(Count * Request.EventTokens, Count, Now);
   Shared.Admission.outputGrew(PlacementId,
                               Progress.events() * Request.EventTokens);
   if (!StreamStarted)
-    Io.beginStream(AnswerHead);
-  StreamStarted = true;
+    beginAnswer();
   Io.forward(NewEvents);
 }
 
+void StreamFlow::beginAnswer() {
+  if (Shared.Versions && resumable() && !Request.Info.Resumes)
+    Io.streamBegan(DecodeVersion);
+  Io.beginStream(AnswerHead);
+  StreamStarted = true;
+}
+
 void StreamFlow::onStreamEnd(FlowIo::LegId Leg, bool Complete, TimePoint Now) {
   if (Silent && Leg == Silent->Leg) {
     if (!Complete || !Progress.atEventEnd())
--- a/src/hyssoprail/routing/stream_flow_test.cpp
+++ b/src/hyssoprail/routing/stream_flow_test.cpp
@@ -376,4 +376,103 @@
   REQUIRE(B.Io.FinalAnswers == 1);
 }
 
+// Guards against pieces of two runs in one response: without ids an engine
+// cannot be told where the stream goes on, and begins anew.
+TEST_CASE("a stream is not continued after events without ids") {
+  for (const std::string Unnamed :
+       {"data: b\n\n", "id: e-2\ndata: b\n\n", "id: 2-1\ndata: b\n\n",
+        "id: -2\ndata: b\n\n", "id: 99999999999999999999\ndata: b\n\n"}) {
+    CAPTURE(Unnamed);
+    StreamFixture B;
+    const auto F = B.startedStream(true);
+    F->onStreamData(2, Unnamed, B.Now);
+    F->onStreamEnd(2, false, B.Now);
+    B.poll(*F);
+    CHECK(B.Io.Legs.size() == 2);
+    CHECK(B.Io.Aborted);
+    CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\n" + Unnamed);
+  }
+}
+
+// Guards against streams that are broken off although nothing came twice:
+// comments and fields without data are no pieces of a stream.
+TEST_CASE("a stream is continued after comments and other fields") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2, ": alive\n\nretry: 100\n\nid: 2\n\n", B.Now);
+  F->onStreamEnd(2, false, B.Now);
+  B.poll(*F);
+  B.answer(*F, 3, answered(200, "handle-2"));
+  REQUIRE(B.Io.Legs.size() == 4);
+  CHECK(B.leg(4).ResumeAfter == 2);
+}
+
+// Guards against a second run beside the first one of a stream that can only
+// begin anew.
+TEST_CASE("a silent engine is not replaced after events without ids") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2, "data: b\n\n", B.Now);
+  for (int I = 0; I < 20 && !F->done() && B.Io.Legs.size() == 2; ++I) {
+    B.Now = F->nextDeadline();
+    F->onTimer(B.Now);
+    B.poll(*F);
+  }
+  CHECK(B.Io.Legs.size() == 2);
+}
+
+// Guards against a missing piece: whole events before one that is too long
+// count as received, so the caller must get them.
+TEST_CASE("events before one that is too long are passed on") {
+  StreamFixture B;
+  const auto F = B.startedStream(true);
+  F->onStreamData(2,
+                  "id: 2\ndata: b\n\nid: 3\ndata: " +
+                      std::string(std::size_t{300} * 1024, 'x'),
+                  B.Now);
+  B.poll(*F);
+  CHECK(B.Io.Forwarded == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  B.answer(*F, 3, answered(200, "handle-2"));
+  REQUIRE(B.Io.Legs.size() == 4);
+  CHECK(B.leg(4).ResumeAfter == 2);
+}
+
+// Guards against a stream that ends before its last event: an encoding other
+// than chunks has no last chunk, so the end of the connection is all that such
+// a response has.
+TEST_CASE("only chunks tell the end of a continued stream without events") {
+  for (const std::string Encoding : {"identity", "gzip", "chunked, gzip"}) {
+    CAPTURE(Encoding);
+    StreamFixture B;
+    const auto F = B.startedStream(true);
+    F->onStreamEnd(2, false, B.Now);
+    B.poll(*F);
+    B.answer(*F, 3, answered(200, "handle-2"));
+    HttpResponse Head = head();
+    Head.Headers.push_back({"Transfer-Encoding", Encoding});
+    F->onStreamHead(4, Head, B.Now);
+    F->onStreamEnd(4, true, B.Now);
+    CHECK(B.Io.Aborted);
+  }
+}
+
+// Guards against a part of another run: a route that is not resumable runs a
+// request anew, whatever event its caller names.
+TEST_CASE("a stream that cannot be resumed is passed on as it is") {
+  StreamFixture B;
+  FlowRequest R = B.stream(false);
+  R.Info.Resumes = true;
+  R.Info.LastEventId = 2;
+  const auto F = B.startStream(std::move(R));
+  B.answer(*F, 1, answered(200, "handle-1"));
+  const std::string Whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                            "id: 3\ndata: c\n\n";
+  CHECK_FALSE(B.leg(2).ResumeAfter.has_value());
+  F->onStreamHead(2, head(), B.Now);
+  F->onStreamData(2, Whole, B.Now);
+  F->onStreamEnd(2, true, B.Now);
+  CHECK(B.Io.Forwarded == Whole);
+  CHECK_FALSE(B.Io.Aborted);
+}
+
 } // namespace hyssoprail::routing
