--- a/src/hyssoprail/gateway/endpoint_check.cpp
+++ b/src/hyssoprail/gateway/endpoint_check.cpp
@@ -24,7 +24,7 @@
                              const EndpointProtocol &Protocol)
     : Time(Time), Endpoints(Endpoints), Protocol(Protocol), Timer(Context) {}
 
-void EndpointCheck::start(EndpointCheckCall Call, Callback NewOnDone) {
+void EndpointCheck::start(const EndpointCheckCall &Call, Callback NewOnDone) {
   EndpointId = Call.EndpointId;
   RequestId = Call.RequestId;
   OnDone = std::move(NewOnDone);
--- a/src/hyssoprail/gateway/endpoint_check.hpp
+++ b/src/hyssoprail/gateway/endpoint_check.hpp
@@ -58,7 +58,7 @@
 
   /// Asks. \p OnDone is called once, in a later event, unless the check is
   /// cancelled.
-  void start(EndpointCheckCall Call, Callback OnDone);
+  void start(const EndpointCheckCall &Call, Callback OnDone);
 
   /// Closes the connection; nothing is reported afterwards.
   void cancel();
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -339,8 +339,8 @@
   Call.Limit = std::clamp(Left, milliseconds(0), EndpointCheckLimit);
   L.Check = std::make_shared<EndpointCheck>(
       Services.Context, Services.Time, Services.Endpoints, Services.Protocol);
-  L.Check->start(std::move(Call), [Self = shared_from_this(), Id,
-                                   Detail](const EndpointCheckReport &Report) {
+  L.Check->start(Call, [Self = shared_from_this(), Id,
+                        Detail](const EndpointCheckReport &Report) {
     Self->run(Boundary::Answer, [&] { Self->onChecked(Id, Report, Detail); });
   });
 }
