--- a/src/hyssoprail/routing/stream_versions.cpp
+++ b/src/hyssoprail/routing/stream_versions.cpp
@@ -9,9 +9,10 @@
 /// the oldest.
 constexpr std::size_t MaxOwnStreams = 20'000;
 
-/// An entry that may be further behind than a lifetime divided by this does not
-/// know whether its state still holds.
-constexpr int LagDivisor = 2;
+/// An entry that may be further behind does not know whether its state still
+/// holds. Streams are remembered for 10 s longer than they can be resumed; an
+/// entry that takes one version for the only one may miss another for 1 s.
+constexpr milliseconds MaxStateLag{9'000};
 
 } // namespace
 
@@ -57,7 +58,7 @@
 RecordNeed StreamVersions::need(std::string_view Service,
                                 std::string_view Version) const {
   const VersionState *State = state(Service);
-  const bool IsBehind = Lag && Lag() > Lifetime / LagDivisor;
+  const bool IsBehind = Lag && Lag() > MaxStateLag;
   if (!State || IsBehind)
     return RecordNeed::Required;
   if (!State->Base)
