Ends of answers: an endpoint has 500 ms to say that it lives

Found by the review: 150 ms are shorter than one retransmission of a segment, so a lost packet turned a sound answer that ends with its connection into a broken one. A process that has ended refuses at once; only one that has vanished is waited for longer.

platform_test [dead_worker] "a late answer to a check is not waited for" (3 s) is unchanged.

--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -23,8 +23,9 @@
 constexpr milliseconds EngineConnectTimeout{250};
 constexpr milliseconds DropHandleTimeout{1'000};
 
-/// An endpoint that lives answers at once; one that does not is not waited for.
-constexpr milliseconds EndpointCheckLimit{150};
+/// An endpoint that lives answers at once, or after a segment was sent again;
+/// one that has vanished is not waited for.
+constexpr milliseconds EndpointCheckLimit{500};
 
 constexpr unsigned StatusInternalError = 500;
 constexpr unsigned StatusOutcomeUnknown = 502;
