Versions of streams: a shorter timeout does not concern streams that began before (ORDER)

Found by the review, by reading. The lifetime of records followed the configuration at once, so that a shorter timeout made entries forget records and set the next base version while callers of streams that had begun under the longer one could still come back, and went on at another version.

A shorter lifetime holds only once the longer one has passed. gateway_test "a shorter timeout does not concern streams that began before" passes; the interface of the test is new, so it was not run on the code before.

--- a/src/hyssoprail/gateway/stream_version_exchange.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.cpp
@@ -50,7 +50,17 @@
       Names.insert(S.Service);
   }
   Services.assign(Names.begin(), Names.end());
-  Lifetime = Longest + LifetimeMargin;
+  setLifetime(Longest + LifetimeMargin);
+}
+
+void StreamVersionExchange::setLifetime(Duration Next) {
+  if (Next < Lifetime) {
+    if (!Shorter || Shorter->Length != Next)
+      Shorter = {Next, Time.now() + Lifetime};
+    return;
+  }
+  Shorter.reset();
+  Lifetime = Next;
   Versions.setLifetime(Lifetime);
 }
 
@@ -291,6 +301,10 @@
 
 void StreamVersionExchange::tick(bool IsCoordinator, bool EndpointsComplete,
                                  TimePoint Now) {
+  if (Shorter && Now >= Shorter->From) {
+    Lifetime = std::exchange(Shorter, std::nullopt)->Length;
+    Versions.setLifetime(Lifetime);
+  }
   if (Now >= RetryWriteAt)
     write(false);
   if (Now >= WritableAgainAt)
--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -35,6 +35,9 @@
 
   void configure(const routing::FleetConfig &Config);
 
+  /// How long a stream can be resumed after its begin.
+  Duration lifetime() const { return Lifetime; }
+
   /// Records that the stream of the request \p Id is to begin at \p Version.
   /// Records that arrive while one is being written are written together. One
   /// that is only wanted is tried again later if it was not written.
@@ -80,12 +83,18 @@
     RecordHandler OnDone;
   };
 
+  struct ShorterLifetime {
+    Duration Length{};
+    TimePoint From{};
+  };
+
   /// A version, and what shows that a stream began there.
   struct Certain {
     std::string Version;
     std::string_view Source;
   };
 
+  void setLifetime(Duration Next);
   void write(bool WithOwn);
   StreamVersionMap takePending(bool WithOwn);
   void onWritten(WriteOutcome Outcome);
@@ -118,6 +127,9 @@
   routing::StreamVersions Versions;
   std::vector<std::string> Services; ///< with resumable routes
   Duration Lifetime{};               ///< of records
+  /// A configuration has shorter timeouts: streams that began before it can be
+  /// resumed until the longer lifetime has passed.
+  std::optional<ShorterLifetime> Shorter;
 
   StreamVersionMap Pending; ///< not written yet
   StreamVersionMap Writing; ///< in the call in flight
--- a/src/hyssoprail/gateway/stream_version_exchange_test.cpp
+++ b/src/hyssoprail/gateway/stream_version_exchange_test.cpp
@@ -234,4 +234,23 @@
   CHECK(B.Feed.Recorded.back().at("a") == "v3");
 }
 
+// Guards against streams of a service that are forgotten, or go on at the only
+// version that is left, while their callers may still come back: the operator
+// has shortened the timeout of their route.
+TEST_CASE("a shorter timeout does not concern streams that began before") {
+  ExchangeFixture B;
+  const Duration Before = B.Exchange.lifetime();
+  B.configure(milliseconds(2'000));
+  CHECK(B.Exchange.lifetime() == Before);
+  B.tick(milliseconds(10'000));
+  B.configure(milliseconds(2'000));
+  B.tick(std::chrono::duration_cast<milliseconds>(Before) -
+         milliseconds(10'001));
+  CHECK(B.Exchange.lifetime() == Before);
+  B.tick(milliseconds(1));
+  CHECK(B.Exchange.lifetime() == milliseconds(12'000));
+  B.configure(milliseconds(14'000));
+  CHECK(B.Exchange.lifetime() == Before);
+}
+
 } // namespace hyssoprail::gateway
--- a/src/hyssoprail/gateway/stream_version_fixture.hpp
+++ b/src/hyssoprail/gateway/stream_version_fixture.hpp
@@ -22,12 +22,15 @@
 
 /// The coordinator of a service whose engines are given by the test.
 struct ExchangeFixture {
-  ExchangeFixture() {
+  ExchangeFixture() { configure(milliseconds(14'000)); }
+
+  /// The streams of the service have this timeout.
+  void configure(milliseconds Timeout) {
     routing::FleetConfig Config;
     routing::RoutePolicy R;
     R.Kind = routing::RouteKind::Stream;
     R.Resumable = true;
-    R.Timeout = milliseconds(14'000);
+    R.Timeout = Timeout;
     R.Services = {{"assistant", 1}};
     Config.Routes.push_back(R);
     Exchange.configure(Config);
