A stream whose route has moved since it began is refused, not joined (ORDER)

Found by the review, by reading. A caller that takes up a stream is sent to a service by the present route. If the operator has moved the route, or changed its weights, since the stream began, that is another service: the rest came from there, at the base version of that service, as records name no service.

ServiceHistory keeps the routes of resumable streams that were replaced within a lifetime. A stream whose first attempt would have gone elsewhere by one of them is refused with 503 and a time to return (version_found source=route_moved); streams that the change does not move go on. Class: the absence of a service in what is known of a stream is taken as proof that the present route began it.

Open: an entry that has started since does not know the earlier routes.

--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -260,9 +260,8 @@
                          Service](const std::string &Version) {
     StreamOrigins.began(Id, Service, Version);
   };
-  Hooks.FindVersion = [this, First = Info.FirstAttempt,
-                       Service](StreamVersionExchange::FindHandler OnDone) {
-    StreamOrigins.find(First, Service, std::move(OnDone));
+  Hooks.FindVersion = [this, Key](StreamVersionExchange::FindHandler OnDone) {
+    findVersion(Key, std::move(OnDone));
   };
   Hooks.OnEnd = [this, Key, QuotaTokens](const SessionResult &R) {
     sessionEnded(Key, QuotaTokens, R);
@@ -270,6 +269,23 @@
   return Hooks;
 }
 
+/// A stream goes on only at the service and at the version that began it.
+void GatewayRuntime::findVersion(const std::string &Key,
+                                 StreamVersionExchange::FindHandler OnDone) {
+  const auto Session = Sessions.find(Key);
+  if (Session == Sessions.end())
+    return OnDone(std::nullopt);
+  const FlowRequest &R = Session->second->request();
+  const TimePoint Since = Time.now() - StreamOrigins.lifetime();
+  if (!PastRoutes.mayHaveBegunElsewhere(R.Info, R.Service, Since))
+    return StreamOrigins.find(R.Info.FirstAttempt, R.Service,
+                              std::move(OnDone));
+  Log.write(
+      LogCategory::Outcome, "version_found", R.Info.FirstAttempt,
+      {{"service", R.Service}, {"version", ""}, {"source", "route_moved"}});
+  OnDone(std::nullopt);
+}
+
 /// Checks the API key of a request that has waited against the present
 /// configuration, which may have changed since the request was admitted.
 bool GatewayRuntime::stillAllowed(const std::string &Key) const {
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -27,6 +27,7 @@
 #include "hyssoprail/gateway/stage_orders.hpp"
 #include "hyssoprail/gateway/stream_version_exchange.hpp"
 #include "hyssoprail/process/metrics.hpp"
+#include "hyssoprail/routing/service_history.hpp"
 
 namespace hyssoprail::gateway {
 
@@ -118,6 +119,8 @@
   routing::FlowRequest flowRequest(const AcceptedRequest &Accepted) const;
   void startSession(const Exchange &Caller, routing::FlowRequest Request,
                     double QuotaTokens);
+  void findVersion(const std::string &Key,
+                   StreamVersionExchange::FindHandler OnDone);
   SessionHooks sessionHooks(const routing::FlowRequest &Request,
                             double QuotaTokens);
   bool stillAllowed(const std::string &Key) const;
@@ -207,6 +210,7 @@
   Coordination FleetCoordination;
   StageOrders Stages;
   StreamVersionExchange StreamOrigins;
+  routing::ServiceHistory PastRoutes;
   routing::FleetConfigPtr Config;
   TimePoint ConfigAppliedAt{};
   bool ConfigIncomplete = false; ///< a step of applying it threw
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -46,6 +46,9 @@
 void GatewayRuntime::onConfig(routing::FleetConfigPtr Next) {
   if (Config && Next->Version <= Config->Version)
     return;
+  const TimePoint Now = Time.now();
+  if (Config)
+    PastRoutes.replaced(*Config, *Next, Now, Now - StreamOrigins.lifetime());
   Config = std::move(Next);
   applyConfig();
   Log.write(LogCategory::Outcome, "configuration", "",
