Events with CR line ends: the split of a stream does not matter

Found by fuzz_response after the line ends of events were mended: of data: b CR CR LF, the event ended after CR CR if the bytes came apart, and after CR CR LF if they came together, so that a line feed moved between two events. No piece of a stream was lost or repeated.

After a line that ends with CR the event ends with the next CR in both cases; a line feed that follows begins the next event, as an empty line.

Measured: fuzz/regressions/response/cr_before_crlf failed before and passes; routing_test on events and streams passes (79 cases); 45 s of fuzzing found nothing more.

--- a/src/hyssoprail/routing/event_splitter.cpp
+++ b/src/hyssoprail/routing/event_splitter.cpp
@@ -85,6 +85,10 @@
     const bool MayBeHalf = Rest == "\r" && Text[Next - 1] == '\n';
     if (MayBeHalf)
       return std::string_view::npos;
+    // After a line that ends with CR the event ends with the next CR, as an LF
+    // that follows may not have arrived yet.
+    if (Rest.starts_with('\r') && Text[Next - 1] == '\r')
+      return Next + 1;
     if (Rest.starts_with('\n') || Rest.starts_with('\r'))
       return afterLineEnd(Text, Next);
     At = Text.find_first_of(LineEndCharacters, Next);
