Read as a newcomer: a comment that had moved to another function, a missing one

The comment on onOversizedEvent stood above passOn, which had none, and ShorterLifetime said nothing of itself.

--- a/src/hyssoprail/gateway/stream_version_exchange.hpp
+++ b/src/hyssoprail/gateway/stream_version_exchange.hpp
@@ -83,6 +83,7 @@
     RecordHandler OnDone;
   };
 
+  /// A lifetime of records that holds from a later time on.
   struct ShorterLifetime {
     Duration Length{};
     TimePoint From{};
--- a/src/hyssoprail/routing/stream_flow.hpp
+++ b/src/hyssoprail/routing/stream_flow.hpp
@@ -207,8 +207,10 @@
 
   void forgetSilentRun(TimePoint Now);
 
-  /// The engine sends data that is not a valid event stream.
+  /// Sends \p Count whole events to the caller.
   void passOn(std::string_view NewEvents, std::uint64_t Count, TimePoint Now);
+
+  /// The engine sends data that is not a valid event stream.
   void onOversizedEvent(TimePoint Now);
 
   /// Ends the request, as engines crash under its prompt.
