Logs: size and time of a configuration and of a transfer between entries

`configuration` has bytes, decode_ms and apply_ms, `changes_from_entry` bytes and response_ms. No logic changes.

--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -86,12 +86,19 @@
 
 std::string_view writeOutcomeName(WriteOutcome Outcome);
 
+/// What it took to decode a configuration.
+struct ConfigDecoding {
+  std::size_t Bytes = 0; ///< size of the record
+  Duration Time{};
+};
+
 /// Receives the changes of the fleet that a FleetFeed reads.
 class FleetListener {
 public:
   virtual ~FleetListener() = default;
 
-  virtual void onConfig(routing::FleetConfigPtr Config) = 0;
+  virtual void onConfig(routing::FleetConfigPtr Config,
+                        const ConfigDecoding &Decoding) = 0;
 
   /// Sets the zones that are out of service.
   virtual void onZonesOut(std::set<std::string, std::less<>> Zones) = 0;
--- a/src/hyssoprail/gateway/gateway_runtime.hpp
+++ b/src/hyssoprail/gateway/gateway_runtime.hpp
@@ -60,7 +60,8 @@
   std::uint16_t readyPort() const { return ReadyServer->port(); }
 
   // FleetListener
-  void onConfig(routing::FleetConfigPtr Config) override;
+  void onConfig(routing::FleetConfigPtr Config,
+                const ConfigDecoding &Decoding) override;
   void onZonesOut(std::set<std::string, std::less<>> Zones) override;
   void onEndpoint(const routing::EndpointRecord &Record) override;
   void onEndpointRemoved(std::string_view Id) override;
@@ -169,7 +170,7 @@
 
   std::string chooseChangeSource(TimePoint Now);
   void pullChanges(TimePoint Now);
-  void onChangesPulled(const std::string &Source,
+  void onChangesPulled(const std::string &Source, TimePoint AskedAt,
                        const Result<HttpResponse> &Response);
   void updateColdStartLimits(TimePoint Now);
   void logQuarantineChanges(TimePoint Now);
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -43,7 +43,8 @@
 
 // ---- Records of the store -------------------------------------------------
 
-void GatewayRuntime::onConfig(routing::FleetConfigPtr Next) {
+void GatewayRuntime::onConfig(routing::FleetConfigPtr Next,
+                              const ConfigDecoding &Decoding) {
   if (Config && Next->Version <= Config->Version)
     return;
   const TimePoint Now = Time.now();
@@ -56,7 +57,10 @@
              {"operator_position", Feed.newestChange().Operator},
              {"era", Feed.newestChange().Era},
              {"routes", Config->Routes.size()},
-             {"accounts", Config->Accounts.size()}});
+             {"accounts", Config->Accounts.size()},
+             {"bytes", Decoding.Bytes},
+             {"decode_ms", Decoding.Time},
+             {"apply_ms", Time.now() - Now}});
 }
 
 /// Each step is done although another one throws. All of them are repeated
@@ -299,9 +303,10 @@
                   {},
                   ""};
   Call.Timeout = PullTimeout;
-  const auto OnDone = [this, Source](const Result<HttpResponse> &Response) {
+  const auto OnDone = [this, Source,
+                       Now](const Result<HttpResponse> &Response) {
     Guard.run(Boundary::HttpClient, "",
-              [&] { onChangesPulled(Source, Response); });
+              [&] { onChangesPulled(Source, Now, Response); });
   };
   if (!Guard.run(Boundary::HttpClient, "",
                  [&] { Http.call(std::move(Call), OnDone); }))
@@ -309,8 +314,10 @@
 }
 
 void GatewayRuntime::onChangesPulled(const std::string &Source,
+                                     TimePoint AskedAt,
                                      const Result<HttpResponse> &Response) {
   Pulling = false;
+  const Duration ResponseTime = Time.now() - AskedAt;
   const Error *E = errorOf(Response);
   const bool Applied = !E && valueOf(Response).Status == 200;
   if (Applied)
@@ -324,6 +331,8 @@
              {"operator_position", Position.Operator},
              {"endpoint_position", Position.Endpoints},
              {"era", Position.Era},
+             {"bytes", E ? std::size_t{0} : valueOf(Response).Body.size()},
+             {"response_ms", ResponseTime},
              {"outcome", E ? E->Message : std::string("answered")}});
 }
 
