--- a/src/hyssoprail/testing/tcp_proxy.hpp
+++ b/src/hyssoprail/testing/tcp_proxy.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "hyssoprail/testing/http_fixture.hpp"
@@ -17,7 +18,8 @@
 namespace hyssoprail::testing {
 
 /// Forwards loopback connections to \p Target. Connections may be made silent:
-/// they stay open and forward nothing.
+/// they stay open and forward nothing. They may also be made slow, each for
+/// itself.
 class TcpProxy {
 public:
   explicit TcpProxy(std::uint16_t Target)
@@ -36,16 +38,22 @@
   /// Makes the connections accepted so far silent for ever.
   void silenceOpen() { SilentUpTo = Accepted.load(); }
 
+  /// Limits each direction of each connection; 0: no limit.
+  void setBytesPerSecond(std::size_t Rate) { BytesPerSecond = Rate; }
+
 private:
   using Socket = boost::asio::ip::tcp::socket;
 
   struct Pair {
     Pair(Socket In, boost::asio::io_context &Context, unsigned Number)
-        : Near(std::move(In)), Far(Context), Number(Number) {}
+        : Near(std::move(In)), Far(Context),
+          Number(Number), Pauses{boost::asio::steady_timer(Context),
+                                 boost::asio::steady_timer(Context)} {}
     Socket Near;
     Socket Far;
     unsigned Number;
     std::array<std::array<char, 16384>, 2> Data{};
+    std::array<boost::asio::steady_timer, 2> Pauses;
   };
 
   void accept() {
@@ -78,17 +86,32 @@
             boost::asio::write(
                 To, boost::asio::buffer(P->Data[Side].data(), Size), Failure);
           if (!Failure)
-            return pump(P, From, To, Side);
+            return pumpAfterPause(P, From, To, Side, Size);
           From.close(Failure);
           To.close(Failure);
         });
   }
 
+  void pumpAfterPause(const std::shared_ptr<Pair> &P, Socket &From, Socket &To,
+                      std::size_t Side, std::size_t Forwarded) {
+    const std::size_t Rate = BytesPerSecond;
+    if (Rate == 0)
+      return pump(P, From, To, Side);
+    constexpr std::size_t MicrosPerSecond = 1'000'000;
+    P->Pauses[Side].expires_after(
+        std::chrono::microseconds(Forwarded * MicrosPerSecond / Rate));
+    P->Pauses[Side].async_wait([this, P, &From, &To, Side](const auto &Code) {
+      if (!Code)
+        pump(P, From, To, Side);
+    });
+  }
+
   LoopThread Loop;
   std::uint16_t Target;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::atomic<unsigned> Accepted{0};
   std::atomic<unsigned> SilentUpTo{0};
+  std::atomic<std::size_t> BytesPerSecond{0};
   std::vector<std::shared_ptr<Pair>> Kept;
 };
 
