Routes are found by an index, not by a look at all of them (CONFIG)

Callers got answers of an older configuration, or a 404 for a route that had been added, seconds after its acknowledgement. Each request and each placement went through all routes as well. Routes are in a RouteTable now: a hash of the host, then of each length of prefix that the host has; it also knows whether the priorities of a service differ. Two tests that changed the vector of routes build a table of the same routes instead; routesDifferInPriority is RouteTable::prioritiesDiffer.

--- a/include/hyssoprail/routing/fleet_config.hpp
+++ b/include/hyssoprail/routing/fleet_config.hpp
@@ -5,45 +5,16 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "hyssoprail/core/clock.hpp"
 #include "hyssoprail/routing/request_info.hpp"
+#include "hyssoprail/routing/route_policy.hpp"
+#include "hyssoprail/routing/route_table.hpp"
 
 namespace hyssoprail::routing {
 
-/// Kind of the requests of a route, which decides whether they may run again.
-enum class RouteKind {
-  Call,           ///< runs at most once
-  IdempotentCall, ///< may run more than once
-  Stream,         ///< server-sent events; runs once unless Resumable
-};
-
-/// One destination of a route with its weight in the traffic split.
-struct WeightedService {
-  std::string Service;
-  double Weight = 1;
-};
-
-struct RoutePolicy {
-  std::string Name;
-  std::string Host;       ///< lower case, without port
-  std::string PathPrefix; ///< begins and ends with a slash
-  RouteKind Kind = RouteKind::Call;
-  milliseconds Timeout{0}; ///< longest time until the final answer
-  /// Until the whole answer, or until the first event of a stream.
-  milliseconds LatencyObjective{0};
-  milliseconds EventGapObjective{0}; ///< longest pause between events
-  int Priority = 0;                  ///< 0 is the most urgent
-  std::vector<WeightedService> Services;
-  unsigned MaxAttempts = 1;    ///< endpoints that may run one request
-  bool AllowAnonymous = false; ///< requests need no API key
-  bool Resumable = false;      ///< a stream may resume at another endpoint
-};
-
 /// Capacity and timing of the engines of a service.
 struct EngineLimits {
   unsigned Slots = 1;
@@ -84,7 +55,7 @@
 class FleetConfig {
 public:
   std::uint64_t Version = 0;
-  std::vector<RoutePolicy> Routes;
+  RouteTable Routes;
   std::map<std::string, ServicePolicy, std::less<>> Services;
   std::map<std::string, AccountPolicy, std::less<>> Accounts;
   std::map<std::string, std::string, std::less<>> AccountByKey;
--- a/include/hyssoprail/routing/overload_policy.hpp
+++ b/include/hyssoprail/routing/overload_policy.hpp
@@ -69,10 +69,6 @@
                          TimePoint Now);
 };
 
-/// True if the routes that lead to \p Service differ in priority.
-bool routesDifferInPriority(const FleetConfig &Config,
-                            std::string_view Service);
-
 /// True if the policy is in force for \p Service as far as configuration and
 /// settings tell; with OverloadMode::Auto uneven engines put it in force, too.
 bool overloadPolicyConfigured(OverloadMode Mode, const FleetConfig &Config,
--- a/src/hyssoprail/gateway/stream_version_fixture.hpp
+++ b/src/hyssoprail/gateway/stream_version_fixture.hpp
@@ -32,7 +32,7 @@
     R.Resumable = true;
     R.Timeout = Timeout;
     R.Services = {{"assistant", 1}};
-    Config.Routes.push_back(R);
+    Config.Routes.add(R);
     Exchange.configure(Config);
   }
 
--- a/src/hyssoprail/routing/fleet_config.cpp
+++ b/src/hyssoprail/routing/fleet_config.cpp
@@ -18,15 +18,7 @@
 
 const RoutePolicy *FleetConfig::route(std::string_view Host,
                                       std::string_view Path) const {
-  const std::string NormalizedHost = normalizeHost(Host);
-  const RoutePolicy *Longest = nullptr;
-  for (const RoutePolicy &R : Routes) {
-    if (R.Host != NormalizedHost || !Path.starts_with(R.PathPrefix))
-      continue;
-    if (!Longest || R.PathPrefix.size() > Longest->PathPrefix.size())
-      Longest = &R;
-  }
-  return Longest;
+  return Routes.find(normalizeHost(Host), Path);
 }
 
 const AccountPolicy *FleetConfig::accountOfKey(std::string_view Key) const {
--- a/src/hyssoprail/routing/many_routes_test.cpp
+++ b/src/hyssoprail/routing/many_routes_test.cpp
@@ -1,7 +1,6 @@
 // Tests of what a configuration with thousands of routes costs.
 #include <catch2/catch.hpp>
 
-#include "hyssoprail/routing/overload_policy.hpp"
 #include "hyssoprail/routing/service_history.hpp"
 #include "hyssoprail/testing/cpu_time.hpp"
 
@@ -35,7 +34,7 @@
     R.Kind = RouteKind::Stream;
     R.Resumable = true;
     R.Services = {{"engines", 1}};
-    Out.Routes.push_back(R);
+    Out.Routes.add(R);
   }
   return Out;
 }
@@ -63,7 +62,7 @@
   const FleetConfig Config = configWith(Routes);
   return leastCpuTime([&] {
     for (unsigned I = 0; I < LookUps; ++I)
-      REQUIRE_FALSE(routesDifferInPriority(Config, "engines"));
+      REQUIRE_FALSE(Config.Routes.prioritiesDiffer("engines"));
   });
 }
 
--- a/src/hyssoprail/routing/overload_policy.cpp
+++ b/src/hyssoprail/routing/overload_policy.cpp
@@ -70,27 +70,11 @@
   return Now + Wait + MinServiceTime >= Request.GiveUpAt;
 }
 
-bool routesDifferInPriority(const FleetConfig &Config,
-                            std::string_view Service) {
-  std::optional<int> First;
-  for (const RoutePolicy &Route : Config.Routes) {
-    const bool Leads = std::any_of(
-        Route.Services.begin(), Route.Services.end(),
-        [&](const WeightedService &S) { return S.Service == Service; });
-    if (!Leads)
-      continue;
-    if (First.value_or(Route.Priority) != Route.Priority)
-      return true;
-    First = Route.Priority;
-  }
-  return false;
-}
-
 bool overloadPolicyConfigured(OverloadMode Mode, const FleetConfig &Config,
                               std::string_view Service) {
   return Mode == OverloadMode::LeastCost ||
          (Mode == OverloadMode::Auto &&
-          routesDifferInPriority(Config, Service));
+          Config.Routes.prioritiesDiffer(Service));
 }
 
 } // namespace hyssoprail::routing
--- a/src/hyssoprail/routing/overload_test.cpp
+++ b/src/hyssoprail/routing/overload_test.cpp
@@ -185,10 +185,11 @@
   const auto RefusedByPolicy = [](int SecondPriority, double SpeedFactor) {
     OverloadLoad L(OverloadMode::Auto);
     auto Config = testing::testConfig();
-    Config->Routes.resize(2);
-    for (RoutePolicy &Route : Config->Routes)
-      Route.Services = {{"assistant", 1}};
-    Config->Routes[1].Priority = SecondPriority;
+    RoutePolicy First;
+    First.Services = {{"assistant", 1}};
+    RoutePolicy Second = First;
+    Second.Priority = SecondPriority;
+    Config->Routes = {First, Second};
     L.Scheduler.configure(Config);
     L.Table.find("d0")->SpeedFactor = SpeedFactor;
     for (int I = 0; I < 400; ++I) {
--- a/src/hyssoprail/routing/service_history.cpp
+++ b/src/hyssoprail/routing/service_history.cpp
@@ -11,12 +11,7 @@
 }
 
 bool leadAlike(const RoutePolicy &A, const RoutePolicy &B) {
-  return isResumable(A) == isResumable(B) &&
-         std::equal(A.Services.begin(), A.Services.end(), B.Services.begin(),
-                    B.Services.end(),
-                    [](const WeightedService &X, const WeightedService &Y) {
-                      return X.Service == Y.Service && X.Weight == Y.Weight;
-                    });
+  return isResumable(A) == isResumable(B) && A.Services == B.Services;
 }
 
 /// The routes of \p Old that lead elsewhere in \p New, or whose paths are in
@@ -25,10 +20,11 @@
                                             const FleetConfig &New) {
   std::set<const RoutePolicy *> Out;
   const auto Compare = [&](const RoutePolicy &At) {
-    const RoutePolicy *Before = Old.route(At.Host, At.PathPrefix);
-    const RoutePolicy *After = New.route(At.Host, At.PathPrefix);
-    if (Before && isResumable(*Before) &&
-        !(After && leadAlike(*Before, *After)))
+    const RoutePolicy *Before = Old.Routes.find(At.Host, At.PathPrefix);
+    if (!Before || !isResumable(*Before))
+      return;
+    const RoutePolicy *After = New.Routes.find(At.Host, At.PathPrefix);
+    if (!After || !leadAlike(*Before, *After))
       Out.insert(Before);
   };
   std::for_each(Old.Routes.begin(), Old.Routes.end(), Compare);
--- a/src/hyssoprail/routing/service_history_test.cpp
+++ b/src/hyssoprail/routing/service_history_test.cpp
@@ -17,7 +17,7 @@
 
 FleetConfig config(std::vector<RoutePolicy> Routes) {
   FleetConfig Out;
-  Out.Routes = std::move(Routes);
+  Out.Routes = RouteTable(std::move(Routes));
   return Out;
 }
 
--- a/src/hyssoprail/routing/stage_pressure_test.cpp
+++ b/src/hyssoprail/routing/stage_pressure_test.cpp
@@ -69,10 +69,11 @@
                     route(0, "orders")};
   CHECK(InForce(OverloadMode::LeastCost));
   CHECK_FALSE(InForce(OverloadMode::Auto));
-  Config->Routes.push_back(route(2, "assistant"));
+  Config->Routes.add(route(2, "assistant"));
   CHECK(InForce(OverloadMode::Auto));
   CHECK_FALSE(InForce(OverloadMode::Arrival));
-  Config->Routes.pop_back();
+  Config->Routes = {route(1, "assistant"), route(1, "assistant"),
+                    route(0, "orders")};
   Table.find("d0")->SpeedFactor = 1.6;
   CHECK(InForce(OverloadMode::Auto));
   CHECK_FALSE(InForce(OverloadMode::Arrival));
