Transfers end when nothing arrives, not after a time for the whole (CONFIG)

Callers were served by the routes of a version that a newer one had replaced more than 3 s before, on small VMs for good. A configuration of 4,200 routes has about a megabyte, which a link of 10 Mbit/s carries in 0.8 s alone; each try began anew and took the link from the other one.

--- a/include/hyssoprail/connection/http_client.hpp
+++ b/include/hyssoprail/connection/http_client.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,12 +16,21 @@
 
 namespace hyssoprail {
 
+/// Limits on the time in which the body of a response arrives.
+struct HttpBodyLimits {
+  std::chrono::milliseconds Stall; ///< without a byte
+  std::chrono::milliseconds Total;
+};
+
 /// A request to an external HTTP server.
 struct HttpCall {
   std::string Authority; ///< "IP:PORT"
   HttpRequest Request;
   /// Limit for the whole call; for a streamed call, for each read.
   std::chrono::milliseconds Timeout{5'000};
+  /// If set, Timeout ends with the head of the response: a large body may take
+  /// longer as long as it arrives. Not for streamed calls.
+  std::optional<HttpBodyLimits> Body = std::nullopt;
   /// Opens a new connection and closes it after the call.
   bool FreshConnection = false;
   /// A larger response body is not read; the call fails.
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -170,6 +170,39 @@
   co_return C;
 }
 
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Reads the body of a response whose head has been read.
+asio::awaitable<beast::error_code>
+readBody(ClientConnection &C, ResponseParser &Parser, HttpBodyLimits Limits) {
+  const auto Deadline = std::chrono::steady_clock::now() + Limits.Total;
+  while (!Parser.is_done()) {
+    C.Stream.expires_at(
+        std::min(Deadline, std::chrono::steady_clock::now() + Limits.Stall));
+    auto [Code, Read] =
+        co_await http::async_read_some(C.Stream, C.Buffer, Parser, NoThrow);
+    if (Code)
+      co_return Code;
+  }
+  co_return beast::error_code();
+}
+
+/// The head of the response must arrive before the stream expires.
+asio::awaitable<beast::error_code> readResponse(ClientConnection &C,
+                                                ResponseParser &Parser,
+                                                const HttpCall &Call) {
+  if (!Call.Body) {
+    auto [Code, Read] =
+        co_await http::async_read(C.Stream, C.Buffer, Parser, NoThrow);
+    co_return Code;
+  }
+  auto [Code, Read] =
+      co_await http::async_read_header(C.Stream, C.Buffer, Parser, NoThrow);
+  if (Code)
+    co_return Code;
+  co_return co_await readBody(C, Parser, *Call.Body);
+}
+
 asio::awaitable<Result<HttpResponse>>
 runCall(std::shared_ptr<ConnectionPool> Connections, HttpCall Call) {
   const auto Deadline = std::chrono::steady_clock::now() + Call.Timeout;
@@ -183,15 +216,14 @@
       co_await http::async_write(C->Stream, Message, NoThrow);
   if (WriteCode)
     co_return connectionFailed(Call.Authority, WriteCode);
-  std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<ResponseParser> Parser;
   for (unsigned I = 0; !Parser || isInterim(Parser->get().result_int()); ++I) {
     if (I > MaxInterimResponses)
       co_return connectionFailed(Call.Authority, http::error::bad_status);
     Parser.emplace();
     Parser->body_limit(Call.MaxResponseBytes);
     Parser->skip(Call.Request.Method == "HEAD");
-    auto [ReadCode, Read] =
-        co_await http::async_read(C->Stream, C->Buffer, *Parser, NoThrow);
+    const beast::error_code ReadCode = co_await readResponse(*C, *Parser, Call);
     if (ReadCode)
       co_return connectionFailed(Call.Authority, ReadCode);
   }
--- a/src/hyssoprail/connection/http_client_test.cpp
+++ b/src/hyssoprail/connection/http_client_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "hyssoprail/testing/endless_server.hpp"
 #include "hyssoprail/testing/http_fixture.hpp"
 
 namespace hyssoprail {
@@ -117,6 +118,30 @@
   CHECK(errorKindOf(Call) == ErrorKind::DeadlineExceeded);
 }
 
+// Guards against a large body that is given up each time although it arrives,
+// and against a server that holds a call open for ever.
+TEST_CASE("a body may take longer than the rest of a call while it arrives") {
+  using std::chrono::milliseconds;
+  constexpr milliseconds Pause{20};
+  const auto BodyOf = [](std::size_t Bytes) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Bytes) +
+           "\r\n\r\n";
+  };
+  testing::EndlessServer Slow(BodyOf(200), "0123456789", Pause);
+  HttpCall Call = callTo(Slow.authority());
+  Call.Timeout = 10 * Pause;
+  CHECK(errorKindOf(Call) == ErrorKind::DeadlineExceeded);
+  Call.Body = {10 * Pause, 200 * Pause};
+  testing::TestClient Client;
+  CHECK(valueOf(Client.begin(Call).get()).Body.size() == 200);
+  Call.Body = {10 * Pause, 5 * Pause};
+  CHECK(errorKindOf(Call) == ErrorKind::DeadlineExceeded);
+  ScriptedServer Silent(BodyOf(9) + "short", false);
+  Call = callTo(Silent.authority());
+  Call.Body = {2 * Pause, 200 * Pause};
+  CHECK(errorKindOf(Call) == ErrorKind::DeadlineExceeded);
+}
+
 // Guards against request smuggling through a target or a header value.
 TEST_CASE("targets and headers cannot break the framing of a request") {
   std::atomic<std::size_t> Headers{0};
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds MinPullInterval{40};
 constexpr milliseconds PullTimeout{600};
 
+/// Thousands of routes take a narrow link longer than a source may be silent.
+constexpr HttpBodyLimits PullBodyLimits{milliseconds(600), milliseconds(5'000)};
+
 /// Delay after a failed pull. A source that did not answer in time may have
 /// more to send than its link can carry.
 constexpr milliseconds PullRetryDelay{200};
@@ -303,6 +306,7 @@
                   {},
                   ""};
   Call.Timeout = PullTimeout;
+  Call.Body = PullBodyLimits;
   const auto OnDone = [this, Source,
                        Now](const Result<HttpResponse> &Response) {
     Guard.run(Boundary::HttpClient, "",
