--- a/cmake/hyssoprail_targets.cmake
+++ b/cmake/hyssoprail_targets.cmake
@@ -18,7 +18,7 @@
   BOOST_ASIO_NO_DEPRECATED SPDLOG_COMPILED_LIB SPDLOG_FMT_EXTERNAL)
 target_link_libraries(hyssoprail_common INTERFACE
   Boost::headers OpenSSL::Crypto nlohmann_json::nlohmann_json
-  spdlog::spdlog fmt gflags zmq xxhash Threads::Threads)
+  spdlog::spdlog fmt gflags zmq xxhash ZLIB::ZLIB Threads::Threads)
 
 # hyssoprail_library(name [DIRECTORY dir] [OWN_TEST_TAGS tag...] [DEPENDS lib...])
 # Builds src/hyssoprail/<name>/*.cpp (or dir/*.cpp) into a library, and every *_test.cpp there into
--- a/src/hyssoprail/gateway/fake_feed.hpp
+++ b/src/hyssoprail/gateway/fake_feed.hpp
@@ -38,7 +38,9 @@
   FeedPosition syncedPosition() const override { return {0, Known, Era, 0}; }
   std::uint64_t endpointsRead() const override { return 0; }
   std::uint64_t endpointDeltaStart() const override { return DeltaStart; }
-  std::string changesSince(FeedPosition) const override { return ""; }
+  std::string changesSince(FeedPosition, ConfigEncoding) const override {
+    return "";
+  }
   void applyChanges(std::string_view) override {}
   void applyPeerStatus(const PeerFeedStatus &) override {}
   TimePoint removalGraceEnd() const override { return {}; }
--- a/src/hyssoprail/gateway/fleet_feed.hpp
+++ b/src/hyssoprail/gateway/fleet_feed.hpp
@@ -86,6 +86,12 @@
 
 std::string_view writeOutcomeName(WriteOutcome Outcome);
 
+/// How an entry sends a configuration to another one.
+enum class ConfigEncoding {
+  Plain,   ///< to entries that ask for nothing else
+  Deflate, ///< compressed, once for all that ask
+};
+
 /// What it took to decode a configuration.
 struct ConfigDecoding {
   std::size_t Bytes = 0; ///< size of the record
@@ -196,7 +202,8 @@
   virtual std::uint64_t endpointDeltaStart() const = 0;
 
   /// Encodes the changes since \p From for another entry.
-  virtual std::string changesSince(FeedPosition From) const = 0;
+  virtual std::string changesSince(FeedPosition From,
+                                   ConfigEncoding Encoding) const = 0;
 
   /// Applies the changes that another entry has encoded.
   virtual void applyChanges(std::string_view Changes) = 0;
--- a/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_fleet.cpp
@@ -300,7 +300,8 @@
   HttpCall Call;
   Call.Authority = Source;
   Call.Request = {"GET",
-                  fmt::format("{}?operator={}&endpoints={}&era={}&config={}",
+                  fmt::format("{}?operator={}&endpoints={}&era={}&config={}"
+                              "&config_encoding=deflate",
                               StatePath, Known.Operator, Known.Endpoints,
                               Known.Era, Known.ConfigVersion),
                   {},
--- a/src/hyssoprail/gateway/gateway_runtime_metrics.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime_metrics.cpp
@@ -26,10 +26,13 @@
 /// positions that it has.
 void GatewayRuntime::handleState(const Exchange &Caller) {
   const Query Known = parseQuery(Caller->request().Target);
+  const FeedPosition Position{
+      queryNumber(Known, "operator"), queryNumber(Known, "endpoints"),
+      queryNumber(Known, "era"), queryNumber(Known, "config")};
+  const bool Deflate = queryValue(Known, "config_encoding") == "deflate";
   Caller->respond(jsonResponse(
-      200, Feed.changesSince(
-               {queryNumber(Known, "operator"), queryNumber(Known, "endpoints"),
-                queryNumber(Known, "era"), queryNumber(Known, "config")})));
+      200, Feed.changesSince(Position, Deflate ? ConfigEncoding::Deflate
+                                               : ConfigEncoding::Plain)));
 }
 
 void GatewayRuntime::handleMetrics(const Exchange &Caller) {
