Review case 6: the crash follows the worker's first write; ports outside the ephemeral range

Cause: a port of a crashed worker could be taken by an outgoing connection before it came back. Done: the first write holds the head and two events, the worker crashes 10 ms later.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """A part of prompts crashes each worker that begins to write an answer on it:
-the worker has sent two events when it goes down. It is back after 3 s."""
+the worker goes down as soon as its first write, the head and two events, is
+out. It is back after 3 s."""
 import os
 import sys
 
@@ -24,13 +25,13 @@
             return await super().stream(m, writer)
         Crashing.arrivals.append(now())
         self.record("the part reaches %s with %s" % (self.name, m.get("X-Attempt-Id")))
-        await self.begin_stream(m, writer)
         first = int(m.get("Last-Event-Id") or 0) + 1
-        for number in range(first, first + EVENTS_BEFORE_CRASH):
-            await asyncio.sleep(self.PAUSE_S)
-            writer.write(self.chunk(self.event(number, m)))
-            await writer.drain()
-        await asyncio.sleep(0.02)
+        events = b"".join(
+            self.event(number, m) for number in range(first, first + EVENTS_BEFORE_CRASH))
+        await self.begin_stream(m, writer, events)
+        await asyncio.sleep(0.01)
+        if not self.server:  # it has crashed under another one meanwhile
+            return False
         Crashing.crashes.append(now())
         self.crash("under " + m.get("X-Attempt-Id"))
         asyncio.get_running_loop().create_task(self.come_back())
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -107,16 +107,21 @@
         self.file.close()
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+def free_port(kind=socket.SOCK_STREAM):
+    """A free port below those that the kernel gives to outgoing connections, so
+    that it is still free when its process starts again."""
+    while True:
+        port = random.randrange(20000, 30000)
+        with socket.socket(socket.AF_INET, kind) as s:
+            try:
+                s.bind((HOST, port))
+                return port
+            except OSError:
+                pass
 
 
 def free_udp_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+    return free_port(socket.SOCK_DGRAM)
 
 
 # ---- HTTP -------------------------------------------------------------------
@@ -228,7 +233,7 @@
             except ConnectionError:
                 pass
 
-    return await asyncio.start_server(guarded, HOST, port, limit=1 << 22)
+    return await asyncio.start_server(guarded, HOST, port or free_port(), limit=1 << 22)
 
 
 # ---- The platform's store ---------------------------------------------------
@@ -524,11 +529,12 @@
     def chunk(self, data):
         return b"%x\r\n%s\r\n" % (len(data), data)
 
-    async def begin_stream(self, m, writer):
+    async def begin_stream(self, m, writer, events=b""):
         headers = self.head(m, more=[("Content-Type", "text/event-stream"),
                                      ("X-Weight-Versions", "1")])
         headers.append(("Transfer-Encoding", "chunked"))
-        writer.write(encode("HTTP/1.1 200 OK", headers, length=False))
+        first = self.chunk(events) if events else b""
+        writer.write(encode("HTTP/1.1 200 OK", headers, length=False) + first)
         await writer.drain()
 
     async def stream(self, m, writer):
