--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 BACK_AFTER_S = 3
 TRAFFIC_S = 30
 SOUND_PER_S = 10
-POISON_PER_S = 2.5
+POISON_PER_S = 5
 
 
 class Crashing(Engine):
--- a/review/9/case.py
+++ b/review/not-claimed/late-refusal/case.py
@@ -4,7 +4,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "..", "standins-2"))
 from fleet import *  # noqa: E402,F403
 
 ANSWER_AFTER_S = float(os.environ.get("ANSWER_AFTER", "0.6"))
