Review scripts: an error of a script is not a broken rule

Cause: an unexpected exception ended a script with 1, the code of a broken rule; a script that was ended from outside left its gateways behind; record.txt and TROUBLE stood in the shared module only.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -79,4 +79,4 @@
     return broken
 
 
-run_script(HERE, main)
+run_script(main)
--- a/review/not-claimed/spaced-counts/case.py
+++ b/review/not-claimed/spaced-counts/case.py
@@ -77,4 +77,4 @@
     return []
 
 
-run_script(HERE, main)
+run_script(main)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -37,6 +37,7 @@
     "cold_slack": 5,
 }
 STABLE_WINDOW_S = 3.0
+SCRIPT_LIMIT_S = 110
 DRAIN_S = 2.0
 KEY = "n2ctnfzs989anu6wsjnb"
 RATE = 58625
@@ -700,27 +701,36 @@
             w.stop_beat()
 
 
-def run_script(folder, main):
-    """Runs `main(record, folder, trouble)`, which returns the broken promises
-    as texts. Exits with 1 if there are any, 0 if there are none, and 2 if the
-    case could not run."""
-    record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    if not os.access(GATEWAY, os.X_OK):
-        print("cannot run: build target/hyssoprail-gateway first")
-        sys.exit(2)
+async def run_until_signal(main):
+    """Cancels the case on SIGTERM and SIGINT, so that it ends its processes."""
+    task = asyncio.ensure_future(main)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, SCRIPT_LIMIT_S)
+
+
+def run_script(main):
+    """Runs `main(record, scratch, trouble)`, which returns the broken promises
+    as texts. The arguments of the program are the path of record.txt and
+    TROUBLE. Exits with 1 if there are broken promises, 0 if there are none, and
+    2 if the case could not run, whatever the reason."""
+    record = Record(sys.argv[1])
+    trouble = sys.argv[2] != "0"
     code = 2
     try:
+        if not os.access(GATEWAY, os.X_OK):
+            raise CannotRun("build target/hyssoprail-gateway first")
         with tempfile.TemporaryDirectory() as scratch:
-            broken = asyncio.run(asyncio.wait_for(main(record, scratch, trouble), 110))
-            for text in broken:
-                record("BROKEN: " + text)
-                print("BROKEN: " + text)
-            if not broken:
-                record("held")
-                print("held")
-            code = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+            broken = asyncio.run(run_until_signal(main(record, scratch, trouble)))
+        for text in broken:
+            record("BROKEN: " + text)
+            print("BROKEN: " + text)
+        if not broken:
+            record("held")
+            print("held")
+        code = 1 if broken else 0
+    except BaseException as e:  # an error of the script says nothing of the project
         record("cannot run: %r" % e)
         print("cannot run: %r" % e)
     finally:
