HTTP: a message without a certain end is refused, and its connection ends

Cause: "no body found" was taken for "no body sent". The HTTP parser ignores each Transfer-Encoding that does not end with chunked, so the request counted as one without a body and its body was read as the next request. The same held for a coding beside a length, for HTTP/1.0 with chunks or with a POST without a length, and a body in a second coding under the chunks was passed on without its name. The clients towards workers and the store trusted the same parser.

Change: findFramingDefect holds the head of each message against RFC 9112, section 6, also against what the parser is about to do. A request with a defect gets 400, or 501 for another coding under chunked, runs nothing, and its connection is closed; a response with one is broken. After a 204 that states a body the connection is not used again.

The fuzz target "request" now has a splitter of its own, written from the RFC: only requests that the caller framed may be run, with their bodies.

--- a/cmake/hyssoprail_fuzz.cmake
+++ b/cmake/hyssoprail_fuzz.cmake
@@ -11,7 +11,8 @@
 
 add_library(hyssoprail_fuzz_support STATIC
   ${HYSSOPRAIL_FUZZ_DIR}/support.cpp ${HYSSOPRAIL_FUZZ_DIR}/loopback.cpp
-  ${HYSSOPRAIL_FUZZ_DIR}/finite.cpp ${PROJECT_SOURCE_DIR}/platform/fuzz/sent_request.cpp)
+  ${HYSSOPRAIL_FUZZ_DIR}/finite.cpp ${HYSSOPRAIL_FUZZ_DIR}/request_framing.cpp
+  ${PROJECT_SOURCE_DIR}/platform/fuzz/sent_request.cpp)
 target_include_directories(hyssoprail_fuzz_support PUBLIC
   ${HYSSOPRAIL_FUZZ_DIR} ${PROJECT_SOURCE_DIR}/platform/fuzz ${PROJECT_SOURCE_DIR}/platform)
 target_link_libraries(hyssoprail_fuzz_support PUBLIC hyssoprail_platform)
--- a/include/hyssoprail/core/error.hpp
+++ b/include/hyssoprail/core/error.hpp
@@ -13,6 +13,7 @@
   Unauthenticated,      ///< API key missing, unknown or revoked
   NotFound,             ///< no route, model or object with that name
   MethodNotAllowed,     ///< the path does not support the method
+  NotImplemented,       ///< the request needs what this program lacks
   TooLarge,             ///< body or headers exceed the limit
   RequestTimeout,       ///< the request took too long to arrive
   Conflict,             ///< a concurrent change was applied first
--- a/src/hyssoprail/connection/http_client.cpp
+++ b/src/hyssoprail/connection/http_client.cpp
@@ -14,6 +14,7 @@
 #include "hyssoprail/connection/descriptors.hpp"
 #include "hyssoprail/connection/idle_connections.hpp"
 #include "hyssoprail/connection/ip_port.hpp"
+#include "hyssoprail/connection/message_framing.hpp"
 
 namespace hyssoprail {
 namespace {
@@ -93,6 +94,29 @@
   return Message;
 }
 
+HttpHeaders headersOf(const http::fields &Fields) {
+  HttpHeaders Out;
+  for (const auto &Field : Fields)
+    Out.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Out;
+}
+
+/// The error of a response whose end can't be told.
+std::optional<Error> checkFraming(const std::string &Authority,
+                                  unsigned Version, const HttpHeaders &Headers,
+                                  bool ReadAsChunks) {
+  const auto Defect = findFramingDefect({Version, Headers, ReadAsChunks});
+  if (!Defect)
+    return std::nullopt;
+  return Error{ErrorKind::UpstreamFailed,
+               "the end of a response of " + Authority + " can't be told (" +
+                   std::string(framingDefectName(*Defect)) + ")",
+               "check what answers at that address",
+               "",
+               {}};
+}
+
 using ConnectionPtr = ClientConnectionPtr;
 
 /// Connections by authority. The idle ones are looked at when the client is
@@ -229,9 +253,10 @@
   }
   HttpResponse Response;
   Response.Status = Parser->get().result_int();
-  for (const auto &Field : Parser->get())
-    Response.Headers.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
+  Response.Headers = headersOf(Parser->get());
+  if (auto E = checkFraming(Call.Authority, Parser->get().version(),
+                            Response.Headers, Parser->chunked()))
+    co_return *E;
   Response.Body = std::move(Parser->get().body());
   if (Parser->keep_alive())
     Connections->keep(Call.Authority, std::move(C));
@@ -291,6 +316,9 @@
         co_await http::async_read_header(C->Stream, C->Buffer, Parser, NoThrow);
     if (HeadCode)
       co_return connectionFailed(Call.Authority, HeadCode);
+    if (auto E = checkFraming(Call.Authority, Parser.get().version(),
+                              headersOf(Parser.get()), Parser.chunked()))
+      co_return *E;
     if (!Cancelled && Handlers.OnHeader)
       Handlers.OnHeader(Parser.get().result_int());
     std::array<char, 4096> Data{};
--- a/src/hyssoprail/connection/http_client_test.cpp
+++ b/src/hyssoprail/connection/http_client_test.cpp
@@ -108,7 +108,11 @@
   for (const char *Broken :
        {"", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
         "nonsense\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab"}) {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+        "Content-Length: 2\r\n\r\nab",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
     ScriptedServer S(Broken, true);
     CHECK(errorKindOf(callTo(S.authority())) == ErrorKind::UpstreamFailed);
   }
--- a/src/hyssoprail/connection/http_session.cpp
+++ b/src/hyssoprail/connection/http_session.cpp
@@ -153,6 +153,10 @@
   ResponseBegun = false;
   std::optional<Incoming> In(std::in_place);
   Code Failure = co_await readHead(*In);
+  if (In->Defect) {
+    co_await refuseFraming(*In);
+    co_return false;
+  }
   if (!Failure) {
     In->Decision = callHeadHandler(In->Request);
     if (In->Decision.Rejection)
--- a/src/hyssoprail/connection/http_session.hpp
+++ b/src/hyssoprail/connection/http_session.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "hyssoprail/connection/message_framing.hpp"
 #include "hyssoprail/connection/server_exchange.hpp"
 
 namespace hyssoprail {
@@ -74,6 +75,7 @@
     HeadDecision Decision;
     Clock::time_point HeadArrival{};
     std::size_t HeadBytes = 0;
+    std::optional<FramingDefect> Defect; ///< it has no certain end
     bool KeepAlive = false;
     bool HasRoomToGrow = false; ///< for the largest chunked body
 
@@ -109,6 +111,7 @@
   HttpResponse memoryRejection(const HeadDecision &Decision,
                                std::chrono::milliseconds RetryAfter) const;
   Awaitable<bool> reject(Incoming &In);
+  Awaitable<void> refuseFraming(const Incoming &In);
   Awaitable<bool> skipBody(Parser &P);
   HeadDecision callHeadHandler(const HttpRequest &Head) const;
   void reportDefect(std::string_view Reason) const;
--- a/src/hyssoprail/connection/http_session_read.cpp
+++ b/src/hyssoprail/connection/http_session_read.cpp
@@ -170,6 +170,9 @@
   clearDeadline();
   if (!Failure) {
     In.Request = toHttpRequest(In.P.get());
+    In.Defect = findFramingDefect(
+        {In.P.get().version(), In.Request.Headers, In.P.chunked()},
+        In.Request.Method);
     In.KeepAlive = In.P.keep_alive();
     In.HeadArrival = Clock::now();
     In.HeadBytes = HeaderBytes * HeadCopies;
@@ -334,6 +337,15 @@
   co_return co_await skipBody(In.P);
 }
 
+/// Answers a request whose end can't be told. What follows its head is not
+/// read as a request, so the connection has to be closed.
+asio::awaitable<void> HttpSession::refuseFraming(const Incoming &In) {
+  Reading = false;
+  HttpResponse Response = errorResponse(framingError(*In.Defect));
+  Linger =
+      co_await writeComplete(Response, false, 11, In.Request.Method == "HEAD");
+}
+
 asio::awaitable<bool> HttpSession::skipBody(Parser &P) {
   Code Failure;
   setDeadline(State->Options.ReadTimeout);
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -9,6 +9,7 @@
 
 #include "hyssoprail/connection/descriptors.hpp"
 #include "hyssoprail/connection/ip_port.hpp"
+#include "hyssoprail/connection/message_framing.hpp"
 #include "hyssoprail/connection/upstream_pool.hpp"
 
 namespace hyssoprail {
@@ -28,6 +29,7 @@
 constexpr unsigned MaxInterimResponses = 16;
 constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned StatusNoContent = 204;
 constexpr unsigned LastStatus = 599;
 
 /// Limit of body bytes that nobody gets: of responses to other requests, and of
@@ -175,6 +177,11 @@
     for (const auto &Field : ResponseParser->get())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
+    if (const auto Defect =
+            findFramingDefect({ResponseParser->get().version(), Head.Headers,
+                               ResponseParser->chunked()}))
+      return end(UpstreamEnd::Broken,
+                 "framing: " + std::string(framingDefectName(*Defect)));
     Skipping = Handlers.MatchesRequest && !Handlers.MatchesRequest(Head);
     if (Skipping) {
       ++Connections->Counters.StaleResponses;
@@ -247,7 +254,7 @@
       return Active->Stream.expires_at(Deadline);
     }
     ResponseEnded = true;
-    IdleTimeLimit = ResponseParser->keep_alive()
+    IdleTimeLimit = mayReuse()
                         ? reusableIdleTime(ResponseParser->get()["Keep-Alive"])
                         : milliseconds(0);
     if (WriteEnded)
@@ -259,6 +266,17 @@
     end(UpstreamEnd::Complete, "");
   }
 
+  /// A 204 has no body. If it states one, the endpoint may still send it, and
+  /// it would be read as the next response.
+  bool mayReuse() const {
+    const auto &Head = ResponseParser->get();
+    const auto Length = Head[http::field::content_length];
+    const bool StatesBody =
+        (!Length.empty() && Length != "0") || ResponseParser->chunked();
+    return ResponseParser->keep_alive() &&
+           !(Head.result_int() == StatusNoContent && StatesBody);
+  }
+
   /// Returns the connection to the pool unless data follows the response or the
   /// request was not written completely: the endpoint might take the next
   /// request for the rest of this one. A connection to an endpoint that has
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -92,6 +92,39 @@
   }
 }
 
+// Guards against an answer whose end is guessed: what follows the guess would
+// be the answer to the next request, or is missing from this one.
+TEST_CASE("an answer without a certain end is broken") {
+  UpstreamSender S;
+  for (const std::string Fields :
+       {"Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 4\r\nContent-Length: 2\r\n"}) {
+    CAPTURE(Fields);
+    ScriptedServer Server({{Head + Fields + "\r\n0\r\n\r\n", true}});
+    CHECK(S.send(Server.authority(), "1", Timeout).End == UpstreamEnd::Broken);
+  }
+  std::string Old = Head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  Old.replace(7, 1, "0");
+  ScriptedServer Server({{Old, true}});
+  CHECK(S.send(Server.authority(), "1", Timeout).End == UpstreamEnd::Broken);
+}
+
+// Guards against a body that a 204 states and that comes late: it would be read
+// as the answer to the next request.
+TEST_CASE("a connection is not used again after a 204 that states a body") {
+  ScriptedServer Server({{"HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\n"
+                          "Content-Length: 4\r\n\r\n"},
+                         {Head + "Content-Length: 2\r\n\r\nok"}});
+  UpstreamSender S;
+  CHECK(S.send(Server.authority(), "1", Timeout).Status == 204);
+  CHECK(S.send(Server.authority(), "1", Timeout).Body == "ok");
+  CHECK(Server.connections() == 2);
+}
+
 // Guards against an answer whose status is no status.
 TEST_CASE("an answer with the status 000 is no answer") {
   UpstreamSender S;
--- a/src/hyssoprail/core/error.cpp
+++ b/src/hyssoprail/core/error.cpp
@@ -11,11 +11,12 @@
   unsigned Status;
 };
 
-constexpr std::array<ErrorRow, 16> ErrorTable{{
+constexpr std::array<ErrorRow, 17> ErrorTable{{
     {ErrorKind::InvalidRequest, "invalid_request", 400},
     {ErrorKind::Unauthenticated, "unauthenticated", 401},
     {ErrorKind::NotFound, "not_found", 404},
     {ErrorKind::MethodNotAllowed, "method_not_allowed", 405},
+    {ErrorKind::NotImplemented, "not_implemented", 501},
     {ErrorKind::TooLarge, "too_large", 413},
     {ErrorKind::RequestTimeout, "request_timeout", 408},
     {ErrorKind::Conflict, "conflict", 409},
