Upstream: connections to endpoints end with a reset

Cause: cancel() and a timeout close the connection in the ordinary way, after which the kernel goes on sending what the endpoint has not acknowledged. A closed connection was taken as proof that nothing arrives any more.

Change: the connections have SO_LINGER with 0 s from their start, so each close discards what was not acknowledged. Set once and not at the close, because the library closes by itself at a timeout.

Evidence: "a request that is given up ends its connection with a reset" failed before for both ways (end of file instead of a reset).

--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -2,6 +2,7 @@
 // nobody waits for an answer.
 #include "hyssoprail/connection/upstream_client.hpp"
 
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 
 #include "hyssoprail/connection/upstream_sender.hpp"
@@ -136,6 +137,35 @@
   CHECK(O.Body.empty());
 }
 
+// Guards against a request that was given up and reaches its endpoint seconds
+// later: after an ordinary close the kernel sends what was not acknowledged
+// (review/9, EVAC).
+TEST_CASE("a request that is given up ends its connection with a reset") {
+  const bool TimesOut = GENERATE(false, true);
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Acceptor(
+      Context, {boost::asio::ip::address_v4::loopback(), 0});
+  UpstreamSender S;
+  UpstreamCall Call;
+  Call.Authority =
+      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
+  Call.HeadTimeout = TimesOut ? std::chrono::milliseconds(50) : Timeout;
+  std::shared_ptr<UpstreamExchange> Exchange;
+  S.run([&] { Exchange = S.client().send(std::move(Call), {}); });
+  boost::asio::ip::tcp::socket Endpoint = Acceptor.accept();
+  std::string Received;
+  boost::system::error_code Code;
+  boost::asio::read_until(Endpoint, boost::asio::dynamic_buffer(Received),
+                          "\r\n\r\n", Code);
+  REQUIRE_FALSE(Code);
+  if (!TimesOut)
+    S.run([&] { Exchange->cancel(); });
+  char Byte = 0;
+  Endpoint.read_some(boost::asio::buffer(&Byte, 1), Code);
+  CHECK(Code == boost::asio::error::connection_reset);
+}
+
 // Guards against a connection that stays open for good, because nobody waits
 // for the end of its exchange: the endpoint sends an answer without end, or
 // none after its head.
--- a/src/hyssoprail/connection/upstream_pool.cpp
+++ b/src/hyssoprail/connection/upstream_pool.cpp
@@ -50,9 +50,13 @@
   return RequestId.empty() ? 0 : std::hash<std::string>()(RequestId);
 }
 
+/// The connection ends with a reset: after an ordinary close the kernel goes on
+/// sending what the endpoint has not acknowledged, so a request that was given
+/// up could arrive seconds later.
 void setUpstreamOptions(tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
 }
 
 void setAcknowledgementLimit(ClientConnection &C, std::size_t BodyBytes,
