Ends of streams: an unknown start time of an endpoint proves nothing

Cause: the 421 of the check names no start time and the new registration was not read yet; an unknown start counted as the same one.

Change: if the endpoint states no start, the check of a stream is judged once the entry knows all registrations up to the answer, every 50 ms for 2 s at most; after that the result is "unclear" and the stream is broken off.

--- a/src/hyssoprail/gateway/gateway_runtime.cpp
+++ b/src/hyssoprail/gateway/gateway_runtime.cpp
@@ -242,6 +242,10 @@
     const routing::Endpoint *E = Table.find(EndpointId);
     return E ? std::optional(E->Record.StartedAtMs) : std::nullopt;
   };
+  Hooks.RegistrationsKnownUntil = [this] {
+    const Duration Age = Feed.dataAge();
+    return Age == Duration::max() ? TimePoint{} : Time.now() - Age;
+  };
   Hooks.OnLimitStatement = [this](const std::string &EndpointId,
                                   const LimitStatement &Statement) {
     onLimitStatement(EndpointId, Statement);
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -27,6 +27,11 @@
 /// one that has vanished is not waited for.
 constexpr milliseconds EndpointCheckLimit{500};
 
+/// An endpoint that has started again has registered, and an entry that is in
+/// touch with the store has read that, within this time.
+constexpr milliseconds RegistrationLimit{2'000};
+constexpr milliseconds RecheckInterval{50};
+
 constexpr unsigned StatusInternalError = 500;
 constexpr unsigned StatusOutcomeUnknown = 502;
 constexpr std::string_view FailureReason = "internal_error";
@@ -45,6 +50,8 @@
     Exchange->cancel();
   if (Check)
     Check->cancel();
+  if (Recheck)
+    Recheck->cancel();
 }
 
 RequestSession::RequestSession(SessionServices Services, SessionHooks Hooks,
@@ -361,6 +368,11 @@
   if (It == Legs.end())
     return;
   Leg &L = It->second;
+  const TimePoint Now = Services.Time.now();
+  L.CheckAnsweredAt = L.CheckAnsweredAt.value_or(Now);
+  if (needsRegistration(L, Report) &&
+      Now < *L.CheckAnsweredAt + RegistrationLimit)
+    return checkAgain(Id, L, Report, Detail);
   const EndpointCheckResult Found = judge(L, Report);
   L.Checked = Found;
   const bool Lives = Found == EndpointCheckResult::Lives;
@@ -378,10 +390,35 @@
   endLeg(Id, Lives ? UpstreamEnd::Complete : UpstreamEnd::Broken, Detail);
 }
 
+/// True if the endpoint does not say when it has started, and it may have
+/// registered a new start that is not known yet. A call is not kept waiting for
+/// that, as its deadline is shorter.
+bool RequestSession::needsRegistration(
+    const Leg &L, const EndpointCheckReport &Report) const {
+  return L.Streaming && Report.Result == EndpointCheckResult::Lives &&
+         Report.AnsweredBy.StartedAtMs == 0 && L.EndpointStartedAtMs != 0 &&
+         Hooks.RegistrationsKnownUntil() < *L.CheckAnsweredAt;
+}
+
+void RequestSession::checkAgain(LegId Id, Leg &L,
+                                const EndpointCheckReport &Report,
+                                const std::string &Detail) {
+  L.Recheck = std::make_shared<boost::asio::steady_timer>(Services.Context,
+                                                          RecheckInterval);
+  L.Recheck->async_wait([Weak = weak_from_this(), Timer = L.Recheck, Id, Report,
+                         Detail](boost::system::error_code Code) {
+    if (const auto Self = Weak.lock(); Self && !Code)
+      Self->run(Boundary::Answer, [&] { Self->onChecked(Id, Report, Detail); });
+  });
+}
+
 /// An endpoint that has started again under its id since the request was sent
-/// is not the one that closed the connection.
+/// is not the one that closed the connection. One of which that is not known
+/// proves nothing.
 EndpointCheckResult
 RequestSession::judge(const Leg &L, const EndpointCheckReport &Report) const {
+  if (needsRegistration(L, Report))
+    return EndpointCheckResult::Unclear;
   if (Report.Result != EndpointCheckResult::Lives)
     return Report.Result;
   const std::int64_t Expected = L.EndpointStartedAtMs;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -74,6 +74,8 @@
   /// nullopt if it is not registered.
   std::function<std::optional<std::int64_t>(const std::string &EndpointId)>
       RegisteredStart;
+  /// Up to when all registrations in the store are known.
+  std::function<TimePoint()> RegistrationsKnownUntil;
   /// The request has ended; called once, after all other work of the session.
   std::function<void(const SessionResult &)> OnEnd;
 };
@@ -147,6 +149,9 @@
     std::shared_ptr<UpstreamExchange> Exchange;
     /// Asks whether the endpoint lives, after a response without framing.
     std::shared_ptr<EndpointCheck> Check;
+    std::optional<TimePoint> CheckAnsweredAt;
+    /// Judges the check again when the registrations may be known.
+    std::shared_ptr<boost::asio::steady_timer> Recheck;
     std::optional<EndpointCheckResult> Checked;
     HttpResponse Response;
     MemoryReservation Buffered; ///< for Response
@@ -198,6 +203,9 @@
   void checkEnd(LegId Id, Leg &L, const std::string &Detail);
   void onChecked(LegId Id, const EndpointCheckReport &Report,
                  const std::string &Detail);
+  bool needsRegistration(const Leg &L, const EndpointCheckReport &Report) const;
+  void checkAgain(LegId Id, Leg &L, const EndpointCheckReport &Report,
+                  const std::string &Detail);
   EndpointCheckResult judge(const Leg &L,
                             const EndpointCheckReport &Report) const;
   void endLeg(LegId Id, UpstreamEnd End, const std::string &Detail);
