Crash watch: data speaks for a process by the age of its connection

A run may begin before a crash and get its connection after it, to the process that the engine has started since under its id; its data then took the crash back.

Change: the flow asks since when the connection of the answer is open (FlowIo::connectedAt), and the watch reports the engine alive since then. Without a known connection the data says nothing.

--- a/include/hyssoprail/routing/flow_io.hpp
+++ b/include/hyssoprail/routing/flow_io.hpp
@@ -105,6 +105,9 @@
   /// must take work of this entry.
   virtual void dropHandle(const KvSource &Source) = 0;
 
+  /// Since when the connection of the leg is open; nullopt if it is not.
+  virtual std::optional<TimePoint> connectedAt(LegId Leg) const = 0;
+
   /// Passes an endpoint's complete answer to the caller.
   virtual void respond(const HttpResponse &Response) = 0;
 
--- a/include/hyssoprail/routing/run_crash_watch.hpp
+++ b/include/hyssoprail/routing/run_crash_watch.hpp
@@ -2,6 +2,7 @@
 #define HYSSOPRAIL_ROUTING_RUN_CRASH_WATCH_HPP
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 #include "hyssoprail/routing/crash_ledger.hpp"
@@ -18,6 +19,7 @@
     TimePoint BeganAt{};
     std::uint64_t Events = 0;
     bool Resumed = false; ///< another run has made the events before
+    std::optional<TimePoint> ConnectedAt{}; ///< its connection
   };
 
   RunCrashWatch(CrashLedger &Ledger, PromptParts Parts)
@@ -33,6 +35,11 @@
   void begin(const EndpointRecord &NewEngine, TimePoint Now,
              bool Resumed = false);
 
+  /// The answer begins on a connection that is open since \p Since.
+  void connected(std::optional<TimePoint> Since) {
+    Current.ConnectedAt = Since;
+  }
+
   /// The engine has sent data with \p NewEvents events.
   void received(std::uint64_t NewEvents, TimePoint Now);
 
--- a/src/hyssoprail/gateway/limit_fleet.hpp
+++ b/src/hyssoprail/gateway/limit_fleet.hpp
@@ -220,6 +220,7 @@
       return LastLeg;
     }
     void cancelLeg(LegId) override {}
+    std::optional<TimePoint> connectedAt(LegId) const override { return {}; }
     void dropHandle(const routing::KvSource &) override {}
     void respond(const HttpResponse &) override { ++Fleet.Outcomes.Served; }
     void reject(routing::RejectReason, milliseconds RetryAfter) override {
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -383,6 +383,13 @@
   logLegEnd(L, "cancelled", 0, "");
 }
 
+std::optional<TimePoint> RequestSession::connectedAt(LegId Leg) const {
+  const auto It = Legs.find(Leg);
+  return It != Legs.end() && It->second.Exchange
+             ? It->second.Exchange->connectedAt()
+             : std::nullopt;
+}
+
 void RequestSession::dropHandle(const routing::KvSource &Source) {
   UpstreamCall Call;
   Call.Authority = Source.Address;
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -124,6 +124,7 @@
 
   // FlowIo
   LegId startLeg(const routing::LegRequest &Leg) override;
+  std::optional<TimePoint> connectedAt(LegId Leg) const override;
   void cancelLeg(LegId Leg) override;
   void dropHandle(const routing::KvSource &Source) override;
   void respond(const HttpResponse &Response) override;
--- a/src/hyssoprail/routing/request_crash_test.cpp
+++ b/src/hyssoprail/routing/request_crash_test.cpp
@@ -247,6 +247,29 @@
   REQUIRE(Ledger.isQuarantined({"bad"}, Now) != AnsweredWhole);
 }
 
+// Guards against data of an engine that has started again under its id, which
+// speaks for the process before it: the run began before the crash, but its
+// connection after it.
+TEST_CASE("data on a connection from after a crash does not disprove it") {
+  const bool ConnectedBefore = GENERATE(true, false);
+  CrashLedger Ledger{1};
+  TimePoint Now = testing::Start;
+  for (unsigned I = 0; I < 3; ++I) {
+    const auto Engine =
+        testing::engine("d-" + std::to_string(I), EngineStage::Decode);
+    RunCrashWatch Other(Ledger, {"other"});
+    Other.begin(Engine, Now);
+    RunCrashWatch Bad(Ledger, {"bad", std::to_string(I)});
+    Bad.begin(Engine, Now);
+    Other.connected(Now + milliseconds(ConnectedBefore ? 10 : 60));
+    Now += milliseconds(50);
+    Bad.broke(Now);
+    Now += milliseconds(1'000);
+    Other.received(1, Now);
+  }
+  REQUIRE(Ledger.isQuarantined({"bad"}, Now) != ConnectedBefore);
+}
+
 // Guards against streams without prompt parts that crash one engine after the
 // other.
 TEST_CASE("a stream without prompt parts is watched as a whole") {
--- a/src/hyssoprail/routing/run_crash_watch.cpp
+++ b/src/hyssoprail/routing/run_crash_watch.cpp
@@ -14,9 +14,12 @@
   Current = {NewEngine, Now, 0, Resumed};
 }
 
+/// The run may have begun before a crash and its connection after it, to the
+/// process that the engine has started since.
 void RunCrashWatch::received(std::uint64_t NewEvents, TimePoint Now) {
   Current.Events += NewEvents;
-  Ledger.recordAlive(Current.Engine.Id, Current.BeganAt, Now);
+  if (Current.ConnectedAt)
+    alive(*Current.ConnectedAt, Now);
 }
 
 void RunCrashWatch::alive(TimePoint Since, TimePoint Now) {
--- a/src/hyssoprail/routing/stream_flow.cpp
+++ b/src/hyssoprail/routing/stream_flow.cpp
@@ -170,6 +170,7 @@
   Progress.restart(endsWithChunk(Head));
   Cache.fetched();
   LastProgressAt = Now;
+  Crashes.connected(Io.connectedAt(Leg));
   Crashes.received(0, Now);
   CurrentPhase = StreamPhase::Streaming;
   if (StreamStarted)
--- a/src/hyssoprail/routing/test_support.hpp
+++ b/src/hyssoprail/routing/test_support.hpp
@@ -67,6 +67,9 @@
     return static_cast<LegId>(Legs.size());
   }
   void cancelLeg(LegId Leg) override { Cancelled.push_back(Leg); }
+  std::optional<TimePoint> connectedAt(LegId) const override {
+    return ConnectedAt;
+  }
   void dropHandle(const KvSource &Source) override {
     Dropped.push_back(Source.Handle);
   }
@@ -97,6 +100,7 @@
 
   LegId lastLeg() const { return static_cast<LegId>(Legs.size()); }
 
+  std::optional<TimePoint> ConnectedAt; ///< of all legs
   std::vector<LegRequest> Legs;
   std::vector<LegId> Cancelled;
   std::vector<std::string> Dropped;
