Sends that are given up: what their answers state of the endpoint counts

Cause: giving a leg up closed its connection, so the answer was never read; no answer was taken for an endpoint that states nothing.

Change: a leg that is given up while its caller waits is abandoned (UpstreamExchange::abandon): the connection is half closed at once, so the endpoint can drop the request, and the head of the answer is read for 1.5 s; then the connection is reset as before. Legs of callers that have left are closed at once as before.

--- a/include/hyssoprail/connection/upstream_client.hpp
+++ b/include/hyssoprail/connection/upstream_client.hpp
@@ -71,6 +71,15 @@
   /// Closes the connection; no handler is called afterwards.
   virtual void cancel() = 0;
 
+  /// Gives the request up, but reads the head of its response, which may state
+  /// something of the endpoint. The connection is half closed at once, so the
+  /// endpoint can tell, and closed after the head or \p HeadWait. Of \p
+  /// Handlers, which take the place of the earlier ones, only MatchesRequest,
+  /// NamesRequest and OnHead are called. The same as cancel() if the request
+  /// was not written yet, or if the head has arrived.
+  virtual void abandon(std::chrono::milliseconds HeadWait,
+                       UpstreamHandlers Handlers) = 0;
+
   /// Since when the connection is open that the request was sent on; nullopt
   /// before it is sent.
   virtual std::optional<std::chrono::steady_clock::time_point>
--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <optional>
+#include <utility>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -74,18 +75,34 @@
     connect();
   }
 
-  /// May be called from a handler, so the handlers are destroyed later.
   void cancel() override {
     Ended = true;
     closeActive();
-    asio::post(Executor,
-               [Self = shared_from_this(), Unused = std::move(Handlers)] {});
-    Handlers = {};
+    replaceHandlers({});
+  }
+
+  void abandon(milliseconds HeadWait, UpstreamHandlers HeadHandlers) override {
+    if (Ended || !Written || HasHead)
+      return cancel();
+    replaceHandlers(std::move(HeadHandlers));
+    beast::error_code Ignored;
+    Active->Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    AbandonTimer.emplace(Executor, HeadWait);
+    AbandonTimer->async_wait([Self = shared_from_this()](beast::error_code C) {
+      if (!C && !Self->Ended)
+        Self->cancel();
+    });
   }
 
 private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  /// May be called from a handler, so the handlers are destroyed later.
+  void replaceHandlers(UpstreamHandlers New) {
+    asio::post(Executor, [Self = shared_from_this(),
+                          Unused = std::exchange(Handlers, std::move(New))] {});
+  }
+
   void connect() {
     const auto Endpoint = parseIpPort(Call.Authority);
     Active = Connections->create();
@@ -192,13 +209,17 @@
       return end(UpstreamEnd::Broken,
                  "the response names no request, and there were earlier ones");
     } else {
+      HasHead = true;
       if (Handlers.OnEnd)
         Active->Stream.expires_never();
       if (Handlers.OnHead)
         Handlers.OnHead(std::move(Head));
     }
-    if (!Ended)
-      readBody();
+    if (Ended)
+      return;
+    if (AbandonTimer && HasHead)
+      return cancel();
+    readBody();
   }
 
   bool mayBelongToEarlier(const HttpResponse &Head) const {
@@ -292,6 +313,8 @@
   }
 
   void closeActive() {
+    if (AbandonTimer)
+      AbandonTimer->cancel();
     if (Active)
       Active->Stream.close();
   }
@@ -318,6 +341,8 @@
   SteadyTime Deadline;
   ClientConnectionPtr Active;
   std::optional<SteadyTime> ConnectedAt; ///< of the connection in use
+  std::optional<asio::steady_timer>
+      AbandonTimer; ///< if the request is given up
   http::request<http::span_body<const char>> Message;
   std::optional<Parser> ResponseParser;
   std::array<char, 4096> Data{};
@@ -326,6 +351,7 @@
   unsigned InterimResponses = 0;
   std::size_t DiscardedBytes = 0;
   bool Skipping = false;
+  bool HasHead = false; ///< of the response to this request
   bool Written = false;
   bool WriteEnded = false;
   bool ResponseEnded = false;
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -2,6 +2,8 @@
 // nobody waits for an answer.
 #include "hyssoprail/connection/upstream_client.hpp"
 
+#include <atomic>
+
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 
@@ -166,6 +168,82 @@
   CHECK(Code == boost::asio::error::connection_reset);
 }
 
+/// An endpoint that a request was sent to, which has been read.
+struct AskedEndpoint {
+  AskedEndpoint() {
+    UpstreamCall Call;
+    Call.Authority =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
+    Call.HeadTimeout = Timeout;
+    UpstreamHandlers H;
+    H.OnHead = [this](const HttpResponse &) { ++EarlierCalls; };
+    H.OnEnd = [this](UpstreamEnd, const std::string &) { ++EarlierCalls; };
+    Sender.run([&] {
+      Exchange = Sender.client().send(std::move(Call), std::move(H));
+    });
+    Connection = Acceptor.accept();
+    std::string Received;
+    boost::asio::read_until(Connection, boost::asio::dynamic_buffer(Received),
+                            "\r\n\r\n");
+  }
+
+  void abandon(std::chrono::milliseconds HeadWait) {
+    UpstreamHandlers H;
+    H.OnHead = [this](const HttpResponse &Head) { Status = Head.Status; };
+    Sender.run([&] { Exchange->abandon(HeadWait, std::move(H)); });
+  }
+
+  /// True if the other side has closed its half of the connection.
+  bool halfClosed() {
+    boost::system::error_code Code;
+    char Byte = 0;
+    Connection.read_some(boost::asio::buffer(&Byte, 1), Code);
+    return Code == boost::asio::error::eof;
+  }
+
+  /// True if the other side has reset the connection; sends a byte if not.
+  bool wasReset() {
+    boost::system::error_code Code;
+    boost::asio::write(Connection, boost::asio::buffer("x", 1), Code);
+    return Code == boost::asio::error::connection_reset ||
+           Code == boost::asio::error::broken_pipe;
+  }
+
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Acceptor{
+      Context, {boost::asio::ip::address_v4::loopback(), 0}};
+  boost::asio::ip::tcp::socket Connection{Context};
+  std::atomic<unsigned> Status{0};
+  std::atomic<unsigned> EarlierCalls{0};
+  UpstreamSender Sender;
+  std::shared_ptr<UpstreamExchange> Exchange;
+};
+
+// Guards against the answer to a request that was given up: what it states of
+// its endpoint was not read, so the endpoint got more requests in a time for
+// which it had asked for none (review/not-claimed/late-refusal, BUDGET).
+TEST_CASE("the head of an abandoned response is read, and nothing behind it") {
+  AskedEndpoint E;
+  E.abandon(Timeout);
+  CHECK(E.halfClosed());
+  boost::asio::write(E.Connection,
+                     boost::asio::buffer(std::string(
+                         "HTTP/1.1 503 Busy\r\nContent-Length: 999\r\n\r\n")));
+  CHECK(waitUntil([&] { return E.Status == 503; }));
+  CHECK(waitUntil([&] { return E.wasReset(); }));
+  CHECK(E.EarlierCalls == 0);
+}
+
+TEST_CASE("an abandoned request ends with a reset when its time is over") {
+  AskedEndpoint E;
+  E.abandon(std::chrono::milliseconds(50));
+  CHECK(E.halfClosed());
+  CHECK(waitUntil([&] { return E.wasReset(); }));
+  CHECK(E.Status == 0);
+  CHECK(E.EarlierCalls == 0);
+}
+
 // Guards against a connection that stays open for good, because nobody waits
 // for the end of its exchange: the endpoint sends an answer without end, or
 // none after its head.
--- a/src/hyssoprail/gateway/request_session.cpp
+++ b/src/hyssoprail/gateway/request_session.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds EngineConnectTimeout{250};
 constexpr milliseconds DropHandleTimeout{1'000};
 
+/// How long an endpoint may take to answer after its request was given up, if
+/// what it states is to count.
+constexpr milliseconds StatementWait{1'500};
+
 constexpr unsigned StatusInternalError = 500;
 constexpr unsigned StatusOutcomeUnknown = 502;
 constexpr std::string_view FailureReason = "internal_error";
@@ -379,10 +383,37 @@
   if (It == Legs.end())
     return;
   const Leg L = removeLeg(It);
-  L.cancel();
+  if (L.Exchange && !L.HasHead && Caller->clientConnected())
+    L.Exchange->abandon(StatementWait, statementHandlers(L));
+  else
+    L.cancel();
   logLegEnd(L, "cancelled", 0, "");
 }
 
+/// Handlers that read from the response to a leg that was given up what it
+/// states of the endpoint. They may outlive the session.
+UpstreamHandlers RequestSession::statementHandlers(const Leg &L) const {
+  const EndpointProtocol &Protocol = Services.Protocol;
+  UpstreamHandlers H;
+  H.MatchesRequest = [&Protocol, Id = Request.Info.Id](const HttpResponse &R) {
+    return Protocol.isResponseTo(R, Id);
+  };
+  H.NamesRequest = [&Protocol](const HttpResponse &R) {
+    return Protocol.namesRequest(R);
+  };
+  H.OnHead = [&Protocol, &Guard = Services.Guard, Id = Request.Info.Id,
+              OnStatement = Hooks.OnAvailabilityStatement,
+              Endpoint = L.EndpointId,
+              StartedAtMs = L.EndpointStartedAtMs](const HttpResponse &Head) {
+    Guard.run(Boundary::Answer, Id, [&] {
+      const AvailabilityStatement Stated = Protocol.availabilityStatement(Head);
+      if (!Stated.empty())
+        OnStatement(Endpoint, StartedAtMs, Stated);
+    });
+  };
+  return H;
+}
+
 std::optional<TimePoint> RequestSession::connectedAt(LegId Leg) const {
   const auto It = Legs.find(Leg);
   return It != Legs.end() && It->second.Exchange
--- a/src/hyssoprail/gateway/request_session.hpp
+++ b/src/hyssoprail/gateway/request_session.hpp
@@ -196,6 +196,7 @@
   void onTimer();
   void sendLeg(LegId Id, const routing::LegRequest &Spec);
   UpstreamHandlers legHandlers(LegId Id);
+  UpstreamHandlers statementHandlers(const Leg &L) const;
   void onLegHead(LegId Id, HttpResponse Head);
   bool isPartOfStream(routing::LegKind Kind, const HttpResponse &Head) const;
   void onLegData(LegId Id, std::string_view Data);
