--- a/src/hyssoprail/connection/http_client_test.cpp
+++ b/src/hyssoprail/connection/http_client_test.cpp
@@ -91,6 +91,9 @@
 
 constexpr const char *OkResponse =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char *CodingAndLength =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n"
+    "\r\nab";
 
 } // namespace
 
@@ -110,8 +113,7 @@
         "nonsense\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
-        "Content-Length: 2\r\n\r\nab",
+        CodingAndLength,
         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
     ScriptedServer S(Broken, true);
     CHECK(errorKindOf(callTo(S.authority())) == ErrorKind::UpstreamFailed);
