Upstream: the end of an abandoned request is no failure of its endpoint

That ended the exchange as broken, which closed all idle connections to a sound endpoint.

Change: an abandoned exchange that ends is cancelled, and nothing else.

Evidence: "an abandoned request closes no other connection to its endpoint" failed before (0 idle connections, 1 is there) and passes now.

--- a/src/hyssoprail/connection/upstream_client.cpp
+++ b/src/hyssoprail/connection/upstream_client.cpp
@@ -319,9 +319,13 @@
       Active->Stream.close();
   }
 
+  /// The end of an abandoned exchange is no failure of the endpoint: it may
+  /// have dropped the request.
   void end(UpstreamEnd End, std::string Detail) {
     if (Ended)
       return;
+    if (AbandonTimer)
+      return cancel();
     Ended = true;
     if (End != UpstreamEnd::Complete && End != UpstreamEnd::Closed) {
       closeActive();
--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -3,6 +3,7 @@
 #include "hyssoprail/connection/upstream_client.hpp"
 
 #include <atomic>
+#include <utility>
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
@@ -171,21 +172,37 @@
 /// An endpoint that a request was sent to, which has been read.
 struct AskedEndpoint {
   AskedEndpoint() {
+    UpstreamHandlers H;
+    H.OnHead = [this](const HttpResponse &) { ++EarlierCalls; };
+    H.OnEnd = [this](UpstreamEnd, const std::string &) { ++EarlierCalls; };
+    Exchange = send(std::move(H));
+    Connection = acceptRequest();
+  }
+
+  std::shared_ptr<UpstreamExchange> send(UpstreamHandlers H) {
     UpstreamCall Call;
     Call.Authority =
         "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
     Call.Request = {"GET", "/", {{"Host", "h"}}, ""};
     Call.HeadTimeout = Timeout;
-    UpstreamHandlers H;
-    H.OnHead = [this](const HttpResponse &) { ++EarlierCalls; };
-    H.OnEnd = [this](UpstreamEnd, const std::string &) { ++EarlierCalls; };
-    Sender.run([&] {
-      Exchange = Sender.client().send(std::move(Call), std::move(H));
-    });
-    Connection = Acceptor.accept();
+    std::shared_ptr<UpstreamExchange> Sent;
+    Sender.run(
+        [&] { Sent = Sender.client().send(std::move(Call), std::move(H)); });
+    return Sent;
+  }
+
+  boost::asio::ip::tcp::socket acceptRequest() {
+    boost::asio::ip::tcp::socket Accepted = Acceptor.accept();
     std::string Received;
-    boost::asio::read_until(Connection, boost::asio::dynamic_buffer(Received),
+    boost::asio::read_until(Accepted, boost::asio::dynamic_buffer(Received),
                             "\r\n\r\n");
+    return Accepted;
+  }
+
+  std::size_t idleConnections() {
+    std::size_t Count = 0;
+    Sender.run([&] { Count = Sender.client().idleConnections(); });
+    return Count;
   }
 
   void abandon(std::chrono::milliseconds HeadWait) {
@@ -244,6 +261,24 @@
   CHECK(E.EarlierCalls == 0);
 }
 
+// Guards against new connections to a sound endpoint that closes the connection
+// of a request which was given up.
+TEST_CASE("an abandoned request closes no other connection to its endpoint") {
+  AskedEndpoint E;
+  E.send({});
+  boost::asio::ip::tcp::socket Other = E.acceptRequest();
+  boost::asio::write(
+      Other, boost::asio::buffer(
+                 std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  REQUIRE(waitUntil([&] { return E.idleConnections() == 1; }));
+  E.abandon(Timeout);
+  E.Connection.close();
+  const std::weak_ptr<UpstreamExchange> Abandoned =
+      std::exchange(E.Exchange, nullptr);
+  CHECK(waitUntil([&] { return Abandoned.expired(); }));
+  CHECK(E.idleConnections() == 1);
+}
+
 // Guards against a connection that stays open for good, because nobody waits
 // for the end of its exchange: the endpoint sends an answer without end, or
 // none after its head.
