Upstream test: an abandoned request is given up after its write

Cause: the endpoint of the test had the request before the client's loop had handled the end of its write, so the exchange was cancelled, as the interface says. The test took "read" for "written".

Change: the test waits for a step of the loop behind the write; each check is as before.

--- a/src/hyssoprail/connection/upstream_cut_test.cpp
+++ b/src/hyssoprail/connection/upstream_cut_test.cpp
@@ -177,6 +177,9 @@
     H.OnEnd = [this](UpstreamEnd, const std::string &) { ++EarlierCalls; };
     Exchange = send(std::move(H));
     Connection = acceptRequest();
+    // The request can arrive before the step of the loop ends that sent it.
+    // After this one, the end of the write is handled before any later step.
+    Sender.run([] {});
   }
 
   std::shared_ptr<UpstreamExchange> send(UpstreamHandlers H) {
